Set up the workspace, the core types and the design page

Cause: the code needs one shape from the start: small libraries, decisions without I/O, typed ids and states, and a design that states every requirement.

--- /dev/null
+++ b/packages/core/src/lavendershed/core/ids.py
@@ -0,0 +1,30 @@
+"""Identifiers of the entities that the system works with."""
+
+from __future__ import annotations
+
+from typing import NewType
+
+VmId = NewType("VmId", str)
+# Random 64-bit number that a process draws at its start.
+Incarnation = NewType("Incarnation", int)
+AvailabilityZoneId = NewType("AvailabilityZoneId", str)
+OrganisationId = NewType("OrganisationId", str)
+ServiceId = NewType("ServiceId", str)
+BackendServerId = NewType("BackendServerId", str)
+ModelId = NewType("ModelId", str)
+AdapterId = NewType("AdapterId", str)
+PresetName = NewType("PresetName", str)
+Epoch = NewType("Epoch", int)
+RequestId = NewType("RequestId", str)
+AttemptId = NewType("AttemptId", str)
+StreamId = NewType("StreamId", str)
+KvHandle = NewType("KvHandle", str)
+HoldId = NewType("HoldId", str)
+FencingNumber = NewType("FencingNumber", int)
+ObjectKey = NewType("ObjectKey", str)
+ObjectVersion = NewType("ObjectVersion", int)
+IdempotencyKey = NewType("IdempotencyKey", str)
+Fingerprint = NewType("Fingerprint", int)
+ChangeId = NewType("ChangeId", str)
+ChunkHash = NewType("ChunkHash", str)
+OrderId = NewType("OrderId", str)
--- /dev/null
+++ b/packages/core/src/lavendershed/core/timers.py
@@ -0,0 +1,111 @@
+"""Timer service that all parts subscribe to instead of reading a clock."""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import Callable
+import heapq
+import itertools
+
+from lavendershed.core import units
+
+Callback = Callable[[], None]
+
+
+class Subscription(abc.ABC):
+    """A pending timer."""
+
+    @abc.abstractmethod
+    def cancel(self) -> None:
+        """Cancels the timer. Idempotent."""
+
+
+class TimerService(abc.ABC):
+    """Source of time and timers."""
+
+    @abc.abstractmethod
+    def now(self) -> units.Instant:
+        """Returns the monotonic time in seconds."""
+
+    @abc.abstractmethod
+    def subscribe_at(
+        self, when: units.Instant, callback: Callback
+    ) -> Subscription:
+        """Calls `callback` once at `when`, or soon if `when` has passed."""
+
+    def subscribe_every(
+        self, interval: units.Seconds, callback: Callback
+    ) -> Subscription:
+        """Calls `callback` every `interval` seconds until cancelled."""
+        return _PeriodicSubscription(self, interval, callback)
+
+
+class _PeriodicSubscription(Subscription):
+    def __init__(
+        self, timers: TimerService, interval: units.Seconds, callback: Callback
+    ) -> None:
+        self._timers = timers
+        self._interval = interval
+        self._callback = callback
+        self._cancelled = False
+        self._current = self._schedule()
+
+    def cancel(self) -> None:
+        self._cancelled = True
+        self._current.cancel()
+
+    def _schedule(self) -> Subscription:
+        when = units.after(self._timers.now(), self._interval)
+        return self._timers.subscribe_at(when, self._fire)
+
+    def _fire(self) -> None:
+        if self._cancelled:
+            return
+        # The next period is scheduled first so that a callback may cancel it.
+        self._current = self._schedule()
+        self._callback()
+
+
+class _VirtualSubscription(Subscription):
+    def __init__(self, callback: Callback) -> None:
+        self._callback: Callback | None = callback
+
+    def cancel(self) -> None:
+        self._callback = None
+
+    def fire(self) -> None:
+        callback, self._callback = self._callback, None
+        if callback is not None:
+            callback()
+
+
+class VirtualTimerService(TimerService):
+    """Timers on a clock that only `advance` moves."""
+
+    def __init__(self) -> None:
+        self._now = units.Instant(0.0)
+        self._sequence = itertools.count()
+        self._pending: list[
+            tuple[units.Instant, int, _VirtualSubscription]
+        ] = []
+
+    def now(self) -> units.Instant:
+        """Returns the virtual time in seconds."""
+        return self._now
+
+    def subscribe_at(
+        self, when: units.Instant, callback: Callback
+    ) -> Subscription:
+        """Calls `callback` when `advance` reaches `when`."""
+        subscription = _VirtualSubscription(callback)
+        entry = (max(when, self._now), next(self._sequence), subscription)
+        heapq.heappush(self._pending, entry)
+        return subscription
+
+    def advance(self, duration: units.Seconds) -> None:
+        """Moves the clock by `duration` seconds and fires timers on the way."""
+        end = units.after(self._now, duration)
+        while self._pending and self._pending[0][0] <= end:
+            self._now, _, subscription = heapq.heappop(self._pending)
+            subscription.fire()
+        self._now = end
--- /dev/null
+++ b/packages/core/src/lavendershed/core/units.py
@@ -0,0 +1,22 @@
+"""Quantities with their units."""
+
+from __future__ import annotations
+
+from typing import NewType
+
+# A point on the monotonic clock of one process, in seconds.
+Instant = NewType("Instant", float)
+Seconds = NewType("Seconds", float)
+Milliseconds = NewType("Milliseconds", int)
+Tokens = NewType("Tokens", int)
+Bytes = NewType("Bytes", int)
+
+
+def after(instant: Instant, duration: Seconds) -> Instant:
+    """Returns the instant that lies `duration` seconds after `instant`."""
+    return Instant(instant + duration)
+
+
+def elapsed(start: Instant, end: Instant) -> Seconds:
+    """Returns the seconds from `start` to `end`; negative if `end` is first."""
+    return Seconds(end - start)
--- /dev/null
+++ b/packages/httpd/src/lavendershed/httpd/__init__.py
@@ -0,0 +1,3 @@
+"""Caller-facing HTTP listener."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/membership/src/lavendershed/membership/__init__.py
@@ -0,0 +1,3 @@
+"""Failure detection and dissemination of versioned records."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/peer/src/lavendershed/peer/__init__.py
@@ -0,0 +1,3 @@
+"""Messages and transports between daemons."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/placement/src/lavendershed/placement/__init__.py
@@ -0,0 +1,3 @@
+"""Leases, fencing numbers and orders to model engines."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/reliability/src/lavendershed/reliability/__init__.py
@@ -0,0 +1,3 @@
+"""Retries, execution truth, crash suspects, memory ledger."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/routing/src/lavendershed/routing/__init__.py
@@ -0,0 +1,3 @@
+"""Admission, fair queueing, engine choice and engine groups."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/standin/src/lavendershed/standin/__init__.py
@@ -0,0 +1,3 @@
+"""Stand-ins of outside systems for tests and experiments."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/telemetry/src/lavendershed/telemetry/__init__.py
@@ -0,0 +1,3 @@
+"""Numbered log events and OpenTelemetry instruments."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tools/run_tests.py
@@ -0,0 +1,108 @@
+"""Runs every test of the workspace and prints the totals.
+
+Each test directory runs in its own interpreter, several at a time. Tests that
+KNOWN-RED.txt lists may fail; they are printed and counted apart.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import pathlib
+import sys
+import unittest
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+PARALLEL_DIRECTORIES = 4
+KNOWN_RED_PREFIX = "test: "
+
+
+def run_directory(directory: pathlib.Path) -> None:
+    """Runs one test directory and prints its result as one JSON line."""
+    loader = unittest.TestLoader()
+    suite = loader.discover(str(directory), top_level_dir=str(directory))
+    runner = unittest.TextTestRunner(stream=sys.stderr, verbosity=1)
+    outcome = runner.run(suite)
+    failures = [test.id() for test, _ in outcome.failures + outcome.errors]
+    failures += [test.id() for test in outcome.unexpectedSuccesses]
+    print(
+        json.dumps(
+            {
+                "run": outcome.testsRun,
+                "failures": failures,
+                "skipped": len(outcome.skipped),
+            }
+        )
+    )
+
+
+def known_red() -> set[str]:
+    """Returns the ids of the tests that are listed as known failures."""
+    path = ROOT / "KNOWN-RED.txt"
+    if not path.exists():
+        return set()
+    return {
+        line.removeprefix(KNOWN_RED_PREFIX).strip()
+        for line in path.read_text().splitlines()
+        if line.startswith(KNOWN_RED_PREFIX)
+    }
+
+
+async def run_child(
+    directory: pathlib.Path, limit: asyncio.Semaphore
+) -> tuple[str, dict, str]:
+    """Runs one test directory in its own interpreter."""
+    async with limit:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            __file__,
+            str(directory),
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+        )
+        out, err = await process.communicate()
+    name = str(directory.relative_to(ROOT))
+    lines = out.decode().splitlines()
+    try:
+        report = json.loads(lines[-1])
+    except (IndexError, ValueError):
+        report = {"run": 1, "failures": [f"{name} did not run"], "skipped": 0}
+    return name, report, err.decode()
+
+
+async def run_all() -> int:
+    """Runs all test directories and returns the exit status."""
+    directories = [
+        directory
+        for directory in sorted(ROOT.glob("packages/*/tests"))
+        + [ROOT / "tests"]
+        if any(directory.rglob("test_*.py"))
+    ]
+    limit = asyncio.Semaphore(PARALLEL_DIRECTORIES)
+    reports = await asyncio.gather(
+        *(run_child(directory, limit) for directory in directories)
+    )
+    known = known_red()
+    passed = failed = skipped = 0
+    for name, report, errors in reports:
+        unexpected = [t for t in report["failures"] if t not in known]
+        expected = [t for t in report["failures"] if t in known]
+        status = "FAILED" if unexpected else "ok"
+        print(f"{name}: {report['run']} run, {status}")
+        if unexpected:
+            print(errors)
+        for test in expected:
+            print(f"{name}: known failure: {test}")
+        failed += len(unexpected)
+        skipped += report["skipped"]
+        passed += report["run"] - len(report["failures"]) - report["skipped"]
+    suffix = f", {skipped} skipped" if skipped else ""
+    print(f"{passed} passed, {failed} failed{suffix}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    if len(sys.argv) > 1:
+        run_directory(pathlib.Path(sys.argv[1]))
+    else:
+        sys.exit(asyncio.run(run_all()))
