--- /dev/null
+++ b/packages/backend/src/lavendershed/backend/event_stream.py
@@ -0,0 +1,155 @@
+"""Server-sent events of a model engine's stream."""
+
+from __future__ import annotations
+
+import orjson
+import result
+
+from lavendershed.core import backend_servers
+from lavendershed.core import ids
+from lavendershed.core import states
+from lavendershed.core import units
+from lavendershed.transport import client
+from lavendershed.transport import errors
+from lavendershed.transport import pool
+
+_SEPARATOR = b"\n\n"
+_TOKEN_PREFIX = b"event: token\ndata: "
+_ACCEPTED_PREFIX = b"event: accepted\ndata: "
+_END_PREFIX = b"event: end\ndata: "
+_MAX_EVENT_BYTES = 1_000_000
+
+
+def text_of(events: tuple[bytes, ...]) -> str:
+    """Decodes the text of encoded token events."""
+    return "".join(
+        orjson.loads(event[len(_TOKEN_PREFIX) :])["text"] for event in events
+    )
+
+
+class EventDecoder:
+    """Splits a byte stream into events; keeps token events encoded.
+
+    Of consecutive token events only the first and the last offset are parsed:
+    together with the number of events they show a gap or a repetition.
+    """
+
+    def __init__(self) -> None:
+        self._buffer = b""
+        self._attempt = ids.AttemptId("")
+
+    @property
+    def has_partial_event(self) -> bool:
+        """Whether the bytes so far end inside an event."""
+        return bool(self._buffer)
+
+    def feed(
+        self, data: bytes
+    ) -> result.Result[tuple[backend_servers.StreamEvent, ...], str]:
+        """Returns the events that `data` completes."""
+        *complete, self._buffer = (self._buffer + data).split(_SEPARATOR)
+        if len(self._buffer) > _MAX_EVENT_BYTES:
+            return result.Err("an event is too large")
+        events: list[backend_servers.StreamEvent] = []
+        tokens: list[bytes] = []
+        try:
+            for piece in complete:
+                if piece.startswith(_TOKEN_PREFIX):
+                    tokens.append(piece + _SEPARATOR)
+                    continue
+                if tokens:
+                    events.append(self._token_batch(tokens))
+                    tokens = []
+                events.append(self._other_event(piece))
+            if tokens:
+                events.append(self._token_batch(tokens))
+        except (ValueError, KeyError, TypeError) as error:
+            return result.Err(f"malformed event: {error}")
+        return result.Ok(tuple(events))
+
+    def _token_batch(self, tokens: list[bytes]) -> backend_servers.TokenBatch:
+        first = _token_offset(tokens[0])
+        last = _token_offset(tokens[-1]) if len(tokens) > 1 else first
+        if last - first != len(tokens) - 1:
+            raise ValueError("token offsets are not contiguous")
+        return backend_servers.TokenBatch(self._attempt, first, tuple(tokens))
+
+    def _other_event(self, piece: bytes) -> backend_servers.StreamEvent:
+        if piece.startswith(_ACCEPTED_PREFIX):
+            content = orjson.loads(piece[len(_ACCEPTED_PREFIX) :])
+            self._attempt = ids.AttemptId(content["attempt_id"])
+            return backend_servers.StreamAccepted(
+                self._attempt, ids.Incarnation(content["incarnation"])
+            )
+        if piece.startswith(_END_PREFIX):
+            content = orjson.loads(piece[len(_END_PREFIX) :])
+            return backend_servers.StreamEnd(
+                self._attempt,
+                units.Tokens(content["token_count"]),
+                states.FinishReason(content["reason"]),
+            )
+        raise ValueError("unknown event type")
+
+
+def _token_offset(event: bytes) -> int:
+    return int(orjson.loads(event[len(_TOKEN_PREFIX) :])["offset"])
+
+
+class HttpEngineStream(backend_servers.EngineStream):
+    """A stream on one HTTP connection."""
+
+    def __init__(
+        self,
+        connection: client.ClientConnection,
+        connections: pool.ConnectionPool,
+    ) -> None:
+        self._connection = connection
+        self._pool = connections
+        self._decoder = EventDecoder()
+
+    async def read(
+        self,
+    ) -> result.Result[
+        tuple[backend_servers.StreamEvent, ...], backend_servers.BackendError
+    ]:
+        """Returns the events that arrived together; at least one."""
+        while True:
+            part = await self._connection.read_part(
+                self._pool.limits.idle_timeout
+            )
+            if isinstance(part, result.Err):
+                return result.Err(_stream_error(part.err_value))
+            if not part.ok_value:
+                return result.Err(
+                    backend_servers.BackendError(
+                        backend_servers.BackendErrorKind.CONNECTION_LOST,
+                        True,
+                        "the stream ended without an end event",
+                    )
+                )
+            events = self._decoder.feed(part.ok_value)
+            if isinstance(events, result.Err):
+                return result.Err(
+                    backend_servers.BackendError(
+                        backend_servers.BackendErrorKind.PROTOCOL,
+                        True,
+                        events.err_value,
+                    )
+                )
+            if events.ok_value:
+                return result.Ok(events.ok_value)
+
+    def close(self) -> None:
+        """Closes the connection; the engine keeps the stream."""
+        self._connection.close()
+
+
+def _stream_error(
+    error: errors.TransportError,
+) -> backend_servers.BackendError:
+    kind = (
+        backend_servers.BackendErrorKind.IDLE_TIMEOUT
+        if error.kind is errors.TransportErrorKind.IDLE_TIMEOUT
+        else backend_servers.BackendErrorKind.CONNECTION_LOST
+    )
+    return backend_servers.BackendError(kind, True, error.detail)
--- /dev/null
+++ b/packages/backend/src/lavendershed/backend/http_plain_service.py
@@ -0,0 +1,88 @@
+"""Client of one backend server of a plain service over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+
+import result
+
+from lavendershed.core import backend_servers
+from lavendershed.transport import client
+from lavendershed.transport import errors
+from lavendershed.transport import pool
+
+_KINDS = {
+    errors.TransportErrorKind.CONNECT_FAILED: (
+        backend_servers.BackendErrorKind.CONNECTION_REFUSED
+    ),
+    errors.TransportErrorKind.CONNECTION_LOST: (
+        backend_servers.BackendErrorKind.CONNECTION_LOST
+    ),
+    errors.TransportErrorKind.IDLE_TIMEOUT: (
+        backend_servers.BackendErrorKind.IDLE_TIMEOUT
+    ),
+    errors.TransportErrorKind.PROTOCOL: (
+        backend_servers.BackendErrorKind.PROTOCOL
+    ),
+}
+# The header by which a plain service says that it has not started a call.
+NOT_STARTED_HEADER = "execution-started"
+
+
+class HttpPlainService(backend_servers.PlainService):
+    """The plain service at one address."""
+
+    def __init__(self, connections: pool.ConnectionPool) -> None:
+        self._pool = connections
+
+    async def call(
+        self, call: backend_servers.PlainCall
+    ) -> result.Result[
+        backend_servers.PlainAnswer, backend_servers.BackendError
+    ]:
+        """Sends the call once and returns the whole answer."""
+        head = client.RequestHead(
+            call.method,
+            "/" + call.path,
+            tuple((h.name, h.value) for h in call.headers),
+        )
+        try:
+            async with asyncio.timeout(call.timeout):
+                answer = await self._pool.exchange(
+                    head,
+                    call.body,
+                    fresh=call.fresh_connection,
+                    timeout=call.timeout,
+                )
+        except TimeoutError:
+            return result.Err(
+                backend_servers.BackendError(
+                    backend_servers.BackendErrorKind.DEADLINE,
+                    True,
+                    f"no answer within {call.timeout:.3f} s",
+                )
+            )
+        if isinstance(answer, result.Err):
+            error = answer.err_value
+            return result.Err(
+                backend_servers.BackendError(
+                    _KINDS[error.kind], error.sent, error.detail
+                )
+            )
+        response = answer.ok_value
+        if response.head.header(NOT_STARTED_HEADER) == "false":
+            return result.Err(
+                backend_servers.BackendError(
+                    backend_servers.BackendErrorKind.REFUSED_BEFORE_START,
+                    True,
+                    f"status {response.head.status}",
+                )
+            )
+        return result.Ok(
+            backend_servers.PlainAnswer(
+                response.head.status,
+                response.head.header("content-type")
+                or "application/octet-stream",
+                response.body,
+            )
+        )
--- /dev/null
+++ b/packages/cli/src/lavendershed/cli/commands/__init__.py
@@ -0,0 +1,3 @@
+"""One module per command."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/cli/src/lavendershed/cli/commands/router.py
@@ -0,0 +1,61 @@
+"""The `router` command."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import signal
+import sys
+
+import click
+import pydantic
+
+from lavendershed.cli import settings
+from lavendershed.daemon import factory
+from lavendershed.daemon import options
+from lavendershed.telemetry import instruments
+from lavendershed.telemetry import log
+from lavendershed.transport import event_loop_timers
+
+
+@click.command()
+@click.option("--vm", help="Id of this VM.")
+@click.option("--availability-zone", help="Availability zone of this VM.")
+@click.option("--listen", help="Numeric address for callers, host:port.")
+@click.option("--store", help="Numeric address of the object API.")
+@click.option("--idle-timeout-seconds", type=float)
+@click.option("--settle-time-seconds", type=float)
+def router(**flags: str | float | None) -> None:
+    """Runs the router until SIGTERM."""
+    given = {name: value for name, value in flags.items() if value is not None}
+    try:
+        checked = settings.RouterSettings.from_flags(given)
+    except pydantic.ValidationError as error:
+        raise click.UsageError(_describe(error)) from error
+    # uvloop reads this before it creates its loop.
+    os.environ["UV_USE_IO_URING"] = "0"
+    asyncio.run(_run(checked.options()))
+
+
+def _describe(error: pydantic.ValidationError) -> str:
+    lines = [
+        f"--{str(item['loc'][0]).replace('_', '-')}: {item['msg']}"
+        for item in error.errors()
+    ]
+    return "; ".join(lines)
+
+
+async def _run(router_options: options.RouterOptions) -> None:
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    router_factory = factory.RouterFactory(
+        router_options,
+        event_loop_timers.EventLoopTimerService(loop),
+        log.EliotEventLog(sys.stdout),
+        instruments.Instruments(router_options.vm),
+        random.Random(),
+    )
+    await router_factory.build().run(stop)
--- /dev/null
+++ b/packages/cli/src/lavendershed/cli/settings.py
@@ -0,0 +1,70 @@
+"""Settings of the router from flags and environment variables."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+import pydantic
+import pydantic_settings
+
+from lavendershed.core import ids
+from lavendershed.core import units
+from lavendershed.daemon import options
+from lavendershed.transport import address
+
+MAX_IDLE_TIMEOUT_SECONDS = 60.0
+MAX_SETTLE_TIME_SECONDS = 600.0
+
+
+def _check_address(text: str) -> str:
+    parsed = address.parse(text)
+    if parsed.is_err():
+        raise ValueError(parsed.unwrap_err())
+    return text
+
+
+class RouterSettings(pydantic_settings.BaseSettings):
+    """Settings of `lavendershed router`; flags win over the environment."""
+
+    model_config = pydantic_settings.SettingsConfigDict(
+        env_prefix="LAVENDERSHED_", extra="forbid"
+    )
+
+    vm: str = pydantic.Field(min_length=1)
+    availability_zone: str = pydantic.Field(min_length=1)
+    listen: str
+    store: str
+    idle_timeout_seconds: float = pydantic.Field(
+        2.0, gt=0, le=MAX_IDLE_TIMEOUT_SECONDS
+    )
+    settle_time_seconds: float = pydantic.Field(
+        5.0, ge=0, le=MAX_SETTLE_TIME_SECONDS
+    )
+
+    @classmethod
+    def from_flags(cls, flags: Mapping[str, str | float]) -> RouterSettings:
+        """Returns settings in which `flags` win over the environment.
+
+        Raises:
+            pydantic.ValidationError: A setting is missing or out of range.
+        """
+        values: dict[str, Any] = dict(flags)
+        return cls(**values)
+
+    @pydantic.field_validator("listen", "store")
+    @classmethod
+    def check_address(cls, value: str) -> str:
+        """Refuses addresses that are not numeric."""
+        return _check_address(value)
+
+    def options(self) -> options.RouterOptions:
+        """Returns the options of the router."""
+        return options.RouterOptions(
+            ids.VmId(self.vm),
+            ids.AvailabilityZoneId(self.availability_zone),
+            address.parse(self.listen).unwrap(),
+            address.parse(self.store).unwrap(),
+            idle_timeout=units.Seconds(self.idle_timeout_seconds),
+            settle_time=units.Seconds(self.settle_time_seconds),
+        )
--- /dev/null
+++ b/packages/daemon/src/lavendershed/daemon/factory.py
@@ -0,0 +1,103 @@
+"""Builds a router from its options."""
+
+from __future__ import annotations
+
+import random
+
+from lavendershed.configuration import model
+from lavendershed.configuration import state as state_module
+from lavendershed.core import backend_servers
+from lavendershed.core import ids
+from lavendershed.core import timers
+from lavendershed.daemon import backend_directory
+from lavendershed.daemon import backend_health
+from lavendershed.daemon import calls
+from lavendershed.daemon import configuration_sync
+from lavendershed.daemon import dispatcher
+from lavendershed.daemon import generation
+from lavendershed.daemon import options as options_module
+from lavendershed.daemon import router as router_module
+from lavendershed.platform import http_store
+from lavendershed.routing import chooser
+from lavendershed.telemetry import instruments as instruments_module
+from lavendershed.telemetry import log
+from lavendershed.transport import pool
+
+
+class RouterFactory:
+    """Wires the parts of one router."""
+
+    def __init__(
+        self,
+        options: options_module.RouterOptions,
+        timer_service: timers.TimerService,
+        event_log: log.EventLog,
+        instruments: instruments_module.Instruments,
+        generator: random.Random,
+    ) -> None:
+        self._options = options
+        self._timers = timer_service
+        self._log = event_log
+        self._instruments = instruments
+        self._random = generator
+        self._limits = pool.PoolLimits(idle_timeout=options.idle_timeout)
+        self._state = state_module.ConfigurationState()
+        self._health = backend_health.BackendHealth()
+        self._directory = backend_directory.BackendDirectory(
+            backend_directory.HttpClientFactory(timer_service, self._limits)
+        )
+        self._store = http_store.HttpObjectStore(
+            pool.ConnectionPool(options.store, timer_service, self._limits)
+        )
+        self._owner = backend_servers.Owner(
+            options.vm, ids.Incarnation(generator.getrandbits(63))
+        )
+
+    def build(self) -> router_module.Router:
+        """Returns a router that is ready to run."""
+        sync = configuration_sync.ConfigurationSync(
+            self._store,
+            self._state,
+            self._timers,
+            self._log,
+            self._options.poll_interval,
+            (self._on_configuration,),
+        )
+        parts = router_module.Parts(
+            self._owner,
+            self._state,
+            self._build_generation(),
+            calls.Calls(
+                self._state, self._directory, self._timers, self._random
+            ),
+            (sync,),
+        )
+        router = router_module.Router(
+            self._options,
+            parts,
+            self._timers,
+            self._log,
+            self._instruments,
+        )
+        sync.add_listener(router.on_configuration)
+        return router
+
+    def _build_generation(self) -> generation.Generation:
+        return generation.Generation(
+            self._owner,
+            self._state,
+            self._directory,
+            dispatcher.ImmediateDispatcher(
+                self._state,
+                chooser.RoundRobin(),
+                self._timers,
+                self._log,
+                self._health,
+            ),
+            self._timers,
+        )
+
+    def _on_configuration(
+        self, old: model.Configuration, new: model.Configuration
+    ) -> None:
+        self._directory.on_configuration(new)
--- /dev/null
+++ b/packages/daemon/src/lavendershed/daemon/router.py
@@ -0,0 +1,247 @@
+"""The router: wiring of its parts, start and graceful stop."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+from collections.abc import Mapping
+import contextlib
+import dataclasses
+import hashlib
+import itertools
+
+import result
+
+from lavendershed.configuration import model
+from lavendershed.configuration import state
+from lavendershed.core import backend_servers
+from lavendershed.core import ids
+from lavendershed.core import outcomes
+from lavendershed.core import requests
+from lavendershed.core import states
+from lavendershed.core import timers
+from lavendershed.core import units
+from lavendershed.daemon import background
+from lavendershed.daemon import calls
+from lavendershed.daemon import generation
+from lavendershed.daemon import options as options_module
+from lavendershed.httpd import application
+from lavendershed.httpd import front_end
+from lavendershed.telemetry import events
+from lavendershed.telemetry import instruments as instruments_module
+from lavendershed.telemetry import log
+from lavendershed.transport import event_loop_timers
+from lavendershed.transport import server
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Parts:
+    """What the factory builds for a router."""
+
+    owner: backend_servers.Owner
+    state: state.ConfigurationState
+    generation: generation.Generation
+    calls: calls.Calls
+    background: tuple[background.BackgroundTask, ...]
+
+
+class Router(application.Application):
+    """One daemon process."""
+
+    def __init__(
+        self,
+        options: options_module.RouterOptions,
+        parts: Parts,
+        timer_service: timers.TimerService,
+        event_log: log.EventLog,
+        instruments: instruments_module.Instruments,
+    ) -> None:
+        self._options = options
+        self._parts = parts
+        self._state = parts.state
+        self._timers = timer_service
+        self._log = event_log
+        self._instruments = instruments
+        self._organisations: Mapping[str, ids.OrganisationId] = {}
+        self._stopping = False
+        self._refusing = False
+        self._requests_in_flight = 0
+        self._all_finished = asyncio.Event()
+        self._server = server.HttpServer(
+            front_end.FrontEnd(self, timer_service),
+            timer_service,
+            server.ServerLimits(),
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer may send requests."""
+        return self._state.ready and not self._stopping
+
+    @property
+    def refusing(self) -> outcomes.RequestFailure | None:
+        """Why all requests are refused at the moment, or None."""
+        if self._refusing:
+            return outcomes.not_run(
+                states.FailureReason.STOPPING,
+                "this router is stopping; send the request again",
+            )
+        if not self._state.ready:
+            return outcomes.not_run(
+                states.FailureReason.NOT_READY,
+                "this router has no configuration yet; send the request again",
+            )
+        return None
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Serves until `stop` is set, then stops gracefully.
+
+        Raises:
+            Exception: A background task broke an invariant.
+        """
+        await self._server.start(self._options.listen)
+        self._log.emit(
+            events.Event.DAEMON_STARTED,
+            vm=self._options.vm,
+            incarnation=str(self._parts.owner.incarnation),
+            listen=str(self._server.address),
+        )
+        tasks = [
+            asyncio.create_task(task.run()) for task in self._parts.background
+        ]
+        stopped = asyncio.create_task(stop.wait())
+        done, _ = await asyncio.wait(
+            (*tasks, stopped), return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in done:
+            task.result()
+        await self._stop_gracefully()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._server.close()
+        self._log.emit(events.Event.DAEMON_STOPPED, vm=self._options.vm)
+
+    def organisation_of(
+        self, bearer_token: str
+    ) -> result.Result[ids.OrganisationId, outcomes.RequestFailure]:
+        """Returns the organisation that a bearer token belongs to."""
+        digest = hashlib.sha256(bearer_token.encode()).hexdigest()
+        organisation = self._organisations.get(digest)
+        if organisation is None:
+            return result.Err(
+                outcomes.not_run(
+                    states.FailureReason.UNAUTHENTICATED,
+                    "header Authorization: the token belongs to no "
+                    "organisation",
+                )
+            )
+        return result.Ok(organisation)
+
+    def limits_of(
+        self, service: ids.ServiceId
+    ) -> result.Result[application.RequestLimits, outcomes.RequestFailure]:
+        """Returns the time limits of a service."""
+        configured = self._state.current.services.get(service)
+        if configured is None:
+            return result.Err(
+                outcomes.not_run(
+                    states.FailureReason.UNKNOWN_SERVICE,
+                    f"there is no service '{service}'",
+                )
+            )
+        return result.Ok(
+            application.RequestLimits(
+                configured.default_timeout, configured.max_timeout
+            )
+        )
+
+    async def generate(
+        self, request: requests.GenerateRequest, sink: requests.AnswerSink
+    ) -> result.Result[None, outcomes.RequestFailure]:
+        """Runs a generate request and delivers its answer to `sink`."""
+        kind = self._state.current.services[request.service].kind
+        if kind is not states.ServiceKind.MODEL_ENGINE:
+            return _wrong_kind(request.service, "a plain service: use /call/")
+        with self._in_flight(request.service):
+            return await self._parts.generation.run(request, sink)
+
+    async def call(
+        self, request: requests.CallRequest
+    ) -> result.Result[backend_servers.PlainAnswer, outcomes.RequestFailure]:
+        """Runs a call to a plain service."""
+        kind = self._state.current.services[request.service].kind
+        if kind is not states.ServiceKind.PLAIN:
+            return _wrong_kind(request.service, "not plain: use /generate")
+        with self._in_flight(request.service):
+            return await self._parts.calls.run(request)
+
+    def metrics(self) -> bytes:
+        """Returns the metrics in the Prometheus text format."""
+        return self._instruments.exposition()
+
+    def status(self) -> Mapping[str, object]:
+        """Returns the daemon's state for operators."""
+        entries = [task.status() for task in self._parts.background]
+        return {
+            "vm": self._options.vm,
+            "incarnation": str(self._parts.owner.incarnation),
+            "availability_zone": self._options.availability_zone,
+            "epoch": self._state.current.epoch,
+            "preset": self._state.current.active_preset,
+            "ready": self.ready,
+            "in_flight": self._requests_in_flight,
+            **dict(itertools.chain(*(entry.items() for entry in entries))),
+        }
+
+    def on_configuration(
+        self, old: model.Configuration, new: model.Configuration
+    ) -> None:
+        """Follows a configuration that has been put in force."""
+        self._organisations = {
+            token_hash: organisation.name
+            for organisation in new.organisations.values()
+            for token_hash in organisation.token_hashes
+        }
+        self._instruments.epoch_applied(new.epoch)
+        if not old.epoch:
+            self._log.emit(events.Event.DAEMON_READY, vm=self._options.vm)
+
+    @contextlib.contextmanager
+    def _in_flight(self, service: ids.ServiceId) -> Iterator[None]:
+        self._requests_in_flight += 1
+        self._all_finished.clear()
+        self._instruments.in_flight(service, 1)
+        try:
+            yield
+        finally:
+            self._instruments.in_flight(service, -1)
+            self._requests_in_flight -= 1
+            if not self._requests_in_flight:
+                self._all_finished.set()
+
+    async def _stop_gracefully(self) -> None:
+        self._stopping = True
+        self._log.emit(
+            events.Event.DAEMON_STOPPING, in_flight=self._requests_in_flight
+        )
+        await event_loop_timers.sleep(self._timers, self._options.settle_time)
+        self._refusing = True
+        self._server.stop_keep_alive()
+        if self._requests_in_flight:
+            await self._all_finished.wait()
+        for task in self._parts.background:
+            await task.release()
+        # Responses that have been handed to the event loop leave first.
+        await event_loop_timers.sleep(self._timers, units.Seconds(0.05))
+
+
+def _wrong_kind(
+    service: ids.ServiceId, detail: str
+) -> result.Err[outcomes.RequestFailure]:
+    return result.Err(
+        outcomes.not_run(
+            states.FailureReason.BAD_REQUEST,
+            f"service '{service}' is {detail}",
+        )
+    )
--- /dev/null
+++ b/packages/httpd/src/lavendershed/httpd/application.py
@@ -0,0 +1,69 @@
+"""Interface of the application behind the listener."""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import Mapping
+import dataclasses
+
+import result
+
+from lavendershed.core import backend_servers
+from lavendershed.core import ids
+from lavendershed.core import outcomes
+from lavendershed.core import requests
+from lavendershed.core import units
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestLimits:
+    """Time limits that a service allows."""
+
+    default_timeout: units.Seconds
+    max_timeout: units.Seconds
+
+
+class Application(abc.ABC):
+    """Runs requests that the listener has decoded."""
+
+    @property
+    @abc.abstractmethod
+    def ready(self) -> bool:
+        """Whether the balancer may send requests."""
+
+    @property
+    @abc.abstractmethod
+    def refusing(self) -> outcomes.RequestFailure | None:
+        """Why all requests are refused at the moment, or None."""
+
+    @abc.abstractmethod
+    def organisation_of(
+        self, bearer_token: str
+    ) -> result.Result[ids.OrganisationId, outcomes.RequestFailure]:
+        """Returns the organisation that a bearer token belongs to."""
+
+    @abc.abstractmethod
+    def limits_of(
+        self, service: ids.ServiceId
+    ) -> result.Result[RequestLimits, outcomes.RequestFailure]:
+        """Returns the time limits of a service."""
+
+    @abc.abstractmethod
+    async def generate(
+        self, request: requests.GenerateRequest, sink: requests.AnswerSink
+    ) -> result.Result[None, outcomes.RequestFailure]:
+        """Runs a generate request and delivers its answer to `sink`."""
+
+    @abc.abstractmethod
+    async def call(
+        self, request: requests.CallRequest
+    ) -> result.Result[backend_servers.PlainAnswer, outcomes.RequestFailure]:
+        """Runs a call to a plain service."""
+
+    @abc.abstractmethod
+    def metrics(self) -> bytes:
+        """Returns the metrics in the Prometheus text format."""
+
+    @abc.abstractmethod
+    def status(self) -> Mapping[str, object]:
+        """Returns the daemon's state for operators."""
--- /dev/null
+++ b/packages/httpd/src/lavendershed/httpd/front_end.py
@@ -0,0 +1,250 @@
+"""HTTP front end for callers, the balancer and operators."""
+
+from __future__ import annotations
+
+import re
+import uuid
+
+import orjson
+import result
+
+from lavendershed.core import ids
+from lavendershed.core import outcomes
+from lavendershed.core import requests
+from lavendershed.core import states
+from lavendershed.core import timers
+from lavendershed.core import units
+from lavendershed.httpd import application
+from lavendershed.httpd import problem
+from lavendershed.httpd import request_decoder
+from lavendershed.transport import server
+
+_GENERATE = re.compile(r"/v1/services/([^/]+)/generate")
+_CALL = re.compile(r"/v1/services/([^/]+)/call/(.+)")
+_REQUEST_ID = re.compile(r"[\x21-\x7e]{1,128}")
+_BEARER = "Bearer "
+_REJECTION_REASONS = {413: states.FailureReason.BODY_TOO_LARGE}
+_JSON = (("content-type", "application/json"),)
+
+
+class _HttpAnswerSink(requests.AnswerSink):
+    """Writes an answer as server-sent events."""
+
+    def __init__(
+        self, responder: server.Responder, request_id: ids.RequestId
+    ) -> None:
+        self._responder = responder
+        self._request_id = request_id
+
+    async def deliver(self, events: tuple[bytes, ...]) -> bool:
+        self._start()
+        return await self._responder.write(b"".join(events))
+
+    async def end(
+        self, token_count: units.Tokens, reason: states.FinishReason
+    ) -> None:
+        self._start()
+        content = orjson.dumps(
+            {"token_count": token_count, "finish_reason": reason.value}
+        )
+        await self._responder.write(b"event: end\ndata: " + content + b"\n\n")
+        await self._responder.finish()
+
+    async def fail(self, failure: outcomes.RequestFailure) -> None:
+        """Ends a started answer with an error event instead of `end`."""
+        content = problem.encode(failure, self._request_id)
+        await self._responder.write(b"event: error\ndata: " + content + b"\n\n")
+        await self._responder.finish()
+
+    def _start(self) -> None:
+        if not self._responder.started:
+            self._responder.start(
+                200,
+                (
+                    ("content-type", "text/event-stream"),
+                    ("cache-control", "no-store"),
+                    ("request-id", self._request_id),
+                ),
+            )
+
+
+class FrontEnd(server.Handler):
+    """Maps HTTP requests to calls of the application."""
+
+    def __init__(
+        self, app: application.Application, timer_service: timers.TimerService
+    ) -> None:
+        self._app = app
+        self._timers = timer_service
+
+    async def handle(
+        self, request: server.ServerRequest, responder: server.Responder
+    ) -> None:
+        """Answers one request."""
+        request_id = _request_id(request)
+        if request.path.startswith("/v1/services/"):
+            await self._handle_service(request, responder, request_id)
+        elif request.path == "/health/live":
+            await responder.respond(200, b"live\n")
+        elif request.path == "/health/ready":
+            await self._respond_ready(responder)
+        elif request.path == "/metrics":
+            await responder.respond(
+                200,
+                self._app.metrics(),
+                (("content-type", "text/plain; version=0.0.4"),),
+            )
+        elif request.path == "/v1/status":
+            body = orjson.dumps(dict(self._app.status()))
+            await responder.respond(200, body, _JSON)
+        else:
+            await _respond_failure(
+                responder,
+                outcomes.not_run(
+                    states.FailureReason.UNKNOWN_SERVICE,
+                    f"there is nothing at {request.path}",
+                ),
+                request_id,
+            )
+
+    def rejection(self, status: int, detail: str) -> bytes:
+        """Returns the body of an answer to a request that is not handled."""
+        reason = _REJECTION_REASONS.get(
+            status, states.FailureReason.BAD_REQUEST
+        )
+        return problem.encode(outcomes.not_run(reason, detail), "")
+
+    async def _respond_ready(self, responder: server.Responder) -> None:
+        if self._app.ready:
+            await responder.respond(200, b"ready\n")
+            return
+        await responder.respond(503, b"not ready\n")
+
+    async def _handle_service(
+        self,
+        request: server.ServerRequest,
+        responder: server.Responder,
+        request_id: ids.RequestId,
+    ) -> None:
+        outcome = await self._run(request, responder, request_id)
+        if isinstance(outcome, result.Ok):
+            return
+        if not responder.started:
+            await _respond_failure(responder, outcome.err_value, request_id)
+            return
+        await _HttpAnswerSink(responder, request_id).fail(outcome.err_value)
+
+    async def _run(
+        self,
+        request: server.ServerRequest,
+        responder: server.Responder,
+        request_id: ids.RequestId,
+    ) -> result.Result[None, outcomes.RequestFailure]:
+        if self._app.refusing is not None:
+            return result.Err(self._app.refusing)
+        generate = _GENERATE.fullmatch(request.path)
+        call = _CALL.fullmatch(request.path)
+        match = generate or call
+        if match is None:
+            return result.Err(
+                outcomes.not_run(
+                    states.FailureReason.UNKNOWN_SERVICE,
+                    f"there is nothing at {request.path}",
+                )
+            )
+        if request.method != "POST":
+            return request_decoder.bad_request(
+                f"method {request.method}: use POST"
+            )
+        organisation = self._authenticate(request)
+        if isinstance(organisation, result.Err):
+            return organisation
+        service = ids.ServiceId(match[1])
+        limits = self._app.limits_of(service)
+        if isinstance(limits, result.Err):
+            return limits
+        deadline = request_decoder.deadline(
+            request, limits.ok_value, self._timers.now()
+        )
+        if isinstance(deadline, result.Err):
+            return deadline
+        if generate is not None:
+            decoded = request_decoder.generate_request(
+                request,
+                request_id,
+                organisation.ok_value,
+                service,
+                deadline.ok_value,
+            )
+            if isinstance(decoded, result.Err):
+                return decoded
+            sink = _HttpAnswerSink(responder, request_id)
+            return await self._app.generate(decoded.ok_value, sink)
+        key = request_decoder.idempotency_key(request)
+        if isinstance(key, result.Err):
+            return key
+        return await self._call(
+            requests.CallRequest(
+                request_id,
+                organisation.ok_value,
+                service,
+                match[2],
+                request.body,
+                request.header("content-type") or "application/octet-stream",
+                key.ok_value,
+                deadline.ok_value,
+            ),
+            responder,
+        )
+
+    async def _call(
+        self, request: requests.CallRequest, responder: server.Responder
+    ) -> result.Result[None, outcomes.RequestFailure]:
+        answer = await self._app.call(request)
+        if isinstance(answer, result.Err):
+            return answer
+        await responder.respond(
+            answer.ok_value.status,
+            answer.ok_value.body,
+            (
+                ("content-type", answer.ok_value.content_type),
+                ("request-id", request.request_id),
+                ("execution", states.Execution.COMPLETED.value),
+            ),
+        )
+        return result.Ok(None)
+
+    def _authenticate(
+        self, request: server.ServerRequest
+    ) -> result.Result[ids.OrganisationId, outcomes.RequestFailure]:
+        authorization = request.header("authorization") or ""
+        if not authorization.startswith(_BEARER):
+            return result.Err(
+                outcomes.not_run(
+                    states.FailureReason.UNAUTHENTICATED,
+                    "header Authorization: send 'Bearer <token>'",
+                )
+            )
+        return self._app.organisation_of(authorization[len(_BEARER) :])
+
+
+async def _respond_failure(
+    responder: server.Responder,
+    failure: outcomes.RequestFailure,
+    request_id: ids.RequestId,
+) -> None:
+    await responder.respond(
+        problem.status_of(failure),
+        problem.encode(failure, request_id),
+        (
+            ("content-type", problem.CONTENT_TYPE),
+            ("request-id", request_id),
+        ),
+    )
+
+
+def _request_id(request: server.ServerRequest) -> ids.RequestId:
+    sent = request.header("request-id")
+    if sent is not None and _REQUEST_ID.fullmatch(sent):
+        return ids.RequestId(sent)
+    return ids.RequestId(uuid.uuid4().hex)
--- /dev/null
+++ b/packages/httpd/src/lavendershed/httpd/request_decoder.py
@@ -0,0 +1,117 @@
+"""Decoding of callers' HTTP requests into typed requests."""
+
+from __future__ import annotations
+
+import re
+from typing import Any
+
+import orjson
+import result
+
+from lavendershed.core import deadlines
+from lavendershed.core import ids
+from lavendershed.core import outcomes
+from lavendershed.core import requests
+from lavendershed.core import states
+from lavendershed.core import units
+from lavendershed.httpd import application
+from lavendershed.transport import server
+
+MAX_TOKENS_LIMIT = 1_000_000
+_MAX_KEY_CHARACTERS = 255
+_PRINTABLE = re.compile(r"[\x21-\x7e]+")
+# Estimate for prompts whose caller does not send a token count.
+_CHARACTERS_PER_TOKEN = 4
+
+Decoded = result.Result[Any, outcomes.RequestFailure]
+
+
+def bad_request(detail: str) -> result.Err[outcomes.RequestFailure]:
+    """Returns a failure for a malformed request."""
+    return result.Err(
+        outcomes.not_run(states.FailureReason.BAD_REQUEST, detail)
+    )
+
+
+def deadline(
+    request: server.ServerRequest,
+    limits: application.RequestLimits,
+    now: units.Instant,
+) -> result.Result[deadlines.Deadline, outcomes.RequestFailure]:
+    """Returns the deadline that the `Request-Timeout-Ms` header asks for."""
+    text = request.header("request-timeout-ms")
+    if text is None:
+        return result.Ok(
+            deadlines.Deadline.from_timeout(now, limits.default_timeout)
+        )
+    longest = int(limits.max_timeout * 1000)
+    if not (text.isascii() and text.isdigit() and 1 <= int(text) <= longest):
+        return bad_request(
+            f"header Request-Timeout-Ms: '{text}' is not a whole number "
+            f"from 1 to {longest}"
+        )
+    timeout = units.Seconds(int(text) / 1000)
+    return result.Ok(deadlines.Deadline.from_timeout(now, timeout))
+
+
+def idempotency_key(
+    request: server.ServerRequest,
+) -> result.Result[ids.IdempotencyKey | None, outcomes.RequestFailure]:
+    """Returns the `Idempotency-Key` header, or None without one."""
+    text = request.header("idempotency-key")
+    if text is None:
+        return result.Ok(None)
+    if len(text) > _MAX_KEY_CHARACTERS or not _PRINTABLE.fullmatch(text):
+        return bad_request(
+            "header Idempotency-Key: send 1 to "
+            f"{_MAX_KEY_CHARACTERS} printable ASCII characters"
+        )
+    return result.Ok(ids.IdempotencyKey(text))
+
+
+def generate_request(
+    request: server.ServerRequest,
+    request_id: ids.RequestId,
+    organisation: ids.OrganisationId,
+    service: ids.ServiceId,
+    request_deadline: deadlines.Deadline,
+) -> result.Result[requests.GenerateRequest, outcomes.RequestFailure]:
+    """Decodes the JSON body of a generate request."""
+    try:
+        content = orjson.loads(request.body)
+    except ValueError as error:
+        return bad_request(f"body: not valid JSON: {error}")
+    if not isinstance(content, dict):
+        return bad_request("body: send a JSON object")
+    prompt = content.get("prompt")
+    if not isinstance(prompt, str) or not prompt:
+        return bad_request("field 'prompt': send a non-empty string")
+    estimate = max(1, len(prompt) // _CHARACTERS_PER_TOKEN)
+    counts: dict[str, int] = {}
+    for name, default in (("prompt_tokens", estimate), ("max_tokens", 256)):
+        value = content.get(name, default)
+        if (
+            isinstance(value, bool)
+            or not isinstance(value, int)
+            or not 1 <= value <= 2 * MAX_TOKENS_LIMIT
+        ):
+            return bad_request(
+                f"field '{name}': send a whole number from 1 to "
+                f"{2 * MAX_TOKENS_LIMIT}"
+            )
+        counts[name] = value
+    adapter = content.get("adapter")
+    if adapter is not None and not isinstance(adapter, str):
+        return bad_request("field 'adapter': send a string or leave it out")
+    return result.Ok(
+        requests.GenerateRequest(
+            request_id,
+            organisation,
+            service,
+            prompt,
+            units.Tokens(counts["prompt_tokens"]),
+            units.Tokens(counts["max_tokens"]),
+            request_deadline,
+            None if adapter is None else ids.AdapterId(adapter),
+        )
+    )
--- /dev/null
+++ b/packages/standin/src/lavendershed/standin/fleet.py
@@ -0,0 +1,228 @@
+"""Starts stand-ins and routers as separate processes on this machine."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+import dataclasses
+import os
+import pathlib
+import signal
+import socket
+import sys
+
+import result
+
+from lavendershed.core import units
+from lavendershed.transport import address as address_module
+from lavendershed.transport import client
+
+_START_TIMEOUT = units.Seconds(15.0)
+_POLL = units.Seconds(0.05)
+_HOST = "127.0.0.1"
+
+
+def free_address() -> address_module.Address:
+    """Returns a loopback address with a port that is free at the moment."""
+    with socket.socket() as probe:
+        probe.bind((_HOST, 0))
+        return address_module.Address(_HOST, probe.getsockname()[1])
+
+
+@dataclasses.dataclass(slots=True)
+class Member:
+    """One started process."""
+
+    name: str
+    address: address_module.Address
+    arguments: tuple[str, ...]
+    process: asyncio.subprocess.Process
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal to this process."""
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+
+
+class Fleet:
+    """Processes of one test or experiment; `stop` ends all of them."""
+
+    def __init__(self, directory: pathlib.Path) -> None:
+        self._directory = directory
+        self._members: dict[str, Member] = {}
+
+    @property
+    def directory(self) -> pathlib.Path:
+        """Folder of logs and histories."""
+        return self._directory
+
+    def member(self, name: str) -> Member:
+        """Returns a started process by name."""
+        return self._members[name]
+
+    def history_path(self, name: str) -> pathlib.Path:
+        """Returns where a stand-in records its history."""
+        return self._directory / f"{name}.history"
+
+    def log_path(self, name: str) -> pathlib.Path:
+        """Returns where the output of a process goes."""
+        return self._directory / f"{name}.log"
+
+    async def start_standin(
+        self,
+        name: str,
+        kind: str,
+        *arguments: str,
+        address: address_module.Address | None = None,
+    ) -> Member:
+        """Starts a stand-in, for example kind `model-engine`."""
+        bound = address or free_address()
+        return await self._start(
+            name,
+            bound,
+            (
+                "-m",
+                "lavendershed.standin.main",
+                kind,
+                "--listen",
+                str(bound),
+                "--history",
+                str(self.history_path(name)),
+                *arguments,
+            ),
+        )
+
+    async def start_router(
+        self,
+        name: str,
+        store: address_module.Address,
+        *arguments: str,
+        address: address_module.Address | None = None,
+        availability_zone: str = "zone-a",
+    ) -> Member:
+        """Starts a router whose VM id is `name`."""
+        bound = address or free_address()
+        return await self._start(
+            name,
+            bound,
+            (
+                "-c",
+                "from lavendershed.cli import main; main.main()",
+                "router",
+                "--vm",
+                name,
+                "--availability-zone",
+                availability_zone,
+                "--listen",
+                str(bound),
+                "--store",
+                str(store),
+                *arguments,
+            ),
+        )
+
+    async def run_command(self, *arguments: str) -> tuple[int, str, str]:
+        """Runs an operator command; returns its status, output and errors."""
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-c",
+            "from lavendershed.cli import main; main.main()",
+            *arguments,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+        )
+        out, err = await process.communicate()
+        assert process.returncode is not None
+        return process.returncode, out.decode(), err.decode()
+
+    async def restart(self, name: str) -> Member:
+        """Starts a process that has ended again, at its old address."""
+        member = self._members[name]
+        return await self._start(name, member.address, member.arguments)
+
+    async def wait_ready(
+        self, names: Sequence[str], timeout: units.Seconds = _START_TIMEOUT
+    ) -> bool:
+        """Waits until the named routers are ready."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + timeout
+        for name in names:
+            while not await self._is_ready(name):
+                if loop.time() > end:
+                    return False
+                await asyncio.sleep(_POLL)
+        return True
+
+    async def stop(self) -> None:
+        """Ends all started processes."""
+        for member in self._members.values():
+            # A stopped process takes the signal only after it continues.
+            member.signal(signal.SIGKILL)
+        for member in self._members.values():
+            await member.process.wait()
+
+    async def _is_ready(self, name: str) -> bool:
+        answer = await get(self._members[name].address, "/health/ready")
+        return answer is not None and answer.head.status == 200
+
+    async def _start(
+        self,
+        name: str,
+        address: address_module.Address,
+        arguments: tuple[str, ...],
+    ) -> Member:
+        with self.log_path(name).open("ab") as output:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                *arguments,
+                stdout=output,
+                stderr=output,
+                env=os.environ,
+            )
+        member = Member(name, address, arguments, process)
+        self._members[name] = member
+        await self._wait_listening(member)
+        return member
+
+    async def _wait_listening(self, member: Member) -> None:
+        loop = asyncio.get_running_loop()
+        end = loop.time() + _START_TIMEOUT
+        while loop.time() < end and member.process.returncode is None:
+            opened = await client.connect(member.address, _POLL)
+            if isinstance(opened, result.Ok):
+                opened.ok_value.close()
+                return
+            await asyncio.sleep(_POLL)
+        log = self.log_path(member.name).read_text()
+        raise RuntimeError(f"{member.name} did not start: {log}")
+
+
+async def exchange(
+    address: address_module.Address,
+    head: client.RequestHead,
+    body: bytes = b"",
+    timeout: units.Seconds = units.Seconds(2.0),  # noqa: B008
+) -> client.Response | None:
+    """Sends one request; returns the response, or None without one."""
+    opened = await client.connect(address, timeout)
+    if isinstance(opened, result.Err):
+        return None
+    connection = opened.ok_value
+    try:
+        await connection.send(head, body, timeout)
+        answer = await connection.read_head(timeout)
+        if isinstance(answer, result.Err):
+            return None
+        content = await connection.read_body(timeout, units.Bytes(10**8))
+        if isinstance(content, result.Err):
+            return None
+        return client.Response(answer.ok_value, content.ok_value)
+    finally:
+        connection.close()
+
+
+async def get(
+    address: address_module.Address, target: str
+) -> client.Response | None:
+    """Sends a GET request; returns the response, or None without one."""
+    return await exchange(address, client.RequestHead("GET", target))
--- /dev/null
+++ b/packages/standin/src/lavendershed/standin/json_handler.py
@@ -0,0 +1,29 @@
+"""Base of the stand-ins' HTTP handlers."""
+
+from __future__ import annotations
+
+import orjson
+
+from lavendershed.transport import server
+
+JSON_HEADERS = (("content-type", "application/json"),)
+
+
+class JsonHandler(server.Handler):
+    """Answers with JSON documents."""
+
+    def rejection(self, status: int, detail: str) -> bytes:
+        """Returns the body of an answer to a request that is not handled."""
+        return orjson.dumps({"started": False, "detail": detail})
+
+    async def answer(
+        self,
+        responder: server.Responder,
+        content: object,
+        status: int = 200,
+        headers: server.Headers = (),
+    ) -> None:
+        """Sends `content` as JSON."""
+        await responder.respond(
+            status, orjson.dumps(content), JSON_HEADERS + headers
+        )
--- /dev/null
+++ b/packages/standin/src/lavendershed/standin/main.py
@@ -0,0 +1,118 @@
+"""Entry point of the stand-ins: `python -m lavendershed.standin.main`."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import random
+import signal
+
+import click
+
+from lavendershed.core import units
+from lavendershed.standin import engine_model
+from lavendershed.standin import history as history_module
+from lavendershed.standin import model_engine
+from lavendershed.standin import object_store
+from lavendershed.standin import plain_service
+from lavendershed.transport import address
+from lavendershed.transport import event_loop_timers
+from lavendershed.transport import server
+
+_listen = click.option("--listen", required=True, help="host:port")
+_history = click.option(
+    "--history", type=click.Path(path_type=pathlib.Path), default=None
+)
+
+
+@click.group()
+def main() -> None:
+    """Runs stand-ins of outside systems for tests and experiments."""
+
+
+async def _serve(handler: server.Handler, listen: str) -> None:
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    listener = server.HttpServer(
+        handler,
+        event_loop_timers.EventLoopTimerService(loop),
+        server.ServerLimits(),
+    )
+    await listener.start(address.parse(listen).unwrap())
+    await stop.wait()
+    listener.close()
+
+
+@main.command("object-store")
+@_listen
+@_history
+def object_store_command(listen: str, history: pathlib.Path | None) -> None:
+    """Runs the object API."""
+
+    async def run() -> None:
+        await _serve(
+            object_store.ObjectStoreHandler(history_module.History(history)),
+            listen,
+        )
+
+    asyncio.run(run())
+
+
+@main.command("model-engine")
+@_listen
+@_history
+@click.option("--model", "models", multiple=True)
+@click.option("--kv-tokens", type=int, default=400_000)
+@click.option("--prefill-rate", type=float, default=20_000.0)
+@click.option("--seed", type=int, default=None)
+def model_engine_command(
+    listen: str,
+    history: pathlib.Path | None,
+    models: tuple[str, ...],
+    kv_tokens: int,
+    prefill_rate: float,
+    seed: int | None,
+) -> None:
+    """Runs one model engine."""
+
+    async def run() -> None:
+        handler = model_engine.ModelEngineHandler(
+            engine_model.EngineSettings(
+                prefill_rate=prefill_rate,
+                kv_tokens=units.Tokens(kv_tokens),
+            ),
+            models,
+            history_module.History(history),
+            random.Random(seed),
+        )
+        stepping = asyncio.create_task(handler.run())
+        await _serve(handler, listen)
+        stepping.cancel()
+
+    asyncio.run(run())
+
+
+@main.command("plain-service")
+@_listen
+@_history
+@click.option("--duration-ms", type=int, default=5)
+def plain_service_command(
+    listen: str, history: pathlib.Path | None, duration_ms: int
+) -> None:
+    """Runs one backend server of a plain service."""
+
+    async def run() -> None:
+        await _serve(
+            plain_service.PlainServiceHandler(
+                history_module.History(history), duration_ms
+            ),
+            listen,
+        )
+
+    asyncio.run(run())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/telemetry/src/lavendershed/telemetry/instruments.py
@@ -0,0 +1,92 @@
+"""OpenTelemetry instruments, read through the Prometheus endpoint."""
+
+from __future__ import annotations
+
+from opentelemetry.exporter import prometheus
+from opentelemetry.sdk import metrics
+from opentelemetry.sdk import resources
+import prometheus_client
+
+from lavendershed.core import ids
+from lavendershed.core import states
+from lavendershed.core import units
+
+
+class Instruments:
+    """All instruments of a daemon.
+
+    The Prometheus reader is pulled by requests to `/metrics`; a periodic
+    reader would start a thread.
+    """
+
+    def __init__(self, vm: ids.VmId) -> None:
+        reader = prometheus.PrometheusMetricReader()
+        provider = metrics.MeterProvider(
+            metric_readers=[reader],
+            resource=resources.Resource({"service.instance.id": vm}),
+            shutdown_on_exit=False,
+        )
+        meter = provider.get_meter("lavendershed")
+        self._ttft = meter.create_histogram(
+            "lavendershed.time_to_first_token", unit="s"
+        )
+        self._token_gap = meter.create_histogram(
+            "lavendershed.time_between_tokens", unit="s"
+        )
+        self._queue_time = meter.create_histogram(
+            "lavendershed.queue_time", unit="s"
+        )
+        self._refusals = meter.create_counter("lavendershed.refusals")
+        self._attempts = meter.create_counter("lavendershed.attempts")
+        self._executions = meter.create_counter("lavendershed.executions")
+        self._in_flight = meter.create_up_down_counter("lavendershed.in_flight")
+        self._epoch = meter.create_gauge("lavendershed.configuration_epoch")
+        self._store_calls = meter.create_counter("lavendershed.store_calls")
+
+    def exposition(self) -> bytes:
+        """Returns all metrics in the Prometheus text format."""
+        return prometheus_client.generate_latest()
+
+    def first_token(
+        self,
+        service: ids.ServiceId,
+        prompt_class: states.PromptClass,
+        delay: units.Seconds,
+    ) -> None:
+        """Records the time from arrival to the first token."""
+        labels = {"service": service, "prompt_class": prompt_class.value}
+        self._ttft.record(delay, labels)
+
+    def queued(self, service: ids.ServiceId, delay: units.Seconds) -> None:
+        """Records the time that a request waited in the queue."""
+        self._queue_time.record(delay, {"service": service})
+
+    def refused(
+        self, service: ids.ServiceId, reason: states.FailureReason
+    ) -> None:
+        """Counts a refused request."""
+        labels = {"service": service, "reason": reason.value}
+        self._refusals.add(1, labels)
+
+    def attempted(self, service: ids.ServiceId, outcome: str) -> None:
+        """Counts an attempt by outcome."""
+        self._attempts.add(1, {"service": service, "outcome": outcome})
+
+    def executed(
+        self, service: ids.ServiceId, execution: states.Execution
+    ) -> None:
+        """Counts a finished request by what is known of its execution."""
+        labels = {"service": service, "execution": execution.value}
+        self._executions.add(1, labels)
+
+    def in_flight(self, service: ids.ServiceId, change: int) -> None:
+        """Adds `change` to the requests in flight."""
+        self._in_flight.add(change, {"service": service})
+
+    def epoch_applied(self, epoch: ids.Epoch) -> None:
+        """Records the configuration epoch in force."""
+        self._epoch.set(epoch)
+
+    def store_called(self, operation: str, outcome: str) -> None:
+        """Counts a call to the object store."""
+        self._store_calls.add(1, {"operation": operation, "outcome": outcome})
--- /dev/null
+++ b/packages/transport/src/lavendershed/transport/client.py
@@ -0,0 +1,279 @@
+"""HTTP/1.1 client connections."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+import dataclasses
+import socket
+from typing import TypeVar
+
+import h11
+import result
+
+from lavendershed.core import units
+from lavendershed.transport import address as address_module
+from lavendershed.transport import errors
+
+_READ_BYTES = 65_536
+
+T = TypeVar("T")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestHead:
+    """Request line and headers; names in lower case."""
+
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ResponseHead:
+    """Status and headers of a response; names in lower case."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+
+    def header(self, name: str) -> str | None:
+        """Returns the first header with this lower-case name."""
+        return next((v for n, v in self.headers if n == name), None)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Response:
+    """A whole response."""
+
+    head: ResponseHead
+    body: bytes
+
+
+class ClientConnection:
+    """One connection that carries one exchange at a time."""
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        address: address_module.Address,
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._address = address
+        self._protocol = h11.Connection(h11.CLIENT)
+        self._sent = False
+
+    @property
+    def reusable(self) -> bool:
+        """Whether another exchange can start on this connection."""
+        return (
+            self._protocol.our_state is h11.DONE
+            and self._protocol.their_state is h11.DONE
+            and not self._reader.at_eof()
+            and not self._writer.is_closing()
+        )
+
+    def start_next_exchange(self) -> None:
+        """Prepares a reusable connection for the next request."""
+        self._protocol.start_next_cycle()
+        self._sent = False
+
+    def close(self) -> None:
+        """Closes the connection at once."""
+        self._writer.transport.abort()
+
+    async def send(
+        self, head: RequestHead, body: bytes, timeout: units.Seconds
+    ) -> result.Result[None, errors.TransportError]:
+        """Sends a whole request."""
+        headers = [
+            ("host", str(self._address)),
+            ("content-length", str(len(body))),
+            *head.headers,
+        ]
+        try:
+            data = self._protocol.send(
+                h11.Request(
+                    method=head.method, target=head.target, headers=headers
+                )
+            )
+            data += self._protocol.send(h11.Data(data=body)) if body else b""
+            data += self._protocol.send(h11.EndOfMessage())
+        except h11.LocalProtocolError as error:
+            return self._failed(errors.TransportErrorKind.PROTOCOL, str(error))
+        self._sent = True
+        self._writer.write(data)
+        return await self._guarded(self._writer.drain(), timeout)
+
+    async def read_head(
+        self, timeout: units.Seconds
+    ) -> result.Result[ResponseHead, errors.TransportError]:
+        """Reads the status line and headers; each read waits `timeout`."""
+        while True:
+            event = await self._next_event(timeout)
+            if isinstance(event, result.Err):
+                return event
+            if isinstance(event.ok_value, h11.Response):
+                response = event.ok_value
+                return result.Ok(
+                    ResponseHead(
+                        response.status_code,
+                        tuple(
+                            (name.decode("latin-1"), value.decode("latin-1"))
+                            for name, value in response.headers
+                        ),
+                    )
+                )
+            if not isinstance(event.ok_value, h11.InformationalResponse):
+                return self._failed(
+                    errors.TransportErrorKind.CONNECTION_LOST,
+                    "connection closed before a response",
+                )
+
+    async def read_part(
+        self, timeout: units.Seconds
+    ) -> result.Result[bytes, errors.TransportError]:
+        """Reads body bytes that arrived together; empty at the end."""
+        event = await self._next_event(timeout)
+        if isinstance(event, result.Err):
+            return event
+        if not isinstance(event.ok_value, h11.Data):
+            return result.Ok(b"")
+        parts = [bytes(event.ok_value.data)]
+        # Chunks that are already buffered are taken in the same step.
+        while self._protocol.their_state is h11.SEND_BODY:
+            try:
+                buffered = self._protocol.next_event()
+            except h11.RemoteProtocolError as error:
+                return self._failed(
+                    errors.TransportErrorKind.PROTOCOL, str(error)
+                )
+            if not isinstance(buffered, h11.Data):
+                break
+            parts.append(bytes(buffered.data))
+        return result.Ok(b"".join(parts))
+
+    async def read_body(
+        self, timeout: units.Seconds, limit: units.Bytes
+    ) -> result.Result[bytes, errors.TransportError]:
+        """Reads the rest of the body, at most `limit` bytes."""
+        parts: list[bytes] = []
+        size = 0
+        while self._protocol.their_state is h11.SEND_BODY:
+            part = await self.read_part(timeout)
+            if isinstance(part, result.Err):
+                return part
+            size += len(part.ok_value)
+            if size > limit:
+                return self._failed(
+                    errors.TransportErrorKind.PROTOCOL,
+                    f"response body is larger than {limit} bytes",
+                )
+            parts.append(part.ok_value)
+        return result.Ok(b"".join(parts))
+
+    async def _next_event(
+        self, timeout: units.Seconds
+    ) -> result.Result[h11.Event, errors.TransportError]:
+        while True:
+            try:
+                event = self._protocol.next_event()
+            except h11.RemoteProtocolError as error:
+                kind = (
+                    errors.TransportErrorKind.CONNECTION_LOST
+                    if self._reader.at_eof()
+                    else errors.TransportErrorKind.PROTOCOL
+                )
+                return self._failed(kind, str(error))
+            if event is h11.PAUSED:
+                return self._failed(
+                    errors.TransportErrorKind.PROTOCOL, "unexpected data"
+                )
+            if event is not h11.NEED_DATA:
+                return result.Ok(event)
+            data = await self._guarded(self._reader.read(_READ_BYTES), timeout)
+            if isinstance(data, result.Err):
+                return data
+            self._protocol.receive_data(data.ok_value)
+
+    async def _guarded(
+        self, operation: Awaitable[T], timeout: units.Seconds
+    ) -> result.Result[T, errors.TransportError]:
+        try:
+            async with asyncio.timeout(timeout):
+                return result.Ok(await operation)
+        except TimeoutError:
+            return self._failed(
+                errors.TransportErrorKind.IDLE_TIMEOUT,
+                f"no progress for {timeout:.3f} s",
+            )
+        except OSError as error:
+            return self._failed(
+                errors.TransportErrorKind.CONNECTION_LOST, str(error)
+            )
+
+    def _failed(
+        self, kind: errors.TransportErrorKind, detail: str
+    ) -> result.Err[errors.TransportError]:
+        return result.Err(
+            errors.TransportError(
+                kind, self._sent, f"{self._address}: {detail}"
+            )
+        )
+
+
+async def _connect_socket(
+    address: address_module.Address, timeout: units.Seconds
+) -> socket.socket:
+    """Connects without the loop's own connect, which uses a resolver thread."""
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            sock.connect((address.host, address.port))
+        except BlockingIOError:
+            await _wait_writable(sock, timeout)
+        code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            raise OSError(code, "connect failed")
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
+async def _wait_writable(sock: socket.socket, timeout: units.Seconds) -> None:
+    loop = asyncio.get_running_loop()
+    writable = loop.create_future()
+
+    def on_writable() -> None:
+        if not writable.done():
+            writable.set_result(None)
+
+    loop.add_writer(sock.fileno(), on_writable)
+    try:
+        async with asyncio.timeout(timeout):
+            await writable
+    finally:
+        loop.remove_writer(sock.fileno())
+
+
+async def connect(
+    address: address_module.Address, timeout: units.Seconds
+) -> result.Result[ClientConnection, errors.TransportError]:
+    """Opens a connection within `timeout` seconds."""
+    try:
+        sock = await _connect_socket(address, timeout)
+        reader, writer = await asyncio.open_connection(sock=sock)
+    except OSError as error:
+        return result.Err(
+            errors.TransportError(
+                errors.TransportErrorKind.CONNECT_FAILED,
+                False,
+                f"{address}: {error}",
+            )
+        )
+    return result.Ok(ClientConnection(reader, writer, address))
--- /dev/null
+++ b/packages/transport/src/lavendershed/transport/errors.py
@@ -0,0 +1,30 @@
+"""Errors of HTTP connections as values."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+
+class TransportErrorKind(enum.Enum):
+    """How an HTTP exchange failed."""
+
+    CONNECT_FAILED = "connect_failed"
+    CONNECTION_LOST = "connection_lost"
+    IDLE_TIMEOUT = "idle_timeout"
+    PROTOCOL = "protocol"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TransportError:
+    """A failed HTTP exchange.
+
+    Attributes:
+        kind: How it failed.
+        sent: Whether any byte of the request may have reached the peer.
+        detail: One sentence for logs.
+    """
+
+    kind: TransportErrorKind
+    sent: bool
+    detail: str
--- /dev/null
+++ b/packages/transport/src/lavendershed/transport/pool.py
@@ -0,0 +1,162 @@
+"""Pool of HTTP client connections to one address."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import result
+
+from lavendershed.core import timers
+from lavendershed.core import units
+from lavendershed.transport import address as address_module
+from lavendershed.transport import client
+from lavendershed.transport import errors
+
+DEFAULT_MAX_BODY_BYTES = units.Bytes(4_000_000)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolLimits:
+    """Limits of one pool.
+
+    Attributes:
+        connect_timeout: Time limit for opening a connection.
+        idle_timeout: Time without any byte after which an exchange fails, and
+            time unused after which a pooled connection is closed. A silent
+            connection cannot be told from an idle one, so that it is not
+            reused after this time.
+        max_idle: Unused connections kept.
+    """
+
+    connect_timeout: units.Seconds = units.Seconds(1.0)
+    idle_timeout: units.Seconds = units.Seconds(2.0)
+    max_idle: int = 16
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _IdleConnection:
+    connection: client.ClientConnection
+    since: units.Instant
+
+
+class ConnectionPool:
+    """Connections to one address, reused while they are fresh."""
+
+    def __init__(
+        self,
+        address: address_module.Address,
+        timer_service: timers.TimerService,
+        limits: PoolLimits,
+    ) -> None:
+        self._address = address
+        self._timers = timer_service
+        self._limits = limits
+        self._idle: list[_IdleConnection] = []
+
+    @property
+    def address(self) -> address_module.Address:
+        """The address that the pool connects to."""
+        return self._address
+
+    @property
+    def limits(self) -> PoolLimits:
+        """The limits of this pool."""
+        return self._limits
+
+    async def acquire(
+        self, *, fresh: bool = False
+    ) -> result.Result[client.ClientConnection, errors.TransportError]:
+        """Returns an unused connection, or a new one if `fresh`."""
+        self._close_stale()
+        while self._idle and not fresh:
+            candidate = self._idle.pop().connection
+            if candidate.reusable:
+                candidate.start_next_exchange()
+                return result.Ok(candidate)
+            candidate.close()
+        return await client.connect(self._address, self._limits.connect_timeout)
+
+    def release(self, connection: client.ClientConnection) -> None:
+        """Takes a connection back after its exchange has ended."""
+        if connection.reusable and len(self._idle) < self._limits.max_idle:
+            self._idle.append(_IdleConnection(connection, self._timers.now()))
+            return
+        connection.close()
+
+    def close(self) -> None:
+        """Closes all unused connections."""
+        for idle in self._idle:
+            idle.connection.close()
+        self._idle.clear()
+
+    async def exchange(
+        self,
+        head: client.RequestHead,
+        body: bytes = b"",
+        *,
+        fresh: bool = False,
+        timeout: units.Seconds | None = None,
+        max_body: units.Bytes = DEFAULT_MAX_BODY_BYTES,
+    ) -> result.Result[client.Response, errors.TransportError]:
+        """Sends one request and reads the whole response.
+
+        Args:
+            head: Request line and headers.
+            body: Whole request body.
+            fresh: Whether to open a connection for this exchange only.
+            timeout: Longest wait without any byte; the pool's idle timeout if
+                None.
+            max_body: Largest response body that is read.
+        """
+        acquired = await self.acquire(fresh=fresh)
+        if isinstance(acquired, result.Err):
+            return acquired
+        connection = acquired.ok_value
+        try:
+            response = await self._exchange_on(
+                connection,
+                head,
+                body,
+                self._limits.idle_timeout if timeout is None else timeout,
+                max_body,
+            )
+        except BaseException:
+            connection.close()
+            raise
+        if isinstance(response, result.Err) or fresh:
+            connection.close()
+        else:
+            self.release(connection)
+        return response
+
+    async def _exchange_on(
+        self,
+        connection: client.ClientConnection,
+        head: client.RequestHead,
+        body: bytes,
+        timeout: units.Seconds,
+        max_body: units.Bytes,
+    ) -> result.Result[client.Response, errors.TransportError]:
+        sent = await connection.send(head, body, timeout)
+        if isinstance(sent, result.Err):
+            return sent
+        response_head = await connection.read_head(timeout)
+        if isinstance(response_head, result.Err):
+            return response_head
+        content = await connection.read_body(timeout, max_body)
+        if isinstance(content, result.Err):
+            return content
+        return result.Ok(
+            client.Response(response_head.ok_value, content.ok_value)
+        )
+
+    def _close_stale(self) -> None:
+        now = self._timers.now()
+        stale = [
+            idle
+            for idle in self._idle
+            if units.elapsed(idle.since, now) > self._limits.idle_timeout
+        ]
+        for idle in stale:
+            idle.connection.close()
+            self._idle.remove(idle)
--- /dev/null
+++ b/packages/transport/src/lavendershed/transport/server.py
@@ -0,0 +1,390 @@
+"""HTTP/1.1 server connections."""
+
+from __future__ import annotations
+
+import abc
+import asyncio
+import dataclasses
+import urllib.parse
+
+import h11
+
+from lavendershed.core import timers
+from lavendershed.core import units
+from lavendershed.transport import address as address_module
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerLimits:
+    """Limits of a listener.
+
+    Attributes:
+        max_body: Largest request body; a larger one is answered 413.
+        request_timeout: Time from the first byte of a request to its last.
+    """
+
+    max_body: units.Bytes = units.Bytes(16_000_000)
+    request_timeout: units.Seconds = units.Seconds(30.0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerRequest:
+    """A whole request; header names are in lower case."""
+
+    method: str
+    path: str
+    query: str
+    headers: Headers
+    body: bytes
+
+    def header(self, name: str) -> str | None:
+        """Returns the first header with this lower-case name."""
+        return next((v for n, v in self.headers if n == name), None)
+
+    def parameter(self, name: str) -> str | None:
+        """Returns the first query parameter with this name."""
+        values = urllib.parse.parse_qs(self.query).get(name)
+        return values[0] if values else None
+
+
+class Responder(abc.ABC):
+    """Sends the response to one request."""
+
+    @property
+    @abc.abstractmethod
+    def started(self) -> bool:
+        """Whether the status line has been sent."""
+
+    @property
+    @abc.abstractmethod
+    def disconnected(self) -> asyncio.Event:
+        """Set once the peer has closed the connection."""
+
+    @abc.abstractmethod
+    async def respond(
+        self, status: int, body: bytes, headers: Headers = ()
+    ) -> None:
+        """Sends a whole response."""
+
+    @abc.abstractmethod
+    def start(self, status: int, headers: Headers = ()) -> None:
+        """Sends the status line and headers of a streamed response."""
+
+    @abc.abstractmethod
+    async def write(self, data: bytes) -> bool:
+        """Sends body bytes; returns False once the peer is gone."""
+
+    @abc.abstractmethod
+    async def finish(self) -> None:
+        """Ends a streamed response."""
+
+    @abc.abstractmethod
+    def abort(self) -> None:
+        """Closes the connection without ending the response."""
+
+
+class Handler(abc.ABC):
+    """Answers requests."""
+
+    @abc.abstractmethod
+    async def handle(
+        self, request: ServerRequest, responder: Responder
+    ) -> None:
+        """Answers one request; each request has its own task."""
+
+    @abc.abstractmethod
+    def rejection(self, status: int, detail: str) -> bytes:
+        """Returns the body of an answer to a request that is not handled."""
+
+    @property
+    def rejection_type(self) -> str:
+        """Content type of `rejection`."""
+        return "application/problem+json"
+
+
+class _ServerConnection(asyncio.Protocol, Responder):
+    def __init__(self, server: HttpServer) -> None:
+        self._server = server
+        self._protocol = h11.Connection(h11.SERVER)
+        self._transport: asyncio.Transport | None = None
+        self._disconnected = asyncio.Event()
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._request: h11.Request | None = None
+        self._body = bytearray()
+        self._task: asyncio.Task[None] | None = None
+        self._deadline: timers.Subscription | None = None
+        self._started = False
+
+    @property
+    def started(self) -> bool:
+        return self._started
+
+    @property
+    def disconnected(self) -> asyncio.Event:
+        return self._disconnected
+
+    @property
+    def idle(self) -> bool:
+        """Whether no request is being received or answered."""
+        return self._task is None and self._request is None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._server.opened(self)
+        self._arm_deadline()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._disconnected.set()
+        self._writable.set()
+        self._disarm_deadline()
+        self._server.closed(self)
+
+    def pause_writing(self) -> None:
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        self._writable.set()
+
+    def data_received(self, data: bytes) -> None:
+        if self._task is None and self._deadline is None:
+            self._arm_deadline()
+        try:
+            self._protocol.receive_data(data)
+        except h11.RemoteProtocolError as error:
+            self._reject(400, str(error))
+            return
+        if self._task is None:
+            self._receive()
+
+    def eof_received(self) -> bool:
+        return False
+
+    async def respond(
+        self, status: int, body: bytes, headers: Headers = ()
+    ) -> None:
+        length = (("content-length", str(len(body))),)
+        self.start(status, headers + length)
+        await self.write(body)
+        await self.finish()
+
+    def start(self, status: int, headers: Headers = ()) -> None:
+        self._started = True
+        if self._server.stopping:
+            headers += (("connection", "close"),)
+        self._send(h11.Response(status_code=status, headers=list(headers)))
+
+    async def write(self, data: bytes) -> bool:
+        if self._disconnected.is_set():
+            return False
+        if data:
+            self._send(h11.Data(data=data))
+        await self._writable.wait()
+        return not self._disconnected.is_set()
+
+    async def finish(self) -> None:
+        if not self._disconnected.is_set():
+            self._send(h11.EndOfMessage())
+            await self._writable.wait()
+
+    def abort(self) -> None:
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close_if_idle(self) -> None:
+        """Closes a connection on which no request is in progress."""
+        if self.idle and self._transport is not None:
+            self._transport.close()
+
+    def _send(self, event: h11.Event) -> None:
+        if self._disconnected.is_set() or self._transport is None:
+            return
+        data = self._protocol.send(event)
+        if data:
+            self._transport.write(data)
+
+    def _receive(self) -> None:
+        while True:
+            try:
+                event = self._protocol.next_event()
+            except h11.RemoteProtocolError as error:
+                self._reject(error.error_status_hint, str(error))
+                return
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            if isinstance(event, h11.ConnectionClosed):
+                self.abort()
+                return
+            if isinstance(event, h11.Request):
+                self._request = event
+                if self._protocol.they_are_waiting_for_100_continue:
+                    self._send(
+                        h11.InformationalResponse(status_code=100, headers=[])
+                    )
+            elif isinstance(event, h11.Data):
+                self._body += event.data
+                if len(self._body) > self._server.limits.max_body:
+                    self._reject(
+                        413,
+                        "the request body is larger than "
+                        f"{self._server.limits.max_body} bytes",
+                    )
+                    return
+            elif isinstance(event, h11.EndOfMessage):
+                self._dispatch()
+                return
+
+    def _dispatch(self) -> None:
+        assert self._request is not None
+        self._disarm_deadline()
+        target = self._request.target.decode("latin-1")
+        path, _, query = target.partition("?")
+        request = ServerRequest(
+            self._request.method.decode("latin-1"),
+            urllib.parse.unquote(path),
+            query,
+            tuple(
+                (name.decode("latin-1"), value.decode("latin-1"))
+                for name, value in self._request.headers
+            ),
+            bytes(self._body),
+        )
+        self._body = bytearray()
+        self._task = asyncio.get_running_loop().create_task(
+            self._handle(request)
+        )
+
+    async def _handle(self, request: ServerRequest) -> None:
+        await self._server.handler.handle(request, self)
+        self._task = None
+        self._request = None
+        self._started = False
+        if self._disconnected.is_set() or self._transport is None:
+            return
+        reusable = (
+            self._protocol.our_state is h11.DONE
+            and self._protocol.their_state is h11.DONE
+        )
+        if not reusable or self._server.stopping:
+            self._transport.close()
+            return
+        self._protocol.start_next_cycle()
+        self._receive()
+
+    def _reject(self, status: int, detail: str) -> None:
+        if self._transport is None:
+            return
+        if self._task is None and self._protocol.our_state in (
+            h11.IDLE,
+            h11.SEND_RESPONSE,
+        ):
+            handler = self._server.handler
+            body = handler.rejection(status, detail)
+            headers = [
+                ("content-type", handler.rejection_type),
+                ("content-length", str(len(body))),
+                ("connection", "close"),
+            ]
+            self._send(h11.Response(status_code=status, headers=headers))
+            self._send(h11.Data(data=body))
+            self._send(h11.EndOfMessage())
+        self._transport.close()
+
+    def _arm_deadline(self) -> None:
+        service = self._server.timers
+        when = units.after(service.now(), self._server.limits.request_timeout)
+        self._deadline = service.subscribe_at(when, self._deadline_passed)
+
+    def _disarm_deadline(self) -> None:
+        if self._deadline is not None:
+            self._deadline.cancel()
+            self._deadline = None
+
+    def _deadline_passed(self) -> None:
+        self._deadline = None
+        if self._request is None:
+            self.close_if_idle()
+            return
+        self._reject(408, "the request did not arrive in time")
+
+
+class HttpServer:
+    """A listener that passes whole requests to a handler."""
+
+    def __init__(
+        self,
+        handler: Handler,
+        timer_service: timers.TimerService,
+        limits: ServerLimits,
+    ) -> None:
+        self._handler = handler
+        self._timers = timer_service
+        self._limits = limits
+        self._server: asyncio.Server | None = None
+        self._connections: set[_ServerConnection] = set()
+        self._stopping = False
+
+    @property
+    def handler(self) -> Handler:
+        """The handler of this listener."""
+        return self._handler
+
+    @property
+    def timers(self) -> timers.TimerService:
+        """The timer service of this listener."""
+        return self._timers
+
+    @property
+    def limits(self) -> ServerLimits:
+        """The limits of this listener."""
+        return self._limits
+
+    @property
+    def stopping(self) -> bool:
+        """Whether connections close after their current request."""
+        return self._stopping
+
+    @property
+    def address(self) -> address_module.Address:
+        """The bound address; valid after `start`."""
+        assert self._server is not None
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return address_module.Address(host, port)
+
+    async def start(self, address: address_module.Address) -> None:
+        """Binds the address and starts to accept connections.
+
+        Raises:
+            OSError: The address can't be bound.
+        """
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _ServerConnection(self),
+            address.host,
+            address.port,
+            backlog=1_024,
+        )
+
+    def stop_keep_alive(self) -> None:
+        """Closes idle connections and every other after its request."""
+        self._stopping = True
+        for connection in tuple(self._connections):
+            connection.close_if_idle()
+
+    def close(self) -> None:
+        """Stops accepting and closes all connections."""
+        if self._server is not None:
+            self._server.close()
+        for connection in tuple(self._connections):
+            connection.abort()
+
+    def opened(self, connection: _ServerConnection) -> None:
+        """Registers a new connection."""
+        self._connections.add(connection)
+
+    def closed(self, connection: _ServerConnection) -> None:
+        """Forgets a closed connection."""
+        self._connections.discard(connection)
