--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 
 .PHONY: demo test lint bench binary format
 
-$(VENV)/installed: requirements.txt
+$(VENV)/installed: requirements.txt requirements-product.txt
 	test -x $(PYTHON) || python3 -m venv $(VENV)
 	$(VENV)/bin/pip install --quiet -r requirements.txt
 	touch $@
--- a/packages/transport/src/lavendershed/transport/client.py
+++ b/packages/transport/src/lavendershed/transport/client.py
@@ -261,13 +261,15 @@
         loop.remove_writer(sock.fileno())
 
 
-async def connect(
+async def open_streams(
     address: address_module.Address, timeout: units.Seconds
-) -> result.Result[ClientConnection, errors.TransportError]:
-    """Opens a connection within `timeout` seconds."""
+) -> result.Result[
+    tuple[asyncio.StreamReader, asyncio.StreamWriter], errors.TransportError
+]:
+    """Opens a plain TCP connection within `timeout` seconds."""
     try:
         sock = await _connect_socket(address, timeout)
-        reader, writer = await asyncio.open_connection(sock=sock)
+        return result.Ok(await asyncio.open_connection(sock=sock))
     except OSError as error:
         return result.Err(
             errors.TransportError(
@@ -276,4 +278,14 @@
                 f"{address}: {error}",
             )
         )
+
+
+async def connect(
+    address: address_module.Address, timeout: units.Seconds
+) -> result.Result[ClientConnection, errors.TransportError]:
+    """Opens an HTTP connection within `timeout` seconds."""
+    opened = await open_streams(address, timeout)
+    if isinstance(opened, result.Err):
+        return opened
+    reader, writer = opened.ok_value
     return result.Ok(ClientConnection(reader, writer, address))
--- /dev/null
+++ b/packages/transport/tests/test_server.py
@@ -0,0 +1,111 @@
+"""Guards the listener against malformed and oversized requests."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from lavendershed.core import units
+from lavendershed.transport import address
+from lavendershed.transport import client
+from lavendershed.transport import event_loop_timers
+from lavendershed.transport import pool
+from lavendershed.transport import server
+
+MAX_BODY = units.Bytes(1_000)
+TIMEOUT = units.Seconds(2.0)
+
+
+class EchoHandler(server.Handler):
+    """Answers with the request body."""
+
+    def __init__(self):
+        self._responders = set()
+
+    @property
+    def connections(self):
+        return len(self._responders)
+
+    async def handle(self, request, responder):
+        self._responders.add(responder)
+        await responder.respond(200, request.body)
+
+    def rejection(self, status, detail):
+        return detail.encode()
+
+
+async def exchange_bytes(target, data):
+    """Sends raw bytes and returns all that the server answers."""
+    reader, writer = (await client.open_streams(target, TIMEOUT)).unwrap()
+    writer.write(data)
+    writer.write_eof()
+    try:
+        async with asyncio.timeout(TIMEOUT):
+            return await reader.read()
+    except ConnectionError:
+        return b""
+    finally:
+        writer.transport.abort()
+
+
+class ServerTest(unittest.IsolatedAsyncioTestCase):
+    """Fails if bad input hangs or crashes the listener."""
+
+    async def asyncSetUp(self):
+        self.timers = event_loop_timers.EventLoopTimerService(
+            asyncio.get_running_loop()
+        )
+        self.handler = EchoHandler()
+        self.server = server.HttpServer(
+            self.handler,
+            self.timers,
+            server.ServerLimits(MAX_BODY, units.Seconds(0.2)),
+        )
+        await self.server.start(address.Address("127.0.0.1", 0))
+        self.addCleanup(self.server.close)
+        self.pool = pool.ConnectionPool(
+            self.server.address, self.timers, pool.PoolLimits()
+        )
+        self.addCleanup(self.pool.close)
+
+    async def test_oversized_body_is_answered_413(self):
+        head = client.RequestHead("POST", "/")
+        answer = await self.pool.exchange(head, b"x" * (MAX_BODY + 1))
+        self.assertEqual(answer.unwrap().head.status, 413)
+
+    async def test_incomplete_request_is_answered_408(self):
+        reader, writer = (
+            await client.open_streams(self.server.address, TIMEOUT)
+        ).unwrap()
+        writer.write(b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\n\r\n")
+        async with asyncio.timeout(TIMEOUT):
+            answer = await reader.read()
+        writer.close()
+        self.assertIn(b"408", answer.split(b"\r\n")[0])
+
+    async def test_connection_is_reused_for_the_next_request(self):
+        for body in (b"one", b"two"):
+            answer = await self.pool.exchange(
+                client.RequestHead("POST", "/"), body
+            )
+            self.assertEqual(answer.unwrap().body, body)
+        self.assertEqual(self.handler.connections, 1)
+
+    async def test_malformed_bytes_get_an_error_or_a_close(self):
+        @hypothesis.settings(max_examples=60, deadline=None, derandomize=True)
+        @hypothesis.given(strategies.binary(min_size=1, max_size=300))
+        def collect(data):
+            samples.append(data)
+
+        samples: list[bytes] = []
+        collect()
+        for sample in samples:
+            answer = await exchange_bytes(self.server.address, sample)
+            if answer:
+                self.assertIn(answer[9:10], (b"2", b"4"))
+        head = client.RequestHead("POST", "/")
+        answer = await self.pool.exchange(head, b"still serving")
+        self.assertEqual(answer.unwrap().body, b"still serving")
--- /dev/null
+++ b/tools/build_binary.py
@@ -0,0 +1,48 @@
+"""Builds dist/lavendershed, one executable file.
+
+The file is a zip archive that the Python interpreter runs; it starts no child
+process and no thread. The stand-ins are left out.
+"""
+
+from __future__ import annotations
+
+import pathlib
+import subprocess
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+LEFT_OUT = {"standin"}
+
+
+def main() -> int:
+    """Builds the file and returns the exit status."""
+    output = ROOT / "dist" / "lavendershed"
+    output.parent.mkdir(exist_ok=True)
+    libraries = sorted(
+        str(path)
+        for path in (ROOT / "packages").iterdir()
+        if path.name not in LEFT_OUT and (path / "pyproject.toml").exists()
+    )
+    command = [
+        sys.executable,
+        "-m",
+        "shiv",
+        "--console-script",
+        "lavendershed",
+        "--python",
+        "/usr/bin/env python3",
+        "--compressed",
+        "--reproducible",
+        "--output-file",
+        str(output),
+        "--quiet",
+        "--requirement",
+        str(ROOT / "requirements-product.txt"),
+        "--no-build-isolation",
+        *libraries,
+    ]
+    return subprocess.run(command, check=False).returncode
+
+
+if __name__ == "__main__":
+    sys.exit(main())
