Plan engine groups for prompts beyond one engine's memory

Cause: the longest prompts need more than twice the memory of one engine.

Change: GroupPlanner, a state machine that takes holds in ascending engine id, all or nothing, prefills segment by segment and releases everything at its end.

--- /dev/null
+++ b/packages/routing/src/lavendershed/routing/group_planner.py
@@ -0,0 +1,306 @@
+"""Plan of one engine group that serves a prompt beyond one engine's memory.
+
+Holds are taken one after the other in ascending engine id. A refused hold
+releases all holds of the group before it tries again, so that two groups can't
+wait for each other. The prompt is then prefilled segment by segment: each
+engine but the last keeps the KV of its segment under a handle, and every later
+segment attends to the earlier ones through these handles. The last engine
+prefills the rest and streams the answer.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+import dataclasses
+import enum
+import math
+import random
+
+import result
+
+from lavendershed.core import deadlines
+from lavendershed.core import ids
+from lavendershed.core import units
+
+# The first delay after a refused hold, and the longest one.
+_FIRST_DELAY = units.Seconds(0.1)
+_LONGEST_DELAY = units.Seconds(2.0)
+# Added to the estimated time of a group, so that a hold outlives a group that
+# is somewhat slower than planned.
+_HOLD_MARGIN = 1.5
+
+
+class GroupState(enum.Enum):
+    """Progress of a group."""
+
+    HOLDING = "holding"
+    WAITING = "waiting"
+    PREFILLING = "prefilling"
+    STREAMING = "streaming"
+    ENDED = "ended"
+
+
+class GroupFailure(enum.Enum):
+    """Why a group was given up."""
+
+    TOO_FEW_ENGINES = "too_few_engines"
+    DEADLINE = "deadline"
+    SEGMENT_FAILED = "segment_failed"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Segment:
+    """Part of a prompt on one engine; `offset` and `size` are in tokens."""
+
+    index: int
+    engine: ids.BackendServerId
+    offset: units.Tokens
+    size: units.Tokens
+    hold: ids.HoldId
+    handle: ids.KvHandle
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AcquireHold:
+    """Command: reserve memory for `lifetime` on the segment's engine."""
+
+    segment: Segment
+    size: units.Tokens
+    lifetime: units.Seconds
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReleaseHold:
+    """Command: release a hold, until the engine confirms."""
+
+    engine: ids.BackendServerId
+    hold: ids.HoldId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExportSegment:
+    """Command: prefill a segment and keep its KV under its handle."""
+
+    segment: Segment
+    imports: tuple[Segment, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartStream:
+    """Command: prefill the last segment and stream the answer."""
+
+    segment: Segment
+    imports: tuple[Segment, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReleaseKv:
+    """Command: release a segment's KV, until the engine confirms."""
+
+    engine: ids.BackendServerId
+    handle: ids.KvHandle
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WaitUntil:
+    """Command: call `on_timer` at this instant."""
+
+    when: units.Instant
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GiveUp:
+    """Command: fail the request."""
+
+    reason: GroupFailure
+
+
+Command = (
+    AcquireHold
+    | ReleaseHold
+    | ExportSegment
+    | StartStream
+    | ReleaseKv
+    | WaitUntil
+    | GiveUp
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GroupDemand:
+    """What a group has to serve.
+
+    Attributes:
+        group_id: Unique name; holds and handles derive from it.
+        usable: Tokens of KV memory that a group may use on one engine.
+        prefill_rate: Prompt tokens per second of one engine.
+    """
+
+    group_id: str
+    prompt_tokens: units.Tokens
+    max_tokens: units.Tokens
+    usable: units.Tokens
+    prefill_rate: float
+    deadline: deadlines.Deadline
+
+    @property
+    def size(self) -> int:
+        """Number of engines that the group needs."""
+        return math.ceil((self.prompt_tokens + self.max_tokens) / self.usable)
+
+    @property
+    def prefill_time(self) -> units.Seconds:
+        """Seconds that the segments take one after the other."""
+        return units.Seconds(self.prompt_tokens / self.prefill_rate)
+
+
+def split(
+    demand: GroupDemand, engines: Sequence[ids.BackendServerId]
+) -> tuple[Segment, ...]:
+    """Splits a prompt over engines; all but the last segment are full."""
+    segments = []
+    left = demand.prompt_tokens
+    for index, engine in enumerate(engines):
+        last = index == len(engines) - 1
+        size = left if last else min(left, demand.usable)
+        name = f"{demand.group_id}-{index}"
+        segments.append(
+            Segment(
+                index,
+                engine,
+                units.Tokens(demand.prompt_tokens - left),
+                units.Tokens(size),
+                ids.HoldId(name),
+                ids.KvHandle(name),
+            )
+        )
+        left = units.Tokens(left - size)
+    return tuple(segments)
+
+
+class GroupPlanner:
+    """State machine of one engine group."""
+
+    def __init__(
+        self,
+        demand: GroupDemand,
+        engines: Sequence[ids.BackendServerId],
+        generator: random.Random,
+    ) -> None:
+        """Plans a group on some of `engines`.
+
+        Args:
+            demand: What the group has to serve.
+            engines: Engines to use, best first.
+            generator: Source of the jitter between tries.
+        """
+        self._demand = demand
+        chosen = sorted(engines[: demand.size])
+        self._enough = len(chosen) == demand.size
+        self._segments = split(demand, chosen) if self._enough else ()
+        self._random = generator
+        self._state = GroupState.WAITING
+        self._holds: list[Segment] = []
+        self._exported: list[Segment] = []
+        self._refusals = 0
+
+    @property
+    def state(self) -> GroupState:
+        """Progress of this group."""
+        return self._state
+
+    @property
+    def segments(self) -> tuple[Segment, ...]:
+        """The segments of the prompt, in order."""
+        return self._segments
+
+    def on_start(self, now: units.Instant) -> tuple[Command, ...]:
+        """Starts to take holds."""
+        if not self._enough:
+            return self._give_up(GroupFailure.TOO_FEW_ENGINES)
+        return self._try_holds(now)
+
+    def on_timer(self, now: units.Instant) -> tuple[Command, ...]:
+        """Tries again after a refused hold."""
+        if self._state is not GroupState.WAITING:
+            return ()
+        return self._try_holds(now)
+
+    def on_hold(
+        self, outcome: result.Result[None, str], now: units.Instant
+    ) -> tuple[Command, ...]:
+        """Takes the answer to the latest `AcquireHold`.
+
+        After an answer that was lost, the caller passes an error: the hold is
+        then released like one that was taken.
+        """
+        if self._state is not GroupState.HOLDING:
+            return ()
+        self._holds.append(self._segments[len(self._holds)])
+        if isinstance(outcome, result.Err):
+            return self._retreat(now)
+        if len(self._holds) < len(self._segments):
+            return (self._next_hold(),)
+        self._state = GroupState.PREFILLING
+        return self._next_segment()
+
+    def on_segment(
+        self, outcome: result.Result[None, str], now: units.Instant
+    ) -> tuple[Command, ...]:
+        """Takes the answer to the latest `ExportSegment`."""
+        if self._state is not GroupState.PREFILLING:
+            return ()
+        self._exported.append(self._segments[len(self._exported)])
+        if isinstance(outcome, result.Err):
+            return self._give_up(GroupFailure.SEGMENT_FAILED)
+        if self._demand.deadline.is_past(now):
+            return self._give_up(GroupFailure.DEADLINE)
+        return self._next_segment()
+
+    def on_finished(self) -> tuple[Command, ...]:
+        """Ends the group, whatever became of its stream; idempotent."""
+        if self._state is GroupState.ENDED:
+            return ()
+        self._state = GroupState.ENDED
+        return self._release_all()
+
+    def _try_holds(self, now: units.Instant) -> tuple[Command, ...]:
+        if self._demand.deadline.remaining(now) < self._demand.prefill_time:
+            return self._give_up(GroupFailure.DEADLINE)
+        self._state = GroupState.HOLDING
+        return (self._next_hold(),)
+
+    def _next_hold(self) -> AcquireHold:
+        lifetime = units.Seconds(self._demand.prefill_time * _HOLD_MARGIN)
+        return AcquireHold(
+            self._segments[len(self._holds)], self._demand.usable, lifetime
+        )
+
+    def _next_segment(self) -> tuple[Command, ...]:
+        done = tuple(self._exported)
+        segment = self._segments[len(done)]
+        if segment is self._segments[-1]:
+            self._state = GroupState.STREAMING
+            return (StartStream(segment, done),)
+        return (ExportSegment(segment, done),)
+
+    def _retreat(self, now: units.Instant) -> tuple[Command, ...]:
+        self._state = GroupState.WAITING
+        # The delay shrinks for a group that has waited long, so that it gets
+        # its turn before younger groups.
+        self._refusals += 1
+        longest = max(_FIRST_DELAY, _LONGEST_DELAY / self._refusals)
+        delay = self._random.uniform(_FIRST_DELAY / 2, longest)
+        when = units.after(now, units.Seconds(delay))
+        return (*self._release_all(), WaitUntil(when))
+
+    def _release_all(self) -> tuple[Command, ...]:
+        holds = tuple(ReleaseHold(s.engine, s.hold) for s in self._holds)
+        exports = tuple(ReleaseKv(s.engine, s.handle) for s in self._exported)
+        self._holds.clear()
+        self._exported.clear()
+        return holds + exports
+
+    def _give_up(self, reason: GroupFailure) -> tuple[Command, ...]:
+        self._state = GroupState.ENDED
+        return (*self._release_all(), GiveUp(reason))
