Write configuration changes as one conditional update

Cause: configuration could only be published by hand-made objects, and a daemon applied any manifest whose chunks decoded.

Change: whole configurations are validated, divided into content-addressed chunks, compared item by item and written by ChangeWriter, whose only write of consequence is one conditional put of the manifest. The commands `apply`, `diff`, `preset activate` and `status` use it. ConfigurationState validates before it applies and keeps several pending manifests. Numeric addresses move to core so that validation can check them. Chunk hashes are cut to 128 bits, because the manifest lists every chunk.

--- /dev/null
+++ b/packages/cli/src/lavendershed/cli/changing.py
@@ -0,0 +1,59 @@
+"""Shared end of the commands that change the configuration."""
+
+from __future__ import annotations
+
+import click
+
+from lavendershed.cli import output
+from lavendershed.cli import session as session_module
+from lavendershed.configuration import changes
+from lavendershed.configuration import writer
+from lavendershed.core import addresses
+from lavendershed.core import units
+
+
+def change_options(
+    command: session_module.Command,
+) -> session_module.Command:
+    """Adds the options of every command that changes the configuration."""
+    for option in (
+        session_module.output_option,
+        session_module.operator_option,
+        session_module.store_option,
+    ):
+        command = option(command)
+    return command
+
+
+def make_change(
+    change: changes.Change,
+    *,
+    store: addresses.Address,
+    time_limit_seconds: float,
+    operator: str,
+    output_format: output.OutputFormat,
+) -> None:
+    """Writes one change and prints the epoch at which it was accepted."""
+    session = session_module.Session(store, units.Seconds(time_limit_seconds))
+    outcome = session.write(change, operator)
+    accepted = isinstance(outcome, writer.Accepted)
+    differences = (
+        [str(difference) for difference in outcome.differences]
+        if isinstance(outcome, writer.Accepted)
+        else []
+    )
+    if output_format is output.OutputFormat.JSON:
+        output.print_json(
+            {
+                "epoch": outcome.epoch,
+                "changed": accepted,
+                "differences": differences,
+            }
+        )
+        return
+    if accepted:
+        click.echo(f"accepted as epoch {outcome.epoch}")
+    else:
+        click.echo(f"no change; the epoch is {outcome.epoch}")
+    for difference in differences:
+        click.echo(f"  {difference}")
--- /dev/null
+++ b/packages/cli/src/lavendershed/cli/failures.py
@@ -0,0 +1,101 @@
+"""Errors of operator commands with their exit codes."""
+
+from __future__ import annotations
+
+import enum
+
+import click
+
+from lavendershed.configuration import validation
+from lavendershed.configuration import writer
+from lavendershed.core import object_store
+from lavendershed.platform import configuration_store
+
+
+class ExitCode(enum.IntEnum):
+    """Exit codes of operator commands; scripts depend on the numbers."""
+
+    INVALID = 2
+    STORE = 3
+    CONFLICT = 4
+    UNSETTLED = 5
+    NOT_IN_FORCE = 6
+
+
+class CommandError(click.ClickException):
+    """Ends a command with one message and an exit code."""
+
+    def __init__(self, code: ExitCode, message: str) -> None:
+        super().__init__(message)
+        self._code = code
+
+    @property
+    def exit_code(self) -> int:  # type: ignore[override]
+        """The exit status of the process."""
+        return int(self._code)
+
+
+def invalid(problems: tuple[validation.Problem, ...]) -> CommandError:
+    """Returns the error for a configuration with problems."""
+    if len(problems) == 1:
+        return CommandError(ExitCode.INVALID, str(problems[0]))
+    lines = "".join(f"\n  {problem}" for problem in problems)
+    return CommandError(ExitCode.INVALID, f"{len(problems)} problems:{lines}")
+
+
+def of_read(error: configuration_store.ReadError) -> CommandError:
+    """Returns the error for a failed read."""
+    if isinstance(error, configuration_store.Unreadable):
+        return CommandError(
+            ExitCode.STORE, f"stored data cannot be read: {error.detail}"
+        )
+    return of_store(error)
+
+
+def of_store(error: object_store.StoreError) -> CommandError:
+    """Returns the error for a failed call to the store."""
+    return CommandError(
+        ExitCode.STORE,
+        f"the object store gave no result ({error.kind.value}): "
+        f"{error.detail}; check --store and try again",
+    )
+
+
+def of_change(failure: writer.Failure) -> CommandError:
+    """Returns the error for a change that was not accepted."""
+    match failure:
+        case writer.Rejected(problems):
+            return invalid(problems)
+        case writer.Conflict():
+            return CommandError(ExitCode.CONFLICT, _conflict(failure))
+        case writer.Unsettled(change_id, detail):
+            return CommandError(
+                ExitCode.UNSETTLED,
+                f"change {change_id} may or may not have been accepted: "
+                f"{detail}; look for it with `lavendershed history` before "
+                "repeating the change",
+            )
+        case writer.StoreFailed(detail):
+            return CommandError(
+                ExitCode.STORE,
+                f"the object store gave no result: {detail}; nothing was "
+                "changed, check --store and try again",
+            )
+        case writer.Unreadable(detail):
+            return CommandError(
+                ExitCode.STORE,
+                f"the stored configuration cannot be read: {detail}; nothing "
+                "was changed",
+            )
+
+
+def _conflict(conflict: writer.Conflict) -> str:
+    lines = [f"\n  {difference}" for difference in conflict.differences]
+    lines += [
+        f"\n  epoch {change.epoch} by {change.operator}: {change.summary}"
+        for change in conflict.accepted
+    ]
+    return (
+        "another change touched the same items first, nothing was changed; "
+        "look at it and repeat the command:" + "".join(lines)
+    )
--- a/packages/cli/src/lavendershed/cli/main.py
+++ b/packages/cli/src/lavendershed/cli/main.py
@@ -5,7 +5,11 @@
 import click
 
 from lavendershed import cli
+from lavendershed.cli.commands import apply
+from lavendershed.cli.commands import diff
+from lavendershed.cli.commands import preset
 from lavendershed.cli.commands import router
+from lavendershed.cli.commands import status
 
 
 @click.group()
@@ -14,4 +18,11 @@
     """Serves prompts of very different lengths on one fleet."""
 
 
-main.add_command(router.router)
+for command in (
+    apply.apply,
+    diff.diff,
+    preset.preset,
+    router.router,
+    status.status,
+):
+    main.add_command(command)
--- /dev/null
+++ b/packages/configuration/src/lavendershed/configuration/changes.py
@@ -0,0 +1,227 @@
+"""Changes that operators ask for."""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import Callable
+import dataclasses
+from typing import Generic
+from typing import TypeVar
+
+import result
+
+from lavendershed.configuration import comparison
+from lavendershed.configuration import model
+from lavendershed.configuration import validation
+from lavendershed.core import ids
+
+E = TypeVar("E", model.Organisation, model.Service, model.Preset)
+
+
+class Change(abc.ABC):
+    """What an operator wants of a configuration."""
+
+    @property
+    @abc.abstractmethod
+    def summary(self) -> str:
+        """One line for the history."""
+
+    @abc.abstractmethod
+    def apply(
+        self, base: model.Configuration
+    ) -> result.Result[model.Configuration, validation.Problem]:
+        """Returns the wanted configuration; it is validated afterwards."""
+
+
+def item_of(entity: comparison.Entity) -> comparison.Item:
+    """Returns the item that an entity is."""
+    match entity:
+        case model.Organisation():
+            return comparison.Item(
+                comparison.ItemKind.ORGANISATION, entity.name
+            )
+        case model.Service():
+            return comparison.Item(comparison.ItemKind.SERVICE, entity.name)
+        case model.Preset():
+            return comparison.Item(comparison.ItemKind.PRESET, entity.name)
+
+
+def find(
+    configuration: model.Configuration, item: comparison.Item
+) -> comparison.Entity | None:
+    """Returns the entity that an item names."""
+    match item.kind:
+        case comparison.ItemKind.ORGANISATION:
+            return configuration.organisations.get(
+                ids.OrganisationId(item.name)
+            )
+        case comparison.ItemKind.SERVICE:
+            return configuration.services.get(ids.ServiceId(item.name))
+        case comparison.ItemKind.PRESET:
+            return configuration.presets.get(ids.PresetName(item.name))
+        case comparison.ItemKind.ACTIVE_PRESET:
+            return configuration.presets.get(configuration.active_preset)
+
+
+def absent(item: comparison.Item) -> validation.Problem:
+    """Returns the problem that an item does not exist."""
+    return validation.Problem(
+        item.kind.value,
+        f"there is no {item}",
+        f"list the {item.kind.value}s, or create it first",
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CreateEntity(Change):
+    """Adds an entity. The first preset becomes the active one."""
+
+    entity: comparison.Entity
+
+    @property
+    def summary(self) -> str:
+        """One line for the history."""
+        return f"create {item_of(self.entity)}"
+
+    def apply(
+        self, base: model.Configuration
+    ) -> result.Result[model.Configuration, validation.Problem]:
+        """Returns `base` with the entity, unless the name is taken."""
+        item = item_of(self.entity)
+        if find(base, item) is not None:
+            return result.Err(
+                validation.Problem(
+                    item.kind.value,
+                    f"the {item} exists already",
+                    "use `change`, or another name",
+                )
+            )
+        added = _put(base, self.entity)
+        if isinstance(self.entity, model.Preset) and not base.presets:
+            added = dataclasses.replace(added, active_preset=self.entity.name)
+        return result.Ok(added)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EditEntity(Change, Generic[E]):
+    """Changes fields of an entity that exists.
+
+    Attributes:
+        edit: Returns the changed entity, of the same type and name.
+    """
+
+    item: comparison.Item
+    kind: type[E]
+    edit: Callable[[E], E]
+
+    @property
+    def summary(self) -> str:
+        """One line for the history."""
+        return f"change {self.item}"
+
+    def apply(
+        self, base: model.Configuration
+    ) -> result.Result[model.Configuration, validation.Problem]:
+        """Returns `base` with the edited entity."""
+        entity = find(base, self.item)
+        if not isinstance(entity, self.kind):
+            return result.Err(absent(self.item))
+        return result.Ok(_put(base, self.edit(entity)))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DeleteEntity(Change):
+    """Removes an entity."""
+
+    item: comparison.Item
+
+    @property
+    def summary(self) -> str:
+        """One line for the history."""
+        return f"delete {self.item}"
+
+    def apply(
+        self, base: model.Configuration
+    ) -> result.Result[model.Configuration, validation.Problem]:
+        """Returns `base` without the entity."""
+        if find(base, self.item) is None:
+            return result.Err(absent(self.item))
+        if self.item == comparison.Item(
+            comparison.ItemKind.PRESET, base.active_preset
+        ):
+            return result.Err(
+                validation.Problem(
+                    "preset",
+                    f"'{self.item.name}' is the active preset",
+                    "activate another preset first",
+                )
+            )
+        removal = comparison.Difference(
+            self.item, comparison.DifferenceKind.REMOVED, None
+        )
+        return result.Ok(comparison.patch(base, (removal,)))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ActivatePreset(Change):
+    """Makes a preset the active one."""
+
+    name: ids.PresetName
+
+    @property
+    def summary(self) -> str:
+        """One line for the history."""
+        return f"activate preset {self.name}"
+
+    def apply(
+        self, base: model.Configuration
+    ) -> result.Result[model.Configuration, validation.Problem]:
+        """Returns `base` with the preset active."""
+        return result.Ok(dataclasses.replace(base, active_preset=self.name))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReplaceAll(Change):
+    """Puts a whole configuration in place of the stored one.
+
+    Attributes:
+        expected_epoch: Epoch that the new configuration was written against;
+            None accepts any.
+    """
+
+    wanted: model.Configuration
+    source: str
+    expected_epoch: ids.Epoch | None = None
+
+    @property
+    def summary(self) -> str:
+        """One line for the history."""
+        return f"apply {self.source}"
+
+    def apply(
+        self, base: model.Configuration
+    ) -> result.Result[model.Configuration, validation.Problem]:
+        """Returns the wanted configuration if the epoch is the expected."""
+        if self.expected_epoch not in (None, base.epoch):
+            return result.Err(
+                validation.Problem(
+                    "epoch",
+                    f"the stored configuration has epoch {base.epoch}, not "
+                    f"{self.expected_epoch}",
+                    "compare with `diff`, then apply against the new epoch",
+                )
+            )
+        return result.Ok(self.wanted)
+
+
+def _put(
+    base: model.Configuration, entity: comparison.Entity
+) -> model.Configuration:
+    return comparison.patch(
+        base,
+        (
+            comparison.Difference(
+                item_of(entity), comparison.DifferenceKind.CHANGED, entity
+            ),
+        ),
+    )
--- a/packages/configuration/src/lavendershed/configuration/manifest.py
+++ b/packages/configuration/src/lavendershed/configuration/manifest.py
@@ -2,20 +2,36 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 import dataclasses
+import itertools
+
+import result
 
 from lavendershed.configuration import model
 from lavendershed.core import ids
 
+# A change whose write got no answer is settled by finding its id here. The
+# bound keeps the manifest small; an id older than the list counts as unknown.
+MAX_RECENT_CHANGES = 32
+MAX_SUMMARY_CHARACTERS = 200
+MAX_OPERATOR_CHARACTERS = 63
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ChangeRecord:
-    """One accepted change."""
+    """One accepted change.
+
+    Attributes:
+        written_at: Time on the operator's clock, ISO 8601 in UTC; it is
+            shown to people and orders nothing.
+    """
 
     change_id: ids.ChangeId
     epoch: ids.Epoch
     operator: str
     summary: str
+    written_at: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -24,7 +40,8 @@
 
     Attributes:
         chunks: Hashes of the chunks that make up the configuration.
-        recent_changes: Latest accepted changes, oldest first.
+        recent_changes: Latest accepted changes, oldest first, one for each
+            epoch without gaps.
     """
 
     epoch: ids.Epoch
@@ -32,6 +49,22 @@
     chunks: tuple[ids.ChunkHash, ...]
     recent_changes: tuple[ChangeRecord, ...]
 
+    def change(self, change_id: ids.ChangeId) -> ChangeRecord | None:
+        """Returns a recent change by its id."""
+        return next(
+            (c for c in self.recent_changes if c.change_id == change_id), None
+        )
+
+    def remembers(self, epoch: ids.Epoch) -> bool:
+        """Whether the change that made `epoch` would be listed."""
+        return epoch > self.epoch or any(
+            change.epoch == epoch for change in self.recent_changes
+        )
+
+    def changes_after(self, epoch: ids.Epoch) -> tuple[ChangeRecord, ...]:
+        """Returns the recent changes later than `epoch`."""
+        return tuple(c for c in self.recent_changes if c.epoch > epoch)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Chunk:
@@ -43,13 +76,39 @@
 
 
 def assemble(
-    manifest: Manifest, chunks: tuple[Chunk, ...]
-) -> model.Configuration:
-    """Builds the configuration that a manifest and its chunks describe."""
-    return model.Configuration(
+    manifest: Manifest, chunks: Iterable[Chunk]
+) -> result.Result[model.Configuration, str]:
+    """Builds the configuration that a manifest and its chunks describe.
+
+    Returns:
+        The configuration, or one sentence that names a duplicate entity.
+    """
+    parts = tuple(chunks)
+    organisations = [o for chunk in parts for o in chunk.organisations]
+    services = [s for chunk in parts for s in chunk.services]
+    presets = [p for chunk in parts for p in chunk.presets]
+    configuration = model.Configuration(
         manifest.epoch,
         manifest.active_preset,
-        {o.name: o for chunk in chunks for o in chunk.organisations},
-        {s.name: s for chunk in chunks for s in chunk.services},
-        {p.name: p for chunk in chunks for p in chunk.presets},
+        {organisation.name: organisation for organisation in organisations},
+        {service.name: service for service in services},
+        {preset.name: preset for preset in presets},
     )
+    sizes = (
+        ("organisation", organisations, configuration.organisations),
+        ("service", services, configuration.services),
+        ("preset", presets, configuration.presets),
+    )
+    for kind, entities, by_name in sizes:
+        if len(entities) != len(by_name):
+            return result.Err(f"two chunks hold the same {kind}")
+    return result.Ok(configuration)
+
+
+def successor_changes(
+    manifest: Manifest | None, record: ChangeRecord
+) -> tuple[ChangeRecord, ...]:
+    """Returns the recent changes of the manifest that follows `manifest`."""
+    earlier = manifest.recent_changes if manifest else ()
+    kept = itertools.chain(earlier[-(MAX_RECENT_CHANGES - 1) :], (record,))
+    return tuple(kept)
--- a/packages/configuration/src/lavendershed/configuration/model.py
+++ b/packages/configuration/src/lavendershed/configuration/model.py
@@ -75,6 +75,44 @@
     default_timeout: units.Seconds = units.Seconds(60.0)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoleShare:
+    """Share of a service's engines, from 0 to 1, that have one role."""
+
+    role: states.EngineRole
+    share: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WantedModel:
+    """A model that a preset wants on some engines of a service.
+
+    Attributes:
+        version: Version of the model; empty for any version.
+        adapters: Adapters to load beside the model.
+        share: Share of the service's engines, above 0 and up to 1.
+    """
+
+    model: ids.ModelId
+    version: str = ""
+    adapters: tuple[ids.AdapterId, ...] = ()
+    share: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServicePlan:
+    """What a preset wants of the engines of one service.
+
+    Attributes:
+        roles: Engines without a share are `general`.
+        models: Models to have loaded; empty leaves the engines as they are.
+    """
+
+    service: ids.ServiceId
+    roles: tuple[RoleShare, ...] = ()
+    models: tuple[WantedModel, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Preset:
     """Policy for one kind of day.
@@ -87,6 +125,8 @@
         max_groups: Concurrent engine groups per service.
         max_queue: Requests queued per service and daemon.
         shed_first: Prompt classes refused first under overload, in order.
+        service_plans: Engine roles and models by service; services without a
+            plan keep their engines as they are.
     """
 
     name: ids.PresetName
@@ -100,6 +140,14 @@
         states.PromptClass.OVERSIZED,
         states.PromptClass.LONG,
     )
+    service_plans: tuple[ServicePlan, ...] = ()
+
+    def plan(self, service: ids.ServiceId) -> ServicePlan:
+        """Returns the plan of a service; an empty one if there is none."""
+        return next(
+            (plan for plan in self.service_plans if plan.service == service),
+            ServicePlan(service),
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/configuration/src/lavendershed/configuration/state.py
+++ b/packages/configuration/src/lavendershed/configuration/state.py
@@ -2,11 +2,25 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 import dataclasses
+import itertools
+
+import result
 
 from lavendershed.configuration import manifest as manifest_module
 from lavendershed.configuration import model
+from lavendershed.configuration import validation
 from lavendershed.core import ids
+from lavendershed.core import units
+
+# Changes arrive every few seconds at most; more pending manifests than these
+# mean that chunks cannot be read, and the latest ones replace the oldest.
+MAX_PENDING = 4
+# Time between requests for the same missing chunks, so that a chunk that no
+# source has costs few calls.
+FETCH_AGAIN = units.Seconds(1.0)
+MAX_REPORTED_PROBLEMS = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -24,17 +38,32 @@
     new: model.Configuration
 
 
-Command = FetchChunks | ApplyConfiguration
+@dataclasses.dataclass(frozen=True, slots=True)
+class RejectManifest:
+    """Command: report a manifest that gives no valid configuration."""
+
+    epoch: ids.Epoch
+    detail: str
+
+
+Command = FetchChunks | ApplyConfiguration | RejectManifest
 
 
 class ConfigurationState:
-    """Collects manifests and chunks and applies only greater epochs."""
+    """Collects manifests and chunks and applies only greater epochs.
+
+    Pending manifests are independent of each other: the first whose chunks
+    are complete and valid is applied, and it removes those of lower epochs.
+    A manifest whose chunks never arrive therefore blocks none.
+    """
 
     def __init__(self) -> None:
         self._current = model.EMPTY
         self._manifest: manifest_module.Manifest | None = None
-        self._pending: manifest_module.Manifest | None = None
+        self._pending: list[manifest_module.Manifest] = []
+        self._rejected: list[manifest_module.Manifest] = []
         self._chunks: dict[ids.ChunkHash, manifest_module.Chunk] = {}
+        self._fetch_again = units.Instant(0.0)
 
     @property
     def current(self) -> model.Configuration:
@@ -51,41 +80,118 @@
         """Manifest of the configuration in force."""
         return self._manifest
 
+    @property
+    def pending(self) -> tuple[ids.Epoch, ...]:
+        """Epochs whose chunks are incomplete, greatest first."""
+        return tuple(manifest.epoch for manifest in self._pending)
+
     def chunk(self, chunk_hash: ids.ChunkHash) -> manifest_module.Chunk | None:
         """Returns a held chunk, for peers that ask for it."""
         return self._chunks.get(chunk_hash)
 
     def on_manifest(
-        self, manifest: manifest_module.Manifest
+        self, manifest: manifest_module.Manifest, now: units.Instant
     ) -> tuple[Command, ...]:
         """Takes a manifest from any source; old epochs are ignored."""
-        newest = self._pending.epoch if self._pending else self._current.epoch
-        if manifest.epoch < newest or manifest.epoch <= self._current.epoch:
+        if (
+            manifest.epoch <= self._current.epoch
+            or manifest in self._pending
+            or manifest in self._rejected
+        ):
             return ()
-        self._pending = manifest
-        return self._advance()
+        self._pending.append(manifest)
+        self._pending.sort(key=lambda m: m.epoch, reverse=True)
+        del self._pending[MAX_PENDING:]
+        return self._advance(now, fetch=True)
 
     def on_chunk(
-        self, chunk_hash: ids.ChunkHash, chunk: manifest_module.Chunk
+        self,
+        chunk_hash: ids.ChunkHash,
+        chunk: manifest_module.Chunk,
+        now: units.Instant,
     ) -> tuple[Command, ...]:
         """Takes a chunk whose hash the adapter has verified."""
-        if self._pending is None or chunk_hash not in self._pending.chunks:
+        if chunk_hash in self._chunks or not any(
+            chunk_hash in manifest.chunks for manifest in self._pending
+        ):
             return ()
+        problems = validation.check_chunk(chunk)
+        if problems:
+            users = [m for m in self._pending if chunk_hash in m.chunks]
+            return tuple(self._reject(m, _text(problems)) for m in users)
         self._chunks[chunk_hash] = chunk
-        return self._advance()
-
-    def _advance(self) -> tuple[Command, ...]:
-        pending = self._pending
-        assert pending is not None
-        missing = tuple(h for h in pending.chunks if h not in self._chunks)
-        if missing:
-            return (FetchChunks(missing),)
-        chunks = {h: self._chunks[h] for h in pending.chunks}
-        old = self._current
-        self._current = manifest_module.assemble(
-            pending, tuple(chunks.values())
+        return self._advance(now, fetch=False)
+
+    def on_timer(self, now: units.Instant) -> tuple[Command, ...]:
+        """Asks again for chunks that have not arrived."""
+        if now < self._fetch_again:
+            return ()
+        return self._fetch(now)
+
+    def _advance(
+        self, now: units.Instant, *, fetch: bool
+    ) -> tuple[Command, ...]:
+        commands: list[Command] = []
+        for manifest in tuple(self._pending):
+            if all(h in self._chunks for h in manifest.chunks):
+                applied = self._apply(manifest)
+                commands.append(applied)
+                if isinstance(applied, ApplyConfiguration):
+                    break
+        if fetch:
+            commands += self._fetch(now)
+        return tuple(commands)
+
+    def _fetch(self, now: units.Instant) -> tuple[Command, ...]:
+        missing = tuple(
+            dict.fromkeys(
+                chunk_hash
+                for manifest in self._pending
+                for chunk_hash in manifest.chunks
+                if chunk_hash not in self._chunks
+            )
+        )
+        if not missing:
+            return ()
+        self._fetch_again = units.after(now, FETCH_AGAIN)
+        return (FetchChunks(missing),)
+
+    def _apply(
+        self, manifest: manifest_module.Manifest
+    ) -> ApplyConfiguration | RejectManifest:
+        assembled = manifest_module.assemble(
+            manifest, (self._chunks[h] for h in manifest.chunks)
         )
-        self._chunks = chunks
-        self._manifest = pending
-        self._pending = None
-        return (ApplyConfiguration(old, self._current),)
+        if isinstance(assembled, result.Err):
+            return self._reject(manifest, assembled.err_value)
+        new = assembled.ok_value
+        problems = validation.check_references(new)
+        if problems:
+            return self._reject(manifest, _text(problems))
+        old, self._current = self._current, new
+        self._manifest = manifest
+        self._pending = [m for m in self._pending if m.epoch > new.epoch]
+        self._rejected = [m for m in self._rejected if m.epoch > new.epoch]
+        self._drop_unused_chunks()
+        return ApplyConfiguration(old, new)
+
+    def _reject(
+        self, manifest: manifest_module.Manifest, detail: str
+    ) -> RejectManifest:
+        self._pending.remove(manifest)
+        self._rejected = [*self._rejected, manifest][-MAX_PENDING:]
+        self._drop_unused_chunks()
+        return RejectManifest(manifest.epoch, detail)
+
+    def _drop_unused_chunks(self) -> None:
+        manifests: Iterable[manifest_module.Manifest] = self._pending
+        if self._manifest is not None:
+            manifests = itertools.chain(manifests, (self._manifest,))
+        used = {h for manifest in manifests for h in manifest.chunks}
+        self._chunks = {h: c for h, c in self._chunks.items() if h in used}
+
+
+def _text(problems: tuple[validation.Problem, ...]) -> str:
+    shown = "; ".join(map(str, problems[:MAX_REPORTED_PROBLEMS]))
+    hidden = len(problems) - MAX_REPORTED_PROBLEMS
+    return f"{shown}; and {hidden} more" if hidden > 0 else shown
--- /dev/null
+++ b/packages/configuration/src/lavendershed/configuration/writer.py
@@ -0,0 +1,404 @@
+"""Writing of one configuration change."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+import result
+
+from lavendershed.configuration import changes
+from lavendershed.configuration import chunking
+from lavendershed.configuration import comparison
+from lavendershed.configuration import manifest as manifest_module
+from lavendershed.configuration import model
+from lavendershed.configuration import validation
+from lavendershed.core import backoff as backoff_module
+from lavendershed.core import ids
+from lavendershed.core import object_store
+from lavendershed.core import units
+
+# Each lost race means that another change was accepted. Operators change
+# different items many times a day, so that a few lost races in a row happen.
+MAX_LOST_RACES = 20
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadManifest:
+    """Command: read the manifest and its version."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadChunks:
+    """Command: read these chunks and verify their hashes."""
+
+    hashes: tuple[ids.ChunkHash, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WriteChunks:
+    """Command: create these chunks; one that exists is already right."""
+
+    chunks: tuple[chunking.AddressedChunk, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WriteManifest:
+    """Command: put the manifest in one conditional write.
+
+    Attributes:
+        expected: Version to replace; None if no manifest may exist.
+    """
+
+    manifest: manifest_module.Manifest
+    expected: ids.ObjectVersion | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wait:
+    """Command: call `on_timer` at `until`."""
+
+    until: units.Instant
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finish:
+    """Command: stop; the outcome is known."""
+
+
+Command = (
+    ReadManifest | ReadChunks | WriteChunks | WriteManifest | Wait | Finish
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Accepted:
+    """The change is in the history, at this epoch."""
+
+    epoch: ids.Epoch
+    differences: tuple[comparison.Difference, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unchanged:
+    """The stored configuration is already as wanted; nothing was written."""
+
+    epoch: ids.Epoch
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rejected:
+    """The change gives no valid configuration; nothing was written."""
+
+    problems: tuple[validation.Problem, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Conflict:
+    """Another change touched the same items first; nothing was written.
+
+    Attributes:
+        differences: What the other changes did to the items in question.
+        accepted: The other changes, as far as the manifest lists them.
+    """
+
+    differences: tuple[comparison.Difference, ...]
+    accepted: tuple[manifest_module.ChangeRecord, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unsettled:
+    """The change may or may not have been accepted."""
+
+    change_id: ids.ChangeId
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreFailed:
+    """The store gave no answer in time; nothing was written."""
+
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unreadable:
+    """The stored configuration cannot be read; nothing was written."""
+
+    detail: str
+
+
+Failure = Rejected | Conflict | Unsettled | StoreFailed | Unreadable
+Outcome = result.Result[Accepted | Unchanged, Failure]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Authorship:
+    """Who makes a change.
+
+    Attributes:
+        change_id: Random; no other change ever has it.
+        written_at: Time on the operator's clock, ISO 8601 in UTC.
+    """
+
+    change_id: ids.ChangeId
+    operator: str
+    written_at: str = ""
+
+
+class _State(enum.Enum):
+    READING_MANIFEST = "reading_manifest"
+    READING_CHUNKS = "reading_chunks"
+    WRITING_CHUNKS = "writing_chunks"
+    WRITING_MANIFEST = "writing_manifest"
+    WAITING = "waiting"
+    FINISHED = "finished"
+
+
+class ChangeWriter:
+    """Turns one change into one conditional write of the manifest.
+
+    After each write of the manifest whose result is not known, the writer
+    reads the manifest and looks for its change id. A write is conditional on
+    the version that was read, so that it cannot take effect any more once the
+    version has moved on; until then, sending the same write again is safe.
+    """
+
+    def __init__(
+        self,
+        change: changes.Change,
+        authorship: Authorship,
+        hasher: chunking.ChunkHasher,
+        backoff: backoff_module.Backoff,
+        deadline: units.Instant,
+    ) -> None:
+        self._change = change
+        self._authorship = authorship
+        self._hasher = hasher
+        self._backoff = backoff
+        self._deadline = deadline
+        self._state = _State.READING_MANIFEST
+        self._outcome: Outcome | None = None
+        self._version: ids.ObjectVersion | None = None
+        self._manifest: manifest_module.Manifest | None = None
+        self._chunks: dict[ids.ChunkHash, manifest_module.Chunk] = {}
+        self._base: model.Configuration | None = None
+        self._wanted: tuple[comparison.Difference, ...] = ()
+        self._proposal: manifest_module.Manifest | None = None
+        self._unanswered: set[ids.Epoch] = set()
+        self._lost_races = 0
+
+    @property
+    def outcome(self) -> Outcome | None:
+        """The outcome, or None while it is open."""
+        return self._outcome
+
+    def start(self) -> tuple[Command, ...]:
+        """Starts the change."""
+        return self._read()
+
+    def on_timer(self, now: units.Instant) -> tuple[Command, ...]:
+        """Takes the end of a wait."""
+        return self._read()
+
+    def on_no_manifest(self, now: units.Instant) -> tuple[Command, ...]:
+        """Takes the answer that there is no manifest."""
+        if self._manifest is not None or self._version is not None:
+            return self._fail(Unreadable("the manifest has been deleted"))
+        self._proposal = None
+        return self._propose(model.EMPTY)
+
+    def on_manifest(
+        self,
+        version: ids.ObjectVersion,
+        manifest: manifest_module.Manifest,
+        now: units.Instant,
+    ) -> tuple[Command, ...]:
+        """Takes the stored manifest."""
+        own = manifest.change(self._authorship.change_id)
+        if own is not None:
+            return self._finish(result.Ok(Accepted(own.epoch, self._wanted)))
+        if not all(manifest.remembers(epoch) for epoch in self._unanswered):
+            return self._fail(
+                Unsettled(
+                    self._authorship.change_id,
+                    "the write got no answer, and the manifest no longer "
+                    "lists the changes of that time",
+                )
+            )
+        if version != self._version:
+            # Writes conditional on the earlier version had no effect.
+            self._unanswered.clear()
+        self._version = version
+        self._manifest = manifest
+        return self._read_chunks()
+
+    def on_chunks(
+        self,
+        chunks: tuple[chunking.AddressedChunk, ...],
+        now: units.Instant,
+    ) -> tuple[Command, ...]:
+        """Takes chunks whose hashes the adapter has verified."""
+        self._chunks |= {entry.hash: entry.chunk for entry in chunks}
+        return self._read_chunks()
+
+    def on_unreadable(self, detail: str) -> tuple[Command, ...]:
+        """Takes the news that a stored object cannot be decoded."""
+        if self._unanswered:
+            return self._fail(Unsettled(self._authorship.change_id, detail))
+        return self._fail(Unreadable(detail))
+
+    def on_chunks_written(self, now: units.Instant) -> tuple[Command, ...]:
+        """Takes the confirmation of all chunks."""
+        assert self._proposal is not None
+        self._state = _State.WRITING_MANIFEST
+        return (WriteManifest(self._proposal, self._version),)
+
+    def on_manifest_written(self, now: units.Instant) -> tuple[Command, ...]:
+        """Takes the confirmation of the manifest."""
+        assert self._proposal is not None
+        return self._finish(
+            result.Ok(Accepted(self._proposal.epoch, self._wanted))
+        )
+
+    def on_store_error(
+        self, error: object_store.StoreError, now: units.Instant
+    ) -> tuple[Command, ...]:
+        """Takes a failed call of any kind."""
+        if error.kind is object_store.StoreErrorKind.TOO_LARGE:
+            return self._fail(
+                Rejected(
+                    (
+                        validation.Problem(
+                            "configuration",
+                            f"an object is too large ({error.detail})",
+                            "divide the entity that is largest",
+                        ),
+                    )
+                )
+            )
+        if error.kind is object_store.StoreErrorKind.ABSENT:
+            return self._fail(Unreadable(f"a chunk is missing: {error.detail}"))
+        writing = self._state is _State.WRITING_MANIFEST
+        if error.kind is object_store.StoreErrorKind.CONFLICT and writing:
+            self._lost_races += 1
+            if self._lost_races > MAX_LOST_RACES and not self._unanswered:
+                return self._fail(
+                    StoreFailed(
+                        f"{self._lost_races} other changes came first; "
+                        "try again"
+                    )
+                )
+            return self._read()
+        if error.kind is object_store.StoreErrorKind.AMBIGUOUS and writing:
+            assert self._proposal is not None
+            self._unanswered.add(self._proposal.epoch)
+        return self._wait(error, now)
+
+    def _read(self) -> tuple[Command, ...]:
+        self._state = _State.READING_MANIFEST
+        return (ReadManifest(),)
+
+    def _wait(
+        self, error: object_store.StoreError, now: units.Instant
+    ) -> tuple[Command, ...]:
+        delay = max(self._backoff.next_delay(), error.retry_after or 0.0)
+        until = units.after(now, units.Seconds(delay))
+        if until <= self._deadline:
+            self._state = _State.WAITING
+            return (Wait(until),)
+        if self._unanswered:
+            return self._fail(
+                Unsettled(
+                    self._authorship.change_id,
+                    f"the write got no answer, and then: {error.detail}",
+                )
+            )
+        return self._fail(StoreFailed(f"{error.kind.value}: {error.detail}"))
+
+    def _read_chunks(self) -> tuple[Command, ...]:
+        assert self._manifest is not None
+        missing = tuple(
+            h for h in self._manifest.chunks if h not in self._chunks
+        )
+        if missing:
+            self._state = _State.READING_CHUNKS
+            return (ReadChunks(missing),)
+        assembled = manifest_module.assemble(
+            self._manifest, (self._chunks[h] for h in self._manifest.chunks)
+        )
+        if isinstance(assembled, result.Err):
+            return self.on_unreadable(assembled.err_value)
+        return self._propose(assembled.ok_value)
+
+    def _propose(self, current: model.Configuration) -> tuple[Command, ...]:
+        if self._base is None:
+            wanted = self._first_proposal(current)
+        else:
+            wanted = self._rebased_proposal(self._base, current)
+        if isinstance(wanted, result.Err):
+            return self._fail(wanted.err_value)
+        if not self._wanted:
+            return self._finish(result.Ok(Unchanged(current.epoch)))
+        problems = validation.check(wanted.ok_value)
+        if problems:
+            return self._fail(Rejected(problems))
+        return self._write(wanted.ok_value, current.epoch)
+
+    def _first_proposal(
+        self, current: model.Configuration
+    ) -> result.Result[model.Configuration, Failure]:
+        wanted = self._change.apply(current)
+        if isinstance(wanted, result.Err):
+            return result.Err(Rejected((wanted.err_value,)))
+        self._base = current
+        self._wanted = comparison.compare(current, wanted.ok_value)
+        return result.Ok(wanted.ok_value)
+
+    def _rebased_proposal(
+        self, base: model.Configuration, current: model.Configuration
+    ) -> result.Result[model.Configuration, Failure]:
+        theirs = comparison.compare(base, current)
+        shared = comparison.touched(theirs) & comparison.touched(self._wanted)
+        if shared:
+            assert self._manifest is not None
+            return result.Err(
+                Conflict(
+                    tuple(d for d in theirs if d.item in shared),
+                    self._manifest.changes_after(base.epoch),
+                )
+            )
+        return result.Ok(comparison.patch(current, self._wanted))
+
+    def _write(
+        self, wanted: model.Configuration, epoch: ids.Epoch
+    ) -> tuple[Command, ...]:
+        parts = chunking.split(wanted, self._hasher)
+        next_epoch = ids.Epoch(epoch + 1)
+        record = manifest_module.ChangeRecord(
+            self._authorship.change_id,
+            next_epoch,
+            self._authorship.operator[
+                : manifest_module.MAX_OPERATOR_CHARACTERS
+            ],
+            self._change.summary[: manifest_module.MAX_SUMMARY_CHARACTERS],
+            self._authorship.written_at,
+        )
+        self._proposal = manifest_module.Manifest(
+            next_epoch,
+            wanted.active_preset,
+            tuple(part.hash for part in parts),
+            manifest_module.successor_changes(self._manifest, record),
+        )
+        stored = self._manifest.chunks if self._manifest else ()
+        new = tuple(part for part in parts if part.hash not in stored)
+        self._state = _State.WRITING_CHUNKS
+        return (WriteChunks(new),)
+
+    def _fail(self, failure: Failure) -> tuple[Command, ...]:
+        return self._finish(result.Err(failure))
+
+    def _finish(self, outcome: Outcome) -> tuple[Command, ...]:
+        self._state = _State.FINISHED
+        self._outcome = outcome
+        return (Finish(),)
--- a/packages/daemon/src/lavendershed/daemon/configuration_sync.py
+++ b/packages/daemon/src/lavendershed/daemon/configuration_sync.py
@@ -67,39 +67,49 @@
                 events.Event.CONFIGURATION_REJECTED, detail=manifest.err_value
             )
             return
-        await self._execute(self._state.on_manifest(manifest.ok_value))
+        await self._execute(
+            self._state.on_manifest(manifest.ok_value, self._timers.now())
+        )
+
+        await self._execute(self._state.on_timer(self._timers.now()))
 
     async def _execute(
         self, commands: tuple[state_module.Command, ...]
     ) -> None:
         for command in commands:
-            if isinstance(command, state_module.ApplyConfiguration):
-                self._apply(command)
-                continue
-            await asyncio.gather(
-                *(self._fetch(chunk_hash) for chunk_hash in command.hashes)
-            )
+            if isinstance(command, state_module.FetchChunks):
+                await asyncio.gather(
+                    *(self._fetch(chunk_hash) for chunk_hash in command.hashes)
+                )
+            else:
+                self._report(command)
 
     async def _fetch(self, chunk_hash: ids.ChunkHash) -> None:
         stored = await self._store.get(codec.chunk_key(chunk_hash))
         if isinstance(stored, result.Err):
             return
         data = stored.ok_value.value
-        if codec.chunk_hash(data) != chunk_hash:
-            self._log.emit(
-                events.Event.CONFIGURATION_REJECTED,
-                detail=f"chunk {chunk_hash} has other content",
-            )
-            return
-        chunk = codec.CHUNK.decode(data)
+        chunk = codec.decode_chunk(chunk_hash, data)
         if isinstance(chunk, result.Err):
             self._log.emit(
                 events.Event.CONFIGURATION_REJECTED, detail=chunk.err_value
             )
             return
-        for command in self._state.on_chunk(chunk_hash, chunk.ok_value):
-            if isinstance(command, state_module.ApplyConfiguration):
-                self._apply(command)
+        commands = self._state.on_chunk(
+            chunk_hash, chunk.ok_value, self._timers.now()
+        )
+        for command in commands:
+            self._report(command)
+
+    def _report(self, command: state_module.Command) -> None:
+        if isinstance(command, state_module.RejectManifest):
+            self._log.emit(
+                events.Event.CONFIGURATION_REJECTED,
+                epoch=command.epoch,
+                detail=command.detail,
+            )
+        elif isinstance(command, state_module.ApplyConfiguration):
+            self._apply(command)
 
     def _apply(self, command: state_module.ApplyConfiguration) -> None:
         for listener in self._listeners:
--- a/packages/platform/src/lavendershed/platform/codec.py
+++ b/packages/platform/src/lavendershed/platform/codec.py
@@ -16,6 +16,9 @@
 
 MANIFEST_KEY = ids.ObjectKey("config/manifest")
 CHUNK_PREFIX = "config/chunks/"
+# 128 bits make accidental collisions impossible in practice and halve the
+# manifest, which lists every chunk.
+_CHUNK_HASH_CHARACTERS = 32
 
 
 class Codec(Generic[T]):
@@ -37,7 +40,7 @@
         try:
             return result.Ok(self._adapter.validate_json(data))
         except pydantic.ValidationError as error:
-            first = error.errors()[0]
+            first = error.errors(include_url=False)[0]
             field = ".".join(str(part) for part in first["loc"])
             return result.Err(f"field '{field}': {first['msg']}")
 
@@ -48,7 +51,17 @@
 
 def chunk_hash(data: bytes) -> ids.ChunkHash:
     """Returns the content address of an encoded chunk."""
-    return ids.ChunkHash(hashlib.sha256(data).hexdigest())
+    digest = hashlib.sha256(data).hexdigest()
+    return ids.ChunkHash(digest[:_CHUNK_HASH_CHARACTERS])
+
+
+def decode_chunk(
+    name: ids.ChunkHash, data: bytes
+) -> result.Result[manifest.Chunk, str]:
+    """Returns a decoded chunk whose content has the address `name`."""
+    if chunk_hash(data) != name:
+        return result.Err("the content does not have this hash")
+    return CHUNK.decode(data)
 
 
 def chunk_key(name: ids.ChunkHash) -> ids.ObjectKey:
--- a/packages/transport/src/lavendershed/transport/address.py
+++ b/packages/transport/src/lavendershed/transport/address.py
@@ -1,48 +1,8 @@
-"""Numeric socket addresses."""
+"""Numeric socket addresses, as `core.addresses` defines them."""
 
 from __future__ import annotations
 
-import dataclasses
-import ipaddress
+from lavendershed.core import addresses
 
-import result
-
-MAX_PORT = 65_535
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Address:
-    """An IP number and a TCP or UDP port."""
-
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        """Returns the address as `host:port`, IPv6 hosts in brackets."""
-        host = f"[{self.host}]" if ":" in self.host else self.host
-        return f"{host}:{self.port}"
-
-
-def parse(text: str) -> result.Result[Address, str]:
-    """Parses `host:port` with a numeric host.
-
-    Host names are refused because resolving them would start a thread.
-
-    Returns:
-        The address, or one sentence that says what is wrong and what to use.
-    """
-    host, separator, port = text.rpartition(":")
-    if not separator:
-        return result.Err(
-            f"'{text}' has no port; use an address like 10.0.0.1:80"
-        )
-    try:
-        number = ipaddress.ip_address(host.strip("[]"))
-    except ValueError:
-        return result.Err(
-            f"'{host}' is not an IP number; host names are not resolved, "
-            "use an address like 10.0.0.1:80"
-        )
-    if not port.isascii() or not port.isdigit() or int(port) > MAX_PORT:
-        return result.Err(f"'{port}' is not a port from 0 to {MAX_PORT}")
-    return result.Ok(Address(str(number), int(port)))
+Address = addresses.Address
+parse = addresses.parse
