--- /dev/null
+++ b/packages/daemon/src/lavendershed/daemon/engine_observer.py
@@ -0,0 +1,118 @@
+"""Polling of engines for load reports and cache events."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+
+import result
+
+from lavendershed.core import backend_servers
+from lavendershed.core import cluster
+from lavendershed.core import ids
+from lavendershed.core import timers
+from lavendershed.core import units
+from lavendershed.daemon import backend_directory
+from lavendershed.daemon import backend_health
+from lavendershed.daemon import background
+from lavendershed.daemon import queued_dispatcher
+from lavendershed.transport import event_loop_timers
+
+# With many engines the interval grows, so that polling stays a small part of
+# the daemon's processor time.
+_MAX_POLLS_PER_SECOND = 80.0
+# Cache events change slowly and are read with every fourth load report.
+_ROUNDS_PER_CACHE_POLL = 4
+_DIGEST_INTERVAL = units.Seconds(0.5)
+# A datagram of 1,200 bytes carries about this many engine loads.
+_MAX_LOADS_IN_DIGEST = 24
+
+
+class EngineObserver(background.BackgroundTask):
+    """Feeds the dispatcher and health with what engines report."""
+
+    def __init__(
+        self,
+        dispatcher: queued_dispatcher.QueuedDispatcher,
+        directory: backend_directory.BackendDirectory,
+        health: backend_health.BackendHealth,
+        timer_service: timers.TimerService,
+        interval: units.Seconds,
+        exchange: cluster.RecordExchange,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._directory = directory
+        self._health = health
+        self._timers = timer_service
+        self._interval = interval
+        self._exchange = exchange
+        self._cache_unsupported: set[ids.BackendServerId] = set()
+        self._polls: dict[ids.BackendServerId, asyncio.Task[None]] = {}
+        exchange.subscribe(self._on_record)
+
+    async def run(self) -> None:
+        """Polls until cancelled.
+
+        Raises:
+            Exception: A poll broke an invariant.
+        """
+        publishing = self._timers.subscribe_every(
+            _DIGEST_INTERVAL, self._publish
+        )
+        try:
+            for number in itertools.count():
+                self._start_polls(number % _ROUNDS_PER_CACHE_POLL == 0)
+                engines = len(self._dispatcher.engines)
+                spread = engines / _MAX_POLLS_PER_SECOND
+                await event_loop_timers.sleep(
+                    self._timers, units.Seconds(max(self._interval, spread))
+                )
+        finally:
+            publishing.cancel()
+            for task in self._polls.values():
+                task.cancel()
+
+    def _start_polls(self, with_cache: bool) -> None:
+        for name, task in tuple(self._polls.items()):
+            if task.done():
+                del self._polls[name]
+                task.result()
+        for name in self._dispatcher.engines:
+            # A silent engine has at most one poll in flight.
+            if name not in self._polls:
+                self._polls[name] = asyncio.create_task(
+                    self._poll(name, with_cache)
+                )
+
+    async def _poll(self, name: ids.BackendServerId, with_cache: bool) -> None:
+        engine = self._directory.engine(name)
+        if engine is None:
+            return
+        report = await engine.load()
+        if isinstance(report, result.Err):
+            self._health.on_error(name, report.err_value)
+            return
+        self._health.on_load_report(name, report.ok_value)
+        self._dispatcher.on_load_report(name, report.ok_value)
+        if with_cache and name not in self._cache_unsupported:
+            await self._poll_cache(name, engine)
+
+    async def _poll_cache(
+        self, name: ids.BackendServerId, engine: backend_servers.ModelEngine
+    ) -> None:
+        found = await engine.cache_events(self._dispatcher.cache_sequence(name))
+        if isinstance(found, result.Ok):
+            self._dispatcher.on_cache_events(name, found.ok_value)
+        elif found.err_value.kind is backend_servers.BackendErrorKind.PROTOCOL:
+            # An engine without cache events is placed by own dispatches.
+            self._cache_unsupported.add(name)
+
+    def _publish(self) -> None:
+        loads = self._dispatcher.own_loads[:_MAX_LOADS_IN_DIGEST]
+        self._exchange.publish(cluster.LoadRecord(loads))
+
+    def _on_record(
+        self, origin: backend_servers.Owner, record: cluster.PeerRecord
+    ) -> None:
+        if isinstance(record, cluster.LoadRecord):
+            self._dispatcher.on_peer_loads(origin.vm, record.loads)
--- a/packages/daemon/src/lavendershed/daemon/factory.py
+++ b/packages/daemon/src/lavendershed/daemon/factory.py
@@ -7,18 +7,20 @@
 from lavendershed.configuration import model
 from lavendershed.configuration import state as state_module
 from lavendershed.core import backend_servers
+from lavendershed.core import cluster
 from lavendershed.core import ids
 from lavendershed.core import timers
 from lavendershed.daemon import backend_directory
 from lavendershed.daemon import backend_health
 from lavendershed.daemon import calls
 from lavendershed.daemon import configuration_sync
-from lavendershed.daemon import dispatcher
+from lavendershed.daemon import engine_observer
 from lavendershed.daemon import generation
 from lavendershed.daemon import options as options_module
+from lavendershed.daemon import queued_dispatcher
 from lavendershed.daemon import router as router_module
 from lavendershed.platform import http_store
-from lavendershed.routing import chooser
+from lavendershed.routing import limits
 from lavendershed.telemetry import instruments as instruments_module
 from lavendershed.telemetry import log
 from lavendershed.transport import pool
@@ -52,6 +54,17 @@
         self._owner = backend_servers.Owner(
             options.vm, ids.Incarnation(generator.getrandbits(63))
         )
+        self._cluster = cluster.SingleDaemon(self._owner)
+        self._dispatcher = queued_dispatcher.QueuedDispatcher(
+            options.vm,
+            self._state,
+            timer_service,
+            event_log,
+            instruments,
+            self._health,
+            limits.WholeShare(),
+            generator,
+        )
 
     def build(self) -> router_module.Router:
         """Returns a router that is ready to run."""
@@ -70,7 +83,7 @@
             calls.Calls(
                 self._state, self._directory, self._timers, self._random
             ),
-            (sync,),
+            (sync, self._build_observer()),
         )
         router = router_module.Router(
             self._options,
@@ -87,17 +100,22 @@
             self._owner,
             self._state,
             self._directory,
-            dispatcher.ImmediateDispatcher(
-                self._state,
-                chooser.RoundRobin(),
-                self._timers,
-                self._log,
-                self._health,
-            ),
+            self._dispatcher,
+            self._timers,
+        )
+
+    def _build_observer(self) -> engine_observer.EngineObserver:
+        return engine_observer.EngineObserver(
+            self._dispatcher,
+            self._directory,
+            self._health,
             self._timers,
+            self._options.engine_poll_interval,
+            self._cluster,
         )
 
     def _on_configuration(
         self, old: model.Configuration, new: model.Configuration
     ) -> None:
         self._directory.on_configuration(new)
+        self._dispatcher.on_configuration(old, new)
--- a/packages/daemon/src/lavendershed/daemon/generation.py
+++ b/packages/daemon/src/lavendershed/daemon/generation.py
@@ -72,7 +72,7 @@
             if isinstance(opened, result.Err):
                 error = opened.err_value
                 return _failed(error.sent, error.detail)
-            return await self._relay(opened.ok_value, sink)
+            return await self._relay(opened.ok_value, sink, request, assignment)
         finally:
             self._dispatcher.release(request, assignment)
 
@@ -80,7 +80,10 @@
         self,
         stream: backend_servers.EngineStream,
         sink: requests.AnswerSink,
+        request: requests.GenerateRequest,
+        assignment: dispatcher_module.Assignment,
     ) -> result.Result[None, outcomes.RequestFailure]:
+        started = False
         try:
             while True:
                 batch = await stream.read()
@@ -88,6 +91,9 @@
                     return _failed(True, batch.err_value.detail)
                 for event in batch.ok_value:
                     if isinstance(event, backend_servers.TokenBatch):
+                        if not started:
+                            started = True
+                            self._dispatcher.on_first_token(request, assignment)
                         await sink.deliver(event.events)
                     elif isinstance(event, backend_servers.StreamEnd):
                         await sink.end(event.token_count, event.reason)
@@ -110,7 +116,7 @@
             request.adapter,
             request.prompt,
             request.prompt_tokens,
-            (),
+            assignment.block_hashes,
             request.max_tokens,
             assignment.priority,
             units.Milliseconds(int(remaining * 1000)),
--- /dev/null
+++ b/packages/daemon/src/lavendershed/daemon/queued_dispatcher.py
@@ -0,0 +1,354 @@
+"""Dispatcher that admits, queues and places attempts with `routing`."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+import dataclasses
+import itertools
+import random
+
+import result
+
+from lavendershed.configuration import model
+from lavendershed.configuration import state
+from lavendershed.core import backend_servers
+from lavendershed.core import cluster
+from lavendershed.core import ids
+from lavendershed.core import outcomes
+from lavendershed.core import requests
+from lavendershed.core import states
+from lavendershed.core import timers
+from lavendershed.core import units
+from lavendershed.daemon import backend_health
+from lavendershed.daemon import dispatcher
+from lavendershed.routing import admission
+from lavendershed.routing import chooser
+from lavendershed.routing import engine_fleet
+from lavendershed.routing import limits
+from lavendershed.routing import oversized
+from lavendershed.routing import prefix_index
+from lavendershed.routing import prompt_classes
+from lavendershed.routing import scheduler as scheduler_module
+from lavendershed.routing import work as work_module
+from lavendershed.telemetry import events
+from lavendershed.telemetry import instruments as instruments_module
+from lavendershed.telemetry import log
+
+
+class _HealthAvailability(engine_fleet.EngineAvailability):
+    def __init__(self, health: backend_health.BackendHealth) -> None:
+        self._health = health
+
+    def accepts_work(self, engine: ids.BackendServerId) -> bool:
+        return self._health.accepts_work(engine)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Waiter:
+    request: requests.GenerateRequest
+    work: work_module.Work
+    arrived: units.Instant
+    outcome: asyncio.Future[
+        result.Result[dispatcher.Assignment, outcomes.RequestFailure]
+    ]
+
+
+class QueuedDispatcher(dispatcher.Dispatcher):
+    """Runs one scheduler per service and wakes the attempts that wait."""
+
+    def __init__(
+        self,
+        vm: ids.VmId,
+        configuration: state.ConfigurationState,
+        timer_service: timers.TimerService,
+        event_log: log.EventLog,
+        instruments: instruments_module.Instruments,
+        health: backend_health.BackendHealth,
+        shares: limits.ShareSource,
+        generator: random.Random,
+    ) -> None:
+        self._vm = vm
+        self._configuration = configuration
+        self._timers = timer_service
+        self._log = event_log
+        self._instruments = instruments
+        self._availability = _HealthAvailability(health)
+        self._limits = limits.OrganisationLimits(shares)
+        self._random = generator
+        self._tickets = itertools.count(1)
+        self._schedulers: dict[
+            ids.ServiceId, scheduler_module.ServiceScheduler
+        ] = {}
+        self._waiters: dict[work_module.Ticket, _Waiter] = {}
+
+    @property
+    def engines(self) -> tuple[ids.BackendServerId, ...]:
+        """Engines that this daemon uses, of all services."""
+        return tuple(
+            view.name
+            for scheduler in self._schedulers.values()
+            for view in scheduler.fleet.views
+        )
+
+    @property
+    def own_loads(self) -> tuple[cluster.EngineLoad, ...]:
+        """Own work on engines, most loaded first, for peers."""
+        loads = [
+            view.own_load
+            for scheduler in self._schedulers.values()
+            for view in scheduler.fleet.views
+            if view.outstanding
+        ]
+        return tuple(sorted(loads, key=lambda load: -load.prefill_tokens))
+
+    async def acquire(
+        self,
+        request: requests.GenerateRequest,
+        constraints: dispatcher.Constraints,
+    ) -> result.Result[dispatcher.Assignment, outcomes.RequestFailure]:
+        """Waits until an engine is assigned or the request is refused."""
+        scheduler = self._schedulers.get(request.service)
+        if scheduler is None:
+            return result.Err(
+                outcomes.not_run(
+                    states.FailureReason.UNKNOWN_SERVICE,
+                    f"there is no service '{request.service}'",
+                )
+            )
+        now = self._timers.now()
+        work = self._work_of(request, constraints)
+        waiter = _Waiter(
+            request, work, now, asyncio.get_running_loop().create_future()
+        )
+        self._waiters[work.ticket] = waiter
+        self._execute(request.service, scheduler.on_arrival(work, now))
+        deadline = self._timers.subscribe_at(
+            request.deadline.at,
+            lambda: self._on_deadline(request.service, work),
+        )
+        try:
+            return await waiter.outcome
+        except asyncio.CancelledError:
+            self._abandon(waiter)
+            raise
+        finally:
+            deadline.cancel()
+            self._waiters.pop(work.ticket, None)
+
+    def on_first_token(
+        self,
+        request: requests.GenerateRequest,
+        assignment: dispatcher.Assignment,
+    ) -> None:
+        """Notes that the prefill of an assignment has ended."""
+        scheduler = self._schedulers.get(request.service)
+        if scheduler is not None:
+            ticket = work_module.Ticket(assignment.ticket)
+            self._execute(
+                request.service,
+                scheduler.on_first_token(ticket, self._timers.now()),
+            )
+
+    def release(
+        self,
+        request: requests.GenerateRequest,
+        assignment: dispatcher.Assignment,
+    ) -> None:
+        """Ends an assignment when its attempt has ended."""
+        self._release(request.service, work_module.Ticket(assignment.ticket))
+
+    def on_load_report(
+        self,
+        engine: ids.BackendServerId,
+        report: backend_servers.LoadReport,
+    ) -> None:
+        """Takes an engine's load report."""
+        for service, scheduler in self._schedulers.items():
+            self._execute(
+                service,
+                scheduler.on_load_report(engine, report, self._timers.now()),
+            )
+
+    def on_cache_events(
+        self,
+        engine: ids.BackendServerId,
+        cache_events: tuple[backend_servers.CacheEvent, ...],
+    ) -> None:
+        """Takes an engine's cache events."""
+        for scheduler in self._schedulers.values():
+            scheduler.on_cache_events(engine, cache_events)
+
+    def on_peer_loads(
+        self, peer: ids.VmId, loads: Iterable[cluster.EngineLoad]
+    ) -> None:
+        """Takes a peer's digest of its work on engines."""
+        taken = tuple(loads)
+        for scheduler in self._schedulers.values():
+            scheduler.on_peer_loads(peer, taken, self._timers.now())
+
+    def cache_sequence(self, engine: ids.BackendServerId) -> int:
+        """Returns the last cache event seen of an engine."""
+        for scheduler in self._schedulers.values():
+            view = scheduler.fleet.view(engine)
+            if view is not None:
+                return view.prefixes.sequence
+        return 0
+
+    def on_configuration(
+        self, old: model.Configuration, new: model.Configuration
+    ) -> None:
+        """Puts services and the preset in force; queued attempts stay."""
+        now = self._timers.now()
+        self._limits.on_organisations(new.organisations)
+        weights = {o.name: o.weight for o in new.organisations.values()}
+        for service in new.services.values():
+            if service.kind is not states.ServiceKind.MODEL_ENGINE:
+                continue
+            scheduler = self._schedulers.get(service.name)
+            if scheduler is None:
+                scheduler = self._scheduler(service, new.preset)
+                self._schedulers[service.name] = scheduler
+            self._execute(
+                service.name,
+                scheduler.on_configuration(service, new.preset, weights, now),
+            )
+        for name in tuple(self._schedulers):
+            if name not in new.services:
+                self._remove_service(name)
+
+    def _scheduler(
+        self, service: model.Service, preset: model.Preset
+    ) -> scheduler_module.ServiceScheduler:
+        return scheduler_module.ServiceScheduler(
+            service,
+            preset,
+            engine_fleet.EngineFleet(
+                self._vm, self._availability, self._random
+            ),
+            chooser.PredictedCost(service.prefill_tokens_per_second),
+            admission.Admission(self._limits, oversized.RefuseOversized()),
+        )
+
+    def _remove_service(self, service: ids.ServiceId) -> None:
+        del self._schedulers[service]
+        for waiter in tuple(self._waiters.values()):
+            if waiter.request.service == service:
+                failure = outcomes.not_run(
+                    states.FailureReason.UNKNOWN_SERVICE,
+                    f"service '{service}' was removed while the request "
+                    "was queued",
+                )
+                self._refuse(waiter, failure)
+
+    def _work_of(
+        self,
+        request: requests.GenerateRequest,
+        constraints: dispatcher.Constraints,
+    ) -> work_module.Work:
+        service = self._configuration.current.services[request.service]
+        return work_module.Work(
+            work_module.Ticket(next(self._tickets)),
+            request.organisation,
+            prompt_classes.classify(
+                request.prompt_tokens,
+                request.max_tokens,
+                service.engine_memory_tokens,
+            ),
+            request.prompt_tokens,
+            request.max_tokens,
+            request.deadline,
+            prefix_index.block_hashes(request.prompt, request.adapter or ""),
+            constraints.excluded,
+            constraints.alone,
+            bool(constraints.excluded),
+        )
+
+    def _execute(
+        self,
+        service: ids.ServiceId,
+        commands: tuple[scheduler_module.Command, ...],
+    ) -> None:
+        for command in commands:
+            waiter = self._waiters.get(command.work.ticket)
+            if waiter is None or waiter.outcome.done():
+                # The caller was cancelled between the decision and now.
+                if isinstance(command, scheduler_module.Dispatch):
+                    self._release(service, command.work.ticket)
+                continue
+            if isinstance(command, scheduler_module.Dispatch):
+                self._dispatch(waiter, command)
+            elif isinstance(command, scheduler_module.Refuse):
+                self._refuse(waiter, command.failure)
+            else:
+                self._log.emit(
+                    events.Event.REQUEST_QUEUED,
+                    request_id=waiter.request.request_id,
+                    prompt_class=command.work.prompt_class.value,
+                    reason=command.reason,
+                )
+
+    def _dispatch(
+        self, waiter: _Waiter, command: scheduler_module.Dispatch
+    ) -> None:
+        waited = units.elapsed(waiter.arrived, self._timers.now())
+        self._instruments.queued(waiter.request.service, waited)
+        self._log.emit(
+            events.Event.REQUEST_DISPATCHED,
+            request_id=waiter.request.request_id,
+            prompt_class=command.work.prompt_class.value,
+            engine=command.engine,
+            priority=command.priority,
+            waited=waited,
+            reason=command.reason,
+        )
+        waiter.outcome.set_result(
+            result.Ok(
+                dispatcher.Assignment(
+                    command.engine,
+                    command.priority,
+                    command.work.ticket,
+                    command.work.block_hashes,
+                )
+            )
+        )
+
+    def _refuse(
+        self, waiter: _Waiter, failure: outcomes.RequestFailure
+    ) -> None:
+        self._instruments.refused(waiter.request.service, failure.reason)
+        self._log.emit(
+            events.Event.REQUEST_REFUSED,
+            request_id=waiter.request.request_id,
+            prompt_class=waiter.work.prompt_class.value,
+            reason=failure.reason.value,
+            detail=failure.detail,
+        )
+        waiter.outcome.set_result(result.Err(failure))
+
+    def _on_deadline(
+        self, service: ids.ServiceId, work: work_module.Work
+    ) -> None:
+        scheduler = self._schedulers.get(service)
+        if scheduler is not None:
+            self._execute(
+                service, scheduler.on_deadline(work, self._timers.now())
+            )
+
+    def _abandon(self, waiter: _Waiter) -> None:
+        """Gives back what a cancelled attempt holds."""
+        service = waiter.request.service
+        scheduler = self._schedulers.get(service)
+        if scheduler is None:
+            return
+        scheduler.on_withdrawal(waiter.work)
+        self._release(service, waiter.work.ticket)
+
+    def _release(
+        self, service: ids.ServiceId, ticket: work_module.Ticket
+    ) -> None:
+        scheduler = self._schedulers.get(service)
+        if scheduler is not None:
+            self._execute(
+                service, scheduler.on_release(ticket, self._timers.now())
+            )
--- a/packages/routing/src/lavendershed/routing/chooser.py
+++ b/packages/routing/src/lavendershed/routing/chooser.py
@@ -3,23 +3,19 @@
 from __future__ import annotations
 
 import abc
-from collections.abc import Sequence
 import dataclasses
 import itertools
 
 import result
 
+from lavendershed.configuration import model
 from lavendershed.core import ids
-from lavendershed.core import requests
+from lavendershed.core import states
 from lavendershed.core import units
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Candidate:
-    """One engine that could run the request, as this daemon sees it."""
-
-    engine: ids.BackendServerId
-    outstanding: int
+from lavendershed.routing import engine_fleet
+from lavendershed.routing import engine_view
+from lavendershed.routing import prompt_classes
+from lavendershed.routing import work as work_module
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -27,18 +23,25 @@
     """A chosen engine.
 
     Attributes:
+        priority: Smaller numbers run first on the engine.
         reason: Grounds of the choice, for the log line.
     """
 
     engine: ids.BackendServerId
+    priority: int
     reason: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Wait:
-    """No engine has room; the request stays queued."""
+    """No engine has room; the request stays queued.
+
+    Attributes:
+        possible: Whether some engine could run the request later.
+    """
 
     reason: str
+    possible: bool = True
 
 
 class EngineChooser(abc.ABC):
@@ -47,13 +50,30 @@
     @abc.abstractmethod
     def choose(
         self,
-        request: requests.GenerateRequest,
-        candidates: Sequence[Candidate],
+        work: work_module.Work,
+        fleet: engine_fleet.EngineFleet,
+        preset: model.Preset,
         now: units.Instant,
     ) -> result.Result[Choice, Wait]:
         """Returns the engine to use, or why the request has to wait."""
 
 
+def _allowed(
+    work: work_module.Work,
+    view: engine_view.EngineView,
+    fleet: engine_fleet.EngineFleet,
+) -> bool:
+    return view.name not in work.excluded and fleet.accepts_work(view.name)
+
+
+def _none_allowed(work: work_module.Work) -> result.Err[Wait]:
+    if work.excluded:
+        reason = "every engine is excluded or accepts no work"
+    else:
+        reason = "no engine accepts work"
+    return result.Err(Wait(reason, possible=False))
+
+
 class RoundRobin(EngineChooser):
     """Takes engines in turn."""
 
@@ -62,13 +82,230 @@
 
     def choose(
         self,
-        request: requests.GenerateRequest,
-        candidates: Sequence[Candidate],
+        work: work_module.Work,
+        fleet: engine_fleet.EngineFleet,
+        preset: model.Preset,
         now: units.Instant,
     ) -> result.Result[Choice, Wait]:
         """Returns the next engine in turn."""
+        views = fleet.views
+        for _ in views:
+            turn = next(self._turn)
+            view = views[turn % len(views)]
+            if _allowed(work, view, fleet):
+                return result.Ok(Choice(view.name, 0, f"turn {turn}"))
+        return _none_allowed(work)
+
+
+class LeastOutstanding(EngineChooser):
+    """Takes the engine with the fewest own requests in flight.
+
+    Attributes:
+        prioritised: Whether engines get the priority of the prompt class.
+    """
+
+    def __init__(self, prioritised: bool = False) -> None:
+        self._prioritised = prioritised
+
+    def choose(
+        self,
+        work: work_module.Work,
+        fleet: engine_fleet.EngineFleet,
+        preset: model.Preset,
+        now: units.Instant,
+    ) -> result.Result[Choice, Wait]:
+        """Returns the engine with the fewest requests; ties are random."""
+        allowed = [
+            view
+            for view in fleet.sample(len(fleet.views))
+            if _allowed(work, view, fleet)
+        ]
+        if not allowed:
+            return _none_allowed(work)
+        best = min(allowed, key=lambda view: view.outstanding)
+        priority = (
+            prompt_classes.PRIORITIES[work.prompt_class]
+            if self._prioritised
+            else 0
+        )
+        return result.Ok(
+            Choice(best.name, priority, f"{best.outstanding} outstanding")
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CostSettings:
+    """Constants of the cost estimate.
+
+    Attributes:
+        samples: Random candidates per decision. Taking the best of all makes
+            daemons with the same stale reports choose the same engine.
+        chunk_tokens: Prompt tokens that an engine prefills in one step, and
+            so the shortest delay that its queue adds to an urgent request.
+        decode_step: Seconds of a step without prefill.
+        max_backlog: Seconds of prefill on an engine above which medium and
+            long prompts stay queued in the daemon, where a better engine can
+            still be chosen.
+    """
+
+    samples: int = 8
+    chunk_tokens: int = 2_048
+    decode_step: units.Seconds = units.Seconds(0.012)
+    max_backlog: units.Seconds = units.Seconds(1.0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cost:
+    """Predicted cost of running a request on one engine.
+
+    Attributes:
+        ttft: Predicted time to first token of the request.
+        imposed: Delay that the request adds to others on the engine, summed
+            over requests.
+        total: Weighted sum, which the choice minimises.
+    """
+
+    ttft: units.Seconds
+    imposed: units.Seconds
+    total: float
+    cached_tokens: int
+
+
+class PredictedCost(EngineChooser):
+    """Minimises the predicted delay of the request and of others."""
+
+    def __init__(
+        self, prefill_rate: float, settings: CostSettings | None = None
+    ) -> None:
+        self._rate = prefill_rate
+        self._settings = settings or CostSettings()
+
+    def choose(
+        self,
+        work: work_module.Work,
+        fleet: engine_fleet.EngineFleet,
+        preset: model.Preset,
+        now: units.Instant,
+    ) -> result.Result[Choice, Wait]:
+        """Returns the cheapest of a few random engines."""
+        long = work.prompt_class is states.PromptClass.LONG
+        if long and self._long_limit_reached(fleet, preset):
+            return result.Err(Wait("long prompts use their share of engines"))
+        candidates = self._candidates(work, fleet, preset)
         if not candidates:
-            return result.Err(Wait("no engine is available"))
-        turn = next(self._turn)
-        candidate = candidates[turn % len(candidates)]
-        return result.Ok(Choice(candidate.engine, f"turn {turn}"))
+            return self._no_candidate(work, fleet)
+        best: tuple[engine_view.EngineView, Cost] | None = None
+        full = 0
+        for view in candidates:
+            estimate = view.estimate(now)
+            if estimate.free_tokens < work.total_tokens:
+                full += 1
+                continue
+            if self._backlogged(work, estimate):
+                continue
+            cost = self._cost(work, view, estimate, preset)
+            if best is None or cost.total < best[1].total:
+                best = (view, cost)
+        if best is None:
+            return result.Err(
+                Wait(
+                    f"{full} of {len(candidates)} engines have no memory "
+                    "free, the others have a long queue"
+                )
+            )
+        view, cost = best
+        return result.Ok(
+            Choice(
+                view.name,
+                prompt_classes.PRIORITIES[work.prompt_class],
+                f"predicted ttft {cost.ttft:.3f} s, added to others "
+                f"{cost.imposed:.3f} s, cached {cost.cached_tokens} tokens, "
+                f"best of {len(candidates)}",
+            )
+        )
+
+    def _candidates(
+        self,
+        work: work_module.Work,
+        fleet: engine_fleet.EngineFleet,
+        preset: model.Preset,
+    ) -> list[engine_view.EngineView]:
+        share = 1.0
+        if work.prompt_class is states.PromptClass.LONG:
+            share = preset.long_prefill_share
+        sampled = fleet.sample(self._settings.samples, share)
+        return [view for view in sampled if _allowed(work, view, fleet)]
+
+    def _no_candidate(
+        self, work: work_module.Work, fleet: engine_fleet.EngineFleet
+    ) -> result.Err[Wait]:
+        if any(_allowed(work, view, fleet) for view in fleet.views):
+            return result.Err(Wait("no sampled engine accepts work"))
+        return _none_allowed(work)
+
+    def _long_limit_reached(
+        self, fleet: engine_fleet.EngineFleet, preset: model.Preset
+    ) -> bool:
+        limit = fleet.share_size(preset.long_prefill_share)
+        busy = sum(view.prefilling_long for view in fleet.views)
+        return busy >= limit
+
+    def _backlogged(
+        self, work: work_module.Work, estimate: engine_view.EngineEstimate
+    ) -> bool:
+        if work.prompt_class is states.PromptClass.SHORT:
+            return False
+        backlog = estimate.prefill_tokens
+        if work.prompt_class is states.PromptClass.MEDIUM:
+            backlog -= estimate.long_tokens
+        return backlog > self._settings.max_backlog * self._rate
+
+    def _cost(
+        self,
+        work: work_module.Work,
+        view: engine_view.EngineView,
+        estimate: engine_view.EngineEstimate,
+        preset: model.Preset,
+    ) -> Cost:
+        cached = view.prefixes.cached_tokens(work.block_hashes)
+        uncached = max(1, work.prompt_tokens - cached)
+        ahead = self._ahead(work, estimate)
+        step = self._settings.chunk_tokens / self._rate
+        ttft = (ahead + uncached) / self._rate + self._settings.decode_step
+        # While the engine prefills, each of its decoding streams gets one
+        # token per chunk.
+        remaining = estimate.prefill_tokens / self._rate
+        stretched = min(remaining, work.max_tokens * step)
+        added = uncached / self._rate
+        imposed = added * (estimate.decoding + self._behind(work, estimate))
+        own_weight, others_weight = 1.0, preset.short_slowdown_weight
+        if work.prompt_class is states.PromptClass.SHORT:
+            own_weight = preset.short_slowdown_weight
+        elif work.prompt_class is states.PromptClass.LONG:
+            own_weight = preset.long_ttft_weight
+        total = own_weight * (ttft + stretched) + others_weight * imposed
+        return Cost(units.Seconds(ttft), units.Seconds(imposed), total, cached)
+
+    def _ahead(
+        self, work: work_module.Work, estimate: engine_view.EngineEstimate
+    ) -> float:
+        """Returns the tokens that the engine prefills before this prompt."""
+        queued = estimate.prefill_tokens
+        if work.prompt_class is states.PromptClass.LONG:
+            return queued
+        # A step in progress is finished first, and the step that produces the
+        # first token carries a chunk of the lower priorities.
+        passing = 2.0 * self._settings.chunk_tokens
+        if work.prompt_class is states.PromptClass.MEDIUM:
+            lower = estimate.long_tokens
+        else:
+            lower = queued - estimate.short_tokens
+        return queued - lower + min(lower, passing)
+
+    def _behind(
+        self, work: work_module.Work, estimate: engine_view.EngineEstimate
+    ) -> int:
+        """Returns how many queued prompts this prompt is run before."""
+        if work.prompt_class is states.PromptClass.LONG:
+            return 0
+        return 1 if estimate.long_tokens > 0 else 0
--- /dev/null
+++ b/packages/routing/src/lavendershed/routing/engine_view.py
@@ -0,0 +1,225 @@
+"""One engine as one daemon sees it."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+
+from lavendershed.core import backend_servers
+from lavendershed.core import cluster
+from lavendershed.core import ids
+from lavendershed.core import states
+from lavendershed.core import units
+from lavendershed.routing import prefix_index
+from lavendershed.routing import work as work_module
+
+# A report reflects the engine as it was before its way to the daemon. Own
+# dispatches of this time before its arrival may be missing from it.
+_REPORT_DELAY = units.Seconds(0.02)
+# A peer's digest counts half after this time without a newer one.
+_DIGEST_HALF_LIFE = units.Seconds(1.0)
+# An engine whose report is older than this is estimated from own dispatches
+# and digests only.
+_REPORT_LIFETIME = units.Seconds(5.0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineEstimate:
+    """Estimated load of an engine at one instant.
+
+    Attributes:
+        prefill_tokens: Prompt tokens that are not prefilled yet.
+        short_tokens: The part of them that own short prompts are known to be.
+        long_tokens: The part of them that own long prompts are known to be.
+        decoding: Streams that produce tokens.
+        outstanding: Own requests in flight.
+        streams: All streams, of this daemon and of others.
+        free_tokens: KV memory that is not reserved.
+    """
+
+    prefill_tokens: float
+    short_tokens: float
+    long_tokens: float
+    decoding: int
+    outstanding: int
+    streams: int
+    free_tokens: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Dispatch:
+    prompt_class: states.PromptClass
+    prefill_tokens: float
+    reserved_tokens: int
+    at: units.Instant
+
+
+class EngineView:
+    """Load and cache of one engine, from reports, digests and dispatches.
+
+    Attributes:
+        name: The engine.
+        position: Place in the order of engines that all daemons agree on, from
+            0 to 1.
+    """
+
+    def __init__(
+        self,
+        name: ids.BackendServerId,
+        memory_tokens: units.Tokens,
+        prefill_rate: float,
+        max_blocks: int,
+    ) -> None:
+        self.name = name
+        self.position = 0.0
+        self._memory_tokens = memory_tokens
+        self._rate = prefill_rate
+        self._prefixes = prefix_index.PrefixIndex(max_blocks)
+        self._report: backend_servers.LoadReport | None = None
+        self._report_at = units.Instant(0.0)
+        self._in_flight: dict[work_module.Ticket, _Dispatch] = {}
+        self._prefilling: dict[work_module.Ticket, _Dispatch] = {}
+        self._digests: dict[
+            ids.VmId, tuple[cluster.EngineLoad, units.Instant]
+        ] = {}
+
+    @property
+    def prefixes(self) -> prefix_index.PrefixIndex:
+        """Index of the engine's prefix cache."""
+        return self._prefixes
+
+    @property
+    def outstanding(self) -> int:
+        """Own requests in flight."""
+        return len(self._in_flight)
+
+    @property
+    def prefilling_long(self) -> bool:
+        """Whether an own long prompt is being prefilled."""
+        return any(
+            d.prompt_class is states.PromptClass.LONG
+            for d in self._prefilling.values()
+        )
+
+    @property
+    def own_load(self) -> cluster.EngineLoad:
+        """Digest of the own work on this engine, for peers."""
+        tokens = sum(d.prefill_tokens for d in self._prefilling.values())
+        return cluster.EngineLoad(
+            self.name, len(self._in_flight), units.Tokens(int(tokens))
+        )
+
+    def estimate(self, now: units.Instant) -> EngineEstimate:
+        """Returns the load expected at `now`."""
+        tokens, streams, used = self._reported(now)
+        decoding = streams
+        short = long = 0.0
+        since = self._report_at - _REPORT_DELAY
+        if not self._has_report(now):
+            since = -math.inf
+        for dispatch in self._prefilling.values():
+            if dispatch.at >= since:
+                tokens += dispatch.prefill_tokens
+                streams += 1
+                used += dispatch.reserved_tokens
+            else:
+                decoding -= 1
+            if dispatch.prompt_class is states.PromptClass.SHORT:
+                short += dispatch.prefill_tokens
+            elif dispatch.prompt_class is states.PromptClass.LONG:
+                long += dispatch.prefill_tokens
+        own_decoding = len(self._in_flight) - len(self._prefilling)
+        peer_tokens, peer_streams = self._peer_load(now)
+        tokens += peer_tokens
+        streams = max(streams + peer_streams, len(self._in_flight))
+        return EngineEstimate(
+            tokens,
+            min(short, tokens),
+            min(long, tokens),
+            max(decoding, own_decoding),
+            len(self._in_flight),
+            streams,
+            self._memory_tokens - used,
+        )
+
+    def on_report(
+        self, report: backend_servers.LoadReport, now: units.Instant
+    ) -> None:
+        """Takes a load report that arrived at `now`."""
+        old = self._report
+        if old is not None and report.incarnation != old.incarnation:
+            self._prefixes.reset()
+        elif old is not None and report.timestamp <= old.timestamp:
+            return
+        self._report = report
+        self._report_at = now
+
+    def on_peer_load(
+        self,
+        peer: ids.VmId,
+        load: cluster.EngineLoad,
+        now: units.Instant,
+    ) -> None:
+        """Takes a peer's digest; it replaces the earlier one."""
+        self._digests[peer] = (load, now)
+
+    def on_dispatch(self, work: work_module.Work, now: units.Instant) -> None:
+        """Notes that the attempt is sent to this engine."""
+        cached = self._prefixes.cached_tokens(work.block_hashes)
+        uncached = max(1, work.prompt_tokens - cached)
+        dispatch = _Dispatch(
+            work.prompt_class, uncached, work.total_tokens, now
+        )
+        self._in_flight[work.ticket] = dispatch
+        self._prefilling[work.ticket] = dispatch
+        self._prefixes.on_dispatch(work.block_hashes)
+
+    def on_first_token(self, ticket: work_module.Ticket) -> None:
+        """Notes that the prefill of an attempt has ended."""
+        self._prefilling.pop(ticket, None)
+
+    def on_release(self, ticket: work_module.Ticket) -> None:
+        """Notes that an attempt has ended."""
+        self._prefilling.pop(ticket, None)
+        self._in_flight.pop(ticket, None)
+
+    def _has_report(self, now: units.Instant) -> bool:
+        if self._report is None:
+            return False
+        return now - self._report_at <= _REPORT_LIFETIME
+
+    def _reported(self, now: units.Instant) -> tuple[float, int, float]:
+        report = self._report
+        if report is None or not self._has_report(now):
+            decoding = [
+                dispatch
+                for ticket, dispatch in self._in_flight.items()
+                if ticket not in self._prefilling
+            ]
+            reserved = sum(dispatch.reserved_tokens for dispatch in decoding)
+            return 0.0, len(decoding), float(reserved)
+        drained = self._rate * (now - self._report_at + _REPORT_DELAY)
+        tokens = max(0.0, report.prefill_tokens_queued - drained)
+        # Reports give bytes; the share of memory is independent of the bytes
+        # that one token takes.
+        share = report.kv_bytes_used / max(1, report.kv_bytes_total)
+        return (
+            tokens,
+            report.running + report.waiting,
+            share * self._memory_tokens,
+        )
+
+    def _peer_load(self, now: units.Instant) -> tuple[float, int]:
+        """Returns peers' work that the last report cannot contain yet."""
+        tokens = 0.0
+        streams = 0
+        for load, at in self._digests.values():
+            if at < self._report_at:
+                continue
+            weight = 0.5 ** ((now - at) / _DIGEST_HALF_LIFE)
+            tokens += weight * load.prefill_tokens
+            streams += load.outstanding if weight >= 0.5 else 0
+        reported, known, _ = self._reported(now)
+        # The digest repeats work that the report contains; only the excess is
+        # new.
+        return max(0.0, tokens - reported), max(0, streams - known)
--- /dev/null
+++ b/packages/routing/src/lavendershed/routing/fair_queue.py
@@ -0,0 +1,113 @@
+"""Deficit round robin over organisations.
+
+Source: M. Shreedhar and G. Varghese, "Efficient fair queuing using deficit
+round-robin", IEEE/ACM Transactions on Networking 4(3), 1996.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Mapping
+import math
+
+from lavendershed.core import ids
+from lavendershed.routing import work as work_module
+
+# Tokens that an organisation of weight 1 may send per round.
+_QUANTUM = 8_000.0
+_MIN_WEIGHT = 0.001
+
+
+class _Flow:
+    def __init__(self, organisation: ids.OrganisationId) -> None:
+        self.organisation = organisation
+        self.items: collections.OrderedDict[
+            work_module.Ticket, work_module.Work
+        ] = collections.OrderedDict()
+        self.deficit = 0.0
+
+    @property
+    def head(self) -> work_module.Work:
+        return next(iter(self.items.values()))
+
+    @property
+    def missing(self) -> float:
+        return self.head.total_tokens - self.deficit
+
+
+class FairQueue:
+    """Queue that shares the tokens sent among organisations by weight."""
+
+    def __init__(self) -> None:
+        self._flows: collections.OrderedDict[ids.OrganisationId, _Flow] = (
+            collections.OrderedDict()
+        )
+        self._weights: Mapping[ids.OrganisationId, float] = {}
+        self._tokens = 0
+        self._size = 0
+
+    def __len__(self) -> int:
+        """Number of queued requests."""
+        return self._size
+
+    @property
+    def tokens(self) -> int:
+        """Prompt and answer tokens of all queued requests."""
+        return self._tokens
+
+    def on_weights(self, weights: Mapping[ids.OrganisationId, float]) -> None:
+        """Follows the weights of organisations; an absent one has 1."""
+        self._weights = weights
+
+    def push(self, work: work_module.Work) -> None:
+        """Queues a request."""
+        flow = self._flows.get(work.organisation)
+        if flow is None:
+            flow = self._flows[work.organisation] = _Flow(work.organisation)
+        flow.items[work.ticket] = work
+        self._tokens += work.total_tokens
+        self._size += 1
+
+    def head(self) -> work_module.Work | None:
+        """Returns the request whose turn it is and leaves it queued."""
+        if not self._flows:
+            return None
+        for _ in range(len(self._flows)):
+            flow = next(iter(self._flows.values()))
+            if flow.missing <= 0:
+                return flow.head
+            self._flows.move_to_end(flow.organisation)
+            flow.deficit += self._quantum(flow)
+        # Rounds in which no organisation can send are skipped together.
+        rounds = min(
+            max(0, math.ceil(flow.missing / self._quantum(flow)))
+            for flow in self._flows.values()
+        )
+        for flow in self._flows.values():
+            flow.deficit += rounds * self._quantum(flow)
+        while True:
+            flow = next(iter(self._flows.values()))
+            if flow.missing <= 0:
+                return flow.head
+            self._flows.move_to_end(flow.organisation)
+
+    def take(self, work: work_module.Work) -> None:
+        """Removes a request that is sent and charges its tokens."""
+        flow = self._flows[work.organisation]
+        flow.deficit -= work.total_tokens
+        self.remove(work)
+
+    def remove(self, work: work_module.Work) -> bool:
+        """Removes a request that is not sent; False if it is not queued."""
+        flow = self._flows.get(work.organisation)
+        if flow is None or flow.items.pop(work.ticket, None) is None:
+            return False
+        self._tokens -= work.total_tokens
+        self._size -= 1
+        if not flow.items:
+            del self._flows[work.organisation]
+        return True
+
+    def _quantum(self, flow: _Flow) -> float:
+        weight = self._weights.get(flow.organisation, 1.0)
+        return _QUANTUM * max(_MIN_WEIGHT, weight)
--- /dev/null
+++ b/packages/routing/src/lavendershed/routing/scheduler.py
@@ -0,0 +1,348 @@
+"""Where and when the requests of one service run, for one daemon."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+import dataclasses
+
+import result
+
+from lavendershed.configuration import model
+from lavendershed.core import backend_servers
+from lavendershed.core import cluster
+from lavendershed.core import ids
+from lavendershed.core import outcomes
+from lavendershed.core import states
+from lavendershed.core import units
+from lavendershed.routing import admission as admission_module
+from lavendershed.routing import chooser as chooser_module
+from lavendershed.routing import engine_fleet
+from lavendershed.routing import engine_view
+from lavendershed.routing import fair_queue
+from lavendershed.routing import work as work_module
+
+_CLASS_ORDER = (
+    states.PromptClass.SHORT,
+    states.PromptClass.MEDIUM,
+    states.PromptClass.LONG,
+    states.PromptClass.OVERSIZED,
+)
+# Time of one decode step of a moderately filled batch.
+_DECODE_STEP = units.Seconds(0.012)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Dispatch:
+    """Command: send the attempt to an engine now."""
+
+    work: work_module.Work
+    engine: ids.BackendServerId
+    priority: int
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refuse:
+    """Command: tell the caller that the attempt was refused."""
+
+    work: work_module.Work
+    failure: outcomes.RequestFailure
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Queue:
+    """Command: the attempt waits; a later command ends the wait."""
+
+    work: work_module.Work
+    reason: str
+
+
+Command = Dispatch | Refuse | Queue
+
+
+class ServiceScheduler:
+    """Admission, queues and engine choice of one service."""
+
+    def __init__(
+        self,
+        service: model.Service,
+        preset: model.Preset,
+        fleet: engine_fleet.EngineFleet,
+        engine_chooser: chooser_module.EngineChooser,
+        admission: admission_module.Admission,
+    ) -> None:
+        self._service = service
+        self._preset = preset
+        self._fleet = fleet
+        self._chooser = engine_chooser
+        self._admission = admission
+        self._queues = {c: fair_queue.FairQueue() for c in _CLASS_ORDER}
+        # Attempts with excluded engines or that run alone wait apart, because
+        # they may be blocked while others are not.
+        self._constrained: dict[work_module.Ticket, work_module.Work] = {}
+        self._assigned: dict[work_module.Ticket, ids.BackendServerId] = {}
+        self._alone: dict[ids.BackendServerId, work_module.Ticket] = {}
+        fleet.on_service(service)
+
+    @property
+    def queued(self) -> int:
+        """Attempts that wait for an engine."""
+        return len(self._constrained) + sum(map(len, self._queues.values()))
+
+    @property
+    def fleet(self) -> engine_fleet.EngineFleet:
+        """The engines as this daemon sees them."""
+        return self._fleet
+
+    def on_arrival(
+        self, work: work_module.Work, now: units.Instant
+    ) -> tuple[Command, ...]:
+        """Takes a new attempt."""
+        admitted = self._admission.on_arrival(
+            work, self._service, self._preset, self._backlog(work, now), now
+        )
+        if isinstance(admitted, result.Err):
+            return (Refuse(work, admitted.err_value),)
+        self._push(work)
+        commands = self._pump(now)
+        if any(command.work.ticket == work.ticket for command in commands):
+            return commands
+        return (*commands, Queue(work, f"{self.queued} attempts are queued"))
+
+    def on_first_token(
+        self, ticket: work_module.Ticket, now: units.Instant
+    ) -> tuple[Command, ...]:
+        """Takes the end of an attempt's prefill."""
+        view = self._view_of(ticket)
+        if view is not None:
+            view.on_first_token(ticket)
+        return self._pump(now)
+
+    def on_release(
+        self, ticket: work_module.Ticket, now: units.Instant
+    ) -> tuple[Command, ...]:
+        """Takes the end of a dispatched attempt."""
+        view = self._view_of(ticket)
+        engine = self._assigned.pop(ticket, None)
+        if view is not None:
+            view.on_release(ticket)
+        if engine is not None and self._alone.get(engine) == ticket:
+            del self._alone[engine]
+        return self._pump(now)
+
+    def on_withdrawal(self, work: work_module.Work) -> None:
+        """Drops a queued attempt whose caller is gone."""
+        self._remove(work)
+
+    def on_deadline(
+        self, work: work_module.Work, now: units.Instant
+    ) -> tuple[Command, ...]:
+        """Refuses an attempt that is still queued at its deadline."""
+        if not self._remove(work):
+            return ()
+        return (
+            Refuse(
+                work,
+                outcomes.not_run(
+                    states.FailureReason.DEADLINE_EXCEEDED,
+                    "the deadline passed while the request was queued",
+                ),
+            ),
+        )
+
+    def on_load_report(
+        self,
+        engine: ids.BackendServerId,
+        report: backend_servers.LoadReport,
+        now: units.Instant,
+    ) -> tuple[Command, ...]:
+        """Takes an engine's load report."""
+        view = self._fleet.view(engine)
+        if view is None:
+            return ()
+        view.on_report(report, now)
+        return self._pump(now)
+
+    def on_cache_events(
+        self,
+        engine: ids.BackendServerId,
+        events: tuple[backend_servers.CacheEvent, ...],
+    ) -> None:
+        """Takes an engine's cache events."""
+        view = self._fleet.view(engine)
+        if view is not None:
+            view.prefixes.on_events(events)
+
+    def on_peer_loads(
+        self,
+        peer: ids.VmId,
+        loads: Iterable[cluster.EngineLoad],
+        now: units.Instant,
+    ) -> None:
+        """Takes a peer's digest of its work on engines."""
+        for load in loads:
+            view = self._fleet.view(load.engine)
+            if view is not None:
+                view.on_peer_load(peer, load, now)
+
+    def on_configuration(
+        self,
+        service: model.Service,
+        preset: model.Preset,
+        weights: dict[ids.OrganisationId, float],
+        now: units.Instant,
+    ) -> tuple[Command, ...]:
+        """Puts a service and a preset in force; queued attempts stay."""
+        self._service = service
+        self._preset = preset
+        self._fleet.on_service(service)
+        for queue in self._queues.values():
+            queue.on_weights(weights)
+        return self._pump(now)
+
+    def _view_of(
+        self, ticket: work_module.Ticket
+    ) -> engine_view.EngineView | None:
+        engine = self._assigned.get(ticket)
+        return None if engine is None else self._fleet.view(engine)
+
+    def _backlog(
+        self, work: work_module.Work, now: units.Instant
+    ) -> admission_module.Backlog:
+        rate = self._service.prefill_tokens_per_second
+        engines = max(1, len(self._fleet.views))
+        ahead = 0
+        for prompt_class in _CLASS_ORDER:
+            ahead += self._queues[prompt_class].tokens
+            if prompt_class is work.prompt_class:
+                break
+        wait = ahead / (rate * engines)
+        uncached: float = work.prompt_tokens
+        answer = work.max_tokens * _DECODE_STEP
+        # The search for a cached prefix is left out when it changes nothing.
+        if wait + uncached / rate + answer > work.deadline.remaining(now):
+            uncached = self._uncached(work)
+        return admission_module.Backlog(
+            self.queued,
+            units.Seconds(wait),
+            units.Seconds(uncached / rate),
+            _DECODE_STEP,
+        )
+
+    def _uncached(self, work: work_module.Work) -> int:
+        cached = max(
+            (
+                view.prefixes.cached_tokens(work.block_hashes)
+                for view in self._fleet.views
+            ),
+            default=0,
+        )
+        return max(1, work.prompt_tokens - cached)
+
+    def _push(self, work: work_module.Work) -> None:
+        if work.excluded or work.alone:
+            self._constrained[work.ticket] = work
+        else:
+            self._queues[work.prompt_class].push(work)
+
+    def _remove(self, work: work_module.Work) -> bool:
+        if self._constrained.pop(work.ticket, None) is not None:
+            self._drop_drains()
+            return True
+        return self._queues[work.prompt_class].remove(work)
+
+    def _pump(self, now: units.Instant) -> tuple[Command, ...]:
+        """Dispatches every queued attempt for which there is room."""
+        commands: list[Command] = []
+        for work in tuple(self._constrained.values()):
+            command = self._try(work, now)
+            if command is not None:
+                del self._constrained[work.ticket]
+                commands.append(command)
+        for queue in self._queues.values():
+            while (head := queue.head()) is not None:
+                command = self._try(head, now)
+                if command is None:
+                    break
+                queue.take(head)
+                commands.append(command)
+        return tuple(commands)
+
+    def _try(
+        self, work: work_module.Work, now: units.Instant
+    ) -> Dispatch | Refuse | None:
+        """Dispatches or refuses an attempt; None while it has to wait."""
+        if work.alone:
+            return self._try_alone(work, now)
+        asked = work
+        if self._alone:
+            asked = dataclasses.replace(
+                work, excluded=work.excluded.union(self._alone)
+            )
+        chosen = self._chooser.choose(asked, self._fleet, self._preset, now)
+        if isinstance(chosen, result.Ok):
+            choice = chosen.ok_value
+            return self._dispatch(
+                work, choice.engine, choice.priority, choice.reason, now
+            )
+        if chosen.err_value.possible or self._alone:
+            return None
+        return _no_engine(work, chosen.err_value.reason)
+
+    def _try_alone(
+        self, work: work_module.Work, now: units.Instant
+    ) -> Dispatch | Refuse | None:
+        """Drains an engine of own work, then dispatches to it."""
+        allowed = [
+            view
+            for view in self._fleet.views
+            if view.name not in work.excluded
+            and self._fleet.accepts_work(view.name)
+        ]
+        if not allowed:
+            return _no_engine(work, "no engine may run the attempt alone")
+        free = [
+            view
+            for view in allowed
+            if self._alone.get(view.name, work.ticket) == work.ticket
+        ]
+        self._alone = {
+            engine: ticket
+            for engine, ticket in self._alone.items()
+            if ticket != work.ticket
+        }
+        if not free:
+            return None
+        view = min(free, key=lambda v: v.estimate(now).streams)
+        self._alone[view.name] = work.ticket
+        if view.estimate(now).streams:
+            return None
+        return self._dispatch(work, view.name, 0, "runs alone", now)
+
+    def _dispatch(
+        self,
+        work: work_module.Work,
+        engine: ids.BackendServerId,
+        priority: int,
+        reason: str,
+        now: units.Instant,
+    ) -> Dispatch:
+        view = self._fleet.view(engine)
+        assert view is not None
+        view.on_dispatch(work, now)
+        self._assigned[work.ticket] = engine
+        return Dispatch(work, engine, priority, reason)
+
+    def _drop_drains(self) -> None:
+        self._alone = {
+            engine: ticket
+            for engine, ticket in self._alone.items()
+            if ticket in self._constrained or ticket in self._assigned
+        }
+
+
+def _no_engine(work: work_module.Work, reason: str) -> Refuse:
+    return Refuse(
+        work,
+        outcomes.not_run(states.FailureReason.NO_BACKEND_SERVER, reason),
+    )
--- /dev/null
+++ b/packages/routing/src/lavendershed/routing/work.py
@@ -0,0 +1,44 @@
+"""One attempt of a request, as the routing decisions see it."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import NewType
+
+from lavendershed.core import deadlines
+from lavendershed.core import ids
+from lavendershed.core import states
+from lavendershed.core import units
+
+# Identifies one attempt inside one scheduler. Request ids do not, because a
+# caller may send the same id twice at once.
+Ticket = NewType("Ticket", int)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Work:
+    """What routing has to know of one attempt.
+
+    Attributes:
+        block_hashes: Chained hashes of the prompt's leading blocks.
+        excluded: Engines that must not run the attempt.
+        alone: Whether no other request may run on the engine meanwhile.
+        retry: Whether an earlier attempt of the request was admitted; it is
+            not charged to the limits again.
+    """
+
+    ticket: Ticket
+    organisation: ids.OrganisationId
+    prompt_class: states.PromptClass
+    prompt_tokens: units.Tokens
+    max_tokens: units.Tokens
+    deadline: deadlines.Deadline
+    block_hashes: tuple[int, ...] = ()
+    excluded: frozenset[ids.BackendServerId] = frozenset()
+    alone: bool = False
+    retry: bool = False
+
+    @property
+    def total_tokens(self) -> int:
+        """Prompt and answer tokens: the cost in limits and fair queueing."""
+        return self.prompt_tokens + self.max_tokens
--- /dev/null
+++ b/packages/routing/tests/test_scheduler.py
@@ -0,0 +1,316 @@
+"""Guards admission, queueing and placement of one service."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from lavendershed.configuration import model
+from lavendershed.core import backend_servers
+from lavendershed.core import deadlines
+from lavendershed.core import ids
+from lavendershed.core import states
+from lavendershed.core import units
+from lavendershed.routing import admission
+from lavendershed.routing import chooser
+from lavendershed.routing import engine_fleet
+from lavendershed.routing import limits
+from lavendershed.routing import oversized
+from lavendershed.routing import prompt_classes
+from lavendershed.routing import scheduler
+from lavendershed.routing import work
+
+ORGANISATION = ids.OrganisationId("press")
+MEMORY = units.Tokens(400_000)
+PRESET = model.Preset(ids.PresetName("ordinary"))
+START = units.Instant(100.0)
+
+
+def service(engines):
+    """Returns a service with that many engines."""
+    return model.Service(
+        ids.ServiceId("drafting"),
+        states.ServiceKind.MODEL_ENGINE,
+        tuple(
+            model.BackendServer(
+                ids.BackendServerId(f"engine-{n}"),
+                f"127.0.0.1:{n + 1}",
+                ids.AvailabilityZoneId("zone-a"),
+            )
+            for n in range(engines)
+        ),
+        engine_memory_tokens=MEMORY,
+    )
+
+
+def build(engines=4, preset=PRESET, organisation_limits=None):
+    """Returns a scheduler that predicts costs."""
+    return scheduler.ServiceScheduler(
+        service(engines),
+        preset,
+        engine_fleet.EngineFleet(
+            ids.VmId("vm-1"),
+            engine_fleet.AlwaysAvailable(),
+            random.Random(7),
+        ),
+        chooser.PredictedCost(20_000.0),
+        admission.Admission(
+            organisation_limits
+            or limits.OrganisationLimits(limits.WholeShare()),
+            oversized.RefuseOversized(),
+        ),
+    )
+
+
+def attempt(ticket, tokens, timeout=60.0, answer=100, **fields):
+    """Returns an attempt that arrives at START."""
+    return work.Work(
+        work.Ticket(ticket),
+        ORGANISATION,
+        prompt_classes.classify(tokens, answer, MEMORY),
+        units.Tokens(tokens),
+        units.Tokens(answer),
+        deadlines.Deadline(units.Instant(START + timeout)),
+        **fields,
+    )
+
+
+def report(timestamp, prefill=0, running=0):
+    """Returns a load report with no memory in use."""
+    return backend_servers.LoadReport(
+        timestamp,
+        ids.Incarnation(1),
+        running,
+        0,
+        units.Tokens(prefill),
+        units.Bytes(0),
+        units.Bytes(400),
+        states.EngineRole.GENERAL,
+        (),
+        False,
+    )
+
+
+class SchedulerTest(unittest.TestCase):
+    """Fails if a request is placed, kept or refused wrongly."""
+
+    def refusal(self, commands):
+        self.assertIsInstance(commands[0], scheduler.Refuse, commands)
+        failure = commands[0].failure
+        self.assertIs(failure.execution, states.Execution.NOT_RUN)
+        return failure.reason
+
+    def test_short_prompt_avoids_the_engine_that_prefills_a_long_one(self):
+        for seed in range(10):
+            routed = build(engines=2)
+            (first,) = routed.on_arrival(attempt(1, 300_000), START)
+            for ticket in range(2, 2 + seed):
+                (second,) = routed.on_arrival(attempt(ticket, 2_000), START)
+                self.assertNotEqual(second.engine, first.engine)
+
+    def test_reported_load_of_other_daemons_is_avoided(self):
+        routed = build(engines=2)
+        busy = routed.fleet.views[0].name
+        routed.on_load_report(busy, report(1.0, prefill=200_000), START)
+        (command,) = routed.on_arrival(attempt(1, 2_000), START)
+        self.assertNotEqual(command.engine, busy)
+
+    def test_cached_prefix_attracts_a_prompt(self):
+        blocks = tuple(range(100))
+        routed = build(engines=4)
+        (first,) = routed.on_arrival(
+            attempt(1, 51_200, block_hashes=blocks), START
+        )
+        routed.on_release(work.Ticket(1), START)
+        (second,) = routed.on_arrival(
+            attempt(2, 51_200, block_hashes=blocks), START
+        )
+        self.assertEqual(second.engine, first.engine)
+        self.assertIn("cached 51200", second.reason)
+
+    def test_long_prompts_use_their_share_and_the_rest_waits(self):
+        routed = build(engines=4)
+        for ticket in (1, 2):
+            (command,) = routed.on_arrival(attempt(ticket, 150_000), START)
+            self.assertIsInstance(command, scheduler.Dispatch)
+        (queued,) = routed.on_arrival(attempt(3, 150_000), START)
+        self.assertIsInstance(queued, scheduler.Queue)
+        (woken,) = routed.on_first_token(work.Ticket(1), START)
+        self.assertEqual(woken.work.ticket, 3)
+
+    def test_preset_change_acts_on_queued_attempts(self):
+        routed = build(engines=4)
+        for ticket in (1, 2, 3):
+            routed.on_arrival(attempt(ticket, 200_000), START)
+        wide = model.Preset(ids.PresetName("peak"), long_prefill_share=1.0)
+        (woken,) = routed.on_configuration(service(4), wide, {}, START)
+        self.assertIsInstance(woken, scheduler.Dispatch)
+        self.assertEqual(woken.work.ticket, 3)
+
+    def test_oversized_prompt_is_refused(self):
+        reason = self.refusal(build().on_arrival(attempt(1, 500_000), START))
+        self.assertIs(reason, states.FailureReason.BODY_TOO_LARGE)
+
+    def test_unreachable_deadline_is_refused_at_once(self):
+        late = attempt(1, 200_000, timeout=5.0)
+        reason = self.refusal(build().on_arrival(late, START))
+        self.assertIs(reason, states.FailureReason.DEADLINE_UNREACHABLE)
+
+    def test_queued_attempt_is_refused_at_its_deadline(self):
+        routed = build(engines=1)
+        routed.on_arrival(attempt(1, 200_000), START)
+        waiting = attempt(2, 200_000)
+        routed.on_arrival(waiting, START)
+        reason = self.refusal(routed.on_deadline(waiting, START))
+        self.assertIs(reason, states.FailureReason.DEADLINE_EXCEEDED)
+        self.assertEqual(routed.queued, 0)
+
+    def test_long_prompts_are_shed_before_short_ones(self):
+        routed = build(
+            engines=1,
+            preset=model.Preset(ids.PresetName("small"), max_queue=4),
+        )
+        for ticket in range(1, 5):
+            routed.on_arrival(attempt(ticket, 200_000, 3_600.0), START)
+        reason = self.refusal(
+            routed.on_arrival(attempt(9, 200_000, 3_600.0), START)
+        )
+        self.assertIs(reason, states.FailureReason.QUEUE_FULL)
+        (command,) = routed.on_arrival(attempt(10, 2_000), START)
+        self.assertIsInstance(command, scheduler.Dispatch)
+
+    def test_limit_of_an_organisation_is_scaled_by_its_share(self):
+        class HalfShare(limits.ShareSource):
+            def fraction(self, organisation):
+                return 0.5
+
+        bounded = limits.OrganisationLimits(HalfShare())
+        bounded.on_organisations(
+            {
+                ORGANISATION: model.Organisation(
+                    ORGANISATION, (), requests_per_second=2.0
+                )
+            }
+        )
+        routed = build(organisation_limits=bounded)
+        outcomes = [
+            routed.on_arrival(attempt(n, 2_000), START)[0] for n in range(6)
+        ]
+        refused = [c for c in outcomes if isinstance(c, scheduler.Refuse)]
+        self.assertEqual(len(refused), 1)
+        self.assertAlmostEqual(refused[0].failure.retry_after, 1.0)
+
+    def test_excluded_engine_is_not_used(self):
+        routed = build(engines=2)
+        names = [view.name for view in routed.fleet.views]
+        for ticket in range(10):
+            (command,) = routed.on_arrival(
+                attempt(ticket, 2_000, excluded=frozenset(names[:1])), START
+            )
+            self.assertEqual(command.engine, names[1])
+        reason = self.refusal(
+            routed.on_arrival(
+                attempt(99, 2_000, excluded=frozenset(names)), START
+            )
+        )
+        self.assertIs(reason, states.FailureReason.NO_BACKEND_SERVER)
+
+    def test_attempt_that_runs_alone_waits_for_an_empty_engine(self):
+        routed = build(engines=1)
+        routed.on_arrival(attempt(1, 2_000), START)
+        (queued,) = routed.on_arrival(attempt(2, 2_000, alone=True), START)
+        self.assertIsInstance(queued, scheduler.Queue)
+        (behind,) = routed.on_arrival(attempt(3, 2_000), START)
+        self.assertIsInstance(behind, scheduler.Queue)
+        (alone,) = routed.on_release(work.Ticket(1), START)
+        self.assertEqual(alone.work.ticket, 2)
+        (after,) = routed.on_release(work.Ticket(2), START)
+        self.assertEqual(after.work.ticket, 3)
+
+
+class SchedulerMachine(stateful.RuleBasedStateMachine):
+    """Fails if an attempt is lost, answered twice or shares its engine."""
+
+    def __init__(self):
+        super().__init__()
+        self.routed = build(engines=3)
+        self.now = START
+        self.ticket = 0
+        self.queued = {}
+        self.running = {}
+
+    def take(self, commands):
+        for command in commands:
+            ticket = command.work.ticket
+            if isinstance(command, scheduler.Queue):
+                assert ticket in self.queued
+                continue
+            self.queued.pop(ticket)
+            if isinstance(command, scheduler.Dispatch):
+                assert command.engine not in command.work.excluded
+                self.running[ticket] = command
+        for one in self.running.values():
+            sharing = [
+                c for c in self.running.values() if c.engine == one.engine
+            ]
+            assert not one.work.alone or len(sharing) == 1
+
+    @stateful.rule(
+        tokens=strategies.integers(1, 500_000),
+        alone=strategies.booleans(),
+        excluded=strategies.sets(strategies.integers(0, 2)),
+    )
+    def arrive(self, tokens, alone, excluded):
+        self.ticket += 1
+        names = frozenset(ids.BackendServerId(f"engine-{n}") for n in excluded)
+        arrived = attempt(
+            self.ticket, tokens, 9_999.0, alone=alone, excluded=names
+        )
+        self.queued[arrived.ticket] = arrived
+        self.take(self.routed.on_arrival(arrived, self.now))
+
+    @stateful.rule(data=strategies.data(), end=strategies.booleans())
+    def progress(self, data, end):
+        if not self.running:
+            return
+        ticket = data.draw(strategies.sampled_from(sorted(self.running)))
+        if end:
+            del self.running[ticket]
+            self.take(self.routed.on_release(ticket, self.now))
+        else:
+            self.take(self.routed.on_first_token(ticket, self.now))
+
+    @stateful.rule(data=strategies.data())
+    def withdraw(self, data):
+        if not self.queued:
+            return
+        ticket = data.draw(strategies.sampled_from(sorted(self.queued)))
+        self.routed.on_withdrawal(self.queued.pop(ticket))
+
+    @stateful.rule(engines=strategies.integers(1, 3))
+    def configure(self, engines):
+        self.take(
+            self.routed.on_configuration(service(engines), PRESET, {}, self.now)
+        )
+
+    @stateful.rule(seconds=strategies.floats(0.0, 5.0))
+    def advance(self, seconds):
+        self.now = units.after(self.now, units.Seconds(seconds))
+
+    @stateful.invariant()
+    def nothing_is_lost(self):
+        assert self.routed.queued == len(self.queued)
+
+
+SchedulerMachine.TestCase.settings = hypothesis.settings(
+    max_examples=40, derandomize=True, deadline=None
+)
+SchedulerStatefulTest = SchedulerMachine.TestCase
+
+
+if __name__ == "__main__":
+    unittest.main()
