--- /dev/null
+++ b/packages/membership/tests/test_dissemination.py
@@ -0,0 +1,134 @@
+"""Guards the spreading of soft-state records and its bounds."""
+
+from __future__ import annotations
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+import simulation
+
+from lavendershed.core import backend_servers
+from lavendershed.core import cluster
+from lavendershed.core import ids
+from lavendershed.core import units
+from lavendershed.membership import dissemination
+from lavendershed.membership import records
+from lavendershed.membership import transmissions
+
+ME = backend_servers.Owner(ids.VmId("me"), ids.Incarnation(1))
+PEER = backend_servers.Owner(ids.VmId("peer"), ids.Incarnation(2))
+START = units.Instant(100.0)
+
+
+def quarantine(number, lifetime=60.0):
+    """Returns a record about a fingerprint."""
+    return cluster.QuarantineRecord(
+        ids.Fingerprint(number), units.Seconds(lifetime)
+    )
+
+
+def from_peer(version, content, lifetime=60.0):
+    """Returns a record as it arrives from another daemon."""
+    return records.VersionedRecord(
+        PEER, version, units.Seconds(lifetime), content
+    )
+
+
+class DisseminationTest(unittest.TestCase):
+    """Fails if old records win or the bounds don't hold."""
+
+    def setUp(self):
+        self.records = dissemination.Dissemination(
+            ME,
+            simulation.FixedSizer(),
+            dissemination.DisseminationLimits(
+                max_records=20, max_bytes=units.Bytes(1_500), max_per_origin=12
+            ),
+        )
+
+    @hypothesis.given(strategies.permutations(range(1, 7)))
+    @hypothesis.settings(derandomize=True, database=None, max_examples=30)
+    def test_newest_version_wins_in_any_order(self, versions):
+        held = dissemination.Dissemination(ME, simulation.FixedSizer())
+        for version in versions:
+            load = cluster.LoadRecord(
+                (
+                    cluster.EngineLoad(
+                        ids.BackendServerId("e"), version, units.Tokens(0)
+                    ),
+                )
+            )
+            held.on_record(from_peer(version, load), 3, START)
+        (record,) = held.snapshot(START)
+        self.assertEqual(record.version, 6)
+
+    def test_lifetime_shrinks_while_held_and_ends(self):
+        self.records.on_record(from_peer(1, quarantine(1), 10.0), 3, START)
+        later = units.Instant(START + 4.0)
+        self.assertEqual(self.records.snapshot(later)[0].lifetime, 6.0)
+        self.assertEqual(self.records.snapshot(units.Instant(110.0)), ())
+        self.assertEqual(self.records.held_bytes, 0)
+
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.integers(0, 40), strategies.floats(0.1, 5_000.0)
+            ),
+            max_size=80,
+        )
+    )
+    @hypothesis.settings(derandomize=True, database=None, max_examples=30)
+    def test_number_and_bytes_stay_bounded(self, items):
+        for version, (number, lifetime) in enumerate(items):
+            content = quarantine(number, lifetime)
+            self.records.on_record(
+                from_peer(version, content, lifetime), 3, START
+            )
+            self.records.publish(content, 3, START)
+            self.assertLessEqual(self.records.held_records, 15)
+            self.assertLessEqual(self.records.held_bytes, 1_500)
+
+    def test_transmissions_are_bounded_and_fit_the_room(self):
+        self.records.on_record(from_peer(1, quarantine(1)), 100, START)
+        self.assertEqual(self.records.take(units.Bytes(99), START)[0], ())
+        sent = 0
+        while self.records.take(units.Bytes(100), START)[0]:
+            sent += 1
+        self.assertEqual(sent, transmissions.retransmissions(100))
+
+    def test_urgent_record_reaches_all_within_five_seconds(self):
+        # Bound of the time in which work to a leaving server has to stop.
+        large = simulation.Cluster(60)
+        large.run(20.0)
+        large.loss = 0.1
+        large.daemons["vm-7"].publish(
+            cluster.BackendLeavingRecord(ids.BackendServerId("e"), None)
+        )
+        large.run(5.0)
+        missing = [
+            vm
+            for vm, daemon in large.daemons.items()
+            if not daemon.gossip.records.held_records
+        ]
+        self.assertEqual(missing, [])
+
+
+class ByteBudgetTest(unittest.TestCase):
+    """Fails if more than the rate and one burst can be sent."""
+
+    @hypothesis.given(strategies.lists(strategies.floats(0.0, 3.0)))
+    @hypothesis.settings(derandomize=True, database=None, max_examples=30)
+    def test_sent_bytes_stay_below_rate_and_burst(self, pauses):
+        budget = transmissions.ByteBudget(100.0, units.Bytes(50))
+        now, sent = START, 0
+        for pause in pauses:
+            now = units.Instant(now + pause)
+            size = budget.available(now)
+            budget.spend(size, now)
+            sent += size
+        self.assertLessEqual(sent, 50 + 100.0 * (now - START) + 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
