--- a/packages/daemon/tests/test_queued_dispatcher.py
+++ b/packages/daemon/tests/test_queued_dispatcher.py
@@ -75,9 +75,10 @@
         self.state.on_manifest(
             manifest.Manifest(
                 ids.Epoch(epoch), ids.PresetName("day"), (name,), ()
-            )
+            ),
+            self.timers.now(),
         )
-        (applied,) = self.state.on_chunk(name, chunk)
+        (applied,) = self.state.on_chunk(name, chunk, self.timers.now())
         self.dispatcher.on_configuration(applied.old, applied.new)
 
     def request(self, tokens=200_000, timeout=60.0):
