Exchange thrift messages between daemons

Cause: the decision objects for membership need a transport that drops what is not from a daemon of the same deployment.

--- /dev/null
+++ b/packages/peer/idl/messages.thrift
@@ -0,0 +1,94 @@
+// Messages between daemons. Regenerate the committed code after a change:
+//   thrift --gen py:slots -out src/lavendershed/peer/gen idl/messages.thrift
+// Fields are only added, never renumbered or made required, because versions
+// are mixed during an upgrade.
+
+namespace py messages
+
+struct Owner {
+  1: optional string vm
+  2: optional i64 incarnation
+}
+
+struct Member {
+  1: optional Owner owner
+  2: optional i64 generation
+  3: optional i64 version
+  4: optional i32 state
+  5: optional string address
+  6: optional string availability_zone
+  7: optional i64 replaces
+}
+
+struct Quarantine {
+  1: optional i64 fingerprint
+}
+
+struct OrganisationDemand {
+  1: optional string organisation
+  2: optional double requests_per_second
+  3: optional double tokens_per_second
+}
+
+struct Demand {
+  1: optional list<OrganisationDemand> demands
+}
+
+struct EngineLoad {
+  1: optional string engine
+  2: optional i32 outstanding
+  3: optional i64 prefill_tokens
+}
+
+struct Load {
+  1: optional list<EngineLoad> loads
+}
+
+struct BackendLeaving {
+  1: optional string server
+  2: optional i64 incarnation
+}
+
+struct Record {
+  1: optional Owner origin
+  2: optional i64 version
+  3: optional i32 lifetime_ms
+  4: optional Quarantine quarantine
+  5: optional Demand demand
+  6: optional Load load
+  7: optional BackendLeaving backend_leaving
+}
+
+struct Datagram {
+  1: optional string deployment
+  2: optional i32 kind
+  3: optional i64 sequence
+  4: optional Member sender
+  5: optional i64 epoch
+  6: optional Member target
+  7: optional list<Member> members
+  8: optional list<Record> records
+}
+
+struct Snapshot {
+  1: optional i64 epoch
+  2: optional list<Member> members
+  3: optional list<Record> records
+}
+
+struct Call {
+  1: optional string deployment
+  2: optional i64 call_id
+  3: optional i32 kind
+  4: optional string chunk_hash
+  5: optional Owner owner
+}
+
+struct Answer {
+  1: optional string deployment
+  2: optional i64 call_id
+  3: optional i32 status
+  4: optional binary content
+  5: optional Snapshot snapshot
+  6: optional i32 member_state
+}
--- /dev/null
+++ b/packages/peer/src/lavendershed/peer/authentication.py
@@ -0,0 +1,55 @@
+"""Authentication of datagrams and frames under shared secrets."""
+
+from __future__ import annotations
+
+import enum
+import hmac
+
+_DIGEST = "sha256"
+# RFC 2104 allows truncation to half of the hash; datagrams are short.
+TAG_SIZE = 16
+# During a rotation the old and the new key are accepted.
+MAX_KEYS = 2
+MIN_KEY_SIZE = 16
+
+
+class Purpose(enum.Enum):
+    """What is authenticated; a tag of one purpose is invalid for others."""
+
+    DATAGRAM = b"datagram"
+    CALL = b"call"
+    ANSWER = b"answer"
+
+
+class Authenticator:
+    """Signs with the first key and accepts any key."""
+
+    def __init__(self, keys: tuple[bytes, ...]) -> None:
+        """Takes the keys.
+
+        Raises:
+            ValueError: There is no key, too many, or one is too short.
+        """
+        if not 1 <= len(keys) <= MAX_KEYS:
+            raise ValueError(f"give 1 to {MAX_KEYS} peer keys")
+        if min(map(len, keys)) < MIN_KEY_SIZE:
+            raise ValueError(f"a peer key has at least {MIN_KEY_SIZE} bytes")
+        self._keys = keys
+
+    def seal(self, purpose: Purpose, payload: bytes) -> bytes:
+        """Returns the payload with its tag in front."""
+        return _tag(self._keys[0], purpose, payload) + payload
+
+    def open(self, purpose: Purpose, sealed: bytes) -> bytes | None:
+        """Returns the payload, or None if no key fits its tag."""
+        tag, payload = sealed[:TAG_SIZE], sealed[TAG_SIZE:]
+        if any(
+            hmac.compare_digest(tag, _tag(key, purpose, payload))
+            for key in self._keys
+        ):
+            return payload
+        return None
+
+
+def _tag(key: bytes, purpose: Purpose, payload: bytes) -> bytes:
+    return hmac.digest(key, purpose.value + payload, _DIGEST)[:TAG_SIZE]
--- /dev/null
+++ b/packages/peer/src/lavendershed/peer/client.py
@@ -0,0 +1,170 @@
+"""TCP client for calls to other daemons."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+from typing import Any
+
+import result
+
+from lavendershed.core import backend_servers
+from lavendershed.core import ids
+from lavendershed.core import states
+from lavendershed.core import units
+from lavendershed.membership import messages
+from lavendershed.membership import peers
+from lavendershed.membership import records
+from lavendershed.peer import authentication
+from lavendershed.peer import codec
+from lavendershed.peer import envelope as envelope_module
+from lavendershed.peer import frames
+from lavendershed.peer import wire
+from lavendershed.peer.gen.messages import ttypes
+from lavendershed.transport import address as address_module
+
+_CALL_TIME = units.Seconds(2.0)
+_CALL_ID_BITS = 63
+
+
+class TcpPeerClient(peers.PeerClient):
+    """Opens one connection per call; calls are rare."""
+
+    def __init__(
+        self,
+        envelope: envelope_module.Envelope,
+        generator: random.Random,
+        call_time: units.Seconds = _CALL_TIME,
+    ) -> None:
+        self._envelope = envelope
+        self._random = generator
+        self._call_time = call_time
+
+    async def fetch_manifest(
+        self, peer: records.ContactAddress
+    ) -> result.Result[bytes, peers.PeerError]:
+        """Fetches the encoded manifest in force at another daemon."""
+        return _content(await self._call(peer, frames.CallKind.FETCH_MANIFEST))
+
+    async def fetch_chunk(
+        self, peer: records.ContactAddress, chunk_hash: ids.ChunkHash
+    ) -> result.Result[bytes, peers.PeerError]:
+        """Fetches one encoded configuration chunk; the hash is unchecked."""
+        return _content(
+            await self._call(
+                peer, frames.CallKind.FETCH_CHUNK, chunk_hash=chunk_hash
+            )
+        )
+
+    async def fetch_snapshot(
+        self, peer: records.ContactAddress
+    ) -> result.Result[messages.Snapshot, peers.PeerError]:
+        """Fetches all members and records that another daemon knows."""
+        answer = await self._call(peer, frames.CallKind.FETCH_SNAPSHOT)
+        if isinstance(answer, result.Err):
+            return answer
+        try:
+            return result.Ok(
+                codec.snapshot_from_thrift(answer.ok_value.snapshot)
+            )
+        except (*wire.MALFORMED, AttributeError):
+            return _error(peers.PeerErrorKind.PROTOCOL, "invalid snapshot")
+
+    async def fetch_owner_state(
+        self, peer: records.ContactAddress, owner: backend_servers.Owner
+    ) -> result.Result[states.MemberState, peers.PeerError]:
+        """Asks another daemon for the state of one process."""
+        answer = await self._call(
+            peer,
+            frames.CallKind.OWNER_STATE,
+            owner=codec.owner_to_thrift(owner),
+        )
+        if isinstance(answer, result.Err):
+            return answer
+        state = codec.MEMBER_STATES_BY_NUMBER.get(answer.ok_value.member_state)
+        if state is None:
+            return _error(peers.PeerErrorKind.PROTOCOL, "unknown state")
+        return result.Ok(state)
+
+    async def _call(
+        self,
+        peer: records.ContactAddress,
+        kind: frames.CallKind,
+        **fields: Any,  # noqa: ANN401
+    ) -> result.Result[Any, peers.PeerError]:
+        parsed = address_module.parse(peer)
+        if isinstance(parsed, result.Err):
+            return _error(peers.PeerErrorKind.UNREACHABLE, parsed.err_value)
+        call_id = self._random.getrandbits(_CALL_ID_BITS)
+        call = ttypes.Call(
+            deployment=self._envelope.deployment,
+            call_id=call_id,
+            kind=kind.value,
+            **fields,
+        )
+        sealed = self._envelope.seal(authentication.Purpose.CALL, call)
+        try:
+            async with asyncio.timeout(self._call_time):
+                content = await _exchange(parsed.ok_value, sealed)
+        except (TimeoutError, OSError) as error:
+            return _error(
+                peers.PeerErrorKind.UNREACHABLE,
+                f"{peer}: {error or 'no answer in time'}",
+            )
+        if content is None:
+            return _error(
+                peers.PeerErrorKind.PROTOCOL, f"{peer}: the answer is cut off"
+            )
+        answer: Any = self._envelope.open(
+            authentication.Purpose.ANSWER, ttypes.Answer, content
+        )
+        if answer is None or answer.call_id != call_id:
+            return _error(
+                peers.PeerErrorKind.PROTOCOL,
+                f"{peer}: the answer does not belong to the call",
+            )
+        if answer.status == frames.AnswerStatus.OK.value:
+            return result.Ok(answer)
+        if answer.status == frames.AnswerStatus.ABSENT.value:
+            return _error(peers.PeerErrorKind.ABSENT, f"{peer}: not held")
+        return _error(
+            peers.PeerErrorKind.REFUSED, f"{peer}: status {answer.status}"
+        )
+
+
+async def _exchange(
+    address: address_module.Address, sealed: bytes
+) -> bytes | None:
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    try:
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(sock, (address.host, address.port))
+        reader, writer = await asyncio.open_connection(sock=sock)
+    except BaseException:
+        sock.close()
+        raise
+    try:
+        writer.write(frames.frame(sealed))
+        await writer.drain()
+        return await frames.read_frame(reader, frames.MAX_ANSWER)
+    finally:
+        writer.transport.abort()
+
+
+def _content(
+    answer: result.Result[Any, peers.PeerError],
+) -> result.Result[bytes, peers.PeerError]:
+    if isinstance(answer, result.Err):
+        return answer
+    if not isinstance(answer.ok_value.content, bytes):
+        return _error(peers.PeerErrorKind.PROTOCOL, "no content")
+    return result.Ok(answer.ok_value.content)
+
+
+def _error(
+    kind: peers.PeerErrorKind, detail: str
+) -> result.Err[peers.PeerError]:
+    return result.Err(peers.PeerError(kind, detail))
--- /dev/null
+++ b/packages/peer/src/lavendershed/peer/codec.py
@@ -0,0 +1,311 @@
+"""Conversion between the messages of the decision layer and thrift."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+import math
+from typing import Any
+from typing import TypeVar
+
+from lavendershed.core import backend_servers
+from lavendershed.core import cluster
+from lavendershed.core import ids
+from lavendershed.core import states
+from lavendershed.core import units
+from lavendershed.membership import messages
+from lavendershed.membership import records as records_module
+from lavendershed.peer import wire
+from lavendershed.peer.gen.messages import ttypes
+
+T = TypeVar("T")
+
+_UNSIGNED_64 = 1 << 64
+_MAX_SIGNED_64 = (1 << 63) - 1
+_MAX_LIFETIME_MS = (1 << 31) - 1
+_KINDS = {
+    messages.MessageKind.PING: 1,
+    messages.MessageKind.ACK: 2,
+    messages.MessageKind.INDIRECT_PING: 3,
+    messages.MessageKind.PUSH: 4,
+}
+_KINDS_BY_NUMBER = {number: kind for kind, number in _KINDS.items()}
+MEMBER_STATES = {
+    states.MemberState.ALIVE: 1,
+    states.MemberState.SUSPECT: 2,
+    states.MemberState.LEAVING: 3,
+    states.MemberState.DEAD: 4,
+}
+MEMBER_STATES_BY_NUMBER = {
+    number: state for state, number in MEMBER_STATES.items()
+}
+
+
+class PeerSizer(records_module.RecordSizer):
+    """Sizes of records in a thrift message."""
+
+    def member_size(self, record: records_module.MemberRecord) -> units.Bytes:
+        """Returns the encoded size of a member record."""
+        return units.Bytes(len(wire.encode(member_to_thrift(record))))
+
+    def record_size(
+        self, record: records_module.VersionedRecord
+    ) -> units.Bytes:
+        """Returns the encoded size of a soft-state record."""
+        return units.Bytes(len(wire.encode(_record_to_thrift(record))))
+
+
+def encode_message(message: messages.Message, deployment: str) -> bytes:
+    """Returns the payload of a datagram."""
+    target = message.target
+    return wire.encode(
+        ttypes.Datagram(
+            deployment=deployment,
+            kind=_KINDS[message.kind],
+            sequence=message.sequence,
+            sender=member_to_thrift(message.sender),
+            epoch=message.epoch,
+            target=None if target is None else member_to_thrift(target),
+            members=[member_to_thrift(m) for m in message.members],
+            records=[_record_to_thrift(r) for r in message.records],
+        )
+    )
+
+
+def message_from_thrift(datagram: Any) -> messages.Message:  # noqa: ANN401
+    """Returns the message of a decoded datagram.
+
+    Raises:
+        Exception: One of `wire.MALFORMED`.
+    """
+    return messages.Message(
+        _KINDS_BY_NUMBER[datagram.kind],
+        _required(datagram.sequence),
+        _member_from_thrift(datagram.sender),
+        ids.Epoch(_required(datagram.epoch)),
+        None
+        if datagram.target is None
+        else _member_from_thrift(datagram.target),
+        _members_from_thrift(datagram.members),
+        _records_from_thrift(datagram.records),
+    )
+
+
+def snapshot_to_thrift(
+    snapshot: messages.Snapshot,
+) -> Any:  # noqa: ANN401
+    """Returns the thrift struct of a snapshot."""
+    return ttypes.Snapshot(
+        epoch=snapshot.epoch,
+        members=[member_to_thrift(m) for m in snapshot.members],
+        records=[_record_to_thrift(r) for r in snapshot.records],
+    )
+
+
+def snapshot_from_thrift(snapshot: Any) -> messages.Snapshot:  # noqa: ANN401
+    """Returns a decoded snapshot.
+
+    Raises:
+        Exception: One of `wire.MALFORMED`.
+    """
+    return messages.Snapshot(
+        ids.Epoch(_required(snapshot.epoch)),
+        _members_from_thrift(snapshot.members),
+        _records_from_thrift(snapshot.records),
+    )
+
+
+def owner_to_thrift(owner: backend_servers.Owner) -> Any:  # noqa: ANN401
+    """Returns the thrift struct of an owner."""
+    return ttypes.Owner(vm=owner.vm, incarnation=owner.incarnation)
+
+
+def owner_from_thrift(owner: Any) -> backend_servers.Owner:  # noqa: ANN401
+    """Returns a decoded owner.
+
+    Raises:
+        Exception: One of `wire.MALFORMED`.
+    """
+    return backend_servers.Owner(
+        ids.VmId(_text(owner.vm)),
+        ids.Incarnation(_required(owner.incarnation)),
+    )
+
+
+def member_to_thrift(
+    record: records_module.MemberRecord,
+) -> Any:  # noqa: ANN401
+    """Returns the thrift struct of a member record."""
+    return ttypes.Member(
+        owner=owner_to_thrift(record.owner),
+        generation=record.generation,
+        version=record.version,
+        state=MEMBER_STATES[record.state],
+        address=record.address,
+        availability_zone=record.availability_zone,
+        replaces=record.replaces,
+    )
+
+
+def _signed(value: int) -> int:
+    # Thrift has no unsigned integers.
+    value %= _UNSIGNED_64
+    return value - _UNSIGNED_64 if value > _MAX_SIGNED_64 else value
+
+
+def _required(value: T | None) -> T:
+    if value is None:
+        raise ValueError("a field is missing")
+    return value
+
+
+def _text(value: str | None) -> str:
+    if not value:
+        raise ValueError("a name is missing")
+    return value
+
+
+def _rate(value: float | None) -> float:
+    if value is None or not math.isfinite(value) or value < 0:
+        raise ValueError("a rate is not a number from 0")
+    return value
+
+
+def _count(value: int | None) -> int:
+    if value is None or value < 0:
+        raise ValueError("a count is not a number from 0")
+    return value
+
+
+def _member_from_thrift(
+    member: Any,  # noqa: ANN401
+) -> records_module.MemberRecord:
+    return records_module.MemberRecord(
+        owner_from_thrift(member.owner),
+        _count(member.generation),
+        _count(member.version),
+        MEMBER_STATES_BY_NUMBER[member.state],
+        records_module.ContactAddress(_text(member.address)),
+        ids.AvailabilityZoneId(_text(member.availability_zone)),
+        None if member.replaces is None else ids.Incarnation(member.replaces),
+    )
+
+
+def _members_from_thrift(
+    members: Iterable[Any] | None,
+) -> tuple[records_module.MemberRecord, ...]:
+    # A state of a later version of the daemon is skipped, not an error.
+    return tuple(
+        _member_from_thrift(member)
+        for member in members or ()
+        if member.state in MEMBER_STATES_BY_NUMBER
+    )
+
+
+def _records_from_thrift(
+    records: Iterable[Any] | None,
+) -> tuple[records_module.VersionedRecord, ...]:
+    # A record kind of a later version has none of the known contents.
+    decoded = (_record_from_thrift(record) for record in records or ())
+    return tuple(record for record in decoded if record is not None)
+
+
+def _record_to_thrift(
+    record: records_module.VersionedRecord,
+) -> Any:  # noqa: ANN401
+    encoded = ttypes.Record(
+        origin=owner_to_thrift(record.origin),
+        version=record.version,
+        lifetime_ms=min(_MAX_LIFETIME_MS, int(record.lifetime * 1000)),
+    )
+    content = record.content
+    if isinstance(content, cluster.QuarantineRecord):
+        encoded.quarantine = ttypes.Quarantine(
+            fingerprint=_signed(content.fingerprint)
+        )
+    elif isinstance(content, cluster.DemandRecord):
+        encoded.demand = ttypes.Demand(
+            demands=[
+                ttypes.OrganisationDemand(
+                    organisation=demand.organisation,
+                    requests_per_second=demand.requests_per_second,
+                    tokens_per_second=demand.tokens_per_second,
+                )
+                for demand in content.demands
+            ]
+        )
+    elif isinstance(content, cluster.LoadRecord):
+        encoded.load = ttypes.Load(
+            loads=[
+                ttypes.EngineLoad(
+                    engine=load.engine,
+                    outstanding=load.outstanding,
+                    prefill_tokens=load.prefill_tokens,
+                )
+                for load in content.loads
+            ]
+        )
+    else:
+        encoded.backend_leaving = ttypes.BackendLeaving(
+            server=content.server,
+            incarnation=None
+            if content.incarnation is None
+            else _signed(content.incarnation),
+        )
+    return encoded
+
+
+def _record_from_thrift(
+    record: Any,  # noqa: ANN401
+) -> records_module.VersionedRecord | None:
+    lifetime = units.Seconds(_count(record.lifetime_ms) / 1000)
+    content = _content_from_thrift(record, lifetime)
+    if content is None:
+        return None
+    return records_module.VersionedRecord(
+        owner_from_thrift(record.origin),
+        _count(record.version),
+        lifetime,
+        content,
+    )
+
+
+def _content_from_thrift(
+    record: Any,  # noqa: ANN401
+    lifetime: units.Seconds,
+) -> cluster.PeerRecord | None:
+    if record.quarantine is not None:
+        fingerprint = _required(record.quarantine.fingerprint)
+        return cluster.QuarantineRecord(
+            ids.Fingerprint(fingerprint % _UNSIGNED_64), lifetime
+        )
+    if record.demand is not None:
+        return cluster.DemandRecord(
+            tuple(
+                cluster.OrganisationDemand(
+                    ids.OrganisationId(_text(demand.organisation)),
+                    _rate(demand.requests_per_second),
+                    _rate(demand.tokens_per_second),
+                )
+                for demand in record.demand.demands or ()
+            )
+        )
+    if record.load is not None:
+        return cluster.LoadRecord(
+            tuple(
+                cluster.EngineLoad(
+                    ids.BackendServerId(_text(load.engine)),
+                    _count(load.outstanding),
+                    units.Tokens(_count(load.prefill_tokens)),
+                )
+                for load in record.load.loads or ()
+            )
+        )
+    if record.backend_leaving is not None:
+        incarnation = record.backend_leaving.incarnation
+        return cluster.BackendLeavingRecord(
+            ids.BackendServerId(_text(record.backend_leaving.server)),
+            None
+            if incarnation is None
+            else ids.Incarnation(incarnation % _UNSIGNED_64),
+        )
+    return None
--- /dev/null
+++ b/packages/peer/src/lavendershed/peer/datagrams.py
@@ -0,0 +1,86 @@
+"""UDP transport between daemons."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import typing
+
+from lavendershed.membership import messages
+from lavendershed.membership import peers
+from lavendershed.membership import records
+from lavendershed.peer import envelope as envelope_module
+from lavendershed.transport import address as address_module
+
+
+class UdpTransport(asyncio.DatagramProtocol, peers.DatagramSender):
+    """Sends and receives datagrams on one socket."""
+
+    def __init__(
+        self,
+        envelope: envelope_module.Envelope,
+        receiver: peers.DatagramReceiver,
+    ) -> None:
+        self._envelope = envelope
+        self._receiver = receiver
+        self._transport: asyncio.DatagramTransport | None = None
+        self._sent_bytes = 0
+
+    @property
+    def sent_bytes(self) -> int:
+        """Bytes sent so far, without UDP and IP headers."""
+        return self._sent_bytes
+
+    async def start(self, address: address_module.Address) -> None:
+        """Binds the address.
+
+        Raises:
+            OSError: The address can't be bound.
+        """
+        family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_DGRAM)
+        try:
+            sock.setblocking(False)
+            sock.bind((address.host, address.port))
+        except OSError:
+            sock.close()
+            raise
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(lambda: self, sock=sock)
+
+    def close(self) -> None:
+        """Closes the socket."""
+        if self._transport is not None:
+            self._transport.close()
+            self._transport = None
+
+    def send(
+        self, to: records.ContactAddress, message: messages.Message
+    ) -> None:
+        """Sends one message; one that is too long is dropped."""
+        if self._transport is None:
+            return
+        parsed = address_module.parse(to)
+        datagram = self._envelope.seal_message(message)
+        if parsed.is_err() or len(datagram) > envelope_module.MAX_DATAGRAM:
+            return
+        peer = parsed.unwrap()
+        self._sent_bytes += len(datagram)
+        self._transport.sendto(datagram, (peer.host, peer.port))
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the transport."""
+        # The selector loop of Python 3.11 passes a transport that has the
+        # methods of a DatagramTransport without being a subclass of it.
+        self._transport = typing.cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(
+        self, data: bytes, addr: tuple[str | object, int]
+    ) -> None:
+        """Passes on an authentic message."""
+        message = self._envelope.open_message(data)
+        if message is not None:
+            self._receiver.on_datagram(message)
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignores that nobody listens at a peer's address."""
--- /dev/null
+++ b/packages/peer/src/lavendershed/peer/envelope.py
@@ -0,0 +1,103 @@
+"""Sealed datagrams and frames: authentication, deployment, decoding."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+from typing import TypeVar
+
+from lavendershed.core import units
+from lavendershed.membership import messages
+from lavendershed.peer import authentication
+from lavendershed.peer import codec
+from lavendershed.peer import wire
+from lavendershed.peer.gen.messages import ttypes
+
+S = TypeVar("S")
+RejectionListener = Callable[[str], None]
+
+MAX_DATAGRAM = units.Bytes(1_200)
+_MAX_REPORTED = 64
+
+
+class Envelope:
+    """Seals and opens what is sent between daemons of one deployment."""
+
+    def __init__(
+        self,
+        deployment: str,
+        authenticator: authentication.Authenticator,
+        on_rejection: RejectionListener,
+    ) -> None:
+        """Takes the keys and who is told about dropped messages.
+
+        Args:
+            deployment: Id that every message has to carry.
+            authenticator: Keys of the deployment.
+            on_rejection: Called once per reason that a message was dropped.
+        """
+        self._deployment = deployment
+        self._authenticator = authenticator
+        self._on_rejection = on_rejection
+        self._reported: set[str] = set()
+
+    @property
+    def deployment(self) -> str:
+        """Id of the deployment."""
+        return self._deployment
+
+    def seal_message(self, message: messages.Message) -> bytes:
+        """Returns a datagram."""
+        return self._authenticator.seal(
+            authentication.Purpose.DATAGRAM,
+            codec.encode_message(message, self._deployment),
+        )
+
+    def open_message(self, datagram: bytes) -> messages.Message | None:
+        """Returns the message in a datagram; None if it is dropped."""
+        if len(datagram) > MAX_DATAGRAM:
+            self._reject("a datagram is too long")
+            return None
+        decoded = self.open(
+            authentication.Purpose.DATAGRAM, ttypes.Datagram, datagram
+        )
+        if decoded is None:
+            return None
+        try:
+            return codec.message_from_thrift(decoded)
+        except (*wire.MALFORMED, AttributeError):
+            self._reject("a datagram has invalid fields")
+            return None
+
+    def seal(
+        self,
+        purpose: authentication.Purpose,
+        value: Any,  # noqa: ANN401
+    ) -> bytes:
+        """Returns a struct as the content of a frame."""
+        return self._authenticator.seal(purpose, wire.encode(value))
+
+    def open(
+        self, purpose: authentication.Purpose, kind: type[S], sealed: bytes
+    ) -> S | None:
+        """Returns the struct in a datagram or frame; None if dropped."""
+        payload = self._authenticator.open(purpose, sealed)
+        if payload is None:
+            self._reject("a message has no valid tag")
+            return None
+        try:
+            value: Any = wire.decode(kind, payload)
+        except wire.MALFORMED:
+            self._reject("a message is malformed")
+            return None
+        if value.deployment != self._deployment:
+            self._reject(f"a message is of deployment {value.deployment!r}")
+            return None
+        decoded: S = value
+        return decoded
+
+    def _reject(self, reason: str) -> None:
+        if reason in self._reported or len(self._reported) >= _MAX_REPORTED:
+            return
+        self._reported.add(reason)
+        self._on_rejection(reason)
--- /dev/null
+++ b/packages/peer/src/lavendershed/peer/frames.py
@@ -0,0 +1,50 @@
+"""Framed calls between daemons over TCP."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+
+from lavendershed.core import units
+
+_LENGTH_BYTES = 4
+MAX_CALL = units.Bytes(4_096)
+# A chunk of the object store's largest size and its envelope.
+MAX_ANSWER = units.Bytes(1_100_000)
+
+
+class CallKind(enum.Enum):
+    """Calls; the numbers are part of the protocol."""
+
+    FETCH_MANIFEST = 1
+    FETCH_CHUNK = 2
+    FETCH_SNAPSHOT = 3
+    OWNER_STATE = 4
+
+
+class AnswerStatus(enum.Enum):
+    """Outcomes; the numbers are part of the protocol."""
+
+    OK = 0
+    ABSENT = 1
+    UNKNOWN_CALL = 2
+    TOO_LARGE = 3
+
+
+async def read_frame(
+    reader: asyncio.StreamReader, limit: units.Bytes
+) -> bytes | None:
+    """Returns the content of one frame; None if it is too long or cut off."""
+    try:
+        prefix = await reader.readexactly(_LENGTH_BYTES)
+        length = int.from_bytes(prefix, "big")
+        if length > limit:
+            return None
+        return await reader.readexactly(length)
+    except (asyncio.IncompleteReadError, OSError):
+        return None
+
+
+def frame(content: bytes) -> bytes:
+    """Returns the content with its length in front."""
+    return len(content).to_bytes(_LENGTH_BYTES, "big") + content
--- /dev/null
+++ b/packages/peer/src/lavendershed/peer/gen/messages/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/packages/peer/src/lavendershed/peer/wire.py
@@ -0,0 +1,52 @@
+"""Thrift encoding of whole structs, bounded on decoding."""
+
+from __future__ import annotations
+
+import struct
+from typing import Any
+from typing import TypeVar
+
+from thrift import Thrift
+from thrift.protocol import TCompactProtocol
+from thrift.transport import TTransport
+
+S = TypeVar("S")
+
+# What the decoders raise for bytes that are no message of ours.
+MALFORMED = (
+    EOFError,
+    LookupError,
+    MemoryError,
+    OverflowError,
+    RecursionError,
+    Thrift.TException,
+    TypeError,
+    ValueError,
+    struct.error,
+)
+
+
+def encode(value: Any) -> bytes:  # noqa: ANN401 - generated classes
+    """Returns the compact encoding of a thrift struct."""
+    buffer = TTransport.TMemoryBuffer()
+    value.write(TCompactProtocol.TCompactProtocolAccelerated(buffer))
+    encoded: bytes = buffer.getvalue()
+    return encoded
+
+
+def decode(kind: type[S], data: bytes) -> S:
+    """Returns the struct that `data` encodes; unknown fields are ignored.
+
+    Raises:
+        Exception: One of `MALFORMED`.
+    """
+    value: Any = kind()
+    protocol = TCompactProtocol.TCompactProtocolAccelerated(
+        TTransport.TMemoryBuffer(data),
+        # A length above that of the message would only reserve memory.
+        string_length_limit=len(data),
+        container_length_limit=len(data),
+    )
+    value.read(protocol)
+    decoded: S = value
+    return decoded
--- /dev/null
+++ b/packages/peer/tests/test_envelope.py
@@ -0,0 +1,111 @@
+"""Guards datagrams against loss of content, forgery and malformed bytes."""
+
+from __future__ import annotations
+
+import unittest
+
+import examples
+import hypothesis
+from hypothesis import strategies
+from thrift.protocol import TCompactProtocol
+from thrift.transport import TTransport
+
+from lavendershed.membership import messages
+from lavendershed.peer import authentication
+from lavendershed.peer import codec
+from lavendershed.peer import envelope
+from lavendershed.peer import wire
+from lavendershed.peer.gen.messages import ttypes
+
+FUZZ = hypothesis.settings(derandomize=True, database=None, max_examples=300)
+
+
+class EnvelopeTest(unittest.TestCase):
+    """Fails if a wrong message is accepted or a right one changed."""
+
+    def setUp(self):
+        self.envelope, self.rejections = examples.sealed_by(examples.OLD_KEY)
+        self.datagram = self.envelope.seal_message(examples.MESSAGE)
+
+    def test_message_is_unchanged_and_fits_a_datagram(self):
+        self.assertLessEqual(len(self.datagram), envelope.MAX_DATAGRAM)
+        opened = self.envelope.open_message(self.datagram)
+        self.assertEqual(opened, examples.MESSAGE)
+
+    def test_accelerated_protocol_is_in_use(self):
+        protocol = TCompactProtocol.TCompactProtocolAccelerated(
+            TTransport.TMemoryBuffer(), fallback=False
+        )
+        self.assertIsNotNone(protocol._fast_encode)
+
+    def test_both_keys_are_accepted_during_rotation(self):
+        rotating, _ = examples.sealed_by(examples.NEW_KEY, examples.OLD_KEY)
+        self.assertIsNotNone(rotating.open_message(self.datagram))
+        renewed = rotating.seal_message(examples.MESSAGE)
+        self.assertIsNone(self.envelope.open_message(renewed))
+
+    def test_other_deployment_is_dropped_and_reported_once(self):
+        other, rejections = examples.sealed_by(
+            examples.OLD_KEY, deployment="two"
+        )
+        for _ in range(3):
+            self.assertIsNone(other.open_message(self.datagram))
+        self.assertEqual(rejections, ["a message is of deployment 'one'"])
+
+    def test_tag_of_a_datagram_does_not_fit_a_call(self):
+        opened = self.envelope.open(
+            authentication.Purpose.CALL, ttypes.Call, self.datagram
+        )
+        self.assertIsNone(opened)
+
+    def test_fields_and_record_kinds_of_later_versions_are_ignored(self):
+        datagram = ttypes.Datagram(
+            deployment="one",
+            kind=1,
+            sequence=1,
+            sender=codec.member_to_thrift(examples.MEMBER),
+            epoch=1,
+            # Neither record has a known content.
+            records=[ttypes.Record(version=1, lifetime_ms=5)] * 2,
+        )
+        payload = wire.encode(datagram)
+        # A field 100 of type i32 before the stop byte.
+        later = payload[:-1] + bytes([0x05, 0xC8, 0x01, 0x02, 0x00])
+        sealed = authentication.Authenticator((examples.OLD_KEY,)).seal(
+            authentication.Purpose.DATAGRAM, later
+        )
+        message = self.envelope.open_message(sealed)
+        self.assertEqual(message.kind, messages.MessageKind.PING)
+        self.assertEqual(message.records, ())
+
+    @hypothesis.given(strategies.integers(0, 10_000), strategies.binary())
+    @FUZZ
+    def test_changed_datagram_is_dropped(self, position, other):
+        start = position % len(self.datagram)
+        changed = self.datagram[:start] + other
+        if changed != self.datagram:
+            self.assertIsNone(self.envelope.open_message(changed))
+
+    @hypothesis.given(strategies.data())
+    @FUZZ
+    def test_authentic_garbage_raises_nothing(self, data):
+        # A peer with the right key may still have a fault.
+        payload = bytearray(
+            codec.encode_message(examples.MESSAGE, "one")
+            if data.draw(strategies.booleans())
+            else data.draw(strategies.binary(max_size=600))
+        )
+        for _ in range(data.draw(strategies.integers(0, 6))):
+            if payload:
+                at = data.draw(strategies.integers(0, len(payload) - 1))
+                payload[at] = data.draw(strategies.integers(0, 255))
+        sealed = authentication.Authenticator((examples.OLD_KEY,)).seal(
+            authentication.Purpose.DATAGRAM, bytes(payload)
+        )
+        message = self.envelope.open_message(sealed)
+        if message is not None:
+            codec.encode_message(message, "one")
+
+
+if __name__ == "__main__":
+    unittest.main()
