Add the reliability decisions

Cause: a failed engine call ended a request at once, nothing counted engine memory, and a request could crash any number of engines.

Change: pure decisions for the execution truth table, retries within a budget, assembly of a stream over several attempts, the ledger of engine memory, suspects of engine crashes, and reclaiming of allocations without an owner.

--- /dev/null
+++ b/packages/reliability/src/lavendershed/reliability/crash_suspects.py
@@ -0,0 +1,232 @@
+"""Requests that are suspected of crashing the engines that run them."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import enum
+
+from lavendershed.core import cluster
+from lavendershed.core import ids
+from lavendershed.core import units
+
+
+class Verdict(enum.Enum):
+    """How a request with a fingerprint may run."""
+
+    CLEAN = "clean"
+    ALONE = "alone"
+    QUARANTINED = "quarantined"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SuspectLimits:
+    """Limits of the bookkeeping.
+
+    Attributes:
+        lifetime: Time after a crash for which a suspect is remembered.
+        quarantine: Time for which a request is refused after two crashes.
+        max_suspects: Suspects, and quarantines, that are kept.
+    """
+
+    lifetime: units.Seconds = units.Seconds(900.0)
+    quarantine: units.Seconds = units.Seconds(900.0)
+    max_suspects: int = 10_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PublishQuarantine:
+    """Command: tell the other daemons to refuse a request."""
+
+    record: cluster.QuarantineRecord
+
+
+@dataclasses.dataclass(slots=True)
+class _InFlight:
+    fingerprint: ids.Fingerprint
+    engine: ids.BackendServerId
+    alone: bool
+    incarnation: ids.Incarnation | None = None
+
+
+class CrashSuspects:
+    """Counts the engine crashes that each request has been in flight at.
+
+    Everything in flight at a crash becomes a suspect, whose next attempt runs
+    alone. A second crash leads to quarantine if it shows who caused it: the
+    suspect ran alone, or was the only suspect among those in flight. Others
+    stay suspects until they complete.
+    """
+
+    def __init__(self, limits: SuspectLimits) -> None:
+        self._limits = limits
+        self._in_flight: dict[ids.AttemptId, _InFlight] = {}
+        self._by_engine: dict[ids.BackendServerId, set[ids.AttemptId]] = (
+            collections.defaultdict(set)
+        )
+        # Both map a fingerprint to the time of its expiry, oldest first.
+        self._suspects: dict[ids.Fingerprint, units.Instant] = {}
+        self._quarantined: dict[ids.Fingerprint, units.Instant] = {}
+
+    @property
+    def in_flight(self) -> int:
+        """Number of attempts that have not ended."""
+        return len(self._in_flight)
+
+    def verdict(
+        self, fingerprint: ids.Fingerprint, now: units.Instant
+    ) -> Verdict:
+        """Returns how a request may run."""
+        if self.quarantined_for(fingerprint, now) is not None:
+            return Verdict.QUARANTINED
+        if _alive(self._suspects, fingerprint, now):
+            return Verdict.ALONE
+        return Verdict.CLEAN
+
+    def quarantined_for(
+        self, fingerprint: ids.Fingerprint, now: units.Instant
+    ) -> units.Seconds | None:
+        """Returns the time left of a request's quarantine, or None."""
+        if not _alive(self._quarantined, fingerprint, now):
+            return None
+        return units.elapsed(now, self._quarantined[fingerprint])
+
+    def on_attempt(
+        self,
+        attempt: ids.AttemptId,
+        fingerprint: ids.Fingerprint,
+        engine: ids.BackendServerId,
+        alone: bool,
+    ) -> None:
+        """Notes an attempt that is about to be sent."""
+        self._in_flight[attempt] = _InFlight(fingerprint, engine, alone)
+        self._by_engine[engine].add(attempt)
+
+    def on_accepted(
+        self, attempt: ids.AttemptId, incarnation: ids.Incarnation
+    ) -> None:
+        """Notes which engine incarnation runs an attempt."""
+        if attempt in self._in_flight:
+            self._in_flight[attempt].incarnation = incarnation
+
+    def on_attempt_ended(self, attempt: ids.AttemptId) -> None:
+        """Notes that an attempt ended without its engine dying."""
+        entry = self._in_flight.pop(attempt, None)
+        if entry is None:
+            return
+        attempts = self._by_engine[entry.engine]
+        attempts.discard(attempt)
+        if not attempts:
+            del self._by_engine[entry.engine]
+
+    def on_completed(self, attempt: ids.AttemptId) -> None:
+        """Clears a request whose answer is whole."""
+        entry = self._in_flight.get(attempt)
+        if entry is not None:
+            self._suspects.pop(entry.fingerprint, None)
+        self.on_attempt_ended(attempt)
+
+    def on_engine_crash(
+        self,
+        attempt: ids.AttemptId,
+        planned: bool,
+        now: units.Instant,
+    ) -> tuple[PublishQuarantine, ...]:
+        """Takes the death of the engine incarnation that ran `attempt`.
+
+        Each attempt counts for one crash only: the first report takes all
+        attempts of that incarnation out of flight, and later reports about
+        them change nothing. Attempts that no incarnation has accepted report
+        for themselves, since they may run on the engine's next incarnation.
+
+        Args:
+            attempt: An attempt that the death ended.
+            planned: Whether the engine had announced that it would stop.
+            now: Current time.
+        """
+        reported = self._in_flight.get(attempt)
+        if reported is None:
+            return ()
+        ended = {attempt: reported}
+        if reported.incarnation is not None:
+            ended |= {
+                other: self._in_flight[other]
+                for other in self._by_engine[reported.engine]
+                if self._in_flight[other].incarnation == reported.incarnation
+            }
+        for other in ended:
+            self.on_attempt_ended(other)
+        if planned:
+            return ()
+        # Attempts that report for themselves were in flight beside these.
+        beside = [
+            self._in_flight[other].fingerprint
+            for other in self._by_engine.get(reported.engine, ())
+            if self._in_flight[other].incarnation is None
+        ]
+        return self._judge(tuple(ended.values()), beside, now)
+
+    def on_quarantine_record(
+        self, record: cluster.QuarantineRecord, now: units.Instant
+    ) -> None:
+        """Takes a quarantine that another daemon has published."""
+        until = units.after(now, record.lifetime)
+        known = self._quarantined.get(record.fingerprint, until)
+        self._remember(self._quarantined, record.fingerprint, max(until, known))
+
+    def _judge(
+        self,
+        ended: tuple[_InFlight, ...],
+        beside: list[ids.Fingerprint],
+        now: units.Instant,
+    ) -> tuple[PublishQuarantine, ...]:
+        fingerprints = {entry.fingerprint for entry in ended}
+        suspects = {
+            fingerprint
+            for fingerprint in fingerprints.union(beside)
+            if _alive(self._suspects, fingerprint, now)
+        }
+        guilty = {
+            entry.fingerprint
+            for entry in ended
+            if entry.fingerprint in suspects
+            and (entry.alone or len(suspects) == 1)
+        }
+        for fingerprint in fingerprints - guilty:
+            until = units.after(now, self._limits.lifetime)
+            self._remember(self._suspects, fingerprint, until)
+        for fingerprint in guilty:
+            del self._suspects[fingerprint]
+            until = units.after(now, self._limits.quarantine)
+            self._remember(self._quarantined, fingerprint, until)
+        return tuple(
+            PublishQuarantine(
+                cluster.QuarantineRecord(fingerprint, self._limits.quarantine)
+            )
+            for fingerprint in sorted(guilty)
+        )
+
+    def _remember(
+        self,
+        table: dict[ids.Fingerprint, units.Instant],
+        fingerprint: ids.Fingerprint,
+        until: units.Instant,
+    ) -> None:
+        table.pop(fingerprint, None)
+        table[fingerprint] = until
+        if len(table) > self._limits.max_suspects:
+            del table[next(iter(table))]
+
+
+def _alive(
+    table: dict[ids.Fingerprint, units.Instant],
+    fingerprint: ids.Fingerprint,
+    now: units.Instant,
+) -> bool:
+    until = table.get(fingerprint)
+    if until is None:
+        return False
+    if until > now:
+        return True
+    del table[fingerprint]
+    return False
--- /dev/null
+++ b/packages/reliability/src/lavendershed/reliability/reclamation.py
@@ -0,0 +1,79 @@
+"""Decision which allocations of an engine have no living owner."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+
+from lavendershed.core import backend_servers
+from lavendershed.core import ids
+from lavendershed.core import states
+from lavendershed.reliability import memory_ledger
+
+OwnerState = Callable[[backend_servers.Owner], states.MemberState]
+
+
+class Reclamation:
+    """Compares an engine's own list of allocations with their owners.
+
+    An allocation is reclaimed only when two consecutive rounds find it without
+    an owner. One round is not enough: a daemon that was declared dead may
+    refute it, and an own allocation may have been listed by the engine just
+    before its ledger entry ended.
+    """
+
+    def __init__(
+        self,
+        owner: backend_servers.Owner,
+        ledger: memory_ledger.MemoryLedger,
+    ) -> None:
+        self._owner = owner
+        self._ledger = ledger
+        self._found: dict[
+            ids.BackendServerId, frozenset[memory_ledger.AllocationKey]
+        ] = {}
+
+    def on_allocations(
+        self,
+        engine: ids.BackendServerId,
+        allocations: Iterable[backend_servers.EngineAllocation],
+        owner_state: OwnerState,
+    ) -> tuple[memory_ledger.ReleaseOrder, ...]:
+        """Takes one round's list; returns what has to be released.
+
+        Args:
+            engine: The engine that lists its allocations.
+            allocations: Its list, of all owners or of this one.
+            owner_state: State of an owner as this daemon sees it now.
+        """
+        found = frozenset(
+            key
+            for allocation in allocations
+            if self._is_orphan(
+                key := memory_ledger.AllocationKey(
+                    engine, allocation.kind, allocation.allocation_id
+                ),
+                allocation.owner,
+                owner_state,
+            )
+        )
+        confirmed = found & self._found.get(engine, frozenset())
+        self._found[engine] = found
+        return tuple(
+            memory_ledger.ReleaseOrder(key)
+            for key in sorted(confirmed, key=lambda k: k.allocation_id)
+        )
+
+    def on_engine_skipped(self, engine: ids.BackendServerId) -> None:
+        """Forgets an engine's last round, so that rounds are consecutive."""
+        self._found.pop(engine, None)
+
+    def _is_orphan(
+        self,
+        key: memory_ledger.AllocationKey,
+        owner: backend_servers.Owner,
+        owner_state: OwnerState,
+    ) -> bool:
+        if owner == self._owner:
+            return key not in self._ledger
+        return owner_state(owner) is states.MemberState.DEAD
--- /dev/null
+++ b/packages/reliability/src/lavendershed/reliability/retry_budget.py
@@ -0,0 +1,59 @@
+"""Budget of retries relative to recent requests."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+from lavendershed.core import units
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BudgetLimits:
+    """Limits of a retry budget.
+
+    Attributes:
+        share: Retries per request of the window.
+        window: Length of the window of recent requests.
+        minimum: Retries per window that are allowed without any traffic, so
+            that a quiet daemon can still move the streams of one dead engine.
+    """
+
+    share: float = 0.1
+    window: units.Seconds = units.Seconds(60.0)
+    minimum: int = 32
+
+
+class RetryBudget:
+    """Counts requests and retries in slots of a sliding window.
+
+    Memory is bounded by the number of slots.
+    """
+
+    _SLOTS = 30
+
+    def __init__(self, limits: BudgetLimits) -> None:
+        self._limits = limits
+        self._slot_length = limits.window / self._SLOTS
+        self._requests: collections.Counter[int] = collections.Counter()
+        self._retries: collections.Counter[int] = collections.Counter()
+
+    def on_request(self, now: units.Instant) -> None:
+        """Counts a request that is no retry."""
+        self._requests[self._expire(now)] += 1
+
+    def spend(self, now: units.Instant) -> bool:
+        """Takes one retry from the budget; returns False if it is used up."""
+        slot = self._expire(now)
+        allowed = self._limits.share * self._requests.total()
+        if self._retries.total() >= max(allowed, self._limits.minimum):
+            return False
+        self._retries[slot] += 1
+        return True
+
+    def _expire(self, now: units.Instant) -> int:
+        current = int(now // self._slot_length)
+        for counter in (self._requests, self._retries):
+            for slot in [s for s in counter if s <= current - self._SLOTS]:
+                del counter[slot]
+        return current
--- /dev/null
+++ b/packages/reliability/src/lavendershed/reliability/stream_tracker.py
@@ -0,0 +1,257 @@
+"""Assembly of one caller's answer from the streams of its attempts."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from lavendershed.core import backend_servers
+from lavendershed.core import ids
+from lavendershed.core import states
+from lavendershed.core import units
+from lavendershed.reliability import execution as execution_module
+
+_RESUMABLE = {
+    backend_servers.BackendErrorKind.IDLE_TIMEOUT,
+    backend_servers.BackendErrorKind.CONNECTION_LOST,
+    backend_servers.BackendErrorKind.PROTOCOL,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Deliver:
+    """Command: pass these encoded token events to the caller."""
+
+    events: tuple[bytes, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finish:
+    """Command: end the caller's answer, which is whole."""
+
+    token_count: units.Tokens
+    reason: states.FinishReason
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resume:
+    """Command: read on from `offset` over a new connection, same engine."""
+
+    offset: int
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ContinueElsewhere:
+    """Command: end this attempt; another one goes on from `offset`."""
+
+    offset: int
+    error: backend_servers.BackendError
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fail:
+    """Command: fail the request, because its answer can't be repaired."""
+
+    error: backend_servers.BackendError
+
+
+Command = Deliver | Finish | Resume | ContinueElsewhere | Fail
+
+
+class Phase(enum.Enum):
+    """Progress of the current attempt."""
+
+    NONE = "none"
+    SENT = "sent"
+    ACCEPTED = "accepted"
+    ENDED = "ended"
+
+
+class StreamTracker:
+    """Decides what each event of a stream means for the caller's answer.
+
+    Only the current attempt can deliver. Its tokens have to continue the answer
+    without a gap; tokens that were delivered before are dropped.
+    """
+
+    # Silent connections in a row without an `accepted` event between them,
+    # after which the engine counts as unreachable. A long prefill produces no
+    # token for many idle timeouts, but each resume is accepted.
+    MAX_SILENCES = 2
+    # Broken connections and protocol errors without a delivered token between
+    # them. They cost no time, so that `accepted` alone must not reset the
+    # count: the daemon would resume in a tight loop.
+    MAX_FAULTS = 3
+
+    def __init__(self) -> None:
+        self._state = states.RequestState.QUEUED
+        self._phase = Phase.NONE
+        self._attempt: ids.AttemptId | None = None
+        self._incarnation: ids.Incarnation | None = None
+        self._delivered = 0
+        self._silences = 0
+        self._faults = 0
+        self._evidence = execution_module.AttemptEvidence()
+
+    @property
+    def state(self) -> states.RequestState:
+        """Progress of the request."""
+        return self._state
+
+    @property
+    def delivered(self) -> int:
+        """Number of tokens passed to the caller."""
+        return self._delivered
+
+    @property
+    def incarnation(self) -> ids.Incarnation | None:
+        """Engine incarnation that accepted the current attempt, if any."""
+        return self._incarnation
+
+    @property
+    def evidence(self) -> execution_module.AttemptEvidence:
+        """What was observed of the current attempt."""
+        return self._evidence
+
+    def on_attempt(self, attempt: ids.AttemptId) -> None:
+        """Makes a new attempt the current one; it is about to be sent."""
+        self._attempt = attempt
+        self._phase = Phase.SENT
+        self._incarnation = None
+        self._silences = 0
+        self._faults = 0
+        self._state = states.RequestState.DISPATCHED
+        # The send may be cut off at any point, so that its bytes count as
+        # sent until an error says otherwise.
+        self._evidence = execution_module.AttemptEvidence(sent=True)
+
+    def on_start_error(
+        self, attempt: ids.AttemptId, error: backend_servers.BackendError
+    ) -> tuple[Command, ...]:
+        """Takes a failed call to start the stream."""
+        if not self._is_current(attempt):
+            return ()
+        self._evidence = execution_module.evidence_of_start_error(error)
+        if not error.sent or error.kind not in _RESUMABLE:
+            return self._continue_elsewhere(error)
+        return self._resume(error)
+
+    def on_error(
+        self, attempt: ids.AttemptId, error: backend_servers.BackendError
+    ) -> tuple[Command, ...]:
+        """Takes a failed read, or a failed call to resume."""
+        if not self._is_current(attempt):
+            return ()
+        if error.kind not in _RESUMABLE:
+            return self._continue_elsewhere(error)
+        return self._resume(error)
+
+    def on_event(
+        self, attempt: ids.AttemptId, event: backend_servers.StreamEvent
+    ) -> tuple[Command, ...]:
+        """Takes an event read from the stream of `attempt`.
+
+        Events of an attempt that is not current are dropped. An event that
+        names another attempt was not meant for this stream.
+        """
+        if not self._is_current(attempt):
+            return ()
+        if event.attempt_id != attempt:
+            return self._resume(
+                _protocol_error("the event belongs to another attempt")
+            )
+        if isinstance(event, backend_servers.StreamAccepted):
+            return self._on_accepted(event)
+        if self._phase is not Phase.ACCEPTED:
+            return self._resume(
+                _protocol_error("an event came before `accepted`")
+            )
+        if isinstance(event, backend_servers.TokenBatch):
+            return self._on_tokens(event)
+        return self._on_end(event)
+
+    def _is_current(self, attempt: ids.AttemptId) -> bool:
+        return attempt == self._attempt and self._phase is not Phase.ENDED
+
+    def _on_accepted(
+        self, event: backend_servers.StreamAccepted
+    ) -> tuple[Command, ...]:
+        if self._incarnation not in (None, event.incarnation):
+            return self._continue_elsewhere(
+                _protocol_error("the engine's incarnation has changed")
+            )
+        self._incarnation = event.incarnation
+        self._phase = Phase.ACCEPTED
+        self._silences = 0
+        self._state = states.RequestState.STREAMING
+        self._evidence = dataclasses.replace(
+            self._evidence, sent=True, started=True
+        )
+        return ()
+
+    def _on_tokens(
+        self, event: backend_servers.TokenBatch
+    ) -> tuple[Command, ...]:
+        if event.offset > self._delivered:
+            return self._resume(
+                _protocol_error(
+                    f"gap: token {event.offset} came for {self._delivered}"
+                )
+            )
+        fresh = event.events[self._delivered - event.offset :]
+        if not fresh:
+            return ()
+        self._delivered += len(fresh)
+        self._faults = 0
+        return (Deliver(fresh),)
+
+    def _on_end(self, event: backend_servers.StreamEnd) -> tuple[Command, ...]:
+        if event.token_count > self._delivered:
+            return self._resume(
+                _protocol_error(
+                    f"end after {event.token_count} tokens came at "
+                    f"{self._delivered}"
+                )
+            )
+        self._phase = Phase.ENDED
+        if event.token_count < self._delivered:
+            self._state = states.RequestState.FAILED
+            return (
+                Fail(
+                    _protocol_error(
+                        f"the engine counted {event.token_count} tokens, "
+                        f"{self._delivered} were delivered"
+                    )
+                ),
+            )
+        self._state = states.RequestState.DONE
+        self._evidence = dataclasses.replace(self._evidence, completed=True)
+        return (Finish(event.token_count, event.reason),)
+
+    def _resume(
+        self, error: backend_servers.BackendError
+    ) -> tuple[Command, ...]:
+        if error.kind is backend_servers.BackendErrorKind.IDLE_TIMEOUT:
+            self._silences += 1
+        else:
+            self._faults += 1
+        if self._silences > self.MAX_SILENCES or self._faults > self.MAX_FAULTS:
+            return self._continue_elsewhere(error)
+        self._state = states.RequestState.RESUMING
+        # Tokens of the new connection count only after its `accepted` event.
+        self._phase = Phase.SENT
+        return (Resume(self._delivered, error.detail),)
+
+    def _continue_elsewhere(
+        self, error: backend_servers.BackendError
+    ) -> tuple[Command, ...]:
+        self._phase = Phase.ENDED
+        self._state = states.RequestState.QUEUED
+        return (ContinueElsewhere(self._delivered, error),)
+
+
+def _protocol_error(detail: str) -> backend_servers.BackendError:
+    return backend_servers.BackendError(
+        backend_servers.BackendErrorKind.PROTOCOL, True, detail
+    )
--- /dev/null
+++ b/packages/reliability/tests/test_crash_suspects.py
@@ -0,0 +1,201 @@
+"""Guards the rules about requests that crash engines."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies
+
+from lavendershed.core import cluster
+from lavendershed.core import deadlines
+from lavendershed.core import ids
+from lavendershed.core import requests
+from lavendershed.core import timers
+from lavendershed.core import units
+from lavendershed.reliability import crash_suspects
+from lavendershed.reliability import fingerprints
+
+ENGINES = [ids.BackendServerId(f"engine-{i}") for i in range(3)]
+CRASHER = ids.Fingerprint(666)
+FINGERPRINTS = [CRASHER, *(ids.Fingerprint(i) for i in range(4))]
+Verdict = crash_suspects.Verdict
+
+
+class SuspectMachine(stateful.RuleBasedStateMachine):
+    """Engines that crash for one request only, and planned restarts.
+
+    Suspects run alone, as the dispatcher guarantees. Only the request that
+    crashes engines may be quarantined, and it must crash at most two.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.clock = timers.VirtualTimerService()
+        self.suspects = crash_suspects.CrashSuspects(
+            crash_suspects.SuspectLimits(lifetime=units.Seconds(1e9))
+        )
+        self.running = {engine: {} for engine in ENGINES}
+        self.incarnations = dict.fromkeys(ENGINES, 1)
+        self.crashes = 0
+        self.names = 0
+
+    def is_alone(self, engine):
+        return any(alone for _, alone in self.running[engine].values())
+
+    @stateful.rule(
+        fingerprint=strategies.sampled_from(FINGERPRINTS),
+        engine=strategies.sampled_from(ENGINES),
+        accepted=strategies.booleans(),
+    )
+    def start(self, fingerprint, engine, accepted):
+        verdict = self.suspects.verdict(fingerprint, self.clock.now())
+        in_flight = [f for r in self.running.values() for f, _ in r.values()]
+        if verdict is Verdict.QUARANTINED or fingerprint in in_flight:
+            return
+        alone = verdict is Verdict.ALONE
+        if self.is_alone(engine) or (alone and self.running[engine]):
+            return
+        self.names += 1
+        attempt = ids.AttemptId(str(self.names))
+        self.suspects.on_attempt(attempt, fingerprint, engine, alone)
+        self.running[engine][attempt] = (fingerprint, alone)
+        if accepted or fingerprint != CRASHER:
+            self.suspects.on_accepted(
+                attempt, ids.Incarnation(self.incarnations[engine])
+            )
+
+    @stateful.rule(
+        engine=strategies.sampled_from(ENGINES), data=strategies.data()
+    )
+    def crash(self, engine, data):
+        if CRASHER not in [f for f, _ in self.running[engine].values()]:
+            return
+        self.crashes += 1
+        self.report(engine, False, data)
+        assert self.crashes <= 2, "the request crashed a third engine"
+
+    @stateful.rule(
+        engine=strategies.sampled_from(ENGINES), data=strategies.data()
+    )
+    def planned_restart(self, engine, data):
+        self.report(engine, True, data)
+
+    def report(self, engine, planned, data):
+        attempts = data.draw(
+            strategies.permutations(list(self.running[engine]))
+        )
+        for attempt in attempts:
+            for command in self.suspects.on_engine_crash(
+                attempt, planned, self.clock.now()
+            ):
+                assert command.record.fingerprint == CRASHER
+        self.running[engine].clear()
+        self.incarnations[engine] += 1
+
+    @stateful.rule(
+        engine=strategies.sampled_from(ENGINES), completes=strategies.booleans()
+    )
+    def end(self, engine, completes):
+        for attempt, (fingerprint, _) in self.running[engine].items():
+            if completes and fingerprint != CRASHER:
+                self.suspects.on_completed(attempt)
+                verdict = self.suspects.verdict(fingerprint, self.clock.now())
+                assert verdict is Verdict.CLEAN
+            else:
+                self.suspects.on_attempt_ended(attempt)
+        self.running[engine].clear()
+
+    @stateful.invariant()
+    def in_flight_matches(self):
+        count = sum(len(r) for r in self.running.values())
+        assert self.suspects.in_flight == count
+
+
+class SuspectMachineTest(SuspectMachine.TestCase):
+    """Fails if a third engine crashes or an innocent request is refused."""
+
+    settings = settings(
+        max_examples=200, stateful_step_count=40, derandomize=True
+    )
+
+
+class CrashSuspectsTest(unittest.TestCase):
+    """Fails if evidence is counted wrongly or kept for ever."""
+
+    def setUp(self):
+        self.suspects = crash_suspects.CrashSuspects(
+            crash_suspects.SuspectLimits(max_suspects=3)
+        )
+        self.now = units.Instant(0.0)
+
+    def crash(self, fingerprints_, alone=False, attempt_prefix="a"):
+        attempts = []
+        for number in fingerprints_:
+            attempts.append(ids.AttemptId(f"{attempt_prefix}{number}"))
+            self.suspects.on_attempt(
+                attempts[-1], ids.Fingerprint(number), ENGINES[0], alone
+            )
+            self.suspects.on_accepted(attempts[-1], ids.Incarnation(1))
+        return self.suspects.on_engine_crash(attempts[0], False, self.now)
+
+    def verdict(self, number):
+        return self.suspects.verdict(ids.Fingerprint(number), self.now)
+
+    def test_two_suspects_at_one_crash_are_not_told_apart(self):
+        self.crash([1, 2])
+        self.assertEqual(self.crash([1, 2, 3], attempt_prefix="b"), ())
+        self.assertIs(self.verdict(1), Verdict.ALONE)
+
+    def test_co_runner_is_cleared_by_completing(self):
+        self.crash([1, 2])
+        attempt = ids.AttemptId("b")
+        self.suspects.on_attempt(attempt, ids.Fingerprint(2), ENGINES[1], True)
+        self.suspects.on_completed(attempt)
+        self.assertIs(self.verdict(2), Verdict.CLEAN)
+        self.assertIs(self.verdict(1), Verdict.ALONE)
+
+    def test_second_crash_publishes_a_record_with_a_lifetime(self):
+        self.crash([1, 2])
+        (command,) = self.crash([1], alone=True, attempt_prefix="b")
+        self.assertGreater(command.record.lifetime, 0)
+        self.assertIs(self.verdict(1), Verdict.QUARANTINED)
+        self.now = units.Instant(command.record.lifetime)
+        self.assertIs(self.verdict(1), Verdict.CLEAN)
+
+    def test_suspicion_expires_and_is_bounded(self):
+        self.crash(range(5))
+        suspected = sum(self.verdict(n) is Verdict.ALONE for n in range(5))
+        self.assertEqual(suspected, 3)
+        self.now = units.Instant(1_000.0)
+        self.assertTrue(all(self.verdict(n) is Verdict.CLEAN for n in range(5)))
+
+    def test_quarantine_of_a_peer_is_obeyed(self):
+        record = cluster.QuarantineRecord(
+            ids.Fingerprint(1), units.Seconds(9.0)
+        )
+        self.suspects.on_quarantine_record(record, self.now)
+        self.assertIs(self.verdict(1), Verdict.QUARANTINED)
+
+    def test_fingerprint_ignores_limits_but_not_the_organisation(self):
+        def fingerprint(organisation, prompt, max_tokens):
+            request = requests.GenerateRequest(
+                ids.RequestId(""),
+                ids.OrganisationId(organisation),
+                ids.ServiceId("drafting"),
+                prompt,
+                units.Tokens(1),
+                units.Tokens(max_tokens),
+                deadlines.Deadline(self.now),
+            )
+            return fingerprints.fingerprint_of(request)
+
+        first = fingerprint("a", "prompt", 1)
+        self.assertEqual(first, fingerprint("a", " prompt\n", 2))
+        self.assertNotEqual(first, fingerprint("b", "prompt", 1))
+        self.assertNotEqual(first, fingerprint("a", "prompts", 1))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/reliability/tests/test_memory_ledger.py
@@ -0,0 +1,185 @@
+"""Guards the ledger of engine memory and the choice of orphans."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies
+import result
+
+from lavendershed.core import backend_servers
+from lavendershed.core import ids
+from lavendershed.core import states
+from lavendershed.core import timers
+from lavendershed.core import units
+from lavendershed.reliability import memory_ledger
+from lavendershed.reliability import reclamation
+
+ENGINES = [ids.BackendServerId(f"engine-{i}") for i in range(2)]
+LIMITS = memory_ledger.LedgerLimits(max_entries=6)
+STREAM = backend_servers.AllocationKind.STREAM
+US = backend_servers.Owner(ids.VmId("vm-1"), ids.Incarnation(1))
+
+
+def key(engine, name):
+    """Returns the key of a stream's allocation."""
+    return memory_ledger.AllocationKey(engine, STREAM, name)
+
+
+class LedgerMachine(stateful.RuleBasedStateMachine):
+    """Engines that crash, and an adapter whose cancels are often lost.
+
+    Whatever an engine holds must be in the ledger, and must be free some time
+    after the adapter works again.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.clock = timers.VirtualTimerService()
+        self.ledger = memory_ledger.MemoryLedger(LIMITS)
+        self.held = {engine: set() for engine in ENGINES}
+        self.incarnations = dict.fromkeys(ENGINES, ids.Incarnation(1))
+        self.names = 0
+        self.last_order = {}
+
+    @stateful.rule(
+        engine=strategies.sampled_from(ENGINES), answered=strategies.booleans()
+    )
+    def request(self, engine, answered):
+        self.names += 1
+        name = key(engine, str(self.names))
+        entered = self.ledger.on_request(name, None)
+        if isinstance(entered, result.Err):
+            assert len(self.ledger) == LIMITS.max_entries
+            return
+        self.held[engine].add(name)
+        if answered:
+            self.ledger.on_confirmed(name, self.incarnations[engine])
+
+    @stateful.precondition(lambda self: any(self.held.values()))
+    @stateful.rule(data=strategies.data(), arrives=strategies.booleans())
+    def release(self, data, arrives):
+        names = sorted(set().union(*self.held.values()), key=str)
+        name = data.draw(strategies.sampled_from(names))
+        now = self.clock.now()
+        orders = self.ledger.on_no_longer_needed(name, now)
+        self.carry_out(orders, arrives)
+
+    @stateful.rule(
+        duration=strategies.floats(0.01, 20.0), arrives=strategies.booleans()
+    )
+    def time_passes(self, duration, arrives):
+        self.clock.advance(units.Seconds(duration))
+        self.carry_out(self.ledger.on_time(self.clock.now()), arrives)
+
+    @stateful.rule(engine=strategies.sampled_from(ENGINES))
+    def crash(self, engine):
+        self.held[engine].clear()
+        self.incarnations[engine] = ids.Incarnation(
+            self.incarnations[engine] + 1
+        )
+        self.ledger.on_incarnation(engine, self.incarnations[engine])
+
+    def carry_out(self, orders, arrives):
+        now = self.clock.now()
+        for order in orders:
+            before = self.last_order.get(order.key)
+            assert before is None or now - before >= LIMITS.base_delay
+            self.last_order[order.key] = now
+            if arrives:
+                self.held[order.key.engine].discard(order.key)
+                self.ledger.on_released(order.key)
+
+    @stateful.invariant()
+    def held_memory_is_in_the_ledger(self):
+        for names in self.held.values():
+            assert all(name in self.ledger for name in names)
+        assert len(self.ledger) <= LIMITS.max_entries
+
+    def teardown(self):
+        for name in set().union(*self.held.values()):
+            self.ledger.on_no_longer_needed(name, self.clock.now())
+        self.clock.advance(LIMITS.max_delay)
+        self.carry_out(self.ledger.on_time(self.clock.now()), True)
+        assert not any(self.held.values())
+        assert not self.ledger.releasing
+
+
+class LedgerMachineTest(LedgerMachine.TestCase):
+    """Fails if engine memory is forgotten or released without end."""
+
+    settings = settings(
+        max_examples=100, stateful_step_count=40, derandomize=True
+    )
+
+
+class MemoryLedgerTest(unittest.TestCase):
+    """Fails if release orders are lost or come too fast."""
+
+    def test_orders_repeat_with_exponential_backoff(self):
+        clock = timers.VirtualTimerService()
+        ledger = memory_ledger.MemoryLedger(memory_ledger.LedgerLimits())
+        name = key(ENGINES[0], "s")
+        ledger.on_request(name, None)
+        times = [clock.now() for _ in ledger.on_no_longer_needed(name, 0.0)]
+        while len(times) < 6:
+            clock.advance(units.Seconds(ledger.next_due - clock.now()))
+            times += [clock.now() for _ in ledger.on_time(clock.now())]
+        delays = [
+            round(b - a, 6) for a, b in zip(times, times[1:], strict=False)
+        ]
+        self.assertEqual(delays, [0.1, 0.2, 0.4, 0.8, 1.6])
+
+    def test_unconfirmed_entry_survives_a_new_incarnation(self):
+        ledger = memory_ledger.MemoryLedger(memory_ledger.LedgerLimits())
+        name = key(ENGINES[0], "s")
+        ledger.on_request(name, None)
+        ledger.on_incarnation(ENGINES[0], ids.Incarnation(9))
+        self.assertIn(name, ledger)
+
+
+class ReclamationTest(unittest.TestCase):
+    """Fails if a live owner's memory is cancelled, or a dead one's kept."""
+
+    def setUp(self):
+        self.ledger = memory_ledger.MemoryLedger(memory_ledger.LedgerLimits())
+        self.reclamation = reclamation.Reclamation(US, self.ledger)
+        self.states = {}
+
+    def round(self, *owners):
+        allocations = [
+            backend_servers.EngineAllocation(
+                STREAM, str(i), owner, units.Bytes(1)
+            )
+            for i, owner in enumerate(owners)
+        ]
+        orders = self.reclamation.on_allocations(
+            ENGINES[0], allocations, lambda o: self.states[o.vm]
+        )
+        return [order.key.allocation_id for order in orders]
+
+    def test_only_owners_dead_in_two_consecutive_rounds(self):
+        other = backend_servers.Owner(ids.VmId("vm-2"), ids.Incarnation(5))
+        rounds = []
+        for state in ["alive", "dead", "suspect", "dead", "dead"]:
+            self.states[other.vm] = states.MemberState(state)
+            rounds.append(self.round(other))
+        self.assertEqual(rounds, [[], [], [], [], ["0"]])
+
+    def test_skipped_round_breaks_the_sequence(self):
+        other = backend_servers.Owner(ids.VmId("vm-2"), ids.Incarnation(5))
+        self.states[other.vm] = states.MemberState.DEAD
+        self.round(other)
+        self.reclamation.on_engine_skipped(ENGINES[0])
+        self.assertEqual(self.round(other), [])
+
+    def test_own_allocations_are_released_only_without_an_entry(self):
+        self.ledger.on_request(key(ENGINES[0], "0"), None)
+        self.assertEqual(self.round(US, US), [])
+        self.assertEqual(self.round(US, US), ["1"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/reliability/tests/test_stream_tracker.py
@@ -0,0 +1,196 @@
+"""Guards the assembly of one caller's answer."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies
+
+from lavendershed.core import backend_servers
+from lavendershed.core import ids
+from lavendershed.core import states
+from lavendershed.core import units
+from lavendershed.reliability import stream_tracker
+
+LENGTH = 12
+KIND = backend_servers.BackendErrorKind
+
+
+def error(kind):
+    """Returns an error of a stream that was sent."""
+    return backend_servers.BackendError(kind, True, "")
+
+
+def token(offset):
+    """Returns the encoded token event that belongs at an offset."""
+    return b"token-%d" % offset
+
+
+class StreamMachine(stateful.RuleBasedStateMachine):
+    """A network and engines that repeat, lose and mix up events.
+
+    The caller must get every token once and in order, and an end only after
+    the last one.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.tracker = stream_tracker.StreamTracker()
+        self.attempts = []
+        self.received = []
+        self.finished = False
+        self.waiting_for_attempt = True
+        self.connected = False
+
+    def take(self, commands):
+        for command in commands:
+            if isinstance(command, stream_tracker.Deliver):
+                self.received.extend(command.events)
+            elif isinstance(command, stream_tracker.Finish):
+                assert len(self.received) == LENGTH == command.token_count
+                self.finished = True
+            elif isinstance(command, stream_tracker.Resume):
+                assert command.offset == len(self.received)
+                self.connected = False
+            elif isinstance(command, stream_tracker.ContinueElsewhere):
+                assert command.offset == len(self.received)
+                self.waiting_for_attempt = True
+
+    @stateful.precondition(lambda self: self.waiting_for_attempt)
+    @stateful.rule()
+    def start_attempt(self):
+        self.attempts.append(ids.AttemptId(f"attempt-{len(self.attempts)}"))
+        self.tracker.on_attempt(self.attempts[-1])
+        self.waiting_for_attempt = False
+
+    @stateful.precondition(lambda self: self.attempts)
+    @stateful.rule(incarnation=strategies.sampled_from((1, 1, 1, 2)))
+    def accept(self, incarnation):
+        event = backend_servers.StreamAccepted(
+            self.attempts[-1], ids.Incarnation(incarnation)
+        )
+        self.connected = True
+        self.take(self.tracker.on_event(self.attempts[-1], event))
+
+    @stateful.precondition(lambda self: self.attempts)
+    @stateful.rule(
+        back=strategies.integers(-2, 4),
+        count=strategies.integers(1, 5),
+        reader=strategies.integers(0, 3),
+        named=strategies.sampled_from((0, 0, 0, 1)),
+    )
+    def tokens(self, back, count, reader, named):
+        start = max(0, len(self.received) - back)
+        end = min(LENGTH, start + count)
+        if start >= end:
+            return
+        reading = self.attempts[max(-len(self.attempts), -1 - reader)]
+        naming = reading if not named else ids.AttemptId("of-another")
+        before = len(self.received)
+        batch = backend_servers.TokenBatch(
+            naming, start, tuple(token(i) for i in range(start, end))
+        )
+        self.take(self.tracker.on_event(reading, batch))
+        if reading != self.attempts[-1] or named:
+            assert len(self.received) == before
+
+    @stateful.precondition(lambda self: self.attempts)
+    @stateful.rule()
+    def end(self):
+        event = backend_servers.StreamEnd(
+            self.attempts[-1], units.Tokens(LENGTH), states.FinishReason.LENGTH
+        )
+        self.take(self.tracker.on_event(self.attempts[-1], event))
+
+    @stateful.precondition(lambda self: self.attempts)
+    @stateful.rule(kind=strategies.sampled_from(KIND))
+    def fail(self, kind):
+        self.take(self.tracker.on_error(self.attempts[-1], error(kind)))
+
+    @stateful.invariant()
+    def answer_is_a_prefix_of_the_engine_output(self):
+        expected = [token(i) for i in range(len(self.received))]
+        assert self.received == expected
+        assert self.tracker.delivered == len(self.received)
+
+
+class StreamMachineTest(StreamMachine.TestCase):
+    """Fails if an answer has a gap, a repetition or a false end."""
+
+    settings = settings(
+        max_examples=150, stateful_step_count=40, derandomize=True
+    )
+
+
+class StreamTrackerTest(unittest.TestCase):
+    """Fails if a stream is resumed without end or given up too early."""
+
+    def setUp(self):
+        self.tracker = stream_tracker.StreamTracker()
+        self.attempt = ids.AttemptId("a")
+        self.tracker.on_attempt(self.attempt)
+
+    def accept(self):
+        return self.tracker.on_event(
+            self.attempt,
+            backend_servers.StreamAccepted(self.attempt, ids.Incarnation(1)),
+        )
+
+    def fail(self, kind):
+        (command,) = self.tracker.on_error(self.attempt, error(kind))
+        return command
+
+    def test_long_prefill_survives_many_idle_timeouts(self):
+        for _ in range(100):
+            self.accept()
+            command = self.fail(KIND.IDLE_TIMEOUT)
+            self.assertIsInstance(command, stream_tracker.Resume)
+
+    def test_unreachable_engine_is_left_after_three_silences(self):
+        self.accept()
+        commands = [type(self.fail(KIND.IDLE_TIMEOUT)) for _ in range(3)]
+        self.assertEqual(
+            commands,
+            [stream_tracker.Resume] * 2 + [stream_tracker.ContinueElsewhere],
+        )
+
+    def test_connection_that_always_breaks_does_not_loop(self):
+        for _ in range(stream_tracker.StreamTracker.MAX_FAULTS):
+            self.accept()
+            self.fail(KIND.CONNECTION_LOST)
+        self.accept()
+        command = self.fail(KIND.CONNECTION_LOST)
+        self.assertIsInstance(command, stream_tracker.ContinueElsewhere)
+
+    def test_unknown_stream_continues_elsewhere(self):
+        self.accept()
+        command = self.fail(KIND.UNKNOWN_STREAM)
+        self.assertIsInstance(command, stream_tracker.ContinueElsewhere)
+        self.assertTrue(self.tracker.evidence.started)
+
+    def test_refused_start_leaves_no_evidence_of_execution(self):
+        (command,) = self.tracker.on_start_error(
+            self.attempt, error(KIND.REFUSED_BEFORE_START)
+        )
+        self.assertIsInstance(command, stream_tracker.ContinueElsewhere)
+        self.assertTrue(self.tracker.evidence.refused)
+
+    def test_end_with_too_small_a_count_fails(self):
+        self.accept()
+        self.tracker.on_event(
+            self.attempt,
+            backend_servers.TokenBatch(self.attempt, 0, (b"a", b"b")),
+        )
+        (command,) = self.tracker.on_event(
+            self.attempt,
+            backend_servers.StreamEnd(
+                self.attempt, units.Tokens(1), states.FinishReason.STOP
+            ),
+        )
+        self.assertIsInstance(command, stream_tracker.Fail)
+
+
+if __name__ == "__main__":
+    unittest.main()
