Add the booking machine and the retention clock

Cause: non-idempotent calls have to run at most once although writes, answers, daemons and the store can be lost at any moment.

Change: BookingMachine decides one attempt: only a confirmed claim permits a send, only before the claim is too old; every end is recorded or the claim abandoned, repeated until the store takes it. RetentionClock ages records by store versions, without a wall clock.

--- /dev/null
+++ b/packages/booking/src/lavendershed/booking/commands.py
@@ -0,0 +1,80 @@
+"""Commands and outcomes of the booking machine."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import result
+
+from lavendershed.booking import records
+from lavendershed.core import backend_servers
+from lavendershed.core import object_store
+from lavendershed.core import outcomes
+from lavendershed.core import units
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WriteRecord:
+    """Command: write the record after `delay` seconds."""
+
+    record: records.BookingRecord
+    condition: object_store.Condition
+    delay: units.Seconds
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadRecord:
+    """Command: read the record after `delay` seconds."""
+
+    delay: units.Seconds
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Send:
+    """Command: send the call once on a new connection.
+
+    Attributes:
+        before: The first byte may leave before this instant only; afterwards
+            the call counts as not run.
+    """
+
+    before: units.Instant
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """Command: tell the caller; given exactly once per machine."""
+
+    outcome: result.Result[backend_servers.PlainAnswer, outcomes.RequestFailure]
+
+
+Command = WriteRecord | ReadRecord | Send | Reply
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Completed:
+    """Outcome of a send: the whole answer arrived."""
+
+    answer: backend_servers.PlainAnswer
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotRun:
+    """Outcome of a send: it is certain that the call was not run.
+
+    Attributes:
+        try_again: Whether another backend server may be tried.
+    """
+
+    failure: outcomes.RequestFailure
+    try_again: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unclear:
+    """Outcome of a send: the call may have been run."""
+
+    failure: outcomes.RequestFailure
+
+
+SendOutcome = Completed | NotRun | Unclear
--- /dev/null
+++ b/packages/booking/src/lavendershed/booking/machine.py
@@ -0,0 +1,417 @@
+"""State machine of one attempt to run a non-idempotent call."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import random
+
+import result
+
+from lavendershed.booking import commands
+from lavendershed.booking import records
+from lavendershed.core import backend_servers
+from lavendershed.core import deadlines
+from lavendershed.core import ids
+from lavendershed.core import object_store
+from lavendershed.core import outcomes
+from lavendershed.core import states
+from lavendershed.core import units
+
+Commands = tuple[commands.Command, ...]
+
+
+class Phase(enum.Enum):
+    """What the machine waits for."""
+
+    CLAIMING = "claiming"
+    CHECKING = "checking"
+    SENDING = "sending"
+    RECORDING = "recording"
+    ABANDONING = "abandoning"
+    FINISHED = "finished"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BookingLimits:
+    """Limits of one attempt.
+
+    Attributes:
+        claim_age: Age of a claim, counted from before its first write, at
+            which its call is no longer sent. Other daemons need two rounds of
+            probes, which take longer, to declare the owner dead.
+        claim_tries: Writes of the claim, and reads of a claim whose write had
+            no answer, before the attempt gives up.
+        wait: Longest wait for a claim of a live owner.
+        wait_delay: Time between reads while waiting.
+        first_delay: Upper bound of the first delay after a failed store call.
+        max_delay: Upper bound of all delays after failed store calls.
+    """
+
+    claim_age: units.Seconds = units.Seconds(3.0)
+    claim_tries: int = 3
+    wait: units.Seconds = units.Seconds(5.0)
+    wait_delay: units.Seconds = units.Seconds(0.25)
+    first_delay: units.Seconds = units.Seconds(0.1)
+    max_delay: units.Seconds = units.Seconds(5.0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BookingAttempt:
+    """What identifies one attempt."""
+
+    attempt: ids.AttemptId
+    owner: backend_servers.Owner
+    digest: str
+    deadline: deadlines.Deadline
+
+
+class BookingMachine:
+    """Decides each step of one attempt; has at most one step outstanding.
+
+    Only a confirmed claim permits a send. After a reply, the remaining
+    commands settle the record; they are repeated until the store has taken
+    them, however long it is down.
+    """
+
+    def __init__(
+        self,
+        attempt: BookingAttempt,
+        limits: BookingLimits,
+        generator: random.Random,
+    ) -> None:
+        self._attempt = attempt
+        self._limits = limits
+        self._random = generator
+        self._phase = Phase.CLAIMING
+        self._condition: object_store.Condition = object_store.IfAbsent()
+        # Whether a claim may be in the store without our knowing it.
+        self._claim_in_doubt = False
+        self._claimed_since = units.Instant(0.0)
+        self._started = units.Instant(0.0)
+        self._tries = 0
+        self._failures = 0
+        self._final = self._record(states.BookingState.ABANDONED)
+        self._settled = True
+
+    @property
+    def phase(self) -> Phase:
+        """What the machine waits for."""
+        return self._phase
+
+    @property
+    def settled(self) -> bool:
+        """Whether the record says how the attempt ended, once finished."""
+        return self._settled
+
+    def start(self, now: units.Instant) -> Commands:
+        """Begins the attempt."""
+        self._started = self._claimed_since = now
+        if self._attempt.deadline.is_past(now):
+            return self._finish(
+                outcomes.not_run(
+                    states.FailureReason.DEADLINE_EXCEEDED,
+                    "the deadline passed before the booking was claimed",
+                )
+            )
+        return (self._claim(units.Seconds(0.0)),)
+
+    def on_written(
+        self, version: ids.ObjectVersion, now: units.Instant
+    ) -> Commands:
+        """Takes the confirmation of a write."""
+        self._failures = 0
+        if self._phase is Phase.CLAIMING:
+            return self._on_claimed(version, now)
+        self._phase = Phase.FINISHED
+        return ()
+
+    def on_write_failed(
+        self, error: object_store.StoreError, now: units.Instant
+    ) -> Commands:
+        """Takes a write that was not confirmed."""
+        kind = error.kind
+        if kind is object_store.StoreErrorKind.CONFLICT:
+            if self._phase is Phase.CLAIMING:
+                self._phase = Phase.CHECKING
+            return (commands.ReadRecord(units.Seconds(0.0)),)
+        if self._phase is not Phase.CLAIMING:
+            if kind is object_store.StoreErrorKind.TOO_LARGE:
+                self._drop_body()
+            return (self._write_final(self._next_delay()),)
+        if kind is object_store.StoreErrorKind.AMBIGUOUS:
+            self._claim_in_doubt = True
+        if (
+            kind is object_store.StoreErrorKind.AMBIGUOUS
+            and now < self._send_before
+        ):
+            self._phase = Phase.CHECKING
+            return (commands.ReadRecord(units.Seconds(0.0)),)
+        return self._give_up(
+            outcomes.not_run(
+                states.FailureReason.STORE_UNAVAILABLE,
+                "the booking could not be recorded, so it was not started: "
+                f"{error.detail}; send it again with the same key",
+                error.retry_after,
+            )
+        )
+
+    def on_read(
+        self,
+        record: records.BookingRecord | None,
+        version: ids.ObjectVersion | None,
+        owner_state: states.MemberState,
+        now: units.Instant,
+    ) -> Commands:
+        """Takes the record, or None if there is none.
+
+        Args:
+            record: The record as it was read.
+            version: Its version; None without a record.
+            owner_state: State of the record's owner as this daemon sees it.
+            now: Time at which the read ended.
+        """
+        self._failures = 0
+        if self._phase is not Phase.CHECKING:
+            return self._settle(record, version)
+        if record is None or version is None:
+            return self._claim_again(object_store.IfAbsent(), now)
+        if record.attempt == self._attempt.attempt:
+            return self._on_claimed(version, now)
+        if self._condition != object_store.IfVersion(version):
+            self._claim_in_doubt = False
+        if record.digest != self._attempt.digest:
+            return self._finish(
+                outcomes.not_run(
+                    states.FailureReason.IDEMPOTENCY_KEY_REUSED,
+                    "header Idempotency-Key: the key was used with another "
+                    "request; use a new key for a new booking",
+                )
+            )
+        if record.state is states.BookingState.DONE:
+            return self._replay(record)
+        if record.state is states.BookingState.ABANDONED:
+            return self._claim_again(object_store.IfVersion(version), now)
+        if record.state is states.BookingState.UNKNOWN:
+            return self._finish_unknown(
+                "the backend server did not answer an earlier attempt"
+            )
+        if owner_state is states.MemberState.DEAD:
+            return self._finish_unknown(
+                f"router {record.owner.vm} ended during an earlier attempt"
+            )
+        return self._wait(now)
+
+    def on_read_failed(
+        self, error: object_store.StoreError, now: units.Instant
+    ) -> Commands:
+        """Takes a read that gave no answer."""
+        if self._phase is not Phase.CHECKING:
+            return (commands.ReadRecord(self._next_delay()),)
+        self._tries += 1
+        delay = self._next_delay()
+        may_retry = self._tries < self._limits.claim_tries
+        if may_retry and units.after(now, delay) < self._send_before:
+            return (commands.ReadRecord(delay),)
+        if self._claim_in_doubt:
+            return self._give_up(
+                outcomes.not_run(
+                    states.FailureReason.STORE_UNAVAILABLE,
+                    "the booking's record can't be read, so it was not "
+                    "started; send it again with the same key",
+                    error.retry_after,
+                )
+            )
+        # Another attempt has a record under this key; it may have run.
+        return self._finish(
+            outcomes.RequestFailure(
+                states.FailureReason.STORE_UNAVAILABLE,
+                states.Execution.UNKNOWN,
+                "an earlier attempt has a record that can't be read now; "
+                "send the request again with the same key",
+                error.retry_after,
+            )
+        )
+
+    def on_sent(
+        self, outcome: commands.SendOutcome, now: units.Instant
+    ) -> Commands:
+        """Takes the outcome of a send."""
+        if isinstance(outcome, commands.Completed):
+            self._final = self._record(
+                states.BookingState.DONE, records.keep(outcome.answer)
+            )
+            self._phase = Phase.RECORDING
+            return (
+                commands.Reply(result.Ok(outcome.answer)),
+                self._write_final(units.Seconds(0.0)),
+            )
+        if isinstance(outcome, commands.Unclear):
+            self._final = self._record(states.BookingState.UNKNOWN)
+            self._phase = Phase.RECORDING
+            return (
+                commands.Reply(result.Err(outcome.failure)),
+                self._write_final(units.Seconds(0.0)),
+            )
+        if outcome.try_again and now < self._send_before:
+            return (commands.Send(self._send_before),)
+        return self._give_up(outcome.failure)
+
+    @property
+    def _send_before(self) -> units.Instant:
+        return min(
+            self._attempt.deadline.at,
+            units.after(self._claimed_since, self._limits.claim_age),
+        )
+
+    def _record(
+        self,
+        state: states.BookingState,
+        answer: records.KeptAnswer | None = None,
+    ) -> records.BookingRecord:
+        return records.BookingRecord(
+            state,
+            self._attempt.attempt,
+            self._attempt.owner,
+            self._attempt.digest,
+            answer,
+        )
+
+    def _claim(self, delay: units.Seconds) -> commands.WriteRecord:
+        self._phase = Phase.CLAIMING
+        return commands.WriteRecord(
+            self._record(states.BookingState.CLAIMED), self._condition, delay
+        )
+
+    def _claim_again(
+        self, condition: object_store.Condition, now: units.Instant
+    ) -> Commands:
+        if condition != self._condition:
+            # The earlier claim can't take effect any more: its condition
+            # failed for good. A new one gets its own age.
+            self._condition = condition
+            self._claim_in_doubt = False
+            self._claimed_since = now
+        self._tries += 1
+        if self._tries >= self._limits.claim_tries or now >= self._send_before:
+            return self._give_up(
+                outcomes.not_run(
+                    states.FailureReason.STORE_UNAVAILABLE,
+                    "the booking could not be claimed in time, so it was not "
+                    "started; send it again with the same key",
+                )
+            )
+        return (self._claim(units.Seconds(0.0)),)
+
+    def _on_claimed(
+        self, version: ids.ObjectVersion, now: units.Instant
+    ) -> Commands:
+        self._claim_in_doubt = True
+        self._condition = object_store.IfVersion(version)
+        if now < self._send_before:
+            self._phase = Phase.SENDING
+            return (commands.Send(self._send_before),)
+        return self._give_up(
+            outcomes.not_run(
+                states.FailureReason.DEADLINE_EXCEEDED,
+                "claiming the booking took too long, so it was not started; "
+                "send it again with the same key",
+            )
+        )
+
+    def _give_up(self, failure: outcomes.RequestFailure) -> Commands:
+        if not self._claim_in_doubt:
+            return self._finish(failure)
+        self._phase = Phase.ABANDONING
+        # With the condition of the claim itself, this write also prevents a
+        # claim that is still on its way from taking effect.
+        return (
+            commands.Reply(result.Err(failure)),
+            self._write_final(units.Seconds(0.0)),
+        )
+
+    def _settle(
+        self,
+        record: records.BookingRecord | None,
+        version: ids.ObjectVersion | None,
+    ) -> Commands:
+        if record is None or version is None:
+            if isinstance(self._condition, object_store.IfAbsent):
+                return (self._write_final(self._next_delay()),)
+        elif record.attempt == self._attempt.attempt:
+            if record.state is states.BookingState.CLAIMED:
+                self._condition = object_store.IfVersion(version)
+                return (self._write_final(units.Seconds(0.0)),)
+            self._phase = Phase.FINISHED
+            return ()
+        # A claim that never took effect leaves nothing to settle; a booking
+        # that was run must find its own claim.
+        self._settled = self._phase is Phase.ABANDONING
+        self._phase = Phase.FINISHED
+        return ()
+
+    def _write_final(self, delay: units.Seconds) -> commands.WriteRecord:
+        return commands.WriteRecord(self._final, self._condition, delay)
+
+    def _drop_body(self) -> None:
+        if self._final.answer is not None:
+            answer = dataclasses.replace(self._final.answer, body=None)
+            self._final = dataclasses.replace(self._final, answer=answer)
+
+    def _wait(self, now: units.Instant) -> Commands:
+        delay = self._limits.wait_delay
+        end = min(
+            self._attempt.deadline.at,
+            units.after(self._started, self._limits.wait),
+        )
+        if units.after(now, delay) < end:
+            return (commands.ReadRecord(delay),)
+        return self._finish(
+            outcomes.RequestFailure(
+                states.FailureReason.BOOKING_IN_PROGRESS,
+                states.Execution.UNKNOWN,
+                "an earlier attempt with this key is still running; send the "
+                "request again later with the same key",
+                units.Seconds(1.0),
+            )
+        )
+
+    def _replay(self, record: records.BookingRecord) -> Commands:
+        answer = record.answer
+        if answer is None or answer.body is None:
+            size = 0 if answer is None else answer.size
+            return self._finish(
+                outcomes.RequestFailure(
+                    states.FailureReason.ANSWER_NOT_KEPT,
+                    states.Execution.COMPLETED,
+                    "the booking was completed once; its answer of "
+                    f"{size} bytes was too large to keep",
+                )
+            )
+        self._phase = Phase.FINISHED
+        replayed = backend_servers.PlainAnswer(
+            answer.status, answer.content_type, answer.body
+        )
+        return (commands.Reply(result.Ok(replayed)),)
+
+    def _finish_unknown(self, detail: str) -> Commands:
+        return self._finish(
+            outcomes.RequestFailure(
+                states.FailureReason.BACKEND_SERVER_FAILED,
+                states.Execution.UNKNOWN,
+                f"{detail}; whether the booking was made is unknown, and the "
+                "key is not run again",
+            )
+        )
+
+    def _finish(self, failure: outcomes.RequestFailure) -> Commands:
+        self._phase = Phase.FINISHED
+        return (commands.Reply(result.Err(failure)),)
+
+    def _next_delay(self) -> units.Seconds:
+        """Returns a delay with full jitter that grows with each failure."""
+        bound = self._limits.first_delay * 2.0 ** min(self._failures, 16)
+        self._failures += 1
+        return units.Seconds(
+            self._random.uniform(0.0, min(bound, self._limits.max_delay))
+        )
--- /dev/null
+++ b/packages/booking/src/lavendershed/booking/retention.py
@@ -0,0 +1,85 @@
+"""Retention of booking records, measured without a wall clock.
+
+One object in the store, the retention clock, is rewritten at most once per
+interval by daemons that saw it unchanged for an interval on their own monotonic
+clock. Versions order all writes of the store, so a record whose version is
+older than that of the tick `n` ticks ago was last written at least `n`
+intervals ago. Clocks that jump or differ, restarts and store outages can only
+lengthen the retention.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+from lavendershed.core import ids
+from lavendershed.core import units
+
+CLOCK_KEY = ids.ObjectKey("booking-retention/clock")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetentionLimits:
+    """How long records are kept.
+
+    Attributes:
+        interval: Least time between two ticks.
+        ticks: Ticks for which a record is kept after its last write.
+    """
+
+    interval: units.Seconds = units.Seconds(600.0)
+    ticks: int = 144
+
+    @property
+    def retention(self) -> units.Seconds:
+        """Least time for which a record is kept after its last write."""
+        return units.Seconds(self.interval * self.ticks)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClockRecord:
+    """Content of the retention clock.
+
+    Attributes:
+        ticks: Versions of the object's earlier states, oldest first.
+    """
+
+    ticks: tuple[ids.ObjectVersion, ...] = ()
+
+
+class RetentionClock:
+    """One daemon's view of the retention clock."""
+
+    def __init__(self, limits: RetentionLimits) -> None:
+        self._limits = limits
+        self._ticks: tuple[ids.ObjectVersion, ...] = ()
+        self._seen_since = units.Instant(0.0)
+
+    @property
+    def version(self) -> ids.ObjectVersion | None:
+        """Version of the latest tick, or None before the first read."""
+        return self._ticks[-1] if self._ticks else None
+
+    def on_clock(
+        self,
+        record: ClockRecord,
+        version: ids.ObjectVersion,
+        now: units.Instant,
+    ) -> None:
+        """Takes the clock as it was read; `now` is when the read ended."""
+        if version != self.version:
+            self._ticks = (*record.ticks, version)
+            self._seen_since = now
+
+    def next_record(self, now: units.Instant) -> ClockRecord | None:
+        """Returns the next tick to write over `version` if it is due."""
+        age = units.elapsed(self._seen_since, now)
+        if not self._ticks or age < self._limits.interval:
+            return None
+        return ClockRecord(self._ticks[-self._limits.ticks - 1 :])
+
+    def is_expired(self, version: ids.ObjectVersion) -> bool:
+        """Returns whether a record last written as `version` may go."""
+        if len(self._ticks) <= self._limits.ticks:
+            return False
+        return version < self._ticks[-1 - self._limits.ticks]
--- a/packages/core/src/lavendershed/core/states.py
+++ b/packages/core/src/lavendershed/core/states.py
@@ -114,6 +114,7 @@
     MISSING_IDEMPOTENCY_KEY = "missing_idempotency_key"
     IDEMPOTENCY_KEY_REUSED = "idempotency_key_reused"
     BOOKING_IN_PROGRESS = "booking_in_progress"
+    ANSWER_NOT_KEPT = "answer_not_kept"
     RATE_LIMITED = "rate_limited"
     QUEUE_FULL = "queue_full"
     DEADLINE_UNREACHABLE = "deadline_unreachable"
--- a/packages/httpd/src/lavendershed/httpd/problem.py
+++ b/packages/httpd/src/lavendershed/httpd/problem.py
@@ -17,6 +17,7 @@
     states.FailureReason.MISSING_IDEMPOTENCY_KEY: 400,
     states.FailureReason.IDEMPOTENCY_KEY_REUSED: 422,
     states.FailureReason.BOOKING_IN_PROGRESS: 409,
+    states.FailureReason.ANSWER_NOT_KEPT: 410,
     states.FailureReason.RATE_LIMITED: 429,
     states.FailureReason.QUEUE_FULL: 503,
     states.FailureReason.DEADLINE_UNREACHABLE: 503,
