--- a/packages/standin/src/lavendershed/standin/deployment.py
+++ b/packages/standin/src/lavendershed/standin/deployment.py
@@ -40,6 +40,7 @@
     plain_servers: int = 2
     kv_tokens: int = 400_000
     prefill_rate: float = 200_000.0
+    peers: bool = False
     zones: tuple[str, ...] = ("zone-a", "zone-b", "zone-c")
     router_arguments: tuple[str, ...] = ()
     engine_arguments: tuple[str, ...] = ()
@@ -121,20 +122,10 @@
         zones = itertools.cycle(self._shape.zones)
         pairs = zip(self.routers, zones, strict=False)
         for index, (name, zone) in enumerate(pairs):
-            others = [
-                str(address)
-                for other, address in enumerate(self._peer_addresses)
-                if other != index
-            ]
             await self._fleet.start_router(
                 name,
                 store or self.store,
-                "--peer-listen",
-                str(self._peer_addresses[index]),
-                "--peers",
-                ",".join(others),
-                "--peer-keys",
-                _PEER_KEY,
+                *self._peer_arguments(index),
                 *self._shape.router_arguments,
                 availability_zone=zone,
             )
@@ -246,6 +237,23 @@
             "presets": self.presets,
         }
 
+    def _peer_arguments(self, index: int) -> tuple[str, ...]:
+        if not self._shape.peers:
+            return ()
+        others = [
+            str(address)
+            for other, address in enumerate(self._peer_addresses)
+            if other != index
+        ]
+        return (
+            "--peer-listen",
+            str(self._peer_addresses[index]),
+            "--peers",
+            ",".join(others),
+            "--peer-keys",
+            _PEER_KEY,
+        )
+
     def _backend_server(self, name: str, zone: str) -> dict[str, Any]:
         member = self._fleet.member(name)
         return {
--- /dev/null
+++ b/tools/demo.py
@@ -0,0 +1,141 @@
+"""Shows the main job: a mixed round through two routers, judged.
+
+Starts an object store, model engines, plain servers and two routers as
+separate processes, sends prompts from a thousand tokens to beyond twice one
+engine's memory and a booking twice, and prints what became of them. The exit
+status is not zero if any promise is broken.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import pathlib
+import sys
+import tempfile
+
+from lavendershed.standin import checkers
+from lavendershed.standin import deployment as deployment_module
+from lavendershed.standin import load_client
+
+ENGINE_MEMORY_TOKENS = 400_000
+SHAPE = deployment_module.Shape(
+    routers=2,
+    engines=6,
+    kv_tokens=ENGINE_MEMORY_TOKENS,
+    prefill_rate=200_000.0,
+    router_arguments=("--settle-time-seconds", "0.5"),
+)
+TIMEOUT_SECONDS = 40.0
+# Prompt tokens, answer tokens and number of requests of each length class.
+ROUND = (
+    ("short", 1_000, 20, 24),
+    ("medium", 60_000, 10, 4),
+    ("long", 300_000, 10, 2),
+    ("oversized", 900_000, 10, 1),
+)
+BOOKINGS = 4
+STEP_SECONDS = 0.05
+
+
+async def send_prompts(
+    deployment: deployment_module.Deployment,
+) -> list[tuple[str, checkers.SentPrompt]]:
+    """Sends the prompts of the round, long ones first."""
+    tasks = []
+    routers = itertools.cycle(deployment.routers)
+    for label, prompt_tokens, max_tokens, count in reversed(ROUND):
+        for index in range(count):
+            task = asyncio.create_task(
+                deployment.generate(
+                    next(routers),
+                    f"{label}-{index}",
+                    prompt_tokens,
+                    max_tokens,
+                    TIMEOUT_SECONDS,
+                )
+            )
+            tasks.append((label, task))
+            await asyncio.sleep(STEP_SECONDS)
+    return [(label, await task) for label, task in tasks]
+
+
+async def send_bookings(
+    deployment: deployment_module.Deployment,
+) -> list[checkers.SentCall]:
+    """Sends each booking twice, to both routers at once."""
+    first, second = deployment.routers
+    return list(
+        await asyncio.gather(
+            *(
+                deployment.book(router, f"booking-{index}", 10.0)
+                for index in range(BOOKINGS)
+                for router in (first, second)
+            )
+        )
+    )
+
+
+def print_prompts(sent: list[tuple[str, checkers.SentPrompt]]) -> None:
+    """Prints outcomes and time to first token by length class."""
+    print(
+        f"{'class':<10} {'tokens':>8} {'sent':>5} {'whole':>6} "
+        f"{'TTFT median':>12} {'TTFT worst':>11}"
+    )
+    for label, prompt_tokens, _, count in ROUND:
+        answers = [item.answer for name, item in sent if name == label]
+        whole = sum(a.ending is load_client.Ending.WHOLE for a in answers)
+        times = sorted(
+            a.first_token for a in answers if a.first_token is not None
+        )
+        median = f"{times[len(times) // 2]:.2f} s" if times else "-"
+        worst = f"{times[-1]:.2f} s" if times else "-"
+        print(
+            f"{label:<10} {prompt_tokens:>8} {count:>5} {whole:>6} "
+            f"{median:>12} {worst:>11}"
+        )
+        for answer in answers:
+            if answer.ending is not load_client.Ending.WHOLE:
+                print(f"  {answer.status} {answer.execution} {answer.detail}")
+
+
+async def run(directory: pathlib.Path) -> int:
+    """Runs the demonstration and returns the exit status."""
+    deployment = deployment_module.Deployment(directory, SHAPE)
+    try:
+        await deployment.start()
+        prompts, bookings = await asyncio.gather(
+            send_prompts(deployment), send_bookings(deployment)
+        )
+        print_prompts(prompts)
+        executed = sum(
+            record["action"] == "execute"
+            for records in deployment.plain_histories()
+            for record in records
+        )
+        print(f"bookings   {BOOKINGS} sent twice, {executed} executed")
+        violations = [
+            *checkers.answers(item for _, item in prompts),
+            *checkers.calls(bookings, deployment.plain_histories()),
+            *(
+                f"{item.request_id} has no whole answer"
+                for _, item in prompts
+                if item.answer.ending is not load_client.Ending.WHOLE
+            ),
+        ]
+    finally:
+        await deployment.fleet.stop()
+    for violation in violations:
+        print(f"BROKEN: {violation}")
+    print("all promises held" if not violations else "promises were broken")
+    return 1 if violations else 0
+
+
+def main() -> int:
+    """Runs the demonstration in a temporary folder."""
+    with tempfile.TemporaryDirectory() as directory:
+        return asyncio.run(run(pathlib.Path(directory)))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
