Import hypothesis as a module in the reliability tests

Cause: imported the name hypothesis.settings, which the boundary test refuses.

Change: the tests import hypothesis and name hypothesis.settings; the checks and their limits are the same.

--- a/packages/reliability/tests/test_crash_suspects.py
+++ b/packages/reliability/tests/test_crash_suspects.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from hypothesis import settings
+import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
 
@@ -116,7 +116,7 @@
 class SuspectMachineTest(SuspectMachine.TestCase):
     """Fails if a third engine crashes or an innocent request is refused."""
 
-    settings = settings(
+    settings = hypothesis.settings(
         max_examples=200, stateful_step_count=40, derandomize=True
     )
 
--- a/packages/reliability/tests/test_memory_ledger.py
+++ b/packages/reliability/tests/test_memory_ledger.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from hypothesis import settings
+import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
 import result
@@ -110,7 +110,7 @@
 class LedgerMachineTest(LedgerMachine.TestCase):
     """Fails if engine memory is forgotten or released without end."""
 
-    settings = settings(
+    settings = hypothesis.settings(
         max_examples=100, stateful_step_count=40, derandomize=True
     )
 
--- a/packages/reliability/tests/test_stream_tracker.py
+++ b/packages/reliability/tests/test_stream_tracker.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from hypothesis import settings
+import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
 
@@ -119,7 +119,7 @@
 class StreamMachineTest(StreamMachine.TestCase):
     """Fails if an answer has a gap, a repetition or a false end."""
 
-    settings = settings(
+    settings = hypothesis.settings(
         max_examples=150, stateful_step_count=40, derandomize=True
     )
 
