Run generate requests over several attempts

Cause: an engine failure, a silent connection or a slow caller ended a request or left it without end, and nothing released the memory of a broken stream.

Change: GenerationRun resumes on the same engine, continues elsewhere with the delivered text and reports the execution by the truth table. LedgerKeeper repeats releases until they are confirmed. MemoryReclaimer releases what dead owners left and own orphans. A caller that leaves or does not read ends its request. A connection attempt that times out is no longer reported as refused, because silence does not show a crash.

--- a/packages/core/src/lavendershed/core/requests.py
+++ b/packages/core/src/lavendershed/core/requests.py
@@ -46,6 +46,10 @@
     async def deliver(self, events: tuple[bytes, ...]) -> bool:
         """Sends encoded token events; returns False once the caller is gone."""
 
+    @abc.abstractmethod
+    async def wait_disconnected(self) -> None:
+        """Returns once the caller is gone, also while nothing is sent."""
+
     @abc.abstractmethod
     async def end(
         self, token_count: units.Tokens, reason: states.FinishReason
--- a/packages/core/src/lavendershed/core/states.py
+++ b/packages/core/src/lavendershed/core/states.py
@@ -120,6 +120,7 @@
     DEADLINE_UNREACHABLE = "deadline_unreachable"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     QUARANTINED = "quarantined"
+    CALLER_DISCONNECTED = "caller_disconnected"
     NO_BACKEND_SERVER = "no_backend_server"
     BACKEND_SERVER_FAILED = "backend_server_failed"
     STORE_UNAVAILABLE = "store_unavailable"
--- a/packages/daemon/src/lavendershed/daemon/backend_directory.py
+++ b/packages/daemon/src/lavendershed/daemon/backend_directory.py
@@ -71,6 +71,11 @@
             ids.BackendServerId, backend_servers.PlainService
         ] = {}
 
+    @property
+    def engine_names(self) -> tuple[ids.BackendServerId, ...]:
+        """Names of the model engines in the configuration."""
+        return tuple(self._engines)
+
     def engine(
         self, name: ids.BackendServerId
     ) -> backend_servers.ModelEngine | None:
--- /dev/null
+++ b/packages/daemon/src/lavendershed/daemon/delivered_text.py
@@ -0,0 +1,55 @@
+"""Text that was delivered to a caller, kept to continue elsewhere."""
+
+from __future__ import annotations
+
+from lavendershed.core import backend_servers
+
+# Encoded events take about twelve times the memory of their text. They are
+# decoded in blocks, so that a stream keeps few of them and decoding is rare.
+_MAX_ENCODED_EVENTS = 1_024
+_MAX_CHARACTERS = 2_000_000
+
+
+class DeliveredText:
+    """Collects delivered events within a bound on memory.
+
+    An answer that outgrows the bound can still be resumed on its engine, but no
+    longer be continued on another one.
+    """
+
+    def __init__(self) -> None:
+        self._events: list[bytes] = []
+        self._parts: list[str] = []
+        self._characters = 0
+        self._complete = True
+
+    @property
+    def complete(self) -> bool:
+        """Whether all of the delivered text is still known."""
+        return self._complete
+
+    def add(
+        self, events: tuple[bytes, ...], client: backend_servers.ModelEngine
+    ) -> None:
+        """Adds delivered events, which `client` can decode."""
+        if not self._complete:
+            return
+        self._events.extend(events)
+        if len(self._events) >= _MAX_ENCODED_EVENTS:
+            self.decode(client)
+
+    def decode(self, client: backend_servers.ModelEngine) -> None:
+        """Turns the collected events into text."""
+        if not self._events:
+            return
+        text = client.text_of(tuple(self._events))
+        self._events.clear()
+        self._parts.append(text)
+        self._characters += len(text)
+        if self._characters > _MAX_CHARACTERS:
+            self._complete = False
+            self._parts.clear()
+
+    def text(self) -> str:
+        """Returns the decoded text; `decode` comes first."""
+        return "".join(self._parts)
--- a/packages/daemon/src/lavendershed/daemon/engine_observer.py
+++ b/packages/daemon/src/lavendershed/daemon/engine_observer.py
@@ -15,6 +15,7 @@
 from lavendershed.daemon import backend_directory
 from lavendershed.daemon import backend_health
 from lavendershed.daemon import background
+from lavendershed.daemon import ledger_keeper
 from lavendershed.daemon import queued_dispatcher
 from lavendershed.transport import event_loop_timers
 
@@ -39,6 +40,7 @@
         timer_service: timers.TimerService,
         interval: units.Seconds,
         exchange: cluster.RecordExchange,
+        keeper: ledger_keeper.LedgerKeeper,
     ) -> None:
         self._dispatcher = dispatcher
         self._directory = directory
@@ -46,6 +48,7 @@
         self._timers = timer_service
         self._interval = interval
         self._exchange = exchange
+        self._keeper = keeper
         self._cache_unsupported: set[ids.BackendServerId] = set()
         self._polls: dict[ids.BackendServerId, asyncio.Task[None]] = {}
         exchange.subscribe(self._on_record)
@@ -93,6 +96,7 @@
             self._health.on_error(name, report.err_value)
             return
         self._health.on_load_report(name, report.ok_value)
+        self._keeper.on_incarnation(name, report.ok_value.incarnation)
         self._dispatcher.on_load_report(name, report.ok_value)
         if with_cache and name not in self._cache_unsupported:
             await self._poll_cache(name, engine)
--- a/packages/daemon/src/lavendershed/daemon/factory.py
+++ b/packages/daemon/src/lavendershed/daemon/factory.py
@@ -14,12 +14,20 @@
 from lavendershed.daemon import backend_health
 from lavendershed.daemon import calls
 from lavendershed.daemon import configuration_sync
+from lavendershed.daemon import engine_incarnations
 from lavendershed.daemon import engine_observer
 from lavendershed.daemon import generation
+from lavendershed.daemon import generation_parts
+from lavendershed.daemon import ledger_keeper
+from lavendershed.daemon import memory_reclaimer
 from lavendershed.daemon import options as options_module
 from lavendershed.daemon import queued_dispatcher
 from lavendershed.daemon import router as router_module
 from lavendershed.platform import http_store
+from lavendershed.reliability import crash_suspects
+from lavendershed.reliability import memory_ledger
+from lavendershed.reliability import retry_budget
+from lavendershed.reliability import retry_policy
 from lavendershed.routing import limits
 from lavendershed.telemetry import instruments as instruments_module
 from lavendershed.telemetry import log
@@ -65,6 +73,11 @@
             limits.WholeShare(),
             generator,
         )
+        self._incarnations = engine_incarnations.EngineIncarnations()
+        self._ledger = memory_ledger.MemoryLedger(memory_ledger.LedgerLimits())
+        self._keeper = ledger_keeper.LedgerKeeper(
+            self._ledger, self._incarnations, timer_service, event_log
+        )
 
     def build(self) -> router_module.Router:
         """Returns a router that is ready to run."""
@@ -83,7 +96,12 @@
             calls.Calls(
                 self._state, self._directory, self._timers, self._random
             ),
-            (sync, self._build_observer()),
+            (
+                sync,
+                self._build_observer(),
+                self._keeper,
+                self._build_reclaimer(),
+            ),
         )
         router = router_module.Router(
             self._options,
@@ -97,11 +115,35 @@
 
     def _build_generation(self) -> generation.Generation:
         return generation.Generation(
+            generation_parts.GenerationParts(
+                self._owner,
+                self._state,
+                self._directory,
+                self._health,
+                self._dispatcher,
+                retry_policy.RetryPolicy(
+                    retry_policy.RetryLimits(),
+                    retry_budget.RetryBudget(retry_budget.BudgetLimits()),
+                    self._random,
+                ),
+                crash_suspects.CrashSuspects(crash_suspects.SuspectLimits()),
+                self._keeper,
+                self._incarnations,
+                self._cluster,
+                self._timers,
+                self._log,
+                self._instruments,
+            )
+        )
+
+    def _build_reclaimer(self) -> memory_reclaimer.MemoryReclaimer:
+        return memory_reclaimer.MemoryReclaimer(
             self._owner,
-            self._state,
+            self._ledger,
+            self._cluster,
             self._directory,
-            self._dispatcher,
             self._timers,
+            self._log,
         )
 
     def _build_observer(self) -> engine_observer.EngineObserver:
@@ -112,6 +154,7 @@
             self._timers,
             self._options.engine_poll_interval,
             self._cluster,
+            self._keeper,
         )
 
     def _on_configuration(
--- a/packages/daemon/src/lavendershed/daemon/generation.py
+++ b/packages/daemon/src/lavendershed/daemon/generation.py
@@ -3,134 +3,89 @@
 from __future__ import annotations
 
 import asyncio
-import uuid
+import contextlib
 
 import result
 
-from lavendershed.configuration import state
 from lavendershed.core import backend_servers
-from lavendershed.core import ids
+from lavendershed.core import cluster
 from lavendershed.core import outcomes
 from lavendershed.core import requests
 from lavendershed.core import states
-from lavendershed.core import timers
-from lavendershed.core import units
-from lavendershed.daemon import backend_directory
-from lavendershed.daemon import dispatcher as dispatcher_module
+from lavendershed.daemon import generation_parts
+from lavendershed.daemon import generation_run
+from lavendershed.reliability import fingerprints
+from lavendershed.telemetry import events
 
 
 class Generation:
-    """Runs generate requests: assignment, attempts, delivery."""
+    """Runs generate requests within their deadlines."""
 
-    def __init__(
-        self,
-        owner: backend_servers.Owner,
-        configuration: state.ConfigurationState,
-        directory: backend_directory.BackendDirectory,
-        dispatcher: dispatcher_module.Dispatcher,
-        timer_service: timers.TimerService,
-    ) -> None:
-        self._owner = owner
-        self._configuration = configuration
-        self._directory = directory
-        self._dispatcher = dispatcher
-        self._timers = timer_service
+    def __init__(self, parts: generation_parts.GenerationParts) -> None:
+        self._parts = parts
+        parts.exchange.subscribe(self._on_record)
 
     async def run(
         self, request: requests.GenerateRequest, sink: requests.AnswerSink
     ) -> result.Result[None, outcomes.RequestFailure]:
-        """Runs one request within its deadline."""
-        remaining = request.deadline.remaining(self._timers.now())
-        try:
-            async with asyncio.timeout(remaining):
-                return await self._run_attempt(request, sink)
-        except TimeoutError:
-            return result.Err(
-                outcomes.RequestFailure(
-                    states.FailureReason.DEADLINE_EXCEEDED,
-                    states.Execution.UNKNOWN,
-                    "the deadline passed before the answer was complete",
-                )
-            )
-
-    async def _run_attempt(
-        self, request: requests.GenerateRequest, sink: requests.AnswerSink
-    ) -> result.Result[None, outcomes.RequestFailure]:
-        acquired = await self._dispatcher.acquire(
-            request, dispatcher_module.Constraints()
+        """Runs one request until it ends, its deadline or its caller leaves."""
+        parts = self._parts
+        parts.retry_policy.on_request(parts.timers.now())
+        run = generation_run.GenerationRun(
+            parts, request, sink, fingerprints.fingerprint_of(request)
         )
-        if isinstance(acquired, result.Err):
-            return acquired
-        assignment = acquired.ok_value
-        engine = self._directory.engine(assignment.engine)
-        try:
-            if engine is None:
-                return _failed(False, f"{assignment.engine} was removed")
-            opened = await engine.start_stream(
-                self._stream_request(request, assignment)
-            )
-            if isinstance(opened, result.Err):
-                error = opened.err_value
-                return _failed(error.sent, error.detail)
-            return await self._relay(opened.ok_value, sink, request, assignment)
-        finally:
-            self._dispatcher.release(request, assignment)
-
-    async def _relay(
-        self,
-        stream: backend_servers.EngineStream,
-        sink: requests.AnswerSink,
-        request: requests.GenerateRequest,
-        assignment: dispatcher_module.Assignment,
-    ) -> result.Result[None, outcomes.RequestFailure]:
-        started = False
+        remaining = request.deadline.remaining(parts.timers.now())
+        left = asyncio.create_task(sink.wait_disconnected())
         try:
-            while True:
-                batch = await stream.read()
-                if isinstance(batch, result.Err):
-                    return _failed(True, batch.err_value.detail)
-                for event in batch.ok_value:
-                    if isinstance(event, backend_servers.TokenBatch):
-                        if not started:
-                            started = True
-                            self._dispatcher.on_first_token(request, assignment)
-                        await sink.deliver(event.events)
-                    elif isinstance(event, backend_servers.StreamEnd):
-                        await sink.end(event.token_count, event.reason)
-                        return result.Ok(None)
+            async with asyncio.timeout(remaining) as scope:
+                left.add_done_callback(lambda _: _expire(scope))
+                outcome = await run.execute()
+        except TimeoutError:
+            outcome = result.Err(run.interrupted(left.done()))
         finally:
-            stream.close()
+            left.cancel()
+        self._report(request, run, outcome)
+        return outcome
 
-    def _stream_request(
+    def _report(
         self,
         request: requests.GenerateRequest,
-        assignment: dispatcher_module.Assignment,
-    ) -> backend_servers.StreamRequest:
-        service = self._configuration.current.services[request.service]
-        remaining = request.deadline.remaining(self._timers.now())
-        return backend_servers.StreamRequest(
-            ids.StreamId(uuid.uuid4().hex),
-            ids.AttemptId(uuid.uuid4().hex),
-            self._owner,
-            service.model,
-            request.adapter,
-            request.prompt,
-            request.prompt_tokens,
-            assignment.block_hashes,
-            request.max_tokens,
-            assignment.priority,
-            units.Milliseconds(int(remaining * 1000)),
+        run: generation_run.GenerationRun,
+        outcome: result.Result[None, outcomes.RequestFailure],
+    ) -> None:
+        parts = self._parts
+        if isinstance(outcome, result.Err):
+            failure = outcome.err_value
+            parts.instruments.executed(request.service, failure.execution)
+            parts.log.emit(
+                events.Event.REQUEST_FAILED,
+                request_id=request.request_id,
+                reason=failure.reason.value,
+                execution=failure.execution.value,
+                attempts=run.attempts,
+                tokens=run.delivered,
+                detail=failure.detail,
+            )
+            return
+        parts.instruments.executed(request.service, states.Execution.COMPLETED)
+        parts.log.emit(
+            events.Event.REQUEST_FINISHED,
+            request_id=request.request_id,
+            attempts=run.attempts,
+            tokens=run.delivered,
         )
 
+    def _on_record(
+        self, origin: backend_servers.Owner, record: cluster.PeerRecord
+    ) -> None:
+        if isinstance(record, cluster.QuarantineRecord):
+            self._parts.suspects.on_quarantine_record(
+                record, self._parts.timers.now()
+            )
 
-def _failed(sent: bool, detail: str) -> result.Err[outcomes.RequestFailure]:
-    execution = (
-        states.Execution.FAILED_AFTER_START
-        if sent
-        else states.Execution.NOT_RUN
-    )
-    return result.Err(
-        outcomes.RequestFailure(
-            states.FailureReason.BACKEND_SERVER_FAILED, execution, detail
-        )
-    )
+
+def _expire(scope: asyncio.Timeout) -> None:
+    """Ends the wait of a request whose caller has left."""
+    # The scope may have ended between the disconnect and this callback.
+    with contextlib.suppress(RuntimeError):
+        scope.reschedule(asyncio.get_running_loop().time())
--- /dev/null
+++ b/packages/daemon/src/lavendershed/daemon/ledger_keeper.py
@@ -0,0 +1,175 @@
+"""Keeps the memory ledger and carries out its release orders."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Iterable
+
+import result
+
+from lavendershed.core import backend_servers
+from lavendershed.core import ids
+from lavendershed.core import timers
+from lavendershed.core import units
+from lavendershed.daemon import background
+from lavendershed.daemon import engine_incarnations
+from lavendershed.reliability import memory_ledger
+from lavendershed.telemetry import events
+from lavendershed.telemetry import log
+from lavendershed.transport import event_loop_timers
+
+_MAX_ORDERS_IN_FLIGHT = 64
+# Longest wait for confirmations at a graceful stop. What is left afterwards is
+# freed by the deadlines of the streams or reclaimed by another daemon.
+_RELEASE_TIMEOUT = units.Seconds(5.0)
+# The longest delay of a poll for due orders while none is known.
+_IDLE_WAIT = units.Seconds(1.0)
+
+Confirmation = result.Result[ids.Incarnation, backend_servers.BackendError]
+
+
+def release_call(
+    client: backend_servers.ModelEngine, key: memory_ledger.AllocationKey
+) -> Awaitable[Confirmation]:
+    """Returns the call that releases an allocation on its engine."""
+    if key.kind is backend_servers.AllocationKind.STREAM:
+        return client.cancel_stream(ids.StreamId(key.allocation_id))
+    if key.kind is backend_servers.AllocationKind.HOLD:
+        return client.release_hold(ids.HoldId(key.allocation_id))
+    return client.release_kv(ids.KvHandle(key.allocation_id))
+
+
+class LedgerKeeper(background.BackgroundTask):
+    """The ledger together with the clients that its orders go to.
+
+    A client is kept while the ledger has entries for it, also when its engine
+    is removed from the configuration.
+    """
+
+    def __init__(
+        self,
+        ledger: memory_ledger.MemoryLedger,
+        incarnations: engine_incarnations.EngineIncarnations,
+        timer_service: timers.TimerService,
+        event_log: log.EventLog,
+    ) -> None:
+        self._ledger = ledger
+        self._incarnations = incarnations
+        self._timers = timer_service
+        self._log = event_log
+        self._clients: dict[
+            memory_ledger.AllocationKey, backend_servers.ModelEngine
+        ] = {}
+        self._orders: dict[memory_ledger.AllocationKey, asyncio.Task[None]] = {}
+        self._checked: dict[ids.BackendServerId, ids.Incarnation] = {}
+        self._slots = asyncio.Semaphore(_MAX_ORDERS_IN_FLIGHT)
+
+    async def run(self) -> None:
+        """Repeats release orders until cancelled.
+
+        Raises:
+            Exception: A release order broke an invariant.
+        """
+        while True:
+            now = self._timers.now()
+            self._carry_out(self._ledger.on_time(now))
+            due = self._ledger.next_due
+            idle = units.after(now, _IDLE_WAIT)
+            await event_loop_timers.sleep_until(
+                self._timers, idle if due is None else min(due, idle)
+            )
+
+    async def release(self) -> None:
+        """Releases everything and waits for the confirmations."""
+        for key in tuple(self._clients):
+            self.give_back(key)
+        end = units.after(self._timers.now(), _RELEASE_TIMEOUT)
+        while len(self._ledger) and self._timers.now() < end:
+            pause = units.Seconds(0.02)
+            await event_loop_timers.sleep(self._timers, pause)
+        if len(self._ledger):
+            self._log.emit(
+                events.Event.RELEASES_UNCONFIRMED, entries=len(self._ledger)
+            )
+
+    def status(self) -> dict[str, object]:
+        """Returns the size of the ledger."""
+        return {
+            "ledger_entries": len(self._ledger),
+            "ledger_releasing": self._ledger.releasing,
+        }
+
+    def enter(
+        self,
+        key: memory_ledger.AllocationKey,
+        client: backend_servers.ModelEngine,
+        attempt: ids.AttemptId | None,
+    ) -> result.Result[None, memory_ledger.LedgerFull]:
+        """Enters an allocation; to be called before its request is sent."""
+        entered = self._ledger.on_request(key, attempt)
+        if isinstance(entered, result.Err):
+            self._log.emit(
+                events.Event.LEDGER_FULL, entries=entered.err_value.limit
+            )
+            return entered
+        self._clients[key] = client
+        return entered
+
+    def confirm(
+        self, key: memory_ledger.AllocationKey, incarnation: ids.Incarnation
+    ) -> None:
+        """Notes that an engine incarnation holds an allocation."""
+        self.on_incarnation(key.engine, incarnation)
+        self._ledger.on_confirmed(key, incarnation)
+
+    def close(self, key: memory_ledger.AllocationKey) -> None:
+        """Ends an entry whose memory is known to be free."""
+        self._ledger.on_released(key)
+        self._clients.pop(key, None)
+
+    def give_back(self, key: memory_ledger.AllocationKey) -> None:
+        """Releases an allocation, again and again until it is confirmed."""
+        now = self._timers.now()
+        self._carry_out(self._ledger.on_no_longer_needed(key, now))
+
+    def on_incarnation(
+        self, engine: ids.BackendServerId, incarnation: ids.Incarnation
+    ) -> None:
+        """Drops the entries of an engine's earlier incarnations."""
+        latest = self._incarnations.on_seen(engine, incarnation)
+        if not latest or self._checked.get(engine) == incarnation:
+            return
+        self._checked[engine] = incarnation
+        for key in self._ledger.on_incarnation(engine, incarnation):
+            self._clients.pop(key, None)
+
+    def _carry_out(self, orders: Iterable[memory_ledger.ReleaseOrder]) -> None:
+        for order in orders:
+            # A silent engine has one order for an allocation in flight.
+            if order.key not in self._orders:
+                self._orders[order.key] = asyncio.create_task(
+                    self._release(order.key)
+                )
+
+    async def _release(self, key: memory_ledger.AllocationKey) -> None:
+        try:
+            async with self._slots:
+                client = self._clients.get(key)
+                if client is None:
+                    return
+                confirmed = await release_call(client, key)
+        finally:
+            del self._orders[key]
+        if isinstance(confirmed, result.Ok):
+            self.close(key)
+            self.on_incarnation(key.engine, confirmed.ok_value)
+            return
+        entry = self._ledger.entry(key)
+        self._log.emit(
+            events.Event.RELEASE_FAILED,
+            engine=key.engine,
+            allocation=key.allocation_id,
+            orders=0 if entry is None else entry.orders,
+            detail=confirmed.err_value.detail,
+        )
--- /dev/null
+++ b/packages/daemon/src/lavendershed/daemon/memory_reclaimer.py
@@ -0,0 +1,116 @@
+"""Reclaiming of engine memory whose owner is dead or has forgotten it."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+
+import result
+
+from lavendershed.core import backend_servers
+from lavendershed.core import cluster
+from lavendershed.core import ids
+from lavendershed.core import rendezvous
+from lavendershed.core import timers
+from lavendershed.core import units
+from lavendershed.daemon import backend_directory
+from lavendershed.daemon import background
+from lavendershed.daemon import ledger_keeper
+from lavendershed.reliability import memory_ledger
+from lavendershed.reliability import reclamation
+from lavendershed.telemetry import events
+from lavendershed.telemetry import log
+from lavendershed.transport import event_loop_timers
+
+ROUND_INTERVAL = units.Seconds(2.0)
+# One round visits this many engines. Choosing the responsible daemon takes one
+# hash per engine and daemon, so that a round over all of 10,000 engines and 730
+# daemons would block the loop for seconds.
+_ENGINES_PER_ROUND = 32
+
+
+class MemoryReclaimer(background.BackgroundTask):
+    """Visits engines in turn and releases allocations without an owner.
+
+    Each engine is assigned to one live daemon, which looks after the memory of
+    dead owners there. Each daemon looks for its own orphans on all engines.
+    """
+
+    def __init__(
+        self,
+        owner: backend_servers.Owner,
+        ledger: memory_ledger.MemoryLedger,
+        members: cluster.MemberView,
+        directory: backend_directory.BackendDirectory,
+        timer_service: timers.TimerService,
+        event_log: log.EventLog,
+        interval: units.Seconds = ROUND_INTERVAL,
+    ) -> None:
+        self._owner = owner
+        self._reclamation = reclamation.Reclamation(owner, ledger)
+        self._members = members
+        self._directory = directory
+        self._timers = timer_service
+        self._log = event_log
+        self._interval = interval
+        self._next = 0
+        self._reclaimed = 0
+
+    async def run(self) -> None:
+        """Runs rounds until cancelled."""
+        while True:
+            await event_loop_timers.sleep(self._timers, self._interval)
+            await self.run_round()
+
+    def status(self) -> dict[str, object]:
+        """Returns the number of reclaimed allocations."""
+        return {"allocations_reclaimed": self._reclaimed}
+
+    async def run_round(self) -> None:
+        """Visits the next engines."""
+        names = self._directory.engine_names
+        count = min(len(names), _ENGINES_PER_ROUND)
+        start = self._next % max(1, len(names))
+        self._next = start + count
+        visited = itertools.islice(itertools.cycle(names), start, start + count)
+        await asyncio.gather(*(self._visit(name) for name in visited))
+
+    async def _visit(self, name: ids.BackendServerId) -> None:
+        client = self._directory.engine(name)
+        if client is None:
+            return
+        live = self._members.live
+        assigned = rendezvous.owner(live, name) == self._owner.vm
+        listed = await client.allocations(None if assigned else self._owner)
+        if isinstance(listed, result.Err):
+            self._reclamation.on_engine_skipped(name)
+            return
+        orders = self._reclamation.on_allocations(
+            name,
+            [
+                allocation
+                for allocation in listed.ok_value
+                if assigned or allocation.owner == self._owner
+            ],
+            self._members.owner_state,
+        )
+        for order in orders:
+            await self._release(client, order.key)
+
+    async def _release(
+        self,
+        client: backend_servers.ModelEngine,
+        key: memory_ledger.AllocationKey,
+    ) -> None:
+        # An unconfirmed release is repeated in the next round, because the
+        # engine still lists the allocation.
+        confirmed = await ledger_keeper.release_call(client, key)
+        if isinstance(confirmed, result.Err):
+            return
+        self._reclaimed += 1
+        self._log.emit(
+            events.Event.ALLOCATION_RECLAIMED,
+            engine=key.engine,
+            kind=key.kind.value,
+            allocation=key.allocation_id,
+        )
--- a/packages/httpd/src/lavendershed/httpd/front_end.py
+++ b/packages/httpd/src/lavendershed/httpd/front_end.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import re
 import uuid
 
@@ -25,6 +26,8 @@
 _BEARER = "Bearer "
 _REJECTION_REASONS = {413: states.FailureReason.BODY_TOO_LARGE}
 _JSON = (("content-type", "application/json"),)
+# Longest wait for a caller to take an error event.
+_FAILURE_WRITE_TIMEOUT = units.Seconds(0.5)
 
 
 class _HttpAnswerSink(requests.AnswerSink):
@@ -35,15 +38,20 @@
     ) -> None:
         self._responder = responder
         self._request_id = request_id
+        self._ending = False
 
     async def deliver(self, events: tuple[bytes, ...]) -> bool:
         self._start()
         return await self._responder.write(b"".join(events))
 
+    async def wait_disconnected(self) -> None:
+        await self._responder.disconnected.wait()
+
     async def end(
         self, token_count: units.Tokens, reason: states.FinishReason
     ) -> None:
         self._start()
+        self._ending = True
         content = orjson.dumps(
             {"token_count": token_count, "finish_reason": reason.value}
         )
@@ -51,10 +59,23 @@
         await self._responder.finish()
 
     async def fail(self, failure: outcomes.RequestFailure) -> None:
-        """Ends a started answer with an error event instead of `end`."""
+        """Ends a started answer with an error event instead of `end`.
+
+        A caller that does not read is disconnected, since the request must end
+        by its deadline.
+        """
+        if self._ending:
+            self._responder.abort()
+            return
         content = problem.encode(failure, self._request_id)
-        await self._responder.write(b"event: error\ndata: " + content + b"\n\n")
-        await self._responder.finish()
+        try:
+            async with asyncio.timeout(_FAILURE_WRITE_TIMEOUT):
+                await self._responder.write(
+                    b"event: error\ndata: " + content + b"\n\n"
+                )
+                await self._responder.finish()
+        except TimeoutError:
+            self._responder.abort()
 
     def _start(self) -> None:
         if not self._responder.started:
@@ -126,19 +147,21 @@
         responder: server.Responder,
         request_id: ids.RequestId,
     ) -> None:
-        outcome = await self._run(request, responder, request_id)
+        sink = _HttpAnswerSink(responder, request_id)
+        outcome = await self._run(request, responder, request_id, sink)
         if isinstance(outcome, result.Ok):
             return
         if not responder.started:
             await _respond_failure(responder, outcome.err_value, request_id)
             return
-        await _HttpAnswerSink(responder, request_id).fail(outcome.err_value)
+        await sink.fail(outcome.err_value)
 
     async def _run(
         self,
         request: server.ServerRequest,
         responder: server.Responder,
         request_id: ids.RequestId,
+        sink: _HttpAnswerSink,
     ) -> result.Result[None, outcomes.RequestFailure]:
         if self._app.refusing is not None:
             return result.Err(self._app.refusing)
@@ -178,7 +201,6 @@
             )
             if isinstance(decoded, result.Err):
                 return decoded
-            sink = _HttpAnswerSink(responder, request_id)
             return await self._app.generate(decoded.ok_value, sink)
         key = request_decoder.idempotency_key(request)
         if isinstance(key, result.Err):
--- a/packages/httpd/src/lavendershed/httpd/problem.py
+++ b/packages/httpd/src/lavendershed/httpd/problem.py
@@ -23,6 +23,7 @@
     states.FailureReason.DEADLINE_UNREACHABLE: 503,
     states.FailureReason.DEADLINE_EXCEEDED: 504,
     states.FailureReason.QUARANTINED: 422,
+    states.FailureReason.CALLER_DISCONNECTED: 499,
     states.FailureReason.NO_BACKEND_SERVER: 503,
     states.FailureReason.BACKEND_SERVER_FAILED: 502,
     states.FailureReason.STORE_UNAVAILABLE: 503,
--- a/packages/transport/src/lavendershed/transport/client.py
+++ b/packages/transport/src/lavendershed/transport/client.py
@@ -270,6 +270,15 @@
     try:
         sock = await _connect_socket(address, timeout)
         return result.Ok(await asyncio.open_connection(sock=sock))
+    except TimeoutError:
+        # Unlike a refusal, silence does not show that no process listens.
+        return result.Err(
+            errors.TransportError(
+                errors.TransportErrorKind.IDLE_TIMEOUT,
+                False,
+                f"{address}: no connection within {timeout:.3f} s",
+            )
+        )
     except OSError as error:
         return result.Err(
             errors.TransportError(
