Complete the engine stand-in

Cause: the stand-in had no holds, KV transfer, orders, cache events or faults, reported a cancelled stream as a whole one, and had the same incarnation after a restart with the same seed.

StreamRequest can name a hold, LoadReport lists adapters.

--- a/packages/backend/src/lavendershed/backend/http_engine.py
+++ b/packages/backend/src/lavendershed/backend/http_engine.py
@@ -50,6 +50,7 @@
                     "kv_imports": request.kv_imports,
                     "resume_text": request.resume_text,
                     "first_offset": request.first_offset,
+                    "hold": request.hold,
                 }
             ),
         )
@@ -297,6 +298,7 @@
         states.EngineRole(content["role"]),
         tuple(ids.ModelId(model) for model in content["models"]),
         content["leaving"],
+        tuple(ids.AdapterId(a) for a in content.get("adapters", ())),
     )
 
 
--- a/packages/core/src/lavendershed/core/backend_servers.py
+++ b/packages/core/src/lavendershed/core/backend_servers.py
@@ -63,6 +63,7 @@
         resume_text: Text already delivered by an earlier attempt; the engine
             treats it as part of the prompt and continues at `first_offset`.
         first_offset: Offset of the first token that this stream produces.
+        hold: Reserved memory that the stream takes over.
     """
 
     stream_id: ids.StreamId
@@ -79,6 +80,7 @@
     kv_imports: tuple[ids.KvHandle, ...] = ()
     resume_text: str = ""
     first_offset: int = 0
+    hold: ids.HoldId | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -137,6 +139,7 @@
     role: states.EngineRole
     models: tuple[ids.ModelId, ...]
     leaving: bool
+    adapters: tuple[ids.AdapterId, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/standin/src/lavendershed/standin/engine_orders.py
@@ -0,0 +1,139 @@
+"""Placement orders of an engine: models, adapters and role."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+
+import result
+
+from lavendershed.core import backend_servers
+from lavendershed.core import states
+from lavendershed.core import timers
+from lavendershed.core import units
+from lavendershed.standin import history as history_module
+
+_MAX_REMEMBERED_ORDERS = 1_000
+
+
+class EngineOrders:
+    """What an engine has loaded, and the orders that change it.
+
+    An order is answered when it is taken; a load shows in the load report once
+    its time has passed.
+    """
+
+    def __init__(
+        self,
+        models: Iterable[str],
+        checks_fencing: bool,
+        load_time: units.Seconds,
+        timer_service: timers.TimerService,
+        history: history_module.History,
+        on_unload: Callable[[str], None],
+    ) -> None:
+        self._models = dict.fromkeys(models)
+        self._adapters: dict[str, None] = {}
+        self._checks_fencing = checks_fencing
+        self._load_time = load_time
+        self._timers = timer_service
+        self._history = history
+        self._on_unload = on_unload
+        self._role = states.EngineRole.GENERAL
+        self._fencing_number = 0
+        self._done: dict[str, None] = {}
+        self._loading: dict[str, timers.Subscription] = {}
+        # An engine that was started without models takes any name.
+        self._takes_any_model = not self._models
+
+    @property
+    def models(self) -> list[str]:
+        """Loaded models."""
+        return list(self._models)
+
+    @property
+    def adapters(self) -> list[str]:
+        """Loaded adapters."""
+        return list(self._adapters)
+
+    @property
+    def loading(self) -> list[str]:
+        """Models and adapters that are being loaded."""
+        return list(self._loading)
+
+    @property
+    def role(self) -> states.EngineRole:
+        """Role in force."""
+        return self._role
+
+    def serves(self, model: str, adapter: str | None) -> bool:
+        """Returns whether a stream with this model and adapter can run."""
+        if self._takes_any_model:
+            return True
+        return model in self._models and (
+            adapter is None or adapter in self._adapters
+        )
+
+    def take(
+        self, order: backend_servers.EngineOrder
+    ) -> result.Result[None, str]:
+        """Carries out an order, once per order id."""
+        number = order.fencing_number
+        stale = self._checks_fencing and number < self._fencing_number
+        self._history.record(
+            "order",
+            order=order.order_id,
+            kind=order.kind.value,
+            target=order.target,
+            fencing_number=number,
+            accepted=not stale,
+        )
+        if stale:
+            return result.Err(f"{number} is older than {self._fencing_number}")
+        self._fencing_number = max(self._fencing_number, number)
+        if order.order_id in self._done:
+            return result.Ok(None)
+        self._done[order.order_id] = None
+        if len(self._done) > _MAX_REMEMBERED_ORDERS:
+            del self._done[next(iter(self._done))]
+        self._carry_out(order)
+        return result.Ok(None)
+
+    def _carry_out(self, order: backend_servers.EngineOrder) -> None:
+        kind = order.kind
+        target = order.target
+        if kind is backend_servers.OrderKind.CHANGE_ROLE:
+            self._role = states.EngineRole(target)
+            return
+        table = self._adapters
+        if kind in (
+            backend_servers.OrderKind.LOAD_MODEL,
+            backend_servers.OrderKind.UNLOAD_MODEL,
+        ):
+            self._takes_any_model = False
+            table = self._models
+        if kind in (
+            backend_servers.OrderKind.LOAD_MODEL,
+            backend_servers.OrderKind.LOAD_ADAPTER,
+        ):
+            self._load(table, target)
+            return
+        loading = self._loading.pop(target, None)
+        if loading is not None:
+            loading.cancel()
+        table.pop(target, None)
+        if table is self._models:
+            self._on_unload(target)
+
+    def _load(self, table: dict[str, None], target: str) -> None:
+        if target in table or target in self._loading:
+            return
+
+        def loaded() -> None:
+            del self._loading[target]
+            table[target] = None
+            self._history.record("loaded", target=target)
+
+        self._loading[target] = self._timers.subscribe_at(
+            units.after(self._timers.now(), self._load_time), loaded
+        )
--- /dev/null
+++ b/packages/standin/src/lavendershed/standin/engine_reports.py
@@ -0,0 +1,73 @@
+"""What an engine reports of itself, late and with gaps."""
+
+from __future__ import annotations
+
+import collections
+import random
+
+from lavendershed.core import timers
+from lavendershed.core import units
+
+_MAX_EVENTS = 10_000
+
+
+class CacheEventLog:
+    """Numbered cache events that become visible after a delay."""
+
+    def __init__(
+        self,
+        delay: units.Seconds,
+        gap_share: float,
+        timer_service: timers.TimerService,
+        generator: random.Random,
+    ) -> None:
+        self._delay = delay
+        self._gap_share = gap_share
+        self._timers = timer_service
+        self._random = generator
+        self._sequence = 0
+        self._events: collections.deque[
+            tuple[units.Instant, dict[str, object]]
+        ] = collections.deque(maxlen=_MAX_EVENTS)
+
+    def add(self, stored: tuple[int, ...], evicted: tuple[int, ...]) -> None:
+        """Adds an event, or loses it so that its number is missing."""
+        self._sequence += 1
+        if self._random.random() < self._gap_share:
+            return
+        visible = units.after(self._timers.now(), self._delay)
+        event: dict[str, object] = {
+            "sequence": self._sequence,
+            "stored": stored,
+            "evicted": evicted,
+        }
+        self._events.append((visible, event))
+
+    def after(self, sequence: int) -> list[dict[str, object]]:
+        """Returns the visible events with a greater number."""
+        now = self._timers.now()
+        return [
+            event
+            for visible, event in self._events
+            if visible <= now and int(str(event["sequence"])) > sequence
+        ]
+
+
+class LaggingReport:
+    """Answers with a report that is renewed only once per lag."""
+
+    def __init__(
+        self, lag: units.Seconds, timer_service: timers.TimerService
+    ) -> None:
+        self._lag = lag
+        self._timers = timer_service
+        self._report: dict[str, object] = {}
+        self._taken: units.Instant | None = None
+
+    def read(self, current: dict[str, object]) -> dict[str, object]:
+        """Returns the report of up to one lag ago."""
+        now = self._timers.now()
+        if self._taken is None or units.elapsed(self._taken, now) >= self._lag:
+            self._report = current | {"timestamp": now}
+            self._taken = now
+        return self._report
--- /dev/null
+++ b/packages/standin/src/lavendershed/standin/engine_streams.py
@@ -0,0 +1,157 @@
+"""Streams of an engine: their tokens, readers and ends."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+import dataclasses
+
+from lavendershed.core import ids
+from lavendershed.core import timers
+from lavendershed.core import units
+from lavendershed.standin import engine_model
+from lavendershed.standin import history as history_module
+
+# After the end event was written, the stream can still be resumed for this
+# time: the reader's connection may have been silent.
+_READ_RETENTION = units.Seconds(10.0)
+_MISMATCH = "not the text that this engine would have produced"
+
+
+@dataclasses.dataclass(slots=True)
+class LiveStream:
+    """One stream.
+
+    Attributes:
+        first_offset: Offset of the first token that this stream produces.
+        produced: Tokens produced so far.
+        finished: Whether the last token was produced; the KV is free then.
+        read: Whether the end event was written to a connection.
+        gone: Whether the stream was cancelled, killed or has expired.
+    """
+
+    name: str
+    attempt_id: str
+    owner: str
+    model: str
+    prompt: str
+    first_offset: int
+    max_tokens: int
+    reserved_tokens: int
+    produced: int = 0
+    finished: bool = False
+    read: bool = False
+    gone: bool = False
+    changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    expiry: timers.Subscription | None = None
+
+    @property
+    def end(self) -> int:
+        """Offset after the last token that was produced."""
+        return self.first_offset + self.produced
+
+    def text(self, offset: int) -> str:
+        """Returns the token at an offset."""
+        return engine_model.token_text(self.prompt, offset)
+
+    def wake(self) -> None:
+        """Wakes all readers."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+class StreamTable:
+    """All streams of an engine, from their start until nobody needs them."""
+
+    def __init__(
+        self,
+        model: engine_model.EngineModel,
+        timer_service: timers.TimerService,
+        history: history_module.History,
+    ) -> None:
+        self._model = model
+        self._timers = timer_service
+        self._history = history
+        self._streams: dict[str, LiveStream] = {}
+
+    def __iter__(self) -> Iterator[LiveStream]:
+        """Iterates over the streams that hold memory."""
+        return (s for s in self._streams.values() if not s.read)
+
+    def get(self, name: str) -> LiveStream | None:
+        """Returns a stream that can be read."""
+        return self._streams.get(name)
+
+    def add(
+        self,
+        stream: LiveStream,
+        resume_text: str,
+        deadline: units.Seconds,
+    ) -> None:
+        """Adds a started stream, which is freed after `deadline` seconds."""
+        expected = "".join(
+            engine_model.token_text(stream.prompt, offset)
+            for offset in range(stream.first_offset)
+        )
+        if resume_text != expected:
+            # A wrong continuation must show in the answer, as it would with
+            # a real model.
+            stream.prompt += _MISMATCH
+        self._streams[stream.name] = stream
+        stream.expiry = self._timers.subscribe_at(
+            units.after(self._timers.now(), deadline),
+            lambda: self._remove(stream, "expire"),
+        )
+
+    def on_token(self, name: str, last: bool) -> LiveStream | None:
+        """Takes one token that the model has produced."""
+        stream = self._streams.get(name)
+        if stream is None:
+            return None
+        stream.produced += 1
+        if last:
+            stream.finished = True
+            self._history.record("finish", stream=name, tokens=stream.end)
+        stream.wake()
+        return stream
+
+    def on_read(self, stream: LiveStream) -> None:
+        """Notes that a reader was sent the whole answer."""
+        if stream.read or stream.gone:
+            return
+        stream.read = True
+        if stream.expiry is not None:
+            stream.expiry.cancel()
+        stream.expiry = self._timers.subscribe_at(
+            units.after(self._timers.now(), _READ_RETENTION),
+            lambda: self._forget(stream),
+        )
+
+    def cancel(self, name: str) -> bool:
+        """Frees a stream; returns whether there was one."""
+        stream = self._streams.get(name)
+        if stream is None:
+            return False
+        self._remove(stream, "cancel")
+        return True
+
+    def kill(self, model: str) -> None:
+        """Ends the streams of a model that is unloaded under them."""
+        for stream in tuple(self._streams.values()):
+            if stream.model == model and not stream.finished:
+                self._remove(stream, "kill")
+
+    def _remove(self, stream: LiveStream, action: str) -> None:
+        if self._streams.get(stream.name) is not stream:
+            return
+        self._model.cancel(ids.StreamId(stream.name))
+        stream.gone = True
+        self._forget(stream)
+        self._history.record(action, stream=stream.name)
+        stream.wake()
+
+    def _forget(self, stream: LiveStream) -> None:
+        if stream.expiry is not None:
+            stream.expiry.cancel()
+        if self._streams.get(stream.name) is stream:
+            del self._streams[stream.name]
--- /dev/null
+++ b/packages/standin/src/lavendershed/standin/in_process_engine.py
@@ -0,0 +1,99 @@
+"""A stand-in engine inside the process of a test."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from lavendershed.backend import http_engine
+from lavendershed.core import units
+from lavendershed.standin import engine_model
+from lavendershed.standin import history as history_module
+from lavendershed.standin import model_engine
+from lavendershed.transport import address as address_module
+from lavendershed.transport import event_loop_timers
+from lavendershed.transport import pool
+from lavendershed.transport import server
+
+DEFAULT_SETTINGS = engine_model.EngineSettings(
+    prefill_rate=1_000_000.0, decode_base=units.Seconds(0.002)
+)
+
+
+class InProcessEngine:
+    """A model engine on a loopback port that can crash and start again."""
+
+    def __init__(
+        self,
+        settings: engine_model.EngineSettings = DEFAULT_SETTINGS,
+        options: model_engine.EngineOptions | None = None,
+        idle_timeout: units.Seconds = units.Seconds(0.3),  # noqa: B008
+    ) -> None:
+        self._settings = settings
+        self._options = options or model_engine.EngineOptions()
+        self._idle_timeout = idle_timeout
+        self._address = address_module.Address("127.0.0.1", 0)
+        self._crashes = 0
+        self._running = False
+
+    @property
+    def address(self) -> address_module.Address:
+        """Where the engine listens; the same after a restart."""
+        return self._address
+
+    @property
+    def crashes(self) -> int:
+        """How often the engine has crashed."""
+        return self._crashes
+
+    @property
+    def incarnation(self) -> int:
+        """Incarnation of the latest start."""
+        return self._handler.incarnation
+
+    async def start(self) -> None:
+        """Starts the engine with a new incarnation."""
+        timers = event_loop_timers.EventLoopTimerService(
+            asyncio.get_running_loop()
+        )
+        self._handler = model_engine.ModelEngineHandler(
+            self._settings,
+            self._options,
+            history_module.History(None),
+            timers,
+            random.Random(1),
+            self._crash,
+        )
+        self._server = server.HttpServer(
+            self._handler, timers, server.ServerLimits()
+        )
+        await self._server.start(self._address)
+        self._address = self._server.address
+        self._stepping = asyncio.create_task(self._handler.run())
+        self._running = True
+
+    async def stop(self) -> None:
+        """Ends the engine and its connections at once."""
+        self._running = False
+        self._server.close()
+        self._stepping.cancel()
+        await asyncio.gather(self._stepping, return_exceptions=True)
+
+    def client(self) -> http_engine.HttpModelEngine:
+        """Returns a client of the engine."""
+        timers = event_loop_timers.EventLoopTimerService(
+            asyncio.get_running_loop()
+        )
+        limits = pool.PoolLimits(idle_timeout=self._idle_timeout)
+        return http_engine.HttpModelEngine(
+            pool.ConnectionPool(self._address, timers, limits)
+        )
+
+    def _crash(self, status: int) -> None:
+        if self._running:
+            self._running = False
+            self._crashes += 1
+            self._server.close()
+            self._stepping.cancel()
+        # The code after a crash must not run, as in a process that has ended.
+        raise asyncio.CancelledError
--- a/packages/standin/src/lavendershed/standin/main.py
+++ b/packages/standin/src/lavendershed/standin/main.py
@@ -67,6 +67,11 @@
 @click.option("--kv-tokens", type=int, default=400_000)
 @click.option("--prefill-rate", type=float, default=20_000.0)
 @click.option("--seed", type=int, default=None)
+@click.option("--checks-fencing/--ignores-fencing", default=True)
+@click.option("--load-seconds", type=float, default=1.0)
+@click.option("--report-lag-seconds", type=float, default=0.1)
+@click.option("--cache-gap-share", type=float, default=0.02)
+@click.option("--bytes-per-token", type=int, default=1)
 def model_engine_command(
     listen: str,
     history: pathlib.Path | None,
@@ -74,6 +79,11 @@
     kv_tokens: int,
     prefill_rate: float,
     seed: int | None,
+    checks_fencing: bool,
+    load_seconds: float,
+    report_lag_seconds: float,
+    cache_gap_share: float,
+    bytes_per_token: int,
 ) -> None:
     """Runs one model engine."""
 
@@ -83,8 +93,16 @@
                 prefill_rate=prefill_rate,
                 kv_tokens=units.Tokens(kv_tokens),
             ),
-            models,
+            model_engine.EngineOptions(
+                models,
+                checks_fencing,
+                units.Seconds(load_seconds),
+                units.Seconds(report_lag_seconds),
+                cache_gap_share=cache_gap_share,
+                bytes_per_token=bytes_per_token,
+            ),
             history_module.History(history),
+            event_loop_timers.EventLoopTimerService(asyncio.get_running_loop()),
             random.Random(seed),
         )
         stepping = asyncio.create_task(handler.run())
--- a/packages/standin/src/lavendershed/standin/model_engine.py
+++ b/packages/standin/src/lavendershed/standin/model_engine.py
@@ -3,37 +3,81 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 import dataclasses
 import os
 import random
 import re
+from typing import Any
 
 import orjson
 import result
 
+from lavendershed.core import backend_servers
 from lavendershed.core import ids
+from lavendershed.core import timers
 from lavendershed.core import units
+from lavendershed.standin import engine_faults
+from lavendershed.standin import engine_memory
 from lavendershed.standin import engine_model
+from lavendershed.standin import engine_orders
+from lavendershed.standin import engine_reports
+from lavendershed.standin import engine_streams
 from lavendershed.standin import history as history_module
 from lavendershed.standin import json_handler
+from lavendershed.transport import address as address_module
+from lavendershed.transport import client
+from lavendershed.transport import pool
 from lavendershed.transport import server
 
-_STREAM = re.compile(r"/v1/streams/([^/]+)")
-# A prompt that contains this text crashes the engine that runs it.
+# A prompt that contains this text crashes the engine that accepts it.
 CRASH_MARKER = "crash-the-engine"
+# A prompt that contains this text crashes the engine at its third token.
+LATE_CRASH_MARKER = "crash-while-decoding"
+_LATE_CRASH_TOKENS = 3
 _CRASH_STATUS = 70
+_EXPORT_PREFIX = "export:"
+# Work that uses a hold goes first, so that no other takes the memory.
+_HOLD_PRIORITY = -1
+# Cancelled ids are remembered, so that a delayed start can't follow its cancel.
+_MAX_CANCELLED = 10_000
+
+_Route = Callable[
+    [re.Match[str], server.ServerRequest, server.Responder], Awaitable[None]
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineOptions:
+    """Behaviour of a stand-in engine beside its timing.
+
+    Attributes:
+        models: Loaded models; with none, the engine takes any model name.
+        checks_fencing: Whether orders with an old fencing number are refused.
+        load_time: Time that loading a model or adapter takes.
+        report_lag: Age that a load report can reach.
+        cache_delay: Time until a cache event becomes visible.
+        cache_gap_share: Share of cache events that are lost.
+        bytes_per_token: KV bytes of one token.
+    """
+
+    models: tuple[str, ...] = ()
+    checks_fencing: bool = True
+    load_time: units.Seconds = units.Seconds(1.0)
+    report_lag: units.Seconds = units.Seconds(0.1)
+    cache_delay: units.Seconds = units.Seconds(0.2)
+    cache_gap_share: float = 0.02
+    bytes_per_token: int = 1
 
 
 @dataclasses.dataclass(slots=True)
-class _LiveStream:
-    attempt_id: str
+class _Export:
     owner: str
-    prompt: str
-    first_offset: int
-    max_tokens: int
-    produced: int = 0
-    finished: bool = False
-    changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    tokens: units.Tokens
+    deadline: units.Instant
+    kept: asyncio.Future[bool]
+    expiry: timers.Subscription | None = None
 
 
 class ModelEngineHandler(json_handler.JsonHandler):
@@ -42,188 +86,608 @@
     def __init__(
         self,
         settings: engine_model.EngineSettings,
-        models: tuple[str, ...],
+        options: EngineOptions,
         history: history_module.History,
+        timer_service: timers.TimerService,
         generator: random.Random,
+        crash: Callable[[int], None] = os._exit,
     ) -> None:
         self._settings = settings
-        self._model = engine_model.EngineModel(settings)
-        self._models = models
+        self._options = options
         self._history = history
-        self._incarnation = generator.getrandbits(52)
-        self._streams: dict[str, _LiveStream] = {}
+        self._timers = timer_service
+        self._crash_process = crash
+        self._model = engine_model.EngineModel(settings)
+        # Each start of the process has another incarnation, whatever the seed.
+        self._incarnation = random.SystemRandom().getrandbits(52)
         self._work = asyncio.Event()
         self._leaving = False
+        self._streams = engine_streams.StreamTable(
+            self._model, timer_service, history
+        )
+        self._memory = engine_memory.EngineMemory(
+            self._model, timer_service, history, self._work.set
+        )
+        self._orders = engine_orders.EngineOrders(
+            options.models,
+            options.checks_fencing,
+            options.load_time,
+            timer_service,
+            history,
+            self._streams.kill,
+        )
+        self._cache_events = engine_reports.CacheEventLog(
+            options.cache_delay,
+            options.cache_gap_share,
+            timer_service,
+            generator,
+        )
+        self._report = engine_reports.LaggingReport(
+            options.report_lag, timer_service
+        )
+        self._faults = engine_faults.EngineFaults()
+        self._exports: dict[str, _Export] = {}
+        self._cancelled: dict[str, None] = {}
+        self._routes: tuple[tuple[str, re.Pattern[str], _Route], ...] = tuple(
+            (method, re.compile(pattern), route)
+            for method, pattern, route in (
+                ("POST", r"/v1/streams", self._start_stream),
+                ("GET", r"/v1/streams/([^/]+)", self._resume),
+                ("DELETE", r"/v1/streams/([^/]+)", self._cancel),
+                ("GET", r"/v1/allocations", self._allocations),
+                ("POST", r"/v1/holds", self._hold),
+                ("DELETE", r"/v1/holds/([^/]+)", self._release_hold),
+                ("POST", r"/v1/kv/export", self._export),
+                ("POST", r"/v1/kv/import", self._import),
+                ("GET", r"/v1/kv/([^/]+)", self._describe_segment),
+                ("DELETE", r"/v1/kv/([^/]+)", self._release_segment),
+                ("GET", r"/v1/load", self._load),
+                ("GET", r"/v1/cache-events", self._read_cache_events),
+                ("POST", r"/v1/orders", self._order),
+                ("POST", r"/control/([a-z]+)", self._control),
+            )
+        )
+
+    @property
+    def incarnation(self) -> int:
+        """Random number of this start of the engine."""
+        return self._incarnation
 
     async def run(self) -> None:
         """Steps the model until cancelled."""
         while True:
-            if self._model.idle:
-                self._work.clear()
-                await self._work.wait()
+            self._work.clear()
             step = self._model.step()
+            if not step.duration:
+                # Nothing to do, or all streams wait for memory of holds.
+                await self._work.wait()
+                continue
+            exported = [
+                name.removeprefix(_EXPORT_PREFIX)
+                for name in step.finished
+                if name.startswith(_EXPORT_PREFIX)
+            ]
+            # The memory is taken over before anything else can have it.
+            for name in exported:
+                self._keep_export(name)
             await asyncio.sleep(step.duration)
+            for name in exported:
+                export = self._exports.pop(name, None)
+                if export is not None and not export.kept.done():
+                    export.kept.set_result(
+                        self._memory.segment(name) is not None
+                    )
             for name in step.decoded:
-                stream = self._streams.get(name)
-                if stream is None:
-                    continue
-                stream.produced += 1
-                stream.finished = name in step.finished
-                stream.changed.set()
-                stream.changed = asyncio.Event()
+                self._on_token(name, name in step.finished)
+            for stored, evicted in self._model.take_cache_events():
+                self._cache_events.add(stored, evicted)
 
     async def handle(
         self, request: server.ServerRequest, responder: server.Responder
     ) -> None:
         """Answers one call."""
-        match = _STREAM.fullmatch(request.path)
-        if request.path == "/v1/streams" and request.method == "POST":
-            await self._start_stream(request, responder)
-        elif match and request.method == "GET":
-            await self._resume(match[1], request, responder)
-        elif match and request.method == "DELETE":
-            await self._cancel(match[1], responder)
-        elif request.path == "/v1/load":
-            await self._load(responder)
-        elif request.path == "/v1/allocations":
-            await self._allocations(request, responder)
-        else:
-            await self.answer(
-                responder, {"started": False, "detail": "no such call"}, 400
-            )
+        if not request.path.startswith("/control/"):
+            self._faults.on_connection(responder)
+            if self._faults.aborting:
+                responder.abort()
+                return
+            if not await self._faults.pass_through(responder):
+                return
+        for method, pattern, route in self._routes:
+            match = pattern.fullmatch(request.path)
+            if match is None or method != request.method:
+                continue
+            try:
+                await route(match, request, responder)
+            except (ValueError, KeyError, TypeError) as error:
+                await self._refuse(responder, 400, f"malformed call: {error}")
+            return
+        await self._refuse(responder, 400, "no such call")
 
     async def _start_stream(
-        self, request: server.ServerRequest, responder: server.Responder
+        self,
+        match: re.Match[str],
+        request: server.ServerRequest,
+        responder: server.Responder,
     ) -> None:
         content = orjson.loads(request.body)
-        name = content["stream_id"]
-        if self._leaving:
-            await self.answer(
-                responder, {"started": False, "leaving": True}, 503
-            )
+        name = str(content["stream_id"])
+        if self._refuses_work:
+            await self._refuse_work(responder, "the engine takes no work")
             return
-        submitted = self._model.submit(
-            engine_model.StreamSpec(
-                ids.StreamId(name),
-                units.Tokens(content["prompt_tokens"]),
-                units.Tokens(content["max_tokens"]),
-                content["priority"],
-                tuple(content["block_hashes"]),
-            )
-        )
+        refusal = self._refusal_of(content, name)
+        imported = self._imported_tokens(content)
+        if refusal is None and imported is None:
+            refusal = "a KV segment is not here"
+        if refusal is not None or imported is None:
+            await self._refuse_work(responder, refusal or "")
+            return
+        submitted = self._submit(name, content, imported)
         if isinstance(submitted, result.Err):
-            await self.answer(
-                responder,
-                {"started": False, "detail": "the prompt does not fit"},
-                409,
-            )
+            await self._refuse_work(responder, submitted.err_value)
             return
-        self._history.record("start", stream=name, request=content["prompt"])
-        if CRASH_MARKER in content["prompt"]:
-            os._exit(_CRASH_STATUS)
-        self._streams[name] = _LiveStream(
+        prompt = str(content["prompt"])
+        self._history.record(
+            "start",
+            stream=name,
+            attempt=content["attempt_id"],
+            owner=content["owner"],
+            request=prompt[:200],
+            first_offset=content["first_offset"],
+        )
+        if CRASH_MARKER in prompt:
+            self._crash(prompt)
+        stream = engine_streams.LiveStream(
+            name,
             content["attempt_id"],
             content["owner"],
-            content["prompt"],
+            content["model"],
+            prompt,
             content["first_offset"],
             content["max_tokens"],
+            content["prompt_tokens"] - imported + content["max_tokens"],
+        )
+        deadline = units.Seconds(content["deadline_ms"] / 1000)
+        self._streams.add(stream, content["resume_text"], deadline)
+        await self._send(stream, stream.first_offset, responder)
+
+    def _refusal_of(self, content: dict[str, Any], name: str) -> str | None:
+        if self._streams.get(name) is not None:
+            return "the stream exists"
+        if name in self._cancelled:
+            return "the stream was cancelled"
+        if not self._orders.serves(content["model"], content["adapter"]):
+            return f"{content['model']} {content['adapter']} is not loaded"
+        return None
+
+    def _imported_tokens(self, content: dict[str, Any]) -> units.Tokens | None:
+        covered = 0
+        for handle in content.get("kv_imports", ()):
+            segment = self._memory.segment(handle)
+            if segment is None:
+                return None
+            covered += segment.covered
+        return units.Tokens(covered)
+
+    def _submit(
+        self,
+        name: str,
+        content: dict[str, Any],
+        imported: units.Tokens,
+        max_tokens: int | None = None,
+    ) -> result.Result[None, str]:
+        if imported > content["prompt_tokens"]:
+            return result.Err("the imports cover more than the prompt")
+        hold = content.get("hold")
+        priority = int(content["priority"])
+        if hold is not None and self._memory.use_hold(hold):
+            priority = _HOLD_PRIORITY
+        submitted = self._model.submit(
+            engine_model.StreamSpec(
+                ids.StreamId(name),
+                units.Tokens(content["prompt_tokens"]),
+                units.Tokens(max_tokens or content["max_tokens"]),
+                priority,
+                tuple(content.get("block_hashes", ())),
+                imported,
+            )
         )
         self._work.set()
-        await self._send(name, content["first_offset"], responder)
+        return submitted.map_err(lambda _: "the prompt does not fit")
 
     async def _resume(
         self,
-        name: str,
+        match: re.Match[str],
         request: server.ServerRequest,
         responder: server.Responder,
     ) -> None:
-        if name not in self._streams:
-            await self.answer(responder, {"detail": "unknown stream"}, 404)
+        stream = self._streams.get(match[1])
+        offset = int(request.parameter("from") or 0)
+        if stream is None or offset < stream.first_offset:
+            await self.answer(
+                responder,
+                {"detail": "unknown stream", "incarnation": self._incarnation},
+                404,
+            )
             return
-        await self._send(name, int(request.parameter("from") or 0), responder)
+        await self._send(stream, offset, responder)
 
     async def _send(
-        self, name: str, offset: int, responder: server.Responder
+        self,
+        stream: engine_streams.LiveStream,
+        offset: int,
+        responder: server.Responder,
     ) -> None:
-        stream = self._streams[name]
         responder.start(200, (("content-type", "text/event-stream"),))
         accepted = {
             "attempt_id": stream.attempt_id,
             "incarnation": self._incarnation,
         }
         connected = await responder.write(_event("accepted", accepted))
-        while connected:
-            end = stream.first_offset + stream.produced
+        while connected and not stream.gone:
+            end = stream.end
+            finished = stream.finished
             changed = stream.changed
             pieces = [
-                _event(
-                    "token",
-                    {
-                        "offset": index,
-                        "text": engine_model.token_text(stream.prompt, index),
-                    },
-                )
+                _event("token", {"offset": index, "text": stream.text(index)})
                 for index in range(offset, end)
             ]
             offset = max(offset, end)
-            connected = await responder.write(b"".join(pieces))
-            if stream.finished:
+            connected = await self._faults.pass_through(
+                responder
+            ) and await responder.write(b"".join(pieces))
+            if finished or not connected:
                 break
-            await changed.wait()
+            await _first(changed, responder.disconnected)
+            connected = not responder.disconnected.is_set()
+        if stream.gone:
+            # The answer is not whole, so that it must not end like one.
+            responder.abort()
+            return
         if not connected:
             return
         await responder.write(
             _event("end", {"token_count": offset, "reason": "length"})
         )
+        self._streams.on_read(stream)
         await responder.finish()
-        self._streams.pop(name, None)
-
-    async def _cancel(self, name: str, responder: server.Responder) -> None:
-        self._model.cancel(ids.StreamId(name))
-        stream = self._streams.pop(name, None)
-        if stream is not None:
-            stream.finished = True
-            stream.changed.set()
-        await self.answer(responder, {"incarnation": self._incarnation})
 
-    async def _load(self, responder: server.Responder) -> None:
-        model = self._model
-        await self.answer(
-            responder,
-            {
-                "timestamp": asyncio.get_running_loop().time(),
-                "incarnation": self._incarnation,
-                "running": model.running,
-                "waiting": model.waiting,
-                "prefill_tokens_queued": model.prefill_tokens_queued,
-                "kv_bytes_used": model.used_tokens,
-                "kv_bytes_total": self._settings.kv_tokens,
-                "role": "general",
-                "models": self._models,
-                "leaving": self._leaving,
-            },
-        )
+    async def _cancel(
+        self,
+        match: re.Match[str],
+        request: server.ServerRequest,
+        responder: server.Responder,
+    ) -> None:
+        self._streams.cancel(match[1])
+        self._cancelled[match[1]] = None
+        if len(self._cancelled) > _MAX_CANCELLED:
+            del self._cancelled[next(iter(self._cancelled))]
+        await self._confirm(responder)
 
     async def _allocations(
-        self, request: server.ServerRequest, responder: server.Responder
+        self,
+        match: re.Match[str],
+        request: server.ServerRequest,
+        responder: server.Responder,
     ) -> None:
         owner = request.parameter("owner")
+        streams = (
+            (
+                backend_servers.AllocationKind.STREAM,
+                stream.name,
+                stream.owner,
+                stream.produced if stream.finished else stream.reserved_tokens,
+            )
+            for stream in self._streams
+        )
+        exports = (
+            (
+                backend_servers.AllocationKind.EXPORTED_KV,
+                name,
+                export.owner,
+                export.tokens,
+            )
+            for name, export in self._exports.items()
+            if self._memory.segment(name) is None
+        )
+        kept = (
+            (entry.kind, entry.name, entry.owner, entry.tokens)
+            for entry in self._memory
+        )
         await self.answer(
             responder,
             {
+                "incarnation": self._incarnation,
                 "allocations": [
                     {
-                        "kind": "stream",
+                        "kind": kind.value,
                         "id": name,
-                        "owner": stream.owner,
-                        "bytes": stream.max_tokens,
+                        "owner": holder,
+                        "bytes": tokens * self._options.bytes_per_token,
                     }
-                    for name, stream in self._streams.items()
-                    if owner is None or owner == stream.owner
-                ]
+                    for kind, name, holder, tokens in (
+                        *streams,
+                        *exports,
+                        *kept,
+                    )
+                    if owner is None or owner == holder
+                ],
             },
         )
 
+    async def _hold(
+        self,
+        match: re.Match[str],
+        request: server.ServerRequest,
+        responder: server.Responder,
+    ) -> None:
+        content = orjson.loads(request.body)
+        tokens = -(-int(content["bytes"]) // self._options.bytes_per_token)
+        taken = not self._refuses_work and self._memory.hold(
+            str(content["hold_id"]),
+            str(content["owner"]),
+            units.Tokens(tokens),
+            units.Seconds(content["lifetime_ms"] / 1000),
+        )
+        if taken:
+            await self._confirm(responder)
+        else:
+            await self._refuse_work(responder, "the memory is not free")
+
+    async def _release_hold(
+        self,
+        match: re.Match[str],
+        request: server.ServerRequest,
+        responder: server.Responder,
+    ) -> None:
+        self._memory.release_hold(match[1])
+        await self._confirm(responder)
+
+    async def _export(
+        self,
+        match: re.Match[str],
+        request: server.ServerRequest,
+        responder: server.Responder,
+    ) -> None:
+        content = orjson.loads(request.body)
+        name = str(content["handle"])
+        imported = self._imported_tokens(content)
+        if imported is None or name in self._cancelled:
+            await self._refuse_work(responder, "a KV segment is not here")
+            return
+        if self._refuses_work or name in self._exports:
+            await self._refuse_work(responder, "the export exists")
+            return
+        if self._memory.segment(name) is not None:
+            await self._confirm(responder)
+            return
+        # One token stands for the end of the prefill in the timing model.
+        submitted = self._submit(_EXPORT_PREFIX + name, content, imported, 1)
+        if isinstance(submitted, result.Err):
+            await self._refuse_work(responder, submitted.err_value)
+            return
+        deadline = units.Seconds(content["deadline_ms"] / 1000)
+        export = _Export(
+            str(content["owner"]),
+            units.Tokens(content["prompt_tokens"] - imported),
+            units.after(self._timers.now(), deadline),
+            asyncio.get_running_loop().create_future(),
+        )
+        export.expiry = self._timers.subscribe_at(
+            export.deadline, lambda: self._drop_export(name)
+        )
+        self._exports[name] = export
+        kept = await export.kept
+        export.expiry.cancel()
+        if kept:
+            await self._confirm(responder)
+        else:
+            await self.answer(responder, {"detail": "export cancelled"}, 409)
+
+    def _keep_export(self, name: str) -> None:
+        export = self._exports.get(name)
+        if export is not None:
+            self._memory.keep_export(
+                name,
+                export.owner,
+                export.tokens,
+                units.elapsed(self._timers.now(), export.deadline),
+            )
+
+    def _drop_export(self, name: str) -> None:
+        export = self._exports.pop(name, None)
+        if export is None:
+            return
+        self._model.cancel(ids.StreamId(_EXPORT_PREFIX + name))
+        if not export.kept.done():
+            export.kept.set_result(False)
+
+    async def _import(
+        self,
+        match: re.Match[str],
+        request: server.ServerRequest,
+        responder: server.Responder,
+    ) -> None:
+        content = orjson.loads(request.body)
+        name = str(content["handle"])
+        if self._refuses_work or name in self._cancelled:
+            await self._refuse_work(responder, "the handle was released")
+            return
+        tokens = await self._read_source(str(content["source"]), name)
+        if tokens is None:
+            await self._refuse_work(responder, "the source has no such KV")
+            return
+        # The handle may have been released while the source was read.
+        if name in self._cancelled or not self._memory.attach_import(
+            name, str(content["owner"]), tokens
+        ):
+            await self._refuse_work(responder, "the import has no room")
+            return
+        await self._confirm(responder)
+
+    async def _read_source(self, source: str, name: str) -> units.Tokens | None:
+        parsed = address_module.parse(source)
+        if isinstance(parsed, result.Err):
+            return None
+        connections = pool.ConnectionPool(
+            parsed.ok_value, self._timers, pool.PoolLimits()
+        )
+        answer = await connections.exchange(
+            client.RequestHead("GET", f"/v1/kv/{name}"), fresh=True
+        )
+        if isinstance(answer, result.Err) or answer.ok_value.head.status != 200:
+            return None
+        return units.Tokens(int(orjson.loads(answer.ok_value.body)["tokens"]))
+
+    async def _describe_segment(
+        self,
+        match: re.Match[str],
+        request: server.ServerRequest,
+        responder: server.Responder,
+    ) -> None:
+        segment = self._memory.segment(match[1])
+        if segment is None:
+            await self.answer(responder, {"detail": "unknown handle"}, 404)
+            return
+        await self.answer(
+            responder,
+            {"tokens": segment.covered, "incarnation": self._incarnation},
+        )
+
+    async def _release_segment(
+        self,
+        match: re.Match[str],
+        request: server.ServerRequest,
+        responder: server.Responder,
+    ) -> None:
+        self._drop_export(match[1])
+        self._memory.release_segment(match[1])
+        self._cancelled[match[1]] = None
+        await self._confirm(responder)
+
+    async def _load(
+        self,
+        match: re.Match[str],
+        request: server.ServerRequest,
+        responder: server.Responder,
+    ) -> None:
+        model = self._model
+        scale = self._options.bytes_per_token
+        current: dict[str, object] = {
+            "incarnation": self._incarnation,
+            "running": model.running,
+            "waiting": model.waiting,
+            "prefill_tokens_queued": model.prefill_tokens_queued,
+            "kv_bytes_used": model.used_tokens * scale,
+            "kv_bytes_total": self._settings.kv_tokens * scale,
+            "role": self._orders.role.value,
+            "models": self._orders.models,
+            "adapters": self._orders.adapters,
+            "loading": self._orders.loading,
+            "leaving": self._leaving,
+        }
+        await self.answer(responder, self._report.read(current))
+
+    async def _read_cache_events(
+        self,
+        match: re.Match[str],
+        request: server.ServerRequest,
+        responder: server.Responder,
+    ) -> None:
+        after = int(request.parameter("after") or 0)
+        await self.answer(
+            responder, {"events": self._cache_events.after(after)}
+        )
+
+    async def _order(
+        self,
+        match: re.Match[str],
+        request: server.ServerRequest,
+        responder: server.Responder,
+    ) -> None:
+        content = orjson.loads(request.body)
+        taken = self._orders.take(
+            backend_servers.EngineOrder(
+                ids.OrderId(content["order_id"]),
+                backend_servers.OrderKind(content["kind"]),
+                str(content["target"]),
+                ids.FencingNumber(int(content["fencing_number"])),
+            )
+        )
+        if isinstance(taken, result.Err):
+            await self._refuse(responder, 412, taken.err_value)
+            return
+        await self._confirm(responder)
+
+    async def _control(
+        self,
+        match: re.Match[str],
+        request: server.ServerRequest,
+        responder: server.Responder,
+    ) -> None:
+        content = orjson.loads(request.body or b"{}")
+        if match[1] == "faults":
+            self._faults.apply(content)
+        elif match[1] == "leave":
+            self._leaving = bool(content.get("leaving", True))
+            self._history.record("leave", leaving=self._leaving)
+        elif match[1] == "crash":
+            self._crash("control call")
+        else:
+            raise ValueError("no such control call")
+        await self._confirm(responder)
+
+    @property
+    def _refuses_work(self) -> bool:
+        return self._leaving or self._faults.refusing
+
+    async def _refuse_work(
+        self, responder: server.Responder, detail: str
+    ) -> None:
+        if self._leaving:
+            await self.answer(
+                responder, {"started": False, "leaving": True}, 503
+            )
+            return
+        status = 503 if self._faults.refusing else 409
+        await self._refuse(responder, status, detail)
+
+    async def _refuse(
+        self, responder: server.Responder, status: int, detail: str
+    ) -> None:
+        await self.answer(
+            responder, {"started": False, "detail": detail}, status
+        )
+
+    async def _confirm(self, responder: server.Responder) -> None:
+        await self.answer(responder, {"incarnation": self._incarnation})
+
+    def _on_token(self, name: str, last: bool) -> None:
+        stream = self._streams.on_token(name, last)
+        if (
+            stream is not None
+            and stream.produced == _LATE_CRASH_TOKENS
+            and LATE_CRASH_MARKER in stream.prompt
+        ):
+            self._crash(stream.prompt)
+
+    def _crash(self, cause: str) -> None:
+        self._history.record("crash", cause=cause[:200])
+        self._crash_process(_CRASH_STATUS)
+
+
+async def _first(changed: asyncio.Event, disconnected: asyncio.Event) -> None:
+    """Waits until one of two events is set."""
+    waits = [
+        asyncio.ensure_future(changed.wait()),
+        asyncio.ensure_future(disconnected.wait()),
+    ]
+    try:
+        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        for wait in waits:
+            wait.cancel()
+
 
 def _event(kind: str, content: dict[str, object]) -> bytes:
     return b"event: %s\ndata: %s\n\n" % (kind.encode(), orjson.dumps(content))
