Test generation and reclaiming against stand-in engines

Cause: the daemon modules had no tests. Writing them showed that a release that became due while the keeper waited for a later one came up to a second late.

Change: tests with engines inside the test process. The keeper's wait ends when a release is added, and the ledger keeps its release times in a heap instead of searching all entries.

--- a/packages/daemon/src/lavendershed/daemon/ledger_keeper.py
+++ b/packages/daemon/src/lavendershed/daemon/ledger_keeper.py
@@ -23,8 +23,6 @@
 # Longest wait for confirmations at a graceful stop. What is left afterwards is
 # freed by the deadlines of the streams or reclaimed by another daemon.
 _RELEASE_TIMEOUT = units.Seconds(5.0)
-# The longest delay of a poll for due orders while none is known.
-_IDLE_WAIT = units.Seconds(1.0)
 
 Confirmation = result.Result[ids.Incarnation, backend_servers.BackendError]
 
@@ -63,6 +61,7 @@
         ] = {}
         self._orders: dict[memory_ledger.AllocationKey, asyncio.Task[None]] = {}
         self._checked: dict[ids.BackendServerId, ids.Incarnation] = {}
+        self._wake = asyncio.Event()
         self._slots = asyncio.Semaphore(_MAX_ORDERS_IN_FLIGHT)
 
     async def run(self) -> None:
@@ -72,13 +71,19 @@
             Exception: A release order broke an invariant.
         """
         while True:
-            now = self._timers.now()
-            self._carry_out(self._ledger.on_time(now))
+            self._wake.clear()
+            self._carry_out(self._ledger.on_time(self._timers.now()))
             due = self._ledger.next_due
-            idle = units.after(now, _IDLE_WAIT)
-            await event_loop_timers.sleep_until(
-                self._timers, idle if due is None else min(due, idle)
+            timer = (
+                None
+                if due is None
+                else self._timers.subscribe_at(due, self._wake.set)
             )
+            try:
+                await self._wake.wait()
+            finally:
+                if timer is not None:
+                    timer.cancel()
 
     async def release(self) -> None:
         """Releases everything and waits for the confirmations."""
@@ -132,6 +137,8 @@
         """Releases an allocation, again and again until it is confirmed."""
         now = self._timers.now()
         self._carry_out(self._ledger.on_no_longer_needed(key, now))
+        # The new entry may be due before those that the loop waits for.
+        self._wake.set()
 
     def on_incarnation(
         self, engine: ids.BackendServerId, incarnation: ids.Incarnation
--- /dev/null
+++ b/packages/daemon/tests/test_generation.py
@@ -0,0 +1,184 @@
+"""Guards the attempts of generate requests, against stand-in engines."""
+
+from __future__ import annotations
+
+import asyncio
+
+import generation_fixture
+import orjson
+import result
+
+from lavendershed.core import states
+from lavendershed.core import units
+from lavendershed.standin import engine_model
+from lavendershed.standin import fleet
+from lavendershed.standin import model_engine
+from lavendershed.telemetry import events
+from lavendershed.transport import client as transport_client
+
+SLOW = engine_model.EngineSettings(
+    prefill_rate=1_000_000.0, decode_base=units.Seconds(0.02)
+)
+# The prefill of a hundred tokens takes five seconds.
+STALLED = engine_model.EngineSettings(prefill_rate=20.0)
+
+
+async def control(engine, name, **content):
+    """Makes a control call to an engine."""
+    await fleet.exchange(
+        engine.address,
+        transport_client.RequestHead("POST", f"/control/{name}"),
+        orjson.dumps(content),
+    )
+
+
+class GenerationTest(generation_fixture.GenerationCase):
+    """Fails if a request ends wrongly, late or leaves memory behind."""
+
+    def assert_whole(self, caller, prompt, count):
+        expected = "".join(
+            engine_model.token_text(prompt, i) for i in range(count)
+        )
+        client = self.clients[self.names[0]]
+        self.assertEqual(client.text_of(tuple(caller.events)), expected)
+        self.assertEqual(caller.ended, count)
+
+    def count(self, event):
+        return sum(number is event for number, _ in self.log.records)
+
+    async def test_whole_answer_leaves_nothing_behind(self):
+        await self.start(1)
+        outcome, caller = await self.run_request()
+        self.assertIsInstance(outcome, result.Ok)
+        self.assert_whole(caller, "rain", 20)
+        self.assertEqual(self.dispatcher.released, 1)
+        self.assertEqual(self.suspects.in_flight, 0)
+        await self.assert_no_memory_is_held()
+
+    async def test_continues_on_another_engine_after_a_crash(self):
+        await self.start(2, SLOW)
+        prompt = "wind"
+        caller = generation_fixture.Caller()
+        running = asyncio.create_task(
+            self.run_request(caller, prompt=prompt, max_tokens=12)
+        )
+        await caller.first_token.wait()
+        await self.engines[0].stop()
+        outcome, _ = await running
+        self.assertIsInstance(outcome, result.Ok)
+        self.assert_whole(caller, prompt, 12)
+        # The request is a suspect, so that its second attempt runs alone.
+        self.assertEqual(
+            self.dispatcher.assigned,
+            [(self.names[0], False), (self.names[1], True)],
+        )
+        # The new incarnation shows that the old one's memory is gone.
+        await self.engines[0].start()
+        await self.assert_no_memory_is_held()
+
+    async def test_returns_to_the_only_engine_once_it_has_restarted(self):
+        await self.start(1, SLOW)
+        caller = generation_fixture.Caller()
+        running = asyncio.create_task(self.run_request(caller))
+        await caller.first_token.wait()
+        await self.engines[0].stop()
+        await asyncio.sleep(0.1)
+        self.assertFalse(running.done())
+        await self.engines[0].start()
+        outcome, _ = await running
+        self.assertIsInstance(outcome, result.Ok)
+        self.assert_whole(caller, "rain", 20)
+        await self.assert_no_memory_is_held()
+
+    async def check_crashes_stop_at_two(self, prompt):
+        await self.start(4)
+        outcome, _ = await self.run_request(prompt=prompt)
+        failure = outcome.err_value
+        self.assertIs(failure.reason, states.FailureReason.QUARANTINED)
+        self.assertIsNot(failure.execution, states.Execution.NOT_RUN)
+        self.assertEqual([e.crashes for e in self.engines], [1, 1, 0, 0])
+        (record,) = self.exchange.published
+        self.assertGreater(record.lifetime, 0)
+        again, _ = await self.run_request(prompt=prompt, max_tokens=9)
+        self.assertIs(again.err_value.execution, states.Execution.NOT_RUN)
+        self.assertEqual(sum(e.crashes for e in self.engines), 2)
+        other, _ = await self.run_request(prompt="sun")
+        self.assertIsInstance(other, result.Ok)
+
+    async def test_request_that_crashes_at_its_start_stops_at_two(self):
+        await self.check_crashes_stop_at_two(model_engine.CRASH_MARKER)
+
+    async def test_request_that_crashes_while_decoding_stops_at_two(self):
+        await self.check_crashes_stop_at_two(model_engine.LATE_CRASH_MARKER)
+
+    async def test_silent_connection_is_resumed_on_the_same_engine(self):
+        await self.start(1, SLOW)
+        caller = generation_fixture.Caller()
+        running = asyncio.create_task(self.run_request(caller))
+        await caller.first_token.wait()
+        await control(self.engines[0], "faults", silence=True)
+        outcome, _ = await running
+        self.assertIsInstance(outcome, result.Ok)
+        self.assert_whole(caller, "rain", 20)
+        self.assertEqual(self.count(events.Event.STREAM_RESUMED), 1)
+        self.assertEqual(len(self.dispatcher.assigned), 1)
+
+    async def test_refusals_by_all_engines_are_not_run(self):
+        await self.start(2)
+        for engine in self.engines:
+            await control(engine, "faults", refuse=True)
+        outcome, _ = await self.run_request()
+        failure = outcome.err_value
+        self.assertIs(failure.execution, states.Execution.NOT_RUN)
+        self.assertEqual(len(self.ledger), 0)
+
+    async def test_deadline_during_the_answer_is_reported_as_started(self):
+        await self.start(1, SLOW)
+        outcome, caller = await self.run_request(max_tokens=9_000, timeout=0.3)
+        failure = outcome.err_value
+        self.assertIs(failure.reason, states.FailureReason.DEADLINE_EXCEEDED)
+        self.assertIs(failure.execution, states.Execution.FAILED_AFTER_START)
+        self.assertIsNone(caller.ended)
+        await self.assert_no_memory_is_held()
+
+    async def test_caller_that_leaves_without_tokens_cancels_the_stream(self):
+        await self.start(1, STALLED)
+        caller = generation_fixture.Caller()
+        running = asyncio.create_task(self.run_request(caller))
+        await asyncio.sleep(0.1)
+        self.assertEqual(len(self.ledger), 1)
+        caller.gone.set()
+        outcome, _ = await asyncio.wait_for(running, 1.0)
+        self.assertIs(
+            outcome.err_value.reason, states.FailureReason.CALLER_DISCONNECTED
+        )
+        await self.assert_no_memory_is_held()
+
+    async def test_caller_that_does_not_read_ends_at_the_deadline(self):
+        await self.start(1)
+        caller = generation_fixture.Caller()
+        caller.reading.clear()
+        start = self.timers.now()
+        outcome, _ = await self.run_request(caller, timeout=0.3)
+        self.assertIs(
+            outcome.err_value.reason, states.FailureReason.DEADLINE_EXCEEDED
+        )
+        self.assertLess(self.timers.now() - start, 1.0)
+        await self.assert_no_memory_is_held()
+
+    async def test_release_is_repeated_until_the_engine_confirms(self):
+        await self.start(1, SLOW)
+        caller = generation_fixture.Caller()
+        running = asyncio.create_task(
+            self.run_request(caller, max_tokens=9_000)
+        )
+        await caller.first_token.wait()
+        await control(self.engines[0], "faults", abort=True)
+        caller.gone.set()
+        await running
+        await asyncio.sleep(0.3)
+        self.assertEqual(self.ledger.releasing, 1)
+        self.assertGreater(self.count(events.Event.RELEASE_FAILED), 1)
+        await control(self.engines[0], "faults", abort=False)
+        await self.keeper.release()
+        await self.assert_no_memory_is_held()
--- /dev/null
+++ b/packages/daemon/tests/test_memory_reclaimer.py
@@ -0,0 +1,77 @@
+"""Guards the reclaiming of engine memory without a living owner."""
+
+from __future__ import annotations
+
+import generation_fixture
+
+from lavendershed.core import backend_servers
+from lavendershed.core import cluster
+from lavendershed.core import ids
+from lavendershed.core import states
+from lavendershed.core import units
+from lavendershed.daemon import memory_reclaimer
+
+DEAD = backend_servers.Owner(ids.VmId("vm-2"), ids.Incarnation(1))
+ALIVE = backend_servers.Owner(ids.VmId("vm-3"), ids.Incarnation(1))
+
+
+class Members(cluster.MemberView):
+    """Members that a test chooses."""
+
+    def __init__(self):
+        self.live_vms = (generation_fixture.OWNER.vm,)
+        self.dead = {DEAD}
+
+    @property
+    def live(self):
+        """Live daemons."""
+        return self.live_vms
+
+    def owner_state(self, owner):
+        """Returns dead for the owners in `dead`."""
+        if owner in self.dead:
+            return states.MemberState.DEAD
+        return states.MemberState.ALIVE
+
+
+class MemoryReclaimerTest(generation_fixture.GenerationCase):
+    """Fails if a dead owner's memory is kept or a live one's cancelled."""
+
+    async def asyncSetUp(self):
+        await self.start(1)
+        self.client = self.clients[self.names[0]]
+        self.members = Members()
+        self.reclaimer = memory_reclaimer.MemoryReclaimer(
+            generation_fixture.OWNER,
+            self.ledger,
+            self.members,
+            self.directory,
+            self.timers,
+            self.log,
+        )
+
+    async def hold(self, owner):
+        await self.client.create_hold(
+            ids.HoldId(owner.vm), owner, units.Bytes(10), units.Seconds(60.0)
+        )
+
+    async def owners(self):
+        listed = (await self.client.allocations(None)).unwrap()
+        return {allocation.owner for allocation in listed}
+
+    async def test_dead_owner_is_reclaimed_in_the_second_round(self):
+        await self.hold(DEAD)
+        await self.hold(ALIVE)
+        await self.reclaimer.run_round()
+        self.assertEqual(await self.owners(), {DEAD, ALIVE})
+        await self.reclaimer.run_round()
+        self.assertEqual(await self.owners(), {ALIVE})
+
+    async def test_only_the_responsible_daemon_reclaims(self):
+        self.members.live_vms = (ALIVE.vm,)
+        await self.hold(DEAD)
+        await self.hold(generation_fixture.OWNER)
+        for _ in range(3):
+            await self.reclaimer.run_round()
+        # Its own orphan is released by each daemon itself.
+        self.assertEqual(await self.owners(), {DEAD})
--- a/packages/reliability/src/lavendershed/reliability/memory_ledger.py
+++ b/packages/reliability/src/lavendershed/reliability/memory_ledger.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import dataclasses
+import heapq
+import itertools
 
 import result
 
@@ -78,8 +80,12 @@
     def __init__(self, limits: LedgerLimits) -> None:
         self._limits = limits
         self._entries: dict[AllocationKey, LedgerEntry] = {}
-        # Index of the entries in state `releasing`.
         self._releasing: set[AllocationKey] = set()
+        # Times of release orders, earliest first; entries that have ended or
+        # were ordered anew are skipped when their turn comes. The number keeps
+        # keys from being compared.
+        self._due: list[tuple[units.Instant, int, AllocationKey]] = []
+        self._sequence = itertools.count()
 
     def __len__(self) -> int:
         """Returns the number of entries."""
@@ -97,9 +103,9 @@
     @property
     def next_due(self) -> units.Instant | None:
         """Time of the next release order, or None."""
-        return min(
-            (self._entries[key].due for key in self._releasing), default=None
-        )
+        while self._due and not self._is_due_entry(*self._due[0]):
+            heapq.heappop(self._due)
+        return self._due[0][0] if self._due else None
 
     def entry(self, key: AllocationKey) -> LedgerEntry | None:
         """Returns an entry, or None once its memory is free."""
@@ -142,34 +148,22 @@
         if entry is None or key in self._releasing:
             return ()
         self._entries[key] = dataclasses.replace(
-            entry, state=states.AllocationState.RELEASING, due=now
+            entry, state=states.AllocationState.RELEASING
         )
         self._releasing.add(key)
-        return self.on_time(now, only=key)
+        return (self._order(key, now),)
 
-    def on_time(
-        self, now: units.Instant, only: AllocationKey | None = None
-    ) -> tuple[ReleaseOrder, ...]:
+    def on_time(self, now: units.Instant) -> tuple[ReleaseOrder, ...]:
         """Returns the release orders that are due.
 
         An order is repeated with exponentially growing delays until
         `on_released` or `on_incarnation` ends the entry.
         """
-        keys = self._releasing if only is None else {only}
-        due = [key for key in keys if self._entries[key].due <= now]
-        for key in due:
-            entry = self._entries[key]
-            # The exponent is bounded to keep the power in range.
-            delay = min(
-                self._limits.max_delay,
-                self._limits.base_delay * 2 ** min(entry.orders, 30),
-            )
-            self._entries[key] = dataclasses.replace(
-                entry,
-                orders=entry.orders + 1,
-                due=units.after(now, units.Seconds(delay)),
-            )
-        return tuple(ReleaseOrder(key) for key in due)
+        orders = []
+        while (due := self.next_due) is not None and due <= now:
+            _, _, key = heapq.heappop(self._due)
+            orders.append(self._order(key, now))
+        return tuple(orders)
 
     def on_incarnation(
         self, engine: ids.BackendServerId, incarnation: ids.Incarnation
@@ -188,3 +182,22 @@
         for key in gone:
             self.on_released(key)
         return gone
+
+    def _order(self, key: AllocationKey, now: units.Instant) -> ReleaseOrder:
+        entry = self._entries[key]
+        # The exponent is bounded to keep the power in range.
+        delay = min(
+            self._limits.max_delay,
+            self._limits.base_delay * 2 ** min(entry.orders, 30),
+        )
+        due = units.after(now, units.Seconds(delay))
+        self._entries[key] = dataclasses.replace(
+            entry, orders=entry.orders + 1, due=due
+        )
+        heapq.heappush(self._due, (due, next(self._sequence), key))
+        return ReleaseOrder(key)
+
+    def _is_due_entry(
+        self, due: units.Instant, sequence: int, key: AllocationKey
+    ) -> bool:
+        return key in self._releasing and self._entries[key].due == due
