Turn malformed engine answers into errors

Cause: an answer with a missing member or one of another type raised an exception in the engine client, and only the ends of a token batch were checked.

Change: every member is read with its type, and each token event is parsed once. Names in paths are quoted, exports carry block hashes.

--- a/packages/backend/src/lavendershed/backend/event_stream.py
+++ b/packages/backend/src/lavendershed/backend/event_stream.py
@@ -5,6 +5,7 @@
 import orjson
 import result
 
+from lavendershed.backend import members
 from lavendershed.core import backend_servers
 from lavendershed.core import ids
 from lavendershed.core import states
@@ -30,8 +31,8 @@
 class EventDecoder:
     """Splits a byte stream into events; keeps token events encoded.
 
-    Of consecutive token events only the first and the last offset are parsed:
-    together with the number of events they show a gap or a repetition.
+    Every token event is parsed once, so that what is relayed and kept for a
+    continuation is known to be well-formed; it is not encoded again.
     """
 
     def __init__(self) -> None:
@@ -64,35 +65,40 @@
             if tokens:
                 events.append(self._token_batch(tokens))
         except (ValueError, KeyError, TypeError) as error:
-            return result.Err(f"malformed event: {error}")
+            return result.Err(f"malformed event: {error!r}")
         return result.Ok(tuple(events))
 
     def _token_batch(self, tokens: list[bytes]) -> backend_servers.TokenBatch:
         first = _token_offset(tokens[0])
-        last = _token_offset(tokens[-1]) if len(tokens) > 1 else first
-        if last - first != len(tokens) - 1:
-            raise ValueError("token offsets are not contiguous")
+        for position, token in enumerate(tokens[1:], first + 1):
+            if _token_offset(token) != position:
+                raise ValueError("token offsets are not contiguous")
         return backend_servers.TokenBatch(self._attempt, first, tuple(tokens))
 
     def _other_event(self, piece: bytes) -> backend_servers.StreamEvent:
         if piece.startswith(_ACCEPTED_PREFIX):
             content = orjson.loads(piece[len(_ACCEPTED_PREFIX) :])
-            self._attempt = ids.AttemptId(content["attempt_id"])
+            self._attempt = ids.AttemptId(members.text(content, "attempt_id"))
             return backend_servers.StreamAccepted(
-                self._attempt, ids.Incarnation(content["incarnation"])
+                self._attempt,
+                ids.Incarnation(members.natural(content, "incarnation")),
             )
         if piece.startswith(_END_PREFIX):
             content = orjson.loads(piece[len(_END_PREFIX) :])
             return backend_servers.StreamEnd(
                 self._attempt,
-                units.Tokens(content["token_count"]),
+                units.Tokens(members.natural(content, "token_count")),
                 states.FinishReason(content["reason"]),
             )
         raise ValueError("unknown event type")
 
 
 def _token_offset(event: bytes) -> int:
-    return int(orjson.loads(event[len(_TOKEN_PREFIX) :])["offset"])
+    content = orjson.loads(event[len(_TOKEN_PREFIX) :])
+    offset = content["offset"]
+    if type(offset) is not int or type(content["text"]) is not str:
+        raise TypeError("a token event has a member of the wrong type")
+    return offset
 
 
 class HttpEngineStream(backend_servers.EngineStream):
--- a/packages/backend/src/lavendershed/backend/http_engine.py
+++ b/packages/backend/src/lavendershed/backend/http_engine.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
+from typing import TypeVar
 import urllib.parse
 
 import orjson
 import result
 
 from lavendershed.backend import event_stream
+from lavendershed.backend import members
 from lavendershed.core import backend_servers
 from lavendershed.core import ids
 from lavendershed.core import states
@@ -19,6 +22,8 @@
 
 _MAX_ERROR_BYTES = units.Bytes(64_000)
 
+T = TypeVar("T")
+
 
 class HttpModelEngine(backend_servers.ModelEngine):
     """The model engine at one address."""
@@ -62,7 +67,9 @@
     ]:
         """Opens a new connection and continues from token `offset`."""
         return await self._open(
-            client.RequestHead("GET", f"/v1/streams/{stream}?from={offset}"),
+            client.RequestHead(
+                "GET", f"/v1/streams/{_quoted(stream)}?from={offset}"
+            ),
             b"",
         )
 
@@ -70,7 +77,7 @@
         self, stream: ids.StreamId
     ) -> result.Result[ids.Incarnation, backend_servers.BackendError]:
         """Cancels a stream; Ok confirms that its memory is released."""
-        return await self._confirm("DELETE", f"/v1/streams/{stream}")
+        return await self._confirm("DELETE", f"/v1/streams/{_quoted(stream)}")
 
     async def load(
         self,
@@ -78,8 +85,9 @@
         backend_servers.LoadReport, backend_servers.BackendError
     ]:
         """Reads the engine's latest load report."""
-        answer = await self._call(client.RequestHead("GET", "/v1/load"))
-        return answer.map(_load_report)
+        return await self._read(
+            client.RequestHead("GET", "/v1/load"), _load_report
+        )
 
     async def cache_events(
         self, after: int
@@ -87,18 +95,16 @@
         tuple[backend_servers.CacheEvent, ...], backend_servers.BackendError
     ]:
         """Reads cache events with a sequence number above `after`."""
-        answer = await self._call(
-            client.RequestHead("GET", f"/v1/cache-events?after={after}")
-        )
-        return answer.map(
+        return await self._read(
+            client.RequestHead("GET", f"/v1/cache-events?after={after}"),
             lambda content: tuple(
                 backend_servers.CacheEvent(
-                    item["sequence"],
-                    tuple(item["stored"]),
-                    tuple(item["evicted"]),
+                    members.natural(item, "sequence"),
+                    members.numbers(item, "stored"),
+                    members.numbers(item, "evicted"),
                 )
                 for item in content["events"]
-            )
+            ),
         )
 
     async def allocations(
@@ -111,19 +117,17 @@
         query = urllib.parse.urlencode(
             {"owner": _owner_text(owner)} if owner else {}
         )
-        answer = await self._call(
-            client.RequestHead("GET", f"/v1/allocations?{query}")
-        )
-        return answer.map(
+        return await self._read(
+            client.RequestHead("GET", f"/v1/allocations?{query}"),
             lambda content: tuple(
                 backend_servers.EngineAllocation(
                     backend_servers.AllocationKind(item["kind"]),
-                    item["id"],
-                    _owner(item["owner"]),
-                    units.Bytes(item["bytes"]),
+                    members.text(item, "id"),
+                    _owner(members.text(item, "owner")),
+                    units.Bytes(members.natural(item, "bytes")),
                 )
                 for item in content["allocations"]
-            )
+            ),
         )
 
     async def create_hold(
@@ -149,7 +153,7 @@
         self, hold: ids.HoldId
     ) -> result.Result[ids.Incarnation, backend_servers.BackendError]:
         """Releases a hold; an unknown hold confirms too."""
-        return await self._confirm("DELETE", f"/v1/holds/{hold}")
+        return await self._confirm("DELETE", f"/v1/holds/{_quoted(hold)}")
 
     async def export_kv(
         self,
@@ -166,6 +170,7 @@
                 "attempt_id": request.attempt_id,
                 "owner": _owner_text(request.owner),
                 "prompt_tokens": request.prompt_tokens,
+                "block_hashes": request.block_hashes,
                 "priority": request.priority,
                 "deadline_ms": request.deadline,
                 "kv_imports": request.kv_imports,
@@ -191,7 +196,7 @@
         self, handle: ids.KvHandle
     ) -> result.Result[ids.Incarnation, backend_servers.BackendError]:
         """Releases exported or imported KV; an unknown handle confirms too."""
-        return await self._confirm("DELETE", f"/v1/kv/{handle}")
+        return await self._confirm("DELETE", f"/v1/kv/{_quoted(handle)}")
 
     async def order(
         self, order: backend_servers.EngineOrder
@@ -243,12 +248,13 @@
             _refusal(answer.ok_value.status, content.unwrap_or(b""))
         )
 
-    async def _call(
+    async def _read(
         self,
         head: client.RequestHead,
+        decode: Callable[[dict[str, Any]], T],
         body: bytes = b"",
         timeout: units.Seconds | None = None,
-    ) -> result.Result[dict[str, Any], backend_servers.BackendError]:
+    ) -> result.Result[T, backend_servers.BackendError]:
         answer = await self._pool.exchange(head, body, timeout=timeout)
         if isinstance(answer, result.Err):
             return result.Err(_backend_error(answer.err_value))
@@ -256,10 +262,9 @@
         if response.head.status != 200:
             return result.Err(_refusal(response.head.status, response.body))
         try:
-            content: dict[str, Any] = orjson.loads(response.body)
-        except ValueError:
-            return result.Err(_protocol_error("answer is not JSON"))
-        return result.Ok(content)
+            return result.Ok(decode(orjson.loads(response.body)))
+        except members.MALFORMED as error:
+            return result.Err(_protocol_error(f"malformed answer: {error!r}"))
 
     async def _confirm(
         self,
@@ -269,10 +274,16 @@
         timeout: units.Seconds | None = None,
     ) -> result.Result[ids.Incarnation, backend_servers.BackendError]:
         body = orjson.dumps(content) if content is not None else b""
-        answer = await self._call(
-            client.RequestHead(method, target), body, timeout
+        return await self._read(
+            client.RequestHead(method, target),
+            lambda c: ids.Incarnation(members.natural(c, "incarnation")),
+            body,
+            timeout,
         )
-        return answer.map(lambda c: ids.Incarnation(c["incarnation"]))
+
+
+def _quoted(name: str) -> str:
+    return urllib.parse.quote(name, safe="")
 
 
 def _owner_text(owner: backend_servers.Owner) -> str:
@@ -288,17 +299,17 @@
 
 def _load_report(content: dict[str, Any]) -> backend_servers.LoadReport:
     return backend_servers.LoadReport(
-        content["timestamp"],
-        ids.Incarnation(content["incarnation"]),
-        content["running"],
-        content["waiting"],
-        units.Tokens(content["prefill_tokens_queued"]),
-        units.Bytes(content["kv_bytes_used"]),
-        units.Bytes(content["kv_bytes_total"]),
+        float(content["timestamp"]),
+        ids.Incarnation(members.natural(content, "incarnation")),
+        members.natural(content, "running"),
+        members.natural(content, "waiting"),
+        units.Tokens(members.natural(content, "prefill_tokens_queued")),
+        units.Bytes(members.natural(content, "kv_bytes_used")),
+        units.Bytes(members.natural(content, "kv_bytes_total")),
         states.EngineRole(content["role"]),
-        tuple(ids.ModelId(model) for model in content["models"]),
-        content["leaving"],
-        tuple(ids.AdapterId(a) for a in content.get("adapters", ())),
+        tuple(ids.ModelId(m) for m in members.texts(content, "models")),
+        members.flag(content, "leaving"),
+        tuple(ids.AdapterId(a) for a in members.texts(content, "adapters")),
     )
 
 
--- /dev/null
+++ b/packages/backend/tests/test_http_engine.py
@@ -0,0 +1,151 @@
+"""Guards the engine client against answers of any shape."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+import orjson
+import result
+
+from lavendershed.backend import http_engine
+from lavendershed.core import backend_servers
+from lavendershed.core import ids
+from lavendershed.core import units
+from lavendershed.transport import address
+from lavendershed.transport import event_loop_timers
+from lavendershed.transport import pool
+from lavendershed.transport import server
+
+KIND = backend_servers.BackendErrorKind
+OWNER = backend_servers.Owner(ids.VmId("vm-1"), ids.Incarnation(7))
+LOAD = {
+    "timestamp": 1.0,
+    "incarnation": 1,
+    "running": 0,
+    "waiting": 0,
+    "prefill_tokens_queued": 0,
+    "kv_bytes_used": 0,
+    "kv_bytes_total": 1,
+    "role": "general",
+    "models": [],
+    "leaving": False,
+}
+SHAPES = [
+    b"",
+    b"{",
+    b"null",
+    b"[]",
+    b"7",
+    b'"x"',
+    b"{}",
+    b'{"incarnation": "x"}',
+    b'{"incarnation": -1}',
+    b'{"events": null}',
+    b'{"events": [{}]}',
+    b'{"events": [{"sequence": 1, "stored": ["x"], "evicted": []}]}',
+    b'{"allocations": 3}',
+    b'{"allocations": [{"kind": "x"}]}',
+    b'{"allocations": [{"kind": "hold", "id": "h", "owner": "x", "bytes": 1}]}',
+]
+
+
+class FixedAnswer(server.Handler):
+    """Gives the same answer to every call."""
+
+    def __init__(self):
+        self.status = 200
+        self.body = b""
+
+    async def handle(self, request, responder):
+        """Answers one call."""
+        await responder.respond(self.status, self.body)
+
+    def rejection(self, status, detail):
+        """Returns no body."""
+        return b""
+
+
+class HttpModelEngineTest(unittest.IsolatedAsyncioTestCase):
+    """Fails if an answer raises or is taken for another one."""
+
+    async def asyncSetUp(self):
+        timers = event_loop_timers.EventLoopTimerService(
+            asyncio.get_running_loop()
+        )
+        self.answer = FixedAnswer()
+        listener = server.HttpServer(self.answer, timers, server.ServerLimits())
+        await listener.start(address.Address("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        self.engine = http_engine.HttpModelEngine(
+            pool.ConnectionPool(listener.address, timers, pool.PoolLimits())
+        )
+
+    def calls(self):
+        hold = ids.HoldId("a/b?c")
+        return (
+            self.engine.load(),
+            self.engine.cache_events(0),
+            self.engine.allocations(None),
+            self.engine.cancel_stream(ids.StreamId("s")),
+            self.engine.create_hold(
+                hold, OWNER, units.Bytes(1), units.Seconds(1.0)
+            ),
+            self.engine.release_hold(hold),
+            self.engine.release_kv(ids.KvHandle("k")),
+        )
+
+    async def test_malformed_answers_become_protocol_errors(self):
+        for body in SHAPES:
+            self.answer.body = body
+            for call in self.calls():
+                answer = await call
+                with self.subTest(body=body, call=call.__name__):
+                    if isinstance(answer, result.Err):
+                        self.assertIs(answer.err_value.kind, KIND.PROTOCOL)
+
+    async def test_load_report_with_any_wrong_member_is_an_error(self):
+        for name in LOAD:
+            for value in (None, "x", [1], {}):
+                self.answer.body = orjson.dumps(LOAD | {name: value})
+                report = await self.engine.load()
+                with self.subTest(name=name, value=value):
+                    self.assertIs(report.err_value.kind, KIND.PROTOCOL)
+
+    async def test_valid_load_report_is_read(self):
+        self.answer.body = orjson.dumps(LOAD | {"adapters": ["a"]})
+        report = (await self.engine.load()).unwrap()
+        self.assertEqual(report.adapters, ("a",))
+
+    async def test_only_a_stated_refusal_counts_as_not_started(self):
+        cases = {
+            (409, b'{"started": false}'): KIND.REFUSED_BEFORE_START,
+            (503, b'{"started": true}'): KIND.PROTOCOL,
+            (503, b'{"started": 0}'): KIND.PROTOCOL,
+            (503, b"[false]"): KIND.PROTOCOL,
+            (500, b"\xff"): KIND.PROTOCOL,
+            (404, b""): KIND.UNKNOWN_STREAM,
+            (412, b""): KIND.STALE_FENCING_NUMBER,
+        }
+        request = backend_servers.StreamRequest(
+            ids.StreamId("s"),
+            ids.AttemptId("a"),
+            OWNER,
+            ids.ModelId("m"),
+            None,
+            "prompt",
+            units.Tokens(1),
+            (2**64 - 1,),
+            units.Tokens(1),
+            0,
+            units.Milliseconds(1_000),
+        )
+        for (self.answer.status, self.answer.body), kind in cases.items():
+            started = await self.engine.start_stream(request)
+            with self.subTest(status=self.answer.status, kind=kind):
+                self.assertIs(started.err_value.kind, kind)
+                self.assertTrue(started.err_value.sent)
+
+
+if __name__ == "__main__":
+    unittest.main()
