Run bookings and idempotent calls through their state machines

Cause: calls were sent once to a random server and non-idempotent calls had no record.

PlainCall.send_before is checked after connecting. The plain-service stand-in refuses, drops, crashes and goes silent before or after executing, records both ends of an execution and has a leaving state; the checker counts executions that a crash cut off.

--- a/packages/backend/src/lavendershed/backend/http_plain_service.py
+++ b/packages/backend/src/lavendershed/backend/http_plain_service.py
@@ -24,9 +24,14 @@
     errors.TransportErrorKind.PROTOCOL: (
         backend_servers.BackendErrorKind.PROTOCOL
     ),
+    errors.TransportErrorKind.TOO_LATE: (
+        backend_servers.BackendErrorKind.DEADLINE
+    ),
 }
 # The header by which a plain service says that it has not started a call.
 NOT_STARTED_HEADER = "execution-started"
+# The header by which a plain service says that it is leaving.
+LEAVING_HEADER = "server-leaving"
 
 
 class HttpPlainService(backend_servers.PlainService):
@@ -53,6 +58,7 @@
                     call.body,
                     fresh=call.fresh_connection,
                     timeout=call.timeout,
+                    send_before=call.send_before,
                 )
         except TimeoutError:
             return result.Err(
@@ -76,6 +82,7 @@
                     backend_servers.BackendErrorKind.REFUSED_BEFORE_START,
                     True,
                     f"status {response.head.status}",
+                    response.head.header(LEAVING_HEADER) == "true",
                 )
             )
         return result.Ok(
--- a/packages/core/src/lavendershed/core/backend_servers.py
+++ b/packages/core/src/lavendershed/core/backend_servers.py
@@ -305,6 +305,8 @@
         fresh_connection: Use a connection opened for this call only, so that
             a lost answer can't be mixed up with a stale pooled connection.
         timeout: Time limit of the whole call.
+        send_before: No byte is sent at or after this instant; the call then
+            fails as not sent.
     """
 
     method: str
@@ -314,6 +316,7 @@
     attempt_id: ids.AttemptId
     fresh_connection: bool
     timeout: units.Seconds
+    send_before: units.Instant | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/daemon/src/lavendershed/daemon/bookings.py
@@ -0,0 +1,298 @@
+"""Runs booking machines against the object store and plain services."""
+
+from __future__ import annotations
+
+import abc
+import asyncio
+import dataclasses
+import random
+import uuid
+
+import result
+
+from lavendershed.booking import commands
+from lavendershed.booking import machine as machine_module
+from lavendershed.booking import records
+from lavendershed.core import backend_servers
+from lavendershed.core import cluster
+from lavendershed.core import ids
+from lavendershed.core import object_store
+from lavendershed.core import outcomes
+from lavendershed.core import requests
+from lavendershed.core import states
+from lavendershed.core import timers
+from lavendershed.core import units
+from lavendershed.daemon import background
+from lavendershed.daemon import booking_codec
+from lavendershed.telemetry import events
+from lavendershed.telemetry import log
+from lavendershed.transport import event_loop_timers
+
+# Records that could not be written yet hold answers of up to 64 kB in memory.
+MAX_UNSETTLED = 200
+# During an outage, this many unsettled records are tried at a time, so that a
+# daemon sends a few calls a second and no burst when the store returns.
+SETTLE_LANES = 2
+_SETTLE_CALL_LIMIT = units.Seconds(5.0)
+_RELEASE_LIMIT = units.Seconds(30.0)
+
+BookingReply = result.Result[
+    backend_servers.PlainAnswer, outcomes.RequestFailure
+]
+
+
+class BookedCall(abc.ABC):
+    """Sends the call of one booking."""
+
+    @abc.abstractmethod
+    async def send(
+        self, attempt: ids.AttemptId, before: units.Instant
+    ) -> commands.SendOutcome:
+        """Sends the call once on a new connection, if `now` is `before`."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Attempt:
+    request: requests.CallRequest
+    key: ids.ObjectKey
+    attempt_id: ids.AttemptId
+    machine: machine_module.BookingMachine
+    call: BookedCall
+    reply: asyncio.Future[BookingReply]
+
+
+class Bookings(background.BackgroundTask):
+    """Books non-idempotent calls; settles records beyond the reply."""
+
+    def __init__(
+        self,
+        store: object_store.ObjectStore,
+        members: cluster.MemberView,
+        owner: backend_servers.Owner,
+        timer_service: timers.TimerService,
+        event_log: log.EventLog,
+        generator: random.Random,
+        limits: machine_module.BookingLimits,
+    ) -> None:
+        self._store = store
+        self._members = members
+        self._owner = owner
+        self._timers = timer_service
+        self._log = event_log
+        self._random = generator
+        self._limits = limits
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._unsettled = 0
+        self._lanes = asyncio.Semaphore(SETTLE_LANES)
+        self._broken: asyncio.Queue[BaseException] = asyncio.Queue()
+
+    async def run(self) -> None:
+        """Waits for a broken invariant in any booking.
+
+        Raises:
+            BaseException: What a booking's task raised.
+        """
+        raise await self._broken.get()
+
+    async def release(self) -> None:
+        """Waits for records that are not written yet."""
+        if self._tasks:
+            await asyncio.wait(tuple(self._tasks), timeout=_RELEASE_LIMIT)
+        if self._tasks:
+            self._log.emit(
+                events.Event.BOOKINGS_LEFT_UNSETTLED, count=len(self._tasks)
+            )
+
+    def status(self) -> dict[str, object]:
+        """Returns how many bookings wait for the store."""
+        return {"bookings_unsettled": self._unsettled}
+
+    async def book(
+        self, request: requests.CallRequest, call: BookedCall
+    ) -> BookingReply:
+        """Runs one attempt of a booking; replies within its deadline."""
+        if self._unsettled >= MAX_UNSETTLED:
+            return result.Err(
+                outcomes.not_run(
+                    states.FailureReason.STORE_UNAVAILABLE,
+                    f"{self._unsettled} earlier bookings of this router wait "
+                    "for the object store; send the request again later",
+                )
+            )
+        attempt_id = ids.AttemptId(uuid.uuid4().hex)
+        machine = machine_module.BookingMachine(
+            machine_module.BookingAttempt(
+                attempt_id,
+                self._owner,
+                records.request_digest(request),
+                request.deadline,
+            ),
+            self._limits,
+            self._random,
+        )
+        loop = asyncio.get_running_loop()
+        attempt = _Attempt(
+            request,
+            records.record_key(request),
+            attempt_id,
+            machine,
+            call,
+            loop.create_future(),
+        )
+        # A task of its own: a caller that goes away ends neither the call nor
+        # the record.
+        task = loop.create_task(self._drive(attempt))
+        self._tasks.add(task)
+        task.add_done_callback(self._on_task_done)
+        return await asyncio.shield(attempt.reply)
+
+    def _on_task_done(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            self._broken.put_nowait(error)
+
+    async def _drive(self, attempt: _Attempt) -> None:
+        given = attempt.machine.start(self._timers.now())
+        while True:
+            step = self._deliver(attempt, given)
+            if step is None:
+                break
+            if attempt.reply.done() and _delay(step) > 0:
+                await self._settle(attempt, step)
+                break
+            given = await self._perform(attempt, step)
+        if not attempt.machine.settled:
+            self._log.emit(
+                events.Event.BOOKING_RECORD_LOST,
+                key=attempt.key,
+                attempt=attempt.attempt_id,
+            )
+
+    async def _settle(self, attempt: _Attempt, step: commands.Command) -> None:
+        """Repeats the last write until the store has taken it."""
+        self._unsettled += 1
+        self._log.emit(
+            events.Event.BOOKING_UNSETTLED,
+            key=attempt.key,
+            attempt=attempt.attempt_id,
+            unsettled=self._unsettled,
+        )
+        try:
+            async with self._lanes:
+                next_step: commands.Command | None = step
+                while next_step is not None:
+                    given = await self._perform(attempt, next_step)
+                    next_step = self._deliver(attempt, given)
+        finally:
+            self._unsettled -= 1
+
+    def _deliver(
+        self, attempt: _Attempt, given: machine_module.Commands
+    ) -> commands.Command | None:
+        """Gives the reply to the caller; returns the next step, if any."""
+        step = None
+        for command in given:
+            if not isinstance(command, commands.Reply):
+                step = command
+                continue
+            self._log_reply(attempt, command.outcome)
+            if not attempt.reply.done():
+                attempt.reply.set_result(command.outcome)
+        return step
+
+    def _log_reply(self, attempt: _Attempt, reply: BookingReply) -> None:
+        failure = reply.err()
+        self._log.emit(
+            events.Event.BOOKING_REPLIED,
+            request_id=attempt.request.request_id,
+            service=attempt.request.service,
+            key=attempt.key,
+            attempt=attempt.attempt_id,
+            execution=(
+                states.Execution.COMPLETED
+                if failure is None
+                else failure.execution
+            ).value,
+            reason=None if failure is None else failure.reason.value,
+            detail=None if failure is None else failure.detail,
+        )
+
+    async def _perform(
+        self, attempt: _Attempt, step: commands.Command
+    ) -> machine_module.Commands:
+        if isinstance(step, commands.Send):
+            outcome = await attempt.call.send(attempt.attempt_id, step.before)
+            return attempt.machine.on_sent(outcome, self._timers.now())
+        delay = _delay(step)
+        if delay > 0:
+            await event_loop_timers.sleep(self._timers, delay)
+        if isinstance(step, commands.WriteRecord):
+            return await self._write(attempt, step)
+        return await self._read(attempt)
+
+    async def _write(
+        self, attempt: _Attempt, step: commands.WriteRecord
+    ) -> machine_module.Commands:
+        try:
+            async with asyncio.timeout(self._call_limit(attempt)):
+                written = await self._store.put(
+                    attempt.key,
+                    booking_codec.encode(step.record),
+                    step.condition,
+                )
+        except TimeoutError:
+            written = result.Err(
+                object_store.StoreError(
+                    object_store.StoreErrorKind.AMBIGUOUS,
+                    "no answer in time to a write",
+                )
+            )
+        now = self._timers.now()
+        if isinstance(written, result.Ok):
+            return attempt.machine.on_written(written.ok_value, now)
+        return attempt.machine.on_write_failed(written.err_value, now)
+
+    async def _read(self, attempt: _Attempt) -> machine_module.Commands:
+        try:
+            async with asyncio.timeout(self._call_limit(attempt)):
+                stored = await self._store.get(attempt.key)
+        except TimeoutError:
+            stored = _unreadable("no answer in time to a read")
+        now = self._timers.now()
+        if isinstance(stored, result.Err):
+            error = stored.err_value
+            if error.kind is object_store.StoreErrorKind.ABSENT:
+                return attempt.machine.on_read(
+                    None, None, states.MemberState.ALIVE, now
+                )
+            return attempt.machine.on_read_failed(error, now)
+        record = booking_codec.decode(stored.ok_value.value)
+        if isinstance(record, result.Err):
+            unreadable = _unreadable(record.err_value)
+            return attempt.machine.on_read_failed(unreadable.err_value, now)
+        return attempt.machine.on_read(
+            record.ok_value,
+            stored.ok_value.version,
+            self._members.owner_state(record.ok_value.owner),
+            now,
+        )
+
+    def _call_limit(self, attempt: _Attempt) -> units.Seconds:
+        if attempt.reply.done():
+            return _SETTLE_CALL_LIMIT
+        return attempt.request.deadline.remaining(self._timers.now())
+
+
+def _delay(step: commands.Command) -> units.Seconds:
+    if isinstance(step, commands.WriteRecord | commands.ReadRecord):
+        return step.delay
+    return units.Seconds(0.0)
+
+
+def _unreadable(detail: str) -> result.Err[object_store.StoreError]:
+    return result.Err(
+        object_store.StoreError(object_store.StoreErrorKind.UNAVAILABLE, detail)
+    )
--- a/packages/daemon/src/lavendershed/daemon/factory.py
+++ b/packages/daemon/src/lavendershed/daemon/factory.py
@@ -4,14 +4,19 @@
 
 import random
 
+from lavendershed.booking import machine
+from lavendershed.booking import retention
 from lavendershed.configuration import model
 from lavendershed.configuration import state as state_module
 from lavendershed.core import backend_servers
 from lavendershed.core import cluster
 from lavendershed.core import ids
 from lavendershed.core import timers
+from lavendershed.core import units
 from lavendershed.daemon import backend_directory
 from lavendershed.daemon import backend_health
+from lavendershed.daemon import booking_retention
+from lavendershed.daemon import bookings
 from lavendershed.daemon import calls
 from lavendershed.daemon import configuration_sync
 from lavendershed.daemon import engine_observer
@@ -19,12 +24,18 @@
 from lavendershed.daemon import options as options_module
 from lavendershed.daemon import queued_dispatcher
 from lavendershed.daemon import router as router_module
+from lavendershed.daemon import server_choice
 from lavendershed.platform import http_store
+from lavendershed.reliability import retry_budget
+from lavendershed.reliability import retry_policy
 from lavendershed.routing import limits
 from lavendershed.telemetry import instruments as instruments_module
 from lavendershed.telemetry import log
 from lavendershed.transport import pool
 
+# Time between steps of the deletion of old booking records.
+_RETENTION_INTERVAL = units.Seconds(10.0)
+
 
 class RouterFactory:
     """Wires the parts of one router."""
@@ -65,6 +76,15 @@
             limits.WholeShare(),
             generator,
         )
+        self._bookings = bookings.Bookings(
+            self._store,
+            self._cluster,
+            self._owner,
+            timer_service,
+            event_log,
+            generator,
+            machine.BookingLimits(),
+        )
 
     def build(self) -> router_module.Router:
         """Returns a router that is ready to run."""
@@ -80,10 +100,13 @@
             self._owner,
             self._state,
             self._build_generation(),
-            calls.Calls(
-                self._state, self._directory, self._timers, self._random
+            self._build_calls(),
+            (
+                sync,
+                self._build_observer(),
+                self._bookings,
+                self._build_retention(),
             ),
-            (sync, self._build_observer()),
         )
         router = router_module.Router(
             self._options,
@@ -95,6 +118,35 @@
         sync.add_listener(router.on_configuration)
         return router
 
+    def _build_calls(self) -> calls.Calls:
+        return calls.Calls(
+            self._state,
+            self._directory,
+            self._health,
+            server_choice.ServerChoice(self._health, self._random),
+            self._bookings,
+            retry_policy.RetryPolicy(
+                retry_policy.RetryLimits(max_attempts=3),
+                retry_budget.RetryBudget(retry_budget.BudgetLimits()),
+                self._random,
+            ),
+            self._timers,
+            self._log,
+            self._instruments,
+        )
+
+    def _build_retention(self) -> booking_retention.BookingRetention:
+        return booking_retention.BookingRetention(
+            self._options.vm,
+            self._store,
+            self._cluster,
+            self._timers,
+            self._log,
+            self._random,
+            retention.RetentionLimits(),
+            _RETENTION_INTERVAL,
+        )
+
     def _build_generation(self) -> generation.Generation:
         return generation.Generation(
             self._owner,
--- /dev/null
+++ b/packages/daemon/tests/fakes.py
@@ -0,0 +1,111 @@
+"""Fakes of the store and of plain services for tests of the daemon."""
+
+from __future__ import annotations
+
+import asyncio
+
+import result
+
+from lavendershed.core import backend_servers
+from lavendershed.core import ids
+from lavendershed.core import object_store
+
+
+class FakeStore(object_store.ObjectStore):
+    """Objects in memory; `faults` holds what happens to the next puts."""
+
+    def __init__(self):
+        self.objects = {}
+        self.version = 0
+        self.puts = 0
+        self.down = False
+        self.faults = []
+
+    async def get(self, key):
+        await asyncio.sleep(0)
+        if self.down:
+            return self._failed(object_store.StoreErrorKind.UNAVAILABLE)
+        if key not in self.objects:
+            return self._failed(object_store.StoreErrorKind.ABSENT)
+        return result.Ok(self.objects[key])
+
+    async def put(self, key, value, condition):
+        await asyncio.sleep(0)
+        self.puts += 1
+        fault = self.faults.pop(0) if self.faults else None
+        if self.down:
+            return self._failed(object_store.StoreErrorKind.UNAVAILABLE)
+        if fault == "dropped":
+            return self._failed(object_store.StoreErrorKind.AMBIGUOUS)
+        current = self.objects.get(key)
+        expected = getattr(condition, "version", None)
+        if (current.version if current else None) != expected:
+            return self._failed(object_store.StoreErrorKind.CONFLICT)
+        self.version += 1
+        version = ids.ObjectVersion(self.version)
+        self.objects[key] = object_store.StoredObject(key, version, value)
+        if fault == "lost":
+            return self._failed(object_store.StoreErrorKind.AMBIGUOUS)
+        return result.Ok(version)
+
+    async def delete(self, key, version):
+        await asyncio.sleep(0)
+        if key in self.objects and self.objects[key].version == version:
+            del self.objects[key]
+            return result.Ok(None)
+        return self._failed(object_store.StoreErrorKind.CONFLICT)
+
+    async def list(self, prefix, after=None):
+        await asyncio.sleep(0)
+        found = sorted(k for k in self.objects if k.startswith(prefix))
+        keys = [k for k in found if after is None or k > after]
+        return result.Ok(tuple(self.objects[k] for k in keys))
+
+    async def watch(self, prefix, since, timeout):
+        raise NotImplementedError
+
+    async def vms(self):
+        raise NotImplementedError
+
+    def _failed(self, kind):
+        return result.Err(object_store.StoreError(kind, kind.value))
+
+
+class FakePlainService(backend_servers.PlainService):
+    """Answers with the next of `answers`, else with a confirmation."""
+
+    def __init__(self):
+        self.calls = []
+        self.answers = []
+
+    async def call(self, call):
+        self.calls.append(call)
+        await asyncio.sleep(0)
+        if self.answers:
+            return self.answers.pop(0)
+        return result.Ok(
+            backend_servers.PlainAnswer(
+                200, "application/octet-stream", b"\xff" + call.body
+            )
+        )
+
+
+def refused():
+    """Returns the answer of a server that did not start the call."""
+    return result.Err(
+        backend_servers.BackendError(
+            backend_servers.BackendErrorKind.REFUSED_BEFORE_START,
+            True,
+            "status 503",
+            leaving=True,
+        )
+    )
+
+
+def lost():
+    """Returns the error of a call whose answer was lost."""
+    return result.Err(
+        backend_servers.BackendError(
+            backend_servers.BackendErrorKind.CONNECTION_LOST, True, "lost"
+        )
+    )
--- /dev/null
+++ b/packages/daemon/tests/test_booking_retention.py
@@ -0,0 +1,59 @@
+"""Guards booking records against early and missing deletion."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+import fakes
+
+from lavendershed.booking import retention
+from lavendershed.core import backend_servers
+from lavendershed.core import cluster
+from lavendershed.core import ids
+from lavendershed.core import object_store
+from lavendershed.core import timers
+from lavendershed.core import units
+from lavendershed.daemon import booking_retention
+from lavendershed.telemetry import log
+
+LIMITS = retention.RetentionLimits(units.Seconds(10.0), 3)
+KEY = ids.ObjectKey("bookings/0a1" + "0" * 61)
+ROUND = 4_200
+
+
+class BookingRetentionTest(unittest.IsolatedAsyncioTestCase):
+    """Fails if a record goes before its retention, or stays for good."""
+
+    async def test_a_record_is_deleted_after_its_retention_only(self):
+        store = fakes.FakeStore()
+        clock = timers.VirtualTimerService()
+        vm = ids.VmId("vm-1")
+        owner = backend_servers.Owner(vm, ids.Incarnation(1))
+        task = booking_retention.BookingRetention(
+            vm,
+            store,
+            cluster.SingleDaemon(owner),
+            clock,
+            log.MemoryEventLog(),
+            random.Random(1),
+            LIMITS,
+            units.Seconds(0.001),
+        )
+        await task.step()
+        await task.step()
+        await store.put(KEY, b"record", object_store.IfAbsent())
+        for _ in range(3):
+            for _ in range(ROUND):
+                await task.step()
+            self.assertIn(KEY, store.objects)
+            clock.advance(units.Seconds(10.0))
+        for _ in range(2):
+            for _ in range(ROUND):
+                await task.step()
+            clock.advance(units.Seconds(10.0))
+        self.assertNotIn(KEY, store.objects)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/daemon/tests/test_calls.py
@@ -0,0 +1,215 @@
+"""Guards calls to plain services against second runs and false not_run."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+
+import fakes
+import result
+
+from lavendershed.booking import machine
+from lavendershed.configuration import model
+from lavendershed.core import backend_servers
+from lavendershed.core import cluster
+from lavendershed.core import deadlines
+from lavendershed.core import ids
+from lavendershed.core import requests
+from lavendershed.core import states
+from lavendershed.core import units
+from lavendershed.daemon import backend_health
+from lavendershed.daemon import bookings
+from lavendershed.daemon import calls
+from lavendershed.daemon import server_choice
+from lavendershed.reliability import retry_budget
+from lavendershed.reliability import retry_policy
+from lavendershed.telemetry import instruments
+from lavendershed.telemetry import log
+from lavendershed.transport import event_loop_timers
+
+LEDGER = ids.ServiceId("ledger")
+SERVERS = tuple(ids.BackendServerId(name) for name in ("a", "b"))
+INSTRUMENTS = instruments.Instruments(ids.VmId("vm-1"))
+
+
+class FakeConfiguration:
+    """A configuration in force with one plain service."""
+
+    current = model.Configuration(
+        ids.Epoch(1),
+        ids.PresetName("ordinary"),
+        {},
+        {
+            LEDGER: model.Service(
+                LEDGER,
+                states.ServiceKind.PLAIN,
+                tuple(
+                    model.BackendServer(
+                        name, "127.0.0.1:1", ids.AvailabilityZoneId("z")
+                    )
+                    for name in SERVERS
+                ),
+                (
+                    model.Route("reserve", idempotent=False),
+                    model.Route("proofs", idempotent=True),
+                ),
+            )
+        },
+        {},
+    )
+
+
+class FakeDirectory:
+    """Clients of two backend servers."""
+
+    def __init__(self):
+        self.services = {name: fakes.FakePlainService() for name in SERVERS}
+
+    def plain_service(self, name):
+        return self.services[name]
+
+
+class CallsTest(unittest.IsolatedAsyncioTestCase):
+    """Guards what callers see of calls and bookings."""
+
+    def setUp(self):
+        self.store = fakes.FakeStore()
+        self.directory = FakeDirectory()
+        self.log = log.MemoryEventLog()
+
+    def daemon(self, vm="vm-1"):
+        timers = event_loop_timers.EventLoopTimerService(
+            asyncio.get_running_loop()
+        )
+        self.timers = timers
+        owner = backend_servers.Owner(ids.VmId(vm), ids.Incarnation(1))
+        generator = random.Random(7)
+        health = backend_health.BackendHealth()
+        self.bookings = bookings.Bookings(
+            self.store,
+            cluster.SingleDaemon(owner),
+            owner,
+            timers,
+            self.log,
+            generator,
+            machine.BookingLimits(first_delay=units.Seconds(0.01)),
+        )
+        return calls.Calls(
+            FakeConfiguration(),
+            self.directory,
+            health,
+            server_choice.ServerChoice(health, generator),
+            self.bookings,
+            retry_policy.RetryPolicy(
+                retry_policy.RetryLimits(max_attempts=3),
+                retry_budget.RetryBudget(retry_budget.BudgetLimits()),
+                generator,
+            ),
+            timers,
+            self.log,
+            INSTRUMENTS,
+        )
+
+    def request(self, path="reserve", key="k", body=b"run 7", timeout=5.0):
+        return requests.CallRequest(
+            ids.RequestId("r"),
+            ids.OrganisationId("press"),
+            LEDGER,
+            path,
+            body,
+            "text/plain",
+            ids.IdempotencyKey(key),
+            deadlines.Deadline.from_timeout(
+                self.timers.now(), units.Seconds(timeout)
+            ),
+        )
+
+    def runs(self):
+        return sum(len(s.calls) for s in self.directory.services.values())
+
+    def answers(self, *answers):
+        for service in self.directory.services.values():
+            service.answers = list(answers)
+
+    async def test_a_resend_to_another_daemon_replays_the_same_bytes(self):
+        first = await self.daemon().run(self.request())
+        await self.bookings.release()
+        self.assertEqual(self.store.puts, 2)
+        again = await self.daemon("vm-2").run(self.request())
+        self.assertIsInstance(first, result.Ok)
+        self.assertEqual(again, first)
+        self.assertEqual(self.runs(), 1)
+
+    async def test_a_booking_uses_a_connection_of_its_own(self):
+        await self.daemon().run(self.request())
+        (call,) = [c for s in self.directory.services.values() for c in s.calls]
+        self.assertTrue(call.fresh_connection)
+        self.assertLessEqual(
+            call.send_before, units.after(self.timers.now(), units.Seconds(3.0))
+        )
+
+    async def test_an_outage_refuses_bookings_as_not_run(self):
+        self.store.down = True
+        outcome = await self.daemon().run(self.request())
+        self.assertIs(outcome.err_value.execution, states.Execution.NOT_RUN)
+        self.assertEqual(self.runs(), 0)
+
+    async def test_a_lost_claim_answer_still_runs_once(self):
+        self.store.faults = ["lost"]
+        outcome = await self.daemon().run(self.request())
+        self.assertIsInstance(outcome, result.Ok)
+        self.assertEqual(self.runs(), 1)
+
+    async def test_an_answer_survives_a_lost_result_write(self):
+        self.store.faults = [None, "dropped", "dropped", "lost"]
+        first = await self.daemon().run(self.request())
+        await self.bookings.release()
+        self.assertEqual(await self.daemon("vm-2").run(self.request()), first)
+        self.assertEqual(self.bookings.status()["bookings_unsettled"], 0)
+
+    async def test_a_refusing_server_is_replaced_under_the_same_claim(self):
+        self.directory.services[SERVERS[0]].answers = [fakes.refused()] * 4
+        daemon = self.daemon()
+        for number in range(4):
+            outcome = await daemon.run(self.request(key=f"k{number}"))
+            self.assertIsInstance(outcome, result.Ok)
+        self.assertLessEqual(len(self.directory.services[SERVERS[0]].calls), 1)
+
+    async def test_a_lost_answer_is_unknown_and_not_run_again(self):
+        self.answers(fakes.lost(), fakes.lost())
+        for _ in range(2):
+            outcome = await self.daemon().run(self.request())
+            self.assertIs(outcome.err_value.execution, states.Execution.UNKNOWN)
+            await self.bookings.release()
+        self.assertEqual(self.runs(), 1)
+
+    async def test_another_body_under_the_same_key_is_refused(self):
+        await self.daemon().run(self.request())
+        await self.bookings.release()
+        outcome = await self.daemon().run(self.request(body=b"run 8"))
+        self.assertIs(
+            outcome.err_value.reason,
+            states.FailureReason.IDEMPOTENCY_KEY_REUSED,
+        )
+
+    async def test_idempotent_calls_are_retried_on_another_server(self):
+        answers = [fakes.lost()]
+        for service in self.directory.services.values():
+            service.answers = answers
+        outcome = await self.daemon().run(self.request(path="proofs"))
+        self.assertIsInstance(outcome, result.Ok)
+        calls_made = [len(s.calls) for s in self.directory.services.values()]
+        self.assertEqual(calls_made, [1, 1])
+
+    async def test_one_lost_attempt_rules_out_not_run(self):
+        # The first call is lost; then both servers say that they are leaving.
+        answers = [fakes.lost(), fakes.refused(), fakes.refused()]
+        for service in self.directory.services.values():
+            service.answers = answers
+        outcome = await self.daemon().run(self.request(path="proofs"))
+        self.assertIs(outcome.err_value.execution, states.Execution.UNKNOWN)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/standin/src/lavendershed/standin/checkers.py
+++ b/packages/standin/src/lavendershed/standin/checkers.py
@@ -74,12 +74,16 @@
         sent: All calls of the run, resends included.
         histories: What the plain service's backend servers recorded.
     """
-    executed = collections.Counter(
-        str(record["body"])
+    # An execution that a crash cut off has a `start` line only.
+    lines = collections.Counter(
+        (str(record["body"]), record["action"])
         for history in histories
         for record in history
-        if record["action"] == "execute"
+        if record["action"] in ("start", "execute")
     )
+    executed: collections.Counter[str] = collections.Counter()
+    for (subject, _), count in lines.items():
+        executed[subject] = max(executed[subject], count)
     violations = [
         f"{subject}: executed {count} times"
         for subject, count in executed.items()
--- a/packages/standin/src/lavendershed/standin/main.py
+++ b/packages/standin/src/lavendershed/standin/main.py
@@ -98,15 +98,28 @@
 @_listen
 @_history
 @click.option("--duration-ms", type=int, default=5)
+@click.option(
+    "--route-duration-ms",
+    "route_durations",
+    type=(str, int),
+    multiple=True,
+    help="path and duration of one route",
+)
 def plain_service_command(
-    listen: str, history: pathlib.Path | None, duration_ms: int
+    listen: str,
+    history: pathlib.Path | None,
+    duration_ms: int,
+    route_durations: tuple[tuple[str, int], ...],
 ) -> None:
     """Runs one backend server of a plain service."""
 
     async def run() -> None:
         await _serve(
             plain_service.PlainServiceHandler(
-                history_module.History(history), duration_ms
+                history_module.History(history),
+                plain_service.PlainServiceSettings(
+                    duration_ms, dict(route_durations)
+                ),
             ),
             listen,
         )
--- a/packages/standin/src/lavendershed/standin/plain_service.py
+++ b/packages/standin/src/lavendershed/standin/plain_service.py
@@ -1,37 +1,94 @@
-"""Stand-in of a plain service: it books and counts what it ran."""
+"""Stand-in of a plain service: it runs calls and fails as it is told to."""
 
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Mapping
+import dataclasses
+import enum
+import os
 
+import orjson
+
+from lavendershed.backend import http_plain_service
 from lavendershed.standin import history as history_module
 from lavendershed.standin import json_handler
 from lavendershed.transport import server
 
+_CRASH_STATUS = 71
+
+
+class Fault(enum.Enum):
+    """What goes wrong with one call."""
+
+    NONE = "none"
+    REFUSE = "refuse"
+    DROP_BEFORE = "drop_before"
+    DROP_AFTER = "drop_after"
+    CRASH_BEFORE = "crash_before"
+    CRASH_AFTER = "crash_after"
+    SILENT_BEFORE = "silent_before"
+    SILENT_AFTER = "silent_after"
+
+
+_BEFORE = {Fault.DROP_BEFORE, Fault.CRASH_BEFORE, Fault.SILENT_BEFORE}
+_DROPS = {Fault.DROP_BEFORE, Fault.DROP_AFTER}
+_CRASHES = {Fault.CRASH_BEFORE, Fault.CRASH_AFTER}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlainServiceSettings:
+    """Behaviour of one backend server.
+
+    Attributes:
+        duration_ms: Time that a call takes.
+        route_duration_ms: Exceptions from it by path without leading slash.
+    """
+
+    duration_ms: int = 5
+    route_duration_ms: Mapping[str, int] = dataclasses.field(
+        default_factory=dict
+    )
+
 
 class PlainServiceHandler(json_handler.JsonHandler):
-    """Runs every call once per time it arrives, and records it."""
+    """Runs a call once for each time that it arrives, and records it.
+
+    The history has a `start` and an `execute` line for each execution, so that
+    a checker can count those that were cut off too. `POST /control` takes
+    `leaving` (whether new calls are refused) and `faults` (names of faults for
+    the next calls, in order).
+    """
 
     def __init__(
-        self, history: history_module.History, duration_ms: int
+        self,
+        history: history_module.History,
+        settings: PlainServiceSettings,
     ) -> None:
         self._history = history
-        self._duration_ms = duration_ms
+        self._settings = settings
         self._executions = 0
+        self._leaving = False
+        self._faults: list[Fault] = []
 
     async def handle(
         self, request: server.ServerRequest, responder: server.Responder
     ) -> None:
         """Runs one call."""
-        self._executions += 1
-        execution = self._executions
-        self._history.record(
-            "execute",
-            path=request.path,
-            request=request.header("request-id"),
-            body=request.body.decode("utf-8", "replace"),
-        )
-        await asyncio.sleep(self._duration_ms / 1000)
+        if request.path == "/control":
+            await self._control(request, responder)
+            return
+        fault = self._faults.pop(0) if self._faults else Fault.NONE
+        if self._leaving or fault is Fault.REFUSE:
+            await self._refuse(request, responder)
+            return
+        if fault in _BEFORE:
+            await self._fail(fault, responder)
+            return
+        execution = await self._execute(request)
+        if fault is not Fault.NONE:
+            await self._fail(fault, responder)
+            return
         await self.answer(
             responder,
             {
@@ -40,3 +97,52 @@
                 "echo": request.body.decode("utf-8", "replace"),
             },
         )
+
+    async def _execute(self, request: server.ServerRequest) -> int:
+        self._executions += 1
+        execution = self._executions
+        fields: dict[str, object] = {
+            "path": request.path,
+            "request": request.header("request-id"),
+            "attempt": request.header("attempt-id"),
+            "body": request.body.decode("utf-8", "replace"),
+        }
+        self._history.record("start", **fields)
+        duration = self._settings.route_duration_ms.get(
+            request.path.removeprefix("/"), self._settings.duration_ms
+        )
+        await asyncio.sleep(duration / 1000)
+        self._history.record("execute", **fields)
+        return execution
+
+    async def _refuse(
+        self, request: server.ServerRequest, responder: server.Responder
+    ) -> None:
+        self._history.record("refuse", request=request.header("request-id"))
+        leaving = ((http_plain_service.LEAVING_HEADER, "true"),)
+        await self.answer(
+            responder,
+            {"detail": "not started"},
+            503,
+            ((http_plain_service.NOT_STARTED_HEADER, "false"),)
+            + (leaving if self._leaving else ()),
+        )
+
+    async def _fail(self, fault: Fault, responder: server.Responder) -> None:
+        if fault in _CRASHES:
+            os._exit(_CRASH_STATUS)
+        if fault in _DROPS:
+            responder.abort()
+            return
+        await responder.disconnected.wait()
+
+    async def _control(
+        self, request: server.ServerRequest, responder: server.Responder
+    ) -> None:
+        content = orjson.loads(request.body)
+        self._leaving = content.get("leaving", self._leaving)
+        self._faults = [
+            Fault(name)
+            for name in content.get("faults", [f.value for f in self._faults])
+        ]
+        await self.answer(responder, {"executions": self._executions})
--- a/packages/transport/src/lavendershed/transport/errors.py
+++ b/packages/transport/src/lavendershed/transport/errors.py
@@ -13,6 +13,7 @@
     CONNECTION_LOST = "connection_lost"
     IDLE_TIMEOUT = "idle_timeout"
     PROTOCOL = "protocol"
+    TOO_LATE = "too_late"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/transport/src/lavendershed/transport/pool.py
+++ b/packages/transport/src/lavendershed/transport/pool.py
@@ -96,6 +96,7 @@
         *,
         fresh: bool = False,
         timeout: units.Seconds | None = None,
+        send_before: units.Instant | None = None,
         max_body: units.Bytes = DEFAULT_MAX_BODY_BYTES,
     ) -> result.Result[client.Response, errors.TransportError]:
         """Sends one request and reads the whole response.
@@ -106,12 +107,23 @@
             fresh: Whether to open a connection for this exchange only.
             timeout: Longest wait without any byte; the pool's idle timeout if
                 None.
+            send_before: Nothing is sent at or after this instant.
             max_body: Largest response body that is read.
         """
         acquired = await self.acquire(fresh=fresh)
         if isinstance(acquired, result.Err):
             return acquired
         connection = acquired.ok_value
+        # Checked after the wait for the connection, right before the send.
+        if send_before is not None and self._timers.now() >= send_before:
+            connection.close()
+            return result.Err(
+                errors.TransportError(
+                    errors.TransportErrorKind.TOO_LATE,
+                    False,
+                    f"{self._address}: connected too late to send",
+                )
+            )
         try:
             response = await self._exchange_on(
                 connection,
