Measure routing policies in virtual time

Change: `standin.bench` runs seven or eight `ServiceScheduler`s, each with its own view, in front of `EngineModel`s on the virtual clock: lagging load reports, late cache events with gaps, digests between routers and the network delays of both deployments. `make bench` compares round robin, least outstanding (also with engine priorities) and predicted cost. `Step` reports the tokens prefilled; timer callbacks may return a value, which is ignored.

--- a/packages/core/src/lavendershed/core/timers.py
+++ b/packages/core/src/lavendershed/core/timers.py
@@ -9,7 +9,7 @@
 
 from lavendershed.core import units
 
-Callback = Callable[[], None]
+Callback = Callable[[], object]
 
 
 class Subscription(abc.ABC):
--- /dev/null
+++ b/packages/standin/src/lavendershed/standin/bench/__init__.py
@@ -0,0 +1,3 @@
+"""Benchmark of routing policies in virtual time."""
+
+from __future__ import annotations
--- a/packages/standin/src/lavendershed/standin/engine_model.py
+++ b/packages/standin/src/lavendershed/standin/engine_model.py
@@ -67,11 +67,13 @@
         duration: Seconds that the step takes.
         decoded: Streams that produced one token each.
         finished: Streams that produced their last token.
+        prefilled: Prompt tokens prefilled in this step.
     """
 
     duration: units.Seconds
     decoded: tuple[ids.StreamId, ...]
     finished: tuple[ids.StreamId, ...]
+    prefilled: units.Tokens
 
 
 @dataclasses.dataclass(slots=True)
@@ -221,9 +223,12 @@
             units.Seconds(duration),
             tuple(s.spec.stream_id for s in decoding),
             tuple(s.spec.stream_id for s in finished),
+            units.Tokens(prefilled),
         )
 
     def _admit_to_batch(self) -> None:
+        if len(self._running) == len(self._streams):
+            return
         free = self._settings.kv_tokens - self.used_tokens
         waiting = sorted(
             (
@@ -250,10 +255,8 @@
 
     def _prefill(self) -> int:
         budget = self._settings.prefill_chunk
-        queue = sorted(
-            (s for s in self._running.values() if s.prefill_left),
-            key=lambda s: (s.spec.priority, s.sequence),
-        )
+        queue = [s for s in self._running.values() if s.prefill_left]
+        queue.sort(key=lambda s: (s.spec.priority, s.sequence))
         for stream in queue:
             taken = min(budget, stream.prefill_left)
             stream.prefill_left -= taken
--- /dev/null
+++ b/packages/standin/tests/test_bench_simulation.py
@@ -0,0 +1,58 @@
+"""Guards the benchmark: the same seed gives the same figures."""
+
+from __future__ import annotations
+
+import unittest
+
+from lavendershed.core import states
+from lavendershed.core import units
+from lavendershed.standin.bench import policies
+from lavendershed.standin.bench import simulation
+from lavendershed.standin.bench import workload
+
+DURATION = units.Seconds(8.0)
+
+
+def run(policy, **options):
+    """Runs a short trace of the smaller deployment."""
+    return simulation.run(workload.GUILD, policy, 0.5, DURATION, 3, **options)
+
+
+class SimulationTest(unittest.TestCase):
+    """Fails if a run is not repeatable or loses requests."""
+
+    def test_same_seed_gives_the_same_records(self):
+        policy = policies.Policy.PREDICTED_COST
+        self.assertEqual(run(policy), run(policy))
+
+    def test_every_request_ends_with_an_answer_or_a_refusal(self):
+        for record in run(policies.Policy.ROUND_ROBIN).records:
+            if record.prompt_class is states.PromptClass.OVERSIZED:
+                reason = states.FailureReason.BODY_TOO_LARGE
+                self.assertIs(record.refusal, reason)
+            else:
+                self.assertGreater(record.end, record.first_token)
+
+    def test_short_only_run_keeps_the_arrivals_of_short_prompts(self):
+        policy = policies.Policy.PREDICTED_COST
+        mixed = {r.number: r for r in run(policy).records}
+        alone = run(policy, short_only=True).records
+        self.assertTrue(alone)
+        for record in alone:
+            self.assertEqual(record.at, mixed[record.number].at)
+            self.assertIs(record.prompt_class, states.PromptClass.SHORT)
+
+    def test_one_prompt_in_fifty_is_long_and_load_is_as_asked(self):
+        arrivals = workload.trace(
+            workload.ALMANAC, 0.7, units.Seconds(2_000.0), 1
+        )
+        lengths = [a.prompt_tokens for a in arrivals]
+        long = sum(n > 100_000 for n in lengths) / len(lengths)
+        self.assertAlmostEqual(long, 0.02, delta=0.002)
+        served = sum(n for n in lengths if n <= workload.ENGINE.kv_tokens)
+        capacity = workload.ALMANAC.engines * workload.MIXED_RATE * 2_000.0
+        self.assertAlmostEqual(served / capacity, 0.7, delta=0.03)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tools/bench.py
@@ -0,0 +1,193 @@
+"""Measures the routing policies in virtual time (`make bench`)."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import itertools
+import random
+import time
+
+import click
+
+from lavendershed.core import deadlines
+from lavendershed.core import ids
+from lavendershed.core import states
+from lavendershed.core import units
+from lavendershed.routing import chooser
+from lavendershed.routing import engine_fleet
+from lavendershed.routing import work
+from lavendershed.standin.bench import figures
+from lavendershed.standin.bench import policies
+from lavendershed.standin.bench import simulation
+from lavendershed.standin.bench import workload
+
+_DECISIONS = 2_000
+
+
+@click.command()
+@click.option("--load", type=float, default=0.7, show_default=True)
+@click.option("--seconds", type=float, default=240.0, show_default=True)
+@click.option("--seeds", type=int, default=3, show_default=True)
+@click.option("--processes", type=int, default=4, show_default=True)
+@click.option(
+    "--deployment",
+    "names",
+    multiple=True,
+    type=click.Choice(sorted(workload.DEPLOYMENTS)),
+)
+@click.option(
+    "--policy",
+    "wanted",
+    multiple=True,
+    type=click.Choice([policy.value for policy in policies.Policy]),
+)
+@click.option("--slowest", type=int, default=0, help="Short prompts to trace.")
+def main(
+    load: float,
+    seconds: float,
+    seeds: int,
+    processes: int,
+    names: tuple[str, ...],
+    wanted: tuple[str, ...],
+    slowest: int,
+) -> None:
+    """Compares routing policies and times one routing decision."""
+    deployments = names or tuple(workload.DEPLOYMENTS)
+    chosen = [policies.Policy(name) for name in wanted] or list(policies.Policy)
+    runs = list(
+        itertools.product(deployments, chosen, range(seeds), (False, True))
+    )
+    with concurrent.futures.ProcessPoolExecutor(processes) as pool:
+        futures = {
+            run: pool.submit(
+                simulation.run,
+                workload.DEPLOYMENTS[run[0]],
+                run[1],
+                load,
+                units.Seconds(seconds),
+                run[2],
+                run[3],
+            )
+            for run in runs
+        }
+        outcomes = {run: future.result() for run, future in futures.items()}
+    for name in deployments:
+        summaries = {}
+        for policy in chosen:
+            mixed, alone = (
+                [outcomes[name, policy, seed, flag] for seed in range(seeds)]
+                for flag in (False, True)
+            )
+            summaries[policy.value] = figures.summary(mixed, alone)
+            if slowest:
+                trace_slowest(mixed[0], alone[0], slowest)
+        click.echo(
+            figures.table(
+                workload.DEPLOYMENTS[name],
+                load,
+                units.Seconds(seconds),
+                summaries,
+            )
+        )
+        click.echo()
+    for engines in (20, 10_000):
+        click.echo(decision_time(engines))
+
+
+def trace_slowest(
+    mixed: simulation.Outcome, alone: simulation.Outcome, count: int
+) -> None:
+    """Prints the short prompts that others slowed down most."""
+    reference = {record.number: record for record in alone.records}
+    paired = [
+        (record, reference[record.number])
+        for record in mixed.records
+        if record.number in reference
+        and record.first_token
+        and reference[record.number].first_token
+    ]
+    paired.sort(key=lambda p: -(p[0].first_token / p[1].first_token))
+    for record, base in paired[:count]:
+        click.echo(
+            f"{record.at:8.3f} #{record.number} {record.prompt_tokens} tokens "
+            f"on {record.engine}: ttft {record.first_token:.3f} s, "
+            f"alone {base.first_token:.3f} s; {record.reason}"
+        )
+        neighbours = [
+            other
+            for other in mixed.records
+            if other is not record
+            and other.engine == record.engine
+            and other.waited is not None
+            and other.at + other.waited < record.at + record.first_token
+            and (
+                other.first_token is None
+                or other.at + other.first_token > record.at
+            )
+        ]
+        for other in neighbours:
+            click.echo(
+                f"    with #{other.number} {other.prompt_tokens} tokens sent "
+                f"at {other.at + (other.waited or 0):.3f}, ttft "
+                f"{other.first_token}; {other.reason}"
+            )
+
+
+def decision_time(engines: int) -> str:
+    """Returns the processor time of one decision of PredictedCost."""
+    shape = workload.Deployment(
+        "timing",
+        engines,
+        1,
+        units.Seconds(0.0),
+        units.Seconds(0.0),
+        1,
+        workload.ALMANAC.preset,
+    )
+    fleet = engine_fleet.EngineFleet(
+        ids.VmId("vm-1"),
+        engine_fleet.AlwaysAvailable(),
+        random.Random(1),
+    )
+    started = time.process_time()
+    fleet.on_service(workload.service(shape))
+    setup = time.process_time() - started
+    predicted = chooser.PredictedCost(workload.ENGINE.prefill_rate)
+    arrivals = workload.trace(
+        workload.ALMANAC, 0.7, units.Seconds(_DECISIONS / 10), 1
+    )[:_DECISIONS]
+    asked = [
+        work.Work(
+            work.Ticket(arrival.number),
+            arrival.organisation,
+            states.PromptClass.LONG
+            if arrival.prompt_tokens > 100_000
+            else states.PromptClass.SHORT,
+            arrival.prompt_tokens,
+            arrival.max_tokens,
+            deadlines.Deadline(units.Instant(1e9)),
+            arrival.block_hashes,
+        )
+        for arrival in arrivals
+    ]
+    # Every engine has work, so that each estimate is a full one.
+    for index, item in enumerate(asked[: 4 * len(fleet.views)]):
+        view = fleet.views[index % len(fleet.views)]
+        view.on_dispatch(item, units.Instant(1.0))
+    samples = []
+    for item in asked:
+        started = time.process_time()
+        predicted.choose(
+            item, fleet, workload.ALMANAC.preset, units.Instant(2.0)
+        )
+        samples.append(time.process_time() - started)
+    spread = figures.percentiles(samples)
+    return (
+        f"decision at {engines} engines ({len(fleet.views)} considered): "
+        f"p50 {spread.p50 * 1e6:.0f} us, p99 {spread.p99 * 1e6:.0f} us "
+        f"of processor time; a new list of engines takes {setup * 1e3:.1f} ms"
+    )
+
+
+if __name__ == "__main__":
+    main()
