Let routers act together and stop without cutting off requests

Cause: routers worked alone: a change needed the store, limits were applied by each router in full, a leaving server got work until its own report, and a stop could cut off answers that were still being read. Change: add the peer network (membership, records, calls) when a peer address is set, configuration from peers, limit shares from demand, VM list polling, health of backend servers with circuit breaking, and time bounds for each step of the graceful stop. Answers during a stop announce that their connection closes, and the process waits until callers have read them. With real processes, a router starts and gets its configuration while the store is down, no router sends work to a leaving engine after 5 s, and a stop under load of 8 callers ends every request whole with exit status 0 although SIGTERM is sent twice.

--- a/packages/cli/src/lavendershed/cli/commands/router.py
+++ b/packages/cli/src/lavendershed/cli/commands/router.py
@@ -24,6 +24,15 @@
 @click.option("--availability-zone", help="Availability zone of this VM.")
 @click.option("--listen", help="Numeric address for callers, host:port.")
 @click.option("--store", help="Numeric address of the object API.")
+@click.option("--peer-listen", help="Numeric address for other routers.")
+@click.option("--peers", help="Addresses of other routers, with commas.")
+@click.option(
+    "--peer-keys",
+    help="One or two shared secrets in hexadecimal, with commas. Prefer the "
+    "environment variable LAVENDERSHED_PEER_KEYS: flags are visible to "
+    "other processes.",
+)
+@click.option("--deployment", help="Id that keeps deployments apart.")
 @click.option("--idle-timeout-seconds", type=float)
 @click.option("--settle-time-seconds", type=float)
 def router(**flags: str | float | None) -> None:
@@ -39,13 +48,17 @@
 
 
 def _describe(error: pydantic.ValidationError) -> str:
-    lines = [
-        f"--{str(item['loc'][0]).replace('_', '-')}: {item['msg']}"
-        for item in error.errors()
-    ]
+    lines = [f"{_flag(item['loc'])}{item['msg']}" for item in error.errors()]
     return "; ".join(lines)
 
 
+def _flag(location: tuple[int | str, ...]) -> str:
+    # A check of several settings together has no location.
+    if not location:
+        return ""
+    return f"--{str(location[0]).replace('_', '-')}: "
+
+
 async def _run(router_options: options.RouterOptions) -> None:
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
--- a/packages/cli/src/lavendershed/cli/settings.py
+++ b/packages/cli/src/lavendershed/cli/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+import ipaddress
 from typing import Any
 
 import pydantic
@@ -11,10 +12,16 @@
 from lavendershed.core import ids
 from lavendershed.core import units
 from lavendershed.daemon import options
+from lavendershed.peer import authentication
 from lavendershed.transport import address
 
 MAX_IDLE_TIMEOUT_SECONDS = 60.0
 MAX_SETTLE_TIME_SECONDS = 600.0
+SEPARATOR = ","
+
+
+def _parts(text: str) -> tuple[str, ...]:
+    return tuple(part.strip() for part in text.split(SEPARATOR) if part.strip())
 
 
 def _check_address(text: str) -> str:
@@ -42,6 +49,11 @@
         5.0, ge=0, le=MAX_SETTLE_TIME_SECONDS
     )
 
+    peer_listen: str | None = None
+    peers: str = ""
+    peer_keys: str = ""
+    deployment: str = pydantic.Field("default", min_length=1, max_length=64)
+
     @classmethod
     def from_flags(cls, flags: Mapping[str, str | float]) -> RouterSettings:
         """Returns settings in which `flags` win over the environment.
@@ -58,6 +70,48 @@
         """Refuses addresses that are not numeric."""
         return _check_address(value)
 
+    @pydantic.field_validator("peer_listen")
+    @classmethod
+    def check_peer_listen(cls, value: str | None) -> str | None:
+        """Refuses an address that other daemons can't be told."""
+        if value is None:
+            return None
+        parsed = address.parse(_check_address(value)).unwrap()
+        if ipaddress.ip_address(parsed.host).is_unspecified or not parsed.port:
+            raise ValueError(
+                f"'{value}' is not an address that other daemons can reach; "
+                "name one address and port of this VM"
+            )
+        return value
+
+    @pydantic.field_validator("peers")
+    @classmethod
+    def check_peers(cls, value: str) -> str:
+        """Refuses peer addresses that are not numeric."""
+        for peer in _parts(value):
+            _check_address(peer)
+        return value
+
+    @pydantic.field_validator("peer_keys")
+    @classmethod
+    def check_peer_keys(cls, value: str) -> str:
+        """Refuses keys that are not hexadecimal, too short or too many."""
+        try:
+            keys = tuple(bytes.fromhex(key) for key in _parts(value))
+        except ValueError:
+            # The message must not show the secret.
+            raise ValueError("give keys in hexadecimal digits") from None
+        if keys:
+            authentication.Authenticator(keys)
+        return value
+
+    @pydantic.model_validator(mode="after")
+    def check_peer_network(self) -> RouterSettings:
+        """Refuses a peer network without keys."""
+        if self.peer_listen is not None and not _parts(self.peer_keys):
+            raise ValueError("peer-listen needs peer-keys")
+        return self
+
     def options(self) -> options.RouterOptions:
         """Returns the options of the router."""
         return options.RouterOptions(
@@ -65,6 +119,12 @@
             ids.AvailabilityZoneId(self.availability_zone),
             address.parse(self.listen).unwrap(),
             address.parse(self.store).unwrap(),
+            None
+            if self.peer_listen is None
+            else address.parse(self.peer_listen).unwrap(),
+            tuple(address.parse(p).unwrap() for p in _parts(self.peers)),
+            tuple(bytes.fromhex(key) for key in _parts(self.peer_keys)),
+            self.deployment,
             idle_timeout=units.Seconds(self.idle_timeout_seconds),
             settle_time=units.Seconds(self.settle_time_seconds),
         )
--- a/packages/daemon/src/lavendershed/daemon/factory.py
+++ b/packages/daemon/src/lavendershed/daemon/factory.py
@@ -17,8 +17,10 @@
 from lavendershed.daemon import engine_observer
 from lavendershed.daemon import generation
 from lavendershed.daemon import options as options_module
+from lavendershed.daemon import peer_factory
 from lavendershed.daemon import queued_dispatcher
 from lavendershed.daemon import router as router_module
+from lavendershed.daemon import vm_list_poller
 from lavendershed.platform import http_store
 from lavendershed.routing import limits
 from lavendershed.telemetry import instruments as instruments_module
@@ -44,7 +46,6 @@
         self._random = generator
         self._limits = pool.PoolLimits(idle_timeout=options.idle_timeout)
         self._state = state_module.ConfigurationState()
-        self._health = backend_health.BackendHealth()
         self._directory = backend_directory.BackendDirectory(
             backend_directory.HttpClientFactory(timer_service, self._limits)
         )
@@ -54,7 +55,26 @@
         self._owner = backend_servers.Owner(
             options.vm, ids.Incarnation(generator.getrandbits(63))
         )
-        self._cluster = cluster.SingleDaemon(self._owner)
+        single = cluster.SingleDaemon(self._owner)
+        self._exchange: cluster.RecordExchange = single
+        self._members: cluster.MemberView = single
+        self._shares: limits.ShareSource = limits.WholeShare()
+        self._peering: peer_factory.Peering | None = None
+        if options.peer_listen is not None:
+            self._peering = peer_factory.PeerFactory(
+                options,
+                options.peer_listen,
+                self._owner,
+                self._state,
+                timer_service,
+                event_log,
+                generator,
+            ).build()
+            self._exchange = self._members = self._peering.network
+            self._shares = self._peering.shares
+        self._health = backend_health.BackendHealth(
+            timer_service, generator, self._exchange, event_log
+        )
         self._dispatcher = queued_dispatcher.QueuedDispatcher(
             options.vm,
             self._state,
@@ -62,7 +82,7 @@
             event_log,
             instruments,
             self._health,
-            limits.WholeShare(),
+            self._shares,
             generator,
         )
 
@@ -83,7 +103,12 @@
             calls.Calls(
                 self._state, self._directory, self._timers, self._random
             ),
-            (sync, self._build_observer()),
+            (
+                sync,
+                self._build_observer(),
+                self._build_vm_list_poller(),
+                *(self._peering.background if self._peering else ()),
+            ),
         )
         router = router_module.Router(
             self._options,
@@ -93,6 +118,15 @@
             self._instruments,
         )
         sync.add_listener(router.on_configuration)
+        if self._peering is not None:
+            router.add_arrival_listener(self._peering.shares.on_arrival)
+            sync.add_listener(self._peering.network.on_configuration)
+            for listener in (
+                self._on_configuration,
+                router.on_configuration,
+                self._peering.network.on_configuration,
+            ):
+                self._peering.configuration.add_listener(listener)
         return router
 
     def _build_generation(self) -> generation.Generation:
@@ -111,11 +145,28 @@
             self._health,
             self._timers,
             self._options.engine_poll_interval,
-            self._cluster,
+            self._exchange,
+        )
+
+    def _build_vm_list_poller(self) -> vm_list_poller.VmListPoller:
+        listeners: tuple[vm_list_poller.VmListListener, ...] = (
+            self._health.on_vm_list,
+        )
+        if self._peering is not None:
+            listeners += (self._peering.network.on_vm_list,)
+        return vm_list_poller.VmListPoller(
+            self._options.vm,
+            self._store,
+            self._members,
+            self._timers,
+            self._log,
+            self._random,
+            listeners,
         )
 
     def _on_configuration(
         self, old: model.Configuration, new: model.Configuration
     ) -> None:
         self._directory.on_configuration(new)
+        self._health.on_configuration(old, new)
         self._dispatcher.on_configuration(old, new)
--- /dev/null
+++ b/packages/daemon/src/lavendershed/daemon/limit_share_source.py
@@ -0,0 +1,135 @@
+"""Shares of limits from the demand at all daemons."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+
+from lavendershed.core import cluster
+from lavendershed.core import ids
+from lavendershed.core import timers
+from lavendershed.core import units
+from lavendershed.daemon import background
+from lavendershed.daemon import peer_network
+from lavendershed.membership import limit_shares
+from lavendershed.membership import records
+from lavendershed.routing import limits
+
+# Demand records live for 6 s; three may be lost before data counts as old.
+_PUBLISH_INTERVAL = units.Seconds(1.5)
+_DEMAND_TIME_CONSTANT = units.Seconds(5.0)
+# Of 16,000 organisations only those that matter for a share are listed.
+_MAX_DEMANDS = 16
+_NEGLIGIBLE = 0.01
+
+
+class DemandMeter:
+    """Exponentially weighted rates of what callers ask for."""
+
+    def __init__(self, now: units.Instant) -> None:
+        self._updated = now
+        self._rates: dict[ids.OrganisationId, tuple[float, float]] = {}
+
+    def on_arrival(
+        self,
+        organisation: ids.OrganisationId,
+        tokens: int,
+        now: units.Instant,
+    ) -> None:
+        """Takes a request before it is admitted."""
+        self._decay(now)
+        by_request, by_token = self._rates.get(organisation, (0.0, 0.0))
+        self._rates[organisation] = (
+            by_request + 1.0 / _DEMAND_TIME_CONSTANT,
+            by_token + tokens / _DEMAND_TIME_CONSTANT,
+        )
+
+    def digest(self, now: units.Instant) -> cluster.DemandRecord:
+        """Returns the largest demands, largest first."""
+        self._decay(now)
+        largest = sorted(
+            self._rates.items(), key=lambda item: -(item[1][0] + item[1][1])
+        )
+        return cluster.DemandRecord(
+            tuple(
+                cluster.OrganisationDemand(organisation, *rates)
+                for organisation, rates in largest[:_MAX_DEMANDS]
+            )
+        )
+
+    def _decay(self, now: units.Instant) -> None:
+        passed = units.elapsed(self._updated, now)
+        if passed <= 0:
+            return
+        self._updated = now
+        factor = math.exp(-passed / _DEMAND_TIME_CONSTANT)
+        self._rates = {
+            organisation: (by_request * factor, by_token * factor)
+            for organisation, (by_request, by_token) in self._rates.items()
+            if (by_request + by_token) * factor > _NEGLIGIBLE
+        }
+
+
+class PeerShareSource(limits.ShareSource, background.BackgroundTask):
+    """Publishes this daemon's demand and derives its shares."""
+
+    def __init__(
+        self,
+        network: peer_network.PeerNetwork,
+        owner_vm: ids.VmId,
+        timer_service: timers.TimerService,
+    ) -> None:
+        self._network = network
+        self._vm = owner_vm
+        self._timers = timer_service
+        self._shares = limit_shares.LimitShares()
+        self._meter = DemandMeter(timer_service.now())
+        network.subscribe_versioned(self._on_record)
+
+    def fraction(self, organisation: ids.OrganisationId) -> float:
+        """Returns the share, from 0 to 1."""
+        self._follow_members()
+        return self._shares.fraction(organisation, self._timers.now())
+
+    def on_arrival(self, organisation: ids.OrganisationId, tokens: int) -> None:
+        """Takes a request before it is admitted."""
+        self._meter.on_arrival(organisation, tokens, self._timers.now())
+
+    async def run(self) -> None:
+        """Publishes demand until cancelled."""
+        publishing = self._timers.subscribe_every(
+            _PUBLISH_INTERVAL, self._publish
+        )
+        try:
+            await asyncio.get_running_loop().create_future()
+        finally:
+            publishing.cancel()
+
+    def status(self) -> dict[str, object]:
+        """Returns how the shares are derived at the moment."""
+        self._follow_members()
+        fresh = self._shares.is_fresh(self._timers.now())
+        return {"limit_shares": "demand" if fresh else "equal"}
+
+    def _publish(self) -> None:
+        now = self._timers.now()
+        record = self._meter.digest(now)
+        self._shares.on_own_demand(record, now)
+        self._network.publish(record)
+
+    def _on_record(self, record: records.VersionedRecord) -> None:
+        if isinstance(record.content, cluster.DemandRecord):
+            self._follow_members()
+            self._shares.on_demand(
+                record.origin,
+                record.content,
+                record.lifetime,
+                self._timers.now(),
+            )
+
+    def _follow_members(self) -> None:
+        self._shares.on_members(
+            frozenset(self._network.live) - {self._vm},
+            self._network.known_count,
+            self._network.partition_suspected,
+        )
--- a/packages/daemon/src/lavendershed/daemon/options.py
+++ b/packages/daemon/src/lavendershed/daemon/options.py
@@ -18,6 +18,8 @@
         store: Address of the object API.
         peer_listen: Address for other daemons, TCP and UDP.
         peers: Addresses of other daemons to contact first.
+        peer_keys: Secrets that authenticate messages between daemons; the
+            first signs, and two are accepted during a rotation.
         deployment: Messages of other deployments are dropped.
         idle_timeout: Longest wait for a byte from a backend server.
         settle_time: Time for which requests are accepted after SIGTERM, until
--- /dev/null
+++ b/packages/daemon/src/lavendershed/daemon/peer_network.py
@@ -0,0 +1,260 @@
+"""The network of daemons: membership, records and calls on real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import random
+
+import result
+
+from lavendershed.configuration import model
+from lavendershed.core import backend_servers
+from lavendershed.core import cluster
+from lavendershed.core import ids
+from lavendershed.core import object_store
+from lavendershed.core import states
+from lavendershed.core import timers
+from lavendershed.core import units
+from lavendershed.daemon import background
+from lavendershed.daemon import peer_configuration
+from lavendershed.membership import gossip as gossip_module
+from lavendershed.membership import messages
+from lavendershed.membership import peers
+from lavendershed.membership import records
+from lavendershed.peer import datagrams
+from lavendershed.peer import envelope as envelope_module
+from lavendershed.peer import server
+from lavendershed.telemetry import events
+from lavendershed.telemetry import log
+from lavendershed.transport import address as address_module
+from lavendershed.transport import event_loop_timers
+
+VersionedListener = Callable[[records.VersionedRecord], None]
+
+_TICK = units.Seconds(0.2)
+# A snapshot repairs what lost datagrams and partitions left out. It has about
+# 150 bytes per member, so its interval grows with their number.
+_SNAPSHOT_INTERVAL = units.Seconds(30.0)
+_SNAPSHOT_INTERVAL_PER_MEMBER = units.Seconds(0.25)
+_LEAVE_REPEATS = 2
+_LEAVE_PAUSE = units.Seconds(0.1)
+# A record of loads that didn't change is refreshed before it expires.
+_LOAD_REFRESH = units.Seconds(1.0)
+
+
+class PeerNetwork(
+    background.BackgroundTask,
+    cluster.RecordExchange,
+    cluster.MemberView,
+    peers.DatagramReceiver,
+    peers.PeerService,
+):
+    """Runs the membership decisions of this daemon on its sockets."""
+
+    def __init__(
+        self,
+        listen: address_module.Address,
+        gossip: gossip_module.Gossip,
+        envelope: envelope_module.Envelope,
+        client: peers.PeerClient,
+        configuration: peer_configuration.PeerConfiguration,
+        timer_service: timers.TimerService,
+        event_log: log.EventLog,
+        generator: random.Random,
+    ) -> None:
+        self._listen = listen
+        self._gossip = gossip
+        self._client = client
+        self._configuration = configuration
+        self._timers = timer_service
+        self._log = event_log
+        self._random = generator
+        self._udp = datagrams.UdpTransport(envelope, self)
+        self._server = server.PeerServer(envelope, self)
+        self._listeners: list[cluster.RecordListener] = []
+        self._versioned_listeners: list[VersionedListener] = []
+        self._found_member = asyncio.Event()
+        self._last_load: tuple[units.Instant, cluster.LoadRecord] | None = None
+
+    @property
+    def live(self) -> tuple[ids.VmId, ...]:
+        """Live daemons, this one included, in the order of their ids."""
+        return self._gossip.membership.live
+
+    @property
+    def known_count(self) -> int:
+        """Daemons that may be serving, unreachable ones included."""
+        return self._gossip.membership.known_count
+
+    @property
+    def partition_suspected(self) -> bool:
+        """Whether a daemon is unreachable that may still be serving."""
+        return self._gossip.membership.partition_suspected
+
+    def owner_state(self, owner: backend_servers.Owner) -> states.MemberState:
+        """Returns the state of one daemon process."""
+        return self._gossip.membership.owner_state(owner, self._timers.now())
+
+    def publish(self, record: cluster.PeerRecord) -> None:
+        """Sends a record to the other daemons with the next messages."""
+        now = self._timers.now()
+        record = self._fitting(record)
+        if isinstance(record, cluster.LoadRecord):
+            if (
+                self._last_load is not None
+                and self._last_load[1] == record
+                and now - self._last_load[0] < _LOAD_REFRESH
+            ):
+                return
+            self._last_load = (now, record)
+        self._execute(self._gossip.publish(record, now))
+
+    def subscribe(self, listener: cluster.RecordListener) -> None:
+        """Calls `listener` for each new record of another daemon."""
+        self._listeners.append(listener)
+
+    def subscribe_versioned(self, listener: VersionedListener) -> None:
+        """Calls `listener` with records that tell their remaining lifetime."""
+        self._versioned_listeners.append(listener)
+
+    def on_configuration(
+        self, old: model.Configuration, new: model.Configuration
+    ) -> None:
+        """Announces the epoch in force with every message from now on."""
+        self._gossip.membership.set_epoch(new.epoch)
+
+    def on_vm_list(self, vms: object_store.VmList) -> None:
+        """Takes the platform's lagging list of VMs."""
+        self._gossip.membership.on_vm_list(vms)
+
+    def on_datagram(self, message: messages.Message) -> None:
+        """Takes one message of another daemon."""
+        self._execute(self._gossip.on_message(message, self._timers.now()))
+
+    def manifest(self) -> bytes | None:
+        """Returns the encoded manifest in force, if there is one."""
+        return self._configuration.manifest()
+
+    def chunk(self, chunk_hash: ids.ChunkHash) -> bytes | None:
+        """Returns an encoded configuration chunk, if it is held."""
+        return self._configuration.chunk(chunk_hash)
+
+    def snapshot(self) -> messages.Snapshot:
+        """Returns all members and records that this daemon knows."""
+        return self._gossip.snapshot(self._timers.now())
+
+    async def run(self) -> None:
+        """Takes part in the network until cancelled.
+
+        Raises:
+            OSError: The peer address can't be bound.
+        """
+        await self._server.start(self._listen)
+        await self._udp.start(self._listen)
+        ticking = self._timers.subscribe_every(_TICK, self._tick)
+        self._tick()
+        try:
+            await self._found_member.wait()
+            while True:
+                await self._fetch_snapshot()
+                interval = max(
+                    _SNAPSHOT_INTERVAL,
+                    len(self.live) * _SNAPSHOT_INTERVAL_PER_MEMBER,
+                )
+                await event_loop_timers.sleep(
+                    self._timers,
+                    units.Seconds(interval * self._random.uniform(0.5, 1.5)),
+                )
+        finally:
+            ticking.cancel()
+            self._server.close()
+            self._udp.close()
+
+    async def release(self) -> None:
+        """Announces that this daemon is leaving."""
+        for _ in range(_LEAVE_REPEATS):
+            # A datagram may be lost.
+            self._execute(self._gossip.leave(self._timers.now()))
+            await event_loop_timers.sleep(self._timers, _LEAVE_PAUSE)
+
+    def status(self) -> dict[str, object]:
+        """Returns the member list for the status page."""
+        return {
+            "members": {
+                record.owner.vm: record.state.value
+                for record in self._gossip.membership.records
+            },
+            "peer_bytes_sent": self._udp.sent_bytes,
+        }
+
+    def _tick(self) -> None:
+        self._execute(self._gossip.on_time(self._timers.now()))
+
+    def _execute(self, commands: tuple[messages.Command, ...]) -> None:
+        for command in commands:
+            if isinstance(command, messages.Send):
+                self._udp.send(command.to, command.message)
+            elif isinstance(command, messages.MemberChanged):
+                self._on_change(command)
+            elif isinstance(command, messages.RecordReceived):
+                self._on_record(command.record)
+            elif isinstance(command, messages.EpochSeen):
+                self._configuration.on_epoch(
+                    command.epoch, command.member.address
+                )
+            else:
+                self._log.emit(
+                    events.Event.PROCESS_REPLACED,
+                    incarnation=str(command.by.owner.incarnation),
+                    peer=command.by.address,
+                )
+
+    def _on_change(self, change: messages.MemberChanged) -> None:
+        record = change.record
+        if record.state is states.MemberState.ALIVE:
+            self._found_member.set()
+        self._log.emit(
+            events.Event.MEMBER_CHANGED,
+            member=record.owner.vm,
+            incarnation=str(record.owner.incarnation),
+            peer=record.address,
+            old_state=change.old_state.value if change.old_state else None,
+            state=record.state.value,
+        )
+
+    def _on_record(self, record: records.VersionedRecord) -> None:
+        for listener in self._listeners:
+            listener(record.origin, record.content)
+        for versioned in self._versioned_listeners:
+            versioned(record)
+
+    async def _fetch_snapshot(self) -> None:
+        others = [
+            record.address
+            for record in self._gossip.membership.records
+            if record.state is states.MemberState.ALIVE
+            and record.address != str(self._listen)
+        ]
+        if not others:
+            return
+        fetched = await self._client.fetch_snapshot(self._random.choice(others))
+        if isinstance(fetched, result.Ok):
+            now = self._timers.now()
+            self._execute(self._gossip.on_snapshot(fetched.ok_value, now))
+
+    def _fitting(self, record: cluster.PeerRecord) -> cluster.PeerRecord:
+        """Returns the record with as many entries as a message takes."""
+        while not self._gossip.records.fits(record):
+            if isinstance(record, cluster.DemandRecord) and record.demands:
+                record = dataclasses.replace(
+                    record, demands=record.demands[: len(record.demands) // 2]
+                )
+            elif isinstance(record, cluster.LoadRecord) and record.loads:
+                record = dataclasses.replace(
+                    record, loads=record.loads[: len(record.loads) // 2]
+                )
+            else:
+                break
+        return record
--- a/packages/daemon/src/lavendershed/daemon/router.py
+++ b/packages/daemon/src/lavendershed/daemon/router.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Iterator
 from collections.abc import Mapping
 import contextlib
@@ -15,6 +16,7 @@
 from lavendershed.configuration import model
 from lavendershed.configuration import state
 from lavendershed.core import backend_servers
+from lavendershed.core import deadlines
 from lavendershed.core import ids
 from lavendershed.core import outcomes
 from lavendershed.core import requests
@@ -33,6 +35,15 @@
 from lavendershed.transport import event_loop_timers
 from lavendershed.transport import server
 
+ArrivalListener = Callable[[ids.OrganisationId, int], None]
+
+# A request ends at its deadline; its answer may take a little longer.
+_DEADLINE_MARGIN = units.Seconds(2.0)
+_RELEASE_TIME = units.Seconds(10.0)
+# Time for callers to read the ends of their answers.
+_FLUSH_TIME = units.Seconds(10.0)
+_FLUSH_POLL = units.Seconds(0.05)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Parts:
@@ -66,6 +77,8 @@
         self._stopping = False
         self._refusing = False
         self._requests_in_flight = 0
+        self._latest_deadline = timer_service.now()
+        self._arrival_listeners: list[ArrivalListener] = []
         self._all_finished = asyncio.Event()
         self._server = server.HttpServer(
             front_end.FrontEnd(self, timer_service),
@@ -163,7 +176,10 @@
         kind = self._state.current.services[request.service].kind
         if kind is not states.ServiceKind.MODEL_ENGINE:
             return _wrong_kind(request.service, "a plain service: use /call/")
-        with self._in_flight(request.service):
+        self._on_arrival(
+            request.organisation, request.prompt_tokens + request.max_tokens
+        )
+        with self._in_flight(request.service, request.deadline):
             return await self._parts.generation.run(request, sink)
 
     async def call(
@@ -173,7 +189,8 @@
         kind = self._state.current.services[request.service].kind
         if kind is not states.ServiceKind.PLAIN:
             return _wrong_kind(request.service, "not plain: use /generate")
-        with self._in_flight(request.service):
+        self._on_arrival(request.organisation, 0)
+        with self._in_flight(request.service, request.deadline):
             return await self._parts.calls.run(request)
 
     def metrics(self) -> bytes:
@@ -207,9 +224,22 @@
         if not old.epoch:
             self._log.emit(events.Event.DAEMON_READY, vm=self._options.vm)
 
+    def add_arrival_listener(self, listener: ArrivalListener) -> None:
+        """Calls `listener` with each request before it is admitted."""
+        self._arrival_listeners.append(listener)
+
+    def _on_arrival(
+        self, organisation: ids.OrganisationId, tokens: int
+    ) -> None:
+        for listener in self._arrival_listeners:
+            listener(organisation, tokens)
+
     @contextlib.contextmanager
-    def _in_flight(self, service: ids.ServiceId) -> Iterator[None]:
+    def _in_flight(
+        self, service: ids.ServiceId, deadline: deadlines.Deadline
+    ) -> Iterator[None]:
         self._requests_in_flight += 1
+        self._latest_deadline = max(self._latest_deadline, deadline.at)
         self._all_finished.clear()
         self._instruments.in_flight(service, 1)
         try:
@@ -222,18 +252,48 @@
 
     async def _stop_gracefully(self) -> None:
         self._stopping = True
+        self._server.retire_connections()
         self._log.emit(
             events.Event.DAEMON_STOPPING, in_flight=self._requests_in_flight
         )
         await event_loop_timers.sleep(self._timers, self._options.settle_time)
         self._refusing = True
         self._server.stop_keep_alive()
-        if self._requests_in_flight:
-            await self._all_finished.wait()
-        for task in self._parts.background:
-            await task.release()
-        # Responses that have been handed to the event loop leave first.
-        await event_loop_timers.sleep(self._timers, units.Seconds(0.05))
+        await self._finish_requests()
+        await asyncio.gather(
+            *(self._release(task) for task in self._parts.background)
+        )
+        await self._flush_answers()
+
+    async def _finish_requests(self) -> None:
+        if not self._requests_in_flight:
+            return
+        left = units.elapsed(self._timers.now(), self._latest_deadline)
+        try:
+            async with asyncio.timeout(max(0.0, left) + _DEADLINE_MARGIN):
+                await self._all_finished.wait()
+        except TimeoutError:
+            self._log.emit(
+                events.Event.STOP_STEP_TIMED_OUT,
+                step="requests",
+                in_flight=self._requests_in_flight,
+            )
+
+    async def _release(self, task: background.BackgroundTask) -> None:
+        try:
+            async with asyncio.timeout(_RELEASE_TIME):
+                await task.release()
+        except TimeoutError:
+            self._log.emit(
+                events.Event.STOP_STEP_TIMED_OUT, step=type(task).__name__
+            )
+
+    async def _flush_answers(self) -> None:
+        # A connection closes itself once its caller has read the answer.
+        end = units.after(self._timers.now(), _FLUSH_TIME)
+        while self._server.connection_count and self._timers.now() < end:
+            self._server.stop_keep_alive()
+            await event_loop_timers.sleep(self._timers, _FLUSH_POLL)
 
 
 def _wrong_kind(
--- /dev/null
+++ b/packages/daemon/tests/test_backend_health.py
@@ -0,0 +1,184 @@
+"""Guards which backend servers get new work."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from lavendershed.configuration import model
+from lavendershed.core import backend_servers
+from lavendershed.core import cluster
+from lavendershed.core import ids
+from lavendershed.core import object_store
+from lavendershed.core import states
+from lavendershed.core import timers
+from lavendershed.core import units
+from lavendershed.daemon import backend_health
+from lavendershed.telemetry import log
+
+A = ids.BackendServerId("a")
+B = ids.BackendServerId("b")
+OLD = ids.Incarnation(2)
+NEW = ids.Incarnation(1)
+PEER = backend_servers.Owner(ids.VmId("vm-2"), ids.Incarnation(7))
+SERVICE = ids.ServiceId("drafting")
+KINDS = backend_servers.BackendErrorKind
+
+
+class Exchange(cluster.RecordExchange):
+    """Keeps what is published and delivers records of a peer."""
+
+    def __init__(self):
+        self.published = []
+        self.listeners = []
+
+    def publish(self, record):
+        self.published.append(record)
+
+    def subscribe(self, listener):
+        self.listeners.append(listener)
+
+    def deliver(self, record):
+        for listener in self.listeners:
+            listener(PEER, record)
+
+
+def report(incarnation, leaving=False):
+    """Returns what an engine says of itself."""
+    return backend_servers.LoadReport(
+        0.0,
+        incarnation,
+        0,
+        0,
+        units.Tokens(0),
+        units.Bytes(0),
+        units.Bytes(1),
+        states.EngineRole.GENERAL,
+        (),
+        leaving,
+    )
+
+
+def error(kind, leaving=False):
+    """Returns a failed call."""
+    return backend_servers.BackendError(kind, False, "", leaving)
+
+
+class BackendHealthTest(unittest.TestCase):
+    """Fails if a leaving server gets work or a good one is avoided."""
+
+    def setUp(self):
+        self.timers = timers.VirtualTimerService()
+        self.exchange = Exchange()
+        self.health = backend_health.BackendHealth(
+            self.timers, random.Random(1), self.exchange, log.MemoryEventLog()
+        )
+        servers = tuple(
+            model.BackendServer(
+                name, "127.0.0.1:1", ids.AvailabilityZoneId("z"), ids.VmId(name)
+            )
+            for name in (A, B)
+        )
+        service = model.Service(
+            SERVICE, states.ServiceKind.MODEL_ENGINE, servers
+        )
+        new = model.Configuration(
+            ids.Epoch(1), ids.PresetName("day"), {}, {SERVICE: service}, {}
+        )
+        self.health.on_configuration(model.EMPTY, new)
+
+    def refuse(self, server):
+        self.health.on_error(server, error(KINDS.CONNECTION_REFUSED))
+
+    def wait(self, seconds):
+        self.timers.advance(units.Seconds(seconds))
+
+    def assert_accepts(self, server, expected):
+        self.assertIs(self.health.accepts_work(server), expected)
+
+    def test_every_source_of_leaving_stops_work_at_once(self):
+        sources = {
+            "load report": lambda: self.health.on_load_report(
+                A, report(OLD, leaving=True)
+            ),
+            "refused call": lambda: self.health.on_error(
+                A, error(KINDS.REFUSED_BEFORE_START, leaving=True)
+            ),
+            "VM list": lambda: self.health.on_vm_list(
+                object_store.VmList(frozenset(), frozenset({ids.VmId("a")}))
+            ),
+            "peer": lambda: self.exchange.deliver(
+                cluster.BackendLeavingRecord(A, OLD)
+            ),
+        }
+        for name, tell in sources.items():
+            with self.subTest(name):
+                self.setUp()
+                tell()
+                self.assert_accepts(A, False)
+                self.assert_accepts(B, True)
+                own = [] if name == "peer" else [A]
+                told = [record.server for record in self.exchange.published]
+                self.assertEqual(told, own)
+
+    def test_restarted_server_is_used_and_late_claims_are_ignored(self):
+        self.health.on_load_report(A, report(OLD, leaving=True))
+        self.health.on_load_report(A, report(NEW))
+        self.assert_accepts(A, True)
+        self.exchange.deliver(cluster.BackendLeavingRecord(A, OLD))
+        self.assert_accepts(A, True)
+
+    def test_own_later_report_does_not_end_leaving_of_the_incarnation(self):
+        self.exchange.deliver(cluster.BackendLeavingRecord(A, OLD))
+        self.health.on_load_report(A, report(OLD))
+        self.assert_accepts(A, False)
+
+    def test_claim_without_incarnation_ends_by_itself(self):
+        leaving = error(KINDS.REFUSED_BEFORE_START, leaving=True)
+        self.health.on_error(A, leaving)
+        self.wait(29.0)
+        self.assert_accepts(A, False)
+        self.wait(2.0)
+        self.assert_accepts(A, True)
+
+    def test_refused_server_is_probed_by_one_request(self):
+        self.refuse(A)
+        self.assert_accepts(A, False)
+        self.wait(0.5)
+        self.assert_accepts(A, True)
+        self.health.on_sent(A)
+        self.assert_accepts(A, False)
+        self.health.on_success(A)
+        self.assert_accepts(A, True)
+
+    def test_pauses_grow_and_stay_bounded(self):
+        for _ in range(12):
+            self.refuse(A)
+            self.wait(10.0)
+            self.assert_accepts(A, True)
+        self.refuse(A)
+        self.wait(4.9)
+        self.assert_accepts(A, False)
+
+    def test_single_lost_connection_has_no_effect(self):
+        self.health.on_error(A, error(KINDS.CONNECTION_LOST))
+        self.assert_accepts(A, True)
+        self.health.on_error(A, error(KINDS.IDLE_TIMEOUT))
+        self.health.on_error(A, error(KINDS.CONNECTION_LOST))
+        self.assert_accepts(A, False)
+
+    def test_last_servers_of_a_service_come_back_soon(self):
+        for _ in range(8):
+            self.refuse(A)
+            self.refuse(B)
+            self.wait(10.0)
+        self.refuse(A)
+        self.refuse(B)
+        self.assert_accepts(A, False)
+        self.wait(0.5)
+        self.assert_accepts(A, True)
+        self.assert_accepts(B, True)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/daemon/tests/test_queued_dispatcher.py
+++ b/packages/daemon/tests/test_queued_dispatcher.py
@@ -9,6 +9,8 @@
 from lavendershed.configuration import manifest
 from lavendershed.configuration import model
 from lavendershed.configuration import state
+from lavendershed.core import backend_servers
+from lavendershed.core import cluster
 from lavendershed.core import deadlines
 from lavendershed.core import ids
 from lavendershed.core import requests
@@ -45,7 +47,14 @@
             self.timers,
             self.log,
             self.instruments,
-            backend_health.BackendHealth(),
+            backend_health.BackendHealth(
+                self.timers,
+                random.Random(1),
+                cluster.SingleDaemon(
+                    backend_servers.Owner(ids.VmId("vm-1"), ids.Incarnation(1))
+                ),
+                self.log,
+            ),
             limits.WholeShare(),
             random.Random(1),
         )
--- a/packages/membership/src/lavendershed/membership/detector.py
+++ b/packages/membership/src/lavendershed/membership/detector.py
@@ -238,7 +238,9 @@
 
     def on_vm_list(self, vms: object_store.VmList) -> None:
         """Takes the platform's VM list, a hint that lags."""
-        self._vms = vms
+        # An empty list is a fault of the platform, not the end of all VMs.
+        if vms.live:
+            self._vms = vms
 
     def on_contacts(
         self, contacts: Iterable[records_module.ContactAddress]
--- a/packages/membership/src/lavendershed/membership/dissemination.py
+++ b/packages/membership/src/lavendershed/membership/dissemination.py
@@ -16,6 +16,7 @@
 # forward a record only to repair losses.
 DIRECT_MEMBERS = 10
 _DIRECT_FORWARDS = 2
+_SIZE_MARGIN = 12
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,6 +85,15 @@
         """Encoded size of all records."""
         return units.Bytes(self._bytes)
 
+    def fits(self, content: cluster.PeerRecord) -> bool:
+        """Returns whether a record is small enough to be published."""
+        record = records_module.VersionedRecord(
+            self._owner, self._version + 1, units.Seconds(1.0), content
+        )
+        # The version and the lifetime may grow by a few bytes.
+        size = self._sizer.record_size(record) + _SIZE_MARGIN
+        return size <= self._limits.max_record_size
+
     def publish(
         self, content: cluster.PeerRecord, members: int, now: units.Instant
     ) -> bool:
--- a/packages/transport/src/lavendershed/transport/server.py
+++ b/packages/transport/src/lavendershed/transport/server.py
@@ -347,6 +347,11 @@
         """Whether connections close after their current request."""
         return self._stopping
 
+    @property
+    def connection_count(self) -> int:
+        """Open connections."""
+        return len(self._connections)
+
     @property
     def address(self) -> address_module.Address:
         """The bound address; valid after `start`."""
@@ -368,6 +373,14 @@
             backlog=1_024,
         )
 
+    def retire_connections(self) -> None:
+        """Announces with each answer that its connection closes after it.
+
+        A caller that reuses a connection is told before idle connections are
+        closed, so that it doesn't send on one that is about to close.
+        """
+        self._stopping = True
+
     def stop_keep_alive(self) -> None:
         """Closes idle connections and every other after its request."""
         self._stopping = True
--- /dev/null
+++ b/tests/test_peer_process.py
@@ -0,0 +1,138 @@
+"""Guards how routers act together, as processes."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import signal
+import tempfile
+import unittest
+
+import orjson
+
+from lavendershed.standin import deployment
+from lavendershed.standin import fleet
+from lavendershed.standin import load_client
+from lavendershed.transport import client
+
+SETTLE = "1.0"
+# Bounds of the design page.
+IN_FORCE_SECONDS = 6.0
+LEAVING_SECONDS = 5.0
+
+
+class PeerProcessTest(unittest.IsolatedAsyncioTestCase):
+    """Fails if routers don't notice, inform or replace each other."""
+
+    async def asyncSetUp(self):
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.deployment = deployment.Deployment(
+            pathlib.Path(directory.name),
+            deployment.Shape(
+                routers=3,
+                engines=2,
+                router_arguments=("--settle-time-seconds", SETTLE),
+            ),
+        )
+        self.fleet = self.deployment.fleet
+        self.addAsyncCleanup(self.fleet.stop)
+        await self.deployment.start()
+
+    async def status(self, router):
+        address = self.fleet.member(router).address
+        answer = await fleet.get(address, "/v1/status")
+        return orjson.loads(answer.body)
+
+    async def eventually(self, condition, seconds):
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        while not await condition():
+            self.assertLess(loop.time(), end, "not reached in time")
+            await asyncio.sleep(0.05)
+
+    async def members_are(self, router, *states):
+        members = (await self.status(router))["members"]
+        return [members.get(vm) for vm in self.deployment.routers] == [*states]
+
+    async def control_store(self, **content):
+        await fleet.exchange(
+            self.deployment.store,
+            client.RequestHead("POST", "/control"),
+            orjson.dumps(content),
+        )
+
+    async def test_router_starts_and_follows_while_the_store_is_down(self):
+        await self.eventually(
+            lambda: self.members_are("vm-1", "alive", "alive", "alive"), 10.0
+        )
+        self.fleet.member("vm-3").signal(signal.SIGKILL)
+        await self.eventually(
+            lambda: self.members_are("vm-1", "alive", "alive", "dead"), 20.0
+        )
+        await self.control_store(unavailable=True)
+        await self.fleet.restart("vm-3")
+        self.assertTrue(await self.fleet.wait_ready(["vm-3"]))
+        self.assertEqual((await self.status("vm-3"))["epoch"], 1)
+        await self.eventually(
+            lambda: self.members_are("vm-1", "alive", "alive", "alive"), 10.0
+        )
+
+    async def test_leaving_server_gets_no_new_work_on_any_router(self):
+        await self.control_store(live=["engine-2"], leaving=["engine-1"])
+        await asyncio.sleep(LEAVING_SECONDS)
+        for router in self.deployment.routers:
+            sent = [
+                await self.deployment.generate(router, f"p{n}", 10, 2, 5.0)
+                for n in range(4)
+            ]
+            endings = {prompt.answer.ending for prompt in sent}
+            self.assertEqual(endings, {load_client.Ending.WHOLE})
+            log = self.fleet.log_path(router).read_text()
+            used = [
+                orjson.loads(line)["engine"]
+                for line in log.splitlines()
+                if "request_dispatched" in line
+            ]
+            self.assertEqual(set(used), {"engine-2"})
+
+    async def test_stop_under_load_cuts_off_no_request(self):
+        router = self.fleet.member("vm-1")
+        stopping = asyncio.Event()
+        answers = []
+
+        async def send(number):
+            count = 0
+            while not stopping.is_set():
+                name = f"{number}-{count}"
+                prompt = await self.deployment.generate(
+                    "vm-1", name, 100, 40, 20.0
+                )
+                answers.append(prompt.answer)
+                count += 1
+
+        senders = [asyncio.create_task(send(n)) for n in range(8)]
+        await asyncio.sleep(1.0)
+        before = len(answers)
+        router.signal(signal.SIGTERM)
+        while True:
+            ready = await fleet.get(router.address, "/health/ready")
+            if ready is None or ready.head.status != 200:
+                break
+            await asyncio.sleep(0.02)
+        # Requests that come while the balancer has not noticed are served.
+        await asyncio.sleep(0.5)
+        router.signal(signal.SIGTERM)
+        stopping.set()
+        await asyncio.gather(*senders)
+        self.assertEqual(await router.process.wait(), 0)
+        self.assertGreater(len(answers), before)
+        endings = {answer.ending for answer in answers}
+        self.assertEqual(endings, {load_client.Ending.WHOLE}, answers)
+        await self.eventually(
+            lambda: self.members_are("vm-2", "leaving", "alive", "alive"), 1.0
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
