--- a/packages/daemon/src/lavendershed/daemon/router.py
+++ b/packages/daemon/src/lavendershed/daemon/router.py
@@ -260,9 +260,9 @@
         self._refusing = True
         self._server.stop_keep_alive()
         await self._finish_requests()
-        await asyncio.gather(
-            *(self._release(task) for task in self._parts.background)
-        )
+        # In order: leaving is announced after the allocations are released.
+        for task in self._parts.background:
+            await self._release(task)
         await self._flush_answers()
 
     async def _finish_requests(self) -> None:
--- a/tests/test_peer_process.py
+++ b/tests/test_peer_process.py
@@ -32,6 +32,7 @@
             deployment.Shape(
                 routers=3,
                 engines=2,
+                peers=True,
                 router_arguments=("--settle-time-seconds", SETTLE),
             ),
         )
