--- a/packages/daemon/src/lavendershed/daemon/factory.py
+++ b/packages/daemon/src/lavendershed/daemon/factory.py
@@ -26,9 +26,11 @@
 from lavendershed.daemon import ledger_keeper
 from lavendershed.daemon import memory_reclaimer
 from lavendershed.daemon import options as options_module
+from lavendershed.daemon import peer_factory
 from lavendershed.daemon import queued_dispatcher
 from lavendershed.daemon import router as router_module
 from lavendershed.daemon import server_choice
+from lavendershed.daemon import vm_list_poller
 from lavendershed.platform import http_store
 from lavendershed.reliability import crash_suspects
 from lavendershed.reliability import memory_ledger
@@ -61,7 +63,6 @@
         self._random = generator
         self._limits = pool.PoolLimits(idle_timeout=options.idle_timeout)
         self._state = state_module.ConfigurationState()
-        self._health = backend_health.BackendHealth()
         self._directory = backend_directory.BackendDirectory(
             backend_directory.HttpClientFactory(timer_service, self._limits)
         )
@@ -71,7 +72,26 @@
         self._owner = backend_servers.Owner(
             options.vm, ids.Incarnation(generator.getrandbits(63))
         )
-        self._cluster = cluster.SingleDaemon(self._owner)
+        single = cluster.SingleDaemon(self._owner)
+        self._exchange: cluster.RecordExchange = single
+        self._members: cluster.MemberView = single
+        self._shares: limits.ShareSource = limits.WholeShare()
+        self._peering: peer_factory.Peering | None = None
+        if options.peer_listen is not None:
+            self._peering = peer_factory.PeerFactory(
+                options,
+                options.peer_listen,
+                self._owner,
+                self._state,
+                timer_service,
+                event_log,
+                generator,
+            ).build()
+            self._exchange = self._members = self._peering.network
+            self._shares = self._peering.shares
+        self._health = backend_health.BackendHealth(
+            timer_service, generator, self._exchange, event_log
+        )
         self._dispatcher = queued_dispatcher.QueuedDispatcher(
             options.vm,
             self._state,
@@ -79,12 +99,12 @@
             event_log,
             instruments,
             self._health,
-            limits.WholeShare(),
+            self._shares,
             generator,
         )
         self._bookings = bookings.Bookings(
             self._store,
-            self._cluster,
+            self._members,
             self._owner,
             timer_service,
             event_log,
@@ -119,6 +139,8 @@
                 self._build_reclaimer(),
                 self._bookings,
                 self._build_retention(),
+                self._build_vm_list_poller(),
+                *(self._peering.background if self._peering else ()),
             ),
         )
         router = router_module.Router(
@@ -129,6 +151,15 @@
             self._instruments,
         )
         sync.add_listener(router.on_configuration)
+        if self._peering is not None:
+            router.add_arrival_listener(self._peering.shares.on_arrival)
+            sync.add_listener(self._peering.network.on_configuration)
+            for listener in (
+                self._on_configuration,
+                router.on_configuration,
+                self._peering.network.on_configuration,
+            ):
+                self._peering.configuration.add_listener(listener)
         return router
 
     def _build_calls(self) -> calls.Calls:
@@ -152,7 +183,7 @@
         return booking_retention.BookingRetention(
             self._options.vm,
             self._store,
-            self._cluster,
+            self._members,
             self._timers,
             self._log,
             self._random,
@@ -176,7 +207,7 @@
                 crash_suspects.CrashSuspects(crash_suspects.SuspectLimits()),
                 self._keeper,
                 self._incarnations,
-                self._cluster,
+                self._exchange,
                 self._timers,
                 self._log,
                 self._instruments,
@@ -187,7 +218,7 @@
         return memory_reclaimer.MemoryReclaimer(
             self._owner,
             self._ledger,
-            self._cluster,
+            self._members,
             self._directory,
             self._timers,
             self._log,
@@ -200,12 +231,29 @@
             self._health,
             self._timers,
             self._options.engine_poll_interval,
-            self._cluster,
+            self._exchange,
             self._keeper,
         )
 
+    def _build_vm_list_poller(self) -> vm_list_poller.VmListPoller:
+        listeners: tuple[vm_list_poller.VmListListener, ...] = (
+            self._health.on_vm_list,
+        )
+        if self._peering is not None:
+            listeners += (self._peering.network.on_vm_list,)
+        return vm_list_poller.VmListPoller(
+            self._options.vm,
+            self._store,
+            self._members,
+            self._timers,
+            self._log,
+            self._random,
+            listeners,
+        )
+
     def _on_configuration(
         self, old: model.Configuration, new: model.Configuration
     ) -> None:
         self._directory.on_configuration(new)
+        self._health.on_configuration(old, new)
         self._dispatcher.on_configuration(old, new)
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,62 @@
+"""Guards planned stops: no new work for what leaves, nothing cut off."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import unittest
+
+import deployment_case
+
+from lavendershed.standin import checkers
+from lavendershed.standin import deployment as deployment_module
+
+NO_NEW_WORK_SECONDS = 5.0
+TIMEOUT = 20.0
+
+
+class LeavingEngineTest(deployment_case.DeploymentCase):
+    """Fails if a leaving engine gets new work after 5 s."""
+
+    SHAPE = deployment_module.Shape(routers=2, engines=2, peers=True)
+
+    async def load_for(self, seconds):
+        tasks = []
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            for router in self.deployment.routers:
+                tasks.append(
+                    asyncio.create_task(
+                        self.deployment.generate(
+                            router, f"p-{len(tasks)}", 1_000, 5, TIMEOUT
+                        )
+                    )
+                )
+            await asyncio.sleep(0.1)
+        return await asyncio.gather(*tasks)
+
+    async def check(self, announce):
+        await asyncio.sleep(1.0)
+        left = time.time()
+        await announce()
+        sent = await self.load_for(8.0)
+        self.check_answers(sent)
+        late = checkers.starts_after(
+            self.history("engine-1"), left, NO_NEW_WORK_SECONDS
+        )
+        self.assertEqual(late, [])
+        endings = {item.answer.ending for item in sent}
+        self.assertEqual(endings, {deployment_case.WHOLE})
+
+    async def test_engine_that_says_it_leaves_gets_no_new_work(self):
+        await self.check(lambda: self.control("engine-1", "leave"))
+
+    async def test_engine_on_a_listed_vm_gets_no_new_work(self):
+        live = ["engine-2", *self.deployment.routers]
+        await self.check(
+            lambda: self.control("store", live=live, leaving=["engine-1"])
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
