--- a/packages/configuration/src/lavendershed/configuration/state.py
+++ b/packages/configuration/src/lavendershed/configuration/state.py
@@ -15,7 +15,9 @@
 from lavendershed.core import units
 
 # Changes arrive every few seconds at most; more pending manifests than these
-# mean that chunks cannot be read, and the latest ones replace the oldest.
+# mean that chunks cannot be read. The one that has waited longest makes room;
+# the least epoch must not, or else unreadable manifests of great epochs would
+# keep out the readable one.
 MAX_PENDING = 4
 # Time between requests for the same missing chunks, so that a chunk that no
 # source has costs few calls.
@@ -82,7 +84,7 @@
 
     @property
     def pending(self) -> tuple[ids.Epoch, ...]:
-        """Epochs whose chunks are incomplete, greatest first."""
+        """Epochs whose chunks are incomplete, in order of arrival."""
         return tuple(manifest.epoch for manifest in self._pending)
 
     def chunk(self, chunk_hash: ids.ChunkHash) -> manifest_module.Chunk | None:
@@ -99,9 +101,8 @@
             or manifest in self._rejected
         ):
             return ()
-        self._pending.append(manifest)
-        self._pending.sort(key=lambda m: m.epoch, reverse=True)
-        del self._pending[MAX_PENDING:]
+        self._pending = [*self._pending, manifest][-MAX_PENDING:]
+        self._drop_unused_chunks()
         return self._advance(now, fetch=True)
 
     def on_chunk(
@@ -132,7 +133,10 @@
         self, now: units.Instant, *, fetch: bool
     ) -> tuple[Command, ...]:
         commands: list[Command] = []
-        for manifest in tuple(self._pending):
+        greatest_first = sorted(
+            self._pending, key=lambda m: m.epoch, reverse=True
+        )
+        for manifest in greatest_first:
             if all(h in self._chunks for h in manifest.chunks):
                 applied = self._apply(manifest)
                 commands.append(applied)
--- /dev/null
+++ b/packages/configuration/tests/test_state.py
@@ -0,0 +1,102 @@
+"""Guards the configuration in force against bad and missing parts."""
+
+from __future__ import annotations
+
+import dataclasses
+import unittest
+
+import sample
+
+from lavendershed.configuration import chunking
+from lavendershed.configuration import manifest as manifest_module
+from lavendershed.configuration import state as state_module
+from lavendershed.core import ids
+from lavendershed.core import units
+
+HASHER = sample.ReprHasher()
+NOW = units.Instant(0.0)
+
+
+def published(configuration):
+    """Returns the manifest and the chunks of a configuration."""
+    parts = chunking.split(configuration, HASHER)
+    root = manifest_module.Manifest(
+        configuration.epoch,
+        configuration.active_preset,
+        tuple(part.hash for part in parts),
+        (),
+    )
+    return root, parts
+
+
+class StateTest(unittest.TestCase):
+    """Fails if a bad manifest replaces or blocks a good one."""
+
+    def setUp(self):
+        self.state = state_module.ConfigurationState()
+
+    def deliver(self, configuration):
+        root, parts = published(configuration)
+        commands = list(self.state.on_manifest(root, NOW))
+        for part in parts:
+            commands += self.state.on_chunk(part.hash, part.chunk, NOW)
+        return commands
+
+    def test_is_applied_only_when_all_chunks_are_there(self):
+        root, parts = published(sample.configuration(epoch=1))
+        self.state.on_manifest(root, NOW)
+        for part in parts[:-1]:
+            self.assertEqual(
+                self.state.on_chunk(part.hash, part.chunk, NOW), ()
+            )
+            self.assertFalse(self.state.ready)
+        self.state.on_chunk(parts[-1].hash, parts[-1].chunk, NOW)
+        self.assertEqual(self.state.current.epoch, 1)
+
+    def test_unreadable_manifests_do_not_keep_out_a_readable_one(self):
+        root, _ = published(sample.configuration(epoch=1))
+        for ahead in range(2, 20):
+            self.state.on_manifest(
+                dataclasses.replace(
+                    root,
+                    epoch=ids.Epoch(ahead),
+                    chunks=(ids.ChunkHash(f"absent-{ahead}"),),
+                ),
+                NOW,
+            )
+        self.deliver(sample.configuration(epoch=1))
+        self.assertEqual(self.state.current.epoch, 1)
+        self.assertLessEqual(len(self.state.pending), state_module.MAX_PENDING)
+
+    def test_invalid_chunk_rejects_the_manifest_and_keeps_the_old(self):
+        self.deliver(sample.configuration(epoch=1))
+        bad = sample.organisation(1, weight=-1.0)
+        broken = dataclasses.replace(
+            sample.configuration(epoch=2), organisations={bad.name: bad}
+        )
+        commands = self.deliver(broken)
+        self.assertIn(state_module.RejectManifest, [type(c) for c in commands])
+        self.assertEqual(self.state.current.epoch, 1)
+        self.deliver(sample.configuration(epoch=3))
+        self.assertEqual(self.state.current.epoch, 3)
+
+    def test_missing_chunks_are_asked_for_again_but_not_at_once(self):
+        root, parts = published(sample.configuration(epoch=1))
+        (first,) = self.state.on_manifest(root, NOW)
+        self.assertEqual(len(first.hashes), len(parts))
+        self.assertEqual(self.state.on_timer(NOW), ())
+        later = units.after(NOW, state_module.FETCH_AGAIN)
+        self.assertEqual(self.state.on_timer(later), (first,))
+
+    def test_chunks_of_replaced_configurations_are_dropped(self):
+        self.deliver(sample.configuration(2, epoch=1))
+        _, old_parts = published(sample.configuration(2, epoch=1))
+        self.deliver(sample.configuration(0, epoch=2))
+        _, new_parts = published(sample.configuration(0, epoch=2))
+        held = {p.hash for p in (*old_parts, *new_parts)}
+        kept = {h for h in held if self.state.chunk(h) is not None}
+        self.assertEqual(kept, {part.hash for part in new_parts})
+
+
+if __name__ == "__main__":
+    unittest.main()
