Bound calls to the object store and treat bad answers as errors

Cause: a malformed answer of the object API raised an exception in the client, a write answered 500 counted as not done, and nothing limited the rate of a daemon's calls.

Change: answers are decoded with types; unreadable answers to writes are ambiguous. BudgetedObjectStore shares one token bucket among classes of calls and keeps a part for bookings; an outage takes the burst away. The stand-in gains rate limits, silent outages, lost writes, a lagging VM list, counts per kind of call, and records its calls.

--- /dev/null
+++ b/packages/platform/src/lavendershed/platform/call_budget.py
@@ -0,0 +1,85 @@
+"""Budget of calls to the object store."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+import result
+
+from lavendershed.core import units
+
+
+class CallClass(enum.Enum):
+    """Whose calls these are."""
+
+    BACKGROUND = "background"
+    BOOKING = "booking"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BudgetLimits:
+    """Size of a budget.
+
+    Attributes:
+        calls_per_second: Calls on average, all classes together.
+        burst: Calls that may be made at once after a quiet time.
+        booking_share: Part of the burst that only bookings may use, so that
+            background calls cannot make bookings fail.
+    """
+
+    calls_per_second: float = 20.0
+    burst: float = 40.0
+    booking_share: float = 0.5
+
+
+class CallBudget:
+    """Token bucket with a part reserved for bookings."""
+
+    def __init__(self, limits: BudgetLimits, now: units.Instant) -> None:
+        self._limits = limits
+        self._tokens = limits.burst
+        self._filled_at = now
+        self._blocked_until = now
+
+    @property
+    def _reserved(self) -> float:
+        return self._limits.burst * self._limits.booking_share
+
+    def on_call(
+        self, call_class: CallClass, now: units.Instant
+    ) -> result.Result[None, units.Seconds]:
+        """Takes one call; returns the time to wait if there is none left."""
+        self._fill(now)
+        floor = self._reserved if call_class is CallClass.BACKGROUND else 0.0
+        missing = floor + 1.0 - self._tokens
+        waits = [missing / self._limits.calls_per_second]
+        if call_class is CallClass.BACKGROUND:
+            waits.append(units.elapsed(now, self._blocked_until))
+        longest = max(waits)
+        if longest > 0:
+            return result.Err(units.Seconds(longest))
+        self._tokens -= 1.0
+        return result.Ok(None)
+
+    def on_unavailable(self, now: units.Instant) -> None:
+        """Takes a call that found the store down.
+
+        Background calls lose their burst, so that a daemon comes back at its
+        average rate when the store returns.
+        """
+        self._fill(now)
+        self._tokens = min(self._tokens, self._reserved)
+
+    def on_throttled(self, wait: units.Seconds, now: units.Instant) -> None:
+        """Takes the store's request to wait; bookings are still tried."""
+        self.on_unavailable(now)
+        self._blocked_until = max(self._blocked_until, units.after(now, wait))
+
+    def _fill(self, now: units.Instant) -> None:
+        passed = units.elapsed(self._filled_at, now)
+        self._filled_at = now
+        self._tokens = min(
+            self._limits.burst,
+            self._tokens + passed * self._limits.calls_per_second,
+        )
--- a/packages/platform/src/lavendershed/platform/http_store.py
+++ b/packages/platform/src/lavendershed/platform/http_store.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
-import base64
+import dataclasses
+import math
+from typing import Annotated
+from typing import TypeVar
 import urllib.parse
 
-import orjson
+import pydantic
 import result
 
 from lavendershed.core import ids
@@ -22,10 +25,53 @@
     429: object_store.StoreErrorKind.THROTTLED,
 }
 _MAX_RESPONSE_BYTES = units.Bytes(64_000_000)
+# Only these answers to a write say that it had no effect.
+_NO_EFFECT_STATUSES = frozenset((503, *range(400, 500)))
+_MAX_RETRY_AFTER = units.Seconds(60.0)
 # A watch answers within its timeout; this is added for the way there and back.
 _WATCH_MARGIN = units.Seconds(2.0)
 
 
+T = TypeVar("T")
+_Version = Annotated[int, pydantic.Field(ge=0)]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Item:
+    key: str
+    version: _Version
+    value: pydantic.Base64Bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Page:
+    objects: tuple[_Item, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Event:
+    key: str
+    version: _Version
+    value: pydantic.Base64Bytes | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Batch:
+    events: tuple[_Event, ...]
+    upto: _Version
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Vms:
+    live: frozenset[str]
+    leaving: frozenset[str]
+
+
+_PAGE = pydantic.TypeAdapter(_Page)
+_BATCH = pydantic.TypeAdapter(_Batch)
+_VMS = pydantic.TypeAdapter(_Vms)
+
+
 class HttpObjectStore(object_store.ObjectStore):
     """The object API at one address."""
 
@@ -39,10 +85,11 @@
         answer = await self._call(client.RequestHead("GET", _object_path(key)))
         if isinstance(answer, result.Err):
             return answer
-        version = _version(answer.ok_value)
-        return result.Ok(
-            object_store.StoredObject(key, version, answer.ok_value.body)
-        )
+        response = answer.ok_value
+        version = _version(response)
+        if version is None:
+            return _malformed(key, "no version", write=False)
+        return result.Ok(object_store.StoredObject(key, version, response.body))
 
     async def put(
         self,
@@ -51,6 +98,14 @@
         condition: object_store.Condition,
     ) -> result.Result[ids.ObjectVersion, object_store.StoreError]:
         """Writes one object if `condition` holds; returns its new version."""
+        if len(value) > object_store.MAX_OBJECT_BYTES:
+            return result.Err(
+                object_store.StoreError(
+                    object_store.StoreErrorKind.TOO_LARGE,
+                    f"{key}: {len(value)} bytes, at most "
+                    f"{object_store.MAX_OBJECT_BYTES} are stored",
+                )
+            )
         header = (
             ("if-none-match", "*")
             if isinstance(condition, object_store.IfAbsent)
@@ -58,7 +113,12 @@
         )
         head = client.RequestHead("PUT", _object_path(key), (header,))
         answer = await self._call(head, value, write=True)
-        return answer.map(_version)
+        if isinstance(answer, result.Err):
+            return answer
+        version = _version(answer.ok_value)
+        if version is None:
+            return _malformed(key, "no version", write=True)
+        return result.Ok(version)
 
     async def delete(
         self, key: ids.ObjectKey, version: ids.ObjectVersion
@@ -80,16 +140,17 @@
         answer = await self._call(
             client.RequestHead("GET", f"/objects?{query}")
         )
-        if isinstance(answer, result.Err):
-            return answer
+        page = _decoded(answer, _PAGE)
+        if isinstance(page, result.Err):
+            return page
         return result.Ok(
             tuple(
                 object_store.StoredObject(
-                    ids.ObjectKey(item["key"]),
-                    ids.ObjectVersion(item["version"]),
-                    base64.b64decode(item["value"]),
+                    ids.ObjectKey(item.key),
+                    ids.ObjectVersion(item.version),
+                    item.value,
                 )
-                for item in orjson.loads(answer.ok_value.body)["objects"]
+                for item in page.ok_value.objects
             )
         )
 
@@ -108,22 +169,20 @@
             client.RequestHead("GET", f"/watch?{query}"),
             timeout=units.Seconds(timeout + _WATCH_MARGIN),
         )
-        if isinstance(answer, result.Err):
-            return answer
-        content = orjson.loads(answer.ok_value.body)
+        batch = _decoded(answer, _BATCH)
+        if isinstance(batch, result.Err):
+            return batch
         return result.Ok(
             object_store.WatchBatch(
                 tuple(
                     object_store.WatchEvent(
-                        ids.ObjectKey(item["key"]),
-                        ids.ObjectVersion(item["version"]),
-                        None
-                        if item["value"] is None
-                        else base64.b64decode(item["value"]),
+                        ids.ObjectKey(event.key),
+                        ids.ObjectVersion(event.version),
+                        event.value,
                     )
-                    for item in content["events"]
+                    for event in batch.ok_value.events
                 ),
-                ids.ObjectVersion(content["upto"]),
+                ids.ObjectVersion(batch.ok_value.upto),
             )
         )
 
@@ -132,12 +191,13 @@
     ) -> result.Result[object_store.VmList, object_store.StoreError]:
         """Reads the lagging list of live and leaving VMs."""
         answer = await self._call(client.RequestHead("GET", "/vms"))
-        if isinstance(answer, result.Err):
-            return answer
-        content = orjson.loads(answer.ok_value.body)
+        vms = _decoded(answer, _VMS)
+        if isinstance(vms, result.Err):
+            return vms
         return result.Ok(
             object_store.VmList(
-                frozenset(content["live"]), frozenset(content["leaving"])
+                frozenset(map(ids.VmId, vms.ok_value.live)),
+                frozenset(map(ids.VmId, vms.ok_value.leaving)),
             )
         )
 
@@ -157,14 +217,34 @@
         status = answer.ok_value.head.status
         if status < 300:
             return answer
-        kind = _STATUS_KINDS.get(
-            status, object_store.StoreErrorKind.UNAVAILABLE
-        )
         return result.Err(
-            object_store.StoreError(kind, f"{head.target}: status {status}")
+            object_store.StoreError(
+                _status_kind(status, write),
+                f"{head.target}: status {status}",
+                _retry_after(answer.ok_value),
+            )
         )
 
 
+def _status_kind(status: int, write: bool) -> object_store.StoreErrorKind:
+    kind = _STATUS_KINDS.get(status)
+    if kind is not None:
+        return kind
+    if write and status not in _NO_EFFECT_STATUSES:
+        return object_store.StoreErrorKind.AMBIGUOUS
+    return object_store.StoreErrorKind.UNAVAILABLE
+
+
+def _retry_after(response: client.Response) -> units.Seconds | None:
+    try:
+        seconds = float(response.head.header("retry-after") or "")
+    except ValueError:
+        return None
+    if not math.isfinite(seconds) or seconds < 0:
+        return None
+    return units.Seconds(min(seconds, _MAX_RETRY_AFTER))
+
+
 def _transport_error(
     error: errors.TransportError, write: bool
 ) -> object_store.StoreError:
@@ -176,9 +256,42 @@
     return object_store.StoreError(kind, error.detail)
 
 
+def _decoded(
+    answer: result.Result[client.Response, object_store.StoreError],
+    adapter: pydantic.TypeAdapter[T],
+) -> result.Result[T, object_store.StoreError]:
+    if isinstance(answer, result.Err):
+        return answer
+    try:
+        return result.Ok(adapter.validate_json(answer.ok_value.body))
+    except pydantic.ValidationError as error:
+        first = error.errors(include_url=False)[0]
+        field = ".".join(map(str, first["loc"]))
+        return _malformed(field, first["msg"], write=False)
+
+
+def _malformed(
+    subject: str, detail: str, *, write: bool
+) -> result.Err[object_store.StoreError]:
+    # A write with an unreadable answer may have taken effect.
+    kind = (
+        object_store.StoreErrorKind.AMBIGUOUS
+        if write
+        else object_store.StoreErrorKind.UNAVAILABLE
+    )
+    return result.Err(
+        object_store.StoreError(kind, f"malformed answer: {subject}: {detail}")
+    )
+
+
 def _object_path(key: ids.ObjectKey) -> str:
     return "/objects/" + urllib.parse.quote(key)
 
 
-def _version(response: client.Response) -> ids.ObjectVersion:
-    return ids.ObjectVersion(int(response.head.header("etag") or 0))
+def _version(response: client.Response) -> ids.ObjectVersion | None:
+    text = response.head.header("etag") or ""
+    # The store's versions have far fewer digits; the bound keeps a malformed
+    # header from reaching the integer parser's own limit.
+    if not text.isascii() or not text.isdigit() or len(text) > 20:
+        return None
+    return ids.ObjectVersion(int(text))
--- /dev/null
+++ b/packages/platform/tests/test_budgeted_store.py
@@ -0,0 +1,61 @@
+"""Guards the budget around the store."""
+
+from __future__ import annotations
+
+import unittest
+
+from lavendershed.core import ids
+from lavendershed.core import object_store
+from lavendershed.core import timers
+from lavendershed.core import units
+from lavendershed.platform import budgeted_store
+from lavendershed.platform import call_budget
+from lavendershed.standin import memory_store
+
+KEY = ids.ObjectKey("a")
+LIMITS = call_budget.BudgetLimits(1.0, 4.0, 0.5)
+
+
+class BudgetedStoreTest(unittest.IsolatedAsyncioTestCase):
+    """Fails if calls pass that the budget does not allow."""
+
+    def setUp(self):
+        self.timers = timers.VirtualTimerService()
+        self.inner = memory_store.MemoryObjectStore()
+        budget = call_budget.CallBudget(LIMITS, self.timers.now())
+        self.background, self.booking = (
+            budgeted_store.BudgetedObjectStore(
+                self.inner, budget, call_class, self.timers
+            )
+            for call_class in call_budget.CallClass
+        )
+
+    async def test_calls_over_the_budget_do_not_reach_the_store(self):
+        await self.background.put(KEY, b"1", object_store.IfAbsent())
+        # A watch is a call like the others.
+        await self.background.watch("a", ids.ObjectVersion(0), units.Seconds(1))
+        answer = await self.background.get(KEY)
+        self.assertEqual(
+            answer.err_value.kind, object_store.StoreErrorKind.OVER_BUDGET
+        )
+        self.assertGreater(answer.err_value.retry_after, 0)
+        self.assertEqual(len(self.inner.calls), 2)
+        self.assertTrue((await self.booking.get(KEY)).is_ok())
+
+    async def test_outage_takes_the_burst_away(self):
+        self.inner.set_down(True)
+        await self.background.get(KEY)
+        self.inner.set_down(False)
+        answer = await self.background.get(KEY)
+        self.assertEqual(
+            answer.err_value.kind, object_store.StoreErrorKind.OVER_BUDGET
+        )
+        self.timers.advance(units.Seconds(1.0))
+        answer = await self.background.get(KEY)
+        self.assertEqual(
+            answer.err_value.kind, object_store.StoreErrorKind.ABSENT
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/standin/src/lavendershed/standin/memory_store.py
@@ -0,0 +1,155 @@
+"""Object store in the memory of one process."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+
+import result
+
+from lavendershed.core import ids
+from lavendershed.core import object_store
+from lavendershed.core import units
+from lavendershed.standin import objects
+
+KINDS = object_store.StoreErrorKind
+
+
+class MemoryObjectStore(object_store.ObjectStore):
+    """Stand-in for tests that need no connection.
+
+    A watch that finds nothing waits until the next write, whatever its time
+    limit, so that tests depend on no clock.
+    """
+
+    def __init__(self) -> None:
+        self._objects = objects.Objects()
+        self._changed = asyncio.Event()
+        self._down = False
+        self._lost_answers = 0
+        self._calls: list[str] = []
+        self._live: frozenset[ids.VmId] = frozenset()
+
+    @property
+    def calls(self) -> list[str]:
+        """Kind and key of each call so far."""
+        return self._calls
+
+    def set_down(self, down: bool) -> None:
+        """Starts or ends an outage; waiting watches fail at its start."""
+        self._down = down
+        self._wake()
+
+    def lose_answers(self, count: int) -> None:
+        """Lets the next `count` writes take effect without an answer."""
+        self._lost_answers = count
+
+    def set_live(self, vms: Iterable[str]) -> None:
+        """Sets the list of live VMs."""
+        self._live = frozenset(map(ids.VmId, vms))
+
+    async def get(
+        self, key: ids.ObjectKey
+    ) -> result.Result[object_store.StoredObject, object_store.StoreError]:
+        """Reads one object."""
+        self._calls.append(f"get {key}")
+        if self._down:
+            return _error(KINDS.UNAVAILABLE)
+        entry = self._objects.get(key)
+        if entry is None:
+            return _error(KINDS.ABSENT)
+        return result.Ok(_stored(entry))
+
+    async def put(
+        self,
+        key: ids.ObjectKey,
+        value: bytes,
+        condition: object_store.Condition,
+    ) -> result.Result[ids.ObjectVersion, object_store.StoreError]:
+        """Writes one object if `condition` holds; returns its new version."""
+        self._calls.append(f"put {key}")
+        return self._write(key, value, condition)
+
+    async def delete(
+        self, key: ids.ObjectKey, version: ids.ObjectVersion
+    ) -> result.Result[None, object_store.StoreError]:
+        """Deletes one object if it has exactly this version."""
+        self._calls.append(f"delete {key}")
+        condition = object_store.IfVersion(version)
+        return self._write(key, None, condition).map(lambda _: None)
+
+    async def list(
+        self, prefix: str, after: ids.ObjectKey | None = None
+    ) -> result.Result[
+        tuple[object_store.StoredObject, ...], object_store.StoreError
+    ]:
+        """Reads one page of objects in key order, after the key `after`."""
+        self._calls.append(f"list {prefix}")
+        if self._down:
+            return _error(KINDS.UNAVAILABLE)
+        page = self._objects.page(prefix, after or "")
+        return result.Ok(tuple(map(_stored, page)))
+
+    async def watch(
+        self, prefix: str, since: ids.ObjectVersion, timeout: units.Seconds
+    ) -> result.Result[object_store.WatchBatch, object_store.StoreError]:
+        """Waits for changes after version `since`."""
+        self._calls.append(f"watch {prefix}")
+        while not self._down:
+            found = self._objects.changes(prefix, since)
+            if found:
+                events = (
+                    object_store.WatchEvent(
+                        ids.ObjectKey(entry.key),
+                        ids.ObjectVersion(entry.version),
+                        entry.value,
+                    )
+                    for entry in found
+                )
+                upto = ids.ObjectVersion(self._objects.version)
+                return result.Ok(object_store.WatchBatch(tuple(events), upto))
+            await self._changed.wait()
+        return _error(KINDS.UNAVAILABLE)
+
+    async def vms(
+        self,
+    ) -> result.Result[object_store.VmList, object_store.StoreError]:
+        """Reads the list of VMs."""
+        self._calls.append("vms")
+        if self._down:
+            return _error(KINDS.UNAVAILABLE)
+        return result.Ok(object_store.VmList(self._live, frozenset()))
+
+    def _write(
+        self,
+        key: ids.ObjectKey,
+        value: bytes | None,
+        condition: object_store.Condition,
+    ) -> result.Result[ids.ObjectVersion, object_store.StoreError]:
+        if self._down:
+            return _error(KINDS.UNAVAILABLE)
+        written = self._objects.write(key, value, condition)
+        if isinstance(written, KINDS):
+            return _error(written)
+        self._wake()
+        if self._lost_answers:
+            self._lost_answers -= 1
+            return _error(KINDS.AMBIGUOUS)
+        return result.Ok(ids.ObjectVersion(written))
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+
+def _stored(entry: objects.Entry) -> object_store.StoredObject:
+    assert entry.value is not None
+    return object_store.StoredObject(
+        ids.ObjectKey(entry.key), ids.ObjectVersion(entry.version), entry.value
+    )
+
+
+def _error(
+    kind: object_store.StoreErrorKind,
+) -> result.Err[object_store.StoreError]:
+    return result.Err(object_store.StoreError(kind, f"stand-in: {kind.value}"))
--- a/packages/standin/src/lavendershed/standin/object_store.py
+++ b/packages/standin/src/lavendershed/standin/object_store.py
@@ -4,39 +4,71 @@
 
 import asyncio
 import base64
+from collections.abc import Sequence
 import dataclasses
-import urllib.parse
+import enum
 
 import orjson
 
+from lavendershed.core import ids
 from lavendershed.core import object_store
 from lavendershed.standin import history as history_module
 from lavendershed.standin import json_handler
+from lavendershed.standin import objects
 from lavendershed.transport import server
 
 _OBJECTS = "/objects/"
-_PAGE_OBJECTS = 1_000
+_ERROR_STATUSES = {
+    object_store.StoreErrorKind.CONFLICT: 412,
+    object_store.StoreErrorKind.TOO_LARGE: 413,
+}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Entry:
-    version: int
-    value: bytes | None
-
-
-@dataclasses.dataclass(slots=True)
 class Faults:
     """Faults that the control endpoint sets.
 
     Attributes:
-        unavailable: Every call is answered 503.
+        unavailable: Every call is answered 503; waiting watches end.
+        silent: No call is answered, and no write takes effect.
         delay_ms: Added before each answer.
         lose_answers: Number of writes that take effect without an answer.
+        lose_writes: Number of writes without an effect or an answer.
+        reads_per_second: Rate of reads, watches included, above which calls
+            are answered 429; 0 for no limit.
+        writes_per_second: The same for writes.
+        vm_lag_ms: Time after which a change of the VM list shows.
     """
 
     unavailable: bool = False
+    silent: bool = False
     delay_ms: int = 0
     lose_answers: int = 0
+    lose_writes: int = 0
+    reads_per_second: float = 0.0
+    writes_per_second: float = 0.0
+    vm_lag_ms: int = 0
+
+
+class _CallKind(enum.Enum):
+    READ = "read"
+    WRITE = "write"
+    WATCH = "watch"
+
+
+class _RateLimit:
+    """Calls in whole seconds of the event loop's clock."""
+
+    def __init__(self) -> None:
+        self._second = 0
+        self._count = 0
+
+    def exceeded(self, limit: float) -> bool:
+        second = int(asyncio.get_running_loop().time())
+        if second != self._second:
+            self._second, self._count = second, 0
+        self._count += 1
+        return limit > 0 and self._count > limit
 
 
 class ObjectStoreHandler(json_handler.JsonHandler):
@@ -44,13 +76,16 @@
 
     def __init__(self, history: history_module.History) -> None:
         self._history = history
-        self._entries: dict[str, _Entry] = {}
-        self._version = 0
+        self._objects = objects.Objects()
         self._changed = asyncio.Event()
         self._faults = Faults()
-        self._live: list[str] = []
-        self._leaving: list[str] = []
-        self._calls = 0
+        self._reads = _RateLimit()
+        self._writes = _RateLimit()
+        self._vms: dict[str, list[str]] = {"live": [], "leaving": []}
+        self._shown_vms = self._vms
+        self._calls = dict.fromkeys(_CallKind, 0)
+        self._throttled = 0
+        self._watching = 0
 
     async def handle(
         self, request: server.ServerRequest, responder: server.Responder
@@ -59,138 +94,217 @@
         if request.path == "/control":
             await self._control(request, responder)
             return
-        self._calls += 1
+        kind = _kind(request)
+        self._calls[kind] += 1
+        if self._faults.silent:
+            self._record(request, "silent")
+            await responder.disconnected.wait()
+            return
         if self._faults.delay_ms:
             await asyncio.sleep(self._faults.delay_ms / 1000)
         if self._faults.unavailable:
+            self._record(request, "unavailable")
             await self.answer(responder, {"detail": "unavailable"}, 503)
-        elif request.path.startswith(_OBJECTS):
-            await self._handle_object(request, responder)
-        elif request.path == "/objects":
-            await self._list(request, responder)
-        elif request.path == "/watch":
-            await self._watch(request, responder)
-        elif request.path == "/vms":
+        elif self._exceeds_rate(kind):
+            self._throttled += 1
+            self._record(request, "throttled")
             await self.answer(
-                responder, {"live": self._live, "leaving": self._leaving}
+                responder, {"detail": "throttled"}, 429, (("retry-after", "1"),)
             )
+        elif kind is _CallKind.WRITE:
+            await self._write(request, responder)
+        elif kind is _CallKind.WATCH:
+            await self._watch(request, responder)
         else:
-            await self.answer(responder, {"detail": "no such call"}, 400)
+            await self._read(request, responder)
+
+    def _exceeds_rate(self, kind: _CallKind) -> bool:
+        if kind is _CallKind.WRITE:
+            return self._writes.exceeded(self._faults.writes_per_second)
+        return self._reads.exceeded(self._faults.reads_per_second)
+
+    def _record(self, request: server.ServerRequest, outcome: str) -> None:
+        self._history.record(
+            "call",
+            method=request.method,
+            path=request.path,
+            query=request.query,
+            outcome=outcome,
+        )
 
     async def _control(
         self, request: server.ServerRequest, responder: server.Responder
     ) -> None:
         if request.method == "POST":
             content = orjson.loads(request.body)
-            self._live = content.pop("live", self._live)
-            self._leaving = content.pop("leaving", self._leaving)
+            lists = {
+                name: content.pop(name) for name in self._vms if name in content
+            }
             self._faults = dataclasses.replace(self._faults, **content)
-        await self.answer(responder, {"calls": self._calls})
+            self._history.record("control", **content, **lists)
+            if lists:
+                self._change_vms(self._vms | lists)
+            self._wake()
+        await self.answer(
+            responder,
+            {
+                "calls": sum(self._calls.values()),
+                "reads": self._calls[_CallKind.READ],
+                "writes": self._calls[_CallKind.WRITE],
+                "watches": self._calls[_CallKind.WATCH],
+                "watching": self._watching,
+                "throttled": self._throttled,
+            },
+        )
+
+    def _change_vms(self, vms: dict[str, list[str]]) -> None:
+        self._vms = vms
 
-    async def _handle_object(
+        def show() -> None:
+            self._shown_vms = vms
+
+        asyncio.get_running_loop().call_later(
+            self._faults.vm_lag_ms / 1000, show
+        )
+
+    async def _read(
         self, request: server.ServerRequest, responder: server.Responder
     ) -> None:
-        key = request.path.removeprefix(_OBJECTS)
-        entry = self._entries.get(key)
-        if entry is not None and entry.value is None:
-            entry = None
-        if request.method == "GET":
+        self._record(request, "read")
+        if request.path.startswith(_OBJECTS):
+            entry = self._objects.get(request.path.removeprefix(_OBJECTS))
             if entry is None or entry.value is None:
                 await self.answer(responder, {"detail": "absent"}, 404)
                 return
             await responder.respond(
                 200, entry.value, (("etag", str(entry.version)),)
             )
+        elif request.path == "/objects":
+            page = self._objects.page(
+                request.parameter("prefix") or "",
+                request.parameter("after") or "",
+            )
+            await self.answer(responder, {"objects": _encoded(page)})
+        elif request.path == "/vms":
+            await self.answer(responder, self._shown_vms)
+        else:
+            await self.answer(responder, {"detail": "no such call"}, 400)
+
+    async def _write(
+        self, request: server.ServerRequest, responder: server.Responder
+    ) -> None:
+        if self._faults.lose_writes:
+            self._faults = dataclasses.replace(
+                self._faults, lose_writes=self._faults.lose_writes - 1
+            )
+            self._record(request, "lost")
+            responder.abort()
             return
-        expected = request.header("if-match")
-        absent = request.header("if-none-match") == "*"
-        if (absent and entry is not None) or (
-            expected is not None
-            and (entry is None or str(entry.version) != expected)
-        ):
-            await self.answer(responder, {"detail": "conflict"}, 412)
-            return
-        if len(request.body) > object_store.MAX_OBJECT_BYTES:
-            await self.answer(responder, {"detail": "too large"}, 413)
+        condition = _condition(request)
+        if condition is None:
+            await self.answer(responder, {"detail": "no condition"}, 400)
             return
+        key = request.path.removeprefix(_OBJECTS)
         value = request.body if request.method == "PUT" else None
-        self._write(key, value)
-        if self._faults.lose_answers:
-            self._faults.lose_answers -= 1
-            responder.abort()
+        written = self._objects.write(key, value, condition)
+        if isinstance(written, object_store.StoreErrorKind):
+            self._record(request, written.value)
+            await self.answer(
+                responder, {"detail": written.value}, _ERROR_STATUSES[written]
+            )
             return
-        await self.answer(
-            responder, {}, headers=(("etag", str(self._version)),)
-        )
-
-    def _write(self, key: str, value: bytes | None) -> None:
-        self._version += 1
-        self._entries[key] = _Entry(self._version, value)
         self._history.record(
             "write",
             key=key,
-            version=self._version,
+            version=written,
             value=None if value is None else value.decode("utf-8", "replace"),
         )
-        self._changed.set()
-        self._changed = asyncio.Event()
-
-    async def _list(
-        self, request: server.ServerRequest, responder: server.Responder
-    ) -> None:
-        prefix = request.parameter("prefix") or ""
-        after = request.parameter("after") or ""
-        found = sorted(
-            (key, entry)
-            for key, entry in self._entries.items()
-            if key.startswith(prefix)
-            and key > after
-            and entry.value is not None
-        )[:_PAGE_OBJECTS]
-        await self.answer(
-            responder, {"objects": [_encoded(k, e) for k, e in found]}
-        )
+        self._wake()
+        if self._faults.lose_answers:
+            self._faults = dataclasses.replace(
+                self._faults, lose_answers=self._faults.lose_answers - 1
+            )
+            responder.abort()
+            return
+        await self.answer(responder, {}, headers=(("etag", str(written)),))
 
     async def _watch(
         self, request: server.ServerRequest, responder: server.Responder
     ) -> None:
-        query = urllib.parse.parse_qs(request.query)
-        prefix = query.get("prefix", [""])[0]
-        since = int(query["since"][0])
-        timeout = int(query["timeout_ms"][0]) / 1000
-        loop = asyncio.get_running_loop()
-        end = loop.time() + timeout
-        while True:
-            found = sorted(
-                (
-                    (key, entry)
-                    for key, entry in self._entries.items()
-                    if key.startswith(prefix) and entry.version > since
-                ),
-                key=lambda item: item[1].version,
+        self._record(request, "watch")
+        try:
+            since = int(request.parameter("since") or "")
+            timeout = int(request.parameter("timeout_ms") or "") / 1000
+        except ValueError:
+            await self.answer(responder, {"detail": "no number"}, 400)
+            return
+        prefix = request.parameter("prefix") or ""
+        self._watching += 1
+        try:
+            found = await self._wait_for_change(
+                prefix, since, timeout, responder
             )
-            remaining = end - loop.time()
-            if found or remaining <= 0 or responder.disconnected.is_set():
-                break
-            changed = self._changed
-            try:
-                async with asyncio.timeout(remaining):
-                    await changed.wait()
-            except TimeoutError:
-                continue
+        finally:
+            self._watching -= 1
+        if self._faults.unavailable:
+            await self.answer(responder, {"detail": "unavailable"}, 503)
+            return
         await self.answer(
             responder,
-            {
-                "events": [_encoded(k, e) for k, e in found],
-                "upto": self._version,
-            },
+            {"events": _encoded(found), "upto": self._objects.version},
         )
 
+    async def _wait_for_change(
+        self,
+        prefix: str,
+        since: int,
+        timeout: float,
+        responder: server.Responder,
+    ) -> list[objects.Entry]:
+        try:
+            async with asyncio.timeout(timeout):
+                while not self._faults.unavailable:
+                    found = self._objects.changes(prefix, since)
+                    if found or responder.disconnected.is_set():
+                        return found
+                    await self._changed.wait()
+        except TimeoutError:
+            pass
+        return []
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+
+def _kind(request: server.ServerRequest) -> _CallKind:
+    if request.path == "/watch":
+        return _CallKind.WATCH
+    writes = request.method in ("PUT", "DELETE")
+    if writes and request.path.startswith(_OBJECTS):
+        return _CallKind.WRITE
+    return _CallKind.READ
+
+
+def _condition(
+    request: server.ServerRequest,
+) -> object_store.Condition | None:
+    if request.header("if-none-match") == "*":
+        return object_store.IfAbsent()
+    expected = request.header("if-match") or ""
+    if not expected.isascii() or not expected.isdigit():
+        return None
+    return object_store.IfVersion(ids.ObjectVersion(int(expected)))
+
 
-def _encoded(key: str, entry: _Entry) -> dict[str, object]:
-    value = entry.value
-    return {
-        "key": key,
-        "version": entry.version,
-        "value": None if value is None else base64.b64encode(value).decode(),
-    }
+def _encoded(entries: Sequence[objects.Entry]) -> list[dict[str, object]]:
+    return [
+        {
+            "key": entry.key,
+            "version": entry.version,
+            "value": None
+            if entry.value is None
+            else base64.b64encode(entry.value).decode(),
+        }
+        for entry in entries
+    ]
