--- a/packages/daemon/src/lavendershed/daemon/factory.py
+++ b/packages/daemon/src/lavendershed/daemon/factory.py
@@ -4,25 +4,44 @@
 
 import random
 
+from lavendershed.booking import machine
+from lavendershed.booking import retention
 from lavendershed.configuration import model
 from lavendershed.configuration import state as state_module
 from lavendershed.core import backend_servers
+from lavendershed.core import cluster
 from lavendershed.core import ids
 from lavendershed.core import timers
+from lavendershed.core import units
 from lavendershed.daemon import backend_directory
 from lavendershed.daemon import backend_health
+from lavendershed.daemon import booking_retention
+from lavendershed.daemon import bookings
 from lavendershed.daemon import calls
 from lavendershed.daemon import configuration_sync
-from lavendershed.daemon import dispatcher
+from lavendershed.daemon import engine_incarnations
+from lavendershed.daemon import engine_observer
 from lavendershed.daemon import generation
+from lavendershed.daemon import generation_parts
+from lavendershed.daemon import ledger_keeper
+from lavendershed.daemon import memory_reclaimer
 from lavendershed.daemon import options as options_module
+from lavendershed.daemon import queued_dispatcher
 from lavendershed.daemon import router as router_module
+from lavendershed.daemon import server_choice
 from lavendershed.platform import http_store
-from lavendershed.routing import chooser
+from lavendershed.reliability import crash_suspects
+from lavendershed.reliability import memory_ledger
+from lavendershed.reliability import retry_budget
+from lavendershed.reliability import retry_policy
+from lavendershed.routing import limits
 from lavendershed.telemetry import instruments as instruments_module
 from lavendershed.telemetry import log
 from lavendershed.transport import pool
 
+# Time between steps of the deletion of old booking records.
+_RETENTION_INTERVAL = units.Seconds(10.0)
+
 
 class RouterFactory:
     """Wires the parts of one router."""
@@ -52,6 +71,31 @@
         self._owner = backend_servers.Owner(
             options.vm, ids.Incarnation(generator.getrandbits(63))
         )
+        self._cluster = cluster.SingleDaemon(self._owner)
+        self._dispatcher = queued_dispatcher.QueuedDispatcher(
+            options.vm,
+            self._state,
+            timer_service,
+            event_log,
+            instruments,
+            self._health,
+            limits.WholeShare(),
+            generator,
+        )
+        self._bookings = bookings.Bookings(
+            self._store,
+            self._cluster,
+            self._owner,
+            timer_service,
+            event_log,
+            generator,
+            machine.BookingLimits(),
+        )
+        self._incarnations = engine_incarnations.EngineIncarnations()
+        self._ledger = memory_ledger.MemoryLedger(memory_ledger.LedgerLimits())
+        self._keeper = ledger_keeper.LedgerKeeper(
+            self._ledger, self._incarnations, timer_service, event_log
+        )
 
     def build(self) -> router_module.Router:
         """Returns a router that is ready to run."""
@@ -67,10 +111,15 @@
             self._owner,
             self._state,
             self._build_generation(),
-            calls.Calls(
-                self._state, self._directory, self._timers, self._random
+            self._build_calls(),
+            (
+                sync,
+                self._build_observer(),
+                self._keeper,
+                self._build_reclaimer(),
+                self._bookings,
+                self._build_retention(),
             ),
-            (sync,),
         )
         router = router_module.Router(
             self._options,
@@ -82,22 +131,81 @@
         sync.add_listener(router.on_configuration)
         return router
 
-    def _build_generation(self) -> generation.Generation:
-        return generation.Generation(
-            self._owner,
+    def _build_calls(self) -> calls.Calls:
+        return calls.Calls(
             self._state,
             self._directory,
-            dispatcher.ImmediateDispatcher(
+            self._health,
+            server_choice.ServerChoice(self._health, self._random),
+            self._bookings,
+            retry_policy.RetryPolicy(
+                retry_policy.RetryLimits(max_attempts=3),
+                retry_budget.RetryBudget(retry_budget.BudgetLimits()),
+                self._random,
+            ),
+            self._timers,
+            self._log,
+            self._instruments,
+        )
+
+    def _build_retention(self) -> booking_retention.BookingRetention:
+        return booking_retention.BookingRetention(
+            self._options.vm,
+            self._store,
+            self._cluster,
+            self._timers,
+            self._log,
+            self._random,
+            retention.RetentionLimits(),
+            _RETENTION_INTERVAL,
+        )
+
+    def _build_generation(self) -> generation.Generation:
+        return generation.Generation(
+            generation_parts.GenerationParts(
+                self._owner,
                 self._state,
-                chooser.RoundRobin(),
+                self._directory,
+                self._health,
+                self._dispatcher,
+                retry_policy.RetryPolicy(
+                    retry_policy.RetryLimits(),
+                    retry_budget.RetryBudget(retry_budget.BudgetLimits()),
+                    self._random,
+                ),
+                crash_suspects.CrashSuspects(crash_suspects.SuspectLimits()),
+                self._keeper,
+                self._incarnations,
+                self._cluster,
                 self._timers,
                 self._log,
-                self._health,
-            ),
+                self._instruments,
+            )
+        )
+
+    def _build_reclaimer(self) -> memory_reclaimer.MemoryReclaimer:
+        return memory_reclaimer.MemoryReclaimer(
+            self._owner,
+            self._ledger,
+            self._cluster,
+            self._directory,
+            self._timers,
+            self._log,
+        )
+
+    def _build_observer(self) -> engine_observer.EngineObserver:
+        return engine_observer.EngineObserver(
+            self._dispatcher,
+            self._directory,
+            self._health,
             self._timers,
+            self._options.engine_poll_interval,
+            self._cluster,
+            self._keeper,
         )
 
     def _on_configuration(
         self, old: model.Configuration, new: model.Configuration
     ) -> None:
         self._directory.on_configuration(new)
+        self._dispatcher.on_configuration(old, new)
