Follow the configuration by watch, poll and peers

Cause: a daemon learned of a change by its next poll only, could not take configuration from peers, reported its epoch nowhere, and called the store without a limit.

Change: ConfigurationSync holds a watch on the manifest and polls slowly as a safety net. In a deployment of more than 9 daemons, 3 of each availability zone watch, and the polls of all together stay near 10 a second. Manifests of peers and chunks of a ChunkSource go the same way as those of the store. StatusWriter writes status/{vm} after each change, spread over the fleet, and removes it at a graceful stop. All store calls of a daemon share one budget. MemberView gains live_in(zone), which views without zones answer with all.

--- a/packages/core/src/lavendershed/core/cluster.py
+++ b/packages/core/src/lavendershed/core/cluster.py
@@ -88,6 +88,15 @@
     def live(self) -> tuple[ids.VmId, ...]:
         """Live daemons, this one included, in the order of their ids."""
 
+    def live_in(
+        self, availability_zone: ids.AvailabilityZoneId
+    ) -> tuple[ids.VmId, ...]:
+        """Live daemons of one zone, for work divided within zones.
+
+        A view that knows no zones returns all live daemons.
+        """
+        return self.live
+
     @abc.abstractmethod
     def owner_state(self, owner: backend_servers.Owner) -> states.MemberState:
         """Returns the state of one daemon incarnation.
--- a/packages/daemon/src/lavendershed/daemon/configuration_sync.py
+++ b/packages/daemon/src/lavendershed/daemon/configuration_sync.py
@@ -1,19 +1,25 @@
-"""Synchronisation of the configuration with the object store."""
+"""Synchronisation of the configuration with the store and with peers."""
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
+import random
 
 import result
 
 from lavendershed.configuration import model
 from lavendershed.configuration import state as state_module
+from lavendershed.core import backoff
+from lavendershed.core import cluster
 from lavendershed.core import ids
 from lavendershed.core import object_store
+from lavendershed.core import rendezvous
 from lavendershed.core import timers
 from lavendershed.core import units
 from lavendershed.daemon import background
+from lavendershed.daemon import chunk_source
 from lavendershed.platform import codec
 from lavendershed.telemetry import events
 from lavendershed.telemetry import log
@@ -21,102 +27,276 @@
 
 Listener = Callable[[model.Configuration, model.Configuration], None]
 
+# In a deployment of this size every daemon holds a watch and polls.
+SMALL_DEPLOYMENT = 9
+WATCHERS_PER_ZONE = 3
+_WATCH_KEY = "configuration-watch"
+# A watch on a connection that delivers nothing ends after this time; it is
+# short of the 6 s within which a change has to be in force.
+_WATCH_TIME = units.Seconds(4.0)
+_WATCH_CHECK = units.Seconds(2.0)
+# Polls of all daemons together; they only back up the watches and the peers.
+_FLEET_POLLS_PER_SECOND = 10.0
+# Longest pause while the store is down, so that a change made after its
+# return is in force in time.
+_LONGEST_PAUSE = units.Seconds(4.0)
+_REPAIR_INTERVAL = units.Seconds(1.0)
+_PARALLEL_FETCHES = 16
+_MAX_QUEUED_FETCHES = 16
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SyncOptions:
+    """Intervals of the synchronisation.
+
+    Attributes:
+        poll_interval: Time between reads of the manifest beside the watch.
+    """
+
+    vm: ids.VmId
+    availability_zone: ids.AvailabilityZoneId
+    poll_interval: units.Seconds
+
 
 class ConfigurationSync(background.BackgroundTask):
-    """Polls the manifest and applies greater epochs."""
+    """Brings manifests and chunks from the store and from peers to the state.
+
+    A watch brings changes at once; a slow poll covers a watch that has failed
+    without a sign. All changes are applied here, whatever their source.
+    """
 
     def __init__(
         self,
         store: object_store.ObjectStore,
         state: state_module.ConfigurationState,
+        members: cluster.MemberView,
         timer_service: timers.TimerService,
         event_log: log.EventLog,
-        interval: units.Seconds,
-        listeners: tuple[Listener, ...],
+        generator: random.Random,
+        options: SyncOptions,
     ) -> None:
         self._store = store
         self._state = state
+        self._members = members
         self._timers = timer_service
         self._log = event_log
-        self._interval = interval
-        self._listeners = list(listeners)
+        self._random = generator
+        self._options = options
+        self._listeners: list[Listener] = []
+        self._sources: list[chunk_source.ChunkSource] = []
+        self._manifest_version = ids.ObjectVersion(0)
+        self._fetches: asyncio.Queue[tuple[ids.ChunkHash, ...]] = asyncio.Queue(
+            _MAX_QUEUED_FETCHES
+        )
+        self._store_failing = False
+        self._last_rejection = ""
+
+    @property
+    def holds_watch(self) -> bool:
+        """Whether this daemon is one of those that watch the manifest."""
+        if len(self._members.live) <= SMALL_DEPLOYMENT:
+            return True
+        zone = self._members.live_in(self._options.availability_zone)
+        watchers = rendezvous.ranked(zone, _WATCH_KEY, WATCHERS_PER_ZONE)
+        return self._options.vm in watchers
+
+    @property
+    def poll_interval(self) -> units.Seconds:
+        """Time between polls; it grows with the fleet."""
+        shared = len(self._members.live) / _FLEET_POLLS_PER_SECOND
+        return units.Seconds(max(self._options.poll_interval, shared))
 
     def add_listener(self, listener: Listener) -> None:
         """Calls `listener` after each applied configuration."""
         self._listeners.append(listener)
 
+    def add_source(self, source: chunk_source.ChunkSource) -> None:
+        """Asks `source` for chunks that the store does not give."""
+        self._sources.append(source)
+
+    def on_peer_epoch(self, epoch: ids.Epoch, manifest: bytes) -> None:
+        """Takes the encoded manifest of an epoch that a peer has in force."""
+        if epoch > self._state.current.epoch:
+            self._on_manifest(manifest, "peer")
+
+    def status(self) -> dict[str, object]:
+        """Returns how the configuration is followed."""
+        return {
+            "configuration_watch": self.holds_watch,
+            "configuration_pending": list(self._state.pending),
+        }
+
     async def run(self) -> None:
-        """Polls until cancelled."""
+        """Follows the configuration until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._poll_loop())
+            group.create_task(self._watch_loop())
+            group.create_task(self._fetch_loop())
+            group.create_task(self._repair_loop())
+
+    async def _poll_loop(self) -> None:
+        delays = self._new_backoff()
         while True:
-            await self._poll()
-            await event_loop_timers.sleep(self._timers, self._interval)
+            error = await self._poll()
+            if error is None:
+                delays.reset()
+                interval = self.poll_interval
+                pause = interval * self._random.uniform(0.75, 1.0)
+            else:
+                pause = max(delays.next_delay(), error.retry_after or 0.0)
+            await self._sleep(pause)
 
-    async def _poll(self) -> None:
+    async def _poll(self) -> object_store.StoreError | None:
         stored = await self._store.get(codec.MANIFEST_KEY)
-        if isinstance(stored, result.Err):
-            if stored.err_value.kind is not object_store.StoreErrorKind.ABSENT:
-                self._log.emit(
-                    events.Event.STORE_CALL_FAILED,
-                    kind=stored.err_value.kind.value,
-                    detail=stored.err_value.detail,
-                )
-            return
-        manifest = codec.MANIFEST.decode(stored.ok_value.value)
-        if isinstance(manifest, result.Err):
-            self._log.emit(
-                events.Event.CONFIGURATION_REJECTED, detail=manifest.err_value
+        if isinstance(stored, result.Ok):
+            self._on_store_answer()
+            self._on_stored_manifest(
+                stored.ok_value.version, stored.ok_value.value
             )
-            return
-        await self._execute(
-            self._state.on_manifest(manifest.ok_value, self._timers.now())
-        )
+            return None
+        if stored.err_value.kind is object_store.StoreErrorKind.ABSENT:
+            self._on_store_answer()
+            return None
+        self._on_store_error(stored.err_value)
+        return stored.err_value
 
-        await self._execute(self._state.on_timer(self._timers.now()))
+    async def _watch_loop(self) -> None:
+        delays = self._new_backoff()
+        while True:
+            if not self.holds_watch:
+                await self._sleep(_WATCH_CHECK)
+                continue
+            batch = await self._store.watch(
+                codec.MANIFEST_KEY, self._manifest_version, _WATCH_TIME
+            )
+            if isinstance(batch, result.Err):
+                self._on_store_error(batch.err_value)
+                retry_after = batch.err_value.retry_after or 0.0
+                await self._sleep(max(delays.next_delay(), retry_after))
+                continue
+            delays.reset()
+            self._on_store_answer()
+            for event in batch.ok_value.events:
+                if event.key == codec.MANIFEST_KEY and event.value is not None:
+                    self._on_stored_manifest(event.version, event.value)
 
-    async def _execute(
-        self, commands: tuple[state_module.Command, ...]
-    ) -> None:
-        for command in commands:
-            if isinstance(command, state_module.FetchChunks):
-                await asyncio.gather(
-                    *(self._fetch(chunk_hash) for chunk_hash in command.hashes)
-                )
-            else:
-                self._report(command)
+    async def _repair_loop(self) -> None:
+        while True:
+            await self._sleep(_REPAIR_INTERVAL)
+            self._execute(
+                self._state.on_timer(self._timers.now()), "repetition"
+            )
 
-    async def _fetch(self, chunk_hash: ids.ChunkHash) -> None:
+    async def _fetch_loop(self) -> None:
+        while True:
+            hashes = await self._fetches.get()
+            wanted = [h for h in hashes if self._state.chunk(h) is None]
+            for start in range(0, len(wanted), _PARALLEL_FETCHES):
+                batch = wanted[start : start + _PARALLEL_FETCHES]
+                found = await asyncio.gather(*map(self._fetch, batch))
+                # Without a source the rest would wait for its time limits;
+                # the state asks again for what is missing.
+                if not any(found):
+                    break
+
+    async def _fetch(self, chunk_hash: ids.ChunkHash) -> bool:
         stored = await self._store.get(codec.chunk_key(chunk_hash))
-        if isinstance(stored, result.Err):
+        if isinstance(stored, result.Ok):
+            return self._on_chunk(chunk_hash, stored.ok_value.value, "store")
+        if stored.err_value.kind is not object_store.StoreErrorKind.ABSENT:
+            self._on_store_error(stored.err_value)
+        for source in self._sources:
+            data = await source.fetch_chunk(chunk_hash)
+            if data is not None and self._on_chunk(chunk_hash, data, "peer"):
+                return True
+        return False
+
+    def _on_stored_manifest(
+        self, version: ids.ObjectVersion, data: bytes
+    ) -> None:
+        self._manifest_version = max(self._manifest_version, version)
+        self._on_manifest(data, "store")
+
+    def _on_manifest(self, data: bytes, source: str) -> None:
+        manifest = codec.MANIFEST.decode(data)
+        if isinstance(manifest, result.Err):
+            self._reject(f"manifest from {source}: {manifest.err_value}")
             return
-        data = stored.ok_value.value
+        self._execute(
+            self._state.on_manifest(manifest.ok_value, self._timers.now()),
+            source,
+        )
+
+    def _on_chunk(
+        self, chunk_hash: ids.ChunkHash, data: bytes, source: str
+    ) -> bool:
         chunk = codec.decode_chunk(chunk_hash, data)
         if isinstance(chunk, result.Err):
-            self._log.emit(
-                events.Event.CONFIGURATION_REJECTED, detail=chunk.err_value
-            )
-            return
-        commands = self._state.on_chunk(
-            chunk_hash, chunk.ok_value, self._timers.now()
+            self._reject(f"chunk {chunk_hash} from {source}: {chunk.err_value}")
+            return False
+        self._execute(
+            self._state.on_chunk(
+                chunk_hash, chunk.ok_value, self._timers.now()
+            ),
+            source,
         )
+        return True
+
+    def _execute(
+        self, commands: tuple[state_module.Command, ...], source: str
+    ) -> None:
         for command in commands:
-            self._report(command)
-
-    def _report(self, command: state_module.Command) -> None:
-        if isinstance(command, state_module.RejectManifest):
-            self._log.emit(
-                events.Event.CONFIGURATION_REJECTED,
-                epoch=command.epoch,
-                detail=command.detail,
-            )
-        elif isinstance(command, state_module.ApplyConfiguration):
-            self._apply(command)
+            match command:
+                case state_module.FetchChunks(hashes):
+                    # When the queue is full, the state asks again later.
+                    if not self._fetches.full():
+                        self._fetches.put_nowait(hashes)
+                case state_module.ApplyConfiguration(old, new):
+                    self._apply(old, new, source)
+                case state_module.RejectManifest(epoch, detail):
+                    self._reject(f"epoch {epoch}: {detail}")
 
-    def _apply(self, command: state_module.ApplyConfiguration) -> None:
+    def _apply(
+        self, old: model.Configuration, new: model.Configuration, source: str
+    ) -> None:
+        self._last_rejection = ""
         for listener in self._listeners:
-            listener(command.old, command.new)
+            listener(old, new)
         self._log.emit(
             events.Event.CONFIGURATION_APPLIED,
-            old_epoch=command.old.epoch,
-            epoch=command.new.epoch,
-            preset=command.new.active_preset,
+            old_epoch=old.epoch,
+            epoch=new.epoch,
+            preset=new.active_preset,
+            source=source,
+        )
+
+    def _reject(self, detail: str) -> None:
+        # A bad object is read again with every poll; one line tells of it.
+        if detail == self._last_rejection:
+            return
+        self._last_rejection = detail
+        self._log.emit(events.Event.CONFIGURATION_REJECTED, detail=detail)
+
+    def _on_store_answer(self) -> None:
+        if self._store_failing:
+            self._store_failing = False
+            self._log.emit(events.Event.STORE_REACHABLE)
+
+    def _on_store_error(self, error: object_store.StoreError) -> None:
+        if self._store_failing:
+            return
+        self._store_failing = True
+        self._log.emit(
+            events.Event.STORE_CALL_FAILED,
+            kind=error.kind.value,
+            detail=error.detail,
         )
+
+    def _new_backoff(self) -> backoff.Backoff:
+        return backoff.Backoff(
+            self._random,
+            backoff.BackoffLimits(units.Seconds(0.5), _LONGEST_PAUSE),
+        )
+
+    async def _sleep(self, duration: float) -> None:
+        await event_loop_timers.sleep(self._timers, units.Seconds(duration))
--- a/packages/daemon/src/lavendershed/daemon/factory.py
+++ b/packages/daemon/src/lavendershed/daemon/factory.py
@@ -11,6 +11,7 @@
 from lavendershed.core import backend_servers
 from lavendershed.core import cluster
 from lavendershed.core import ids
+from lavendershed.core import object_store
 from lavendershed.core import timers
 from lavendershed.core import units
 from lavendershed.daemon import backend_directory
@@ -29,6 +30,9 @@
 from lavendershed.daemon import queued_dispatcher
 from lavendershed.daemon import router as router_module
 from lavendershed.daemon import server_choice
+from lavendershed.daemon import status_writer
+from lavendershed.platform import budgeted_store
+from lavendershed.platform import call_budget
 from lavendershed.platform import http_store
 from lavendershed.reliability import crash_suspects
 from lavendershed.reliability import memory_ledger
@@ -41,6 +45,8 @@
 
 # Time between steps of the deletion of old booking records.
 _RETENTION_INTERVAL = units.Seconds(10.0)
+# Calls to the store that may be made at once, in seconds of the average rate.
+_BURST_SECONDS = 2.0
 
 
 class RouterFactory:
@@ -65,9 +71,7 @@
         self._directory = backend_directory.BackendDirectory(
             backend_directory.HttpClientFactory(timer_service, self._limits)
         )
-        self._store = http_store.HttpObjectStore(
-            pool.ConnectionPool(options.store, timer_service, self._limits)
-        )
+        self._store, booking_store = self._build_stores()
         self._owner = backend_servers.Owner(
             options.vm, ids.Incarnation(generator.getrandbits(63))
         )
@@ -83,7 +87,7 @@
             generator,
         )
         self._bookings = bookings.Bookings(
-            self._store,
+            booking_store,
             self._cluster,
             self._owner,
             timer_service,
@@ -99,14 +103,10 @@
 
     def build(self) -> router_module.Router:
         """Returns a router that is ready to run."""
-        sync = configuration_sync.ConfigurationSync(
-            self._store,
-            self._state,
-            self._timers,
-            self._log,
-            self._options.poll_interval,
-            (self._on_configuration,),
-        )
+        sync = self._build_sync()
+        status = self._build_status_writer()
+        sync.add_listener(self._on_configuration)
+        sync.add_listener(status.on_configuration)
         parts = router_module.Parts(
             self._owner,
             self._state,
@@ -114,6 +114,7 @@
             self._build_calls(),
             (
                 sync,
+                status,
                 self._build_observer(),
                 self._keeper,
                 self._build_reclaimer(),
@@ -131,6 +132,57 @@
         sync.add_listener(router.on_configuration)
         return router
 
+    def _build_stores(
+        self,
+    ) -> tuple[object_store.ObjectStore, object_store.ObjectStore]:
+        rate = self._options.store_calls_per_second
+        budget = call_budget.CallBudget(
+            call_budget.BudgetLimits(rate, rate * _BURST_SECONDS),
+            self._timers.now(),
+        )
+        client = http_store.HttpObjectStore(
+            pool.ConnectionPool(self._options.store, self._timers, self._limits)
+        )
+        background, booking = (
+            budgeted_store.BudgetedObjectStore(
+                client, budget, call_class, self._timers
+            )
+            for call_class in (
+                call_budget.CallClass.BACKGROUND,
+                call_budget.CallClass.BOOKING,
+            )
+        )
+        return background, booking
+
+    def _build_sync(self) -> configuration_sync.ConfigurationSync:
+        return configuration_sync.ConfigurationSync(
+            self._store,
+            self._state,
+            self._cluster,
+            self._timers,
+            self._log,
+            self._random,
+            configuration_sync.SyncOptions(
+                self._options.vm,
+                self._options.availability_zone,
+                self._options.poll_interval,
+            ),
+        )
+
+    def _build_status_writer(self) -> status_writer.StatusWriter:
+        return status_writer.StatusWriter(
+            self._store,
+            self._state,
+            self._cluster,
+            status_writer.Identity(
+                self._owner,
+                self._options.availability_zone,
+                str(self._options.listen),
+            ),
+            self._timers,
+            self._random,
+        )
+
     def _build_calls(self) -> calls.Calls:
         return calls.Calls(
             self._state,
--- a/packages/daemon/src/lavendershed/daemon/options.py
+++ b/packages/daemon/src/lavendershed/daemon/options.py
@@ -23,6 +23,9 @@
         settle_time: Time for which requests are accepted after SIGTERM, until
             the balancer has noticed the failing readiness check.
         poll_interval: Time between reads of the manifest beside the watch.
+        engine_poll_interval: Time between reads of an engine's load.
+        store_calls_per_second: Calls of this daemon to the object API on
+            average; two seconds' worth may be made at once.
     """
 
     vm: ids.VmId
@@ -37,3 +40,4 @@
     settle_time: units.Seconds = units.Seconds(5.0)
     poll_interval: units.Seconds = units.Seconds(2.0)
     engine_poll_interval: units.Seconds = units.Seconds(0.25)
+    store_calls_per_second: float = 40.0
--- /dev/null
+++ b/packages/daemon/src/lavendershed/daemon/status_writer.py
@@ -0,0 +1,129 @@
+"""Writing of the daemon's status object."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import random
+
+import result
+
+from lavendershed.configuration import model
+from lavendershed.configuration import state as state_module
+from lavendershed.core import backend_servers
+from lavendershed.core import backoff
+from lavendershed.core import cluster
+from lavendershed.core import ids
+from lavendershed.core import object_store
+from lavendershed.core import timers
+from lavendershed.core import units
+from lavendershed.daemon import background
+from lavendershed.platform import status as status_module
+from lavendershed.transport import event_loop_timers
+
+# Writes of all daemons together after a change of configuration. The store
+# handles several hundred writes a second, and bookings come first.
+_FLEET_WRITES_PER_SECOND = 100.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Identity:
+    """What a daemon reports of itself beside its configuration."""
+
+    owner: backend_servers.Owner
+    availability_zone: ids.AvailabilityZoneId
+    address: str
+
+
+class StatusWriter(background.BackgroundTask):
+    """Reports the epoch in force at the start and after each change."""
+
+    def __init__(
+        self,
+        store: object_store.ObjectStore,
+        state: state_module.ConfigurationState,
+        members: cluster.MemberView,
+        identity: Identity,
+        timer_service: timers.TimerService,
+        generator: random.Random,
+    ) -> None:
+        self._store = store
+        self._state = state
+        self._members = members
+        self._identity = identity
+        self._timers = timer_service
+        self._random = generator
+        self._key = status_module.key(identity.owner.vm)
+        self._changed = asyncio.Event()
+        self._condition: object_store.Condition = object_store.IfAbsent()
+
+    def on_configuration(
+        self, old: model.Configuration, new: model.Configuration
+    ) -> None:
+        """Takes a configuration that has been put in force."""
+        self._changed.set()
+
+    async def run(self) -> None:
+        """Writes after each change until cancelled.
+
+        Changes that follow each other closely share one write.
+        """
+        delays = backoff.Backoff(
+            self._random,
+            backoff.BackoffLimits(units.Seconds(0.5), units.Seconds(30.0)),
+        )
+        while True:
+            await self._changed.wait()
+            spread = len(self._members.live) / _FLEET_WRITES_PER_SECOND
+            await self._sleep(self._random.uniform(0, spread))
+            self._changed.clear()
+            error = await self._write()
+            if error is None:
+                delays.reset()
+                continue
+            self._changed.set()
+            await self._sleep(max(delays.next_delay(), error.retry_after or 0))
+
+    async def release(self) -> None:
+        """Removes the status object of a daemon that stops."""
+        if isinstance(self._condition, object_store.IfVersion):
+            await self._store.delete(self._key, self._condition.version)
+
+    async def _write(self) -> object_store.StoreError | None:
+        written = await self._store.put(
+            self._key,
+            status_module.CODEC.encode(self._current()),
+            self._condition,
+        )
+        if isinstance(written, result.Ok):
+            self._condition = object_store.IfVersion(written.ok_value)
+            return None
+        if written.err_value.kind in (
+            object_store.StoreErrorKind.CONFLICT,
+            object_store.StoreErrorKind.AMBIGUOUS,
+        ):
+            await self._read_version()
+        return written.err_value
+
+    async def _read_version(self) -> None:
+        # The object is an earlier process's of this VM, or this one's own
+        # from a write whose answer was lost.
+        stored = await self._store.get(self._key)
+        if isinstance(stored, result.Ok):
+            self._condition = object_store.IfVersion(stored.ok_value.version)
+        elif stored.err_value.kind is object_store.StoreErrorKind.ABSENT:
+            self._condition = object_store.IfAbsent()
+
+    def _current(self) -> status_module.DaemonStatus:
+        configuration = self._state.current
+        return status_module.DaemonStatus(
+            self._identity.owner.vm,
+            self._identity.owner.incarnation,
+            self._identity.availability_zone,
+            self._identity.address,
+            configuration.epoch,
+            configuration.active_preset,
+        )
+
+    async def _sleep(self, duration: float) -> None:
+        await event_loop_timers.sleep(self._timers, units.Seconds(duration))
--- /dev/null
+++ b/packages/daemon/tests/test_status_writer.py
@@ -0,0 +1,84 @@
+"""Guards the status objects, on which `--wait` relies."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+
+import configuration_fixture as fixture
+
+from lavendershed.core import ids
+from lavendershed.core import object_store
+from lavendershed.daemon import status_writer
+from lavendershed.platform import status
+
+
+class StatusWriterTest(unittest.IsolatedAsyncioTestCase):
+    """Fails if an epoch in force is not reported, or too often."""
+
+    async def asyncSetUp(self):
+        self.world = fixture.World()
+        await self.world.create_presets()
+        self.daemon = fixture.Daemon(self.world.store, self.world.timers)
+        self.writer = status_writer.StatusWriter(
+            self.world.store,
+            self.daemon.state,
+            fixture.Members(100),
+            status_writer.Identity(
+                fixture.OWNER, ids.AvailabilityZoneId("zone-0"), "127.0.0.1:1"
+            ),
+            self.world.timers,
+            random.Random(1),
+        )
+        self.daemon.sync.add_listener(self.writer.on_configuration)
+        for run in (self.daemon.sync.run(), self.writer.run()):
+            self.addCleanup(asyncio.create_task(run).cancel)
+        await self.world.settle()
+
+    async def epochs(self):
+        statuses = (await status.read_all(self.world.store)).unwrap()
+        return [entry.epoch for entry in statuses]
+
+    def writes(self):
+        return self.world.store.calls.count("put status/vm-000")
+
+    async def test_epoch_is_reported_after_a_spread_delay(self):
+        self.assertEqual(await self.epochs(), [])
+        await self.world.advance(1.0)
+        self.assertEqual(await self.epochs(), [2])
+
+    async def test_changes_in_a_row_share_one_write(self):
+        await self.world.advance(1.0)
+        before = self.writes()
+        for name in ("peak", "ordinary", "peak"):
+            epoch = await self.world.activate(name)
+            while self.daemon.state.current.epoch < epoch:
+                await self.world.settle()
+            await self.world.settle()
+        await self.world.advance(10.0)
+        self.assertEqual(await self.epochs(), [5])
+        self.assertEqual(self.writes() - before, 1)
+
+    async def test_object_of_an_earlier_process_is_replaced(self):
+        await self.world.store.put(
+            status.key(fixture.OWNER.vm), b"old", object_store.IfAbsent()
+        )
+        await self.world.advance(3.0)
+        self.assertEqual(await self.epochs(), [2])
+
+    async def test_lost_answer_does_not_stop_later_reports(self):
+        self.world.store.lose_answers(1)
+        await self.world.advance(3.0)
+        await self.world.activate("peak")
+        await self.world.advance(3.0)
+        self.assertEqual(await self.epochs(), [3])
+
+    async def test_stopped_daemon_is_not_listed(self):
+        await self.world.advance(1.0)
+        await self.writer.release()
+        self.assertEqual(await self.epochs(), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
