Add leases, targets and the planner of placement

Cause: nothing placed models and roles, and two daemons that both think they place them could undo each other's work or running requests.

Change: Lease (fencing numbers, holder counts from before its last known renewal, observers time it by version changes on their own clock), plan_targets from a preset's service plan and backlog, PlacementPlanner (drain by the role reserve, one order per engine, observed again after each order), LoadBudget. LoadReport gains optional adapters.

The first run of the machine's case tests found that two engines could be drained at once before the first was seen again; fixed here.

--- a/packages/backend/src/lavendershed/backend/http_engine.py
+++ b/packages/backend/src/lavendershed/backend/http_engine.py
@@ -297,6 +297,9 @@
         states.EngineRole(content["role"]),
         tuple(ids.ModelId(model) for model in content["models"]),
         content["leaving"],
+        tuple(ids.AdapterId(adapter) for adapter in content["adapters"])
+        if "adapters" in content
+        else None,
     )
 
 
--- a/packages/booking/tests/test_machine.py
+++ b/packages/booking/tests/test_machine.py
@@ -325,10 +325,17 @@
     def run_all(self, digest="a", daemon=0, service="answer", fault="none"):
         self.world.send_request(KEYS[0], daemon, 10.0, digest)
         attempt = self.world.attempts[-1]
-        while attempt.pending is not None:
-            self.world.perform(attempt, fault, service)
+        self.finish(attempt, service, fault)
         return attempt
 
+    def finish(self, attempt, service="answer", fault="none", pause=0.0):
+        for _ in range(100):
+            if attempt.pending is None:
+                return
+            self.world.perform(attempt, fault, service)
+            self.world.pause(pause)
+        self.fail("the attempt never ends")
+
     def failure(self, attempt):
         return attempt.reply.err_value
 
@@ -371,9 +378,7 @@
         self.world.perform(self.world.attempts[0], "none", "answer")
         self.world.send_request(KEYS[0], 1, 10.0, "a")
         second = self.world.attempts[1]
-        while second.pending is not None:
-            self.world.perform(second, "none", "answer")
-            self.world.pause(0.25)
+        self.finish(second, pause=0.25)
         self.assertIs(
             self.failure(second).reason,
             states.FailureReason.BOOKING_IN_PROGRESS,
@@ -384,8 +389,7 @@
         attempt = self.world.attempts[0]
         self.world.perform(attempt, "none", "answer")
         self.world.pause(LIMITS.claim_age)
-        while attempt.pending is not None:
-            self.world.perform(attempt, "none", "answer")
+        self.finish(attempt)
         self.assertIs(self.failure(attempt).execution, states.Execution.NOT_RUN)
         self.assertTrue(self.run_all(daemon=1).executed)
 
@@ -400,6 +404,14 @@
         _, record = self.world.store.objects[KEYS[0]]
         self.assertIs(record.state, states.BookingState.ABANDONED)
 
+    def test_an_unreadable_record_of_another_attempt_is_unknown(self):
+        self.run_all()
+        self.world.send_request(KEYS[0], 1, 10.0, "a")
+        attempt = self.world.attempts[1]
+        self.world.perform(attempt, "none", "answer")
+        self.finish(attempt, fault="down")
+        self.assertIs(self.failure(attempt).execution, states.Execution.UNKNOWN)
+
     def test_an_answer_that_is_too_large_is_named_completed(self):
         answer = backend_servers.PlainAnswer(
             200, "text/plain", bytes(records.MAX_KEPT_ANSWER_BYTES + 1)
--- a/packages/core/src/lavendershed/core/backend_servers.py
+++ b/packages/core/src/lavendershed/core/backend_servers.py
@@ -125,6 +125,7 @@
         timestamp: Seconds on the engine's monotonic clock.
         waiting: Streams that have not started their prefill.
         prefill_tokens_queued: Prompt tokens not yet prefilled.
+        adapters: Loaded adapters; None if the engine does not report them.
     """
 
     timestamp: float
@@ -137,6 +138,7 @@
     role: states.EngineRole
     models: tuple[ids.ModelId, ...]
     leaving: bool
+    adapters: tuple[ids.AdapterId, ...] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/placement/src/lavendershed/placement/targets.py
@@ -0,0 +1,146 @@
+"""Which role, models and adapters each engine of a service should have."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import dataclasses
+import math
+
+from lavendershed.configuration import model
+from lavendershed.core import backend_servers
+from lavendershed.core import ids
+from lavendershed.core import rendezvous
+from lavendershed.core import states
+from lavendershed.core import units
+
+PLACEMENT_PREFIX = "placement/"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineTarget:
+    """Desired state of one engine.
+
+    Attributes:
+        models: Models to have loaded; None leaves them as they are.
+        adapters: Adapters to have loaded; None leaves them as they are.
+    """
+
+    engine: ids.BackendServerId
+    role: states.EngineRole
+    models: tuple[ids.ModelId, ...] | None = None
+    adapters: tuple[ids.AdapterId, ...] | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlacementRecord:
+    """Desired state of a service, as the lease holder stores it."""
+
+    fencing_number: ids.FencingNumber
+    targets: tuple[EngineTarget, ...]
+
+
+Reports = Mapping[ids.BackendServerId, backend_servers.LoadReport]
+
+
+def placement_key(service: ids.ServiceId) -> ids.ObjectKey:
+    """Returns the store key of a service's desired placement."""
+    return ids.ObjectKey(PLACEMENT_PREFIX + service)
+
+
+def loaded_name(wanted: model.WantedModel) -> ids.ModelId:
+    """Returns the name by which engines load and report a wanted model."""
+    if not wanted.version:
+        return wanted.model
+    return ids.ModelId(f"{wanted.model}@{wanted.version}")
+
+
+def engines_for_backlog(
+    reports: Reports,
+    name: ids.ModelId,
+    prefill_tokens_per_second: float,
+    acceptable_wait: units.Seconds,
+) -> int:
+    """Returns how many engines work a model's queue off within a time."""
+    queued = sum(
+        report.prefill_tokens_queued
+        for report in reports.values()
+        if name in report.models
+    )
+    return math.ceil(queued / (prefill_tokens_per_second * acceptable_wait))
+
+
+def plan_targets(
+    plan: model.ServicePlan,
+    reports: Reports,
+    demand: Mapping[ids.ModelId, int],
+) -> tuple[EngineTarget, ...]:
+    """Returns the targets of all engines that report, in order of their ids.
+
+    Engines that already have a role or model keep it as far as the counts
+    allow, so that a plan moves as little as possible.
+
+    Args:
+        plan: What the active preset wants.
+        reports: Latest load reports of engines that are not leaving.
+        demand: Engines that the present work of each model asks for; the
+            plan's shares are the least.
+    """
+    engines = sorted(reports)
+    roles = _assign_roles(plan, engines, reports)
+    models: dict[ids.BackendServerId, list[ids.ModelId]] = {
+        engine: [] for engine in engines
+    }
+    adapters: dict[ids.BackendServerId, list[ids.AdapterId]] = {
+        engine: [] for engine in engines
+    }
+    for wanted in plan.models:
+        name = loaded_name(wanted)
+        least = math.ceil(wanted.share * len(engines))
+        count = min(len(engines), max(least, demand.get(name, 0)))
+        ranked = rendezvous.ranked(engines, name, len(engines))
+        ranked.sort(
+            key=lambda e, n=name: (  # type: ignore[misc]
+                n not in reports[e].models,
+                len(models[e]),
+            )
+        )
+        for engine in ranked[:count]:
+            models[engine].append(name)
+            adapters[engine] += wanted.adapters
+    return tuple(
+        EngineTarget(
+            engine,
+            roles[engine],
+            tuple(models[engine]) if plan.models else None,
+            tuple(adapters[engine]) if plan.models else None,
+        )
+        for engine in engines
+    )
+
+
+def _assign_roles(
+    plan: model.ServicePlan,
+    engines: list[ids.BackendServerId],
+    reports: Reports,
+) -> dict[ids.BackendServerId, states.EngineRole]:
+    if not plan.roles:
+        # An engine in reserve was drained by an order that was not followed
+        # up; it goes back to work.
+        return {
+            engine: states.EngineRole.GENERAL
+            if reports[engine].role is states.EngineRole.RESERVE
+            else reports[engine].role
+            for engine in engines
+        }
+    roles = dict.fromkeys(engines, states.EngineRole.GENERAL)
+    free = set(engines)
+    for wanted in plan.roles:
+        if wanted.share <= 0:
+            continue
+        count = max(1, round(wanted.share * len(engines)))
+        ranked = rendezvous.ranked(free, wanted.role.value, len(free))
+        ranked.sort(key=lambda e, r=wanted.role: reports[e].role is not r)  # type: ignore[misc]
+        for engine in ranked[:count]:
+            roles[engine] = wanted.role
+            free.discard(engine)
+    return roles
--- /dev/null
+++ b/packages/placement/tests/lease_world.py
@@ -0,0 +1,123 @@
+"""Daemons that contend for a lease in a store that fails."""
+
+from __future__ import annotations
+
+from hypothesis import stateful
+from hypothesis import strategies
+
+from lavendershed.core import backend_servers
+from lavendershed.core import ids
+from lavendershed.core import object_store
+from lavendershed.core import units
+from lavendershed.placement import lease as lease_module
+
+LIMITS = lease_module.LeaseLimits()
+DAEMONS = 3
+
+
+class FakeLeaseStore:
+    """One lease object; writes may take effect late."""
+
+    def __init__(self):
+        self.current = None
+        self.version = 0
+
+    def put(self, command):
+        expected = getattr(command.condition, "version", None)
+        if (self.current[0] if self.current else None) != expected:
+            return None
+        self.version += 1
+        self.current = (ids.ObjectVersion(self.version), command.record)
+        return self.current[0]
+
+
+class LeaseWorld(stateful.RuleBasedStateMachine):
+    """Daemons that contend for a lease and give orders to an engine."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = units.Instant(100.0)
+        self.store = FakeLeaseStore()
+        self.late_writes = []
+        self.incarnations = [1] * DAEMONS
+        self.leases = [self.lease(n) for n in range(DAEMONS)]
+
+    def lease(self, daemon):
+        owner = backend_servers.Owner(
+            ids.VmId(str(daemon)), ids.Incarnation(self.incarnations[daemon])
+        )
+        return lease_module.Lease(owner, LIMITS)
+
+    @stateful.rule(
+        daemon=strategies.integers(0, DAEMONS - 1),
+        wanted=strategies.sampled_from((True, True, True, False)),
+        fault=strategies.sampled_from(
+            ("none", "none", "none", "lost", "late", "dropped", "down")
+        ),
+        delay=strategies.sampled_from((0.0, 0.0, 1.0, 12.0)),
+    )
+    def work(self, daemon, wanted, fault, delay):
+        """One store call; the answer may come back after a pause."""
+        lease = self.leases[daemon]
+        command = lease.next_command(wanted, self.now)
+        if command is None:
+            return
+        if isinstance(command, lease_module.ReadLease):
+            if fault == "none":
+                version, record = self.store.current or (None, None)
+                self.pause(delay)
+                lease.on_read(record, version, self.now)
+            return
+        version = None
+        if fault in ("none", "lost"):
+            version = self.store.put(command)
+        elif fault == "late":
+            self.late_writes.append(command)
+        self.pause(delay)
+        if fault == "none" and version is not None:
+            lease.on_written(version, self.now)
+            return
+        kind = {
+            "none": object_store.StoreErrorKind.CONFLICT,
+            "down": object_store.StoreErrorKind.UNAVAILABLE,
+        }.get(fault, object_store.StoreErrorKind.AMBIGUOUS)
+        lease.on_write_failed(object_store.StoreError(kind, ""), self.now)
+
+    @stateful.precondition(lambda self: self.late_writes)
+    @stateful.rule()
+    def late_write_arrives(self):
+        self.store.put(self.late_writes.pop(0))
+
+    @stateful.rule(daemon=strategies.integers(0, DAEMONS - 1))
+    def restart(self, daemon):
+        self.incarnations[daemon] += 1
+        self.leases[daemon] = self.lease(daemon)
+
+    @stateful.rule(duration=strategies.sampled_from((0.5, 3.0, 9.0, 16.0)))
+    def pause(self, duration):
+        self.now = units.after(self.now, units.Seconds(duration))
+
+    @stateful.invariant()
+    def at_most_one_daemon_may_act(self):
+        numbers = [
+            lease.may_act(self.now, checks_fencing=True)
+            for lease in self.leases
+        ]
+        held = [number for number in numbers if number is not None]
+        assert len(held) <= 1, numbers
+
+    @stateful.invariant()
+    def nobody_acts_with_a_number_below_the_stored_one(self):
+        if self.store.current is None:
+            return
+        stored = self.store.current[1]
+        for lease in self.leases:
+            number = lease.may_act(self.now, checks_fencing=True)
+            assert number is None or number == stored.fencing_number
+
+    def teardown(self):
+        """Without faults, a daemon with the duty gets the lease."""
+        for _ in range(40):
+            self.work(0, True, "none", 0.0)
+            self.pause(1.0)
+        assert self.leases[0].may_act(self.now, True) is not None
--- /dev/null
+++ b/packages/placement/tests/test_planner.py
@@ -0,0 +1,290 @@
+"""Guards placement against lost work, stale orders and missing repairs."""
+
+from __future__ import annotations
+
+import dataclasses
+import unittest
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+import lease_world
+
+from lavendershed.configuration import model
+from lavendershed.core import backend_servers
+from lavendershed.core import ids
+from lavendershed.core import states
+from lavendershed.core import units
+from lavendershed.placement import load_budget
+from lavendershed.placement import planner as planner_module
+from lavendershed.placement import targets as targets_module
+
+ENGINES = tuple(ids.BackendServerId(f"engine-{n}") for n in range(3))
+OLD, NEW = ids.ModelId("almanac-1"), ids.ModelId("almanac-2")
+KINDS = backend_servers.OrderKind
+ROLES = states.EngineRole
+# Time within which all daemons follow an engine's own report.
+LAG = units.Seconds(5.0)
+PLAN = model.ServicePlan(
+    ids.ServiceId("drafting"),
+    (model.RoleShare(ROLES.PREFILL, 0.3),),
+    (model.WantedModel(NEW),),
+)
+
+
+@dataclasses.dataclass
+class FakeEngine:
+    """An engine that carries out orders at once when they arrive."""
+
+    checks: bool = True
+    number: int = 0
+    role: states.EngineRole = ROLES.GENERAL
+    models: tuple = (OLD,)
+    running: int = 0
+    reserved_since: float = 0.0
+
+    def report(self):
+        return backend_servers.LoadReport(
+            0.0,
+            ids.Incarnation(1),
+            self.running,
+            0,
+            units.Tokens(0),
+            units.Bytes(self.running),
+            units.Bytes(100),
+            self.role,
+            self.models,
+            False,
+        )
+
+    def accept(self, number, kind, target, now):
+        """Returns whether the order was carried out."""
+        if self.checks and number < self.number:
+            return False
+        self.number = max(self.number, number)
+        if kind is KINDS.LOAD_MODEL:
+            self.models = (*self.models, target)
+        elif kind is KINDS.UNLOAD_MODEL:
+            self.models = tuple(m for m in self.models if m != target)
+        else:
+            self.role = ROLES(target)
+            self.reserved_since = now
+        return True
+
+
+@dataclasses.dataclass
+class LateOrder:
+    """An order on its way."""
+
+    daemon: int
+    planner: planner_module.PlacementPlanner
+    number: int
+    order: planner_module.SendOrder
+    sent: float
+
+
+class PlacementWorld(lease_world.LeaseWorld):
+    """Holders that send orders which arrive at any time, or much too late."""
+
+    def __init__(self):
+        super().__init__()
+        self.engines = {name: FakeEngine() for name in ENGINES}
+        self.orders = []
+        self.numbers = [0] * lease_world.DAEMONS
+        self.planners = [self.planner() for _ in range(lease_world.DAEMONS)]
+
+    def planner(self):
+        made = planner_module.PlacementPlanner(
+            planner_module.PlannerLimits(), load_budget.LoadBudget(0.5, 2.0)
+        )
+        made.on_engines(frozenset(ENGINES))
+        return made
+
+    @stateful.initialize(checks=strategies.booleans())
+    def choose_kind(self, checks):
+        for engine in self.engines.values():
+            engine.checks = checks
+
+    @stateful.rule(daemon=strategies.integers(0, lease_world.DAEMONS - 1))
+    def plan(self, daemon):
+        checks = self.engines[ENGINES[0]].checks
+        number = self.leases[daemon].may_act(self.now, checks)
+        if number is None:
+            return
+        if number != self.numbers[daemon]:
+            self.numbers[daemon] = number
+            self.planners[daemon] = self.planner()
+            self.planners[daemon].restart(self.now)
+            self.planners[daemon].on_engines(frozenset(ENGINES))
+        planner = self.planners[daemon]
+        for _ in range(2):
+            for command in planner.next_commands(self.now):
+                if isinstance(command, planner_module.Observe):
+                    planner.on_report(
+                        command.engine,
+                        self.engines[command.engine].report(),
+                        self.now,
+                    )
+                else:
+                    self.send(daemon, planner, number, command)
+            planner.on_targets(
+                targets_module.plan_targets(PLAN, planner.reports, {})
+            )
+
+    def send(self, daemon, planner, number, order):
+        engine = self.engines[order.engine]
+        if self.destroys(order, engine):
+            assert not engine.running, "destructive order to a busy engine"
+        self.orders.append(LateOrder(daemon, planner, number, order, self.now))
+        ahead = [o for o in self.orders if o.planner is planner]
+        named = [o.order.engine for o in ahead]
+        assert len(named) == len(set(named)), "two orders to one engine"
+
+    def destroys(self, order, engine):
+        if order.kind is KINDS.CHANGE_ROLE:
+            return ROLES(order.target) is ROLES.PREFILL
+        return order.kind is KINDS.UNLOAD_MODEL
+
+    @stateful.precondition(lambda self: self.orders)
+    @stateful.rule(
+        position=strategies.integers(0, 100), answered=strategies.booleans()
+    )
+    def order_arrives(self, position, answered=True):
+        late = self.orders.pop(position % len(self.orders))
+        engine = self.engines[late.order.engine]
+        in_time = self.now <= late.sent + lease_world.LIMITS.order_time
+        busy, newest = engine.running, engine.number
+        done = engine.accept(
+            late.number, late.order.kind, late.order.target, self.now
+        )
+        if done and (in_time or engine.checks):
+            assert late.number >= newest, "an old order after a newer one"
+            destroys = self.destroys(late.order, engine)
+            assert not (busy and destroys), "destroyed running work"
+        late.planner.on_order_ended(
+            late.order.engine, done and answered, self.now
+        )
+
+    @stateful.rule(name=strategies.sampled_from(ENGINES))
+    def work_starts(self, name):
+        engine = self.engines[name]
+        # A daemon may still send to an engine that it saw at work before.
+        lagging = self.now < engine.reserved_since + LAG
+        if engine.role is not ROLES.RESERVE or lagging:
+            engine.running += 1
+
+    @stateful.rule(name=strategies.sampled_from(ENGINES))
+    def work_ends(self, name):
+        self.engines[name].running = 0
+
+    def teardown(self):
+        """Without faults, every engine gets to its target."""
+        while self.orders:
+            self.order_arrives(0)
+        for engine in self.engines.values():
+            engine.running = 0
+        for _ in range(200):
+            self.work(0, True, "none", 0.0)
+            self.plan(0)
+            while self.orders:
+                self.order_arrives(0)
+            self.pause(1.0)
+        roles = [engine.role for engine in self.engines.values()]
+        assert roles.count(ROLES.PREFILL) == 1, roles
+        assert roles.count(ROLES.GENERAL) == 2, roles
+        models = [engine.models for engine in self.engines.values()]
+        assert models == [(NEW,)] * 3, models
+
+
+PlacementWorld.TestCase.settings = hypothesis.settings(
+    max_examples=150,
+    stateful_step_count=80,
+    deadline=None,
+    derandomize=True,
+    database=None,
+)
+PlacementWorldTest = PlacementWorld.TestCase
+
+
+class PlannerCaseTest(unittest.TestCase):
+    """Guards what a change of models costs and keeps."""
+
+    def setUp(self):
+        self.world = PlacementWorld()
+        self.world.choose_kind(True)
+
+    def turn(self):
+        self.world.work(0, True, "none", 0.0)
+        self.world.plan(0)
+        loads = [
+            o for o in self.world.orders if o.order.kind is KINDS.LOAD_MODEL
+        ]
+        while self.world.orders:
+            self.world.order_arrives(0)
+        self.world.pause(1.0)
+        return len(loads)
+
+    def test_a_change_keeps_engines_at_work(self):
+        for _ in range(200):
+            self.turn()
+            working = [
+                e
+                for e in self.world.engines.values()
+                if e.role is not ROLES.RESERVE and e.models
+            ]
+            self.assertGreaterEqual(len(working), 2)
+        self.assertEqual(self.world.engines[ENGINES[0]].models, (NEW,))
+
+    def test_loads_keep_to_the_rate_of_the_weight_store(self):
+        counts = [self.turn() for _ in range(60)]
+        for start in range(50):
+            self.assertLessEqual(sum(counts[start : start + 10]), 7)
+
+    def test_a_busy_engine_is_not_changed(self):
+        self.world.engines[ENGINES[0]].running = 1
+        for _ in range(200):
+            self.turn()
+        busy = self.world.engines[ENGINES[0]]
+        self.assertIn(OLD, busy.models)
+
+
+class LoadBudgetTest(unittest.TestCase):
+    """Guards the weight store against a burst by each new holder."""
+
+    def test_a_new_holder_starts_with_an_empty_bucket(self):
+        budget = load_budget.LoadBudget(1.0, 5.0)
+        budget.restart(units.Instant(0.0))
+        self.assertFalse(budget.take(units.Instant(0.5)))
+        taken = sum(budget.take(units.Instant(100.0)) for _ in range(20))
+        self.assertEqual(taken, 5)
+
+
+class DemandTest(unittest.TestCase):
+    """Guards the use of demand beside a preset's shares."""
+
+    def test_a_backlog_adds_engines_beyond_the_share(self):
+        reports = {
+            name: dataclasses.replace(
+                FakeEngine().report(), prefill_tokens_queued=90_000
+            )
+            for name in ENGINES
+        }
+        needed = targets_module.engines_for_backlog(
+            reports, OLD, 50_000.0, units.Seconds(2.0)
+        )
+        self.assertEqual(needed, 3)
+        plan = model.ServicePlan(
+            PLAN.service, (), (model.WantedModel(NEW, share=0.3),)
+        )
+        with_model = [
+            target.engine
+            for target in targets_module.plan_targets(
+                plan, reports, {NEW: needed}
+            )
+            if target.models
+        ]
+        self.assertEqual(with_model, list(ENGINES))
+
+
+if __name__ == "__main__":
+    unittest.main()
