Run placement as a background task

Cause: the planner and the lease had no driver.

Change: daemon.placement_loop runs one lease, planner and set of orders per service for which rendezvous hashing gives this daemon the duty, checks the lease right before each order, stores targets at placement/{service} and gives leases up at a graceful stop. Engines in the role reserve get no new work (BackendHealth). Targets are planned only after every engine was observed or tried; an engine counts as down after three failures.

--- a/packages/daemon/src/lavendershed/daemon/backend_health.py
+++ b/packages/daemon/src/lavendershed/daemon/backend_health.py
@@ -4,6 +4,7 @@
 
 from lavendershed.core import backend_servers
 from lavendershed.core import ids
+from lavendershed.core import states
 
 
 class BackendHealth:
@@ -14,10 +15,11 @@
 
     def __init__(self) -> None:
         self._leaving: set[ids.BackendServerId] = set()
+        self._reserved: set[ids.BackendServerId] = set()
 
     def accepts_work(self, server: ids.BackendServerId) -> bool:
         """Returns whether new work may be sent to a server."""
-        return server not in self._leaving
+        return server not in self._leaving and server not in self._reserved
 
     def on_load_report(
         self,
@@ -27,6 +29,11 @@
         """Takes the state that an engine reports of itself."""
         if report.leaving:
             self._leaving.add(server)
+        # Placement drains an engine by the role `reserve`.
+        if report.role is states.EngineRole.RESERVE:
+            self._reserved.add(server)
+        else:
+            self._reserved.discard(server)
 
     def on_error(
         self,
--- a/packages/daemon/src/lavendershed/daemon/factory.py
+++ b/packages/daemon/src/lavendershed/daemon/factory.py
@@ -26,6 +26,7 @@
 from lavendershed.daemon import ledger_keeper
 from lavendershed.daemon import memory_reclaimer
 from lavendershed.daemon import options as options_module
+from lavendershed.daemon import placement_loop
 from lavendershed.daemon import queued_dispatcher
 from lavendershed.daemon import router as router_module
 from lavendershed.daemon import server_choice
@@ -119,6 +120,7 @@
                 self._build_reclaimer(),
                 self._bookings,
                 self._build_retention(),
+                self._build_placement(),
             ),
         )
         router = router_module.Router(
@@ -160,6 +162,18 @@
             _RETENTION_INTERVAL,
         )
 
+    def _build_placement(self) -> placement_loop.PlacementLoop:
+        return placement_loop.PlacementLoop(
+            self._owner,
+            self._state,
+            self._cluster,
+            self._store,
+            self._directory,
+            self._timers,
+            self._log,
+            self._options.weight_loads_per_second,
+        )
+
     def _build_generation(self) -> generation.Generation:
         return generation.Generation(
             generation_parts.GenerationParts(
--- a/packages/daemon/src/lavendershed/daemon/options.py
+++ b/packages/daemon/src/lavendershed/daemon/options.py
@@ -23,6 +23,8 @@
         settle_time: Time for which requests are accepted after SIGTERM, until
             the balancer has noticed the failing readiness check.
         poll_interval: Time between reads of the manifest beside the watch.
+        weight_loads_per_second: Loads that the weight store takes from the
+            whole deployment.
     """
 
     vm: ids.VmId
@@ -37,3 +39,4 @@
     settle_time: units.Seconds = units.Seconds(5.0)
     poll_interval: units.Seconds = units.Seconds(2.0)
     engine_poll_interval: units.Seconds = units.Seconds(0.25)
+    weight_loads_per_second: float = 0.5
--- a/packages/placement/src/lavendershed/placement/load_budget.py
+++ b/packages/placement/src/lavendershed/placement/load_budget.py
@@ -17,6 +17,10 @@
         self._tokens = 0.0
         self._updated: units.Instant | None = None
 
+    def on_rate(self, loads_per_second: float) -> None:
+        """Takes the rate from now on."""
+        self._rate = loads_per_second
+
     def restart(self, now: units.Instant) -> None:
         """Empties the bucket for a new holder."""
         self._tokens = 0.0
--- a/packages/placement/src/lavendershed/placement/planner.py
+++ b/packages/placement/src/lavendershed/placement/planner.py
@@ -13,6 +13,11 @@
 from lavendershed.placement import load_budget
 from lavendershed.placement import targets as targets_module
 
+_LOADS = (
+    backend_servers.OrderKind.LOAD_MODEL,
+    backend_servers.OrderKind.LOAD_ADAPTER,
+)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlannerLimits:
@@ -23,14 +28,21 @@
             before a destructive order. Other daemons stop sending work within
             5 s of the engine's report.
         report_age: Oldest report on which an order may be based.
+        idle_age: Age of a report at which an engine without a pending change
+            is observed again; short enough to repair late orders, long enough
+            for services with thousands of engines.
         retry_delay: Time after a failed order until the next to that engine.
+        failures_until_down: Failed observations after which an engine counts
+            as down.
         max_draining_share: Share of the engines that may be drained at once;
             at least one is allowed.
     """
 
     drain_settle: units.Seconds = units.Seconds(6.0)
     report_age: units.Seconds = units.Seconds(1.0)
+    idle_age: units.Seconds = units.Seconds(30.0)
     retry_delay: units.Seconds = units.Seconds(5.0)
+    failures_until_down: int = 3
     max_draining_share: float = 0.2
 
 
@@ -62,6 +74,7 @@
     ordered: bool = False
     # Whether the engine has not been observed since its last order.
     stale: bool = False
+    failures: int = 0
     not_before: units.Instant = units.Instant(0.0)
 
 
@@ -94,6 +107,18 @@
             if engine.report is not None and not engine.report.leaving
         }
 
+    @property
+    def ready(self) -> bool:
+        """Whether every engine was observed, or tried, since `restart`.
+
+        Targets that follow from a part of the engines would move models for
+        no reason.
+        """
+        return all(
+            engine.report is not None or engine.failures
+            for engine in self._engines.values()
+        )
+
     def restart(self, now: units.Instant) -> None:
         """Forgets everything observed, for a new holder of the lease."""
         self._engines.clear()
@@ -132,6 +157,20 @@
         engine.report = report
         engine.seen = now
         engine.stale = False
+        engine.failures = 0
+
+    def on_observe_failed(
+        self, name: ids.BackendServerId, now: units.Instant
+    ) -> None:
+        """Takes an engine that did not report; after a few it counts as down.
+
+        The share of an engine that is down goes to the others.
+        """
+        engine = self._engines[name]
+        engine.failures += 1
+        engine.not_before = units.after(now, self._limits.retry_delay)
+        if engine.failures >= self._limits.failures_until_down:
+            engine.report = None
 
     def on_order_ended(
         self, name: ids.BackendServerId, succeeded: bool, now: units.Instant
@@ -143,15 +182,30 @@
         if not succeeded:
             engine.not_before = units.after(now, self._limits.retry_delay)
 
+    def observations(self, now: units.Instant) -> tuple[Observe, ...]:
+        """Returns the engines to observe before the next orders."""
+        return tuple(
+            command
+            for name in sorted(self._engines)
+            if isinstance(
+                command := self._next_command(name, self._engines[name], now),
+                Observe,
+            )
+        )
+
     def next_commands(self, now: units.Instant) -> tuple[Command, ...]:
         """Returns what to do at `now`; the caller reports how orders end."""
         found = []
         for name in sorted(self._engines):
             command = self._next_command(name, self._engines[name], now)
-            if command is not None:
-                found.append(command)
+            if command is None:
+                continue
             if isinstance(command, SendOrder):
+                limited = command.kind in _LOADS
+                if limited and not self._budget.take(now):
+                    continue
                 self._engines[name].ordered = True
+            found.append(command)
         return tuple(found)
 
     def _next_command(
@@ -163,16 +217,19 @@
         if engine.ordered or now < engine.not_before:
             return None
         age = units.elapsed(engine.seen, now)
-        if (
-            engine.report is None
-            or engine.stale
-            or age > self._limits.report_age
-        ):
+        if engine.report is None or engine.stale or age > self._limits.idle_age:
             return Observe(name)
         target = self._targets.get(name)
         if target is None or engine.report.leaving:
             return None
-        return self._step(target, engine, engine.report, now)
+        order = self._step(target, engine, engine.report, now)
+        draining = (
+            engine.report.role is states.EngineRole.RESERVE
+            and target.role is not states.EngineRole.RESERVE
+        )
+        if age > self._limits.report_age and (order is not None or draining):
+            return Observe(name)
+        return order
 
     def _step(
         self,
@@ -209,8 +266,7 @@
             )
         if removal is not None:
             return removal if self._is_drained(engine, now) else None
-        assert addition is not None
-        return addition if self._budget.take(now) else None
+        return addition
 
     def _removals(
         self,
--- a/packages/placement/src/lavendershed/placement/targets.py
+++ b/packages/placement/src/lavendershed/placement/targets.py
@@ -69,6 +69,30 @@
     return math.ceil(queued / (prefill_tokens_per_second * acceptable_wait))
 
 
+class Demand:
+    """Engines that each model needed within a recent time.
+
+    Models are not unloaded between two peaks that lie closer together.
+    """
+
+    def __init__(self, hold: units.Seconds) -> None:
+        self._hold = hold
+        self._peaks: dict[ids.ModelId, tuple[int, units.Instant]] = {}
+
+    def on_need(
+        self, name: ids.ModelId, engines: int, now: units.Instant
+    ) -> None:
+        """Takes the engines that a model needs at `now`."""
+        peak, since = self._peaks.get(name, (0, now))
+        if engines >= peak or units.elapsed(since, now) > self._hold:
+            self._peaks[name] = (engines, now)
+
+    @property
+    def engines(self) -> dict[ids.ModelId, int]:
+        """Engines to keep for each model."""
+        return {name: peak for name, (peak, _) in self._peaks.items()}
+
+
 def plan_targets(
     plan: model.ServicePlan,
     reports: Reports,
