--- a/packages/core/src/lavendershed/core/backend_servers.py
+++ b/packages/core/src/lavendershed/core/backend_servers.py
@@ -63,6 +63,7 @@
         resume_text: Text already delivered by an earlier attempt; the engine
             treats it as part of the prompt and continues at `first_offset`.
         first_offset: Offset of the first token that this stream produces.
+        hold: Reserved memory that the stream takes over.
     """
 
     stream_id: ids.StreamId
@@ -79,6 +80,7 @@
     kv_imports: tuple[ids.KvHandle, ...] = ()
     resume_text: str = ""
     first_offset: int = 0
+    hold: ids.HoldId | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -125,7 +127,6 @@
         timestamp: Seconds on the engine's monotonic clock.
         waiting: Streams that have not started their prefill.
         prefill_tokens_queued: Prompt tokens not yet prefilled.
-        adapters: Loaded adapters; None if the engine does not report them.
     """
 
     timestamp: float
@@ -138,7 +139,7 @@
     role: states.EngineRole
     models: tuple[ids.ModelId, ...]
     leaving: bool
-    adapters: tuple[ids.AdapterId, ...] | None = None
+    adapters: tuple[ids.AdapterId, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/placement/src/lavendershed/placement/planner.py
+++ b/packages/placement/src/lavendershed/placement/planner.py
@@ -32,6 +32,8 @@
             is observed again; short enough to repair late orders, long enough
             for services with thousands of engines.
         retry_delay: Time after a failed order until the next to that engine.
+        load_wait: Time after an accepted load until it is ordered again if
+            the engine does not report it.
         failures_until_down: Failed observations after which an engine counts
             as down.
         max_draining_share: Share of the engines that may be drained at once;
@@ -42,6 +44,7 @@
     report_age: units.Seconds = units.Seconds(1.0)
     idle_age: units.Seconds = units.Seconds(30.0)
     retry_delay: units.Seconds = units.Seconds(5.0)
+    load_wait: units.Seconds = units.Seconds(120.0)
     failures_until_down: int = 3
     max_draining_share: float = 0.2
 
@@ -75,6 +78,9 @@
     # Whether the engine has not been observed since its last order.
     stale: bool = False
     failures: int = 0
+    order: SendOrder | None = None
+    # Accepted loads, with the time until which they may be under way.
+    loads: dict[str, units.Instant] = dataclasses.field(default_factory=dict)
     not_before: units.Instant = units.Instant(0.0)
 
 
@@ -154,6 +160,8 @@
             engine.idle_since = None
         if _is_idle(report) and engine.idle_since is None:
             engine.idle_since = now
+        if restarted:
+            engine.loads.clear()
         engine.report = report
         engine.seen = now
         engine.stale = False
@@ -179,6 +187,19 @@
         engine = self._engines[name]
         engine.ordered = False
         engine.stale = True
+        order, engine.order = engine.order, None
+        if order is not None and succeeded:
+            if order.kind in _LOADS:
+                engine.loads[order.target] = units.after(
+                    now, self._limits.load_wait
+                )
+            elif (
+                order.kind is backend_servers.OrderKind.CHANGE_ROLE
+                and order.target != states.EngineRole.RESERVE.value
+            ):
+                # A lagging report may show the engine idle in reserve after
+                # it went back to work.
+                engine.idle_since = None
         if not succeeded:
             engine.not_before = units.after(now, self._limits.retry_delay)
 
@@ -205,6 +226,7 @@
                 if limited and not self._budget.take(now):
                     continue
                 self._engines[name].ordered = True
+                self._engines[name].order = command
             found.append(command)
         return tuple(found)
 
@@ -250,8 +272,14 @@
                 reserve.value,
                 "drain",
             )
-        addition = next(_additions(target, report), None)
-        if removal is None and addition is None:
+        additions = tuple(_additions(target, report))
+        due = (
+            order
+            for order in additions
+            if now >= engine.loads.get(order.target, now)
+        )
+        addition = next(due, None)
+        if removal is None and not additions:
             # `general` engines take any work, so that one may go back at once.
             ready = target.role is states.EngineRole.GENERAL
             if report.role is target.role or not (
@@ -273,7 +301,7 @@
         target: targets_module.EngineTarget,
         report: backend_servers.LoadReport,
     ) -> Iterator[SendOrder]:
-        if target.adapters is not None and report.adapters is not None:
+        if target.adapters is not None:
             for adapter in report.adapters:
                 if adapter not in target.adapters:
                     yield SendOrder(
@@ -347,8 +375,6 @@
                 name,
                 "wanted",
             )
-    if report.adapters is None:
-        return
     for adapter in target.adapters or ():
         if adapter not in report.adapters:
             yield SendOrder(
--- a/packages/placement/tests/lease_world.py
+++ b/packages/placement/tests/lease_world.py
@@ -39,6 +39,8 @@
         self.now = units.Instant(100.0)
         self.store = FakeLeaseStore()
         self.late_writes = []
+        self.calls = {}
+        self.holders = {}
         self.incarnations = [1] * DAEMONS
         self.leases = [self.lease(n) for n in range(DAEMONS)]
 
@@ -54,10 +56,11 @@
         fault=strategies.sampled_from(
             ("none", "none", "none", "lost", "late", "dropped", "down")
         ),
-        delay=strategies.sampled_from((0.0, 0.0, 1.0, 12.0)),
     )
-    def work(self, daemon, wanted, fault, delay):
-        """One store call; the answer may come back after a pause."""
+    def call(self, daemon, wanted, fault):
+        """Sends a store call; its answer may come back much later."""
+        if daemon in self.calls:
+            return
         lease = self.leases[daemon]
         command = lease.next_command(wanted, self.now)
         if command is None:
@@ -65,23 +68,44 @@
         if isinstance(command, lease_module.ReadLease):
             if fault == "none":
                 version, record = self.store.current or (None, None)
-                self.pause(delay)
-                lease.on_read(record, version, self.now)
+                self.calls[daemon] = lambda: lease.on_read(
+                    record, version, self.now
+                )
             return
         version = None
         if fault in ("none", "lost"):
             version = self.store.put(command)
         elif fault == "late":
             self.late_writes.append(command)
-        self.pause(delay)
         if fault == "none" and version is not None:
-            lease.on_written(version, self.now)
+            self.calls[daemon] = lambda: lease.on_written(version, self.now)
             return
         kind = {
             "none": object_store.StoreErrorKind.CONFLICT,
             "down": object_store.StoreErrorKind.UNAVAILABLE,
         }.get(fault, object_store.StoreErrorKind.AMBIGUOUS)
-        lease.on_write_failed(object_store.StoreError(kind, ""), self.now)
+        error = object_store.StoreError(kind, "")
+        self.calls[daemon] = lambda: lease.on_write_failed(error, self.now)
+
+    @stateful.precondition(lambda self: self.calls)
+    @stateful.rule(position=strategies.integers(0, 100))
+    def answer(self, position):
+        """The answer to an outstanding store call arrives."""
+        daemons = sorted(self.calls)
+        self.calls.pop(daemons[position % len(daemons)])()
+
+    @stateful.rule(daemon=strategies.integers(0, DAEMONS - 1))
+    def run_alone(self, daemon):
+        """The other daemons are paused for long enough to lose a lease."""
+        for _ in range(20):
+            self.work(daemon, True, "none")
+            self.pause(1.0)
+
+    def work(self, daemon, wanted, fault):
+        """One store call with an immediate answer."""
+        self.calls.pop(daemon, lambda: None)()
+        self.call(daemon, wanted, fault)
+        self.calls.pop(daemon, lambda: None)()
 
     @stateful.precondition(lambda self: self.late_writes)
     @stateful.rule()
@@ -91,6 +115,7 @@
     @stateful.rule(daemon=strategies.integers(0, DAEMONS - 1))
     def restart(self, daemon):
         self.incarnations[daemon] += 1
+        self.calls.pop(daemon, None)
         self.leases[daemon] = self.lease(daemon)
 
     @stateful.rule(duration=strategies.sampled_from((0.5, 3.0, 9.0, 16.0)))
@@ -106,6 +131,14 @@
         held = [number for number in numbers if number is not None]
         assert len(held) <= 1, numbers
 
+    @stateful.invariant()
+    def every_holder_has_a_number_of_its_own(self):
+        for daemon, lease in enumerate(self.leases):
+            number = lease.may_act(self.now, checks_fencing=True)
+            if number is not None:
+                holder = (daemon, self.incarnations[daemon])
+                assert self.holders.setdefault(number, holder) == holder
+
     @stateful.invariant()
     def nobody_acts_with_a_number_below_the_stored_one(self):
         if self.store.current is None:
@@ -118,6 +151,6 @@
     def teardown(self):
         """Without faults, a daemon with the duty gets the lease."""
         for _ in range(40):
-            self.work(0, True, "none", 0.0)
+            self.work(0, True, "none")
             self.pause(1.0)
         assert self.leases[0].may_act(self.now, True) is not None
--- a/packages/placement/tests/test_planner.py
+++ b/packages/placement/tests/test_planner.py
@@ -25,6 +25,8 @@
 ROLES = states.EngineRole
 # Time within which all daemons follow an engine's own report.
 LAG = units.Seconds(5.0)
+REPORT_LAG = units.Seconds(0.5)
+LOAD_TIME = units.Seconds(4.0)
 PLAN = model.ServicePlan(
     ids.ServiceId("drafting"),
     (model.RoleShare(ROLES.PREFILL, 0.3),),
@@ -34,7 +36,7 @@
 
 @dataclasses.dataclass
 class FakeEngine:
-    """An engine that carries out orders at once when they arrive."""
+    """An engine that loads for a time and reports with a lag."""
 
     checks: bool = True
     number: int = 0
@@ -42,8 +44,25 @@
     models: tuple = (OLD,)
     running: int = 0
     reserved_since: float = 0.0
-
-    def report(self):
+    loading: dict = dataclasses.field(default_factory=dict)
+    loads: int = 0
+    reported: object = None
+    reported_at: float = 0.0
+
+    def finish_loads(self, now):
+        for name, ready in tuple(self.loading.items()):
+            if now >= ready:
+                del self.loading[name]
+                self.models = (*self.models, name)
+
+    def report(self, now):
+        """Returns a report that is up to `REPORT_LAG` old."""
+        self.finish_loads(now)
+        if self.reported is None or now > self.reported_at + REPORT_LAG:
+            self.reported, self.reported_at = self.current_report(), now
+        return self.reported
+
+    def current_report(self):
         return backend_servers.LoadReport(
             0.0,
             ids.Incarnation(1),
@@ -62,8 +81,11 @@
         if self.checks and number < self.number:
             return False
         self.number = max(self.number, number)
+        self.finish_loads(now)
         if kind is KINDS.LOAD_MODEL:
-            self.models = (*self.models, target)
+            self.loads += 1
+            if target not in self.models:
+                self.loading.setdefault(target, now + LOAD_TIME)
         elif kind is KINDS.UNLOAD_MODEL:
             self.models = tuple(m for m in self.models if m != target)
         else:
@@ -122,7 +144,7 @@
                 if isinstance(command, planner_module.Observe):
                     planner.on_report(
                         command.engine,
-                        self.engines[command.engine].report(),
+                        self.engines[command.engine].report(self.now),
                         self.now,
                     )
                 else:
@@ -184,7 +206,7 @@
         for engine in self.engines.values():
             engine.running = 0
         for _ in range(200):
-            self.work(0, True, "none", 0.0)
+            self.work(0, True, "none")
             self.plan(0)
             while self.orders:
                 self.order_arrives(0)
@@ -214,7 +236,7 @@
         self.world.choose_kind(True)
 
     def turn(self):
-        self.world.work(0, True, "none", 0.0)
+        self.world.work(0, True, "none")
         self.world.plan(0)
         loads = [
             o for o in self.world.orders if o.order.kind is KINDS.LOAD_MODEL
@@ -233,7 +255,9 @@
                 if e.role is not ROLES.RESERVE and e.models
             ]
             self.assertGreaterEqual(len(working), 2)
-        self.assertEqual(self.world.engines[ENGINES[0]].models, (NEW,))
+        for engine in self.world.engines.values():
+            self.assertEqual(engine.models, (NEW,))
+            self.assertEqual(engine.loads, 1)
 
     def test_loads_keep_to_the_rate_of_the_weight_store(self):
         counts = [self.turn() for _ in range(60)]
@@ -265,7 +289,7 @@
     def test_a_backlog_adds_engines_beyond_the_share(self):
         reports = {
             name: dataclasses.replace(
-                FakeEngine().report(), prefill_tokens_queued=90_000
+                FakeEngine().current_report(), prefill_tokens_queued=90_000
             )
             for name in ENGINES
         }
