--- a/packages/placement/tests/test_planner.py
+++ b/packages/placement/tests/test_planner.py
@@ -26,6 +26,8 @@
 # Time within which all daemons follow an engine's own report.
 LAG = units.Seconds(5.0)
 REPORT_LAG = units.Seconds(0.5)
+# Loads per second that the weight store takes.
+RATE = 0.5
 LOAD_TIME = units.Seconds(4.0)
 PLAN = model.ServicePlan(
     ids.ServiceId("drafting"),
@@ -112,12 +114,14 @@
         super().__init__()
         self.engines = {name: FakeEngine() for name in ENGINES}
         self.orders = []
+        self.loads_sent = []
+        self.planned_since = None
         self.numbers = [0] * lease_world.DAEMONS
         self.planners = [self.planner() for _ in range(lease_world.DAEMONS)]
 
     def planner(self):
         made = planner_module.PlacementPlanner(
-            planner_module.PlannerLimits(), load_budget.LoadBudget(0.5, 2.0)
+            planner_module.PlannerLimits(), load_budget.LoadBudget(RATE, 2.0)
         )
         made.on_engines(frozenset(ENGINES))
         return made
@@ -137,6 +141,7 @@
             self.numbers[daemon] = number
             self.planners[daemon] = self.planner()
             self.planners[daemon].restart(self.now)
+            self.planned_since = self.now
             self.planners[daemon].on_engines(frozenset(ENGINES))
         planner = self.planners[daemon]
         for _ in range(2):
@@ -155,6 +160,8 @@
 
     def send(self, daemon, planner, number, order):
         engine = self.engines[order.engine]
+        if order.kind is KINDS.LOAD_MODEL:
+            self.loads_sent.append(self.now)
         if self.destroys(order, engine):
             assert not engine.running, "destructive order to a busy engine"
         self.orders.append(LateOrder(daemon, planner, number, order, self.now))
@@ -260,9 +267,43 @@
             self.assertEqual(engine.loads, 1)
 
     def test_loads_keep_to_the_rate_of_the_weight_store(self):
-        counts = [self.turn() for _ in range(60)]
-        for start in range(50):
-            self.assertLessEqual(sum(counts[start : start + 10]), 7)
+        for engine in self.world.engines.values():
+            engine.models = ()
+        counts = [self.turn() for _ in range(30)]
+        self.assertEqual(sum(counts), len(ENGINES))
+        acting = self.world.planned_since
+        for number, sent in enumerate(self.world.loads_sent, 1):
+            self.assertGreaterEqual(sent - acting, number / RATE)
+
+    def test_work_of_lagging_daemons_ends_before_a_change(self):
+        times = {}
+        for _ in range(100):
+            for engine in self.world.engines.values():
+                if engine.role is ROLES.RESERVE and engine.models == (OLD,):
+                    times[id(engine)] = self.world.now - engine.reserved_since
+            self.turn()
+        self.assertEqual(len(times), len(ENGINES))
+        self.assertGreaterEqual(min(times.values()), LAG)
+
+    def test_the_last_copy_of_a_wanted_model_stays(self):
+        planner = self.world.planner()
+        planner.restart(units.Instant(0.0))
+        first, second = ENGINES[:2]
+        planner.on_engines(frozenset((first, second)))
+        planner.on_targets(
+            (
+                targets_module.EngineTarget(first, ROLES.GENERAL, (OLD,)),
+                targets_module.EngineTarget(second, ROLES.GENERAL, (NEW,)),
+            )
+        )
+        moved = FakeEngine(models=(NEW,), role=ROLES.RESERVE)
+        for now in (units.Instant(0.0), units.Instant(30.0)):
+            planner.on_report(first, moved.current_report(), now)
+            planner.on_report(second, FakeEngine().current_report(), now)
+        commands = planner.next_commands(units.Instant(30.0))
+        self.assertEqual(
+            {command.kind for command in commands}, {KINDS.LOAD_MODEL}
+        )
 
     def test_a_busy_engine_is_not_changed(self):
         self.world.engines[ENGINES[0]].running = 1
--- /dev/null
+++ b/tests/test_placement_process.py
@@ -0,0 +1,85 @@
+"""Guards the placement of models by routers on engines, as processes."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import tempfile
+import unittest
+
+from lavendershed.standin import deployment
+from lavendershed.standin import fleet as fleet_module
+from lavendershed.standin import history
+
+WANTED = "almanac-2"
+# An engine has to be seen idle in reserve for 6 s before it is changed.
+LIMIT = 30.0
+
+
+class PlacementProcessTest(unittest.IsolatedAsyncioTestCase):
+    """Fails if a preset's models do not get onto the engines."""
+
+    async def asyncSetUp(self):
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.deployment = deployment.Deployment(
+            pathlib.Path(directory.name),
+            deployment.Shape(
+                routers=2,
+                engines=1,
+                plain_servers=1,
+                engine_arguments=("--model", "almanac"),
+            ),
+        )
+        self.deployment.presets = [
+            {
+                "name": "ordinary",
+                "service_plans": [
+                    {
+                        "service": deployment.GENERATE_SERVICE,
+                        "models": [{"model": WANTED}],
+                    }
+                ],
+            }
+        ]
+        fleet = self.deployment.fleet
+        self.addAsyncCleanup(fleet.stop)
+        await self.deployment.start_backends()
+        status, _, errors = await self.deployment.apply()
+        self.assertEqual(status, 0, errors)
+        for name in self.deployment.routers:
+            await fleet.start_router(name, self.deployment.store)
+        self.assertTrue(await fleet.wait_ready(self.deployment.routers))
+
+    async def report(self):
+        member = self.deployment.fleet.member("engine-1")
+        answer = await fleet_module.get(member.address, "/v1/load")
+        return answer.body.decode()
+
+    async def test_models_of_a_preset_are_placed_by_one_router(self):
+        loop = asyncio.get_running_loop()
+        end = loop.time() + LIMIT
+        placed = f'"models":["{WANTED}"]'
+        while loop.time() < end:
+            report = await self.report()
+            if placed in report and '"role":"general"' in report:
+                break
+            await asyncio.sleep(0.2)
+        else:
+            self.fail(report)
+        orders = [
+            record
+            for record in history.read(
+                self.deployment.fleet.history_path("engine-1")
+            )
+            if record["action"] == "order"
+        ]
+        self.assertEqual(
+            [order["kind"] for order in orders],
+            ["change_role", "unload_model", "load_model", "change_role"],
+        )
+        self.assertEqual({order["fencing_number"] for order in orders}, {1})
+
+
+if __name__ == "__main__":
+    unittest.main()
