Record answers of bookings that come after the deadline

Cause: a booking that its service finished just after the caller's deadline was recorded as unknown for good, although the answer was on its way.

Change: the caller is told unknown at the deadline; the answer is waited for another 25 s, recorded, and given to a resend of the key. At most 2,000 bookings are outstanding per daemon.

--- a/packages/booking/src/lavendershed/booking/machine.py
+++ b/packages/booking/src/lavendershed/booking/machine.py
@@ -93,6 +93,7 @@
         self._failures = 0
         self._final = self._record(states.BookingState.ABANDONED)
         self._settled = True
+        self._replied = False
 
     @property
     def phase(self) -> Phase:
@@ -233,6 +234,27 @@
             )
         )
 
+    def on_deadline(self, now: units.Instant) -> Commands:
+        """Takes the deadline while a send is outstanding.
+
+        The caller is told; the answer is still waited for, so that it is
+        recorded and can be asked for again.
+        """
+        if self._phase is not Phase.SENDING or self._replied:
+            return ()
+        if not self._attempt.deadline.is_past(now):
+            return ()
+        return self._reply(
+            result.Err(
+                outcomes.RequestFailure(
+                    states.FailureReason.DEADLINE_EXCEEDED,
+                    states.Execution.UNKNOWN,
+                    "the backend server has not answered yet; ask for its "
+                    "answer by sending the request again with the same key",
+                )
+            )
+        )
+
     def on_sent(
         self, outcome: commands.SendOutcome, now: units.Instant
     ) -> Commands:
@@ -243,14 +265,14 @@
             )
             self._phase = Phase.RECORDING
             return (
-                commands.Reply(result.Ok(outcome.answer)),
+                *self._reply(result.Ok(outcome.answer)),
                 self._write_final(units.Seconds(0.0)),
             )
         if isinstance(outcome, commands.Unclear):
             self._final = self._record(states.BookingState.UNKNOWN)
             self._phase = Phase.RECORDING
             return (
-                commands.Reply(result.Err(outcome.failure)),
+                *self._reply(result.Err(outcome.failure)),
                 self._write_final(units.Seconds(0.0)),
             )
         if outcome.try_again and now < self._send_before:
@@ -326,7 +348,7 @@
         # With the condition of the claim itself, this write also prevents a
         # claim that is still on its way from taking effect.
         return (
-            commands.Reply(result.Err(failure)),
+            *self._reply(result.Err(failure)),
             self._write_final(units.Seconds(0.0)),
         )
 
@@ -392,7 +414,7 @@
         replayed = backend_servers.PlainAnswer(
             answer.status, answer.content_type, answer.body
         )
-        return (commands.Reply(result.Ok(replayed)),)
+        return self._reply(result.Ok(replayed))
 
     def _finish_unknown(self, detail: str) -> Commands:
         return self._finish(
@@ -406,7 +428,18 @@
 
     def _finish(self, failure: outcomes.RequestFailure) -> Commands:
         self._phase = Phase.FINISHED
-        return (commands.Reply(result.Err(failure)),)
+        return self._reply(result.Err(failure))
+
+    def _reply(
+        self,
+        outcome: result.Result[
+            backend_servers.PlainAnswer, outcomes.RequestFailure
+        ],
+    ) -> tuple[commands.Reply, ...]:
+        if self._replied:
+            return ()
+        self._replied = True
+        return (commands.Reply(outcome),)
 
     def _next_delay(self) -> units.Seconds:
         """Returns a delay with full jitter that grows with each failure."""
--- a/packages/booking/tests/test_machine.py
+++ b/packages/booking/tests/test_machine.py
@@ -76,6 +76,7 @@
     reply: object = None
     executed: bool = False
     digest: str = ""
+    deadline: float = 0.0
 
 
 class BookingWorld(stateful.RuleBasedStateMachine):
@@ -143,6 +144,7 @@
             random.Random(self.sequence),
         )
         attempt = Attempt(key, daemon, owner, booking, name, digest=digest)
+        attempt.deadline = self.now + timeout
         self.attempts.append(attempt)
         self.take(attempt, booking.start(self.now))
 
@@ -266,6 +268,13 @@
     @stateful.rule(duration=strategies.sampled_from((0.1, 2.0, 30.0)))
     def pause(self, duration):
         self.now = units.after(self.now, units.Seconds(duration))
+        for attempt in self.steppable():
+            if attempt.in_flight and self.now >= attempt.deadline:
+                send = attempt.pending
+                self.take(attempt, attempt.machine.on_deadline(self.now))
+                assert attempt.reply is not None
+                assert attempt.pending is None
+                attempt.pending = send
 
     @stateful.invariant()
     def runs_at_most_once(self):
@@ -407,6 +416,16 @@
         _, record = self.world.store.objects[KEYS[0]]
         self.assertIs(record.state, states.BookingState.ABANDONED)
 
+    def test_an_answer_after_the_deadline_can_be_asked_for(self):
+        self.world.send_request(KEYS[0], 0, 1.0, "a")
+        attempt = self.world.attempts[0]
+        self.world.perform(attempt, "none", "answer")
+        self.world.perform(attempt, "none", "answer")
+        self.world.pause(2.0)
+        self.assertIs(self.failure(attempt).execution, states.Execution.UNKNOWN)
+        self.finish(attempt)
+        self.assertIsInstance(self.run_all(daemon=1).reply, result.Ok)
+
     def test_an_unreadable_record_of_another_attempt_is_unknown(self):
         self.run_all()
         self.world.send_request(KEYS[0], 1, 10.0, "a")
--- a/packages/daemon/src/lavendershed/daemon/bookings.py
+++ b/packages/daemon/src/lavendershed/daemon/bookings.py
@@ -31,6 +31,8 @@
 
 # Records that could not be written yet hold answers of up to 64 kB in memory.
 MAX_UNSETTLED = 200
+# Each outstanding booking may hold a connection to a silent server.
+MAX_OUTSTANDING = 2_000
 # During an outage, this many unsettled records are tried at a time, so that a
 # daemon sends a few calls a second and no burst when the store returns.
 SETTLE_LANES = 2
@@ -122,6 +124,14 @@
                     "for the object store; send the request again later",
                 )
             )
+        if len(self._tasks) >= MAX_OUTSTANDING:
+            return result.Err(
+                outcomes.not_run(
+                    states.FailureReason.QUEUE_FULL,
+                    f"{len(self._tasks)} bookings of this router wait for "
+                    "their services; send the request again later",
+                )
+            )
         attempt_id = ids.AttemptId(uuid.uuid4().hex)
         machine = machine_module.BookingMachine(
             machine_module.BookingAttempt(
@@ -231,8 +241,7 @@
         self, attempt: _Attempt, step: commands.Command
     ) -> machine_module.Commands:
         if isinstance(step, commands.Send):
-            outcome = await attempt.call.send(attempt.attempt_id, step.before)
-            return attempt.machine.on_sent(outcome, self._timers.now())
+            return await self._send(attempt, step)
         delay = _delay(step)
         if delay > 0:
             await event_loop_timers.sleep(self._timers, delay)
@@ -240,6 +249,22 @@
             return await self._write(attempt, step)
         return await self._read(attempt)
 
+    async def _send(
+        self, attempt: _Attempt, step: commands.Send
+    ) -> machine_module.Commands:
+        def on_deadline() -> None:
+            given = attempt.machine.on_deadline(self._timers.now())
+            self._deliver(attempt, given)
+
+        at_deadline = self._timers.subscribe_at(
+            attempt.request.deadline.at, on_deadline
+        )
+        try:
+            outcome = await attempt.call.send(attempt.attempt_id, step.before)
+        finally:
+            at_deadline.cancel()
+        return attempt.machine.on_sent(outcome, self._timers.now())
+
     async def _write(
         self, attempt: _Attempt, step: commands.WriteRecord
     ) -> machine_module.Commands:
--- a/packages/daemon/src/lavendershed/daemon/calls.py
+++ b/packages/daemon/src/lavendershed/daemon/calls.py
@@ -30,6 +30,9 @@
 # A silent server can't be told from one that is still working; the first
 # attempt gets this share of the time so that another one remains possible.
 _ATTEMPT_SHARE = 0.5
+# Time for which the answer to a booking is waited for after the deadline of
+# its caller, so that a late answer is recorded and can be asked for again.
+_LATE_ANSWER_WAIT = units.Seconds(25.0)
 
 CallResult = result.Result[backend_servers.PlainAnswer, outcomes.RequestFailure]
 
@@ -210,8 +213,13 @@
             attempt=attempt,
             server=server,
         )
+        remaining = request.deadline.remaining(now)
         answer = await self.send(
-            request, server, attempt, request.deadline.remaining(now), before
+            request,
+            server,
+            attempt,
+            units.Seconds(remaining + _LATE_ANSWER_WAIT),
+            before,
         )
         if isinstance(answer, result.Ok):
             return commands.Completed(answer.ok_value)
