Keep short prompts apart from prefills and long ones in order

Cause: a trace of the slowest short prompts shows (a) two routers that choose the same engine within one report interval, (b) own dispatches forgotten because a report was taken to be as new as its arrival, (c) short prompts sent to an engine in prefill to spare a decoding one a delay of 0.15 s, (d) long prompts overtaken by every medium one.

Change: (a) the last engines of the order that all daemons share take short prompts only, and each daemon prefers its own order among engines of equal cost; (b) the time of a report is taken from the engine's clock and the fastest report seen; (c) delays of decoding streams count 0.05; (d) medium and long prompts have the same engine priority. Estimates skip digests that are older than the report.

--- a/packages/routing/src/lavendershed/routing/chooser.py
+++ b/packages/routing/src/lavendershed/routing/chooser.py
@@ -133,6 +133,11 @@
         )
 
 
+_MIN_WEIGHT = 0.001
+# Larger parts would leave medium and long prompts less than half the engines.
+_MAX_SHORT_SHARE = 0.5
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CostSettings:
     """Constants of the cost estimate.
@@ -146,12 +151,24 @@
         max_backlog: Seconds of prefill on an engine above which medium and
             long prompts stay queued in the daemon, where a better engine can
             still be chosen.
+        decode_weight: Weight of a delay to a stream that already produces
+            tokens. An answer takes about ten times as long as its first token,
+            so the same delay is a smaller slowdown.
+        short_share: Part of the engines, at the end of the order that all
+            daemons agree on, that take short prompts only. It is scaled by the
+            preset's weight of short prompts relative to long ones.
+        home_bias: Cost of the last engine in the daemon's own order. Daemons
+            prefer different engines of equal cost, so that they do not meet on
+            one engine before its next report.
     """
 
     samples: int = 8
     chunk_tokens: int = 2_048
     decode_step: units.Seconds = units.Seconds(0.012)
     max_backlog: units.Seconds = units.Seconds(1.0)
+    decode_weight: float = 0.05
+    short_share: float = 0.1
+    home_bias: units.Seconds = units.Seconds(0.1)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -160,8 +177,8 @@
 
     Attributes:
         ttft: Predicted time to first token of the request.
-        imposed: Delay that the request adds to others on the engine, summed
-            over requests.
+        imposed: Delay that the request adds to others on the engine, weighted
+            and summed over requests.
         total: Weighted sum, which the choice minimises.
     """
 
@@ -230,12 +247,26 @@
         fleet: engine_fleet.EngineFleet,
         preset: model.Preset,
     ) -> list[engine_view.EngineView]:
-        share = 1.0
-        if work.prompt_class is states.PromptClass.LONG:
-            share = preset.long_prefill_share
-        sampled = fleet.sample(self._settings.samples, share)
+        samples = self._settings.samples
+        boundary = 1.0 - self._short_share(preset)
+        if work.prompt_class is states.PromptClass.SHORT:
+            half = samples // 2
+            sampled = fleet.sample(half, boundary) + fleet.sample(
+                samples - half, 0.0, boundary
+            )
+        elif work.prompt_class is states.PromptClass.MEDIUM:
+            sampled = fleet.sample(samples, 0.0, boundary)
+        else:
+            limit = min(preset.long_prefill_share, boundary)
+            sampled = fleet.sample(samples, 0.0, limit)
         return [view for view in sampled if _allowed(work, view, fleet)]
 
+    def _short_share(self, preset: model.Preset) -> float:
+        weights = preset.short_slowdown_weight / max(
+            preset.long_ttft_weight, _MIN_WEIGHT
+        )
+        return min(_MAX_SHORT_SHARE, self._settings.short_share * weights)
+
     def _no_candidate(
         self, work: work_module.Work, fleet: engine_fleet.EngineFleet
     ) -> result.Err[Wait]:
@@ -255,10 +286,8 @@
     ) -> bool:
         if work.prompt_class is states.PromptClass.SHORT:
             return False
-        backlog = estimate.prefill_tokens
-        if work.prompt_class is states.PromptClass.MEDIUM:
-            backlog -= estimate.long_tokens
-        return backlog > self._settings.max_backlog * self._rate
+        limit = self._settings.max_backlog * self._rate
+        return estimate.prefill_tokens > limit
 
     def _cost(
         self,
@@ -277,13 +306,20 @@
         remaining = estimate.prefill_tokens / self._rate
         stretched = min(remaining, work.max_tokens * step)
         added = uncached / self._rate
-        imposed = added * (estimate.decoding + self._behind(work, estimate))
+        weight = self._settings.decode_weight
+        imposed = added * (
+            weight * estimate.decoding + self._behind(work, estimate)
+        )
         own_weight, others_weight = 1.0, preset.short_slowdown_weight
         if work.prompt_class is states.PromptClass.SHORT:
             own_weight = preset.short_slowdown_weight
         elif work.prompt_class is states.PromptClass.LONG:
             own_weight = preset.long_ttft_weight
-        total = own_weight * (ttft + stretched) + others_weight * imposed
+        total = (
+            own_weight * (ttft + weight * stretched) + others_weight * imposed
+        )
+        if work.prompt_class is states.PromptClass.SHORT:
+            total += self._settings.home_bias * view.rank
         return Cost(units.Seconds(ttft), units.Seconds(imposed), total, cached)
 
     def _ahead(
@@ -291,21 +327,18 @@
     ) -> float:
         """Returns the tokens that the engine prefills before this prompt."""
         queued = estimate.prefill_tokens
-        if work.prompt_class is states.PromptClass.LONG:
+        if work.prompt_class is not states.PromptClass.SHORT:
             return queued
         # A step in progress is finished first, and the step that produces the
         # first token carries a chunk of the lower priorities.
         passing = 2.0 * self._settings.chunk_tokens
-        if work.prompt_class is states.PromptClass.MEDIUM:
-            lower = estimate.long_tokens
-        else:
-            lower = queued - estimate.short_tokens
-        return queued - lower + min(lower, passing)
+        lower = queued - estimate.short_tokens
+        return estimate.short_tokens + min(lower, passing)
 
     def _behind(
         self, work: work_module.Work, estimate: engine_view.EngineEstimate
     ) -> int:
         """Returns how many queued prompts this prompt is run before."""
-        if work.prompt_class is states.PromptClass.LONG:
+        if work.prompt_class is not states.PromptClass.SHORT:
             return 0
-        return 1 if estimate.long_tokens > 0 else 0
+        return 1 if estimate.prefill_tokens > estimate.short_tokens else 0
--- a/packages/routing/src/lavendershed/routing/engine_fleet.py
+++ b/packages/routing/src/lavendershed/routing/engine_fleet.py
@@ -68,13 +68,15 @@
         return self._availability.accepts_work(engine)
 
     def sample(
-        self, count: int, share: float = 1.0
+        self, count: int, start: float = 0.0, end: float = 1.0
     ) -> list[engine_view.EngineView]:
-        """Returns up to `count` engines of the first `share` of the order.
+        """Returns up to `count` engines between two places of the order.
 
-        They differ and are in random order.
+        They differ and are in random order. The part has at least one engine.
         """
-        eligible = self._ordered[: self.share_size(share)]
+        first = min(round(start * len(self._ordered)), len(self._ordered) - 1)
+        last = max(first + 1, round(end * len(self._ordered)))
+        eligible = self._ordered[max(0, first) : last]
         return self._random.sample(eligible, min(count, len(eligible)))
 
     def share_size(self, share: float) -> int:
@@ -90,11 +92,8 @@
         # All daemons compute the same order, so that they agree on the engines
         # for long prompts without messages.
         order = rendezvous.ranked(names, service.name, len(names))
-        subset = set(
-            rendezvous.ranked(names, self._daemon, self._subset_size)
-            if len(names) > self._subset_size
-            else names
-        )
+        subset = rendezvous.ranked(names, self._daemon, self._subset_size)
+        ranks = {name: n / len(subset) for n, name in enumerate(subset)}
         blocks = min(
             _MAX_BLOCKS_PER_ENGINE, _TOTAL_BLOCKS // max(1, len(subset))
         )
@@ -104,7 +103,7 @@
         self._views = {n: v for n, v in old.items() if v.outstanding}
         ordered = []
         for index, name in enumerate(order):
-            if name not in subset:
+            if name not in ranks:
                 continue
             view = old.get(name) or engine_view.EngineView(
                 name,
@@ -113,6 +112,7 @@
                 blocks,
             )
             view.position = index / len(order)
+            view.rank = ranks[name]
             self._views[name] = view
             ordered.append(view)
         self._ordered = tuple(ordered)
--- a/packages/routing/src/lavendershed/routing/engine_view.py
+++ b/packages/routing/src/lavendershed/routing/engine_view.py
@@ -13,9 +13,8 @@
 from lavendershed.routing import prefix_index
 from lavendershed.routing import work as work_module
 
-# A report reflects the engine as it was before its way to the daemon. Own
-# dispatches of this time before its arrival may be missing from it.
-_REPORT_DELAY = units.Seconds(0.02)
+# Shortest way of a report; the clock offset below contains it.
+_REPORT_DELAY = units.Seconds(0.002)
 # A peer's digest counts half after this time without a newer one.
 _DIGEST_HALF_LIFE = units.Seconds(1.0)
 # An engine whose report is older than this is estimated from own dispatches
@@ -61,6 +60,7 @@
         name: The engine.
         position: Place in the order of engines that all daemons agree on, from
             0 to 1.
+        rank: Place in this daemon's own order of engines, from 0 to 1.
     """
 
     def __init__(
@@ -72,11 +72,13 @@
     ) -> None:
         self.name = name
         self.position = 0.0
+        self.rank = 0.0
         self._memory_tokens = memory_tokens
         self._rate = prefill_rate
         self._prefixes = prefix_index.PrefixIndex(max_blocks)
         self._report: backend_servers.LoadReport | None = None
-        self._report_at = units.Instant(0.0)
+        self._taken_at = units.Instant(0.0)
+        self._clock_offset = math.inf
         self._in_flight: dict[work_module.Ticket, _Dispatch] = {}
         self._prefilling: dict[work_module.Ticket, _Dispatch] = {}
         self._digests: dict[
@@ -112,11 +114,12 @@
     def estimate(self, now: units.Instant) -> EngineEstimate:
         """Returns the load expected at `now`."""
         tokens, streams, used = self._reported(now)
+        reported_tokens, reported_streams = tokens, streams
         decoding = streams
         short = long = 0.0
-        since = self._report_at - _REPORT_DELAY
+        since = self._taken_at
         if not self._has_report(now):
-            since = -math.inf
+            since = units.Instant(-math.inf)
         for dispatch in self._prefilling.values():
             if dispatch.at >= since:
                 tokens += dispatch.prefill_tokens
@@ -129,9 +132,13 @@
             elif dispatch.prompt_class is states.PromptClass.LONG:
                 long += dispatch.prefill_tokens
         own_decoding = len(self._in_flight) - len(self._prefilling)
-        peer_tokens, peer_streams = self._peer_load(now)
-        tokens += peer_tokens
-        streams = max(streams + peer_streams, len(self._in_flight))
+        if self._digests:
+            peer_tokens, peer_streams = self._peer_load(
+                reported_tokens, reported_streams, now
+            )
+            tokens += peer_tokens
+            streams += peer_streams
+        streams = max(streams, len(self._in_flight))
         return EngineEstimate(
             tokens,
             min(short, tokens),
@@ -149,10 +156,21 @@
         old = self._report
         if old is not None and report.incarnation != old.incarnation:
             self._prefixes.reset()
+            self._clock_offset = math.inf
         elif old is not None and report.timestamp <= old.timestamp:
             return
         self._report = report
-        self._report_at = now
+        # The engine's clock is another one, and a report may be old when it is
+        # read. The fastest report seen gives the offset between the clocks.
+        self._clock_offset = min(self._clock_offset, now - report.timestamp)
+        self._taken_at = units.Instant(
+            report.timestamp + self._clock_offset - _REPORT_DELAY
+        )
+        self._digests = {
+            peer: (load, at)
+            for peer, (load, at) in self._digests.items()
+            if at > self._taken_at
+        }
 
     def on_peer_load(
         self,
@@ -186,7 +204,7 @@
     def _has_report(self, now: units.Instant) -> bool:
         if self._report is None:
             return False
-        return now - self._report_at <= _REPORT_LIFETIME
+        return now - self._taken_at <= _REPORT_LIFETIME
 
     def _reported(self, now: units.Instant) -> tuple[float, int, float]:
         report = self._report
@@ -198,7 +216,7 @@
             ]
             reserved = sum(dispatch.reserved_tokens for dispatch in decoding)
             return 0.0, len(decoding), float(reserved)
-        drained = self._rate * (now - self._report_at + _REPORT_DELAY)
+        drained = self._rate * (now - self._taken_at)
         tokens = max(0.0, report.prefill_tokens_queued - drained)
         # Reports give bytes; the share of memory is independent of the bytes
         # that one token takes.
@@ -209,17 +227,22 @@
             share * self._memory_tokens,
         )
 
-    def _peer_load(self, now: units.Instant) -> tuple[float, int]:
-        """Returns peers' work that the last report cannot contain yet."""
+    def _peer_load(
+        self, reported_tokens: float, reported_streams: int, now: units.Instant
+    ) -> tuple[float, int]:
+        """Returns peers' work that the last report cannot contain yet.
+
+        A digest repeats work that the report contains, so only the excess over
+        the report is new.
+        """
         tokens = 0.0
         streams = 0
         for load, at in self._digests.values():
-            if at < self._report_at:
-                continue
-            weight = 0.5 ** ((now - at) / _DIGEST_HALF_LIFE)
-            tokens += weight * load.prefill_tokens
-            streams += load.outstanding if weight >= 0.5 else 0
-        reported, known, _ = self._reported(now)
-        # The digest repeats work that the report contains; only the excess is
-        # new.
-        return max(0.0, tokens - reported), max(0, streams - known)
+            age = now - at
+            tokens += load.prefill_tokens * 0.5 ** (age / _DIGEST_HALF_LIFE)
+            if age <= _DIGEST_HALF_LIFE:
+                streams += load.outstanding
+        return (
+            max(0.0, tokens - reported_tokens),
+            max(0, streams - reported_streams),
+        )
--- a/packages/routing/src/lavendershed/routing/prompt_classes.py
+++ b/packages/routing/src/lavendershed/routing/prompt_classes.py
@@ -8,12 +8,14 @@
 SHORT_LIMIT = units.Tokens(8_000)
 MEDIUM_LIMIT = units.Tokens(100_000)
 
-# Smaller numbers run first on an engine.
+# Smaller numbers run first on an engine. Medium and long prompts run in the
+# order of arrival: a long prompt that medium ones overtake may wait for them
+# several times its own prefill.
 PRIORITIES = {
     states.PromptClass.SHORT: 0,
     states.PromptClass.MEDIUM: 1,
-    states.PromptClass.LONG: 2,
-    states.PromptClass.OVERSIZED: 3,
+    states.PromptClass.LONG: 1,
+    states.PromptClass.OVERSIZED: 1,
 }
 
 
