--- a/packages/cli/src/lavendershed/cli/commands/router.py
+++ b/packages/cli/src/lavendershed/cli/commands/router.py
@@ -10,6 +10,7 @@
 
 import click
 import pydantic
+import uvloop
 
 from lavendershed.cli import settings
 from lavendershed.daemon import factory
@@ -26,6 +27,9 @@
 @click.option("--store", help="Numeric address of the object API.")
 @click.option("--idle-timeout-seconds", type=float)
 @click.option("--settle-time-seconds", type=float)
+@click.option(
+    "--event-loop", help="Event loop of the process: asyncio or uvloop."
+)
 def router(**flags: str | float | None) -> None:
     """Runs the router until SIGTERM."""
     given = {name: value for name, value in flags.items() if value is not None}
@@ -35,7 +39,17 @@
         raise click.UsageError(_describe(error)) from error
     # uvloop reads this before it creates its loop.
     os.environ["UV_USE_IO_URING"] = "0"
-    asyncio.run(_run(checked.options()))
+    with asyncio.Runner(
+        loop_factory=lambda: _new_event_loop(checked.event_loop)
+    ) as runner:
+        runner.run(_run(checked.options()))
+
+
+def _new_event_loop(name: settings.EventLoop) -> asyncio.AbstractEventLoop:
+    if name is settings.EventLoop.UVLOOP:
+        loop: asyncio.AbstractEventLoop = uvloop.new_event_loop()
+        return loop
+    return asyncio.new_event_loop()
 
 
 def _describe(error: pydantic.ValidationError) -> str:
--- a/packages/cli/src/lavendershed/cli/settings.py
+++ b/packages/cli/src/lavendershed/cli/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+import enum
 from typing import Any
 
 import pydantic
@@ -17,6 +18,13 @@
 MAX_SETTLE_TIME_SECONDS = 600.0
 
 
+class EventLoop(enum.Enum):
+    """Event loops that the router can run on."""
+
+    ASYNCIO = "asyncio"
+    UVLOOP = "uvloop"
+
+
 def _check_address(text: str) -> str:
     parsed = address.parse(text)
     if parsed.is_err():
@@ -41,6 +49,7 @@
     settle_time_seconds: float = pydantic.Field(
         5.0, ge=0, le=MAX_SETTLE_TIME_SECONDS
     )
+    event_loop: EventLoop = EventLoop.ASYNCIO
 
     @classmethod
     def from_flags(cls, flags: Mapping[str, str | float]) -> RouterSettings:
--- a/packages/daemon/tests/test_memory_reclaimer.py
+++ b/packages/daemon/tests/test_memory_reclaimer.py
@@ -75,3 +75,20 @@
             await self.reclaimer.run_round()
         # Its own orphan is released by each daemon itself.
         self.assertEqual(await self.owners(), {DEAD})
+
+    async def test_engine_that_ignores_the_owner_is_not_trusted(self):
+        self.members.live_vms = (ALIVE.vm,)
+        await self.hold(DEAD)
+        asked = []
+        listing = self.client.allocations
+
+        async def all_allocations(owner):
+            asked.append(owner)
+            return await listing(None)
+
+        self.client.allocations = all_allocations
+        for _ in range(3):
+            await self.reclaimer.run_round()
+        self.client.allocations = listing
+        self.assertEqual(await self.owners(), {DEAD})
+        self.assertEqual(asked, [generation_fixture.OWNER] * 3)
--- a/packages/standin/src/lavendershed/standin/main.py
+++ b/packages/standin/src/lavendershed/standin/main.py
@@ -66,6 +66,7 @@
 @click.option("--model", "models", multiple=True)
 @click.option("--kv-tokens", type=int, default=400_000)
 @click.option("--prefill-rate", type=float, default=20_000.0)
+@click.option("--decode-ms", type=float, default=10.0)
 @click.option("--seed", type=int, default=None)
 @click.option("--checks-fencing/--ignores-fencing", default=True)
 @click.option("--load-seconds", type=float, default=1.0)
@@ -78,6 +79,7 @@
     models: tuple[str, ...],
     kv_tokens: int,
     prefill_rate: float,
+    decode_ms: float,
     seed: int | None,
     checks_fencing: bool,
     load_seconds: float,
@@ -91,6 +93,7 @@
         handler = model_engine.ModelEngineHandler(
             engine_model.EngineSettings(
                 prefill_rate=prefill_rate,
+                decode_base=units.Seconds(decode_ms / 1000),
                 kv_tokens=units.Tokens(kv_tokens),
             ),
             model_engine.EngineOptions(
--- a/packages/transport/src/lavendershed/transport/client.py
+++ b/packages/transport/src/lavendershed/transport/client.py
@@ -49,6 +49,50 @@
     body: bytes
 
 
+class _IdleLimit:
+    """Time limit of reads, with one timer for many reads.
+
+    A stream makes thousands of short reads. Arming and cancelling a timer for
+    each of them would cost more than the reads, so that the timer stays armed
+    and looks at its expiry whether a read is overdue. After it has ended a
+    read, the connection can't be read any more.
+    """
+
+    def __init__(self, reader: asyncio.StreamReader) -> None:
+        self._reader = reader
+        self._loop = asyncio.get_running_loop()
+        self._limit: float | None = None
+        self._timer: asyncio.TimerHandle | None = None
+
+    def start(self, timeout: units.Seconds) -> None:
+        """Limits the read that begins now."""
+        self._limit = self._loop.time() + timeout
+        if self._timer is not None and self._timer.when() > self._limit:
+            self._timer.cancel()
+            self._timer = None
+        if self._timer is None:
+            self._timer = self._loop.call_at(self._limit, self._expire)
+
+    def stop(self) -> None:
+        """Ends the limit of the current read."""
+        self._limit = None
+
+    def cancel(self) -> None:
+        """Ends the timer when the connection closes."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _expire(self) -> None:
+        self._timer = None
+        if self._limit is None:
+            return
+        if self._loop.time() < self._limit:
+            self._timer = self._loop.call_at(self._limit, self._expire)
+            return
+        self._reader.set_exception(TimeoutError())
+
+
 class ClientConnection:
     """One connection that carries one exchange at a time."""
 
@@ -63,6 +107,9 @@
         self._address = address
         self._protocol = h11.Connection(h11.CLIENT)
         self._sent = False
+        # Whether all received bytes have been taken from the protocol.
+        self._drained = False
+        self._idle_limit = _IdleLimit(reader)
 
     @property
     def reusable(self) -> bool:
@@ -81,6 +128,7 @@
 
     def close(self) -> None:
         """Closes the connection at once."""
+        self._idle_limit.cancel()
         self._writer.transport.abort()
 
     async def send(
@@ -150,6 +198,7 @@
                     errors.TransportErrorKind.PROTOCOL, str(error)
                 )
             if not isinstance(buffered, h11.Data):
+                self._drained = buffered is h11.NEED_DATA
                 break
             parts.append(bytes(buffered.data))
         return result.Ok(b"".join(parts))
@@ -177,6 +226,12 @@
         self, timeout: units.Seconds
     ) -> result.Result[h11.Event, errors.TransportError]:
         while True:
+            if self._drained:
+                self._drained = False
+                data = await self._receive(timeout)
+                if isinstance(data, result.Err):
+                    return data
+                self._protocol.receive_data(data.ok_value)
             try:
                 event = self._protocol.next_event()
             except h11.RemoteProtocolError as error:
@@ -192,10 +247,22 @@
                 )
             if event is not h11.NEED_DATA:
                 return result.Ok(event)
-            data = await self._guarded(self._reader.read(_READ_BYTES), timeout)
-            if isinstance(data, result.Err):
-                return data
-            self._protocol.receive_data(data.ok_value)
+            self._drained = True
+
+    async def _receive(
+        self, timeout: units.Seconds
+    ) -> result.Result[bytes, errors.TransportError]:
+        self._idle_limit.start(timeout)
+        try:
+            return result.Ok(await self._reader.read(_READ_BYTES))
+        except TimeoutError:
+            return self._idle(timeout)
+        except OSError as error:
+            return self._failed(
+                errors.TransportErrorKind.CONNECTION_LOST, str(error)
+            )
+        finally:
+            self._idle_limit.stop()
 
     async def _guarded(
         self, operation: Awaitable[T], timeout: units.Seconds
@@ -204,15 +271,20 @@
             async with asyncio.timeout(timeout):
                 return result.Ok(await operation)
         except TimeoutError:
-            return self._failed(
-                errors.TransportErrorKind.IDLE_TIMEOUT,
-                f"no progress for {timeout:.3f} s",
-            )
+            return self._idle(timeout)
         except OSError as error:
             return self._failed(
                 errors.TransportErrorKind.CONNECTION_LOST, str(error)
             )
 
+    def _idle(
+        self, timeout: units.Seconds
+    ) -> result.Err[errors.TransportError]:
+        return self._failed(
+            errors.TransportErrorKind.IDLE_TIMEOUT,
+            f"no progress for {timeout:.3f} s",
+        )
+
     def _failed(
         self, kind: errors.TransportErrorKind, detail: str
     ) -> result.Err[errors.TransportError]:
