--- a/packages/daemon/src/lavendershed/daemon/factory.py
+++ b/packages/daemon/src/lavendershed/daemon/factory.py
@@ -82,11 +82,6 @@
             limits.WholeShare(),
             generator,
         )
-        self._incarnations = engine_incarnations.EngineIncarnations()
-        self._ledger = memory_ledger.MemoryLedger(memory_ledger.LedgerLimits())
-        self._keeper = ledger_keeper.LedgerKeeper(
-            self._ledger, self._incarnations, timer_service, event_log
-        )
         self._bookings = bookings.Bookings(
             self._store,
             self._cluster,
@@ -96,6 +91,11 @@
             generator,
             machine.BookingLimits(),
         )
+        self._incarnations = engine_incarnations.EngineIncarnations()
+        self._ledger = memory_ledger.MemoryLedger(memory_ledger.LedgerLimits())
+        self._keeper = ledger_keeper.LedgerKeeper(
+            self._ledger, self._incarnations, timer_service, event_log
+        )
 
     def build(self) -> router_module.Router:
         """Returns a router that is ready to run."""
@@ -115,10 +115,10 @@
             (
                 sync,
                 self._build_observer(),
-                self._bookings,
-                self._build_retention(),
                 self._keeper,
                 self._build_reclaimer(),
+                self._bookings,
+                self._build_retention(),
             ),
         )
         router = router_module.Router(
