--- a/packages/daemon/src/lavendershed/daemon/factory.py
+++ b/packages/daemon/src/lavendershed/daemon/factory.py
@@ -4,14 +4,19 @@
 
 import random
 
+from lavendershed.booking import machine
+from lavendershed.booking import retention
 from lavendershed.configuration import model
 from lavendershed.configuration import state as state_module
 from lavendershed.core import backend_servers
 from lavendershed.core import cluster
 from lavendershed.core import ids
 from lavendershed.core import timers
+from lavendershed.core import units
 from lavendershed.daemon import backend_directory
 from lavendershed.daemon import backend_health
+from lavendershed.daemon import booking_retention
+from lavendershed.daemon import bookings
 from lavendershed.daemon import calls
 from lavendershed.daemon import configuration_sync
 from lavendershed.daemon import engine_incarnations
@@ -24,6 +29,7 @@
 from lavendershed.daemon import peer_factory
 from lavendershed.daemon import queued_dispatcher
 from lavendershed.daemon import router as router_module
+from lavendershed.daemon import server_choice
 from lavendershed.daemon import vm_list_poller
 from lavendershed.platform import http_store
 from lavendershed.reliability import crash_suspects
@@ -35,6 +41,9 @@
 from lavendershed.telemetry import log
 from lavendershed.transport import pool
 
+# Time between steps of the deletion of old booking records.
+_RETENTION_INTERVAL = units.Seconds(10.0)
+
 
 class RouterFactory:
     """Wires the parts of one router."""
@@ -93,6 +102,15 @@
             self._shares,
             generator,
         )
+        self._bookings = bookings.Bookings(
+            self._store,
+            self._members,
+            self._owner,
+            timer_service,
+            event_log,
+            generator,
+            machine.BookingLimits(),
+        )
         self._incarnations = engine_incarnations.EngineIncarnations()
         self._ledger = memory_ledger.MemoryLedger(memory_ledger.LedgerLimits())
         self._keeper = ledger_keeper.LedgerKeeper(
@@ -113,14 +131,14 @@
             self._owner,
             self._state,
             self._build_generation(),
-            calls.Calls(
-                self._state, self._directory, self._timers, self._random
-            ),
+            self._build_calls(),
             (
                 sync,
                 self._build_observer(),
                 self._keeper,
                 self._build_reclaimer(),
+                self._bookings,
+                self._build_retention(),
                 self._build_vm_list_poller(),
                 *(self._peering.background if self._peering else ()),
             ),
@@ -144,6 +162,35 @@
                 self._peering.configuration.add_listener(listener)
         return router
 
+    def _build_calls(self) -> calls.Calls:
+        return calls.Calls(
+            self._state,
+            self._directory,
+            self._health,
+            server_choice.ServerChoice(self._health, self._random),
+            self._bookings,
+            retry_policy.RetryPolicy(
+                retry_policy.RetryLimits(max_attempts=3),
+                retry_budget.RetryBudget(retry_budget.BudgetLimits()),
+                self._random,
+            ),
+            self._timers,
+            self._log,
+            self._instruments,
+        )
+
+    def _build_retention(self) -> booking_retention.BookingRetention:
+        return booking_retention.BookingRetention(
+            self._options.vm,
+            self._store,
+            self._members,
+            self._timers,
+            self._log,
+            self._random,
+            retention.RetentionLimits(),
+            _RETENTION_INTERVAL,
+        )
+
     def _build_generation(self) -> generation.Generation:
         return generation.Generation(
             generation_parts.GenerationParts(
--- a/tests/test_peer_process.py
+++ b/tests/test_peer_process.py
@@ -16,6 +16,8 @@
 from lavendershed.transport import client
 
 SETTLE = "1.0"
+# At 10 ms per token this takes longer than the settle time.
+LONG_ANSWER = 250
 # Bounds of the design page.
 IN_FORCE_SECONDS = 6.0
 LEAVING_SECONDS = 5.0
@@ -133,7 +135,7 @@
             while not stopping.is_set():
                 name = f"{number}-{count}"
                 prompt = await self.deployment.generate(
-                    "vm-1", name, 100, 40, 20.0
+                    "vm-1", name, 100, LONG_ANSWER, 30.0
                 )
                 answers.append(prompt.answer)
                 count += 1
