Check that a stop cancels no stream early

Cause: the stop test passed with the wait for requests in flight removed, because cancelled streams continue on another engine. Change: the test refuses failed attempts and resumed streams at the stopping router. The cost measurement reports how fast an urgent record spreads.

--- a/tests/test_peer_process.py
+++ b/tests/test_peer_process.py
@@ -158,6 +158,10 @@
         self.assertGreater(len(answers), before)
         endings = {answer.ending for answer in answers}
         self.assertEqual(endings, {load_client.Ending.WHOLE}, answers)
+        # A stream that was cancelled early would have gone on elsewhere.
+        log = self.fleet.log_path("vm-1").read_text()
+        self.assertNotIn("attempt_failed", log)
+        self.assertNotIn("stream_resumed", log)
         await self.eventually(
             lambda: self.members_are("vm-2", "leaving", "alive", "alive"), 1.0
         )
--- a/tools/membership_cost.py
+++ b/tools/membership_cost.py
@@ -39,6 +39,8 @@
 TICK = units.Seconds(0.2)
 DEMAND_INTERVAL = units.Seconds(1.5)
 LOAD_INTERVAL = units.Seconds(1.0)
+SPREAD_STEP = units.Seconds(0.1)
+SPREAD_LIMIT = units.Seconds(20.0)
 ORGANISATIONS = 10
 ENGINES = 10
 KEY = b"key of the measurement"
@@ -219,24 +221,45 @@
     suspects = sum(
         len(daemon.membership.live) != size for daemon in network.daemons
     )
+    sent, datagrams = network.bytes, network.datagrams
+    spread = urgent_spread(network)
     return (
         f"| {size} | {used / per_daemon * 100:.2f} "
-        f"| {network.bytes / per_daemon:.0f} "
-        f"| {network.datagrams / per_daemon:.1f} | {memory:.0f} "
+        f"| {sent / per_daemon:.0f} "
+        f"| {datagrams / per_daemon:.1f} | {memory:.0f} "
         f"| {sum(demands) / size / size * 100:.0f} "
-        f"| {fresh / size * 100:.0f} | {suspects} |"
+        f"| {fresh / size * 100:.0f} | {suspects} "
+        f"| {spread:.1f} |"
     )
 
 
+def urgent_spread(network: Network) -> float:
+    """Returns the seconds until all daemons hold a new urgent record."""
+    record = cluster.BackendLeavingRecord(ids.BackendServerId("e"), None)
+    started = network.timers.now()
+    first = network.daemons[0]
+    first.execute(first.gossip.publish(record, started))
+    waiting = network.daemons
+    while waiting and network.timers.now() < started + SPREAD_LIMIT:
+        network.timers.advance(SPREAD_STEP)
+        now = network.timers.now()
+        waiting = [
+            daemon
+            for daemon in waiting
+            if all(r.content != record for r in daemon.records.snapshot(now))
+        ]
+    return network.timers.now() - started
+
+
 def main() -> None:
     """Prints the table."""
     sizes = tuple(map(int, sys.argv[1:])) or DEFAULT_SIZES
     print(
         "| daemons | processor, % of a core | sent, bytes/s | datagrams/s "
         "| memory, KB | demand records held, % | fresh shares, % "
-        "| wrong member lists |"
+        "| wrong member lists | urgent record at all after, s |"
     )
-    print("|" + "---|" * 8)
+    print("|" + "---|" * 9)
     for size in sizes:
         print(measure(size), flush=True)
 
