--- a/packages/daemon/src/lavendershed/daemon/calls.py
+++ b/packages/daemon/src/lavendershed/daemon/calls.py
@@ -158,6 +158,7 @@
                 )
             )
         with self._choice.outstanding(server):
+            self._health.on_sent(server)
             answer = await client.call(
                 backend_servers.PlainCall(
                     "POST",
--- a/tests/test_peer_process.py
+++ b/tests/test_peer_process.py
@@ -16,6 +16,8 @@
 from lavendershed.transport import client
 
 SETTLE = "1.0"
+# At 10 ms per token this takes longer than the settle time.
+LONG_ANSWER = 250
 # Bounds of the design page.
 IN_FORCE_SECONDS = 6.0
 LEAVING_SECONDS = 5.0
@@ -56,6 +58,9 @@
         members = (await self.status(router))["members"]
         return [members.get(vm) for vm in self.deployment.routers] == [*states]
 
+    async def epoch_is(self, router, epoch):
+        return (await self.status(router))["epoch"] == epoch
+
     async def control_store(self, **content):
         await fleet.exchange(
             self.deployment.store,
@@ -75,10 +80,33 @@
         await self.fleet.restart("vm-3")
         self.assertTrue(await self.fleet.wait_ready(["vm-3"]))
         self.assertEqual((await self.status("vm-3"))["epoch"], 1)
+        await self.control_store(unavailable=False)
         await self.eventually(
             lambda: self.members_are("vm-1", "alive", "alive", "alive"), 10.0
         )
 
+    async def test_change_reaches_a_router_that_never_saw_the_store(self):
+        known = self.fleet.member("vm-1").arguments
+        peer = known[known.index("--peer-listen") + 1]
+        keys = known[known.index("--peer-keys") + 1]
+        await self.fleet.start_router(
+            "vm-4",
+            fleet.free_address(),
+            "--peer-listen",
+            str(fleet.free_address()),
+            "--peers",
+            peer,
+            "--peer-keys",
+            keys,
+        )
+        self.assertTrue(await self.fleet.wait_ready(["vm-4"]))
+        self.deployment.presets[0]["max_groups"] = 2
+        status, _, errors = await self.deployment.apply()
+        self.assertEqual(status, 0, errors)
+        await self.eventually(
+            lambda: self.epoch_is("vm-4", 2), IN_FORCE_SECONDS
+        )
+
     async def test_leaving_server_gets_no_new_work_on_any_router(self):
         await self.control_store(live=["engine-2"], leaving=["engine-1"])
         await asyncio.sleep(LEAVING_SECONDS)
@@ -107,7 +135,7 @@
             while not stopping.is_set():
                 name = f"{number}-{count}"
                 prompt = await self.deployment.generate(
-                    "vm-1", name, 100, 40, 20.0
+                    "vm-1", name, 100, LONG_ANSWER, 30.0
                 )
                 answers.append(prompt.answer)
                 count += 1
@@ -130,6 +158,10 @@
         self.assertGreater(len(answers), before)
         endings = {answer.ending for answer in answers}
         self.assertEqual(endings, {load_client.Ending.WHOLE}, answers)
+        # A stream that was cancelled early would have gone on elsewhere.
+        log = self.fleet.log_path("vm-1").read_text()
+        self.assertNotIn("attempt_failed", log)
+        self.assertNotIn("stream_resumed", log)
         await self.eventually(
             lambda: self.members_are("vm-2", "leaving", "alive", "alive"), 1.0
         )
