--- /dev/null
+++ b/packages/routing/src/lavendershed/routing/engine_view.py
@@ -0,0 +1,258 @@
+"""One engine as one daemon sees it."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+
+from lavendershed.core import backend_servers
+from lavendershed.core import cluster
+from lavendershed.core import ids
+from lavendershed.core import states
+from lavendershed.core import units
+from lavendershed.routing import prefix_index
+from lavendershed.routing import work as work_module
+
+# Work sent this long before a report was taken may be missing from it: the
+# offset between the clocks is known to about the engine's report interval.
+_REPORT_MARGIN = units.Seconds(0.1)
+# Longest step of an engine. A prompt whose last chunk is prefilled still waits
+# for the step that produces its first token, and work that arrives before then
+# makes that step longer.
+_STEP = units.Seconds(0.12)
+# Least estimate for an engine that has not produced an own first token yet.
+_MIN_PREFILL_TOKENS = 1_024.0
+# Peers' dispatches remembered between two load reports of an engine.
+_MAX_PEER_DISPATCHES = 32
+# An engine whose report is older than this is estimated from own dispatches
+# and digests only.
+_REPORT_LIFETIME = units.Seconds(5.0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineEstimate:
+    """Estimated load of an engine at one instant.
+
+    Attributes:
+        prefill_tokens: Prompt tokens that are not prefilled yet.
+        short_tokens: The part of them that own short prompts are known to be.
+        long_tokens: The part of them that own long prompts are known to be.
+        decoding: Streams that produce tokens.
+        outstanding: Own requests in flight.
+        streams: All streams, of this daemon and of others.
+        free_tokens: KV memory that is not reserved.
+    """
+
+    prefill_tokens: float
+    short_tokens: float
+    long_tokens: float
+    decoding: int
+    outstanding: int
+    streams: int
+    free_tokens: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Dispatch:
+    prompt_class: states.PromptClass
+    prefill_tokens: float
+    reserved_tokens: int
+    at: units.Instant
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _PeerDispatch:
+    tokens: int
+    streams: int
+    at: units.Instant
+
+
+class EngineView:
+    """Load and cache of one engine, from reports, digests and dispatches.
+
+    Attributes:
+        name: The engine.
+        position: Place in the order of engines that all daemons agree on, from
+            0 to 1.
+        rank: Place in this daemon's own order of engines, from 0 to 1.
+    """
+
+    def __init__(
+        self,
+        name: ids.BackendServerId,
+        memory_tokens: units.Tokens,
+        prefill_rate: float,
+        max_blocks: int,
+    ) -> None:
+        self.name = name
+        self.position = 0.0
+        self.rank = 0.0
+        self._memory_tokens = memory_tokens
+        self._rate = prefill_rate
+        self._prefixes = prefix_index.PrefixIndex(max_blocks)
+        self._report: backend_servers.LoadReport | None = None
+        self._taken_at = units.Instant(0.0)
+        self._clock_offset = math.inf
+        self._in_flight: dict[work_module.Ticket, _Dispatch] = {}
+        self._prefilling: dict[work_module.Ticket, _Dispatch] = {}
+        self._digests: dict[ids.VmId, cluster.EngineLoad] = {}
+        self._peer_dispatches: list[_PeerDispatch] = []
+
+    @property
+    def prefixes(self) -> prefix_index.PrefixIndex:
+        """Index of the engine's prefix cache."""
+        return self._prefixes
+
+    @property
+    def outstanding(self) -> int:
+        """Own requests in flight."""
+        return len(self._in_flight)
+
+    @property
+    def prefilling_long(self) -> bool:
+        """Whether an own long prompt is being prefilled."""
+        return any(
+            d.prompt_class is states.PromptClass.LONG
+            for d in self._prefilling.values()
+        )
+
+    @property
+    def own_load(self) -> cluster.EngineLoad:
+        """Digest of the own work on this engine, for peers."""
+        tokens = sum(d.prefill_tokens for d in self._prefilling.values())
+        return cluster.EngineLoad(
+            self.name, len(self._in_flight), units.Tokens(int(tokens))
+        )
+
+    def estimate(self, now: units.Instant) -> EngineEstimate:
+        """Returns the load expected at `now`."""
+        tokens, streams, used = self._reported(now)
+        decoding = streams
+        short = long = 0.0
+        since = units.Instant(self._taken_at - _REPORT_MARGIN)
+        if not self._has_report(now):
+            since = units.Instant(-math.inf)
+        for dispatch in self._prefilling.values():
+            if dispatch.at >= since:
+                tokens += dispatch.prefill_tokens
+                streams += 1
+                used += dispatch.reserved_tokens
+            else:
+                decoding -= 1
+            if dispatch.prompt_class is states.PromptClass.SHORT:
+                short += dispatch.prefill_tokens
+            elif dispatch.prompt_class is states.PromptClass.LONG:
+                long += dispatch.prefill_tokens
+        if self._prefilling:
+            tokens = max(tokens, _MIN_PREFILL_TOKENS)
+        own_decoding = len(self._in_flight) - len(self._prefilling)
+        for peer_dispatch in self._peer_dispatches:
+            tokens += max(
+                0.0, peer_dispatch.tokens - self._drained(peer_dispatch.at, now)
+            )
+            streams += peer_dispatch.streams
+        streams = max(streams, len(self._in_flight))
+        return EngineEstimate(
+            tokens,
+            min(short, tokens),
+            min(long, tokens),
+            max(decoding, own_decoding),
+            len(self._in_flight),
+            streams,
+            self._memory_tokens - used,
+        )
+
+    def on_report(
+        self, report: backend_servers.LoadReport, now: units.Instant
+    ) -> None:
+        """Takes a load report that arrived at `now`."""
+        old = self._report
+        if old is not None and report.incarnation != old.incarnation:
+            self._prefixes.reset()
+            self._clock_offset = math.inf
+        elif old is not None and report.timestamp <= old.timestamp:
+            return
+        self._report = report
+        # The engine's clock is another one, and a report may be old when it is
+        # read. The fastest report seen gives the offset between the clocks.
+        self._clock_offset = min(self._clock_offset, now - report.timestamp)
+        self._taken_at = units.Instant(report.timestamp + self._clock_offset)
+        self._peer_dispatches = [
+            peer_dispatch
+            for peer_dispatch in self._peer_dispatches
+            if peer_dispatch.at > self._taken_at - _REPORT_MARGIN
+        ]
+
+    def on_peer_load(
+        self,
+        peer: ids.VmId,
+        load: cluster.EngineLoad,
+        now: units.Instant,
+    ) -> None:
+        """Takes a peer's digest; it replaces the earlier one.
+
+        What it adds to the earlier one was sent to the engine lately, so the
+        last report of the engine does not contain it.
+        """
+        old = self._digests.get(peer)
+        tokens = load.prefill_tokens - (old.prefill_tokens if old else 0)
+        streams = load.outstanding - (old.outstanding if old else 0)
+        if load.outstanding:
+            self._digests[peer] = load
+        else:
+            self._digests.pop(peer, None)
+        if tokens > 0:
+            self._peer_dispatches.append(
+                _PeerDispatch(tokens, max(1, streams), now)
+            )
+            del self._peer_dispatches[:-_MAX_PEER_DISPATCHES]
+
+    def on_dispatch(self, work: work_module.Work, now: units.Instant) -> None:
+        """Notes that the attempt is sent to this engine."""
+        cached = self._prefixes.cached_tokens(work.block_hashes)
+        uncached = max(1, work.prompt_tokens - cached)
+        dispatch = _Dispatch(
+            work.prompt_class, uncached, work.total_tokens, now
+        )
+        self._in_flight[work.ticket] = dispatch
+        self._prefilling[work.ticket] = dispatch
+        self._prefixes.on_dispatch(work.block_hashes)
+
+    def on_first_token(self, ticket: work_module.Ticket) -> None:
+        """Notes that the prefill of an attempt has ended."""
+        self._prefilling.pop(ticket, None)
+
+    def on_release(self, ticket: work_module.Ticket) -> None:
+        """Notes that an attempt has ended."""
+        self._prefilling.pop(ticket, None)
+        self._in_flight.pop(ticket, None)
+
+    def _drained(self, since: units.Instant, now: units.Instant) -> float:
+        """Returns the tokens that the engine has surely prefilled."""
+        return self._rate * max(0.0, now - since - _STEP)
+
+    def _has_report(self, now: units.Instant) -> bool:
+        if self._report is None:
+            return False
+        return now - self._taken_at <= _REPORT_LIFETIME
+
+    def _reported(self, now: units.Instant) -> tuple[float, int, float]:
+        report = self._report
+        if report is None or not self._has_report(now):
+            decoding = [
+                dispatch
+                for ticket, dispatch in self._in_flight.items()
+                if ticket not in self._prefilling
+            ]
+            reserved = sum(dispatch.reserved_tokens for dispatch in decoding)
+            return 0.0, len(decoding), float(reserved)
+        drained = self._drained(self._taken_at, now)
+        tokens = max(0.0, report.prefill_tokens_queued - drained)
+        # Reports give bytes; the share of memory is independent of the bytes
+        # that one token takes.
+        share = report.kv_bytes_used / max(1, report.kv_bytes_total)
+        return (
+            tokens,
+            report.running + report.waiting,
+            share * self._memory_tokens,
+        )
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -1,6 +1,7 @@
 """Runs every test of the workspace and prints the totals.
 
-Each test directory runs in its own interpreter, several at a time. Tests that
+Each library's tests, and each module of the root's, run in an interpreter of
+their own, several at a time. Tests that
 KNOWN-RED.txt lists may fail; they are printed and counted apart.
 """
 
@@ -13,14 +14,19 @@
 import unittest
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-PARALLEL_DIRECTORIES = 4
+PARALLEL_UNITS = 4
 KNOWN_RED_PREFIX = "test: "
 
 
-def run_directory(directory: pathlib.Path) -> None:
-    """Runs one test directory and prints its result as one JSON line."""
+def run_unit(path: pathlib.Path) -> None:
+    """Runs a test directory or module; prints its result as a JSON line."""
+    directory, pattern = (
+        (path, "test_*.py") if path.is_dir() else (path.parent, path.name)
+    )
     loader = unittest.TestLoader()
-    suite = loader.discover(str(directory), top_level_dir=str(directory))
+    suite = loader.discover(
+        str(directory), pattern, top_level_dir=str(directory)
+    )
     runner = unittest.TextTestRunner(stream=sys.stderr, verbosity=1)
     outcome = runner.run(suite)
     failures = [test.id() for test, _ in outcome.failures + outcome.errors]
@@ -49,19 +55,19 @@
 
 
 async def run_child(
-    directory: pathlib.Path, limit: asyncio.Semaphore
+    unit: pathlib.Path, limit: asyncio.Semaphore
 ) -> tuple[str, dict, str]:
-    """Runs one test directory in its own interpreter."""
+    """Runs a test directory or module in its own interpreter."""
     async with limit:
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             __file__,
-            str(directory),
+            str(unit),
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.PIPE,
         )
         out, err = await process.communicate()
-    name = str(directory.relative_to(ROOT))
+    name = str(unit.relative_to(ROOT))
     lines = out.decode().splitlines()
     try:
         report = json.loads(lines[-1])
@@ -75,13 +81,12 @@
     directories = [
         directory
         for directory in sorted(ROOT.glob("packages/*/tests"))
-        + [ROOT / "tests"]
         if any(directory.rglob("test_*.py"))
     ]
-    limit = asyncio.Semaphore(PARALLEL_DIRECTORIES)
-    reports = await asyncio.gather(
-        *(run_child(directory, limit) for directory in directories)
-    )
+    # The modules at the root start processes and take longest.
+    units = sorted((ROOT / "tests").glob("test_*.py")) + directories
+    limit = asyncio.Semaphore(PARALLEL_UNITS)
+    reports = await asyncio.gather(*(run_child(unit, limit) for unit in units))
     known = known_red()
     passed = failed = skipped = 0
     for name, report, errors in reports:
@@ -103,6 +108,6 @@
 
 if __name__ == "__main__":
     if len(sys.argv) > 1:
-        run_directory(pathlib.Path(sys.argv[1]))
+        run_unit(pathlib.Path(sys.argv[1]))
     else:
         sys.exit(asyncio.run(run_all()))
