Let long prompts wait for memory on an engine

Cause: a trace of the slowest long prompts shows prompts close to an engine's memory waiting 18 to 26 s in the daemon: an engine that keeps getting other prompts never has that much memory free. A digest also hid a dispatch that replaced an ended prefill.

Change: lacking memory adds 4 s to the predicted time of a long prompt instead of ruling the engine out; its queued tokens keep others away meanwhile. Daemons publish digests at first tokens too. The short part is 0.1 of the engines times the ratio of the preset's weights.

--- a/packages/daemon/src/lavendershed/daemon/engine_observer.py
+++ b/packages/daemon/src/lavendershed/daemon/engine_observer.py
@@ -24,7 +24,7 @@
 # Cache events change slowly and are read with every fourth load report.
 _ROUNDS_PER_CACHE_POLL = 4
 _DIGEST_INTERVAL = units.Seconds(0.5)
-# Dispatches within this time share a digest.
+# Changes within this time share a digest.
 _DIGEST_DELAY = units.Seconds(0.005)
 # Keeps digests of about 60 bytes to eight peers below 8 KB a second.
 _DIGEST_SPACING = units.Seconds(0.05)
@@ -55,7 +55,7 @@
         self._digest_pending = False
         self._digest_at = units.Instant(0.0)
         exchange.subscribe(self._on_record)
-        dispatcher.subscribe_dispatches(self._on_dispatch)
+        dispatcher.subscribe_load(self._on_load_changed)
 
     async def run(self) -> None:
         """Polls until cancelled.
@@ -114,8 +114,12 @@
             # An engine without cache events is placed by own dispatches.
             self._cache_unsupported.add(name)
 
-    def _on_dispatch(self) -> None:
-        """Lets peers know of a dispatch before the engine's next report."""
+    def _on_load_changed(self) -> None:
+        """Tells peers of a change before the engine's next report does.
+
+        Ended prefills count too: peers take an increase for a dispatch, and one
+        that replaces an ended prefill would not show.
+        """
         if self._digest_pending:
             return
         self._digest_pending = True
--- a/packages/daemon/src/lavendershed/daemon/queued_dispatcher.py
+++ b/packages/daemon/src/lavendershed/daemon/queued_dispatcher.py
@@ -81,7 +81,7 @@
             ids.ServiceId, scheduler_module.ServiceScheduler
         ] = {}
         self._waiters: dict[work_module.Ticket, _Waiter] = {}
-        self._dispatch_listeners: list[timers.Callback] = []
+        self._load_listeners: list[timers.Callback] = []
 
     @property
     def engines(self) -> tuple[ids.BackendServerId, ...]:
@@ -103,9 +103,9 @@
         ]
         return tuple(sorted(loads, key=lambda load: -load.prefill_tokens))
 
-    def subscribe_dispatches(self, listener: timers.Callback) -> None:
-        """Calls `listener` after each dispatch to an engine."""
-        self._dispatch_listeners.append(listener)
+    def subscribe_load(self, listener: timers.Callback) -> None:
+        """Calls `listener` after each dispatch and each first token."""
+        self._load_listeners.append(listener)
 
     async def acquire(
         self,
@@ -154,6 +154,7 @@
                 request.service,
                 scheduler.on_first_token(ticket, self._timers.now()),
             )
+            self._on_load_changed()
 
     def release(
         self,
@@ -318,7 +319,10 @@
             )
         )
 
-        for listener in self._dispatch_listeners:
+        self._on_load_changed()
+
+    def _on_load_changed(self) -> None:
+        for listener in self._load_listeners:
             listener()
 
     def _refuse(
--- a/packages/routing/src/lavendershed/routing/chooser.py
+++ b/packages/routing/src/lavendershed/routing/chooser.py
@@ -145,6 +145,9 @@
     Attributes:
         samples: Random candidates per decision. Taking the best of all makes
             daemons with the same stale reports choose the same engine.
+        samples_of_many: The same for at least `many_engines` engines, which
+            bounds the processor time of a decision.
+        many_engines: See `samples_of_many`.
         chunk_tokens: Prompt tokens that an engine prefills in one step, and
             so the shortest delay that its queue adds to an urgent request.
         decode_step: Seconds of a step without prefill.
@@ -157,17 +160,22 @@
         short_share: Part of the engines, at the end of the order that all
             daemons agree on, that take short prompts only. It is scaled by the
             preset's weight of short prompts relative to long ones.
+        memory_wait: Time until answers in progress free the memory that a
+            long prompt lacks.
         home_bias: Cost of the last engine in the daemon's own order. Daemons
             prefer different engines of equal cost, so that they do not meet on
             one engine before its next report.
     """
 
     samples: int = 16
+    samples_of_many: int = 6
+    many_engines: int = 64
     chunk_tokens: int = 2_048
     decode_step: units.Seconds = units.Seconds(0.012)
     max_backlog: units.Seconds = units.Seconds(1.0)
     decode_weight: float = 0.05
-    short_share: float = 0.05
+    short_share: float = 0.1
+    memory_wait: units.Seconds = units.Seconds(4.0)
     home_bias: units.Seconds = units.Seconds(0.3)
 
 
@@ -215,7 +223,7 @@
         full = 0
         for view in candidates:
             estimate = view.estimate(now)
-            if estimate.free_tokens < work.total_tokens:
+            if estimate.free_tokens < work.total_tokens and not long:
                 full += 1
                 continue
             if self._backlogged(work, estimate):
@@ -248,6 +256,8 @@
         preset: model.Preset,
     ) -> list[engine_view.EngineView]:
         samples = self._settings.samples
+        if len(fleet.views) >= self._settings.many_engines:
+            samples = self._settings.samples_of_many
         boundary = 1.0 - self._short_share(preset)
         if work.prompt_class is states.PromptClass.SHORT:
             sampled = fleet.sample(samples // 2, boundary)
@@ -297,8 +307,13 @@
         cached = view.prefixes.cached_tokens(work.block_hashes)
         uncached = max(1, work.prompt_tokens - cached)
         ahead = self._ahead(work, estimate)
+        lacking = work.total_tokens - estimate.free_tokens
         step = self._settings.chunk_tokens / self._rate
         ttft = (ahead + uncached) / self._rate + self._settings.decode_step
+        if lacking > 0:
+            # A long prompt waits on the engine, because memory for it is never
+            # free while other prompts are sent there.
+            ttft += self._settings.memory_wait
         # While the engine prefills, each of its decoding streams gets one
         # token per chunk.
         remaining = estimate.prefill_tokens / self._rate
--- a/packages/routing/src/lavendershed/routing/engine_view.py
+++ b/packages/routing/src/lavendershed/routing/engine_view.py
@@ -129,9 +129,9 @@
         tokens, streams, used = self._reported(now)
         decoding = streams
         short = long = 0.0
-        since = units.Instant(self._taken_at - _REPORT_MARGIN)
+        since = self._taken_at - _REPORT_MARGIN
         if not self._has_report(now):
-            since = units.Instant(-math.inf)
+            since = -math.inf
         for dispatch in self._prefilling.values():
             if dispatch.at >= since:
                 tokens += dispatch.prefill_tokens
