--- a/packages/cli/src/lavendershed/cli/commands/router.py
+++ b/packages/cli/src/lavendershed/cli/commands/router.py
@@ -10,6 +10,7 @@
 
 import click
 import pydantic
+import uvloop
 
 from lavendershed.cli import settings
 from lavendershed.daemon import factory
@@ -24,8 +25,20 @@
 @click.option("--availability-zone", help="Availability zone of this VM.")
 @click.option("--listen", help="Numeric address for callers, host:port.")
 @click.option("--store", help="Numeric address of the object API.")
+@click.option("--peer-listen", help="Numeric address for other routers.")
+@click.option("--peers", help="Addresses of other routers, with commas.")
+@click.option(
+    "--peer-keys",
+    help="One or two shared secrets in hexadecimal, with commas. Prefer the "
+    "environment variable LAVENDERSHED_PEER_KEYS: flags are visible to "
+    "other processes.",
+)
+@click.option("--deployment", help="Id that keeps deployments apart.")
 @click.option("--idle-timeout-seconds", type=float)
 @click.option("--settle-time-seconds", type=float)
+@click.option(
+    "--event-loop", help="Event loop of the process: asyncio or uvloop."
+)
 def router(**flags: str | float | None) -> None:
     """Runs the router until SIGTERM."""
     given = {name: value for name, value in flags.items() if value is not None}
@@ -35,17 +48,31 @@
         raise click.UsageError(_describe(error)) from error
     # uvloop reads this before it creates its loop.
     os.environ["UV_USE_IO_URING"] = "0"
-    asyncio.run(_run(checked.options()))
+    with asyncio.Runner(
+        loop_factory=lambda: _new_event_loop(checked.event_loop)
+    ) as runner:
+        runner.run(_run(checked.options()))
+
+
+def _new_event_loop(name: settings.EventLoop) -> asyncio.AbstractEventLoop:
+    if name is settings.EventLoop.UVLOOP:
+        loop: asyncio.AbstractEventLoop = uvloop.new_event_loop()
+        return loop
+    return asyncio.new_event_loop()
 
 
 def _describe(error: pydantic.ValidationError) -> str:
-    lines = [
-        f"--{str(item['loc'][0]).replace('_', '-')}: {item['msg']}"
-        for item in error.errors()
-    ]
+    lines = [f"{_flag(item['loc'])}{item['msg']}" for item in error.errors()]
     return "; ".join(lines)
 
 
+def _flag(location: tuple[int | str, ...]) -> str:
+    # A check of several settings together has no location.
+    if not location:
+        return ""
+    return f"--{str(location[0]).replace('_', '-')}: "
+
+
 async def _run(router_options: options.RouterOptions) -> None:
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
--- a/packages/standin/src/lavendershed/standin/main.py
+++ b/packages/standin/src/lavendershed/standin/main.py
@@ -66,14 +66,26 @@
 @click.option("--model", "models", multiple=True)
 @click.option("--kv-tokens", type=int, default=400_000)
 @click.option("--prefill-rate", type=float, default=20_000.0)
+@click.option("--decode-ms", type=float, default=10.0)
 @click.option("--seed", type=int, default=None)
+@click.option("--checks-fencing/--ignores-fencing", default=True)
+@click.option("--load-seconds", type=float, default=1.0)
+@click.option("--report-lag-seconds", type=float, default=0.1)
+@click.option("--cache-gap-share", type=float, default=0.02)
+@click.option("--bytes-per-token", type=int, default=1)
 def model_engine_command(
     listen: str,
     history: pathlib.Path | None,
     models: tuple[str, ...],
     kv_tokens: int,
     prefill_rate: float,
+    decode_ms: float,
     seed: int | None,
+    checks_fencing: bool,
+    load_seconds: float,
+    report_lag_seconds: float,
+    cache_gap_share: float,
+    bytes_per_token: int,
 ) -> None:
     """Runs one model engine."""
 
@@ -81,10 +93,19 @@
         handler = model_engine.ModelEngineHandler(
             engine_model.EngineSettings(
                 prefill_rate=prefill_rate,
+                decode_base=units.Seconds(decode_ms / 1000),
                 kv_tokens=units.Tokens(kv_tokens),
             ),
-            models,
+            model_engine.EngineOptions(
+                models,
+                checks_fencing,
+                units.Seconds(load_seconds),
+                units.Seconds(report_lag_seconds),
+                cache_gap_share=cache_gap_share,
+                bytes_per_token=bytes_per_token,
+            ),
             history_module.History(history),
+            event_loop_timers.EventLoopTimerService(asyncio.get_running_loop()),
             random.Random(seed),
         )
         stepping = asyncio.create_task(handler.run())
@@ -98,15 +119,28 @@
 @_listen
 @_history
 @click.option("--duration-ms", type=int, default=5)
+@click.option(
+    "--route-duration-ms",
+    "route_durations",
+    type=(str, int),
+    multiple=True,
+    help="path and duration of one route",
+)
 def plain_service_command(
-    listen: str, history: pathlib.Path | None, duration_ms: int
+    listen: str,
+    history: pathlib.Path | None,
+    duration_ms: int,
+    route_durations: tuple[tuple[str, int], ...],
 ) -> None:
     """Runs one backend server of a plain service."""
 
     async def run() -> None:
         await _serve(
             plain_service.PlainServiceHandler(
-                history_module.History(history), duration_ms
+                history_module.History(history),
+                plain_service.PlainServiceSettings(
+                    duration_ms, dict(route_durations)
+                ),
             ),
             listen,
         )
