Serve prompts beyond one engine's memory with engine groups

Cause: a prompt of 900,000 tokens was refused on engines of 400,000.

Change: GroupDispatcher forms a group for an oversized prompt: holds in ascending engine id, segments prefilled on one engine after the other, KV passed by export and import handles, everything entered into the memory ledger first. A failed segment forms a new group without its engine, up to three times. The number of groups is limited by a pool of engines that all daemons compute alike.

--- a/packages/core/src/lavendershed/core/backend_servers.py
+++ b/packages/core/src/lavendershed/core/backend_servers.py
@@ -63,6 +63,7 @@
         resume_text: Text already delivered by an earlier attempt; the engine
             treats it as part of the prompt and continues at `first_offset`.
         first_offset: Offset of the first token that this stream produces.
+        hold: Hold whose memory the stream takes over.
         hold: Reserved memory that the stream takes over.
     """
 
--- a/packages/daemon/src/lavendershed/daemon/dispatcher.py
+++ b/packages/daemon/src/lavendershed/daemon/dispatcher.py
@@ -19,12 +19,17 @@
     Attributes:
         ticket: Number of the attempt at the dispatcher that assigned it.
         block_hashes: Chained hashes of the prompt's blocks, for the engine.
+        kv_imports: KV segments on other engines that cover the first part of
+            an oversized prompt.
+        hold: Hold whose memory the stream takes over.
     """
 
     engine: ids.BackendServerId
     priority: int
     ticket: int = 0
     block_hashes: tuple[int, ...] = ()
+    kv_imports: tuple[ids.KvHandle, ...] = ()
+    hold: ids.HoldId | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/lavendershed/daemon/factory.py
+++ b/packages/daemon/src/lavendershed/daemon/factory.py
@@ -25,6 +25,7 @@
 from lavendershed.daemon import engine_observer
 from lavendershed.daemon import generation
 from lavendershed.daemon import generation_parts
+from lavendershed.daemon import group_dispatcher
 from lavendershed.daemon import ledger_keeper
 from lavendershed.daemon import memory_reclaimer
 from lavendershed.daemon import options as options_module
@@ -263,6 +264,20 @@
             self._options.weight_loads_per_second,
         )
 
+    def _build_group_dispatcher(self) -> group_dispatcher.GroupDispatcher:
+        return group_dispatcher.GroupDispatcher(
+            self._dispatcher,
+            self._owner,
+            self._state,
+            self._directory,
+            self._health,
+            self._keeper,
+            self._dispatcher.limits,
+            self._timers,
+            self._log,
+            self._random,
+        )
+
     def _build_generation(self) -> generation.Generation:
         return generation.Generation(
             generation_parts.GenerationParts(
@@ -270,7 +285,7 @@
                 self._state,
                 self._directory,
                 self._health,
-                self._dispatcher,
+                self._build_group_dispatcher(),
                 retry_policy.RetryPolicy(
                     retry_policy.RetryLimits(),
                     retry_budget.RetryBudget(retry_budget.BudgetLimits()),
--- a/packages/daemon/src/lavendershed/daemon/generation_run.py
+++ b/packages/daemon/src/lavendershed/daemon/generation_run.py
@@ -515,6 +515,8 @@
             units.Tokens(request.max_tokens - self.delivered),
             attempt.assignment.priority,
             units.Milliseconds(int(remaining * 1000)),
+            attempt.assignment.kv_imports,
             resume_text=self._text.text(),
             first_offset=self.delivered,
+            hold=attempt.assignment.hold,
         )
--- /dev/null
+++ b/packages/daemon/src/lavendershed/daemon/group_dispatcher.py
@@ -0,0 +1,315 @@
+"""Dispatcher of prompts beyond one engine's memory to engine groups."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+import itertools
+import random
+import uuid
+
+import result
+
+from lavendershed.configuration import model
+from lavendershed.configuration import state as state_module
+from lavendershed.core import backend_servers
+from lavendershed.core import ids
+from lavendershed.core import outcomes
+from lavendershed.core import rendezvous
+from lavendershed.core import requests
+from lavendershed.core import states
+from lavendershed.core import timers
+from lavendershed.core import units
+from lavendershed.daemon import backend_directory
+from lavendershed.daemon import backend_health
+from lavendershed.daemon import dispatcher
+from lavendershed.daemon import engine_group
+from lavendershed.daemon import ledger_keeper
+from lavendershed.routing import group_planner
+from lavendershed.routing import limits
+from lavendershed.routing import prompt_classes
+from lavendershed.telemetry import events
+from lavendershed.telemetry import log
+
+# Part of an engine's KV memory that a group may hold; the rest stays free for
+# short prompts.
+_USABLE_SHARE = 0.9
+_MAX_TRIES = 3
+# Tickets of groups are negative; those of the queue are positive.
+_FIRST_TICKET = -1
+
+
+class GroupDispatcher(dispatcher.Dispatcher):
+    """Forms groups for oversized prompts; others go to the inner dispatcher.
+
+    Groups of a service use only the engines that rendezvous hashing puts
+    first, as many as the preset's `max_groups` groups need. All daemons
+    compute the same engines, and a hold takes most of an engine's memory, so
+    that the limit holds without a coordinator.
+    """
+
+    def __init__(
+        self,
+        inner: dispatcher.Dispatcher,
+        owner: backend_servers.Owner,
+        configuration: state_module.ConfigurationState,
+        directory: backend_directory.BackendDirectory,
+        health: backend_health.BackendHealth,
+        keeper: ledger_keeper.LedgerKeeper,
+        organisation_limits: limits.OrganisationLimits,
+        timer_service: timers.TimerService,
+        event_log: log.EventLog,
+        generator: random.Random,
+    ) -> None:
+        self._inner = inner
+        self._owner = owner
+        self._configuration = configuration
+        self._directory = directory
+        self._health = health
+        self._keeper = keeper
+        self._limits = organisation_limits
+        self._timers = timer_service
+        self._log = event_log
+        self._random = generator
+        self._tickets = itertools.count(_FIRST_TICKET, -1)
+        self._groups: dict[int, engine_group.EngineGroup] = {}
+
+    async def acquire(
+        self,
+        request: requests.GenerateRequest,
+        constraints: dispatcher.Constraints,
+    ) -> result.Result[dispatcher.Assignment, outcomes.RequestFailure]:
+        """Waits until an engine or a group is assigned."""
+        service = self._configuration.current.services.get(request.service)
+        if service is None or not _is_oversized(request, service):
+            return await self._inner.acquire(request, constraints)
+        refused = self._check(request, service, constraints)
+        if isinstance(refused, result.Err):
+            return refused
+        return await self._form(request, service, constraints)
+
+    def on_first_token(
+        self,
+        request: requests.GenerateRequest,
+        assignment: dispatcher.Assignment,
+    ) -> None:
+        """Notes that the prefill of an assignment has ended."""
+        if assignment.ticket not in self._groups:
+            self._inner.on_first_token(request, assignment)
+
+    def release(
+        self,
+        request: requests.GenerateRequest,
+        assignment: dispatcher.Assignment,
+    ) -> None:
+        """Ends an assignment when its attempt has ended."""
+        group = self._groups.pop(assignment.ticket, None)
+        if group is None:
+            self._inner.release(request, assignment)
+            return
+        group.end()
+
+    def _check(
+        self,
+        request: requests.GenerateRequest,
+        service: model.Service,
+        constraints: dispatcher.Constraints,
+    ) -> result.Result[None, outcomes.RequestFailure]:
+        preset = self._configuration.current.preset
+        tokens = request.prompt_tokens + request.max_tokens
+        needed = _demand(request, service, "").size
+        if preset.max_groups < 1 or needed > len(service.backend_servers):
+            return result.Err(
+                outcomes.not_run(
+                    states.FailureReason.BODY_TOO_LARGE,
+                    f"the prompt and its answer take {tokens} tokens and "
+                    f"{needed} engines; service '{service.name}' has "
+                    f"{len(service.backend_servers)} engines and serves "
+                    f"{preset.max_groups} groups at once",
+                )
+            )
+        # A further attempt of an admitted request is not charged again.
+        if constraints.excluded or constraints.alone:
+            return result.Ok(None)
+        now = self._timers.now()
+        within = self._limits.check(request.organisation, tokens, now)
+        if isinstance(within, result.Err):
+            return result.Err(
+                outcomes.not_run(
+                    states.FailureReason.RATE_LIMITED,
+                    f"organisation '{request.organisation}' is over its limit",
+                    within.err_value.retry_after,
+                )
+            )
+        self._limits.charge(request.organisation, tokens)
+        return result.Ok(None)
+
+    async def _form(
+        self,
+        request: requests.GenerateRequest,
+        service: model.Service,
+        constraints: dispatcher.Constraints,
+    ) -> result.Result[dispatcher.Assignment, outcomes.RequestFailure]:
+        excluded = set(constraints.excluded)
+        sent = False
+        reason = group_planner.GroupFailure.TOO_FEW_ENGINES
+        for _ in range(_MAX_TRIES):
+            group = await self._group(request, service, excluded)
+            formed = await group.form()
+            if isinstance(formed, result.Ok):
+                return result.Ok(self._assignment(request, group, formed))
+            sent = sent or group.prompt_sent
+            reason = formed.err_value
+            self._log.emit(
+                events.Event.GROUP_FAILED,
+                request_id=request.request_id,
+                engines=group.engines,
+                reason=reason.value,
+                failed_engine=group.failed_engine,
+            )
+            if group.failed_engine is None:
+                break
+            excluded.add(group.failed_engine)
+        return result.Err(_failure(reason, sent))
+
+    def _assignment(
+        self,
+        request: requests.GenerateRequest,
+        group: engine_group.EngineGroup,
+        formed: result.Ok[engine_group.Ready],
+    ) -> dispatcher.Assignment:
+        ready = formed.ok_value
+        ticket = next(self._tickets)
+        self._groups[ticket] = group
+        self._log.emit(
+            events.Event.GROUP_FORMED,
+            request_id=request.request_id,
+            engines=group.engines,
+            reason=f"{len(group.engines)} engines hold the prompt's KV",
+        )
+        return dispatcher.Assignment(
+            ready.segment.engine,
+            prompt_classes.PRIORITIES[states.PromptClass.OVERSIZED],
+            ticket,
+            (),
+            ready.imports,
+            ready.segment.hold,
+        )
+
+    async def _group(
+        self,
+        request: requests.GenerateRequest,
+        service: model.Service,
+        excluded: Collection[ids.BackendServerId],
+    ) -> engine_group.EngineGroup:
+        demand = _demand(request, service, uuid.uuid4().hex)
+        preset = self._configuration.current.preset
+        usable = [
+            server.name
+            for server in service.backend_servers
+            if server.name not in excluded
+            and self._health.accepts_work(server.name)
+        ]
+        pool = rendezvous.ranked(
+            usable, service.name, demand.size * preset.max_groups
+        )
+        members = await self._members(service, pool)
+        plan = group_planner.GroupPlanner(
+            demand, [member.engine for member in members], self._random
+        )
+        remaining = request.deadline.remaining(self._timers.now())
+        return engine_group.EngineGroup(
+            plan,
+            members,
+            backend_servers.StreamRequest(
+                ids.StreamId(demand.group_id),
+                ids.AttemptId(demand.group_id),
+                self._owner,
+                service.model,
+                request.adapter,
+                "",
+                request.prompt_tokens,
+                (),
+                request.max_tokens,
+                prompt_classes.PRIORITIES[states.PromptClass.OVERSIZED],
+                units.Milliseconds(int(remaining * 1000)),
+            ),
+            service.prefill_tokens_per_second,
+            self._keeper,
+            self._timers,
+        )
+
+    async def _members(
+        self, service: model.Service, pool: list[ids.BackendServerId]
+    ) -> tuple[engine_group.Member, ...]:
+        """Returns the reachable engines of the pool, least used first."""
+        found = []
+        for name in pool:
+            client = self._directory.engine(name)
+            server = self._directory.server(name)
+            if client is None or server is None:
+                continue
+            load = await client.load()
+            if isinstance(load, result.Err):
+                continue
+            total = load.ok_value.kv_bytes_total
+            member = engine_group.Member(
+                name,
+                client,
+                server.address,
+                total / service.engine_memory_tokens,
+            )
+            found.append((load.ok_value.kv_bytes_used / total, member))
+        found.sort(key=lambda item: item[0])
+        return tuple(member for _, member in found)
+
+
+def _is_oversized(
+    request: requests.GenerateRequest, service: model.Service
+) -> bool:
+    return (
+        prompt_classes.classify(
+            request.prompt_tokens,
+            request.max_tokens,
+            service.engine_memory_tokens,
+        )
+        is states.PromptClass.OVERSIZED
+    )
+
+
+def _demand(
+    request: requests.GenerateRequest, service: model.Service, group_id: str
+) -> group_planner.GroupDemand:
+    return group_planner.GroupDemand(
+        group_id,
+        request.prompt_tokens,
+        request.max_tokens,
+        units.Tokens(int(service.engine_memory_tokens * _USABLE_SHARE)),
+        service.prefill_tokens_per_second,
+        request.deadline,
+    )
+
+
+def _failure(
+    reason: group_planner.GroupFailure, sent: bool
+) -> outcomes.RequestFailure:
+    reasons = {
+        group_planner.GroupFailure.TOO_FEW_ENGINES: (
+            states.FailureReason.NO_BACKEND_SERVER
+        ),
+        group_planner.GroupFailure.DEADLINE: (
+            states.FailureReason.DEADLINE_UNREACHABLE
+        ),
+        group_planner.GroupFailure.SEGMENT_FAILED: (
+            states.FailureReason.BACKEND_SERVER_FAILED
+        ),
+    }
+    execution = (
+        states.Execution.FAILED_AFTER_START
+        if sent
+        else states.Execution.NOT_RUN
+    )
+    return outcomes.RequestFailure(
+        reasons[reason],
+        execution,
+        f"no engine group could be formed: {reason.value.replace('_', ' ')}",
+    )
--- a/packages/daemon/src/lavendershed/daemon/queued_dispatcher.py
+++ b/packages/daemon/src/lavendershed/daemon/queued_dispatcher.py
@@ -83,6 +83,11 @@
         self._waiters: dict[work_module.Ticket, _Waiter] = {}
         self._load_listeners: list[timers.Callback] = []
 
+    @property
+    def limits(self) -> limits.OrganisationLimits:
+        """Rate limits of organisations at this daemon."""
+        return self._limits
+
     @property
     def engines(self) -> tuple[ids.BackendServerId, ...]:
         """Engines that this daemon uses, of all services."""
