--- a/packages/daemon/tests/test_calls.py
+++ b/packages/daemon/tests/test_calls.py
@@ -85,13 +85,12 @@
         self.timers = timers
         owner = backend_servers.Owner(ids.VmId(vm), ids.Incarnation(1))
         generator = random.Random(7)
-        single = cluster.SingleDaemon(owner)
         health = backend_health.BackendHealth(
-            timers, generator, single, self.log
+            timers, generator, cluster.SingleDaemon(owner), self.log
         )
         self.bookings = bookings.Bookings(
             self.store,
-            single,
+            cluster.SingleDaemon(owner),
             owner,
             timers,
             self.log,
