--- a/packages/daemon/src/lavendershed/daemon/generation_run.py
+++ b/packages/daemon/src/lavendershed/daemon/generation_run.py
@@ -8,6 +8,7 @@
 
 import result
 
+from lavendershed.configuration import model
 from lavendershed.core import backend_servers
 from lavendershed.core import ids
 from lavendershed.core import outcomes
@@ -169,6 +170,11 @@
             )
             excluded = decision.excluded
 
+    @property
+    def _service(self) -> model.Service | None:
+        services = self._parts.configuration.current.services
+        return services.get(self._request.service)
+
     @property
     def _execution(self) -> states.Execution:
         return execution_module.combined(
@@ -254,8 +260,9 @@
         self, assignment: dispatcher_module.Assignment
     ) -> _AttemptEnd:
         client = self._parts.directory.engine(assignment.engine)
-        if client is None:
-            return self._not_sent(assignment, "the engine was removed")
+        service = self._service
+        if client is None or service is None:
+            return self._not_sent(assignment, "it left the configuration")
         attempt = _Attempt(
             ids.AttemptId(uuid.uuid4().hex),
             assignment,
@@ -284,7 +291,9 @@
         )
         outcome = "interrupted"
         try:
-            end = await self._relay(attempt)
+            end = await self._relay(
+                attempt, self._stream_request(attempt, service)
+            )
             if isinstance(end, _Lost):
                 outcome = end.error.kind.value
                 await self._on_lost(attempt, end.error)
@@ -328,8 +337,10 @@
             self._parts.keeper.give_back(attempt.key)
         self._parts.suspects.on_attempt_ended(attempt.attempt_id)
 
-    async def _relay(self, attempt: _Attempt) -> _AttemptEnd:
-        commands = await self._start(attempt)
+    async def _relay(
+        self, attempt: _Attempt, request: backend_servers.StreamRequest
+    ) -> _AttemptEnd:
+        commands = await self._start(attempt, request)
         while True:
             for command in commands:
                 if isinstance(command, stream_tracker.Deliver):
@@ -357,11 +368,9 @@
                 commands = await self._next_commands(attempt)
 
     async def _start(
-        self, attempt: _Attempt
+        self, attempt: _Attempt, request: backend_servers.StreamRequest
     ) -> tuple[stream_tracker.Command, ...]:
-        opened = await attempt.client.start_stream(
-            self._stream_request(attempt)
-        )
+        opened = await attempt.client.start_stream(request)
         if isinstance(opened, result.Err):
             self._parts.health.on_error(attempt.engine, opened.err_value)
             return self._tracker.on_start_error(
@@ -476,9 +485,7 @@
         if self._first_token_seen:
             return
         self._first_token_seen = True
-        service = self._parts.configuration.current.services.get(
-            self._request.service
-        )
+        service = self._service
         if service is None:
             return
         self._parts.instruments.first_token(
@@ -492,10 +499,9 @@
         )
 
     def _stream_request(
-        self, attempt: _Attempt
+        self, attempt: _Attempt, service: model.Service
     ) -> backend_servers.StreamRequest:
         request = self._request
-        service = self._parts.configuration.current.services[request.service]
         remaining = request.deadline.remaining(self._parts.timers.now())
         return backend_servers.StreamRequest(
             attempt.stream_id,
