--- a/packages/cli/src/lavendershed/cli/changing.py
+++ b/packages/cli/src/lavendershed/cli/changing.py
@@ -6,17 +6,31 @@
 
 from lavendershed.cli import output
 from lavendershed.cli import session as session_module
+from lavendershed.cli import waiting
 from lavendershed.configuration import changes
 from lavendershed.configuration import writer
 from lavendershed.core import addresses
 from lavendershed.core import units
 
+_wait_option = click.option(
+    "--wait", is_flag=True, help="Wait until all routers have the epoch."
+)
+_wait_seconds_option = click.option(
+    "--wait-seconds",
+    type=click.FloatRange(0, session_module.MAX_TIME_LIMIT_SECONDS),
+    default=30.0,
+    show_default=True,
+    help="Longest wait with --wait.",
+)
+
 
 def change_options(
     command: session_module.Command,
 ) -> session_module.Command:
     """Adds the options of every command that changes the configuration."""
     for option in (
+        _wait_seconds_option,
+        _wait_option,
         session_module.output_option,
         session_module.operator_option,
         session_module.store_option,
@@ -32,6 +46,8 @@
     time_limit_seconds: float,
     operator: str,
     output_format: output.OutputFormat,
+    wait: bool,
+    wait_seconds: float,
 ) -> None:
     """Writes one change and prints the epoch at which it was accepted."""
     session = session_module.Session(store, units.Seconds(time_limit_seconds))
@@ -50,10 +66,20 @@
                 "differences": differences,
             }
         )
-        return
-    if accepted:
-        click.echo(f"accepted as epoch {outcome.epoch}")
     else:
-        click.echo(f"no change; the epoch is {outcome.epoch}")
-    for difference in differences:
-        click.echo(f"  {difference}")
+        click.echo(
+            f"accepted as epoch {outcome.epoch}"
+            if accepted
+            else f"no change; the epoch is {outcome.epoch}"
+        )
+        for difference in differences:
+            click.echo(f"  {difference}")
+    if not wait:
+        return
+    count = session.run(
+        lambda access: waiting.wait_in_force(
+            access, outcome.epoch, units.Seconds(wait_seconds)
+        )
+    )
+    if output_format is output.OutputFormat.TABLE:
+        click.echo(f"in force on {count} routers")
--- a/packages/cli/src/lavendershed/cli/commands/router.py
+++ b/packages/cli/src/lavendershed/cli/commands/router.py
@@ -26,6 +26,9 @@
 @click.option("--store", help="Numeric address of the object API.")
 @click.option("--idle-timeout-seconds", type=float)
 @click.option("--settle-time-seconds", type=float)
+@click.option("--poll-interval-seconds", type=float)
+@click.option("--engine-poll-interval-seconds", type=float)
+@click.option("--store-calls-per-second", type=float)
 def router(**flags: str | float | None) -> None:
     """Runs the router until SIGTERM."""
     given = {name: value for name, value in flags.items() if value is not None}
--- /dev/null
+++ b/packages/cli/src/lavendershed/cli/entity_commands.py
@@ -0,0 +1,85 @@
+"""Commands that are the same for organisations, services and presets."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import click
+import tomli_w
+
+from lavendershed.cli import changing
+from lavendershed.cli import configuration_file
+from lavendershed.cli import failures
+from lavendershed.cli import output
+from lavendershed.cli import session as session_module
+from lavendershed.configuration import changes
+from lavendershed.configuration import comparison
+from lavendershed.configuration import model
+from lavendershed.core import addresses
+from lavendershed.core import units
+
+Rows = Callable[[model.Configuration], list[tuple[object, ...]]]
+
+
+def add_list(group: click.Group, columns: tuple[str, ...], rows: Rows) -> None:
+    """Adds `list`, which prints one row for each entity."""
+
+    @group.command("list")
+    @session_module.output_option
+    @session_module.store_option
+    def list_entities(
+        store: addresses.Address,
+        time_limit_seconds: float,
+        output_format: output.OutputFormat,
+    ) -> None:
+        """Lists all of them."""
+        session = session_module.Session(
+            store, units.Seconds(time_limit_seconds)
+        )
+        output.print_rows(output_format, columns, rows(session.read()))
+
+
+def add_show(group: click.Group, kind: comparison.ItemKind) -> None:
+    """Adds `show`, which prints one entity with all its fields."""
+
+    @group.command()
+    @click.argument("name")
+    @session_module.output_option
+    @session_module.store_option
+    def show(
+        name: str,
+        store: addresses.Address,
+        time_limit_seconds: float,
+        output_format: output.OutputFormat,
+    ) -> None:
+        """Shows all fields of NAME."""
+        session = session_module.Session(
+            store, units.Seconds(time_limit_seconds)
+        )
+        item = comparison.Item(kind, name)
+        entity = changes.find(session.read(), item)
+        if entity is None:
+            raise failures.invalid((changes.absent(item),))
+        fields = configuration_file.plain(entity)
+        if output_format is output.OutputFormat.JSON:
+            output.print_json(fields)
+            return
+        click.echo(tomli_w.dumps(fields), nl=False)
+
+
+def add_delete(group: click.Group, kind: comparison.ItemKind) -> None:
+    """Adds `delete`."""
+
+    @group.command()
+    @click.argument("name")
+    @changing.change_options
+    def delete(name: str, **options: Any) -> None:  # noqa: ANN401
+        """Deletes NAME."""
+        change = changes.DeleteEntity(comparison.Item(kind, name))
+        changing.make_change(change, **options)
+
+
+def given(**fields: object) -> dict[str, Any]:
+    """Returns the fields whose flags were given."""
+    return {name: v for name, v in fields.items() if v is not None}
--- a/packages/cli/src/lavendershed/cli/main.py
+++ b/packages/cli/src/lavendershed/cli/main.py
@@ -7,8 +7,12 @@
 from lavendershed import cli
 from lavendershed.cli.commands import apply
 from lavendershed.cli.commands import diff
+from lavendershed.cli.commands import export
+from lavendershed.cli.commands import history
+from lavendershed.cli.commands import organisation
 from lavendershed.cli.commands import preset
 from lavendershed.cli.commands import router
+from lavendershed.cli.commands import service
 from lavendershed.cli.commands import status
 
 
@@ -21,8 +25,12 @@
 for command in (
     apply.apply,
     diff.diff,
+    export.export,
+    history.history,
+    organisation.organisation,
     preset.preset,
     router.router,
+    service.service,
     status.status,
 ):
     main.add_command(command)
--- a/packages/cli/src/lavendershed/cli/settings.py
+++ b/packages/cli/src/lavendershed/cli/settings.py
@@ -15,6 +15,11 @@
 
 MAX_IDLE_TIMEOUT_SECONDS = 60.0
 MAX_SETTLE_TIME_SECONDS = 600.0
+MAX_POLL_INTERVAL_SECONDS = 60.0
+MIN_POLL_INTERVAL_SECONDS = 0.05
+MAX_STORE_CALLS_PER_SECOND = 2_000.0
+# Fewer calls would not let a watch and a poll run beside bookings.
+MIN_STORE_CALLS_PER_SECOND = 2.0
 
 
 def _check_address(text: str) -> str:
@@ -41,6 +46,15 @@
     settle_time_seconds: float = pydantic.Field(
         5.0, ge=0, le=MAX_SETTLE_TIME_SECONDS
     )
+    poll_interval_seconds: float = pydantic.Field(
+        2.0, ge=MIN_POLL_INTERVAL_SECONDS, le=MAX_POLL_INTERVAL_SECONDS
+    )
+    engine_poll_interval_seconds: float = pydantic.Field(
+        0.25, ge=MIN_POLL_INTERVAL_SECONDS, le=MAX_POLL_INTERVAL_SECONDS
+    )
+    store_calls_per_second: float = pydantic.Field(
+        40.0, ge=MIN_STORE_CALLS_PER_SECOND, le=MAX_STORE_CALLS_PER_SECOND
+    )
 
     @classmethod
     def from_flags(cls, flags: Mapping[str, str | float]) -> RouterSettings:
@@ -67,4 +81,9 @@
             address.parse(self.store).unwrap(),
             idle_timeout=units.Seconds(self.idle_timeout_seconds),
             settle_time=units.Seconds(self.settle_time_seconds),
+            poll_interval=units.Seconds(self.poll_interval_seconds),
+            engine_poll_interval=units.Seconds(
+                self.engine_poll_interval_seconds
+            ),
+            store_calls_per_second=self.store_calls_per_second,
         )
--- a/packages/platform/src/lavendershed/platform/configuration_store.py
+++ b/packages/platform/src/lavendershed/platform/configuration_store.py
@@ -101,7 +101,7 @@
         stored = await self.read_manifest()
         if isinstance(stored, result.Err):
             error = stored.err_value
-            if _is_absent(error):
+            if is_absent(error):
                 return result.Ok(model.EMPTY)
             return result.Err(error)
         manifest = stored.ok_value.manifest
@@ -218,7 +218,7 @@
             return writer.on_manifest(
                 stored.ok_value.version, stored.ok_value.manifest, now
             )
-        if _is_absent(stored.err_value):
+        if is_absent(stored.err_value):
             return writer.on_no_manifest(now)
         return self._read_failed(writer, stored.err_value)
 
@@ -230,7 +230,8 @@
         return writer.on_store_error(error, self._timers.now())
 
 
-def _is_absent(error: ReadError) -> bool:
+def is_absent(error: ReadError) -> bool:
+    """Returns whether an object does not exist."""
     return (
         isinstance(error, object_store.StoreError)
         and error.kind is object_store.StoreErrorKind.ABSENT
--- a/packages/platform/src/lavendershed/platform/status.py
+++ b/packages/platform/src/lavendershed/platform/status.py
@@ -6,11 +6,13 @@
 
 import result
 
+from lavendershed.core import backend_servers
 from lavendershed.core import ids
 from lavendershed.core import object_store
 from lavendershed.platform import codec
 
 PREFIX = "status/"
+LEASE_PREFIX = "leases/"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,7 +32,24 @@
     active_preset: ids.PresetName
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseContent:
+    """The fields of a lease object that operators see."""
+
+    holder: backend_servers.Owner | None
+    fencing_number: ids.FencingNumber
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseStatus:
+    """Who may send placement orders for one service."""
+
+    service: ids.ServiceId
+    content: LeaseContent
+
+
 CODEC = codec.Codec(DaemonStatus)
+_LEASE_CODEC = codec.Codec(LeaseContent)
 
 
 def key(vm: ids.VmId) -> ids.ObjectKey:
@@ -42,16 +61,43 @@
     store: object_store.ObjectStore,
 ) -> result.Result[tuple[DaemonStatus, ...], object_store.StoreError]:
     """Reads all status objects; those that cannot be decoded are left out."""
-    statuses: list[DaemonStatus] = []
+    stored = await _read_prefix(store, PREFIX)
+    if isinstance(stored, result.Err):
+        return stored
+    decoded = (CODEC.decode(entry.value) for entry in stored.ok_value)
+    return result.Ok(
+        tuple(e.ok_value for e in decoded if isinstance(e, result.Ok))
+    )
+
+
+async def read_leases(
+    store: object_store.ObjectStore,
+) -> result.Result[tuple[LeaseStatus, ...], object_store.StoreError]:
+    """Reads all leases; those that cannot be decoded are left out."""
+    stored = await _read_prefix(store, LEASE_PREFIX)
+    if isinstance(stored, result.Err):
+        return stored
+    leases: list[LeaseStatus] = []
+    for entry in stored.ok_value:
+        decoded = _LEASE_CODEC.decode(entry.value)
+        if isinstance(decoded, result.Ok):
+            service = ids.ServiceId(entry.key.removeprefix(LEASE_PREFIX))
+            leases.append(LeaseStatus(service, decoded.ok_value))
+    return result.Ok(tuple(leases))
+
+
+async def _read_prefix(
+    store: object_store.ObjectStore, prefix: str
+) -> result.Result[
+    tuple[object_store.StoredObject, ...], object_store.StoreError
+]:
+    found: list[object_store.StoredObject] = []
     after: ids.ObjectKey | None = None
     while True:
-        page = await store.list(PREFIX, after)
+        page = await store.list(prefix, after)
         if isinstance(page, result.Err):
             return page
         if not page.ok_value:
-            return result.Ok(tuple(statuses))
-        for stored in page.ok_value:
-            decoded = CODEC.decode(stored.value)
-            if isinstance(decoded, result.Ok):
-                statuses.append(decoded.ok_value)
+            return result.Ok(tuple(found))
+        found += page.ok_value
         after = page.ok_value[-1].key
