--- /dev/null
+++ b/packages/daemon/src/lavendershed/daemon/peer_configuration.py
@@ -0,0 +1,112 @@
+"""Configuration from and for other daemons."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import result
+
+from lavendershed.configuration import state as state_module
+from lavendershed.core import ids
+from lavendershed.core import timers
+from lavendershed.core import units
+from lavendershed.daemon import background
+from lavendershed.daemon import chunk_source
+from lavendershed.membership import peers
+from lavendershed.membership import records
+from lavendershed.platform import codec
+from lavendershed.telemetry import events
+from lavendershed.telemetry import log
+from lavendershed.transport import event_loop_timers
+
+ManifestListener = Callable[[ids.Epoch, bytes], None]
+
+# The next heartbeat of any peer names the greater epoch again; this keeps a
+# peer from being asked in a loop for an epoch that it can't serve or that
+# can't be applied.
+_PAUSE = units.Seconds(0.5)
+
+
+class PeerConfiguration(background.BackgroundTask, chunk_source.ChunkSource):
+    """Fetches greater epochs from peers and serves the one in force.
+
+    An accepted change spreads this way while the object store is down, and a
+    daemon that starts then gets its configuration.
+    """
+
+    def __init__(
+        self,
+        client: peers.PeerClient,
+        state: state_module.ConfigurationState,
+        timer_service: timers.TimerService,
+        event_log: log.EventLog,
+    ) -> None:
+        self._client = client
+        self._state = state
+        self._timers = timer_service
+        self._log = event_log
+        self._listeners: list[ManifestListener] = []
+        self._wanted = asyncio.Event()
+        self._epoch = ids.Epoch(0)
+        self._peer = records.ContactAddress("")
+
+    def add_listener(self, listener: ManifestListener) -> None:
+        """Calls `listener` with each encoded manifest of a greater epoch."""
+        self._listeners.append(listener)
+
+    def on_epoch(self, epoch: ids.Epoch, peer: records.ContactAddress) -> None:
+        """Takes the epoch that a peer has in force."""
+        if epoch > self._state.current.epoch:
+            self._epoch, self._peer = epoch, peer
+            self._wanted.set()
+
+    def manifest(self) -> bytes | None:
+        """Returns the encoded manifest in force, if there is one."""
+        manifest = self._state.manifest
+        return None if manifest is None else codec.MANIFEST.encode(manifest)
+
+    def chunk(self, chunk_hash: ids.ChunkHash) -> bytes | None:
+        """Returns an encoded chunk that has this hash, if it is held."""
+        chunk = self._state.chunk(chunk_hash)
+        if chunk is None:
+            return None
+        encoded = codec.CHUNK.encode(chunk)
+        # A chunk with fields of a later version is encoded without them.
+        return encoded if codec.chunk_hash(encoded) == chunk_hash else None
+
+    async def fetch_chunk(self, chunk_hash: ids.ChunkHash) -> bytes | None:
+        """Returns a chunk of the peer that last named a greater epoch."""
+        if not self._peer:
+            return None
+        fetched = await self._client.fetch_chunk(self._peer, chunk_hash)
+        if isinstance(fetched, result.Err):
+            self._report(fetched.err_value.detail)
+            return None
+        return fetched.ok_value
+
+    async def run(self) -> None:
+        """Fetches the manifests that peers announce, until cancelled."""
+        while True:
+            await self._wanted.wait()
+            self._wanted.clear()
+            if self._epoch > self._state.current.epoch:
+                await self._fetch_manifest()
+                await event_loop_timers.sleep(self._timers, _PAUSE)
+
+    async def _fetch_manifest(self) -> None:
+        epoch = self._epoch
+        fetched = await self._client.fetch_manifest(self._peer)
+        if isinstance(fetched, result.Err):
+            self._report(fetched.err_value.detail)
+            return
+        for listener in self._listeners:
+            listener(epoch, fetched.ok_value)
+
+    def _report(self, detail: str) -> None:
+        self._log.emit(
+            events.Event.PEER_CONFIGURATION_FAILED,
+            epoch=self._epoch,
+            peer=self._peer,
+            detail=detail,
+        )
--- a/packages/daemon/tests/generation_fixture.py
+++ b/packages/daemon/tests/generation_fixture.py
@@ -152,7 +152,9 @@
                 OWNER,
                 self._configuration(),
                 self.directory,
-                backend_health.BackendHealth(),
+                backend_health.BackendHealth(
+                    self.timers, random.Random(1), self.exchange, self.log
+                ),
                 self.dispatcher,
                 retry_policy.RetryPolicy(
                     retry_policy.RetryLimits(),
