--- a/packages/cli/src/lavendershed/cli/commands/router.py
+++ b/packages/cli/src/lavendershed/cli/commands/router.py
@@ -36,6 +36,9 @@
 @click.option("--deployment", help="Id that keeps deployments apart.")
 @click.option("--idle-timeout-seconds", type=float)
 @click.option("--settle-time-seconds", type=float)
+@click.option("--poll-interval-seconds", type=float)
+@click.option("--engine-poll-interval-seconds", type=float)
+@click.option("--store-calls-per-second", type=float)
 @click.option(
     "--event-loop", help="Event loop of the process: asyncio or uvloop."
 )
--- a/packages/daemon/src/lavendershed/daemon/peer_network.py
+++ b/packages/daemon/src/lavendershed/daemon/peer_network.py
@@ -84,6 +84,20 @@
         """Live daemons, this one included, in the order of their ids."""
         return self._gossip.membership.live
 
+    def live_in(
+        self, availability_zone: ids.AvailabilityZoneId
+    ) -> tuple[ids.VmId, ...]:
+        """Live daemons of one zone, in the order of their ids."""
+        live = frozenset(self.live)
+        return tuple(
+            sorted(
+                record.owner.vm
+                for record in self._gossip.membership.records
+                if record.availability_zone == availability_zone
+                and record.owner.vm in live
+            )
+        )
+
     @property
     def known_count(self) -> int:
         """Daemons that may be serving, unreachable ones included."""
