--- a/packages/daemon/src/lavendershed/daemon/generation_run.py
+++ b/packages/daemon/src/lavendershed/daemon/generation_run.py
@@ -359,6 +359,7 @@
     async def _start(
         self, attempt: _Attempt
     ) -> tuple[stream_tracker.Command, ...]:
+        self._parts.health.on_sent(attempt.engine)
         opened = await attempt.client.start_stream(
             self._stream_request(attempt)
         )
@@ -442,7 +443,12 @@
         # A request that the engine never got can't have crashed it.
         if not dead or not self._tracker.evidence.sent:
             return
-        planned = not self._parts.health.accepts_work(attempt.engine)
+        # An engine that refuses connections gets no work either, but that is
+        # what a crash looks like.
+        planned = (
+            self._parts.health.health_of(attempt.engine)
+            is states.EngineHealth.LEAVING
+        )
         for command in self._parts.suspects.on_engine_crash(
             attempt.attempt_id, planned, now
         ):
--- a/packages/daemon/tests/test_calls.py
+++ b/packages/daemon/tests/test_calls.py
@@ -85,7 +85,9 @@
         self.timers = timers
         owner = backend_servers.Owner(ids.VmId(vm), ids.Incarnation(1))
         generator = random.Random(7)
-        health = backend_health.BackendHealth()
+        health = backend_health.BackendHealth(
+            timers, generator, cluster.SingleDaemon(owner), self.log
+        )
         self.bookings = bookings.Bookings(
             self.store,
             cluster.SingleDaemon(owner),
