--- a/packages/daemon/src/lavendershed/daemon/backend_health.py
+++ b/packages/daemon/src/lavendershed/daemon/backend_health.py
@@ -41,12 +41,11 @@
         replaced: Incarnations that the server had before.
         leaving: The incarnation that is leaving.
         leaving_until: End of a claim without an incarnation.
-        reserved: Whether the server reports the role by which placement
-            drains it.
         failures: Failed calls in a row.
         down_until: End of the pause after failures.
         last_failure: When the last call failed.
         probe_until: While a probe is out, its latest end.
+        reserved: Whether it has the role by which placement drains an engine.
     """
 
     incarnation: ids.Incarnation | None = None
@@ -54,13 +53,13 @@
     leaving: ids.Incarnation | None = None
     leaving_until: units.Instant | None = None
     vm_leaving: bool = False
-    reserved: bool = False
     failures: int = 0
     pauses: int = 0
     down_until: units.Instant | None = None
     last_failure: units.Instant | None = None
     probe_until: units.Instant | None = None
     published: units.Instant | None = None
+    reserved: bool = False
 
 
 class BackendHealth:
@@ -133,8 +132,8 @@
                 known.replaced.append(known.incarnation)
                 del known.replaced[:-_MAX_REPLACED]
             known.incarnation = report.incarnation
-        known.reserved = report.role is states.EngineRole.RESERVE
         self._close(server, known)
+        known.reserved = report.role is states.EngineRole.RESERVE
         if report.leaving:
             self._mark_leaving(server, report.incarnation, "load_report")
             return
--- a/packages/daemon/src/lavendershed/daemon/calls.py
+++ b/packages/daemon/src/lavendershed/daemon/calls.py
@@ -159,6 +159,7 @@
             )
         self._health.on_sent(server)
         with self._choice.outstanding(server):
+            self._health.on_sent(server)
             answer = await client.call(
                 backend_servers.PlainCall(
                     "POST",
--- a/packages/daemon/src/lavendershed/daemon/queued_dispatcher.py
+++ b/packages/daemon/src/lavendershed/daemon/queued_dispatcher.py
@@ -81,6 +81,12 @@
             ids.ServiceId, scheduler_module.ServiceScheduler
         ] = {}
         self._waiters: dict[work_module.Ticket, _Waiter] = {}
+        self._load_listeners: list[timers.Callback] = []
+
+    @property
+    def limits(self) -> limits.OrganisationLimits:
+        """Rate limits of organisations at this daemon."""
+        return self._limits
 
     @property
     def engines(self) -> tuple[ids.BackendServerId, ...]:
@@ -102,6 +108,10 @@
         ]
         return tuple(sorted(loads, key=lambda load: -load.prefill_tokens))
 
+    def subscribe_load(self, listener: timers.Callback) -> None:
+        """Calls `listener` after each dispatch and each first token."""
+        self._load_listeners.append(listener)
+
     async def acquire(
         self,
         request: requests.GenerateRequest,
@@ -149,6 +159,7 @@
                 request.service,
                 scheduler.on_first_token(ticket, self._timers.now()),
             )
+            self._on_load_changed()
 
     def release(
         self,
@@ -313,6 +324,12 @@
             )
         )
 
+        self._on_load_changed()
+
+    def _on_load_changed(self) -> None:
+        for listener in self._load_listeners:
+            listener()
+
     def _refuse(
         self, waiter: _Waiter, failure: outcomes.RequestFailure
     ) -> None:
--- a/packages/daemon/src/lavendershed/daemon/router.py
+++ b/packages/daemon/src/lavendershed/daemon/router.py
@@ -39,7 +39,8 @@
 
 # A request ends at its deadline; its answer may take a little longer.
 _DEADLINE_MARGIN = units.Seconds(2.0)
-_RELEASE_TIME = units.Seconds(10.0)
+# Above the limits that the tasks keep themselves, which report what is left.
+_RELEASE_TIME = units.Seconds(40.0)
 # Time for callers to read the ends of their answers.
 _FLUSH_TIME = units.Seconds(10.0)
 _FLUSH_POLL = units.Seconds(0.05)
