--- a/packages/daemon/src/lavendershed/daemon/factory.py
+++ b/packages/daemon/src/lavendershed/daemon/factory.py
@@ -142,6 +142,7 @@
                 self._bookings,
                 self._build_retention(),
                 self._build_vm_list_poller(),
+                # Leases are released while peers still see this daemon.
                 self._build_placement(),
                 *(self._peering.background if self._peering else ()),
             ),
