--- a/packages/standin/src/lavendershed/standin/bench/simulation.py
+++ b/packages/standin/src/lavendershed/standin/bench/simulation.py
@@ -34,7 +34,9 @@
 _KEPT_CACHE_EVENTS = 4_000
 _DIGEST_INTERVAL = units.Seconds(0.5)
 _DIGEST_LOSS = 0.01
-_DIGEST_DELAY = units.Seconds(0.005)
+# Time from a change of load to the digest that tells of it, if it is sent on
+# its own and not with the next message between daemons.
+PROMPT_DIGEST_DELAY = units.Seconds(0.005)
 _DRAIN = units.Seconds(700.0)
 _IDLE_STEP = units.Seconds(0.001)
 
@@ -265,7 +267,7 @@
     def _digest_soon(self) -> None:
         if not self._digest_pending:
             self._digest_pending = True
-            self._after(_DIGEST_DELAY, self._send_digest)
+            self._after(self._simulation.digest_delay, self._send_digest)
 
     def _on_first_token(self, ticket: work_module.Ticket) -> None:
         if ticket not in self._arrivals:
@@ -374,8 +376,10 @@
         deployment: workload.Deployment,
         chooser_factory: policies.ChooserFactory,
         seed: int,
+        digest_delay: units.Seconds = PROMPT_DIGEST_DELAY,
     ) -> None:
         self.deployment = deployment
+        self.digest_delay = digest_delay
         self.timers = timers.VirtualTimerService()
         self._random = random.Random(f"balancer/{seed}")
         self.engines = {
@@ -448,6 +452,7 @@
     duration: units.Seconds,
     seed: int,
     short_only: bool = False,
+    digest_delay: units.Seconds = PROMPT_DIGEST_DELAY,
 ) -> Outcome:
     """Runs one policy on one trace.
 
@@ -459,5 +464,7 @@
         arrivals = [
             a for a in arrivals if a.prompt_tokens <= prompt_classes.SHORT_LIMIT
         ]
-    simulation = Simulation(deployment, policies.FACTORIES[policy], seed)
+    simulation = Simulation(
+        deployment, policies.FACTORIES[policy], seed, digest_delay
+    )
     return simulation.run(arrivals, duration)
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -44,6 +44,13 @@
     multiple=True,
     type=click.Choice([policy.value for policy in policies.Policy]),
 )
+@click.option(
+    "--digest-delay",
+    type=float,
+    default=simulation.PROMPT_DIGEST_DELAY,
+    show_default=True,
+    help="Seconds until a daemon's change of load leaves for its peers.",
+)
 @click.option("--slowest", type=int, default=0, help="Short prompts to trace.")
 def main(
     load: float,
@@ -52,6 +59,7 @@
     processes: int,
     names: tuple[str, ...],
     wanted: tuple[str, ...],
+    digest_delay: float,
     slowest: int,
 ) -> None:
     """Compares routing policies and times one routing decision."""
@@ -70,6 +78,7 @@
                 units.Seconds(seconds),
                 run[2],
                 run[3],
+                units.Seconds(digest_delay),
             )
             for run in runs
         }
