--- a/packages/daemon/src/lavendershed/daemon/factory.py
+++ b/packages/daemon/src/lavendershed/daemon/factory.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import itertools
 import random
 
 from lavendershed.booking import machine
@@ -25,10 +24,10 @@
 from lavendershed.daemon import engine_observer
 from lavendershed.daemon import generation
 from lavendershed.daemon import generation_parts
+from lavendershed.daemon import group_dispatcher
 from lavendershed.daemon import ledger_keeper
 from lavendershed.daemon import memory_reclaimer
 from lavendershed.daemon import options as options_module
-from lavendershed.daemon import peer_configuration
 from lavendershed.daemon import peer_factory
 from lavendershed.daemon import placement_loop
 from lavendershed.daemon import queued_dispatcher
@@ -159,16 +158,13 @@
             status.on_configuration,
             router.on_configuration,
         ]
-        sources: list[
-            configuration_sync.ConfigurationSync
-            | peer_configuration.PeerConfiguration
-        ] = [sync]
         if self._peering is not None:
             router.add_arrival_listener(self._peering.shares.on_arrival)
             listeners.append(self._peering.network.on_configuration)
-            sources.append(self._peering.configuration)
-        for source, listener in itertools.product(sources, listeners):
-            source.add_listener(listener)
+            self._peering.configuration.add_listener(sync.on_peer_epoch)
+            sync.add_source(self._peering.configuration)
+        for listener in listeners:
+            sync.add_listener(listener)
         return router
 
     def _build_stores(
@@ -263,6 +259,20 @@
             self._options.weight_loads_per_second,
         )
 
+    def _build_group_dispatcher(self) -> group_dispatcher.GroupDispatcher:
+        return group_dispatcher.GroupDispatcher(
+            self._dispatcher,
+            self._owner,
+            self._state,
+            self._directory,
+            self._health,
+            self._keeper,
+            self._dispatcher.limits,
+            self._timers,
+            self._log,
+            self._random,
+        )
+
     def _build_generation(self) -> generation.Generation:
         return generation.Generation(
             generation_parts.GenerationParts(
@@ -270,7 +280,7 @@
                 self._state,
                 self._directory,
                 self._health,
-                self._dispatcher,
+                self._build_group_dispatcher(),
                 retry_policy.RetryPolicy(
                     retry_policy.RetryLimits(),
                     retry_budget.RetryBudget(retry_budget.BudgetLimits()),
--- a/packages/daemon/src/lavendershed/daemon/peer_factory.py
+++ b/packages/daemon/src/lavendershed/daemon/peer_factory.py
@@ -76,7 +76,7 @@
         )
         calls = client.TcpPeerClient(sealing, self._random)
         configuration = peer_configuration.PeerConfiguration(
-            calls, self._state, self._timers, self._log, ()
+            calls, self._state, self._timers, self._log
         )
         network = peer_network.PeerNetwork(
             self._listen,
