--- a/packages/cli/src/lavendershed/cli/settings.py
+++ b/packages/cli/src/lavendershed/cli/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+import enum
 import ipaddress
 from typing import Any
 
@@ -24,6 +25,13 @@
     return tuple(part.strip() for part in text.split(SEPARATOR) if part.strip())
 
 
+class EventLoop(enum.Enum):
+    """Event loops that the router can run on."""
+
+    ASYNCIO = "asyncio"
+    UVLOOP = "uvloop"
+
+
 def _check_address(text: str) -> str:
     parsed = address.parse(text)
     if parsed.is_err():
@@ -48,6 +56,7 @@
     settle_time_seconds: float = pydantic.Field(
         5.0, ge=0, le=MAX_SETTLE_TIME_SECONDS
     )
+    event_loop: EventLoop = EventLoop.ASYNCIO
 
     peer_listen: str | None = None
     peers: str = ""
--- a/packages/daemon/src/lavendershed/daemon/backend_health.py
+++ b/packages/daemon/src/lavendershed/daemon/backend_health.py
@@ -45,6 +45,7 @@
         down_until: End of the pause after failures.
         last_failure: When the last call failed.
         probe_until: While a probe is out, its latest end.
+        reserved: Whether it has the role by which placement drains an engine.
     """
 
     incarnation: ids.Incarnation | None = None
@@ -58,6 +59,7 @@
     last_failure: units.Instant | None = None
     probe_until: units.Instant | None = None
     published: units.Instant | None = None
+    reserved: bool = False
 
 
 class BackendHealth:
@@ -88,6 +90,9 @@
 
     def accepts_work(self, server: ids.BackendServerId) -> bool:
         """Returns whether new work may be sent to a server."""
+        known = self._servers.get(server)
+        if known is not None and known.reserved:
+            return False
         health = self.health_of(server)
         if health is not states.EngineHealth.DOWN:
             return health is not states.EngineHealth.LEAVING
@@ -128,6 +133,7 @@
                 del known.replaced[:-_MAX_REPLACED]
             known.incarnation = report.incarnation
         self._close(server, known)
+        known.reserved = report.role is states.EngineRole.RESERVE
         if report.leaving:
             self._mark_leaving(server, report.incarnation, "load_report")
             return
--- a/packages/daemon/src/lavendershed/daemon/factory.py
+++ b/packages/daemon/src/lavendershed/daemon/factory.py
@@ -28,6 +28,7 @@
 from lavendershed.daemon import memory_reclaimer
 from lavendershed.daemon import options as options_module
 from lavendershed.daemon import peer_factory
+from lavendershed.daemon import placement_loop
 from lavendershed.daemon import queued_dispatcher
 from lavendershed.daemon import router as router_module
 from lavendershed.daemon import server_choice
@@ -112,6 +113,7 @@
             self._owner,
             timer_service,
             event_log,
+            instruments,
             generator,
             machine.BookingLimits(),
         )
@@ -139,6 +141,7 @@
                 self._bookings,
                 self._build_retention(),
                 self._build_vm_list_poller(),
+                self._build_placement(),
                 *(self._peering.background if self._peering else ()),
             ),
         )
@@ -243,6 +246,18 @@
             _RETENTION_INTERVAL,
         )
 
+    def _build_placement(self) -> placement_loop.PlacementLoop:
+        return placement_loop.PlacementLoop(
+            self._owner,
+            self._state,
+            self._members,
+            self._store,
+            self._directory,
+            self._timers,
+            self._log,
+            self._options.weight_loads_per_second,
+        )
+
     def _build_generation(self) -> generation.Generation:
         return generation.Generation(
             generation_parts.GenerationParts(
