--- a/packages/daemon/src/lavendershed/daemon/peer_network.py
+++ b/packages/daemon/src/lavendershed/daemon/peer_network.py
@@ -40,9 +40,8 @@
 _SNAPSHOT_INTERVAL_PER_MEMBER = units.Seconds(0.25)
 _LEAVE_REPEATS = 2
 _LEAVE_PAUSE = units.Seconds(0.1)
-# Loads of ten engines take 250 bytes for each other daemon; at 8 daemons two
-# such records a second would take half of the 8 KB/s that control may use.
-_LOAD_INTERVAL = units.Seconds(0.9)
+# Loads that didn't change are sent again before the record expires.
+_LOAD_REFRESH = units.Seconds(1.0)
 
 
 class PeerNetwork(
@@ -78,6 +77,7 @@
         self._versioned_listeners: list[VersionedListener] = []
         self._found_member = asyncio.Event()
         self._next_load = timer_service.now()
+        self._last_load: cluster.LoadRecord | None = None
 
     @property
     def live(self) -> tuple[ids.VmId, ...]:
@@ -117,9 +117,10 @@
         now = self._timers.now()
         record = self._fitting(record)
         if isinstance(record, cluster.LoadRecord):
-            if now < self._next_load:
+            if record == self._last_load and now < self._next_load:
                 return
-            self._next_load = units.after(now, _LOAD_INTERVAL)
+            self._last_load = record
+            self._next_load = units.after(now, _LOAD_REFRESH)
         self._execute(self._gossip.publish(record, now))
 
     def subscribe(self, listener: cluster.RecordListener) -> None:
