Stop gracefully after a broken invariant

Cause: an exception in a request handler was lost until garbage collection, and one in a background task ended the process at once and cut off requests.

Change: the exception is logged as INVARIANT_BROKEN with its traceback, the daemon stops gracefully and exits with status 70; the failed request's connection is closed without an answer.

Result: the new listener test passes; it fails on the earlier revision, where the listener has no report of the exception.

--- a/packages/cli/src/lavendershed/cli/commands/router.py
+++ b/packages/cli/src/lavendershed/cli/commands/router.py
@@ -10,6 +10,7 @@
 
 import click
 import pydantic
+import result
 import uvloop
 
 from lavendershed.cli import settings
@@ -19,6 +20,9 @@
 from lavendershed.telemetry import log
 from lavendershed.transport import event_loop_timers
 
+# EX_SOFTWARE of sysexits.h.
+_BROKEN_INVARIANT_STATUS = 70
+
 
 @click.command()
 @click.option("--vm", help="Id of this VM.")
@@ -54,7 +58,9 @@
     with asyncio.Runner(
         loop_factory=lambda: _new_event_loop(checked.event_loop)
     ) as runner:
-        runner.run(_run(checked.options()))
+        outcome = runner.run(_run(checked.options()))
+    if isinstance(outcome, result.Err):
+        sys.exit(_BROKEN_INVARIANT_STATUS)
 
 
 def _new_event_loop(name: settings.EventLoop) -> asyncio.AbstractEventLoop:
@@ -76,7 +82,9 @@
     return f"--{str(location[0]).replace('_', '-')}: "
 
 
-async def _run(router_options: options.RouterOptions) -> None:
+async def _run(
+    router_options: options.RouterOptions,
+) -> result.Result[None, Exception]:
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -88,4 +96,4 @@
         instruments.Instruments(router_options.vm),
         random.Random(),
     )
-    await router_factory.build().run(stop)
+    return await router_factory.build().run(stop)
--- a/packages/daemon/src/lavendershed/daemon/router.py
+++ b/packages/daemon/src/lavendershed/daemon/router.py
@@ -10,6 +10,8 @@
 import dataclasses
 import hashlib
 import itertools
+import traceback
+from typing import Any
 
 import result
 
@@ -107,11 +109,12 @@
             )
         return None
 
-    async def run(self, stop: asyncio.Event) -> None:
+    async def run(self, stop: asyncio.Event) -> result.Result[None, Exception]:
         """Serves until `stop` is set, then stops gracefully.
 
-        Raises:
-            Exception: A background task broke an invariant.
+        Returns:
+            The exception of a broken invariant, after a graceful stop too, so
+            that the requests in flight are not cut off.
         """
         await self._server.start(self._options.listen)
         self._log.emit(
@@ -123,18 +126,20 @@
         tasks = [
             asyncio.create_task(task.run()) for task in self._parts.background
         ]
-        stopped = asyncio.create_task(stop.wait())
-        done, _ = await asyncio.wait(
-            (*tasks, stopped), return_when=asyncio.FIRST_COMPLETED
-        )
-        for task in done:
-            task.result()
+        ends: list[asyncio.Future[Any]] = [
+            *tasks,
+            asyncio.create_task(stop.wait()),
+            self._server.broken_invariant,
+        ]
+        await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
+        failure = self._broken_invariant(tasks)
         await self._stop_gracefully()
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         self._server.close()
         self._log.emit(events.Event.DAEMON_STOPPED, vm=self._options.vm)
+        return result.Ok(None) if failure is None else result.Err(failure)
 
     def organisation_of(
         self, bearer_token: str
@@ -251,6 +256,24 @@
             if not self._requests_in_flight:
                 self._all_finished.set()
 
+    def _broken_invariant(
+        self, tasks: list[asyncio.Task[None]]
+    ) -> Exception | None:
+        failures = [
+            error
+            for task in tasks
+            if task.done() and isinstance(error := task.exception(), Exception)
+        ]
+        if self._server.broken_invariant.done():
+            failures.append(self._server.broken_invariant.result())
+        if not failures:
+            return None
+        self._log.emit(
+            events.Event.INVARIANT_BROKEN,
+            detail="".join(traceback.format_exception(failures[0])),
+        )
+        return failures[0]
+
     async def _stop_gracefully(self) -> None:
         self._stopping = True
         self._server.retire_connections()
--- a/packages/transport/src/lavendershed/transport/server.py
+++ b/packages/transport/src/lavendershed/transport/server.py
@@ -263,7 +263,14 @@
         )
 
     async def _handle(self, request: ServerRequest) -> None:
-        await self._server.handler.handle(request, self)
+        try:
+            await self._server.handler.handle(request, self)
+        except Exception as error:  # noqa: BLE001
+            # Outcomes are values, so that an exception is a bug. The caller
+            # sees a broken connection and not a wrong answer.
+            self.abort()
+            self._server.on_broken_invariant(error)
+            return
         self._task = None
         self._request = None
         self._started = False
@@ -331,6 +338,7 @@
         self._server: asyncio.Server | None = None
         self._connections: set[_ServerConnection] = set()
         self._stopping = False
+        self._broken_invariant: asyncio.Future[Exception] = asyncio.Future()
 
     @property
     def handler(self) -> Handler:
@@ -347,6 +355,11 @@
         """The limits of this listener."""
         return self._limits
 
+    @property
+    def broken_invariant(self) -> asyncio.Future[Exception]:
+        """Done with the first exception that a handler raised."""
+        return self._broken_invariant
+
     @property
     def stopping(self) -> bool:
         """Whether connections close after their current request."""
@@ -403,6 +416,11 @@
         for connection in tuple(self._connections):
             connection.abort()
 
+    def on_broken_invariant(self, error: Exception) -> None:
+        """Notes an exception that a handler raised."""
+        if not self._broken_invariant.done():
+            self._broken_invariant.set_result(error)
+
     def opened(self, connection: _ServerConnection) -> None:
         """Registers a new connection."""
         self._connections.add(connection)
--- a/packages/transport/tests/test_server.py
+++ b/packages/transport/tests/test_server.py
@@ -31,6 +31,8 @@
 
     async def handle(self, request, responder):
         self._responders.add(responder)
+        if request.path == "/bug":
+            raise ValueError("bug")
         await responder.respond(200, request.body)
 
     def rejection(self, status, detail):
@@ -94,6 +96,11 @@
             self.assertEqual(answer.unwrap().body, body)
         self.assertEqual(self.handler.connections, 1)
 
+    async def test_exception_of_a_handler_is_reported_without_an_answer(self):
+        answer = await self.pool.exchange(client.RequestHead("POST", "/bug"))
+        self.assertTrue(answer.is_err())
+        self.assertIsInstance(self.server.broken_invariant.result(), ValueError)
+
     async def test_malformed_bytes_get_an_error_or_a_close(self):
         @hypothesis.settings(max_examples=60, deadline=None, derandomize=True)
         @hypothesis.given(strategies.binary(min_size=1, max_size=300))
