--- /dev/null
+++ b/packages/routing/tests/test_engine_view.py
@@ -0,0 +1,98 @@
+"""Guards the estimate of an engine from reports, digests and dispatches."""
+
+from __future__ import annotations
+
+import unittest
+
+from lavendershed.core import backend_servers
+from lavendershed.core import cluster
+from lavendershed.core import ids
+from lavendershed.core import states
+from lavendershed.core import units
+from lavendershed.routing import engine_view
+from lavendershed.routing import prefix_index
+
+ENGINE = ids.BackendServerId("engine-1")
+PEER = ids.VmId("vm-2")
+
+
+def report(timestamp, prefill):
+    """Returns a report on an engine clock that is 1,000 s behind."""
+    return backend_servers.LoadReport(
+        timestamp - 1_000.0,
+        ids.Incarnation(1),
+        1,
+        0,
+        units.Tokens(prefill),
+        units.Bytes(0),
+        units.Bytes(1),
+        states.EngineRole.GENERAL,
+        (),
+        False,
+    )
+
+
+class EngineViewTest(unittest.TestCase):
+    """Fails if work is forgotten or counted after it was prefilled."""
+
+    def setUp(self):
+        self.view = engine_view.EngineView(
+            ENGINE, units.Tokens(400_000), 20_000.0, 100
+        )
+
+    def tokens(self, now):
+        return self.view.estimate(units.Instant(now)).prefill_tokens
+
+    def peer_load(self, tokens, now):
+        load = cluster.EngineLoad(ENGINE, 1, units.Tokens(tokens))
+        self.view.on_peer_load(PEER, load, units.Instant(now))
+
+    def test_peer_dispatch_counts_until_a_report_contains_it(self):
+        self.view.on_report(report(2_000.0, 0), units.Instant(2_000.0))
+        self.peer_load(50_000, 2_000.2)
+        # This report is late: it was taken before the peer's dispatch.
+        self.view.on_report(report(2_000.1, 0), units.Instant(2_000.3))
+        self.assertGreater(self.tokens(2_000.3), 40_000)
+        self.view.on_report(report(2_000.6, 100), units.Instant(2_000.6))
+        self.assertEqual(self.tokens(2_000.6), 100)
+
+    def test_repeated_digest_adds_nothing(self):
+        self.peer_load(50_000, 2_000.0)
+        self.peer_load(50_000, 2_000.1)
+        self.assertLessEqual(self.tokens(2_000.1), 50_000)
+
+    def test_reported_work_drains_with_time(self):
+        self.view.on_report(report(2_000.0, 50_000), units.Instant(2_000.0))
+        self.assertEqual(self.tokens(2_000.0), 50_000)
+        self.assertLess(self.tokens(2_002.0), 15_000)
+
+
+class PrefixIndexTest(unittest.TestCase):
+    """Fails if an index is trusted after a gap or grows without bound."""
+
+    def event(self, sequence, stored=(), evicted=()):
+        return backend_servers.CacheEvent(sequence, stored, evicted)
+
+    def test_gap_in_sequence_numbers_halves_the_weight(self):
+        index = prefix_index.PrefixIndex(100)
+        index.on_events((self.event(1, (1, 2, 3, 4)),))
+        whole = index.cached_tokens((1, 2, 3, 4))
+        index.on_events((self.event(3),))
+        self.assertEqual(index.cached_tokens((1, 2, 3, 4)), whole // 2)
+
+    def test_size_is_bounded_and_starts_of_chains_stay(self):
+        index = prefix_index.PrefixIndex(10)
+        index.on_dispatch(tuple(range(8)))
+        index.on_dispatch(tuple(range(100, 106)))
+        self.assertEqual(index.size, 10)
+        self.assertGreater(index.cached_tokens(tuple(range(8))), 0)
+
+    def test_hash_of_a_block_covers_the_blocks_before_it(self):
+        first = prefix_index.block_hashes("a" * 4_096)
+        second = prefix_index.block_hashes("b" + "a" * 4_095)
+        self.assertEqual(len(first), 2)
+        self.assertNotEqual(first[1], second[1])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/routing/tests/test_scheduler.py
+++ b/packages/routing/tests/test_scheduler.py
@@ -142,6 +142,16 @@
         (woken,) = routed.on_first_token(work.Ticket(1), START)
         self.assertEqual(woken.work.ticket, 3)
 
+    def test_long_prompt_without_first_token_keeps_its_share(self):
+        routed = build(engines=4)
+        for ticket in (1, 2):
+            routed.on_arrival(attempt(ticket, 100_001), START)
+        later = units.after(START, units.Seconds(20.0))
+        for view in routed.fleet.views:
+            routed.on_load_report(view.name, report(120.0), later)
+        (queued,) = routed.on_arrival(attempt(3, 100_001), later)
+        self.assertIsInstance(queued, scheduler.Queue)
+
     def test_preset_change_acts_on_queued_attempts(self):
         routed = build(engines=4)
         for ticket in (1, 2, 3):
@@ -183,24 +193,28 @@
         (command,) = routed.on_arrival(attempt(10, 2_000), START)
         self.assertIsInstance(command, scheduler.Dispatch)
 
-    def test_limit_of_an_organisation_is_scaled_by_its_share(self):
+    def refused_of_six(self, **rates):
         class HalfShare(limits.ShareSource):
             def fraction(self, organisation):
                 return 0.5
 
         bounded = limits.OrganisationLimits(HalfShare())
         bounded.on_organisations(
-            {
-                ORGANISATION: model.Organisation(
-                    ORGANISATION, (), requests_per_second=2.0
-                )
-            }
+            {ORGANISATION: model.Organisation(ORGANISATION, (), **rates)}
         )
         routed = build(organisation_limits=bounded)
         outcomes = [
             routed.on_arrival(attempt(n, 2_000), START)[0] for n in range(6)
         ]
-        refused = [c for c in outcomes if isinstance(c, scheduler.Refuse)]
+        return [c for c in outcomes if isinstance(c, scheduler.Refuse)]
+
+    def test_request_limit_is_scaled_by_the_share(self):
+        refused = self.refused_of_six(requests_per_second=2.0)
+        self.assertEqual(len(refused), 1)
+        self.assertAlmostEqual(refused[0].failure.retry_after, 1.0)
+
+    def test_token_limit_is_scaled_by_the_share(self):
+        refused = self.refused_of_six(tokens_per_second=4_200.0)
         self.assertEqual(len(refused), 1)
         self.assertAlmostEqual(refused[0].failure.retry_after, 1.0)
 
