--- a/packages/cli/src/lavendershed/cli/settings.py
+++ b/packages/cli/src/lavendershed/cli/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+import enum
 import ipaddress
 from typing import Any
 
@@ -29,6 +30,13 @@
     return tuple(part.strip() for part in text.split(SEPARATOR) if part.strip())
 
 
+class EventLoop(enum.Enum):
+    """Event loops that the router can run on."""
+
+    ASYNCIO = "asyncio"
+    UVLOOP = "uvloop"
+
+
 def _check_address(text: str) -> str:
     parsed = address.parse(text)
     if parsed.is_err():
@@ -62,6 +70,7 @@
     store_calls_per_second: float = pydantic.Field(
         40.0, ge=MIN_STORE_CALLS_PER_SECOND, le=MAX_STORE_CALLS_PER_SECOND
     )
+    event_loop: EventLoop = EventLoop.ASYNCIO
 
     peer_listen: str | None = None
     peers: str = ""
--- a/packages/cli/tests/test_commands.py
+++ b/packages/cli/tests/test_commands.py
@@ -10,7 +10,7 @@
 
 from click import testing
 import orjson
-from test_configuration_file import VALID
+import test_configuration_file
 
 from lavendershed.cli import failures
 from lavendershed.cli import main
@@ -30,7 +30,7 @@
         directory = tempfile.TemporaryDirectory()
         self.addCleanup(directory.cleanup)
         self.file = pathlib.Path(directory.name) / "configuration.toml"
-        self.file.write_text(VALID)
+        self.file.write_text(test_configuration_file.VALID)
         self.store = memory_store.MemoryObjectStore()
         patch = mock.patch(
             "lavendershed.cli.session.http_store.HttpObjectStore",
--- a/packages/cli/tests/test_settings.py
+++ b/packages/cli/tests/test_settings.py
@@ -29,7 +29,8 @@
         listed = {flag: (env, value) for flag, env, value in ROW.findall(text)}
         expected = {}
         for name, field in settings.RouterSettings.model_fields.items():
-            default = f"`{field.default}`" if field.default else "none"
+            value = getattr(field.default, "value", field.default)
+            default = f"`{value}`" if value else "none"
             if field.is_required():
                 default = "required"
             flag = name.replace("_", "-")
--- a/packages/daemon/src/lavendershed/daemon/bookings.py
+++ b/packages/daemon/src/lavendershed/daemon/bookings.py
@@ -25,11 +25,14 @@
 from lavendershed.daemon import background
 from lavendershed.daemon import booking_codec
 from lavendershed.telemetry import events
+from lavendershed.telemetry import instruments as instruments_module
 from lavendershed.telemetry import log
 from lavendershed.transport import event_loop_timers
 
 # Records that could not be written yet hold answers of up to 64 kB in memory.
 MAX_UNSETTLED = 200
+# Each outstanding booking may hold a connection to a silent server.
+MAX_OUTSTANDING = 2_000
 # During an outage, this many unsettled records are tried at a time, so that a
 # daemon sends a few calls a second and no burst when the store returns.
 SETTLE_LANES = 2
@@ -71,6 +74,7 @@
         owner: backend_servers.Owner,
         timer_service: timers.TimerService,
         event_log: log.EventLog,
+        instruments: instruments_module.Instruments,
         generator: random.Random,
         limits: machine_module.BookingLimits,
     ) -> None:
@@ -79,6 +83,7 @@
         self._owner = owner
         self._timers = timer_service
         self._log = event_log
+        self._instruments = instruments
         self._random = generator
         self._limits = limits
         self._tasks: set[asyncio.Task[None]] = set()
@@ -119,6 +124,14 @@
                     "for the object store; send the request again later",
                 )
             )
+        if len(self._tasks) >= MAX_OUTSTANDING:
+            return result.Err(
+                outcomes.not_run(
+                    states.FailureReason.QUEUE_FULL,
+                    f"{len(self._tasks)} bookings of this router wait for "
+                    "their services; send the request again later",
+                )
+            )
         attempt_id = ids.AttemptId(uuid.uuid4().hex)
         machine = machine_module.BookingMachine(
             machine_module.BookingAttempt(
@@ -173,7 +186,7 @@
 
     async def _settle(self, attempt: _Attempt, step: commands.Command) -> None:
         """Repeats the last write until the store has taken it."""
-        self._unsettled += 1
+        self._change_unsettled(1)
         self._log.emit(
             events.Event.BOOKING_UNSETTLED,
             key=attempt.key,
@@ -187,7 +200,11 @@
                     given = await self._perform(attempt, next_step)
                     next_step = self._deliver(attempt, given)
         finally:
-            self._unsettled -= 1
+            self._change_unsettled(-1)
+
+    def _change_unsettled(self, change: int) -> None:
+        self._unsettled += change
+        self._instruments.bookings_unsettled(self._unsettled)
 
     def _deliver(
         self, attempt: _Attempt, given: machine_module.Commands
@@ -224,8 +241,7 @@
         self, attempt: _Attempt, step: commands.Command
     ) -> machine_module.Commands:
         if isinstance(step, commands.Send):
-            outcome = await attempt.call.send(attempt.attempt_id, step.before)
-            return attempt.machine.on_sent(outcome, self._timers.now())
+            return await self._send(attempt, step)
         delay = _delay(step)
         if delay > 0:
             await event_loop_timers.sleep(self._timers, delay)
@@ -233,6 +249,22 @@
             return await self._write(attempt, step)
         return await self._read(attempt)
 
+    async def _send(
+        self, attempt: _Attempt, step: commands.Send
+    ) -> machine_module.Commands:
+        def on_deadline() -> None:
+            given = attempt.machine.on_deadline(self._timers.now())
+            self._deliver(attempt, given)
+
+        at_deadline = self._timers.subscribe_at(
+            attempt.request.deadline.at, on_deadline
+        )
+        try:
+            outcome = await attempt.call.send(attempt.attempt_id, step.before)
+        finally:
+            at_deadline.cancel()
+        return attempt.machine.on_sent(outcome, self._timers.now())
+
     async def _write(
         self, attempt: _Attempt, step: commands.WriteRecord
     ) -> machine_module.Commands:
--- a/packages/daemon/src/lavendershed/daemon/engine_observer.py
+++ b/packages/daemon/src/lavendershed/daemon/engine_observer.py
@@ -25,6 +25,10 @@
 # Cache events change slowly and are read with every fourth load report.
 _ROUNDS_PER_CACHE_POLL = 4
 _DIGEST_INTERVAL = units.Seconds(0.5)
+# Changes within this time share a digest.
+_DIGEST_DELAY = units.Seconds(0.005)
+# Keeps digests of about 60 bytes to eight peers below 8 KB a second.
+_DIGEST_SPACING = units.Seconds(0.05)
 # A datagram of 1,200 bytes carries about this many engine loads.
 _MAX_LOADS_IN_DIGEST = 24
 
@@ -51,7 +55,10 @@
         self._keeper = keeper
         self._cache_unsupported: set[ids.BackendServerId] = set()
         self._polls: dict[ids.BackendServerId, asyncio.Task[None]] = {}
+        self._digest_pending = False
+        self._digest_at = units.Instant(0.0)
         exchange.subscribe(self._on_record)
+        dispatcher.subscribe_load(self._on_load_changed)
 
     async def run(self) -> None:
         """Polls until cancelled.
@@ -111,7 +118,24 @@
             # An engine without cache events is placed by own dispatches.
             self._cache_unsupported.add(name)
 
+    def _on_load_changed(self) -> None:
+        """Tells peers of a change before the engine's next report does.
+
+        Ended prefills count too: peers take an increase for a dispatch, and one
+        that replaces an ended prefill would not show.
+        """
+        if self._digest_pending:
+            return
+        self._digest_pending = True
+        when = max(
+            units.after(self._timers.now(), _DIGEST_DELAY),
+            units.after(self._digest_at, _DIGEST_SPACING),
+        )
+        self._timers.subscribe_at(when, self._publish)
+
     def _publish(self) -> None:
+        self._digest_pending = False
+        self._digest_at = self._timers.now()
         loads = self._dispatcher.own_loads[:_MAX_LOADS_IN_DIGEST]
         self._exchange.publish(cluster.LoadRecord(loads))
 
--- a/packages/daemon/src/lavendershed/daemon/factory.py
+++ b/packages/daemon/src/lavendershed/daemon/factory.py
@@ -24,10 +24,12 @@
 from lavendershed.daemon import engine_observer
 from lavendershed.daemon import generation
 from lavendershed.daemon import generation_parts
+from lavendershed.daemon import group_dispatcher
 from lavendershed.daemon import ledger_keeper
 from lavendershed.daemon import memory_reclaimer
 from lavendershed.daemon import options as options_module
 from lavendershed.daemon import peer_factory
+from lavendershed.daemon import placement_loop
 from lavendershed.daemon import queued_dispatcher
 from lavendershed.daemon import router as router_module
 from lavendershed.daemon import server_choice
@@ -112,6 +114,7 @@
             self._owner,
             timer_service,
             event_log,
+            instruments,
             generator,
             machine.BookingLimits(),
         )
@@ -125,8 +128,6 @@
         """Returns a router that is ready to run."""
         sync = self._build_sync()
         status = self._build_status_writer()
-        sync.add_listener(self._on_configuration)
-        sync.add_listener(status.on_configuration)
         parts = router_module.Parts(
             self._owner,
             self._state,
@@ -141,6 +142,7 @@
                 self._bookings,
                 self._build_retention(),
                 self._build_vm_list_poller(),
+                self._build_placement(),
                 *(self._peering.background if self._peering else ()),
             ),
         )
@@ -151,12 +153,18 @@
             self._log,
             self._instruments,
         )
-        sync.add_listener(router.on_configuration)
+        listeners: list[configuration_sync.Listener] = [
+            self._on_configuration,
+            status.on_configuration,
+            router.on_configuration,
+        ]
         if self._peering is not None:
             router.add_arrival_listener(self._peering.shares.on_arrival)
-            sync.add_listener(self._peering.network.on_configuration)
-            sync.add_source(self._peering.configuration)
+            listeners.append(self._peering.network.on_configuration)
             self._peering.configuration.add_listener(sync.on_peer_epoch)
+            sync.add_source(self._peering.configuration)
+        for listener in listeners:
+            sync.add_listener(listener)
         return router
 
     def _build_stores(
@@ -239,6 +247,32 @@
             _RETENTION_INTERVAL,
         )
 
+    def _build_placement(self) -> placement_loop.PlacementLoop:
+        return placement_loop.PlacementLoop(
+            self._owner,
+            self._state,
+            self._members,
+            self._store,
+            self._directory,
+            self._timers,
+            self._log,
+            self._options.weight_loads_per_second,
+        )
+
+    def _build_group_dispatcher(self) -> group_dispatcher.GroupDispatcher:
+        return group_dispatcher.GroupDispatcher(
+            self._dispatcher,
+            self._owner,
+            self._state,
+            self._directory,
+            self._health,
+            self._keeper,
+            self._dispatcher.limits,
+            self._timers,
+            self._log,
+            self._random,
+        )
+
     def _build_generation(self) -> generation.Generation:
         return generation.Generation(
             generation_parts.GenerationParts(
@@ -246,7 +280,7 @@
                 self._state,
                 self._directory,
                 self._health,
-                self._dispatcher,
+                self._build_group_dispatcher(),
                 retry_policy.RetryPolicy(
                     retry_policy.RetryLimits(),
                     retry_budget.RetryBudget(retry_budget.BudgetLimits()),
--- a/packages/daemon/src/lavendershed/daemon/options.py
+++ b/packages/daemon/src/lavendershed/daemon/options.py
@@ -28,6 +28,8 @@
         engine_poll_interval: Time between reads of an engine's load.
         store_calls_per_second: Calls of this daemon to the object API on
             average; two seconds' worth may be made at once.
+        weight_loads_per_second: Loads that the weight store takes from the
+            whole deployment.
     """
 
     vm: ids.VmId
@@ -43,3 +45,4 @@
     poll_interval: units.Seconds = units.Seconds(2.0)
     engine_poll_interval: units.Seconds = units.Seconds(0.25)
     store_calls_per_second: float = 40.0
+    weight_loads_per_second: float = 0.5
--- a/packages/daemon/src/lavendershed/daemon/peer_configuration.py
+++ b/packages/daemon/src/lavendershed/daemon/peer_configuration.py
@@ -22,9 +22,8 @@
 
 ManifestListener = Callable[[ids.Epoch, bytes], None]
 
-# The next heartbeat of any peer names the greater epoch again; this keeps a
-# peer from being asked in a loop for an epoch that it can't serve or that
-# can't be applied.
+# Every heartbeat names the greater epoch again until its chunks are here; this
+# keeps the manifest from being fetched with each of them.
 _PAUSE = units.Seconds(0.5)
 
 
@@ -32,7 +31,8 @@
     """Fetches greater epochs from peers and serves the one in force.
 
     An accepted change spreads this way while the object store is down, and a
-    daemon that starts then gets its configuration.
+    daemon that starts then gets its configuration. Manifests and chunks are
+    checked and applied by their listeners, as those of the store are.
     """
 
     def __init__(
@@ -52,7 +52,7 @@
         self._peer = records.ContactAddress("")
 
     def add_listener(self, listener: ManifestListener) -> None:
-        """Calls `listener` with each encoded manifest of a greater epoch."""
+        """Calls `listener` with the encoded manifest of a greater epoch."""
         self._listeners.append(listener)
 
     def on_epoch(self, epoch: ids.Epoch, peer: records.ContactAddress) -> None:
@@ -75,38 +75,39 @@
         # A chunk with fields of a later version is encoded without them.
         return encoded if codec.chunk_hash(encoded) == chunk_hash else None
 
-    async def fetch_chunk(self, chunk_hash: ids.ChunkHash) -> bytes | None:
-        """Returns a chunk of the peer that last named a greater epoch."""
-        if not self._peer:
-            return None
-        fetched = await self._client.fetch_chunk(self._peer, chunk_hash)
-        if isinstance(fetched, result.Err):
-            self._report(fetched.err_value.detail)
-            return None
-        return fetched.ok_value
-
     async def run(self) -> None:
-        """Fetches the manifests that peers announce, until cancelled."""
+        """Fetches what peers announce, until cancelled."""
         while True:
             await self._wanted.wait()
             self._wanted.clear()
-            if self._epoch > self._state.current.epoch:
-                await self._fetch_manifest()
-                await event_loop_timers.sleep(self._timers, _PAUSE)
-
-    async def _fetch_manifest(self) -> None:
-        epoch = self._epoch
-        fetched = await self._client.fetch_manifest(self._peer)
-        if isinstance(fetched, result.Err):
-            self._report(fetched.err_value.detail)
-            return
-        for listener in self._listeners:
-            listener(epoch, fetched.ok_value)
-
-    def _report(self, detail: str) -> None:
+            if self._epoch <= self._state.current.epoch:
+                continue
+            epoch, peer = self._epoch, self._peer
+            fetched = await self._client.fetch_manifest(peer)
+            if isinstance(fetched, result.Ok):
+                for listener in self._listeners:
+                    listener(epoch, fetched.ok_value)
+            else:
+                self._log_failure(peer, fetched.err_value)
+            await event_loop_timers.sleep(self._timers, _PAUSE)
+
+    async def fetch_chunk(self, chunk_hash: ids.ChunkHash) -> bytes | None:
+        """Returns an encoded chunk from the peer with the greatest epoch."""
+        peer = self._peer
+        if not peer:
+            return None
+        fetched = await self._client.fetch_chunk(peer, chunk_hash)
+        if isinstance(fetched, result.Ok):
+            return fetched.ok_value
+        self._log_failure(peer, fetched.err_value)
+        return None
+
+    def _log_failure(
+        self, peer: records.ContactAddress, error: peers.PeerError
+    ) -> None:
         self._log.emit(
             events.Event.PEER_CONFIGURATION_FAILED,
             epoch=self._epoch,
-            peer=self._peer,
-            detail=detail,
+            peer=peer,
+            detail=error.detail,
         )
--- a/packages/standin/src/lavendershed/standin/memory_store.py
+++ b/packages/standin/src/lavendershed/standin/memory_store.py
@@ -95,6 +95,9 @@
     ) -> result.Result[object_store.WatchBatch, object_store.StoreError]:
         """Waits for changes after version `since`."""
         self._calls.append(f"watch {prefix}")
+        # Lets a caller that watches in a loop without a pause fail its test
+        # instead of blocking it.
+        await asyncio.sleep(0)
         while not self._down:
             found = self._objects.changes(prefix, since)
             if found:
