--- a/packages/daemon/src/lavendershed/daemon/configuration_sync.py
+++ b/packages/daemon/src/lavendershed/daemon/configuration_sync.py
@@ -192,6 +192,11 @@
             for event in batch.ok_value.events:
                 if event.key == codec.MANIFEST_KEY and event.value is not None:
                     self._on_stored_manifest(event.version, event.value)
+            # A deletion, or an object whose key only starts like this one,
+            # would end the next watch at once again.
+            self._manifest_version = max(
+                self._manifest_version, batch.ok_value.upto
+            )
 
     async def _repair_loop(self) -> None:
         while True:
--- a/packages/daemon/tests/test_configuration_sync.py
+++ b/packages/daemon/tests/test_configuration_sync.py
@@ -58,6 +58,21 @@
         self.assertEqual(daemon.epochs, [2, 3])
         self.assertEqual(daemon.state.current.active_preset, "peak")
 
+    async def test_watch_of_another_key_or_a_deletion_does_not_loop(self):
+        daemon = self.start(self.daemon())
+        await self.world.settle()
+        key = codec.MANIFEST_KEY
+        stored = (await self.world.store.get(key)).unwrap()
+        await self.world.store.delete(key, stored.version)
+        await self.world.store.put(
+            ids.ObjectKey(key + "-copy"), b"", object_store.IfAbsent()
+        )
+        before = self.world.store.calls.count(f"watch {key}")
+        await self.world.settle()
+        after = self.world.store.calls.count(f"watch {key}")
+        self.assertLessEqual(after - before, 3)
+        self.assertEqual(daemon.epochs, [2])
+
     async def test_poll_brings_a_change_when_the_watch_is_silent(self):
         async def silent(prefix, since, timeout):
             await asyncio.Event().wait()
