--- a/packages/daemon/src/lavendershed/daemon/options.py
+++ b/packages/daemon/src/lavendershed/daemon/options.py
@@ -18,11 +18,18 @@
         store: Address of the object API.
         peer_listen: Address for other daemons, TCP and UDP.
         peers: Addresses of other daemons to contact first.
+        peer_keys: Secrets that authenticate messages between daemons; the
+            first signs, and two are accepted during a rotation.
         deployment: Messages of other deployments are dropped.
         idle_timeout: Longest wait for a byte from a backend server.
         settle_time: Time for which requests are accepted after SIGTERM, until
             the balancer has noticed the failing readiness check.
         poll_interval: Time between reads of the manifest beside the watch.
+        engine_poll_interval: Time between reads of an engine's load.
+        store_calls_per_second: Calls of this daemon to the object API on
+            average; two seconds' worth may be made at once.
+        weight_loads_per_second: Loads that the weight store takes from the
+            whole deployment.
     """
 
     vm: ids.VmId
@@ -37,3 +44,5 @@
     settle_time: units.Seconds = units.Seconds(5.0)
     poll_interval: units.Seconds = units.Seconds(2.0)
     engine_poll_interval: units.Seconds = units.Seconds(0.25)
+    store_calls_per_second: float = 40.0
+    weight_loads_per_second: float = 0.5
--- a/packages/membership/src/lavendershed/membership/detector.py
+++ b/packages/membership/src/lavendershed/membership/detector.py
@@ -238,7 +238,9 @@
 
     def on_vm_list(self, vms: object_store.VmList) -> None:
         """Takes the platform's VM list, a hint that lags."""
-        self._vms = vms
+        # An empty list is a fault of the platform, not the end of all VMs.
+        if vms.live:
+            self._vms = vms
 
     def on_contacts(
         self, contacts: Iterable[records_module.ContactAddress]
@@ -565,7 +567,11 @@
         if self._replaced_self:
             return []
         if record.owner == self._self.owner:
-            if record.supersedes(self._self):
+            # Only this daemon raises its version; a greater one is no claim
+            # about what it has announced.
+            if record.version == self._self.version and record.supersedes(
+                self._self
+            ):
                 self._announce(
                     dataclasses.replace(self._self, version=record.version + 1)
                 )
--- /dev/null
+++ b/tests/deployment_case.py
@@ -0,0 +1,91 @@
+"""Base of the tests that run a whole deployment as processes."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import tempfile
+import unittest
+
+import orjson
+
+from lavendershed.standin import checkers
+from lavendershed.standin import deployment as deployment_module
+from lavendershed.standin import fleet as fleet_module
+from lavendershed.standin import history
+from lavendershed.standin import load_client
+from lavendershed.transport import client
+
+WHOLE = load_client.Ending.WHOLE
+_POLL_SECONDS = 0.1
+
+
+class DeploymentCase(unittest.IsolatedAsyncioTestCase):
+    """Starts the deployment of `SHAPE`; ends its processes afterwards."""
+
+    SHAPE = deployment_module.Shape()
+
+    async def asyncSetUp(self):
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.deployment = deployment_module.Deployment(
+            pathlib.Path(directory.name), self.SHAPE
+        )
+        self.fleet = self.deployment.fleet
+        self.addAsyncCleanup(self.fleet.stop)
+        await self.start()
+
+    async def start(self):
+        """Starts the deployment; tests with proxies replace this."""
+        await self.deployment.start()
+
+    async def control(self, name, call="", **content):
+        """Sends a control call to a stand-in."""
+        target = f"/control/{call}" if call else "/control"
+        answer = await fleet_module.exchange(
+            self.fleet.member(name).address,
+            client.RequestHead("POST", target),
+            orjson.dumps(content),
+        )
+        self.assertIsNotNone(answer, f"{name} did not answer")
+
+    async def status(self, router):
+        """Returns the status page of a router, or None without an answer."""
+        answer = await fleet_module.get(
+            self.fleet.member(router).address, "/v1/status"
+        )
+        return None if answer is None else orjson.loads(answer.body)
+
+    async def eventually(self, condition, timeout, message):
+        """Waits until the coroutine function `condition` returns true."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + timeout
+        while not await condition():
+            if loop.time() > end:
+                self.fail(f"not within {timeout} s: {message}")
+            await asyncio.sleep(_POLL_SECONDS)
+
+    async def allocations(self, engine):
+        """Returns an engine's own list of allocations."""
+        answer = await fleet_module.get(
+            self.fleet.member(engine).address, "/v1/allocations"
+        )
+        return orjson.loads(answer.body)["allocations"]
+
+    def history(self, name):
+        """Returns what a stand-in recorded."""
+        return history.read(self.fleet.history_path(name))
+
+    def check_answers(self, sent):
+        """Fails on a wrong, mixed up or late answer."""
+        self.assertEqual(checkers.answers(sent), [])
+
+    def check_calls(self, sent):
+        """Fails on a second execution or a false `not_run`."""
+        found = checkers.calls(sent, self.deployment.plain_histories())
+        self.assertEqual(found, [])
+
+    def check_configuration(self):
+        """Fails if an epoch decreased within one process."""
+        paths = [self.fleet.log_path(name) for name in self.deployment.routers]
+        self.assertEqual(checkers.configuration(paths), [])
--- /dev/null
+++ b/tests/test_generation_faults.py
@@ -0,0 +1,181 @@
+"""Guards answers against the failure of engines, connections and routers."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import unittest
+
+import deployment_case
+
+from lavendershed.core import units
+from lavendershed.standin import deployment as deployment_module
+from lavendershed.standin import fault_proxy
+from lavendershed.standin import model_engine
+
+TIMEOUT = 20.0
+
+
+class EngineDeathTest(deployment_case.DeploymentCase):
+    """Fails if the death of an engine or router costs answers or memory."""
+
+    SHAPE = deployment_module.Shape(
+        routers=2,
+        engines=3,
+        peers=True,
+        router_arguments=("--settle-time-seconds", "0.2"),
+    )
+
+    async def send(self, router, count, tokens=2_000, answer=60):
+        return [
+            asyncio.create_task(
+                self.deployment.generate(
+                    router, f"{router}-{index}", tokens, answer, TIMEOUT
+                )
+            )
+            for index in range(count)
+        ]
+
+    async def any_allocation(self):
+        names = self.deployment.engines
+        return any([await self.allocations(name) for name in names])
+
+    async def test_streams_of_a_killed_engine_continue_elsewhere(self):
+        tasks = await self.send("vm-1", 12)
+        await asyncio.sleep(0.4)
+        self.fleet.member("engine-1").signal(signal.SIGKILL)
+        sent = await asyncio.gather(*tasks)
+        self.check_answers(sent)
+        endings = {item.answer.ending for item in sent}
+        self.assertEqual(endings, {deployment_case.WHOLE})
+
+    async def test_memory_of_a_killed_router_is_released(self):
+        tasks = await self.send("vm-1", 8, answer=1_000)
+        await asyncio.sleep(0.5)
+        self.assertTrue(await self.any_allocation())
+        self.fleet.member("vm-1").signal(signal.SIGKILL)
+        await asyncio.gather(*tasks)
+
+        async def released():
+            return not await self.any_allocation()
+
+        await self.eventually(released, 15.0, "allocations released")
+
+    async def test_stop_of_a_router_cuts_off_no_stream(self):
+        tasks = await self.send("vm-1", 8, answer=100)
+        await asyncio.sleep(0.3)
+        router = self.fleet.member("vm-1")
+        router.signal(signal.SIGTERM)
+        await asyncio.sleep(0.1)
+        router.signal(signal.SIGTERM)
+        sent = await asyncio.gather(*tasks)
+        self.check_answers(sent)
+        endings = {item.answer.ending for item in sent}
+        self.assertEqual(endings, {deployment_case.WHOLE})
+        self.assertEqual(await router.process.wait(), 0)
+
+    async def test_paused_router_ends_its_requests_in_time(self):
+        tasks = await self.send("vm-1", 4, answer=200)
+        await asyncio.sleep(0.3)
+        router = self.fleet.member("vm-1")
+        router.signal(signal.SIGSTOP)
+        await asyncio.sleep(3.0)
+        router.signal(signal.SIGCONT)
+        sent = await asyncio.gather(*tasks)
+        self.check_answers(sent)
+        endings = {item.answer.ending for item in sent}
+        self.assertEqual(endings, {deployment_case.WHOLE})
+
+
+class CrashingRequestTest(deployment_case.DeploymentCase):
+    """Fails if a request that crashes engines kills a third one."""
+
+    SHAPE = deployment_module.Shape(routers=2, engines=4, peers=True)
+
+    async def test_crashing_request_stops_at_the_second_engine(self):
+        innocent = [
+            asyncio.create_task(
+                self.deployment.generate(
+                    "vm-1", f"innocent-{index}", 2_000, 200, TIMEOUT
+                )
+            )
+            for index in range(8)
+        ]
+        await asyncio.sleep(0.2)
+        # The second router hears of it before the caller sends it again.
+        for router in ("vm-1", "vm-2", "vm-2"):
+            answer = await self.deployment.client(router).generate(
+                deployment_module.GENERATE_SERVICE,
+                model_engine.CRASH_MARKER,
+                2_000,
+                10,
+                units.Seconds(TIMEOUT),
+            )
+            self.assertIsNot(answer.ending, deployment_case.WHOLE)
+            await asyncio.sleep(2.0)
+        dead = [
+            name
+            for name in self.deployment.engines
+            if self.fleet.member(name).process.returncode is not None
+        ]
+        self.assertLessEqual(len(dead), 2, dead)
+        sent = await asyncio.gather(*innocent)
+        self.check_answers(sent)
+        endings = {item.answer.ending for item in sent}
+        self.assertEqual(endings, {deployment_case.WHOLE})
+
+
+class SilentConnectionTest(deployment_case.DeploymentCase):
+    """Fails if a connection that went silent costs a request."""
+
+    SHAPE = deployment_module.Shape(
+        routers=1, engines=2, router_arguments=("--idle-timeout-seconds", "1")
+    )
+
+    async def start(self):
+        await self.deployment.start_backends()
+        self.proxies = []
+        for name in self.deployment.engines:
+            proxy = fault_proxy.FaultProxy(self.fleet.member(name).address)
+            await proxy.start()
+            self.addAsyncCleanup(proxy.stop)
+            self.proxies.append(proxy)
+            self.deployment.advertise(name, proxy.address)
+        status, _, errors = await self.deployment.apply()
+        self.assertEqual(status, 0, errors)
+        await self.deployment.start_routers()
+
+    async def send_and(self, fault):
+        tasks = [
+            asyncio.create_task(
+                self.deployment.generate(
+                    "vm-1", f"prompt-{index}", 2_000, 60, TIMEOUT
+                )
+            )
+            for index in range(6)
+        ]
+        await asyncio.sleep(0.4)
+        for proxy in self.proxies:
+            fault(proxy)
+        sent = await asyncio.gather(*tasks)
+        self.check_answers(sent)
+        endings = {item.answer.ending for item in sent}
+        self.assertEqual(endings, {deployment_case.WHOLE})
+
+    async def test_silent_connections_are_resumed_on_new_ones(self):
+        await self.send_and(fault_proxy.FaultProxy.silence_established)
+
+    async def test_reset_connections_are_resumed_on_new_ones(self):
+        await self.send_and(fault_proxy.FaultProxy.cut)
+
+    async def test_long_prefill_without_tokens_is_not_a_failure(self):
+        # The prefill takes 1.75 s, longer than the idle timeout.
+        sent = await self.deployment.generate(
+            "vm-1", "long", 350_000, 5, TIMEOUT
+        )
+        self.check_answers([sent])
+        self.assertEqual(sent.answer.ending, deployment_case.WHOLE)
+
+
+if __name__ == "__main__":
+    unittest.main()
