--- a/packages/cli/src/lavendershed/cli/commands/router.py
+++ b/packages/cli/src/lavendershed/cli/commands/router.py
@@ -43,6 +43,7 @@
 @click.option("--poll-interval-seconds", type=float)
 @click.option("--engine-poll-interval-seconds", type=float)
 @click.option("--store-calls-per-second", type=float)
+@click.option("--weight-loads-per-second", type=float)
 @click.option(
     "--event-loop", help="Event loop of the process: asyncio or uvloop."
 )
--- a/packages/cli/src/lavendershed/cli/settings.py
+++ b/packages/cli/src/lavendershed/cli/settings.py
@@ -21,6 +21,7 @@
 MAX_POLL_INTERVAL_SECONDS = 60.0
 MIN_POLL_INTERVAL_SECONDS = 0.05
 MAX_STORE_CALLS_PER_SECOND = 2_000.0
+MAX_WEIGHT_LOADS_PER_SECOND = 100.0
 # Fewer calls would not let a watch and a poll run beside bookings.
 MIN_STORE_CALLS_PER_SECOND = 2.0
 SEPARATOR = ","
@@ -70,6 +71,9 @@
     store_calls_per_second: float = pydantic.Field(
         40.0, ge=MIN_STORE_CALLS_PER_SECOND, le=MAX_STORE_CALLS_PER_SECOND
     )
+    weight_loads_per_second: float = pydantic.Field(
+        0.5, gt=0, le=MAX_WEIGHT_LOADS_PER_SECOND
+    )
     event_loop: EventLoop = EventLoop.ASYNCIO
 
     peer_listen: str | None = None
@@ -155,4 +159,5 @@
                 self.engine_poll_interval_seconds
             ),
             store_calls_per_second=self.store_calls_per_second,
+            weight_loads_per_second=self.weight_loads_per_second,
         )
--- a/packages/membership/tests/test_detector.py
+++ b/packages/membership/tests/test_detector.py
@@ -50,7 +50,7 @@
         changes = [c for d in self.cluster.daemons.values() for c in d.seen]
         self.assertFalse([c for c in changes if c.record.state is SUSPECT])
 
-    def test_repeated_pauses_of_a_daemon_make_it_blame_nobody(self):
+    def test_repeated_pauses_of_a_daemon_suspect_no_member(self):
         paused = self.cluster.daemons["vm-4"]
         for _ in range(4):
             paused.paused = True
@@ -75,17 +75,17 @@
         self.assertIs(self.state_of("vm-3"), ALIVE)
 
     def test_wrong_claim_is_refuted_with_a_greater_version(self):
-        victim = self.cluster.daemons["vm-4"]
-        before = victim.membership.own_record.version
+        suspected = self.cluster.daemons["vm-4"]
+        before = suspected.membership.own_record.version
         self.cluster.dropped_to.add("vm-4")
         self.cluster.run(3.5)
         self.assertIs(self.state_of("vm-4"), SUSPECT)
         self.cluster.dropped_to.clear()
         self.cluster.run(4.0)
         self.assertEqual(self.cluster.disagreements(), [])
-        self.assertGreater(victim.membership.own_record.version, before)
+        self.assertGreater(suspected.membership.own_record.version, before)
 
-    def test_paused_daemon_recovers_and_blames_nobody(self):
+    def test_paused_daemon_recovers_and_suspects_no_member(self):
         paused = self.cluster.daemons["vm-4"]
         paused.paused = True
         self.cluster.run(30.0)
--- a/packages/reliability/src/lavendershed/reliability/crash_suspects.py
+++ b/packages/reliability/src/lavendershed/reliability/crash_suspects.py
@@ -178,7 +178,7 @@
             for other in self._by_engine.get(reported.engine, ())
             if self._in_flight[other].incarnation is None
         ]
-        return self._judge(tuple(ended.values()), beside, now)
+        return self._assess(tuple(ended.values()), beside, now)
 
     def on_quarantine_record(
         self, record: cluster.QuarantineRecord, now: units.Instant
@@ -199,7 +199,7 @@
         until = units.after(now, record.lifetime)
         self._remember(self._suspects, record.fingerprint, until)
 
-    def _judge(
+    def _assess(
         self,
         ended: tuple[_InFlight, ...],
         beside: list[ids.Fingerprint],
@@ -211,16 +211,16 @@
             for fingerprint in fingerprints.union(beside)
             if _alive(self._suspects, fingerprint, now)
         }
-        guilty = {
+        confirmed = {
             entry.fingerprint
             for entry in ended
             if entry.fingerprint in suspects
             and (entry.alone or len(suspects) == 1)
         }
-        for fingerprint in fingerprints - guilty:
+        for fingerprint in fingerprints - confirmed:
             until = units.after(now, self._limits.lifetime)
             self._remember(self._suspects, fingerprint, until)
-        for fingerprint in guilty:
+        for fingerprint in confirmed:
             del self._suspects[fingerprint]
             until = units.after(now, self._limits.quarantine)
             self._remember(self._quarantined, fingerprint, until)
@@ -228,9 +228,9 @@
             PublishQuarantine(
                 cluster.QuarantineRecord(fingerprint, self._limits.quarantine)
             )
-            for fingerprint in sorted(guilty)
+            for fingerprint in sorted(confirmed)
         )
-        suspected = sorted(fingerprints - guilty)[:_MAX_PUBLISHED]
+        suspected = sorted(fingerprints - confirmed)[:_MAX_PUBLISHED]
         return quarantines + tuple(
             PublishSuspect(
                 cluster.CrashSuspectRecord(fingerprint, self._limits.lifetime)
--- a/packages/reliability/tests/test_crash_suspects.py
+++ b/packages/reliability/tests/test_crash_suspects.py
@@ -115,7 +115,7 @@
 
 
 class SuspectMachineTest(SuspectMachine.TestCase):
-    """Fails if a third engine crashes or an innocent request is refused."""
+    """Fails if a third engine crashes or another request is refused."""
 
     settings = hypothesis.settings(
         max_examples=200,
@@ -190,7 +190,7 @@
         self.now = units.Instant(1_000.0)
         self.assertTrue(all(self.verdict(n) is Verdict.CLEAN for n in range(5)))
 
-    def test_quarantine_of_a_peer_is_obeyed(self):
+    def test_quarantine_of_a_peer_refuses_the_request(self):
         record = cluster.QuarantineRecord(
             ids.Fingerprint(1), units.Seconds(9.0)
         )
--- a/packages/standin/src/lavendershed/standin/fleet.py
+++ b/packages/standin/src/lavendershed/standin/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
 import os
@@ -20,6 +21,11 @@
 _START_TIMEOUT = units.Seconds(15.0)
 _POLL = units.Seconds(0.05)
 _HOST = "127.0.0.1"
+_FROM_WORKSPACE = (
+    sys.executable,
+    "-c",
+    "from lavendershed.cli import main; main.main()",
+)
 
 
 def free_address() -> address_module.Address:
@@ -81,6 +87,7 @@
             name,
             bound,
             (
+                sys.executable,
                 "-m",
                 "lavendershed.standin.main",
                 kind,
@@ -99,6 +106,8 @@
         *arguments: str,
         address: address_module.Address | None = None,
         availability_zone: str = "zone-a",
+        executable: tuple[str, ...] = _FROM_WORKSPACE,
+        environment: Mapping[str, str] | None = None,
     ) -> Member:
         """Starts a router whose VM id is `name`."""
         bound = address or free_address()
@@ -106,8 +115,7 @@
             name,
             bound,
             (
-                "-c",
-                "from lavendershed.cli import main; main.main()",
+                *executable,
                 "router",
                 "--vm",
                 name,
@@ -119,14 +127,13 @@
                 str(store),
                 *arguments,
             ),
+            environment,
         )
 
     async def run_command(self, *arguments: str) -> tuple[int, str, str]:
         """Runs an operator command; returns its status, output and errors."""
         process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-c",
-            "from lavendershed.cli import main; main.main()",
+            *_FROM_WORKSPACE,
             *arguments,
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.PIPE,
@@ -170,14 +177,14 @@
         name: str,
         address: address_module.Address,
         arguments: tuple[str, ...],
+        environment: Mapping[str, str] | None = None,
     ) -> Member:
         with self.log_path(name).open("ab") as output:
             process = await asyncio.create_subprocess_exec(
-                sys.executable,
                 *arguments,
                 stdout=output,
                 stderr=output,
-                env=os.environ,
+                env=os.environ if environment is None else environment,
             )
         member = Member(name, address, arguments, process)
         self._members[name] = member
--- a/packages/standin/src/lavendershed/standin/load_client.py
+++ b/packages/standin/src/lavendershed/standin/load_client.py
@@ -1,4 +1,4 @@
-"""Caller that sends requests and judges their outcomes."""
+"""Caller that sends requests and classifies their outcomes."""
 
 from __future__ import annotations
 
--- a/tests/test_configuration_faults.py
+++ b/tests/test_configuration_faults.py
@@ -99,6 +99,14 @@
         )
         self.check_configuration()
 
+    async def test_wait_returns_once_the_change_is_in_force(self):
+        status, _, errors = await self.deployment.command(
+            "preset", "activate", "peak", "--wait", "--wait-seconds", "10"
+        )
+        self.assertEqual(status, 0, errors)
+        for name in self.deployment.routers:
+            self.assertEqual((await self.status(name))["preset"], "peak")
+
     async def test_lost_answer_to_a_change_is_settled(self):
         await self.control("store", lose_answers=1)
         epoch = await self.activate("peak")
--- a/tests/test_generation_faults.py
+++ b/tests/test_generation_faults.py
@@ -93,10 +93,10 @@
     SHAPE = deployment_module.Shape(routers=2, engines=4, peers=True)
 
     async def test_crashing_request_stops_at_the_second_engine(self):
-        innocent = [
+        other_requests = [
             asyncio.create_task(
                 self.deployment.generate(
-                    "vm-1", f"innocent-{index}", 2_000, 200, TIMEOUT
+                    "vm-1", f"other-{index}", 2_000, 200, TIMEOUT
                 )
             )
             for index in range(8)
@@ -119,7 +119,7 @@
             if self.fleet.member(name).process.returncode is not None
         ]
         self.assertLessEqual(len(dead), 2, dead)
-        sent = await asyncio.gather(*innocent)
+        sent = await asyncio.gather(*other_requests)
         self.check_answers(sent)
         endings = {item.answer.ending for item in sent}
         self.assertEqual(endings, {deployment_case.WHOLE})
--- a/tools/build_binary.py
+++ b/tools/build_binary.py
@@ -15,8 +15,12 @@
 
 
 def main() -> int:
-    """Builds the file and returns the exit status."""
-    output = ROOT / "dist" / "lavendershed"
+    """Builds the file, dist/lavendershed by default; returns the status."""
+    output = (
+        pathlib.Path(sys.argv[1])
+        if len(sys.argv) > 1
+        else ROOT / "dist" / "lavendershed"
+    )
     output.parent.mkdir(exist_ok=True)
     libraries = sorted(
         str(path)
