Report a request as possibly run once a group has its prompt

A refusal of the dispatcher was reported with what the attempts showed. An engine group prefills segments before the first attempt, so that a failure or a deadline while it forms was told as not_run although engines had worked on the prompt.

Change: Constraints.on_prompt_sent is called before the first segment is sent; from then on the request is unknown or stronger.

--- a/packages/daemon/src/lavendershed/daemon/dispatcher.py
+++ b/packages/daemon/src/lavendershed/daemon/dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import abc
+from collections.abc import Callable
 import dataclasses
 
 import result
@@ -39,10 +40,14 @@
     Attributes:
         excluded: Engines that must not run the attempt.
         alone: Whether no other request may run on the engine meanwhile.
+        on_prompt_sent: Called before a part of the prompt is sent to an engine
+            while the attempt is being assigned, as an engine group does. From
+            then on the request can't be reported as not run.
     """
 
     excluded: frozenset[ids.BackendServerId] = frozenset()
     alone: bool = False
+    on_prompt_sent: Callable[[], None] = lambda: None
 
 
 class Dispatcher(abc.ABC):
--- a/packages/daemon/src/lavendershed/daemon/engine_group.py
+++ b/packages/daemon/src/lavendershed/daemon/engine_group.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 
 import result
@@ -60,6 +61,7 @@
         prefill_rate: float,
         keeper: ledger_keeper.LedgerKeeper,
         timer_service: timers.TimerService,
+        on_prompt_sent: Callable[[], None],
     ) -> None:
         self._plan = plan
         self._members = {member.engine: member for member in members}
@@ -68,14 +70,9 @@
         self._keeper = keeper
         self._timers = timer_service
         self._imported: list[memory_ledger.AllocationKey] = []
-        self._prompt_sent = False
+        self._on_prompt_sent = on_prompt_sent
         self._failed_engine: ids.BackendServerId | None = None
 
-    @property
-    def prompt_sent(self) -> bool:
-        """Whether a segment of the prompt may have reached an engine."""
-        return self._prompt_sent
-
     @property
     def failed_engine(self) -> ids.BackendServerId | None:
         """The engine on which a segment failed."""
@@ -188,7 +185,7 @@
             prompt_tokens=units.Tokens(segment.offset + segment.size),
             kv_imports=tuple(s.handle for s in command.imports),
         )
-        self._prompt_sent = True
+        self._on_prompt_sent()
         limit = segment.size / self._prefill_rate * _SLOWEST_PREFILL
         try:
             async with asyncio.timeout(limit + _SEGMENT_MARGIN):
--- a/packages/daemon/src/lavendershed/daemon/generation_run.py
+++ b/packages/daemon/src/lavendershed/daemon/generation_run.py
@@ -102,6 +102,7 @@
             collections.deque()
         )
         self._alone = False
+        self._prompt_sent = False
         self._prefilling = False
         self._first_token_seen = False
 
@@ -180,6 +181,9 @@
         return execution_module.combined(
             [
                 *(attempt.execution for attempt in self._failed),
+                execution_module.execution_of(
+                    execution_module.AttemptEvidence(sent=self._prompt_sent)
+                ),
                 execution_module.execution_of(self._tracker.evidence),
             ]
         )
@@ -209,7 +213,9 @@
             self._alone = verdict.ok_value
             acquired = await self._parts.dispatcher.acquire(
                 self._request,
-                dispatcher_module.Constraints(excluded, self._alone),
+                dispatcher_module.Constraints(
+                    excluded, self._alone, self._note_prompt_sent
+                ),
             )
             if isinstance(acquired, result.Ok):
                 if self._verdict() == verdict:
@@ -234,6 +240,9 @@
                 await self._probe(dead)
             excluded = dead
 
+    def _note_prompt_sent(self) -> None:
+        self._prompt_sent = True
+
     def _verdict(self) -> result.Result[bool, outcomes.RequestFailure]:
         """Returns whether the request must run alone, or why it may not run."""
         now = self._parts.timers.now()
--- a/packages/daemon/src/lavendershed/daemon/group_dispatcher.py
+++ b/packages/daemon/src/lavendershed/daemon/group_dispatcher.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Collection
 import itertools
 import random
@@ -150,14 +151,14 @@
         constraints: dispatcher.Constraints,
     ) -> result.Result[dispatcher.Assignment, outcomes.RequestFailure]:
         excluded = set(constraints.excluded)
-        sent = False
         reason = group_planner.GroupFailure.TOO_FEW_ENGINES
         for _ in range(_MAX_TRIES):
-            group = await self._group(request, service, excluded)
+            group = await self._group(
+                request, service, excluded, constraints.on_prompt_sent
+            )
             formed = await group.form()
             if isinstance(formed, result.Ok):
                 return result.Ok(self._assignment(request, group, formed))
-            sent = sent or group.prompt_sent
             reason = formed.err_value
             self._log.emit(
                 events.Event.GROUP_FAILED,
@@ -169,7 +170,7 @@
             if group.failed_engine is None:
                 break
             excluded.add(group.failed_engine)
-        return result.Err(_failure(reason, sent))
+        return result.Err(_failure(reason))
 
     def _assignment(
         self,
@@ -200,6 +201,7 @@
         request: requests.GenerateRequest,
         service: model.Service,
         excluded: Collection[ids.BackendServerId],
+        on_prompt_sent: Callable[[], None],
     ) -> engine_group.EngineGroup:
         demand = _demand(request, service, uuid.uuid4().hex)
         preset = self._configuration.current.preset
@@ -236,6 +238,7 @@
             service.prefill_tokens_per_second,
             self._keeper,
             self._timers,
+            on_prompt_sent,
         )
 
     async def _members(
@@ -290,7 +293,7 @@
 
 
 def _failure(
-    reason: group_planner.GroupFailure, sent: bool
+    reason: group_planner.GroupFailure,
 ) -> outcomes.RequestFailure:
     reasons = {
         group_planner.GroupFailure.TOO_FEW_ENGINES: (
@@ -303,13 +306,9 @@
             states.FailureReason.BACKEND_SERVER_FAILED
         ),
     }
-    execution = (
-        states.Execution.FAILED_AFTER_START
-        if sent
-        else states.Execution.NOT_RUN
-    )
-    return outcomes.RequestFailure(
+    # The caller of the dispatcher knows from `on_prompt_sent` if this attempt
+    # or an earlier one may have run.
+    return outcomes.not_run(
         reasons[reason],
-        execution,
         f"no engine group could be formed: {reason.value.replace('_', ' ')}",
     )
--- a/packages/daemon/tests/generation_fixture.py
+++ b/packages/daemon/tests/generation_fixture.py
@@ -48,10 +48,13 @@
         self.assigned = []
         self.released = 0
         self.on_acquire = lambda: None
+        self.sends_prompt = False
 
     async def acquire(self, request, constraints):
         """Returns the first engine, or a refusal when none is left."""
         self.on_acquire()
+        if self.sends_prompt:
+            constraints.on_prompt_sent()
         for name in self.names:
             if name not in constraints.excluded:
                 self.assigned.append((name, constraints.alone))
--- a/packages/daemon/tests/test_generation.py
+++ b/packages/daemon/tests/test_generation.py
@@ -138,6 +138,14 @@
         self.assertIs(failure.execution, states.Execution.NOT_RUN)
         self.assertEqual(len(self.ledger), 0)
 
+    async def test_prompt_sent_during_assignment_rules_out_not_run(self):
+        await self.start(1)
+        self.dispatcher.names = []
+        self.dispatcher.sends_prompt = True
+        outcome, _ = await self.run_request()
+        failure = outcome.err_value
+        self.assertIs(failure.execution, states.Execution.UNKNOWN)
+
     async def test_deadline_during_the_answer_is_reported_as_started(self):
         await self.start(1, SLOW)
         outcome, caller = await self.run_request(max_tokens=9_000, timeout=1.0)
