Map transport errors to backend errors in one place

Cause: the mapping stood twice; the copy of the model engine client lacked TOO_LATE and would have raised a KeyError for it.

--- a/packages/backend/src/lavendershed/backend/http_engine.py
+++ b/packages/backend/src/lavendershed/backend/http_engine.py
@@ -12,12 +12,12 @@
 
 from lavendershed.backend import event_stream
 from lavendershed.backend import members
+from lavendershed.backend import transport_errors
 from lavendershed.core import backend_servers
 from lavendershed.core import ids
 from lavendershed.core import states
 from lavendershed.core import units
 from lavendershed.transport import client
-from lavendershed.transport import errors
 from lavendershed.transport import pool
 
 _MAX_ERROR_BYTES = units.Bytes(64_000)
@@ -224,7 +224,7 @@
     ]:
         acquired = await self._pool.acquire()
         if isinstance(acquired, result.Err):
-            return result.Err(_backend_error(acquired.err_value))
+            return result.Err(transport_errors.backend_error(acquired.err_value))
         connection = acquired.ok_value
         stream = event_stream.HttpEngineStream(connection, self._pool)
         timeout = self._pool.limits.idle_timeout
@@ -232,11 +232,11 @@
             sent = await connection.send(head, body, timeout)
             if isinstance(sent, result.Err):
                 connection.close()
-                return result.Err(_backend_error(sent.err_value))
+                return result.Err(transport_errors.backend_error(sent.err_value))
             answer = await connection.read_head(timeout)
             if isinstance(answer, result.Err):
                 connection.close()
-                return result.Err(_backend_error(answer.err_value))
+                return result.Err(transport_errors.backend_error(answer.err_value))
             if answer.ok_value.status == 200:
                 return result.Ok(stream)
             content = await connection.read_body(timeout, _MAX_ERROR_BYTES)
@@ -257,7 +257,7 @@
     ) -> result.Result[T, backend_servers.BackendError]:
         answer = await self._pool.exchange(head, body, timeout=timeout)
         if isinstance(answer, result.Err):
-            return result.Err(_backend_error(answer.err_value))
+            return result.Err(transport_errors.backend_error(answer.err_value))
         response = answer.ok_value
         if response.head.status != 200:
             return result.Err(_refusal(response.head.status, response.body))
@@ -319,28 +319,6 @@
     )
 
 
-def _backend_error(
-    error: errors.TransportError,
-) -> backend_servers.BackendError:
-    kinds = {
-        errors.TransportErrorKind.CONNECT_FAILED: (
-            backend_servers.BackendErrorKind.CONNECTION_REFUSED
-        ),
-        errors.TransportErrorKind.CONNECTION_LOST: (
-            backend_servers.BackendErrorKind.CONNECTION_LOST
-        ),
-        errors.TransportErrorKind.IDLE_TIMEOUT: (
-            backend_servers.BackendErrorKind.IDLE_TIMEOUT
-        ),
-        errors.TransportErrorKind.PROTOCOL: (
-            backend_servers.BackendErrorKind.PROTOCOL
-        ),
-    }
-    return backend_servers.BackendError(
-        kinds[error.kind], error.sent, error.detail
-    )
-
-
 def _refusal(status: int, body: bytes) -> backend_servers.BackendError:
     try:
         content = orjson.loads(body)
--- a/packages/backend/src/lavendershed/backend/http_plain_service.py
+++ b/packages/backend/src/lavendershed/backend/http_plain_service.py
@@ -6,28 +6,11 @@
 
 import result
 
+from lavendershed.backend import transport_errors
 from lavendershed.core import backend_servers
 from lavendershed.transport import client
-from lavendershed.transport import errors
 from lavendershed.transport import pool
 
-_KINDS = {
-    errors.TransportErrorKind.CONNECT_FAILED: (
-        backend_servers.BackendErrorKind.CONNECTION_REFUSED
-    ),
-    errors.TransportErrorKind.CONNECTION_LOST: (
-        backend_servers.BackendErrorKind.CONNECTION_LOST
-    ),
-    errors.TransportErrorKind.IDLE_TIMEOUT: (
-        backend_servers.BackendErrorKind.IDLE_TIMEOUT
-    ),
-    errors.TransportErrorKind.PROTOCOL: (
-        backend_servers.BackendErrorKind.PROTOCOL
-    ),
-    errors.TransportErrorKind.TOO_LATE: (
-        backend_servers.BackendErrorKind.DEADLINE
-    ),
-}
 # The header by which a plain service says that it has not started a call.
 NOT_STARTED_HEADER = "execution-started"
 # The header by which a plain service says that it is leaving.
@@ -69,11 +52,8 @@
                 )
             )
         if isinstance(answer, result.Err):
-            error = answer.err_value
             return result.Err(
-                backend_servers.BackendError(
-                    _KINDS[error.kind], error.sent, error.detail
-                )
+                transport_errors.backend_error(answer.err_value)
             )
         response = answer.ok_value
         if response.head.header(NOT_STARTED_HEADER) == "false":
