--- a/packages/backend/src/lavendershed/backend/http_engine.py
+++ b/packages/backend/src/lavendershed/backend/http_engine.py
@@ -224,7 +224,9 @@
     ]:
         acquired = await self._pool.acquire()
         if isinstance(acquired, result.Err):
-            return result.Err(transport_errors.backend_error(acquired.err_value))
+            return result.Err(
+                transport_errors.backend_error(acquired.err_value)
+            )
         connection = acquired.ok_value
         stream = event_stream.HttpEngineStream(connection, self._pool)
         timeout = self._pool.limits.idle_timeout
@@ -232,11 +234,15 @@
             sent = await connection.send(head, body, timeout)
             if isinstance(sent, result.Err):
                 connection.close()
-                return result.Err(transport_errors.backend_error(sent.err_value))
+                return result.Err(
+                    transport_errors.backend_error(sent.err_value)
+                )
             answer = await connection.read_head(timeout)
             if isinstance(answer, result.Err):
                 connection.close()
-                return result.Err(transport_errors.backend_error(answer.err_value))
+                return result.Err(
+                    transport_errors.backend_error(answer.err_value)
+                )
             if answer.ok_value.status == 200:
                 return result.Ok(stream)
             content = await connection.read_body(timeout, _MAX_ERROR_BYTES)
--- a/packages/backend/src/lavendershed/backend/http_plain_service.py
+++ b/packages/backend/src/lavendershed/backend/http_plain_service.py
@@ -52,9 +52,7 @@
                 )
             )
         if isinstance(answer, result.Err):
-            return result.Err(
-                transport_errors.backend_error(answer.err_value)
-            )
+            return result.Err(transport_errors.backend_error(answer.err_value))
         response = answer.ok_value
         if response.head.header(NOT_STARTED_HEADER) == "false":
             return result.Err(
