Show the wanted engine states in the status command

Cause: status listed routers and leases but no engines.

Change: it reads the placement objects and lists role and models wanted of each engine; shell completion has a test.

--- a/packages/cli/src/lavendershed/cli/commands/status.py
+++ b/packages/cli/src/lavendershed/cli/commands/status.py
@@ -22,14 +22,15 @@
     time_limit_seconds: float,
     output_format: output.OutputFormat,
 ) -> None:
-    """Shows the daemons with the epochs they have in force, and leases."""
+    """Shows routers with their epochs, leases and wanted engine states."""
     session = session_module.Session(store, units.Seconds(time_limit_seconds))
-    daemons, leases = session.run(_read)
+    daemons, leases, placements = session.run(_read)
     if output_format is output.OutputFormat.JSON:
         output.print_json(
             {
                 "routers": [configuration_file.plain(d) for d in daemons],
                 "leases": [configuration_file.plain(e) for e in leases],
+                "engines": [configuration_file.plain(p) for p in placements],
             }
         )
         return
@@ -41,10 +42,7 @@
             for d in daemons
         ],
     )
-    if not leases:
-        return
-    click.echo()
-    output.print_rows(
+    _print_section(
         output_format,
         ("lease", "holder", "fencing_number"),
         [
@@ -56,6 +54,31 @@
             for lease in leases
         ],
     )
+    _print_section(
+        output_format,
+        ("engine", "service", "wanted_role", "wanted_models"),
+        [
+            (
+                target.engine,
+                placement.service,
+                target.role.value,
+                "any" if target.models is None else ",".join(target.models),
+            )
+            for placement in placements
+            for target in placement.content.targets
+        ],
+    )
+
+
+def _print_section(
+    output_format: output.OutputFormat,
+    columns: tuple[str, ...],
+    rows: list[tuple[object, ...]],
+) -> None:
+    if not rows:
+        return
+    click.echo()
+    output.print_rows(output_format, columns, rows)
 
 
 async def _read(
@@ -63,6 +86,7 @@
 ) -> tuple[
     tuple[status_module.DaemonStatus, ...],
     tuple[status_module.LeaseStatus, ...],
+    tuple[status_module.PlacementStatus, ...],
 ]:
     daemons = await status_module.read_all(access.store)
     if isinstance(daemons, result.Err):
@@ -70,4 +94,7 @@
     leases = await status_module.read_leases(access.store)
     if isinstance(leases, result.Err):
         raise failures.of_store(leases.err_value)
-    return daemons.ok_value, leases.ok_value
+    placements = await status_module.read_placements(access.store)
+    if isinstance(placements, result.Err):
+        raise failures.of_store(placements.err_value)
+    return daemons.ok_value, leases.ok_value, placements.ok_value
--- a/packages/cli/tests/test_commands.py
+++ b/packages/cli/tests/test_commands.py
@@ -182,6 +182,26 @@
         output = self.run_ok("preset", "create", "peak", "--wait")
         self.assertIn("in force on 1 routers", output)
 
+    def test_status_shows_what_is_wanted_of_each_engine(self):
+        record = (
+            b'{"fencing_number": 3, "targets": [{"engine": "engine-1", '
+            b'"role": "prefill", "models": ["almanac@2"]}]}'
+        )
+        key = ids.ObjectKey("placement/drafting")
+        asyncio.run(self.store.put(key, record, object_store.IfAbsent()))
+        output = self.run_ok("status")
+        for text in ("engine-1", "drafting", "prefill", "almanac@2"):
+            self.assertIn(text, output)
+        (placement,) = self.run_json("status")["engines"]
+        self.assertEqual(placement["service"], "drafting")
+
+    def test_shell_completion_is_offered(self):
+        name = "_LAVENDERSHED_COMPLETE"
+        ended = testing.CliRunner().invoke(
+            main.main, prog_name="lavendershed", env={name: "bash_source"}
+        )
+        self.assertIn("complete", ended.output)
+
     def report(self, vm, epoch):
         entry = status.DaemonStatus(
             ids.VmId(vm),
--- a/packages/platform/src/lavendershed/platform/status.py
+++ b/packages/platform/src/lavendershed/platform/status.py
@@ -9,6 +9,7 @@
 from lavendershed.core import backend_servers
 from lavendershed.core import ids
 from lavendershed.core import object_store
+from lavendershed.placement import targets
 from lavendershed.platform import codec
 
 PREFIX = "status/"
@@ -48,8 +49,17 @@
     content: LeaseContent
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlacementStatus:
+    """What the lease holder of a service wants of its engines."""
+
+    service: ids.ServiceId
+    content: targets.PlacementRecord
+
+
 CODEC = codec.Codec(DaemonStatus)
 _LEASE_CODEC = codec.Codec(LeaseContent)
+_PLACEMENT_CODEC = codec.Codec(targets.PlacementRecord)
 
 
 def key(vm: ids.VmId) -> ids.ObjectKey:
@@ -86,6 +96,24 @@
     return result.Ok(tuple(leases))
 
 
+async def read_placements(
+    store: object_store.ObjectStore,
+) -> result.Result[tuple[PlacementStatus, ...], object_store.StoreError]:
+    """Reads the desired placements; undecodable ones are left out."""
+    stored = await _read_prefix(store, targets.PLACEMENT_PREFIX)
+    if isinstance(stored, result.Err):
+        return stored
+    placements: list[PlacementStatus] = []
+    for entry in stored.ok_value:
+        decoded = _PLACEMENT_CODEC.decode(entry.value)
+        if isinstance(decoded, result.Ok):
+            name = entry.key.removeprefix(targets.PLACEMENT_PREFIX)
+            placements.append(
+                PlacementStatus(ids.ServiceId(name), decoded.ok_value)
+            )
+    return result.Ok(tuple(placements))
+
+
 async def _read_prefix(
     store: object_store.ObjectStore, prefix: str
 ) -> result.Result[
