Test a booking without an idempotency key

Cause: the refusal had no test of its own.

Change: the test checks reason, execution and that the header is named.

--- a/packages/daemon/tests/test_calls.py
+++ b/packages/daemon/tests/test_calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import random
 import unittest
 
@@ -187,6 +188,16 @@
             await self.bookings.release()
         self.assertEqual(self.runs(), 1)
 
+    async def test_booking_without_a_key_is_refused_as_not_run(self):
+        daemon = self.daemon()
+        request = dataclasses.replace(self.request(), idempotency_key=None)
+        failure = (await daemon.run(request)).err_value
+        self.assertIs(
+            failure.reason, states.FailureReason.MISSING_IDEMPOTENCY_KEY
+        )
+        self.assertIs(failure.execution, states.Execution.NOT_RUN)
+        self.assertIn("Idempotency-Key", failure.detail)
+
     async def test_another_body_under_the_same_key_is_refused(self):
         await self.daemon().run(self.request())
         await self.bookings.release()
