Rename the object API library to objects

Cause: the name platform is needed for the adapter to the users' platform. Change: packages/platform becomes packages/objects; imports follow. Result: make lint is clean.

--- a/packages/cli/src/lavendershed/cli/commands/history.py
+++ b/packages/cli/src/lavendershed/cli/commands/history.py
@@ -11,7 +11,7 @@
 from lavendershed.configuration import manifest
 from lavendershed.core import addresses
 from lavendershed.core import units
-from lavendershed.platform import configuration_store
+from lavendershed.objects import configuration_store
 
 
 @click.command()
--- a/packages/cli/src/lavendershed/cli/commands/status.py
+++ b/packages/cli/src/lavendershed/cli/commands/status.py
@@ -11,7 +11,7 @@
 from lavendershed.cli import session as session_module
 from lavendershed.core import addresses
 from lavendershed.core import units
-from lavendershed.platform import status as status_module
+from lavendershed.objects import status as status_module
 
 
 @click.command()
--- a/packages/cli/src/lavendershed/cli/failures.py
+++ b/packages/cli/src/lavendershed/cli/failures.py
@@ -9,7 +9,7 @@
 from lavendershed.configuration import validation
 from lavendershed.configuration import writer
 from lavendershed.core import object_store
-from lavendershed.platform import configuration_store
+from lavendershed.objects import configuration_store
 
 
 class ExitCode(enum.IntEnum):
--- a/packages/cli/src/lavendershed/cli/session.py
+++ b/packages/cli/src/lavendershed/cli/session.py
@@ -27,8 +27,8 @@
 from lavendershed.core import object_store
 from lavendershed.core import timers
 from lavendershed.core import units
-from lavendershed.platform import configuration_store
-from lavendershed.platform import http_store
+from lavendershed.objects import configuration_store
+from lavendershed.objects import http_store
 from lavendershed.transport import event_loop_timers
 from lavendershed.transport import pool
 
--- a/packages/cli/src/lavendershed/cli/waiting.py
+++ b/packages/cli/src/lavendershed/cli/waiting.py
@@ -9,7 +9,7 @@
 from lavendershed.core import ids
 from lavendershed.core import object_store
 from lavendershed.core import units
-from lavendershed.platform import status as status_module
+from lavendershed.objects import status as status_module
 from lavendershed.transport import event_loop_timers
 
 _POLL = units.Seconds(0.25)
--- a/packages/cli/tests/test_commands.py
+++ b/packages/cli/tests/test_commands.py
@@ -16,7 +16,7 @@
 from lavendershed.cli import main
 from lavendershed.core import ids
 from lavendershed.core import object_store
-from lavendershed.platform import status
+from lavendershed.objects import status
 from lavendershed.standin import memory_store
 
 CODES = failures.ExitCode
--- a/packages/daemon/src/lavendershed/daemon/booking_codec.py
+++ b/packages/daemon/src/lavendershed/daemon/booking_codec.py
@@ -13,7 +13,7 @@
 from lavendershed.core import ids
 from lavendershed.core import states
 from lavendershed.core import units
-from lavendershed.platform import codec
+from lavendershed.objects import codec
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/lavendershed/daemon/booking_retention.py
+++ b/packages/daemon/src/lavendershed/daemon/booking_retention.py
@@ -16,7 +16,7 @@
 from lavendershed.core import timers
 from lavendershed.core import units
 from lavendershed.daemon import background
-from lavendershed.platform import codec
+from lavendershed.objects import codec
 from lavendershed.telemetry import events
 from lavendershed.telemetry import log
 from lavendershed.transport import event_loop_timers
--- a/packages/daemon/src/lavendershed/daemon/factory.py
+++ b/packages/daemon/src/lavendershed/daemon/factory.py
@@ -35,9 +35,9 @@
 from lavendershed.daemon import server_choice
 from lavendershed.daemon import status_writer
 from lavendershed.daemon import vm_list_poller
-from lavendershed.platform import budgeted_store
-from lavendershed.platform import call_budget
-from lavendershed.platform import http_store
+from lavendershed.objects import budgeted_store
+from lavendershed.objects import call_budget
+from lavendershed.objects import http_store
 from lavendershed.reliability import crash_suspects
 from lavendershed.reliability import memory_ledger
 from lavendershed.reliability import retry_budget
--- a/packages/daemon/src/lavendershed/daemon/peer_configuration.py
+++ b/packages/daemon/src/lavendershed/daemon/peer_configuration.py
@@ -15,7 +15,7 @@
 from lavendershed.daemon import chunk_source
 from lavendershed.membership import peers
 from lavendershed.membership import records
-from lavendershed.platform import codec
+from lavendershed.objects import codec
 from lavendershed.telemetry import events
 from lavendershed.telemetry import log
 from lavendershed.transport import event_loop_timers
--- a/packages/daemon/src/lavendershed/daemon/placement_loop.py
+++ b/packages/daemon/src/lavendershed/daemon/placement_loop.py
@@ -19,11 +19,11 @@
 from lavendershed.core import units
 from lavendershed.daemon import backend_directory
 from lavendershed.daemon import background
+from lavendershed.objects import codec
 from lavendershed.placement import lease as lease_module
 from lavendershed.placement import load_budget
 from lavendershed.placement import planner as planner_module
 from lavendershed.placement import targets as targets_module
-from lavendershed.platform import codec
 from lavendershed.telemetry import events
 from lavendershed.telemetry import log
 from lavendershed.transport import event_loop_timers
--- a/packages/daemon/src/lavendershed/daemon/status_writer.py
+++ b/packages/daemon/src/lavendershed/daemon/status_writer.py
@@ -18,7 +18,7 @@
 from lavendershed.core import timers
 from lavendershed.core import units
 from lavendershed.daemon import background
-from lavendershed.platform import status as status_module
+from lavendershed.objects import status as status_module
 from lavendershed.transport import event_loop_timers
 
 # Writes of all daemons together after a change of configuration. The store
--- a/packages/daemon/tests/configuration_fixture.py
+++ b/packages/daemon/tests/configuration_fixture.py
@@ -17,7 +17,7 @@
 from lavendershed.core import timers
 from lavendershed.core import units
 from lavendershed.daemon import configuration_sync
-from lavendershed.platform import configuration_store
+from lavendershed.objects import configuration_store
 from lavendershed.standin import memory_store
 from lavendershed.telemetry import log
 
--- a/packages/daemon/tests/test_configuration_sync.py
+++ b/packages/daemon/tests/test_configuration_sync.py
@@ -10,7 +10,7 @@
 from lavendershed.core import ids
 from lavendershed.core import object_store
 from lavendershed.daemon import chunk_source
-from lavendershed.platform import codec
+from lavendershed.objects import codec
 from lavendershed.telemetry import events
 
 
--- a/packages/daemon/tests/test_status_writer.py
+++ b/packages/daemon/tests/test_status_writer.py
@@ -11,7 +11,7 @@
 from lavendershed.core import ids
 from lavendershed.core import object_store
 from lavendershed.daemon import status_writer
-from lavendershed.platform import status
+from lavendershed.objects import status
 
 
 class StatusWriterTest(unittest.IsolatedAsyncioTestCase):
--- a/packages/platform/src/lavendershed/platform/budgeted_store.py
+++ b/packages/objects/src/lavendershed/objects/budgeted_store.py
@@ -12,7 +12,7 @@
 from lavendershed.core import object_store
 from lavendershed.core import timers
 from lavendershed.core import units
-from lavendershed.platform import call_budget
+from lavendershed.objects import call_budget
 
 T = TypeVar("T")
 
--- a/packages/platform/src/lavendershed/platform/configuration_store.py
+++ b/packages/objects/src/lavendershed/objects/configuration_store.py
@@ -14,7 +14,7 @@
 from lavendershed.core import ids
 from lavendershed.core import object_store
 from lavendershed.core import timers
-from lavendershed.platform import codec
+from lavendershed.objects import codec
 from lavendershed.transport import event_loop_timers
 
 # Chunks are small; this many calls at once read 300 chunks in tens of
--- a/packages/platform/src/lavendershed/platform/status.py
+++ b/packages/objects/src/lavendershed/objects/status.py
@@ -9,8 +9,8 @@
 from lavendershed.core import backend_servers
 from lavendershed.core import ids
 from lavendershed.core import object_store
+from lavendershed.objects import codec
 from lavendershed.placement import targets
-from lavendershed.platform import codec
 
 PREFIX = "status/"
 LEASE_PREFIX = "leases/"
--- a/packages/platform/tests/test_budgeted_store.py
+++ b/packages/objects/tests/test_budgeted_store.py
@@ -8,8 +8,8 @@
 from lavendershed.core import object_store
 from lavendershed.core import timers
 from lavendershed.core import units
-from lavendershed.platform import budgeted_store
-from lavendershed.platform import call_budget
+from lavendershed.objects import budgeted_store
+from lavendershed.objects import call_budget
 from lavendershed.standin import memory_store
 
 KEY = ids.ObjectKey("a")
--- a/packages/platform/tests/test_call_budget.py
+++ b/packages/objects/tests/test_call_budget.py
@@ -5,7 +5,7 @@
 import unittest
 
 from lavendershed.core import units
-from lavendershed.platform import call_budget
+from lavendershed.objects import call_budget
 
 BACKGROUND = call_budget.CallClass.BACKGROUND
 BOOKING = call_budget.CallClass.BOOKING
--- a/packages/platform/tests/test_codec.py
+++ b/packages/objects/tests/test_codec.py
@@ -13,8 +13,8 @@
 from lavendershed.configuration import state as state_module
 from lavendershed.core import ids
 from lavendershed.core import units
-from lavendershed.platform import codec
-from lavendershed.platform import configuration_store
+from lavendershed.objects import codec
+from lavendershed.objects import configuration_store
 
 SETTINGS = hypothesis.settings(
     max_examples=300, derandomize=True, database=None, deadline=None
--- a/packages/platform/tests/test_http_store.py
+++ b/packages/objects/tests/test_http_store.py
@@ -9,7 +9,7 @@
 from lavendershed.core import ids
 from lavendershed.core import object_store
 from lavendershed.core import units
-from lavendershed.platform import http_store
+from lavendershed.objects import http_store
 from lavendershed.standin import json_handler
 from lavendershed.transport import event_loop_timers
 from lavendershed.transport import pool
--- a/packages/standin/tests/test_object_store.py
+++ b/packages/standin/tests/test_object_store.py
@@ -13,7 +13,7 @@
 from lavendershed.core import ids
 from lavendershed.core import object_store as core_store
 from lavendershed.core import units
-from lavendershed.platform import http_store
+from lavendershed.objects import http_store
 from lavendershed.standin import history
 from lavendershed.standin import object_store
 from lavendershed.transport import client
--- a/tests/test_thin_path.py
+++ b/tests/test_thin_path.py
@@ -14,8 +14,8 @@
 from lavendershed.core import object_store
 from lavendershed.core import states
 from lavendershed.core import units
-from lavendershed.platform import codec
-from lavendershed.platform import http_store
+from lavendershed.objects import codec
+from lavendershed.objects import http_store
 from lavendershed.standin import engine_model
 from lavendershed.standin import fleet as fleet_module
 from lavendershed.standin import load_client
