--- /dev/null
+++ b/deploy/build.py
@@ -0,0 +1,50 @@
+"""Places the product and its dependencies under target/deps, compiled."""
+
+from __future__ import annotations
+
+import compileall
+import pathlib
+import shutil
+import subprocess
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+TARGET = ROOT / "target" / "deps"
+REQUIREMENTS = ROOT / "requirements-platform.txt"
+# What runs on the platform; other libraries serve the own interface only.
+LIBRARIES = (
+    "core",
+    "forwarding",
+    "membership",
+    "peer",
+    "platform",
+    "reliability",
+    "routes",
+    "routing",
+    "telemetry",
+    "transport",
+)
+
+
+def main() -> int:
+    """Builds the folder; returns the exit status."""
+    if not TARGET.exists():
+        command = [sys.executable, "-m", "pip", "install", "-q"]
+        command += ["--target", str(TARGET), "-r", str(REQUIREMENTS)]
+        installed = subprocess.run(command, check=False)
+        if installed.returncode:
+            shutil.rmtree(TARGET, ignore_errors=True)
+            return installed.returncode
+    for library in LIBRARIES:
+        shutil.copytree(
+            ROOT / "packages" / library / "src",
+            TARGET,
+            dirs_exist_ok=True,
+            ignore=shutil.ignore_patterns("__pycache__"),
+        )
+    compiled = compileall.compile_dir(TARGET, quiet=1)
+    return 0 if compiled else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/core/src/lavendershed/core/forwarding_states.py
@@ -0,0 +1,32 @@
+"""States of forwarded requests and of the servers that run them."""
+
+from __future__ import annotations
+
+import enum
+
+
+class WorkPhase(enum.Enum):
+    """What an engine does for a request; the numbers go over the wire."""
+
+    READING = 0
+    WRITING = 1
+
+
+class ServerState(enum.Enum):
+    """State that a backend server announces."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+class AttemptEnd(enum.Enum):
+    """How an attempt on one backend server ended."""
+
+    COMPLETE = "complete"
+    SERVER_FAILURE = "server_failure"
+    REFUSED = "refused"
+    WRONG_SERVER = "wrong_server"
+    NOT_SENT = "not_sent"
+    LOST = "lost"
+    STALLED = "stalled"
+    INVALID_ANSWER = "invalid_answer"
--- /dev/null
+++ b/packages/forwarding/src/lavendershed/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Execution of opaque requests on backend servers."""
--- /dev/null
+++ b/packages/forwarding/src/lavendershed/forwarding/attempts.py
@@ -0,0 +1,162 @@
+"""Bookkeeping of the attempts of one request."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from lavendershed.core import forwarding_states
+from lavendershed.core import ids
+from lavendershed.core import outcomes
+from lavendershed.core import states
+from lavendershed.core import units
+from lavendershed.forwarding import context as context_module
+from lavendershed.membership import server_directory
+from lavendershed.reliability import execution
+from lavendershed.telemetry import events
+
+# Time after which a request that found no server may find one.
+_RETRY_AFTER = units.Seconds(0.5)
+# An attempt with less time than this can't succeed on any server.
+SHORTEST_ATTEMPT = units.Seconds(0.03)
+
+# Servers that refuse connections are not counted by the route; a caller's own
+# attempt at another daemon is worth more than a long search.
+_MOST_ATTEMPTS = 4
+
+_EXECUTIONS = {
+    forwarding_states.AttemptEnd.NOT_SENT: states.Execution.NOT_RUN,
+    forwarding_states.AttemptEnd.REFUSED: states.Execution.NOT_RUN,
+    forwarding_states.AttemptEnd.WRONG_SERVER: states.Execution.NOT_RUN,
+    forwarding_states.AttemptEnd.SERVER_FAILURE: (
+        states.Execution.FAILED_AFTER_START
+    ),
+    forwarding_states.AttemptEnd.LOST: states.Execution.UNKNOWN,
+    forwarding_states.AttemptEnd.STALLED: states.Execution.UNKNOWN,
+    forwarding_states.AttemptEnd.INVALID_ANSWER: states.Execution.UNKNOWN,
+    forwarding_states.AttemptEnd.COMPLETE: states.Execution.COMPLETED,
+}
+# Ends after which the server has seen the request.
+_DELIVERED = frozenset(forwarding_states.AttemptEnd) - {
+    forwarding_states.AttemptEnd.NOT_SENT,
+    forwarding_states.AttemptEnd.WRONG_SERVER,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptResult:
+    """How an attempt ended and what was seen.
+
+    Attributes:
+        end: How it ended.
+        detail: One sentence for logs.
+    """
+
+    end: forwarding_states.AttemptEnd
+    detail: str = ""
+
+
+class AttemptRecord:
+    """Decides whether and where a request is tried again."""
+
+    def __init__(
+        self,
+        context: context_module.ForwardingContext,
+        admitted: context_module.Admitted,
+    ) -> None:
+        self._context = context
+        self._admitted = admitted
+        self._results: list[AttemptResult] = []
+        self._tried: set[ids.BackendServerId] = set()
+        self._delivered = 0
+
+    @property
+    def tried(self) -> frozenset[ids.BackendServerId]:
+        """Servers that failed this request."""
+        return frozenset(self._tried)
+
+    @property
+    def count(self) -> int:
+        """Attempts so far."""
+        return len(self._results)
+
+    @property
+    def execution(self) -> states.Execution:
+        """What is known of the execution of the request."""
+        return execution.combined(_EXECUTIONS[r.end] for r in self._results)
+
+    @property
+    def time_left(self) -> units.Seconds:
+        """Time until the final answer is due."""
+        return units.elapsed(
+            self._context.timers.now(), self._admitted.limit_at
+        )
+
+    def add(
+        self, entry: server_directory.ServerEntry, attempt: AttemptResult
+    ) -> None:
+        """Notes an attempt that did not give the whole answer."""
+        self._results.append(attempt)
+        self._tried.add(entry.id)
+        if attempt.end in _DELIVERED:
+            self._delivered += 1
+        self._context.log.emit(
+            events.Event.ATTEMPT_FAILED,
+            request=self._admitted.caller.id,
+            server=entry.id,
+            reason=attempt.end.value,
+            detail=attempt.detail,
+            attempt=self.count,
+            execution=self.execution.value,
+        )
+
+    def next_failure(self) -> outcomes.RequestFailure | None:
+        """Returns why there is no further attempt, or None if there is one.
+
+        A further attempt is taken from the retry budget.
+        """
+        if self.time_left < SHORTEST_ATTEMPT:
+            return self.failure(
+                states.FailureReason.DEADLINE_EXCEEDED, "the time is over"
+            )
+        if not self._results:
+            return None
+        last = self._results[-1]
+        repeatable = self._admitted.route.repeatable
+        if not repeatable and self.execution is not states.Execution.NOT_RUN:
+            return self._server_failed(f"it may have run: {last.detail}")
+        if (
+            self._delivered >= self._admitted.route.max_attempts
+            or self.count >= _MOST_ATTEMPTS
+        ):
+            return self._server_failed(f"no attempt is left: {last.detail}")
+        now = self._context.timers.now()
+        crashes = self._context.crashes
+        if crashes.refused(self._admitted.fingerprint, now):
+            return self.failure(
+                states.FailureReason.QUARANTINED,
+                "backend servers ended while they ran this request",
+            )
+        # A connection that was refused is no arrival at the server.
+        free = last.end is forwarding_states.AttemptEnd.NOT_SENT
+        if not free and not self._context.budget.spend(
+            self._admitted.service.id, now
+        ):
+            return self._server_failed("the retry budget is used up")
+        return None
+
+    def failure(
+        self, reason: states.FailureReason, detail: str
+    ) -> outcomes.RequestFailure:
+        """Returns a failure that tells the truth about the execution."""
+        execution_state = self.execution
+        retry_after = (
+            _RETRY_AFTER
+            if execution_state is states.Execution.NOT_RUN
+            else None
+        )
+        return outcomes.RequestFailure(
+            reason, execution_state, detail, retry_after
+        )
+
+    def _server_failed(self, detail: str) -> outcomes.RequestFailure:
+        return self.failure(states.FailureReason.BACKEND_SERVER_FAILED, detail)
--- /dev/null
+++ b/packages/forwarding/src/lavendershed/forwarding/context.py
@@ -0,0 +1,173 @@
+"""What the execution of every request shares."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+import dataclasses
+from typing import TypeVar
+
+import result
+
+from lavendershed.core import ids
+from lavendershed.core import outcomes
+from lavendershed.core import timers
+from lavendershed.core import units
+from lavendershed.forwarding import connections
+from lavendershed.forwarding import deployment_view
+from lavendershed.forwarding import engine_choosers
+from lavendershed.forwarding import requests
+from lavendershed.forwarding import translators
+from lavendershed.membership import server_directory
+from lavendershed.reliability import crash_counts
+from lavendershed.reliability import fleet_retry_budget
+from lavendershed.reliability import server_health
+from lavendershed.routes import model
+from lavendershed.routing import load_board
+from lavendershed.routing import service_choice
+from lavendershed.telemetry import events
+from lavendershed.telemetry import log
+from lavendershed.transport import server
+
+T = TypeVar("T")
+
+Failure = outcomes.RequestFailure
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForwardingContext:
+    """Decision objects and adapters."""
+
+    view: deployment_view.DeploymentView
+    callers: translators.CallerTranslator
+    servers: translators.ServerTranslator
+    connections: connections.ServerConnections
+    choosers: engine_choosers.EngineChoosers
+    plain_choice: service_choice.LeastOutstanding
+    board: load_board.LoadBoard
+    budget: fleet_retry_budget.FleetRetryBudget
+    crashes: crash_counts.CrashCounts
+    health: server_health.ServerHealth
+    timers: timers.TimerService
+    log: log.EventLog
+    zone: ids.AvailabilityZoneId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Admitted:
+    """A request that may run.
+
+    Attributes:
+        caller: The request.
+        route: Its route.
+        service: Service drawn for it.
+        organisation: Organisation of its key, if any.
+        urgency: Rank among the requests; 0 is the first.
+        fingerprint: Recognises the request when it is sent again.
+        received: When it was read.
+        limit_at: When its final answer is due.
+    """
+
+    caller: requests.CallerRequest
+    route: model.Route
+    service: model.Service
+    organisation: ids.OrganisationId | None
+    urgency: int
+    fingerprint: ids.Fingerprint
+    received: units.Instant
+    limit_at: units.Instant
+
+
+def exclude_lost_server(
+    context: ForwardingContext,
+    entry: server_directory.ServerEntry,
+    reason: str,
+    request: ids.RequestId,
+) -> None:
+    """Keeps new work away from a server that can't be reached."""
+    context.connections.discard(entry.address)
+    duration = context.health.on_loss(
+        entry.id, entry.born, context.timers.now()
+    )
+    _log_exclusion(context, entry, reason, request, duration)
+
+
+def count_failed_answer(
+    context: ForwardingContext,
+    entry: server_directory.ServerEntry,
+    reason: str,
+    request: ids.RequestId,
+) -> None:
+    """Counts a failed answer, which may exclude the server."""
+    duration = context.health.on_failure(
+        entry.id, entry.born, context.timers.now()
+    )
+    if duration is not None:
+        _log_exclusion(context, entry, reason, request, duration)
+
+
+def _log_exclusion(
+    context: ForwardingContext,
+    entry: server_directory.ServerEntry,
+    reason: str,
+    request: ids.RequestId,
+    duration: units.Seconds,
+) -> None:
+    context.log.emit(
+        events.Event.BACKEND_SERVER_EXCLUDED,
+        server=entry.id,
+        reason=reason,
+        request=request,
+        seconds=round(duration, 3),
+    )
+
+
+def avoided_servers(
+    context: ForwardingContext,
+    candidates: tuple[server_directory.ServerEntry, ...],
+    tried: frozenset[ids.BackendServerId],
+) -> frozenset[ids.BackendServerId]:
+    """Returns the servers that have been tried or are excluded for now."""
+    now = context.timers.now()
+    excluded = {
+        entry.id
+        for entry in candidates
+        if context.health.excluded(entry.id, entry.born, now)
+    }
+    return tried | excluded
+
+
+def log_failure(
+    context: ForwardingContext, admitted: Admitted, failure: Failure
+) -> None:
+    """Writes the line of a request that ends without a whole answer."""
+    context.log.emit(
+        events.Event.REQUEST_FAILED,
+        request=admitted.caller.id,
+        reason=failure.reason.value,
+        execution=failure.execution.value,
+        detail=failure.detail,
+        retry_after_s=failure.retry_after,
+        seconds=round(context.timers.now() - admitted.received, 3),
+    )
+
+
+async def respond_failure(
+    context: ForwardingContext,
+    responder: server.Responder,
+    failure: outcomes.RequestFailure,
+) -> None:
+    """Sends the final answer of a request that failed."""
+    status, headers, body = context.callers.failure(failure)
+    await responder.respond(status, body, headers)
+
+
+async def within(
+    operation: Awaitable[T], limit: units.Seconds
+) -> result.Result[T, None]:
+    """Awaits an operation for `limit` seconds at most."""
+    try:
+        async with asyncio.timeout(limit):
+            return result.Ok(await operation)
+    except TimeoutError:
+        return result.Err(None)
--- /dev/null
+++ b/packages/forwarding/src/lavendershed/forwarding/deployment_view.py
@@ -0,0 +1,202 @@
+"""What a daemon believes about its deployment."""
+
+from __future__ import annotations
+
+from lavendershed.core import ids
+from lavendershed.core import units
+from lavendershed.forwarding import translators
+from lavendershed.membership import server_directory
+from lavendershed.peer import load_reports
+from lavendershed.reliability import server_health
+from lavendershed.routes import model
+from lavendershed.routes import table
+from lavendershed.telemetry import events
+from lavendershed.telemetry import log
+
+
+class DeploymentView:
+    """Configuration and backend servers, as the newest objects say.
+
+    Objects come from the store and from peers in any order; versions and
+    revisions make sure that nothing goes back.
+    """
+
+    def __init__(
+        self,
+        translator: translators.ObjectTranslator,
+        health: server_health.ServerHealth,
+        event_log: log.EventLog,
+    ) -> None:
+        self._translator = translator
+        self._health = health
+        self._log = event_log
+        self._table: table.RouteTable | None = None
+        self._configuration: load_reports.StoredObject | None = None
+        self._directory = server_directory.ServerDirectory()
+        self._servers: dict[str, load_reports.StoredObject] = {}
+        self._numbers: dict[int, ids.BackendServerId] = {}
+        self._lapse_until = units.Instant(0.0)
+
+    @property
+    def table(self) -> table.RouteTable | None:
+        """Routes in force; None before the first configuration."""
+        return self._table
+
+    @property
+    def version(self) -> ids.Epoch:
+        """Version of the configuration in force; 0 before the first."""
+        return self._table.version if self._table else ids.Epoch(0)
+
+    @property
+    def directory(self) -> server_directory.ServerDirectory:
+        """Backend servers."""
+        return self._directory
+
+    @property
+    def complete(self) -> bool:
+        """Whether requests can be served."""
+        return self._table is not None and self._directory.known
+
+    @property
+    def state(self) -> load_reports.PeerState:
+        """All objects, for a peer that can't reach the store."""
+        configuration = self._configuration
+        return load_reports.PeerState(
+            configuration.revision if configuration else ids.ObjectVersion(0),
+            (configuration,) if configuration else (),
+            self._directory.revision,
+            tuple(self._servers.values()),
+        )
+
+    def server_of(self, number: int) -> ids.BackendServerId | None:
+        """Returns the server that a number in load reports stands for."""
+        return self._numbers.get(number)
+
+    def on_configuration(self, stored: load_reports.StoredObject) -> None:
+        """Puts a configuration in force if it is newer."""
+        decoded = self._translator.configuration(stored)
+        if decoded.is_err():
+            self._log.emit(
+                events.Event.CONFIGURATION_REJECTED,
+                revision=stored.revision,
+                reason=decoded.unwrap_err(),
+                version_in_force=self.version,
+            )
+            return
+        configuration: model.RoutingConfiguration = decoded.unwrap()
+        if configuration.version <= self.version:
+            return
+        previous = self.version
+        self._table = table.RouteTable(configuration)
+        self._configuration = stored
+        self._log.emit(
+            events.Event.CONFIGURATION_APPLIED,
+            version=configuration.version,
+            previous=previous,
+            revision=stored.revision,
+            routes=len(configuration.routes),
+            organisations=len(configuration.organisations or ()),
+        )
+
+    def on_store_returned(self, now: units.Instant) -> None:
+        """Notes the end of an outage, in which entries may have lapsed."""
+        self._lapse_until = units.after(now, server_directory.LAPSE_GRACE)
+
+    def on_server_listing(
+        self,
+        stored: tuple[load_reports.StoredObject, ...],
+        revision: ids.ObjectVersion,
+        now: units.Instant,
+    ) -> None:
+        """Takes the list of all backend servers."""
+        if revision < self._directory.revision:
+            return
+        entries = self._decode_servers(stored)
+        self._servers = {o.name: o for o in stored}
+        change = self._directory.on_listing(
+            entries, revision, self._lapse_end(now)
+        )
+        self._report(change)
+
+    def on_server_events(
+        self,
+        changed: tuple[load_reports.StoredObject, ...],
+        removed: tuple[str, ...],
+        revision: ids.ObjectVersion,
+        now: units.Instant,
+    ) -> None:
+        """Takes changes of the list of backend servers."""
+        if revision < self._directory.revision:
+            return
+        self._servers.update((o.name, o) for o in changed)
+        for name in removed:
+            self._servers.pop(name, None)
+        entries = self._decode_servers(changed)
+        decoded = {entry.id for entry in entries}
+        # An entry that can't be read any more names no server.
+        unreadable = [
+            ids.BackendServerId(o.name)
+            for o in changed
+            if o.name not in decoded
+        ]
+        change = self._directory.on_events(
+            entries,
+            [*map(ids.BackendServerId, removed), *unreadable],
+            revision,
+            self._lapse_end(now),
+        )
+        self._report(change)
+
+    def expire(self, now: units.Instant) -> None:
+        """Removes servers whose entries did not come back after an outage."""
+        self._report(self._directory.expire(now))
+
+    def _lapse_end(self, now: units.Instant) -> units.Instant | None:
+        return self._lapse_until if now < self._lapse_until else None
+
+    def _decode_servers(
+        self, stored: tuple[load_reports.StoredObject, ...]
+    ) -> list[server_directory.ServerEntry]:
+        entries = []
+        for item in stored:
+            decoded = self._translator.server(item)
+            if decoded.is_ok():
+                entries.append(decoded.unwrap())
+                continue
+            self._log.emit(
+                events.Event.SERVER_ENTRY_REJECTED,
+                server=item.name,
+                revision=item.revision,
+                reason=decoded.unwrap_err(),
+            )
+        return entries
+
+    def _report(self, change: server_directory.DirectoryChange) -> None:
+        if change.added or change.removed:
+            self._numbers = {
+                load_reports.server_number(entry.id): entry.id
+                for entry in self._directory.entries
+            }
+        for entry in change.added:
+            self._log.emit(
+                events.Event.BACKEND_SERVER_UP,
+                server=entry.id,
+                service=entry.service,
+                address=str(entry.address),
+                born=entry.born,
+                revision=self._directory.revision,
+            )
+        for entry in change.draining:
+            self._log.emit(
+                events.Event.BACKEND_SERVER_LEAVING,
+                server=entry.id,
+                revision=self._directory.revision,
+            )
+        for entry in change.removed:
+            self._health.forget(entry.id, entry.born)
+            self._log.emit(
+                events.Event.BACKEND_SERVER_DOWN,
+                server=entry.id,
+                reason="entry_removed",
+                revision=self._directory.revision,
+            )
--- /dev/null
+++ b/packages/forwarding/src/lavendershed/forwarding/engine_choosers.py
@@ -0,0 +1,35 @@
+"""One engine chooser for each service with model engines."""
+
+from __future__ import annotations
+
+from lavendershed.core import ids
+from lavendershed.routes import model
+from lavendershed.routing import engine_choice
+from lavendershed.routing import load_board
+from lavendershed.routing import pass_model
+
+
+class EngineChoosers:
+    """Keeps choosers until the figures of their engines change."""
+
+    def __init__(self, board: load_board.LoadBoard) -> None:
+        self._board = board
+        self._choosers: dict[
+            ids.ServiceId,
+            tuple[pass_model.PassModel, engine_choice.PredictedLossChooser],
+        ] = {}
+
+    def chooser(
+        self, service: model.Service
+    ) -> engine_choice.PredictedLossChooser | None:
+        """Returns the chooser of a service; None for a plain service."""
+        profile = service.engine
+        if profile is None:
+            return None
+        known = self._choosers.get(service.id)
+        if known is not None and known[0].profile == profile:
+            return known[1]
+        engine_model = pass_model.PassModel(profile)
+        chooser = engine_choice.PredictedLossChooser(engine_model, self._board)
+        self._choosers[service.id] = (engine_model, chooser)
+        return chooser
--- /dev/null
+++ b/packages/forwarding/src/lavendershed/forwarding/health_endpoint.py
@@ -0,0 +1,51 @@
+"""Readiness and metrics over HTTP."""
+
+from __future__ import annotations
+
+import abc
+
+from lavendershed.forwarding import components
+from lavendershed.transport import server
+
+_METRICS_PATH = "/metrics"
+
+
+class Readiness(abc.ABC):
+    """Tells whether new connections are welcome."""
+
+    @property
+    @abc.abstractmethod
+    def ready(self) -> bool:
+        """Whether new connections are welcome."""
+
+
+class HealthEndpoint(server.Handler):
+    """Answers the platform's check and serves the metrics."""
+
+    def __init__(
+        self, readiness: Readiness, metrics: components.Metrics
+    ) -> None:
+        self._readiness = readiness
+        self._metrics = metrics
+
+    async def handle(
+        self, request: server.ServerRequest, responder: server.Responder
+    ) -> None:
+        """Answers one request."""
+        if request.path == _METRICS_PATH:
+            await responder.respond(
+                200,
+                self._metrics.exposition(),
+                (("content-type", "text/plain; version=0.0.4"),),
+            )
+            return
+        await responder.respond(200 if self._readiness.ready else 503, b"")
+
+    def rejection(self, status: int, detail: str) -> bytes:
+        """Returns the body of an answer to a request that is not handled."""
+        return detail.encode()
+
+    @property
+    def rejection_type(self) -> str:
+        """Content type of `rejection`."""
+        return "text/plain"
--- /dev/null
+++ b/packages/forwarding/src/lavendershed/forwarding/load_sharing.py
@@ -0,0 +1,199 @@
+"""Tells the other daemons what this one does, and takes their reports."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import typing
+
+from lavendershed.core import addresses
+from lavendershed.core import ids
+from lavendershed.core import timers
+from lavendershed.core import units
+from lavendershed.forwarding import deployment_view
+from lavendershed.membership import peer_table
+from lavendershed.peer import load_reports
+from lavendershed.peer import wire
+from lavendershed.reliability import crash_counts
+from lavendershed.reliability import fleet_retry_budget
+from lavendershed.routing import load_board
+from lavendershed.telemetry import events
+from lavendershed.telemetry import log
+
+# Changes within this time go into one report.
+_COALESCE = units.Seconds(0.01)
+# A report without changes repeats the state for daemons that missed one.
+_REPEAT = units.Seconds(1.0)
+
+
+class PeerVersions:
+    """Newest versions that other daemons have reported."""
+
+    def __init__(self) -> None:
+        self._configuration: tuple[ids.Epoch, addresses.Address | None] = (
+            ids.Epoch(0),
+            None,
+        )
+        self._servers: tuple[ids.ObjectVersion, addresses.Address | None] = (
+            ids.ObjectVersion(0),
+            None,
+        )
+
+    @property
+    def configuration(self) -> tuple[ids.Epoch, addresses.Address | None]:
+        """Newest configuration and who has it."""
+        return self._configuration
+
+    @property
+    def servers(self) -> tuple[ids.ObjectVersion, addresses.Address | None]:
+        """Newest revision of the server list and who has it."""
+        return self._servers
+
+    def on_report(
+        self, address: addresses.Address, report: load_reports.LoadReport
+    ) -> None:
+        """Takes the versions of a report."""
+        if report.configuration >= self._configuration[0]:
+            self._configuration = (report.configuration, address)
+        if report.servers >= self._servers[0]:
+            self._servers = (report.servers, address)
+
+
+class LoadSharing(asyncio.DatagramProtocol):
+    """Sends load reports when something changes, and each second."""
+
+    def __init__(
+        self,
+        daemon: ids.Incarnation,
+        peers: peer_table.PeerTable,
+        versions: PeerVersions,
+        view: deployment_view.DeploymentView,
+        board: load_board.LoadBoard,
+        crashes: crash_counts.CrashCounts,
+        budget: fleet_retry_budget.FleetRetryBudget,
+        timer_service: timers.TimerService,
+        event_log: log.EventLog,
+    ) -> None:
+        self._daemon = daemon
+        self._peers = peers
+        self._versions = versions
+        self._view = view
+        self._board = board
+        self._crashes = crashes
+        self._budget = budget
+        self._timers = timer_service
+        self._log = event_log
+        self._transport: asyncio.DatagramTransport | None = None
+        self._sequence = 0
+        self._scheduled: asyncio.TimerHandle | None = None
+        self._known: frozenset[addresses.Address] = frozenset()
+
+    async def start(self, address: addresses.Address) -> None:
+        """Binds the address.
+
+        Raises:
+            OSError: The address can't be bound.
+        """
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            sock.setblocking(False)
+            sock.bind((address.host, address.port))
+        except OSError:
+            sock.close()
+            raise
+        await asyncio.get_running_loop().create_datagram_endpoint(
+            lambda: self, sock=sock
+        )
+
+    def close(self) -> None:
+        """Closes the socket."""
+        if self._transport is not None:
+            self._transport.close()
+            self._transport = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the transport."""
+        # The transports of uvloop do not derive from those of asyncio.
+        self._transport = typing.cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(
+        self, data: bytes, addr: tuple[str | typing.Any, int]
+    ) -> None:
+        """Takes a report."""
+        now = self._timers.now()
+        try:
+            report = load_reports.decode_report(data, self._view.server_of, now)
+        except wire.MALFORMED as error:
+            self._log.emit(
+                events.Event.PEER_MESSAGE_REJECTED,
+                peer=str(addr[0]),
+                reason=repr(error),
+            )
+            return
+        if report.daemon == self._daemon:
+            return
+        address = addresses.Address(str(addr[0]), addr[1])
+        newest = self._peers.on_report(
+            address, report.daemon, report.sequence, report.peers, now
+        )
+        if not newest:
+            return
+        self._board.on_report(report.daemon, report.works, now)
+        self._crashes.on_report(report.suspects, now)
+        self._versions.on_report(address, report)
+        self._budget.on_fleet_size(self._peers.size)
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignores that nobody listens at a peer's address.
+
+        A daemon that stops is noticed by its silence.
+        """
+
+    async def run(self) -> None:
+        """Repeats the state until cancelled."""
+        self._board.subscribe(self._on_change)
+        while True:
+            self._send()
+            await asyncio.sleep(_REPEAT)
+
+    def _on_change(self) -> None:
+        """Schedules a report of a change of the own work."""
+        if self._scheduled is None:
+            loop = asyncio.get_running_loop()
+            self._scheduled = loop.call_later(_COALESCE, self._send)
+
+    def _send(self) -> None:
+        now = self._timers.now()
+        self._scheduled = None
+        self._board.expire(now)
+        targets = self._peers.targets(now)
+        self._log_changes()
+        self._sequence += 1
+        datagram = load_reports.encode_report(
+            load_reports.LoadReport(
+                self._daemon,
+                self._sequence,
+                self._view.version,
+                self._view.directory.revision,
+                self._board.own,
+                self._crashes.own(now),
+                # Addresses change rarely; one report a second carries them.
+                self._peers.heard if self._sequence % 8 == 1 else (),
+            ),
+            now,
+        )
+        if self._transport is None:
+            return
+        for target in targets:
+            self._transport.sendto(datagram, (target.host, target.port))
+
+    def _log_changes(self) -> None:
+        heard = frozenset(self._peers.heard)
+        for address in heard ^ self._known:
+            self._log.emit(
+                events.Event.MEMBER_CHANGED,
+                peer=str(address),
+                state="alive" if address in heard else "silent",
+                members=self._peers.size,
+            )
+        self._known = heard
--- /dev/null
+++ b/packages/forwarding/src/lavendershed/forwarding/requests.py
@@ -0,0 +1,98 @@
+"""Requests and answers, independent of their encoding."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from lavendershed.core import addresses
+from lavendershed.core import ids
+from lavendershed.core import units
+from lavendershed.routing import pass_model
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """A whole request of a caller.
+
+    Attributes:
+        id: Identity of this attempt of the caller.
+        method: Method.
+        target: Path and query as sent.
+        path: Path as sent.
+        host: Host in lower case, without a port.
+        headers: Headers that a backend server gets unchanged.
+        body: Whole body.
+        key: Key of an organisation, if any.
+        patience: Time that the caller waits, if it says so.
+        size: Size of a request to a model engine, if stated.
+        last_event: Event after which a stream goes on, if any.
+    """
+
+    id: ids.RequestId
+    method: str
+    target: str
+    path: str
+    host: str
+    headers: Headers
+    body: bytes
+    key: str | None
+    patience: units.Seconds | None
+    size: pass_model.PromptSize | None
+    last_event: int | None
+
+
+class AnswerKind(enum.Enum):
+    """What the head of a server's answer says."""
+
+    SUCCESS = "success"
+    FAILURE = "failure"
+    NOT_RUN = "not_run"
+    WRONG_SERVER = "wrong_server"
+    OTHER_REQUEST = "other_request"
+    INVALID = "invalid"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """Status and headers of a server's answer.
+
+    Attributes:
+        kind: What the answer means.
+        status: Status to pass on.
+        headers: Headers to pass on.
+        idle_limit: Time for which the server keeps the connection unused.
+        faulty: Server that the answer blames, if it isn't the sender.
+    """
+
+    kind: AnswerKind
+    status: int
+    headers: Headers
+    idle_limit: units.Seconds | None = None
+    faulty: addresses.Address | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerRequest:
+    """What a server is asked.
+
+    Attributes:
+        caller: Request of the caller.
+        server: Server that has to answer; any other has to refuse.
+        organisation: Organisation of the caller, if it is known.
+        time_left: Time after which the answer is worthless.
+        last_event: Event after which the stream goes on, if any.
+        helpers: Engines that read parts of the prompt, with the reservation
+            of memory there, if any.
+        urgency: Rank among the requests at the engine; 0 is the first.
+    """
+
+    caller: CallerRequest
+    server: ids.BackendServerId
+    organisation: ids.OrganisationId | None
+    time_left: units.Seconds
+    last_event: int | None = None
+    helpers: tuple[tuple[addresses.Address, str | None], ...] = ()
+    urgency: int | None = None
--- /dev/null
+++ b/packages/forwarding/src/lavendershed/forwarding/state_exchange.py
@@ -0,0 +1,165 @@
+"""Passes the objects of the store between daemons.
+
+A daemon that can't reach the store takes configuration and servers from one
+that has newer ones.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import result
+
+from lavendershed.core import addresses
+from lavendershed.core import timers
+from lavendershed.core import units
+from lavendershed.forwarding import deployment_view
+from lavendershed.forwarding import load_sharing
+from lavendershed.forwarding import synchronisation
+from lavendershed.membership import peer_table
+from lavendershed.peer import frames
+from lavendershed.peer import load_reports
+from lavendershed.peer import wire
+from lavendershed.telemetry import events
+from lavendershed.telemetry import log
+from lavendershed.transport import client
+
+_MAX_STATE = units.Bytes(16_000_000)
+_TIMEOUT = units.Seconds(1.0)
+_CHECK_INTERVAL = units.Seconds(0.2)
+# The store's own news arrive within some milliseconds; a daemon that is still
+# behind after this time asks a peer.
+_BEHIND_FOR = units.Seconds(0.3)
+_REQUEST = b"state"
+
+
+class StateServer:
+    """Answers each connection with all known objects."""
+
+    def __init__(self, view: deployment_view.DeploymentView) -> None:
+        self._view = view
+        self._server: asyncio.Server | None = None
+
+    async def start(self, address: addresses.Address) -> None:
+        """Binds the address.
+
+        Raises:
+            OSError: The address can't be bound.
+        """
+        listener = socket.create_server((address.host, address.port))
+        listener.setblocking(False)
+        self._server = await asyncio.start_server(self._answer, sock=listener)
+
+    def close(self) -> None:
+        """Stops accepting."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _answer(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            async with asyncio.timeout(_TIMEOUT):
+                asked = await frames.read_frame(reader, frames.MAX_CALL)
+                if asked == _REQUEST:
+                    state = load_reports.encode_state(self._view.state)
+                    writer.write(frames.frame(state))
+                    await writer.drain()
+        except (OSError, TimeoutError):
+            # The peer has gone or hangs; it asks again or asks another one.
+            writer.transport.abort()
+        finally:
+            writer.close()
+
+
+async def fetch_state(
+    address: addresses.Address,
+) -> result.Result[load_reports.PeerState, str]:
+    """Returns what the daemon at `address` knows of the store."""
+    opened = await client.open_streams(address, _TIMEOUT)
+    if isinstance(opened, result.Err):
+        return result.Err(opened.err_value.detail)
+    reader, writer = opened.ok_value
+    try:
+        async with asyncio.timeout(_TIMEOUT):
+            writer.write(frames.frame(_REQUEST))
+            content = await frames.read_frame(reader, _MAX_STATE)
+        if content is None:
+            return result.Err("the answer was cut off")
+        return result.Ok(load_reports.decode_state(content))
+    except (OSError, TimeoutError, *wire.MALFORMED) as error:
+        return result.Err(repr(error))
+    finally:
+        writer.transport.abort()
+
+
+class StateFetcher:
+    """Asks a peer while the own objects are older than the peer's."""
+
+    def __init__(
+        self,
+        peers: peer_table.PeerTable,
+        versions: load_sharing.PeerVersions,
+        view: deployment_view.DeploymentView,
+        store: synchronisation.StoreConnection,
+        timer_service: timers.TimerService,
+        event_log: log.EventLog,
+    ) -> None:
+        self._peers = peers
+        self._versions = versions
+        self._view = view
+        self._store = store
+        self._timers = timer_service
+        self._log = event_log
+        self._behind_since: units.Instant | None = None
+
+    async def run(self) -> None:
+        """Checks the versions until cancelled."""
+        while True:
+            await asyncio.sleep(_CHECK_INTERVAL)
+            now = self._timers.now()
+            self._view.expire(now)
+            address = self._newer_peer()
+            if address is None:
+                self._behind_since = None
+                continue
+            if self._behind_since is None:
+                self._behind_since = now
+            if now - self._behind_since >= _BEHIND_FOR:
+                await self._take(address)
+                self._behind_since = None
+
+    def _newer_peer(self) -> addresses.Address | None:
+        version, holder = self._versions.configuration
+        if version > self._view.version:
+            return holder
+        # Revisions also grow by changes of other objects, so that a higher
+        # one means something only if the store doesn't answer this daemon.
+        if not self._store.lost:
+            return None
+        revision, holder = self._versions.servers
+        return holder if revision > self._view.directory.revision else None
+
+    async def _take(self, address: addresses.Address) -> None:
+        fetched = await fetch_state(address)
+        if isinstance(fetched, result.Err):
+            self._log.emit(
+                events.Event.PEER_STATE_FAILED,
+                peer=str(address),
+                reason=fetched.err_value,
+            )
+            return
+        state = fetched.ok_value
+        for stored in state.configuration:
+            self._view.on_configuration(stored)
+        if not self._view.directory.known or self._store.lost:
+            self._view.on_server_listing(
+                state.servers, state.server_revision, self._timers.now()
+            )
+        self._log.emit(
+            events.Event.PEER_STATE_TAKEN,
+            peer=str(address),
+            version=self._view.version,
+            revision=self._view.directory.revision,
+        )
--- /dev/null
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_run.py
@@ -0,0 +1,434 @@
+"""Execution of a request whose answer is a stream of events."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import result
+
+from lavendershed.core import forwarding_states
+from lavendershed.core import outcomes
+from lavendershed.core import states
+from lavendershed.core import units
+from lavendershed.forwarding import attempts
+from lavendershed.forwarding import connections
+from lavendershed.forwarding import context as context_module
+from lavendershed.forwarding import event_splitter
+from lavendershed.forwarding import requests
+from lavendershed.membership import server_directory
+from lavendershed.routing import engine_choice
+from lavendershed.routing import load_board
+from lavendershed.routing import pass_model
+from lavendershed.telemetry import events
+from lavendershed.transport import errors
+from lavendershed.transport import server
+
+# Size of a request that does not state one: a short prompt and answer.
+_UNKNOWN_SIZE = pass_model.PromptSize(units.Tokens(1_000), units.Tokens(1_000))
+# A first event is overdue after this multiple of its predicted time and this
+# margin; a caller gives up after two seconds or four times the target.
+_FIRST_EVENT_FACTOR = 1.5
+_FIRST_EVENT_MARGIN = units.Seconds(1.0)
+# A running stream has stalled after this multiple of the longest pause on
+# time, and not before this time: engines read a request again that they had
+# to put aside.
+_STALL_FACTOR = 3.0
+_SHORTEST_STALL = units.Seconds(1.0)
+# Longest pause of a route that states none.
+_DEFAULT_PAUSE = units.Seconds(0.5)
+_MAX_FAILED_ANSWER = units.Bytes(1_000_000)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _FailedAnswer:
+    head: requests.AnswerHead
+    body: bytes
+
+
+class StreamRun:
+    """One streaming request, with all its attempts in one response."""
+
+    def __init__(
+        self,
+        context: context_module.ForwardingContext,
+        admitted: context_module.Admitted,
+        responder: server.Responder,
+    ) -> None:
+        self._context = context
+        self._admitted = admitted
+        self._responder = responder
+        self._attempts = attempts.AttemptRecord(context, admitted)
+        self._size = admitted.caller.size or _UNKNOWN_SIZE
+        self._pause = admitted.route.longest_pause or _DEFAULT_PAUSE
+        self._last_event = admitted.caller.last_event
+        self._failed_answer: _FailedAnswer | None = None
+        self._first_event_at: units.Instant | None = None
+        self._last_event_at = admitted.received
+        self._longest_seen = 0.0
+        self._predicted_ms = 0.0
+
+    async def run(self) -> None:
+        """Answers the request."""
+        while True:
+            failure = self._attempts.next_failure()
+            placement = None if failure is not None else self._choose()
+            if placement is None:
+                await self._give_up(
+                    failure
+                    or self._attempts.failure(
+                        states.FailureReason.NO_BACKEND_SERVER,
+                        f"service {self._admitted.service.id} has no engine",
+                    )
+                )
+                return
+            ended = await self._attempt(placement)
+            if ended.end is forwarding_states.AttemptEnd.COMPLETE:
+                await self._finish(placement)
+                return
+            self._attempts.add(placement.first, ended)
+
+    def _choose(self) -> engine_choice.Placement | None:
+        context = self._context
+        candidates = context.view.directory.of_service(
+            self._admitted.service.id
+        )
+        chooser = context.choosers.chooser(self._admitted.service)
+        if chooser is None:
+            return None
+        now = context.timers.now()
+        avoided = context_module.avoided_servers(
+            context, candidates, self._attempts.tried
+        )
+        target = self._admitted.route.target_latency
+        if self._responder.started:
+            # The next event of a stream that is resumed is due like any other.
+            due_at = units.after(self._last_event_at, self._pause)
+        else:
+            due_at = units.after(self._admitted.received, target)
+        demand = engine_choice.Demand(
+            self._size,
+            due_at,
+            self._pause,
+            context.zone,
+            units.Bytes(len(self._admitted.caller.body)),
+        )
+        placement = chooser.choose(demand, candidates, avoided, now)
+        if placement is not None:
+            self._predicted_ms = placement.first_token_ms
+            context.log.emit(
+                events.Event.REQUEST_DISPATCHED,
+                request=self._admitted.caller.id,
+                route=self._admitted.route.name,
+                server=placement.first.id,
+                helpers=[entry.id for entry in placement.helpers],
+                prompt=self._size.prompt,
+                answer=self._size.answer,
+                predicted_ms=round(placement.first_token_ms, 1),
+                loss=round(placement.loss, 3),
+                candidates=len(candidates),
+                avoided=len(avoided),
+                attempt=self._attempts.count + 1,
+                version=context.view.version,
+                servers=context.view.directory.revision,
+            )
+        return placement
+
+    async def _attempt(
+        self, placement: engine_choice.Placement
+    ) -> attempts.AttemptResult:
+        numbers = self._place(placement)
+        try:
+            return await self._connect(placement, numbers)
+        finally:
+            for number in numbers:
+                self._context.board.remove(number)
+
+    def _place(self, placement: engine_choice.Placement) -> list[int]:
+        """Adds the work to the board; the first number is the writer's."""
+        now = self._context.timers.now()
+        chooser = self._context.choosers.chooser(self._admitted.service)
+        credit = chooser.credit(self._size) if chooser is not None else 0.0
+        due_at = units.after(
+            self._admitted.received, self._admitted.route.target_latency
+        )
+        ready_at = units.after(
+            now, units.Seconds(placement.first_token_ms / 1_000)
+        )
+        return [
+            self._context.board.add(
+                load_board.Work(
+                    entry.id,
+                    forwarding_states.WorkPhase.READING,
+                    placement.read_ms,
+                    ready_at,
+                    self._size.memory if entry is placement.first else 0,
+                    self._size.prompt if entry is placement.first else 0,
+                    self._pause,
+                    due_at,
+                    credit,
+                )
+            )
+            for entry in (placement.first, *placement.helpers)
+        ]
+
+    async def _connect(
+        self, placement: engine_choice.Placement, numbers: list[int]
+    ) -> attempts.AttemptResult:
+        context = self._context
+        entry = placement.first
+        acquired = await context.connections.acquire(
+            entry.address, fresh=not self._admitted.route.repeatable
+        )
+        if isinstance(acquired, result.Err):
+            self._exclude(entry, "connect_failed")
+            return attempts.AttemptResult(
+                forwarding_states.AttemptEnd.NOT_SENT, acquired.err_value.detail
+            )
+        lease = acquired.ok_value
+        kept = False
+        try:
+            ended, idle_limit = await self._exchange(placement, lease, numbers)
+            if idle_limit is not None:
+                kept = True
+                context.connections.release(
+                    entry.address, lease.connection, idle_limit
+                )
+            return ended
+        finally:
+            if not kept:
+                lease.connection.close()
+
+    async def _exchange(
+        self,
+        placement: engine_choice.Placement,
+        lease: connections.Lease,
+        numbers: list[int],
+    ) -> tuple[attempts.AttemptResult, units.Seconds | None]:
+        context = self._context
+        entry = placement.first
+        connection = lease.connection
+        request = requests.ServerRequest(
+            self._admitted.caller,
+            entry.id,
+            self._admitted.organisation,
+            self._attempts.time_left,
+            last_event=self._last_event,
+            helpers=tuple((h.address, None) for h in placement.helpers),
+            urgency=self._admitted.urgency,
+        )
+        wait = self._first_event_wait(placement)
+        sent = await connection.send(
+            context.servers.encode(request), self._admitted.caller.body, wait
+        )
+        if isinstance(sent, result.Err):
+            return self._lost(entry, lease, sent.err_value), None
+        head = await connection.read_head(wait)
+        if isinstance(head, result.Err):
+            return self._lost(entry, lease, head.err_value), None
+        answer = context.servers.decode(head.ok_value, self._admitted.caller)
+        if answer.kind is requests.AnswerKind.SUCCESS:
+            ended = await self._relay(placement, lease, answer, numbers)
+            complete = ended.end is forwarding_states.AttemptEnd.COMPLETE
+            return ended, answer.idle_limit if complete else None
+        body = await connection.read_body(wait, _MAX_FAILED_ANSWER)
+        if isinstance(body, result.Err):
+            return self._lost(entry, lease, body.err_value), None
+        return self._refused(entry, answer, body.ok_value), answer.idle_limit
+
+    async def _relay(
+        self,
+        placement: engine_choice.Placement,
+        lease: connections.Lease,
+        answer: requests.AnswerHead,
+        numbers: list[int],
+    ) -> attempts.AttemptResult:
+        """Passes on whole events until the stream ends."""
+        entry = placement.first
+        splitter = event_splitter.EventSplitter()
+        wait = self._first_event_wait(placement)
+        while True:
+            part = await lease.connection.read_part(
+                units.Seconds(min(wait, max(0.0, self._attempts.time_left)))
+            )
+            if isinstance(part, result.Err):
+                return self._lost(entry, lease, part.err_value)
+            if not part.ok_value:
+                if splitter.has_partial_event:
+                    return attempts.AttemptResult(
+                        forwarding_states.AttemptEnd.INVALID_ANSWER,
+                        "the stream ended inside an event",
+                    )
+                self._context.health.on_success(entry.id, entry.born)
+                return attempts.AttemptResult(
+                    forwarding_states.AttemptEnd.COMPLETE
+                )
+            received = splitter.feed(part.ok_value)
+            if not received:
+                continue
+            if not self._follows(received):
+                context_module.count_failed_answer(
+                    self._context,
+                    entry,
+                    "event order",
+                    self._admitted.caller.id,
+                )
+                return attempts.AttemptResult(
+                    forwarding_states.AttemptEnd.INVALID_ANSWER,
+                    "the events do not follow each other",
+                )
+            self._on_events(numbers)
+            wait = self._stall_wait(placement)
+            if not self._responder.started:
+                self._responder.start(answer.status, answer.headers)
+            await self._responder.write(
+                b"".join(event.encoded for event in received)
+            )
+
+    def _follows(self, received: tuple[event_splitter.Event, ...]) -> bool:
+        """Returns whether the events go on where the last one ended."""
+        for event in received:
+            if event.number is None:
+                continue
+            last = self._last_event
+            if last is not None and event.number != last + 1:
+                return False
+            self._last_event = event.number
+        return True
+
+    def _on_events(self, numbers: list[int]) -> None:
+        now = self._context.timers.now()
+        if self._first_event_at is None:
+            self._first_event_at = now
+        else:
+            self._longest_seen = max(
+                self._longest_seen, now - self._last_event_at
+            )
+        self._last_event_at = now
+        if len(numbers) > 0 and numbers[0] >= 0:
+            board = self._context.board
+            board.start_writing(numbers[0])
+            for number in numbers[1:]:
+                board.remove(number)
+            del numbers[1:]
+
+    def _first_event_wait(
+        self, placement: engine_choice.Placement
+    ) -> units.Seconds:
+        predicted = placement.first_token_ms / 1_000 * _FIRST_EVENT_FACTOR
+        return units.Seconds(
+            min(
+                predicted + _FIRST_EVENT_MARGIN,
+                max(0.0, self._attempts.time_left),
+            )
+        )
+
+    def _stall_wait(self, placement: engine_choice.Placement) -> units.Seconds:
+        longest = max(self._pause, placement.pass_ms / 1_000)
+        return units.Seconds(max(_SHORTEST_STALL, longest * _STALL_FACTOR))
+
+    def _lost(
+        self,
+        entry: server_directory.ServerEntry,
+        lease: connections.Lease,
+        error: errors.TransportError,
+    ) -> attempts.AttemptResult:
+        context = self._context
+        if error.kind is errors.TransportErrorKind.IDLE_TIMEOUT:
+            if self._attempts.time_left > attempts.SHORTEST_ATTEMPT:
+                self._exclude(entry, "silent")
+            return attempts.AttemptResult(
+                forwarding_states.AttemptEnd.STALLED, error.detail
+            )
+        if not lease.reused or self._responder.started:
+            now = context.timers.now()
+            context.crashes.on_crash(self._admitted.fingerprint, now)
+            self._exclude(entry, error.kind.value)
+        return attempts.AttemptResult(
+            forwarding_states.AttemptEnd.LOST, error.detail
+        )
+
+    def _refused(
+        self,
+        entry: server_directory.ServerEntry,
+        answer: requests.AnswerHead,
+        body: bytes,
+    ) -> attempts.AttemptResult:
+        detail = f"status {answer.status}"
+        match answer.kind:
+            case requests.AnswerKind.NOT_RUN:
+                if answer.faulty is not None:
+                    self._exclude_address(answer)
+                return attempts.AttemptResult(
+                    forwarding_states.AttemptEnd.REFUSED, detail
+                )
+            case requests.AnswerKind.WRONG_SERVER:
+                self._exclude(entry, "another server has the address")
+                return attempts.AttemptResult(
+                    forwarding_states.AttemptEnd.WRONG_SERVER, detail
+                )
+            case requests.AnswerKind.FAILURE:
+                self._failed_answer = _FailedAnswer(answer, body)
+                context_module.count_failed_answer(
+                    self._context, entry, detail, self._admitted.caller.id
+                )
+                return attempts.AttemptResult(
+                    forwarding_states.AttemptEnd.SERVER_FAILURE, detail
+                )
+            case _:
+                context_module.count_failed_answer(
+                    self._context,
+                    entry,
+                    answer.kind.value,
+                    self._admitted.caller.id,
+                )
+                return attempts.AttemptResult(
+                    forwarding_states.AttemptEnd.INVALID_ANSWER,
+                    answer.kind.value,
+                )
+
+    def _exclude_address(self, answer: requests.AnswerHead) -> None:
+        """Excludes the engine that an answer blames."""
+        for entry in self._context.view.directory.entries:
+            if entry.address == answer.faulty:
+                self._exclude(entry, "blamed by another engine")
+
+    def _exclude(
+        self, entry: server_directory.ServerEntry, reason: str
+    ) -> None:
+        context_module.exclude_lost_server(
+            self._context, entry, reason, self._admitted.caller.id
+        )
+
+    async def _finish(self, placement: engine_choice.Placement) -> None:
+        context = self._context
+        context.crashes.on_success(self._admitted.fingerprint)
+        received = self._admitted.received
+        first = self._first_event_at
+        context.log.emit(
+            events.Event.REQUEST_FINISHED,
+            request=self._admitted.caller.id,
+            server=placement.first.id,
+            attempts=self._attempts.count + 1,
+            first_ms=round((first - received) * 1_000) if first else None,
+            predicted_ms=round(self._predicted_ms),
+            pause_ms=round(self._longest_seen * 1_000),
+            seconds=round(context.timers.now() - received, 3),
+        )
+        await self._responder.finish()
+
+    async def _give_up(self, failure: outcomes.RequestFailure) -> None:
+        context_module.log_failure(self._context, self._admitted, failure)
+        if self._responder.started:
+            # Without its last chunk the stream is visibly incomplete.
+            self._responder.abort()
+            return
+        if self._failed_answer is not None:
+            await self._responder.respond(
+                self._failed_answer.head.status,
+                self._failed_answer.body,
+                self._failed_answer.head.headers,
+            )
+            return
+        await context_module.respond_failure(
+            self._context, self._responder, failure
+        )
--- /dev/null
+++ b/packages/forwarding/src/lavendershed/forwarding/synchronisation.py
@@ -0,0 +1,156 @@
+"""Follows the objects of the store and keeps the view up to date."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import result
+
+from lavendershed.core import backoff
+from lavendershed.core import ids
+from lavendershed.core import timers
+from lavendershed.core import units
+from lavendershed.forwarding import deployment_view
+from lavendershed.forwarding import translators
+from lavendershed.telemetry import events
+from lavendershed.telemetry import log
+
+# Each waiting watch is a priced call. A connection that goes silent is noticed
+# by the transport's probes, so that the wait may be longer than the time in
+# which a change has to be in force.
+_WATCH_WAIT = units.Seconds(9.0)
+# Calls to a store that is away are priced too, and its return has to be seen
+# well within the two seconds in which lapsed entries come back.
+_RETRY_LIMITS = backoff.BackoffLimits(
+    initial=units.Seconds(0.2), longest=units.Seconds(0.8)
+)
+# Entries lapse after three missed heartbeats of 1.2 s; a shorter gap, such as
+# a watch that was cut, is no outage.
+_OUTAGE = units.Seconds(1.0)
+
+
+class StoreConnection:
+    """Whether the store answers this daemon."""
+
+    def __init__(self) -> None:
+        self._lost: dict[translators.ObjectKind, units.Instant] = {}
+
+    @property
+    def lost(self) -> bool:
+        """Whether the newest call of any loop has failed."""
+        return bool(self._lost)
+
+    def on_failure(
+        self, kind: translators.ObjectKind, now: units.Instant
+    ) -> bool:
+        """Notes a failed call; returns whether it is the first one."""
+        if kind in self._lost:
+            return False
+        self._lost[kind] = now
+        return True
+
+    def on_success(
+        self, kind: translators.ObjectKind, now: units.Instant
+    ) -> units.Seconds | None:
+        """Notes an answer; returns for how long there was none, if so."""
+        since = self._lost.pop(kind, None)
+        return None if since is None else units.elapsed(since, now)
+
+
+class ObjectFollower:
+    """Lists one kind of objects and then watches it."""
+
+    def __init__(
+        self,
+        kind: translators.ObjectKind,
+        source: translators.ObjectSource,
+        view: deployment_view.DeploymentView,
+        connection: StoreConnection,
+        timer_service: timers.TimerService,
+        event_log: log.EventLog,
+        generator: random.Random,
+    ) -> None:
+        self._kind = kind
+        self._source = source
+        self._view = view
+        self._connection = connection
+        self._timers = timer_service
+        self._log = event_log
+        self._backoff = backoff.Backoff(generator, _RETRY_LIMITS)
+        self._revision: ids.ObjectVersion | None = None
+
+    async def run(self) -> None:
+        """Follows the objects until cancelled."""
+        while True:
+            error = await (
+                self._list() if self._revision is None else self._watch()
+            )
+            if error is None:
+                self._backoff.reset()
+                continue
+            self._on_error(error)
+            if error is not translators.SourceError.HISTORY_GONE:
+                await asyncio.sleep(self._backoff.next_delay())
+
+    async def _list(self) -> translators.SourceError | None:
+        listed = await self._source.list()
+        if isinstance(listed, result.Err):
+            return listed.err_value
+        objects, revision = listed.ok_value
+        self._on_answer()
+        if self._kind is translators.ObjectKind.CONFIGURATION:
+            for stored in objects:
+                self._view.on_configuration(stored)
+        else:
+            self._view.on_server_listing(objects, revision, self._timers.now())
+        self._revision = revision
+        return None
+
+    async def _watch(self) -> translators.SourceError | None:
+        assert self._revision is not None
+        watched = await self._source.watch(self._revision, _WATCH_WAIT)
+        if isinstance(watched, result.Err):
+            return watched.err_value
+        changed, removed, revision = watched.ok_value
+        self._on_answer()
+        if self._kind is translators.ObjectKind.CONFIGURATION:
+            for stored in changed:
+                self._view.on_configuration(stored)
+        else:
+            self._view.on_server_events(
+                changed, removed, revision, self._timers.now()
+            )
+        self._revision = revision
+        return None
+
+    def _on_answer(self) -> None:
+        now = self._timers.now()
+        away = self._connection.on_success(self._kind, now)
+        if away is None:
+            return
+        if away >= _OUTAGE:
+            self._view.on_store_returned(now)
+        self._log.emit(
+            events.Event.STORE_REACHABLE,
+            kind=self._kind.value,
+            away_s=round(away, 3),
+        )
+
+    def _on_error(self, error: translators.SourceError) -> None:
+        now = self._timers.now()
+        if error is translators.SourceError.HISTORY_GONE:
+            self._log.emit(
+                events.Event.STORE_HISTORY_GONE,
+                kind=self._kind.value,
+                revision=self._revision,
+            )
+            self._revision = None
+            return
+        if self._connection.on_failure(self._kind, now):
+            self._log.emit(
+                events.Event.STORE_CALL_FAILED,
+                kind=self._kind.value,
+                reason=error.value,
+                revision=self._revision,
+            )
--- /dev/null
+++ b/packages/membership/src/lavendershed/membership/peer_table.py
@@ -0,0 +1,82 @@
+"""Other daemons, found through seeds and through each other."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from lavendershed.core import addresses
+from lavendershed.core import ids
+from lavendershed.core import units
+
+# Daemons report at least each second; three missed reports can be lost
+# datagrams, more can't.
+SILENCE = units.Seconds(5.0)
+# An address that only others have named is tried for this long.
+_TRIAL = units.Seconds(3.0)
+
+
+class PeerTable:
+    """Addresses of the daemons and when each was heard last."""
+
+    def __init__(self, own: addresses.Address) -> None:
+        self._own = own
+        self._seeds: tuple[addresses.Address, ...] = ()
+        self._heard: dict[addresses.Address, units.Instant] = {}
+        self._incarnations: dict[
+            addresses.Address, tuple[ids.Incarnation, int]
+        ] = {}
+        self._named: dict[addresses.Address, units.Instant] = {}
+
+    @property
+    def seeds(self) -> tuple[addresses.Address, ...]:
+        """Configured addresses, without the own one."""
+        return self._seeds
+
+    @property
+    def heard(self) -> tuple[addresses.Address, ...]:
+        """Daemons that have been heard lately."""
+        return tuple(self._heard)
+
+    @property
+    def size(self) -> int:
+        """Daemons that are up as far as this one can tell, itself included."""
+        return len(self._heard) + 1
+
+    def set_seeds(self, seeds: Iterable[addresses.Address]) -> None:
+        """Replaces the configured addresses."""
+        self._seeds = tuple(seed for seed in seeds if seed != self._own)
+
+    def targets(self, now: units.Instant) -> tuple[addresses.Address, ...]:
+        """Returns where reports go: heard daemons, named ones and seeds."""
+        self._expire(now)
+        return tuple(dict.fromkeys((*self._heard, *self._named, *self._seeds)))
+
+    def on_report(
+        self,
+        address: addresses.Address,
+        daemon: ids.Incarnation,
+        sequence: int,
+        named: Iterable[addresses.Address],
+        now: units.Instant,
+    ) -> bool:
+        """Takes a report; returns False if a newer one came before it."""
+        known, newest = self._incarnations.get(address, (daemon, -1))
+        if known == daemon and sequence <= newest:
+            return False
+        self._incarnations[address] = (daemon, sequence)
+        self._heard[address] = now
+        self._named.pop(address, None)
+        until = units.after(now, _TRIAL)
+        for other in named:
+            if other != self._own and other not in self._heard:
+                self._named.setdefault(other, until)
+        return True
+
+    def _expire(self, now: units.Instant) -> None:
+        for address in [
+            a for a, at in self._heard.items() if now - at > SILENCE
+        ]:
+            del self._heard[address]
+            del self._incarnations[address]
+        for address in [a for a, until in self._named.items() if until < now]:
+            del self._named[address]
--- a/packages/peer/idl/messages.thrift
+++ b/packages/peer/idl/messages.thrift
@@ -98,3 +98,35 @@
   5: optional Snapshot snapshot
   6: optional i32 member_state
 }
+
+// Open work of one daemon at the engines, and how new its beliefs are.
+struct LoadReport {
+  1: optional i64 incarnation
+  2: optional i32 sequence
+  3: optional i64 configuration_version
+  4: optional i64 server_revision
+  // One group of numbers for each part of a request, see peer/load_reports.py.
+  5: optional list<i32> works
+  // Fingerprints of requests that may crash engines, each with its count.
+  6: optional list<i64> suspects
+  // Known daemons: IPv4 number times 65,536 plus port.
+  7: optional list<i64> peers
+}
+
+struct StoredObject {
+  1: optional string name
+  2: optional i64 revision
+  3: optional binary spec
+}
+
+struct StateRequest {
+  1: optional i64 configuration_version
+  2: optional i64 server_revision
+}
+
+struct StateReply {
+  1: optional i64 configuration_revision
+  2: optional list<StoredObject> configuration
+  3: optional i64 server_revision
+  4: optional list<StoredObject> servers
+}
--- a/packages/peer/src/lavendershed/peer/gen/messages/ttypes.py
+++ b/packages/peer/src/lavendershed/peer/gen/messages/ttypes.py
@@ -1475,6 +1475,464 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class LoadReport(object):
+    """
+    Attributes:
+     - incarnation
+     - sequence
+     - configuration_version
+     - server_revision
+     - works
+     - suspects
+     - peers
+
+    """
+
+    __slots__ = (
+        'incarnation',
+        'sequence',
+        'configuration_version',
+        'server_revision',
+        'works',
+        'suspects',
+        'peers',
+    )
+
+
+    def __init__(self, incarnation=None, sequence=None, configuration_version=None, server_revision=None, works=None, suspects=None, peers=None,):
+        self.incarnation = incarnation
+        self.sequence = sequence
+        self.configuration_version = configuration_version
+        self.server_revision = server_revision
+        self.works = works
+        self.suspects = suspects
+        self.peers = peers
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.sequence = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.configuration_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.server_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.works = []
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = iprot.readI32()
+                        self.works.append(_elem47)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.suspects = []
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = iprot.readI64()
+                        self.suspects.append(_elem53)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.peers = []
+                    (_etype57, _size54) = iprot.readListBegin()
+                    for _i58 in range(_size54):
+                        _elem59 = iprot.readI64()
+                        self.peers.append(_elem59)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LoadReport')
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 1)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I32, 2)
+            oprot.writeI32(self.sequence)
+            oprot.writeFieldEnd()
+        if self.configuration_version is not None:
+            oprot.writeFieldBegin('configuration_version', TType.I64, 3)
+            oprot.writeI64(self.configuration_version)
+            oprot.writeFieldEnd()
+        if self.server_revision is not None:
+            oprot.writeFieldBegin('server_revision', TType.I64, 4)
+            oprot.writeI64(self.server_revision)
+            oprot.writeFieldEnd()
+        if self.works is not None:
+            oprot.writeFieldBegin('works', TType.LIST, 5)
+            oprot.writeListBegin(TType.I32, len(self.works))
+            for iter60 in self.works:
+                oprot.writeI32(iter60)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.suspects is not None:
+            oprot.writeFieldBegin('suspects', TType.LIST, 6)
+            oprot.writeListBegin(TType.I64, len(self.suspects))
+            for iter61 in self.suspects:
+                oprot.writeI64(iter61)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.peers is not None:
+            oprot.writeFieldBegin('peers', TType.LIST, 7)
+            oprot.writeListBegin(TType.I64, len(self.peers))
+            for iter62 in self.peers:
+                oprot.writeI64(iter62)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StoredObject(object):
+    """
+    Attributes:
+     - name
+     - revision
+     - spec
+
+    """
+
+    __slots__ = (
+        'name',
+        'revision',
+        'spec',
+    )
+
+
+    def __init__(self, name=None, revision=None, spec=None,):
+        self.name = name
+        self.revision = revision
+        self.spec = spec
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.spec = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StoredObject')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 2)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.spec is not None:
+            oprot.writeFieldBegin('spec', TType.STRING, 3)
+            oprot.writeBinary(self.spec)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StateRequest(object):
+    """
+    Attributes:
+     - configuration_version
+     - server_revision
+
+    """
+
+    __slots__ = (
+        'configuration_version',
+        'server_revision',
+    )
+
+
+    def __init__(self, configuration_version=None, server_revision=None,):
+        self.configuration_version = configuration_version
+        self.server_revision = server_revision
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.configuration_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.server_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StateRequest')
+        if self.configuration_version is not None:
+            oprot.writeFieldBegin('configuration_version', TType.I64, 1)
+            oprot.writeI64(self.configuration_version)
+            oprot.writeFieldEnd()
+        if self.server_revision is not None:
+            oprot.writeFieldBegin('server_revision', TType.I64, 2)
+            oprot.writeI64(self.server_revision)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StateReply(object):
+    """
+    Attributes:
+     - configuration_revision
+     - configuration
+     - server_revision
+     - servers
+
+    """
+
+    __slots__ = (
+        'configuration_revision',
+        'configuration',
+        'server_revision',
+        'servers',
+    )
+
+
+    def __init__(self, configuration_revision=None, configuration=None, server_revision=None, servers=None,):
+        self.configuration_revision = configuration_revision
+        self.configuration = configuration
+        self.server_revision = server_revision
+        self.servers = servers
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.configuration_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.configuration = []
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = StoredObject()
+                        _elem68.read(iprot)
+                        self.configuration.append(_elem68)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.server_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.servers = []
+                    (_etype72, _size69) = iprot.readListBegin()
+                    for _i73 in range(_size69):
+                        _elem74 = StoredObject()
+                        _elem74.read(iprot)
+                        self.servers.append(_elem74)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StateReply')
+        if self.configuration_revision is not None:
+            oprot.writeFieldBegin('configuration_revision', TType.I64, 1)
+            oprot.writeI64(self.configuration_revision)
+            oprot.writeFieldEnd()
+        if self.configuration is not None:
+            oprot.writeFieldBegin('configuration', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.configuration))
+            for iter75 in self.configuration:
+                iter75.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.server_revision is not None:
+            oprot.writeFieldBegin('server_revision', TType.I64, 3)
+            oprot.writeI64(self.server_revision)
+            oprot.writeFieldEnd()
+        if self.servers is not None:
+            oprot.writeFieldBegin('servers', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.servers))
+            for iter76 in self.servers:
+                iter76.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Owner)
 Owner.thrift_spec = (
     None,  # 0
@@ -1582,5 +2040,37 @@
     (5, TType.STRUCT, 'snapshot', [Snapshot, None], None, ),  # 5
     (6, TType.I32, 'member_state', None, None, ),  # 6
 )
+all_structs.append(LoadReport)
+LoadReport.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'incarnation', None, None, ),  # 1
+    (2, TType.I32, 'sequence', None, None, ),  # 2
+    (3, TType.I64, 'configuration_version', None, None, ),  # 3
+    (4, TType.I64, 'server_revision', None, None, ),  # 4
+    (5, TType.LIST, 'works', (TType.I32, None, False), None, ),  # 5
+    (6, TType.LIST, 'suspects', (TType.I64, None, False), None, ),  # 6
+    (7, TType.LIST, 'peers', (TType.I64, None, False), None, ),  # 7
+)
+all_structs.append(StoredObject)
+StoredObject.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'revision', None, None, ),  # 2
+    (3, TType.STRING, 'spec', 'BINARY', None, ),  # 3
+)
+all_structs.append(StateRequest)
+StateRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'configuration_version', None, None, ),  # 1
+    (2, TType.I64, 'server_revision', None, None, ),  # 2
+)
+all_structs.append(StateReply)
+StateReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'configuration_revision', None, None, ),  # 1
+    (2, TType.LIST, 'configuration', (TType.STRUCT, [StoredObject, None], False), None, ),  # 2
+    (3, TType.I64, 'server_revision', None, None, ),  # 3
+    (4, TType.LIST, 'servers', (TType.STRUCT, [StoredObject, None], False), None, ),  # 4
+)
 fix_spec(all_structs)
 del all_structs
--- /dev/null
+++ b/packages/peer/src/lavendershed/peer/load_reports.py
@@ -0,0 +1,239 @@
+"""Thrift encoding of load reports and of the state that daemons exchange."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+import ipaddress
+import itertools
+
+import xxhash
+
+from lavendershed.core import addresses
+from lavendershed.core import forwarding_states
+from lavendershed.core import ids
+from lavendershed.core import units
+from lavendershed.peer import wire
+from lavendershed.peer.gen.messages import ttypes
+from lavendershed.routing import load_board
+
+_WORK_FIELDS = 9
+# Memory and contexts are rounded to blocks, which takes a byte less each.
+_TOKENS_PER_BLOCK = 64
+_CREDIT_STEPS = 10
+_PORT_RANGE = 65_536
+# A report has to fit into one datagram of 1,400 bytes. A part takes about 16
+# bytes; a daemon of the largest deployment has about 40 open requests.
+_MAX_WORKS = 72
+_MAX_SUSPECTS = 8
+_MAX_PEERS = 24
+
+ServerLookup = Callable[[int], ids.BackendServerId | None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What a daemon tells the others.
+
+    Attributes:
+        daemon: Incarnation of the sender.
+        sequence: Number of the report; higher ones are newer.
+        configuration: Version of the configuration in force there.
+        servers: Revision of the list of backend servers there.
+        works: Open work of the sender.
+        suspects: Requests that may crash engines, with their counts.
+        peers: Addresses of daemons that the sender has heard of.
+    """
+
+    daemon: ids.Incarnation
+    sequence: int
+    configuration: ids.Epoch
+    servers: ids.ObjectVersion
+    works: tuple[load_board.Work, ...]
+    suspects: tuple[tuple[ids.Fingerprint, int], ...]
+    peers: tuple[addresses.Address, ...]
+
+
+def server_number(server: ids.BackendServerId) -> int:
+    """Returns the number that stands for a server in reports."""
+    number = xxhash.xxh32_intdigest(server.encode())
+    return number - (1 << 32) if number >= 1 << 31 else number
+
+
+def encode_report(report: LoadReport, now: units.Instant) -> bytes:
+    """Returns the datagram of a report; times become relative to `now`."""
+    works = itertools.chain.from_iterable(
+        _work_numbers(work, now) for work in report.works[:_MAX_WORKS]
+    )
+    suspects = itertools.chain.from_iterable(
+        (_signed(fingerprint), count)
+        for fingerprint, count in report.suspects[:_MAX_SUSPECTS]
+    )
+    return wire.encode(
+        ttypes.LoadReport(
+            incarnation=report.daemon,
+            sequence=report.sequence,
+            configuration_version=report.configuration,
+            server_revision=report.servers,
+            works=list(works),
+            suspects=list(suspects),
+            peers=[_address_number(a) for a in report.peers[:_MAX_PEERS]],
+        )
+    )
+
+
+def decode_report(
+    datagram: bytes, lookup: ServerLookup, now: units.Instant
+) -> LoadReport:
+    """Returns the report of a datagram.
+
+    Args:
+        datagram: Bytes as received.
+        lookup: Returns the server that a number stands for; work of unknown
+            servers is left out.
+        now: Current time.
+
+    Raises:
+        Exception: One of `wire.MALFORMED`.
+    """
+    message = wire.decode(ttypes.LoadReport, datagram)
+    numbers = message.works or []
+    suspects = message.suspects or []
+    works = (
+        _work(numbers[start : start + _WORK_FIELDS], lookup, now)
+        for start in range(0, len(numbers) - _WORK_FIELDS + 1, _WORK_FIELDS)
+    )
+    return LoadReport(
+        ids.Incarnation(message.incarnation or 0),
+        message.sequence or 0,
+        ids.Epoch(message.configuration_version or 0),
+        ids.ObjectVersion(message.server_revision or 0),
+        tuple(work for work in works if work is not None),
+        tuple(
+            (ids.Fingerprint(_unsigned(suspects[i])), suspects[i + 1])
+            for i in range(0, len(suspects) - 1, 2)
+        ),
+        tuple(_address(number) for number in message.peers or []),
+    )
+
+
+def _work_numbers(work: load_board.Work, now: units.Instant) -> tuple[int, ...]:
+    return (
+        server_number(work.server),
+        work.phase.value,
+        round(work.read_ms),
+        round((work.ready_at - now) * 1_000),
+        -(-work.memory // _TOKENS_PER_BLOCK),
+        -(-work.context // _TOKENS_PER_BLOCK),
+        round(work.longest_pause * 1_000),
+        round((work.due_at - now) * 1_000),
+        round(work.credit * _CREDIT_STEPS),
+    )
+
+
+def _work(
+    numbers: list[int], lookup: ServerLookup, now: units.Instant
+) -> load_board.Work | None:
+    number, phase, read, ready, memory, context, pause, due, credit = numbers
+    server = lookup(number)
+    if server is None:
+        return None
+    return load_board.Work(
+        server,
+        forwarding_states.WorkPhase(phase),
+        float(read),
+        units.Instant(now + ready / 1_000),
+        memory * _TOKENS_PER_BLOCK,
+        context * _TOKENS_PER_BLOCK,
+        units.Seconds(pause / 1_000),
+        units.Instant(now + due / 1_000),
+        credit / _CREDIT_STEPS,
+    )
+
+
+def _signed(fingerprint: int) -> int:
+    return fingerprint - (1 << 64) if fingerprint >= 1 << 63 else fingerprint
+
+
+def _unsigned(number: int) -> int:
+    return number + (1 << 64) if number < 0 else number
+
+
+def _address_number(address: addresses.Address) -> int:
+    return int(ipaddress.IPv4Address(address.host)) * _PORT_RANGE + address.port
+
+
+def _address(number: int) -> addresses.Address:
+    host, port = divmod(number, _PORT_RANGE)
+    return addresses.Address(str(ipaddress.IPv4Address(host)), port)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredObject:
+    """One object of the store as its bytes.
+
+    Attributes:
+        name: Name of the object.
+        revision: Revision of its last change.
+        spec: Encoded content.
+    """
+
+    name: str
+    revision: ids.ObjectVersion
+    spec: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerState:
+    """What a daemon knows of the store."""
+
+    configuration_revision: ids.ObjectVersion
+    configuration: tuple[StoredObject, ...]
+    server_revision: ids.ObjectVersion
+    servers: tuple[StoredObject, ...]
+
+
+def encode_state(state: PeerState) -> bytes:
+    """Returns the encoded state."""
+    return wire.encode(
+        ttypes.StateReply(
+            configuration_revision=state.configuration_revision,
+            configuration=_to_thrift(state.configuration),
+            server_revision=state.server_revision,
+            servers=_to_thrift(state.servers),
+        )
+    )
+
+
+def decode_state(data: bytes) -> PeerState:
+    """Returns the state that `data` encodes.
+
+    Raises:
+        Exception: One of `wire.MALFORMED`.
+    """
+    message = wire.decode(ttypes.StateReply, data)
+    return PeerState(
+        ids.ObjectVersion(message.configuration_revision or 0),
+        _from_thrift(message.configuration),
+        ids.ObjectVersion(message.server_revision or 0),
+        _from_thrift(message.servers),
+    )
+
+
+def _to_thrift(objects: Iterable[StoredObject]) -> list[ttypes.StoredObject]:
+    return [
+        ttypes.StoredObject(name=o.name, revision=o.revision, spec=o.spec)
+        for o in objects
+    ]
+
+
+def _from_thrift(
+    objects: list[ttypes.StoredObject] | None,
+) -> tuple[StoredObject, ...]:
+    return tuple(
+        StoredObject(
+            o.name or "", ids.ObjectVersion(o.revision or 0), o.spec or b""
+        )
+        for o in objects or []
+    )
--- /dev/null
+++ b/packages/platform/src/lavendershed/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translation between lavendershed and the users' platform."""
--- /dev/null
+++ b/packages/platform/src/lavendershed/platform/callers.py
@@ -0,0 +1,117 @@
+"""Requests of callers and the failures that are told to them."""
+
+from __future__ import annotations
+
+import result
+
+from lavendershed.core import ids
+from lavendershed.core import outcomes
+from lavendershed.core import states
+from lavendershed.core import units
+from lavendershed.forwarding import requests
+from lavendershed.forwarding import translators
+from lavendershed.platform import names
+from lavendershed.routing import pass_model
+from lavendershed.transport import server
+
+# The connection carries these itself.
+_FRAMING = frozenset({"content-length", "expect"})
+
+_STATUS_BY_REASON = {
+    states.FailureReason.BAD_REQUEST: 400,
+    states.FailureReason.UNAUTHENTICATED: 401,
+    states.FailureReason.UNKNOWN_SERVICE: 404,
+}
+# Promises that the request has not run and never will.
+_NOT_RUN_STATUS = 503
+_TIMEOUT_STATUS = 504
+_FAILURE_STATUS = 502
+
+
+class PlatformCallers(translators.CallerTranslator):
+    """Translates between the platform's clients and requests."""
+
+    def decode(
+        self, request: server.ServerRequest
+    ) -> result.Result[requests.CallerRequest, outcomes.RequestFailure]:
+        """Returns the request, or which header is not proper."""
+        fields = dict(reversed(request.headers))
+        path = request.target.partition("?")[0]
+        patience = fields.get(names.TIME_LEFT)
+        if patience is not None and not patience.isdigit():
+            return _improper(names.TIME_LEFT)
+        size = _size(fields.get(names.SIZE))
+        if isinstance(size, result.Err):
+            return size
+        last_event = fields.get(names.LAST_EVENT)
+        if last_event is not None and not last_event.isdigit():
+            return _improper(names.LAST_EVENT)
+        return result.Ok(
+            requests.CallerRequest(
+                ids.RequestId(fields.get(names.REQUEST_ID, "")),
+                request.method,
+                request.target,
+                path,
+                fields.get("host", "").partition(":")[0].lower(),
+                _forwarded(request.headers),
+                request.body,
+                fields.get(names.KEY),
+                units.Seconds(int(patience) / 1_000) if patience else None,
+                size.ok_value,
+                int(last_event) if last_event is not None else None,
+            )
+        )
+
+    def failure(
+        self, failure: outcomes.RequestFailure
+    ) -> tuple[int, requests.Headers, bytes]:
+        """Returns status, headers and body for a failure."""
+        status = _STATUS_BY_REASON.get(failure.reason)
+        if status is None:
+            if failure.execution is states.Execution.NOT_RUN:
+                status = _NOT_RUN_STATUS
+            elif failure.reason is states.FailureReason.DEADLINE_EXCEEDED:
+                status = _TIMEOUT_STATUS
+            else:
+                status = _FAILURE_STATUS
+        headers: requests.Headers = (("content-type", "text/plain"),)
+        if status == _NOT_RUN_STATUS and failure.retry_after is not None:
+            headers += (("retry-after", f"{failure.retry_after:g}"),)
+        body = f"{failure.reason.value}: {failure.detail}\n".encode()
+        return status, headers, body
+
+
+def _forwarded(headers: requests.Headers) -> requests.Headers:
+    """Returns the headers that an engine gets unchanged."""
+    named = {
+        token.strip().lower()
+        for name, value in headers
+        if name == "connection"
+        for token in value.split(",")
+    }
+    left_out = named | names.HOP_BY_HOP | names.SET_HERE | _FRAMING
+    return tuple((n, v) for n, v in headers if n not in left_out)
+
+
+def _size(
+    text: str | None,
+) -> result.Result[pass_model.PromptSize | None, outcomes.RequestFailure]:
+    if text is None:
+        return result.Ok(None)
+    prompt, _, answer = text.partition(",")
+    if not prompt.strip().isdigit() or not answer.strip().isdigit():
+        return _improper(names.SIZE)
+    return result.Ok(
+        pass_model.PromptSize(
+            units.Tokens(int(prompt)), units.Tokens(int(answer))
+        )
+    )
+
+
+def _improper(header: str) -> result.Err[outcomes.RequestFailure]:
+    return result.Err(
+        outcomes.not_run(
+            states.FailureReason.BAD_REQUEST,
+            f"header {header} does not hold what it should",
+        )
+    )
--- /dev/null
+++ b/packages/platform/src/lavendershed/platform/engines.py
@@ -0,0 +1,106 @@
+"""Requests to backend servers and the heads of their answers."""
+
+from __future__ import annotations
+
+from lavendershed.core import addresses
+from lavendershed.core import units
+from lavendershed.forwarding import requests
+from lavendershed.forwarding import translators
+from lavendershed.platform import names
+from lavendershed.transport import client
+
+_WRONG_SERVER_STATUS = 421
+# These statuses promise that a request has not run. An engine that sends one
+# without saying so may have run it.
+_PROMISES = frozenset({408, 421, 429, 503})
+_LOWEST_URGENCY = 9
+# Servers state their idle limit in whole seconds; one that states none may
+# close sooner than a second.
+_UNSTATED_IDLE_LIMIT = units.Seconds(0.5)
+
+
+class PlatformServers(translators.ServerTranslator):
+    """Translates between requests and the platform's engines."""
+
+    def encode(self, request: requests.ServerRequest) -> client.RequestHead:
+        """Returns the request line and headers."""
+        caller = request.caller
+        headers = [
+            *caller.headers,
+            (names.EXPECTED_SERVER, request.server),
+            (names.TIME_LEFT, str(max(1, int(request.time_left * 1_000)))),
+        ]
+        if request.organisation is not None:
+            headers.append((names.ORGANISATION, request.organisation))
+        if request.last_event is not None:
+            headers.append((names.LAST_EVENT, str(request.last_event)))
+        if request.helpers:
+            headers.append(
+                (
+                    names.HELPERS,
+                    ",".join(
+                        str(address)
+                        if ticket is None
+                        else f"{address}/{ticket}"
+                        for address, ticket in request.helpers
+                    ),
+                )
+            )
+        if request.urgency is not None:
+            urgency = min(request.urgency, _LOWEST_URGENCY)
+            headers.append((names.URGENCY, str(urgency)))
+        return client.RequestHead(caller.method, caller.target, tuple(headers))
+
+    def decode(
+        self, head: client.ResponseHead, caller: requests.CallerRequest
+    ) -> requests.AnswerHead:
+        """Returns what the head of an answer to `caller` means."""
+        fields = dict(head.headers)
+        blamed = fields.get(names.FAULTY_SERVER)
+        parsed = addresses.parse(blamed) if blamed is not None else None
+        return requests.AnswerHead(
+            _kind(head, fields, caller),
+            head.status,
+            tuple(
+                (name, value)
+                for name, value in head.headers
+                if name not in names.HOP_BY_HOP and name != "content-length"
+            ),
+            _idle_limit(fields),
+            parsed.ok() if parsed is not None else None,
+        )
+
+
+def _kind(
+    head: client.ResponseHead,
+    fields: dict[str, str],
+    caller: requests.CallerRequest,
+) -> requests.AnswerKind:
+    if head.status == _WRONG_SERVER_STATUS:
+        return requests.AnswerKind.WRONG_SERVER
+    echoed = fields.get(names.REQUEST_ID)
+    if echoed is not None and echoed != caller.id:
+        return requests.AnswerKind.OTHER_REQUEST
+    if names.NOT_RUN in fields:
+        return requests.AnswerKind.NOT_RUN
+    if not 200 <= head.status < 300:
+        if head.status in _PROMISES:
+            return requests.AnswerKind.INVALID
+        return requests.AnswerKind.FAILURE
+    if (
+        echoed is None
+        or names.SIGNATURE not in fields
+        or "content-encoding" in fields
+    ):
+        return requests.AnswerKind.INVALID
+    return requests.AnswerKind.SUCCESS
+
+
+def _idle_limit(fields: dict[str, str]) -> units.Seconds | None:
+    if "close" in fields.get("connection", "").lower():
+        return None
+    for part in fields.get("keep-alive", "").split(","):
+        name, _, value = part.strip().partition("=")
+        if name == "timeout" and value.isdigit():
+            return units.Seconds(float(value))
+    return _UNSTATED_IDLE_LIMIT
--- /dev/null
+++ b/packages/platform/src/lavendershed/platform/factory.py
@@ -0,0 +1,127 @@
+"""Builds the parts of a daemon on the users' platform."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+from lavendershed.core import ids
+from lavendershed.core import timers
+from lavendershed.forwarding import components
+from lavendershed.forwarding import connections
+from lavendershed.forwarding import context
+from lavendershed.forwarding import deployment_view
+from lavendershed.forwarding import engine_choosers
+from lavendershed.forwarding import gateway
+from lavendershed.forwarding import load_sharing
+from lavendershed.forwarding import state_exchange
+from lavendershed.forwarding import synchronisation
+from lavendershed.forwarding import translators
+from lavendershed.membership import peer_table
+from lavendershed.platform import callers
+from lavendershed.platform import engines
+from lavendershed.platform import objects
+from lavendershed.platform import settings
+from lavendershed.platform import store
+from lavendershed.reliability import crash_counts
+from lavendershed.reliability import fleet_retry_budget
+from lavendershed.reliability import server_health
+from lavendershed.routing import load_board
+from lavendershed.routing import service_choice
+from lavendershed.telemetry import log
+
+_KINDS = {
+    translators.ObjectKind.CONFIGURATION: "config",
+    translators.ObjectKind.SERVERS: "servers",
+}
+
+
+class NoMetrics(components.Metrics):
+    """Placeholder."""
+
+    def exposition(self) -> bytes:
+        """Returns nothing."""
+        return b""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlatformParts:
+    """The parts and what a change of the settings touches."""
+
+    components: components.Components
+    peers: peer_table.PeerTable
+    budget: fleet_retry_budget.FleetRetryBudget
+
+    def apply(self, changed: settings.PlatformSettings) -> None:
+        """Takes over seeds and limits; addresses need a restart."""
+        self.peers.set_seeds(changed.seeds)
+        self.budget.set_limits(changed.budget)
+
+
+def build(
+    current: settings.PlatformSettings,
+    incarnation: ids.Incarnation,
+    timer_service: timers.TimerService,
+    event_log: log.EventLog,
+    generator: random.Random,
+) -> PlatformParts:
+    """Returns all parts, wired."""
+    health = server_health.ServerHealth()
+    view = deployment_view.DeploymentView(
+        objects.PlatformObjects(), health, event_log
+    )
+    board = load_board.LoadBoard()
+    crashes = crash_counts.CrashCounts()
+    budget = fleet_retry_budget.FleetRetryBudget(current.budget)
+    shared = context.ForwardingContext(
+        view,
+        callers.PlatformCallers(),
+        engines.PlatformServers(),
+        connections.ServerConnections(timer_service),
+        engine_choosers.EngineChoosers(board),
+        service_choice.LeastOutstanding(current.zone, generator),
+        board,
+        budget,
+        crashes,
+        health,
+        timer_service,
+        event_log,
+        current.zone,
+    )
+    store_connection = synchronisation.StoreConnection()
+    peers = peer_table.PeerTable(current.peers)
+    peers.set_seeds(current.seeds)
+    versions = load_sharing.PeerVersions()
+    built = components.Components(
+        shared,
+        gateway.Gateway(shared, generator),
+        tuple(
+            synchronisation.ObjectFollower(
+                kind,
+                store.PlatformStore(current.store, name, timer_service),
+                view,
+                store_connection,
+                timer_service,
+                event_log,
+                generator,
+            )
+            for kind, name in _KINDS.items()
+        ),
+        load_sharing.LoadSharing(
+            incarnation,
+            peers,
+            versions,
+            view,
+            board,
+            crashes,
+            budget,
+            timer_service,
+            event_log,
+        ),
+        state_exchange.StateServer(view),
+        state_exchange.StateFetcher(
+            peers, versions, view, store_connection, timer_service, event_log
+        ),
+        NoMetrics(),
+    )
+    return PlatformParts(built, peers, budget)
--- /dev/null
+++ b/packages/platform/src/lavendershed/platform/store.py
@@ -0,0 +1,144 @@
+"""Client of the platform's object store."""
+
+from __future__ import annotations
+
+import urllib.parse
+
+import orjson
+import result
+
+from lavendershed.core import addresses
+from lavendershed.core import ids
+from lavendershed.core import timers
+from lavendershed.core import units
+from lavendershed.forwarding import translators
+from lavendershed.peer import load_reports
+from lavendershed.platform import fields
+from lavendershed.transport import client
+from lavendershed.transport import pool
+
+# The store answers in 4 ms, and in a quarter of a second when it is slow.
+_CALL_TIMEOUT = units.Seconds(1.5)
+_HISTORY_GONE = 410
+_REFUSALS = frozenset({429, 503})
+_MAX_ANSWER = units.Bytes(8_000_000)
+
+
+class PlatformStore(translators.ObjectSource):
+    """Objects of one kind, and of one name if it is given."""
+
+    def __init__(
+        self,
+        address: addresses.Address,
+        kind: str,
+        timer_service: timers.TimerService,
+    ) -> None:
+        self._path = f"/objects/{kind}"
+        self._pool = pool.ConnectionPool(
+            address,
+            timer_service,
+            pool.PoolLimits(connect_timeout=_CALL_TIMEOUT, max_idle=1),
+        )
+
+    async def list(
+        self,
+    ) -> result.Result[
+        tuple[tuple[load_reports.StoredObject, ...], ids.ObjectVersion],
+        translators.SourceError,
+    ]:
+        """Returns all objects and the revision of the first page."""
+        objects: list[load_reports.StoredObject] = []
+        revision: ids.ObjectVersion | None = None
+        query: dict[str, str] = {}
+        while True:
+            answer = await self._get(query, _CALL_TIMEOUT)
+            if isinstance(answer, result.Err):
+                return answer
+            body = answer.ok_value
+            try:
+                page = [_stored(item) for item in fields.items(body, "items")]
+                # Changes between the pages come again with the watch.
+                if revision is None:
+                    revision = ids.ObjectVersion(fields.whole(body, "as_of"))
+                more = fields.flag(body, "has_more")
+            except fields.FieldError:
+                return result.Err(translators.SourceError.MALFORMED)
+            objects += page
+            if not more or not page:
+                return result.Ok((tuple(objects), revision))
+            query = {"after": page[-1].name}
+
+    async def watch(
+        self, revision: ids.ObjectVersion, wait: units.Seconds
+    ) -> result.Result[
+        tuple[
+            tuple[load_reports.StoredObject, ...],
+            tuple[str, ...],
+            ids.ObjectVersion,
+        ],
+        translators.SourceError,
+    ]:
+        """Waits for changes after `revision`."""
+        answer = await self._get(
+            {"watch": str(revision), "wait_ms": str(int(wait * 1_000))},
+            units.Seconds(wait + _CALL_TIMEOUT),
+        )
+        if isinstance(answer, result.Err):
+            return answer
+        body = answer.ok_value
+        newest: dict[str, load_reports.StoredObject | None] = {}
+        try:
+            for item in fields.items(body, "events"):
+                event = fields.table(item, "events")
+                stored = _stored(event.get("object"))
+                deleted = fields.flag(event, "deleted")
+                newest[stored.name] = None if deleted else stored
+            as_of = ids.ObjectVersion(fields.whole(body, "as_of"))
+        except fields.FieldError:
+            return result.Err(translators.SourceError.MALFORMED)
+        return result.Ok(
+            (
+                tuple(o for o in newest.values() if o is not None),
+                tuple(name for name, o in newest.items() if o is None),
+                as_of,
+            )
+        )
+
+    async def _get(
+        self, query: dict[str, str], timeout: units.Seconds
+    ) -> result.Result[dict[str, fields.Body], translators.SourceError]:
+        target = self._path
+        if query:
+            target += "?" + urllib.parse.urlencode(query)
+        exchanged = await self._pool.exchange(
+            client.RequestHead("GET", target),
+            timeout=timeout,
+            max_body=_MAX_ANSWER,
+        )
+        if isinstance(exchanged, result.Err):
+            return result.Err(translators.SourceError.UNAVAILABLE)
+        response = exchanged.ok_value
+        if response.head.status == _HISTORY_GONE:
+            return result.Err(translators.SourceError.HISTORY_GONE)
+        if response.head.status in _REFUSALS:
+            return result.Err(translators.SourceError.REFUSED)
+        try:
+            return result.Ok(fields.table(orjson.loads(response.body), "body"))
+        except (fields.FieldError, orjson.JSONDecodeError):
+            return result.Err(translators.SourceError.MALFORMED)
+
+
+def _stored(item: fields.Body) -> load_reports.StoredObject:
+    """Returns an object with its content as bytes.
+
+    Raises:
+        FieldError: It has no name or revision.
+    """
+    metadata = fields.table(
+        fields.table(item, "object").get("metadata"), "metadata"
+    )
+    return load_reports.StoredObject(
+        fields.text(metadata, "name"),
+        ids.ObjectVersion(fields.whole(metadata, "revision", 0)),
+        orjson.dumps(item.get("spec")),
+    )
--- /dev/null
+++ b/packages/reliability/src/lavendershed/reliability/fleet_retry_budget.py
@@ -0,0 +1,80 @@
+"""This daemon's share of the retry budget of each service."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+from lavendershed.core import ids
+from lavendershed.core import units
+
+# Part of the allowance that is used; the rest covers requests that cross a
+# change of the number of daemons.
+_USED_SHARE = 0.8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FleetBudgetLimits:
+    """Limits that all daemons together have to keep.
+
+    Attributes:
+        ratio: Repeats per request.
+        slack: Repeats in a window beyond the ratio.
+        window: Length of the window, which slides.
+    """
+
+    ratio: float
+    slack: float
+    window: units.Seconds
+
+
+class FleetRetryBudget:
+    """Counts requests and repeats by service in a sliding window."""
+
+    def __init__(self, limits: FleetBudgetLimits) -> None:
+        self._limits = limits
+        self._daemons = 1
+        self._requests: dict[ids.ServiceId, collections.deque[float]] = (
+            collections.defaultdict(collections.deque)
+        )
+        self._repeats: dict[ids.ServiceId, collections.deque[float]] = (
+            collections.defaultdict(collections.deque)
+        )
+
+    def set_limits(self, limits: FleetBudgetLimits) -> None:
+        """Replaces the limits; what has been counted stays."""
+        self._limits = limits
+
+    def on_fleet_size(self, daemons: int) -> None:
+        """Takes the number of daemons that share the slack.
+
+        The largest number counts: daemons that this one has lost sight of may
+        still be spending their shares.
+        """
+        self._daemons = max(self._daemons, daemons)
+
+    def on_request(self, service: ids.ServiceId, now: units.Instant) -> None:
+        """Counts a request for a service."""
+        self._requests[service].append(now)
+
+    def spend(self, service: ids.ServiceId, now: units.Instant) -> bool:
+        """Takes one repeat; returns False if the share is used up."""
+        oldest = now - self._limits.window
+        requests = _trimmed(self._requests[service], oldest)
+        repeats = _trimmed(self._repeats[service], oldest)
+        allowed = _USED_SHARE * (
+            self._limits.ratio * len(requests)
+            + self._limits.slack / self._daemons
+        )
+        if len(repeats) + 1 > allowed:
+            return False
+        repeats.append(now)
+        return True
+
+
+def _trimmed(
+    times: collections.deque[float], oldest: float
+) -> collections.deque[float]:
+    while times and times[0] < oldest:
+        times.popleft()
+    return times
--- /dev/null
+++ b/packages/routes/src/lavendershed/routes/__init__.py
@@ -0,0 +1,1 @@
+"""Routes, services, organisations and limits of a deployment."""
--- /dev/null
+++ b/packages/routing/src/lavendershed/routing/engine_choice.py
@@ -0,0 +1,292 @@
+"""Choice of the engines that read a prompt and write its answer."""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import Sequence
+import dataclasses
+
+from lavendershed.core import ids
+from lavendershed.core import units
+from lavendershed.membership import server_directory
+from lavendershed.routing import load_board
+from lavendershed.routing import pass_model
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Demand:
+    """What a request needs and when.
+
+    Attributes:
+        size: Tokens in and out.
+        due_at: Time by which the first token is due.
+        longest_pause: Longest pause of an answer on time.
+        zone: Availability zone of the deciding daemon.
+        body: Bytes that go to the engine.
+    """
+
+    size: pass_model.PromptSize
+    due_at: units.Instant
+    longest_pause: units.Seconds
+    zone: ids.AvailabilityZoneId
+    body: units.Bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placement:
+    """Engines chosen for one attempt.
+
+    Attributes:
+        first: Engine that gets the request and writes the answer.
+        helpers: Engines that read parts of the prompt.
+        read_ms: Time to read one part.
+        first_token_ms: Predicted time to the first token.
+        pass_ms: Predicted time between the events of the answer.
+        loss: Expected loss of credit, the measure of the choice.
+    """
+
+    first: server_directory.ServerEntry
+    helpers: tuple[server_directory.ServerEntry, ...]
+    read_ms: float
+    first_token_ms: float
+    pass_ms: float
+    loss: float
+
+
+class EngineChooser(abc.ABC):
+    """Chooses engines for requests to one service."""
+
+    @abc.abstractmethod
+    def choose(
+        self,
+        demand: Demand,
+        candidates: Sequence[server_directory.ServerEntry],
+        avoided: frozenset[ids.BackendServerId],
+        now: units.Instant,
+    ) -> Placement | None:
+        """Returns the engines to use, or None without any candidate.
+
+        Args:
+            demand: What the request needs.
+            candidates: Engines that accept new work.
+            avoided: Engines to use only if there are no others.
+            now: Current time.
+        """
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChoiceWeights:
+    """Weights of the expected loss; credit is what a request is worth.
+
+    The worths of the kinds of requests are not on the wire. Over the stated
+    workloads, one credit stands for about 10,000 tokens, an answer token
+    counting as ten.
+
+    Attributes:
+        credit_per_token: Credit per prompt token and tenth of answer token.
+        late_share: Part of the credit that a late answer loses.
+        waiting: Loss per second to the first token, of any request.
+        opening: Loss for the first writer of an engine, which long prompts
+            could have used without delaying anyone.
+        crowding: Loss per request above the comfortable number.
+        overfull: Loss per request above the slots, which waits for an end.
+        overcommitted: Share of the credit that is lost if the memory of the
+            engine doesn't suffice and the request is read again.
+        helper: Loss per additional engine that reads.
+        byte: Loss per byte that crosses availability zones.
+        joined_read_ms: Shortest reading time that is divided among engines.
+        most_parts: Most engines that read one prompt, the limit of the
+            engines' protocol with the first engine included.
+    """
+
+    credit_per_token: float = 1e-4
+    late_share: float = 0.75
+    waiting: float = 1.0
+    opening: float = 0.3
+    crowding: float = 0.3
+    overfull: float = 2.0
+    overcommitted: float = 0.75
+    helper: float = 0.005
+    byte: float = 2.9e-6
+    joined_read_ms: float = 50.0
+    most_parts: int = 16
+
+
+# Share of the slots up to which an engine is not crowded.
+_COMFORTABLE_SHARE = 0.75
+# A value counts as late from this share of its limit on, and surely from the
+# second on; between them the probability grows evenly.
+_LATE_FROM = 0.85
+_LATE_TO = 1.1
+_PART_COUNTS = (1, 2, 3, 4, 6, 8, 12, 16)
+
+
+def lateness(value: float, limit: float) -> float:
+    """Returns the probability that a predicted value exceeds its limit."""
+    if limit <= 0:
+        return 1.0
+    share = (value / limit - _LATE_FROM) / (_LATE_TO - _LATE_FROM)
+    return min(1.0, max(0.0, share))
+
+
+@dataclasses.dataclass(slots=True)
+class _Candidate:
+    """An engine with its load; durations in milliseconds."""
+
+    entry: server_directory.ServerEntry
+    load: load_board.EngineLoad
+    pass_ms: float
+    backlog_ms: float
+    penalty: float
+
+
+class PredictedLossChooser(EngineChooser):
+    """Minimises the predicted loss of credit of all requests together."""
+
+    def __init__(
+        self,
+        model: pass_model.PassModel,
+        board: load_board.LoadBoard,
+        weights: ChoiceWeights = ChoiceWeights(),  # noqa: B008
+    ) -> None:
+        self._model = model
+        self._board = board
+        self._weights = weights
+
+    def credit(self, size: pass_model.PromptSize) -> float:
+        """Returns what a request of this size is worth on time."""
+        return (size.prompt + 10 * size.answer) * self._weights.credit_per_token
+
+    def choose(
+        self,
+        demand: Demand,
+        candidates: Sequence[server_directory.ServerEntry],
+        avoided: frozenset[ids.BackendServerId],
+        now: units.Instant,
+    ) -> Placement | None:
+        """Returns the engines with the least predicted loss."""
+        usable = [c for c in candidates if c.id not in avoided] or candidates
+        if not usable:
+            return None
+        engines = [self._candidate(entry, demand, now) for entry in usable]
+        whole_ms = self._model.read_ms(demand.size.prompt)
+        counts = [
+            count
+            for count in _PART_COUNTS
+            if count == 1
+            or (
+                whole_ms > self._weights.joined_read_ms
+                and count <= min(len(engines), self._weights.most_parts)
+            )
+        ]
+        plans = [
+            self._plan(demand, engines, whole_ms / count, count, now)
+            for count in counts
+        ]
+        return min(plans, key=lambda plan: plan.loss)
+
+    def _candidate(
+        self,
+        entry: server_directory.ServerEntry,
+        demand: Demand,
+        now: units.Instant,
+    ) -> _Candidate:
+        load = self._board.load(entry.id)
+        pass_ms = self._model.pass_ms(
+            len(load.writers) + 1, load.context + demand.size.prompt
+        )
+        return _Candidate(
+            entry,
+            load,
+            pass_ms,
+            load.backlog_ms(now, pass_ms),
+            self._crowding(load),
+        )
+
+    def _crowding(self, load: load_board.EngineLoad) -> float:
+        slots = self._model.profile.slots
+        above = load.requests + 1 - slots * _COMFORTABLE_SHARE
+        full = load.requests + 1 - slots
+        return self._weights.crowding * max(
+            0.0, above
+        ) + self._weights.overfull * max(0.0, full)
+
+    def _plan(
+        self,
+        demand: Demand,
+        engines: list[_Candidate],
+        part_ms: float,
+        count: int,
+        now: units.Instant,
+    ) -> Placement:
+        helper = count > 1
+        scored = [
+            (
+                engine,
+                engine.backlog_ms + part_ms,
+                self._harm(engine, part_ms, helper, now) + engine.penalty,
+            )
+            for engine in engines
+        ]
+        waiting = self._weights.waiting / 1_000
+        readers = sorted(scored, key=lambda s: s[2] + s[1] * waiting)[:count]
+        slowest = max(ready for _, ready, _ in readers)
+        first = min(
+            readers,
+            key=lambda s: self._writer_loss(demand, s[0]),
+        )[0]
+        first_token_ms = slowest + first.pass_ms
+        loss = (
+            sum(harm for _, _, harm in readers)
+            + self._writer_loss(demand, first)
+            + first_token_ms * waiting
+            + (count - 1) * self._weights.helper
+            + self.credit(demand.size)
+            * self._weights.late_share
+            * lateness(first_token_ms, (demand.due_at - now) * 1_000)
+        )
+        return Placement(
+            first.entry,
+            tuple(s[0].entry for s in readers if s[0] is not first),
+            part_ms,
+            first_token_ms,
+            first.pass_ms,
+            loss,
+        )
+
+    def _writer_loss(self, demand: Demand, engine: _Candidate) -> float:
+        """Returns the loss if the answer is written at this engine."""
+        weights = self._weights
+        loss = 0.0 if engine.load.writers else weights.opening
+        if engine.load.memory + demand.size.memory > self._model.profile.memory:
+            loss += self.credit(demand.size) * weights.overcommitted
+        if engine.entry.availability_zone != demand.zone:
+            loss += weights.byte * (demand.body + 3 * demand.size.answer)
+        return loss
+
+    def _harm(
+        self,
+        engine: _Candidate,
+        part_ms: float,
+        helper: bool,
+        now: units.Instant,
+    ) -> float:
+        """Returns the loss of the requests that are already there."""
+        before = engine.pass_ms + engine.backlog_ms
+        after = before + part_ms
+        loss = 0.0
+        for work in engine.load.writers:
+            limit = work.longest_pause * 1_000
+            loss += work.credit * (
+                lateness(after, limit) - lateness(before, limit)
+            )
+        # A part is read before other reads, and a pass with writers gives
+        # all its first tokens together at its end.
+        if helper or engine.load.writers:
+            for work in engine.load.reads:
+                limit = (work.due_at - now) * 1_000
+                loss += work.credit * (
+                    lateness(before + part_ms, limit) - lateness(before, limit)
+                )
+                loss += part_ms * self._weights.waiting / 1_000
+        return loss * self._weights.late_share
--- /dev/null
+++ b/packages/routing/src/lavendershed/routing/load_board.py
@@ -0,0 +1,164 @@
+"""Open work of all daemons at the model engines."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+import itertools
+
+from lavendershed.core import forwarding_states
+from lavendershed.core import ids
+from lavendershed.core import units
+
+# A daemon repeats its work every second; one that was silent for this long
+# has ended or can't be reached, and its requests are about to end too.
+PEER_LIFETIME = units.Seconds(3.0)
+
+
+@dataclasses.dataclass(slots=True)
+class Work:
+    """One part of a request at one engine.
+
+    Attributes:
+        server: The engine.
+        phase: Whether the engine reads the prompt or writes the answer.
+        read_ms: Time that the engine needs to read this part.
+        ready_at: Predicted time of the first token.
+        memory: Tokens of engine memory that the part holds.
+        context: Tokens that each step of a writer has to look at.
+        longest_pause: Longest pause of an answer on time.
+        due_at: Time by which the first token is due.
+        credit: What the request is worth if it is answered on time.
+    """
+
+    server: ids.BackendServerId
+    phase: forwarding_states.WorkPhase
+    read_ms: float
+    ready_at: units.Instant
+    memory: int
+    context: int
+    longest_pause: units.Seconds
+    due_at: units.Instant
+    credit: float
+
+
+class EngineLoad:
+    """Work at one engine at one moment; durations in milliseconds."""
+
+    __slots__ = ("context", "memory", "reads", "writers")
+
+    def __init__(self, works: Iterable[Work]) -> None:
+        self.writers: list[Work] = []
+        self.reads: list[Work] = []
+        self.memory = 0
+        self.context = 0
+        for work in works:
+            self.memory += work.memory
+            if work.phase is forwarding_states.WorkPhase.WRITING:
+                self.writers.append(work)
+                self.context += work.context
+            else:
+                self.reads.append(work)
+
+    @property
+    def requests(self) -> int:
+        """Requests that read or write here."""
+        return len(self.writers) + len(self.reads)
+
+    def backlog_ms(self, now: units.Instant, pass_ms: float) -> float:
+        """Returns the reading time that is left here."""
+        if not self.reads:
+            return 0.0
+        total = sum(work.read_ms for work in self.reads)
+        latest = max(work.ready_at for work in self.reads)
+        left = (latest - now) * 1_000 - pass_ms
+        # A read that is overdue has not ended: its first token would be known.
+        return min(total, max(left, total / 4))
+
+
+class LoadBoard:
+    """Own and reported work, by engine.
+
+    A report of a daemon replaces all that it reported before, so that a lost
+    report is mended by the next one.
+    """
+
+    def __init__(self) -> None:
+        self._numbers = itertools.count()
+        self._own: dict[int, Work] = {}
+        self._peers: dict[
+            ids.Incarnation, tuple[units.Instant, tuple[Work, ...]]
+        ] = {}
+        self._index: dict[ids.BackendServerId, list[Work]] = {}
+        self._listeners: list[Callable[[], object]] = []
+
+    @property
+    def own(self) -> tuple[Work, ...]:
+        """Work that this daemon has placed."""
+        return tuple(self._own.values())
+
+    def subscribe(self, listener: Callable[[], object]) -> None:
+        """Calls `listener` after each change of the own work."""
+        self._listeners.append(listener)
+
+    def add(self, work: Work) -> int:
+        """Adds own work; returns the number to refer to it."""
+        number = next(self._numbers)
+        self._own[number] = work
+        self._index.setdefault(work.server, []).append(work)
+        self._changed()
+        return number
+
+    def start_writing(self, number: int) -> None:
+        """Notes that the first token of own work has arrived."""
+        work = self._own.get(number)
+        if work is not None:
+            work.phase = forwarding_states.WorkPhase.WRITING
+            self._changed()
+
+    def remove(self, number: int) -> None:
+        """Removes own work; unknown numbers are ignored."""
+        work = self._own.pop(number, None)
+        if work is not None:
+            self._index[work.server].remove(work)
+            self._changed()
+
+    def on_report(
+        self,
+        daemon: ids.Incarnation,
+        works: tuple[Work, ...],
+        now: units.Instant,
+    ) -> None:
+        """Replaces the work of another daemon."""
+        self._forget(daemon)
+        self._peers[daemon] = (now, works)
+        for work in works:
+            self._index.setdefault(work.server, []).append(work)
+
+    def expire(self, now: units.Instant) -> None:
+        """Forgets daemons that have been silent for `PEER_LIFETIME`."""
+        silent = [
+            daemon
+            for daemon, (at, _) in self._peers.items()
+            if now - at > PEER_LIFETIME
+        ]
+        for daemon in silent:
+            self._forget(daemon)
+
+    def load(self, server: ids.BackendServerId) -> EngineLoad:
+        """Returns the work at an engine."""
+        return EngineLoad(self._index.get(server, ()))
+
+    def _changed(self) -> None:
+        for listener in self._listeners:
+            listener()
+
+    def _forget(self, daemon: ids.Incarnation) -> None:
+        _, works = self._peers.pop(daemon, (0.0, ()))
+        for work in works:
+            left = [w for w in self._index[work.server] if w is not work]
+            if left:
+                self._index[work.server] = left
+            else:
+                del self._index[work.server]
--- /dev/null
+++ b/packages/routing/src/lavendershed/routing/pass_model.py
@@ -0,0 +1,62 @@
+"""Time that a model engine needs to read prompts and to write answers."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from lavendershed.core import units
+from lavendershed.routes import engine_profile
+
+_MILLION = 1_000_000.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PromptSize:
+    """Size of a request to a model engine in tokens.
+
+    Attributes:
+        prompt: Tokens to read.
+        answer: Most tokens that may be written.
+    """
+
+    prompt: units.Tokens
+    answer: units.Tokens
+
+    @property
+    def memory(self) -> int:
+        """Tokens of engine memory that the request can need."""
+        return self.prompt + self.answer
+
+
+class PassModel:
+    """Predictions for the engines of one service; durations in milliseconds."""
+
+    def __init__(self, profile: engine_profile.EngineProfile) -> None:
+        self._profile = profile
+
+    @property
+    def profile(self) -> engine_profile.EngineProfile:
+        """Figures of the engines."""
+        return self._profile
+
+    def pass_ms(self, writers: int, context: int) -> float:
+        """Returns the length of a pass without reading.
+
+        Args:
+            writers: Answers that are being written.
+            context: Tokens of all their contexts together.
+        """
+        profile = self._profile
+        step = (
+            profile.step_ms
+            + profile.writer_step_ms * writers
+            + profile.context_step_ms * context / 1_000
+        )
+        return step * profile.steps_per_pass
+
+    def read_ms(self, prompt: int, parts: int = 1) -> float:
+        """Returns the time to read one of `parts` even parts of a prompt."""
+        profile = self._profile
+        linear = prompt / profile.read_tokens_per_ms
+        pairs = prompt * prompt / 2 / _MILLION * profile.pairs_ms
+        return (linear + pairs) / parts
--- /dev/null
+++ b/packages/telemetry/src/lavendershed/telemetry/buffered_log.py
@@ -0,0 +1,79 @@
+"""Event log that never waits for its reader."""
+
+from __future__ import annotations
+
+import collections
+import os
+from typing import Any
+
+import eliot
+import orjson
+
+from lavendershed.core import timers
+from lavendershed.core import units
+from lavendershed.telemetry import events
+from lavendershed.telemetry import log
+
+# Lines that wait for a reader. At about 250 bytes a line this holds the lines
+# of some seconds of overload.
+_MAX_WAITING = units.Bytes(1_000_000)
+_FLUSH_INTERVAL = units.Seconds(0.1)
+
+
+class BufferedEventLog(log.EventLog):
+    """Writes JSON lines to a file descriptor that is made non-blocking.
+
+    Lines that find the buffer full are dropped, counted, and the count is
+    written once there is room again.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        self._descriptor = descriptor
+        os.set_blocking(descriptor, False)
+        self._lines: collections.deque[bytes] = collections.deque()
+        self._size = 0
+        self._dropped = 0
+        eliot.add_destinations(self._take)
+
+    @property
+    def dropped(self) -> int:
+        """Lines that were dropped and not yet reported."""
+        return self._dropped
+
+    def start(self, timer_service: timers.TimerService) -> None:
+        """Writes what waits, again and again."""
+        timer_service.subscribe_every(_FLUSH_INTERVAL, self.flush)
+
+    def emit(self, event: events.Event, **fields: log.LogValue) -> None:
+        """Queues one event with its fields."""
+        eliot.log_message(
+            f"lavendershed.{event.name.lower()}", event=int(event), **fields
+        )
+
+    def flush(self) -> None:
+        """Writes as much as the reader takes at once."""
+        while self._lines:
+            try:
+                written = os.write(self._descriptor, self._lines[0])
+            except BlockingIOError:
+                return
+            except OSError:
+                # Nobody reads any more; lines are dropped when the buffer is
+                # full.
+                return
+            self._size -= written
+            if written < len(self._lines[0]):
+                self._lines[0] = self._lines[0][written:]
+                return
+            self._lines.popleft()
+        if self._dropped:
+            dropped, self._dropped = self._dropped, 0
+            self.emit(events.Event.LOG_LINES_DROPPED, lines=dropped)
+
+    def _take(self, message: dict[str, Any]) -> None:
+        line = orjson.dumps(message, default=str) + b"\n"
+        if self._size + len(line) > _MAX_WAITING:
+            self._dropped += 1
+            return
+        self._lines.append(line)
+        self._size += len(line)
--- a/packages/transport/src/lavendershed/transport/client.py
+++ b/packages/transport/src/lavendershed/transport/client.py
@@ -16,6 +16,13 @@
 from lavendershed.transport import errors
 
 _READ_BYTES = 65_536
+# Methods whose requests have no body unless they state its length.
+_BODILESS = frozenset({"GET", "HEAD", "DELETE"})
+# Silent connections are noticed after about two seconds, the time in which a
+# change of configuration has to be in force.
+_PROBE_SECONDS = 1
+_PROBES = 2
+_UNACKNOWLEDGED_MS = 2_000
 
 T = TypeVar("T")
 
@@ -93,12 +100,22 @@
         self._reader.set_exception(TimeoutError())
 
 
+class BufferedReader(asyncio.StreamReader):
+    """A stream reader that tells whether bytes wait to be read."""
+
+    @property
+    def has_buffered_bytes(self) -> bool:
+        """Whether received bytes have not been read."""
+        # The base class offers no public way to ask without waiting.
+        return bool(self._buffer)  # type: ignore[attr-defined]
+
+
 class ClientConnection:
     """One connection that carries one exchange at a time."""
 
     def __init__(
         self,
-        reader: asyncio.StreamReader,
+        reader: BufferedReader,
         writer: asyncio.StreamWriter,
         address: address_module.Address,
     ) -> None:
@@ -113,10 +130,16 @@
 
     @property
     def reusable(self) -> bool:
-        """Whether another exchange can start on this connection."""
+        """Whether another exchange can start on this connection.
+
+        Bytes that follow a complete answer belong to no request, so that the
+        connection can't be used again.
+        """
         return (
             self._protocol.our_state is h11.DONE
             and self._protocol.their_state is h11.DONE
+            and not self._protocol.trailing_data[0]
+            and not self._reader.has_buffered_bytes
             and not self._reader.at_eof()
             and not self._writer.is_closing()
         )
@@ -135,11 +158,19 @@
         self, head: RequestHead, body: bytes, timeout: units.Seconds
     ) -> result.Result[None, errors.TransportError]:
         """Sends a whole request."""
+        given = {name for name, _ in head.headers}
         headers = [
-            ("host", str(self._address)),
-            ("content-length", str(len(body))),
-            *head.headers,
+            (name, value)
+            for name, value in (
+                ("host", str(self._address)),
+                ("content-length", str(len(body))),
+            )
+            if name not in given
+            and (
+                name != "content-length" or body or head.method not in _BODILESS
+            )
         ]
+        headers += head.headers
         try:
             data = self._protocol.send(
                 h11.Request(
@@ -304,6 +335,7 @@
     try:
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        _detect_silence(sock)
         try:
             sock.connect((address.host, address.port))
         except BlockingIOError:
@@ -317,6 +349,17 @@
     return sock
 
 
+def _detect_silence(sock: socket.socket) -> None:
+    """Makes the kernel end connections whose peer has become unreachable."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _PROBE_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _PROBE_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _PROBES)
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MS
+    )
+
+
 async def _wait_writable(sock: socket.socket, timeout: units.Seconds) -> None:
     loop = asyncio.get_running_loop()
     writable = loop.create_future()
@@ -336,12 +379,18 @@
 async def open_streams(
     address: address_module.Address, timeout: units.Seconds
 ) -> result.Result[
-    tuple[asyncio.StreamReader, asyncio.StreamWriter], errors.TransportError
+    tuple[BufferedReader, asyncio.StreamWriter], errors.TransportError
 ]:
     """Opens a plain TCP connection within `timeout` seconds."""
+    loop = asyncio.get_running_loop()
     try:
         sock = await _connect_socket(address, timeout)
-        return result.Ok(await asyncio.open_connection(sock=sock))
+        reader = BufferedReader(loop=loop)
+        protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+        transport, _ = await loop.create_connection(lambda: protocol, sock=sock)
+        return result.Ok(
+            (reader, asyncio.StreamWriter(transport, protocol, reader, loop))
+        )
     except TimeoutError:
         # Unlike a refusal, silence does not show that no process listens.
         return result.Err(
--- a/packages/transport/src/lavendershed/transport/server.py
+++ b/packages/transport/src/lavendershed/transport/server.py
@@ -4,6 +4,7 @@
 
 import abc
 import asyncio
+from collections.abc import Callable
 import dataclasses
 import socket
 import typing
@@ -27,21 +28,34 @@
     Attributes:
         max_body: Largest request body; a larger one is answered 413.
         request_timeout: Time from the first byte of a request to its last.
+        idle_timeout: Time after which a connection without a request closes;
+            None keeps it open.
     """
 
     max_body: units.Bytes = units.Bytes(16_000_000)
     request_timeout: units.Seconds = units.Seconds(30.0)
+    idle_timeout: units.Seconds | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerRequest:
-    """A whole request; header names are in lower case."""
+    """A whole request; header names are in lower case.
+
+    Attributes:
+        method: Method as sent.
+        path: Path without percent-encoding.
+        query: What follows the question mark.
+        headers: All headers in order.
+        body: Whole body.
+        target: Request target as sent.
+    """
 
     method: str
     path: str
     query: str
     headers: Headers
     body: bytes
+    target: str = ""
 
     def header(self, name: str) -> str | None:
         """Returns the first header with this lower-case name."""
@@ -66,6 +80,13 @@
     def disconnected(self) -> asyncio.Event:
         """Set once the peer has closed the connection."""
 
+    @abc.abstractmethod
+    def on_disconnect(self, callback: Callable[[], object] | None) -> None:
+        """Calls `callback` when the peer closes; None ends the subscription.
+
+        A peer that has already closed is reported soon, not at once.
+        """
+
     @abc.abstractmethod
     async def respond(
         self, status: int, body: bytes, headers: Headers = ()
@@ -120,6 +141,8 @@
         self._body = bytearray()
         self._task: asyncio.Task[None] | None = None
         self._deadline: timers.Subscription | None = None
+        self._idle_deadline: timers.Subscription | None = None
+        self._disconnect_callback: Callable[[], object] | None = None
         self._started = False
 
     @property
@@ -145,7 +168,10 @@
         self._disconnected.set()
         self._writable.set()
         self._disarm_deadline()
+        self._disarm_idle_deadline()
         self._server.closed(self)
+        if self._disconnect_callback is not None:
+            self._disconnect_callback()
 
     def pause_writing(self) -> None:
         self._writable.clear()
@@ -153,7 +179,13 @@
     def resume_writing(self) -> None:
         self._writable.set()
 
+    def on_disconnect(self, callback: Callable[[], object] | None) -> None:
+        self._disconnect_callback = callback
+        if callback is not None and self._disconnected.is_set():
+            asyncio.get_running_loop().call_soon(callback)
+
     def data_received(self, data: bytes) -> None:
+        self._disarm_idle_deadline()
         if self._task is None and self._deadline is None:
             self._arm_deadline()
         try:
@@ -256,6 +288,7 @@
                 for name, value in self._request.headers
             ),
             bytes(self._body),
+            target,
         )
         self._body = bytearray()
         self._task = asyncio.get_running_loop().create_task(
@@ -285,6 +318,8 @@
             return
         self._protocol.start_next_cycle()
         self._receive()
+        if self.idle:
+            self._arm_idle_deadline()
 
     def _reject(self, status: int, detail: str) -> None:
         if self._transport is None:
@@ -315,6 +350,19 @@
             self._deadline.cancel()
             self._deadline = None
 
+    def _arm_idle_deadline(self) -> None:
+        timeout = self._server.limits.idle_timeout
+        if timeout is not None:
+            service = self._server.timers
+            self._idle_deadline = service.subscribe_at(
+                units.after(service.now(), timeout), self.close_if_idle
+            )
+
+    def _disarm_idle_deadline(self) -> None:
+        if self._idle_deadline is not None:
+            self._idle_deadline.cancel()
+            self._idle_deadline = None
+
     def _deadline_passed(self) -> None:
         self._deadline = None
         if self._request is None:
@@ -355,6 +403,15 @@
         """The limits of this listener."""
         return self._limits
 
+    def set_limits(self, limits: ServerLimits) -> None:
+        """Replaces the limits; requests that have begun keep theirs."""
+        self._limits = limits
+
+    @property
+    def active(self) -> int:
+        """Connections on which a request is received or answered."""
+        return sum(not connection.idle for connection in self._connections)
+
     @property
     def broken_invariant(self) -> asyncio.Future[Exception]:
         """Done with the first exception that a handler raised."""
