End a stream when its last bytes and its end arrive together

Cause: the reader consumed the end of a body with its last part and then waited for more, so that finished streams stalled and connections broke. Change: a body that has ended gives an empty part; a stream without events sends its head.

--- a/packages/forwarding/src/lavendershed/forwarding/stream_run.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_run.py
@@ -259,6 +259,9 @@
                         "the stream ended inside an event",
                     )
                 self._context.health.on_success(entry.id, entry.born)
+                if not self._responder.started:
+                    # A caller that has all events gets an empty stream.
+                    self._responder.start(answer.status, answer.headers)
                 return attempts.AttemptResult(
                     forwarding_states.AttemptEnd.COMPLETE
                 )
--- a/packages/transport/src/lavendershed/transport/client.py
+++ b/packages/transport/src/lavendershed/transport/client.py
@@ -214,6 +214,9 @@
         self, timeout: units.Seconds
     ) -> result.Result[bytes, errors.TransportError]:
         """Reads body bytes that arrived together; empty at the end."""
+        if self._protocol.their_state is not h11.SEND_BODY:
+            # The end arrived together with the bytes of the last part.
+            return result.Ok(b"")
         event = await self._next_event(timeout)
         if isinstance(event, result.Err):
             return event
