--- a/packages/core/src/lavendershed/core/forwarding_states.py
+++ b/packages/core/src/lavendershed/core/forwarding_states.py
@@ -27,6 +27,7 @@
     REFUSED = "refused"
     WRONG_SERVER = "wrong_server"
     NOT_SENT = "not_sent"
+    NO_MEMORY = "no_memory"
     LOST = "lost"
     STALLED = "stalled"
     INVALID_ANSWER = "invalid_answer"
--- a/packages/forwarding/src/lavendershed/forwarding/attempts.py
+++ b/packages/forwarding/src/lavendershed/forwarding/attempts.py
@@ -27,6 +27,7 @@
     forwarding_states.AttemptEnd.NOT_SENT: states.Execution.NOT_RUN,
     forwarding_states.AttemptEnd.REFUSED: states.Execution.NOT_RUN,
     forwarding_states.AttemptEnd.WRONG_SERVER: states.Execution.NOT_RUN,
+    forwarding_states.AttemptEnd.NO_MEMORY: states.Execution.NOT_RUN,
     forwarding_states.AttemptEnd.SERVER_FAILURE: (
         states.Execution.FAILED_AFTER_START
     ),
@@ -35,10 +36,17 @@
     forwarding_states.AttemptEnd.INVALID_ANSWER: states.Execution.UNKNOWN,
     forwarding_states.AttemptEnd.COMPLETE: states.Execution.COMPLETED,
 }
+_NOT_ARRIVED = frozenset(
+    {
+        forwarding_states.AttemptEnd.NOT_SENT,
+        forwarding_states.AttemptEnd.NO_MEMORY,
+    }
+)
 # Ends after which the server has seen the request.
 _DELIVERED = frozenset(forwarding_states.AttemptEnd) - {
     forwarding_states.AttemptEnd.NOT_SENT,
     forwarding_states.AttemptEnd.WRONG_SERVER,
+    forwarding_states.AttemptEnd.NO_MEMORY,
 }
 
 
@@ -49,10 +57,13 @@
     Attributes:
         end: How it ended.
         detail: One sentence for logs.
+        at_fault: Servers to avoid in the next attempt, if not the one that
+            was tried.
     """
 
     end: forwarding_states.AttemptEnd
     detail: str = ""
+    at_fault: tuple[ids.BackendServerId, ...] = ()
 
 
 class AttemptRecord:
@@ -96,7 +107,7 @@
     ) -> None:
         """Notes an attempt that did not give the whole answer."""
         self._results.append(attempt)
-        self._tried.add(entry.id)
+        self._tried.update(attempt.at_fault or (entry.id,))
         if attempt.end in _DELIVERED:
             self._delivered += 1
         self._context.log.emit(
@@ -136,8 +147,8 @@
                 states.FailureReason.QUARANTINED,
                 "backend servers ended while they ran this request",
             )
-        # A connection that was refused is no arrival at the server.
-        free = last.end is forwarding_states.AttemptEnd.NOT_SENT
+        # Without a request that was sent there is no arrival at a server.
+        free = last.end in _NOT_ARRIVED
         if not free and not self._context.budget.spend(
             self._admitted.service.id, now
         ):
--- a/packages/forwarding/src/lavendershed/forwarding/call_run.py
+++ b/packages/forwarding/src/lavendershed/forwarding/call_run.py
@@ -169,7 +169,8 @@
 
     def _wait(self, left: units.Seconds) -> units.Seconds:
         """Returns how long this attempt may be silent."""
-        if not self._admitted.route.repeatable or self._attempts.count:
+        last = self._attempts.count + 1 >= self._admitted.route.max_attempts
+        if last or not self._admitted.route.repeatable:
             return left
         patience = self._admitted.route.target_latency * _SECOND_TRY_AFTER
         return units.Seconds(min(left, patience))
--- a/packages/forwarding/src/lavendershed/forwarding/context.py
+++ b/packages/forwarding/src/lavendershed/forwarding/context.py
@@ -17,6 +17,7 @@
 from lavendershed.forwarding import deployment_view
 from lavendershed.forwarding import engine_choosers
 from lavendershed.forwarding import requests
+from lavendershed.forwarding import reservations
 from lavendershed.forwarding import translators
 from lavendershed.membership import server_directory
 from lavendershed.reliability import crash_counts
@@ -47,6 +48,7 @@
     board: load_board.LoadBoard
     budget: fleet_retry_budget.FleetRetryBudget
     crashes: crash_counts.CrashCounts
+    reservations: reservations.ReservationKeeper
     health: server_health.ServerHealth
     timers: timers.TimerService
     log: log.EventLog
--- a/packages/forwarding/src/lavendershed/forwarding/requests.py
+++ b/packages/forwarding/src/lavendershed/forwarding/requests.py
@@ -9,6 +9,7 @@
 from lavendershed.core import ids
 from lavendershed.core import units
 from lavendershed.routing import pass_model
+from lavendershed.transport import client
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -96,3 +97,20 @@
     last_event: int | None = None
     helpers: tuple[tuple[addresses.Address, str | None], ...] = ()
     urgency: int | None = None
+
+
+class ReservationAnswer(enum.Enum):
+    """What an engine answers to an order about memory."""
+
+    GRANTED = "granted"
+    NO_ROOM = "no_room"
+    WRONG_SERVER = "wrong_server"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EncodedOrder:
+    """An order as it is sent."""
+
+    head: client.RequestHead
+    body: bytes
--- a/packages/forwarding/src/lavendershed/forwarding/stream_run.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_run.py
@@ -6,6 +6,7 @@
 
 import result
 
+from lavendershed.core import addresses
 from lavendershed.core import forwarding_states
 from lavendershed.core import outcomes
 from lavendershed.core import states
@@ -15,6 +16,7 @@
 from lavendershed.forwarding import context as context_module
 from lavendershed.forwarding import event_splitter
 from lavendershed.forwarding import requests
+from lavendershed.forwarding import reservations
 from lavendershed.membership import server_directory
 from lavendershed.routing import engine_choice
 from lavendershed.routing import load_board
@@ -136,15 +138,34 @@
     async def _attempt(
         self, placement: engine_choice.Placement
     ) -> attempts.AttemptResult:
+        # On the board before the first wait, so that no other request counts
+        # on the same memory.
         numbers = self._place(placement)
+        held: reservations.Reservation | None = None
         try:
-            return await self._connect(placement, numbers)
+            if placement.shares:
+                reserved = await self._context.reservations.reserve(
+                    placement.shares
+                )
+                if isinstance(reserved, result.Err):
+                    return attempts.AttemptResult(
+                        forwarding_states.AttemptEnd.NO_MEMORY,
+                        "engines have no memory to reserve",
+                        tuple(entry.id for entry in reserved.err_value),
+                    )
+                held = reserved.ok_value
+            return await self._connect(placement, held, numbers)
         finally:
+            if held is not None:
+                held.release()
             for number in numbers:
                 self._context.board.remove(number)
 
     def _place(self, placement: engine_choice.Placement) -> list[int]:
         """Adds the work to the board; the first number is the writer's."""
+        held = {share.holder.id: share.tokens for share in placement.shares}
+        if not held:
+            held = {placement.first.id: self._size.memory}
         now = self._context.timers.now()
         chooser = self._context.choosers.chooser(self._admitted.service)
         credit = chooser.credit(self._size) if chooser is not None else 0.0
@@ -161,8 +182,8 @@
                     forwarding_states.WorkPhase.READING,
                     placement.read_ms,
                     ready_at,
-                    self._size.memory if entry is placement.first else 0,
-                    self._size.prompt if entry is placement.first else 0,
+                    held.get(entry.id, 0),
+                    held.get(entry.id, 0),
                     self._pause,
                     due_at,
                     credit,
@@ -172,7 +193,10 @@
         ]
 
     async def _connect(
-        self, placement: engine_choice.Placement, numbers: list[int]
+        self,
+        placement: engine_choice.Placement,
+        held: reservations.Reservation | None,
+        numbers: list[int],
     ) -> attempts.AttemptResult:
         context = self._context
         entry = placement.first
@@ -187,7 +211,9 @@
         lease = acquired.ok_value
         kept = False
         try:
-            ended, idle_limit = await self._exchange(placement, lease, numbers)
+            ended, idle_limit = await self._exchange(
+                placement, lease, held, numbers
+            )
             if idle_limit is not None:
                 kept = True
                 context.connections.release(
@@ -202,6 +228,7 @@
         self,
         placement: engine_choice.Placement,
         lease: connections.Lease,
+        held: reservations.Reservation | None,
         numbers: list[int],
     ) -> tuple[attempts.AttemptResult, units.Seconds | None]:
         context = self._context
@@ -213,7 +240,7 @@
             self._admitted.organisation,
             self._attempts.time_left,
             last_event=self._last_event,
-            helpers=tuple((h.address, None) for h in placement.helpers),
+            helpers=_helpers(placement, held),
             urgency=self._admitted.urgency,
         )
         wait = self._first_event_wait(placement)
@@ -307,12 +334,7 @@
                 self._longest_seen, now - self._last_event_at
             )
         self._last_event_at = now
-        if len(numbers) > 0 and numbers[0] >= 0:
-            board = self._context.board
-            board.start_writing(numbers[0])
-            for number in numbers[1:]:
-                board.remove(number)
-            del numbers[1:]
+        self._context.board.start_writing(numbers)
 
     def _first_event_wait(
         self, placement: engine_choice.Placement
@@ -435,3 +457,22 @@
         await context_module.respond_failure(
             self._context, self._responder, failure
         )
+
+
+def _helpers(
+    placement: engine_choice.Placement, held: reservations.Reservation | None
+) -> tuple[tuple[addresses.Address, str | None], ...]:
+    """Returns the engines that read, each with its reservation if any."""
+    ticketed = () if held is None else held.holders
+    # Memory is filled in turn, and the share of the writing engine goes first.
+    holders = sorted(ticketed, key=lambda entry: entry is not placement.first)
+    names = {entry.id for entry in holders}
+    ticket = None if held is None else held.ticket
+    return (
+        *((entry.address, ticket) for entry in holders),
+        *(
+            (entry.address, None)
+            for entry in placement.helpers
+            if entry.id not in names
+        ),
+    )
--- a/packages/forwarding/src/lavendershed/forwarding/translators.py
+++ b/packages/forwarding/src/lavendershed/forwarding/translators.py
@@ -47,6 +47,28 @@
     ) -> requests.AnswerHead:
         """Returns what the head of an answer to `caller` means."""
 
+    @abc.abstractmethod
+    def encode_reservation(
+        self,
+        server: ids.BackendServerId,
+        ticket: str,
+        tokens: int,
+        lease: units.Seconds,
+    ) -> requests.EncodedOrder:
+        """Returns an order that sets memory aside or renews its lease."""
+
+    @abc.abstractmethod
+    def encode_release(
+        self, server: ids.BackendServerId, ticket: str
+    ) -> requests.EncodedOrder:
+        """Returns an order that gives memory back."""
+
+    @abc.abstractmethod
+    def decode_order(
+        self, head: client.ResponseHead
+    ) -> tuple[requests.ReservationAnswer, units.Seconds | None]:
+        """Returns the answer to an order and the connection's idle limit."""
+
 
 class ObjectKind(enum.Enum):
     """Objects of the store that a daemon follows."""
--- a/packages/platform/src/lavendershed/platform/engines.py
+++ b/packages/platform/src/lavendershed/platform/engines.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import orjson
+
 from lavendershed.core import addresses
+from lavendershed.core import ids
 from lavendershed.core import units
 from lavendershed.forwarding import requests
 from lavendershed.forwarding import translators
@@ -14,6 +17,12 @@
 # without saying so may have run it.
 _PROMISES = frozenset({408, 421, 429, 503})
 _LOWEST_URGENCY = 9
+_ORDER_ANSWERS = {
+    200: requests.ReservationAnswer.GRANTED,
+    400: requests.ReservationAnswer.NO_ROOM,
+    409: requests.ReservationAnswer.NO_ROOM,
+    421: requests.ReservationAnswer.WRONG_SERVER,
+}
 # Servers state their idle limit in whole seconds; one that states none may
 # close sooner than a second.
 _UNSTATED_IDLE_LIMIT = units.Seconds(0.5)
@@ -70,6 +79,54 @@
             parsed.ok() if parsed is not None else None,
         )
 
+    def encode_reservation(
+        self,
+        server: ids.BackendServerId,
+        ticket: str,
+        tokens: int,
+        lease: units.Seconds,
+    ) -> requests.EncodedOrder:
+        """Returns an order that sets memory aside or renews its lease."""
+        return _order(
+            server,
+            {
+                "op": "reserve",
+                "id": ticket,
+                "tokens": tokens,
+                "hold_ms": int(lease * 1_000),
+                "wait": False,
+            },
+        )
+
+    def encode_release(
+        self, server: ids.BackendServerId, ticket: str
+    ) -> requests.EncodedOrder:
+        """Returns an order that gives memory back."""
+        return _order(server, {"op": "release", "id": ticket})
+
+    def decode_order(
+        self, head: client.ResponseHead
+    ) -> tuple[requests.ReservationAnswer, units.Seconds | None]:
+        """Returns the answer to an order and the connection's idle limit."""
+        answer = _ORDER_ANSWERS.get(
+            head.status, requests.ReservationAnswer.UNKNOWN
+        )
+        return answer, _idle_limit(dict(head.headers))
+
+
+def _order(
+    server: ids.BackendServerId, body: dict[str, str | int | bool]
+) -> requests.EncodedOrder:
+    head = client.RequestHead(
+        "POST",
+        "/order",
+        (
+            ("content-type", "application/json"),
+            (names.EXPECTED_SERVER, server),
+        ),
+    )
+    return requests.EncodedOrder(head, orjson.dumps(body))
+
 
 def _kind(
     head: client.ResponseHead,
--- a/packages/platform/src/lavendershed/platform/factory.py
+++ b/packages/platform/src/lavendershed/platform/factory.py
@@ -14,6 +14,7 @@
 from lavendershed.forwarding import engine_choosers
 from lavendershed.forwarding import gateway
 from lavendershed.forwarding import load_sharing
+from lavendershed.forwarding import reservations
 from lavendershed.forwarding import state_exchange
 from lavendershed.forwarding import synchronisation
 from lavendershed.forwarding import translators
@@ -73,16 +74,19 @@
     board = load_board.LoadBoard()
     crashes = crash_counts.CrashCounts()
     budget = fleet_retry_budget.FleetRetryBudget(current.budget)
+    server_connections = connections.ServerConnections(timer_service)
+    servers = engines.PlatformServers()
     shared = context.ForwardingContext(
         view,
         callers.PlatformCallers(),
-        engines.PlatformServers(),
-        connections.ServerConnections(timer_service),
+        servers,
+        server_connections,
         engine_choosers.EngineChoosers(board),
         service_choice.LeastOutstanding(current.zone, generator),
         board,
         budget,
         crashes,
+        reservations.ReservationKeeper(server_connections, servers, event_log),
         health,
         timer_service,
         event_log,
--- a/packages/routing/src/lavendershed/routing/engine_choice.py
+++ b/packages/routing/src/lavendershed/routing/engine_choice.py
@@ -10,6 +10,7 @@
 from lavendershed.core import units
 from lavendershed.membership import server_directory
 from lavendershed.routing import load_board
+from lavendershed.routing import memory_shares
 from lavendershed.routing import pass_model
 
 
@@ -43,6 +44,7 @@
         first_token_ms: Predicted time to the first token.
         pass_ms: Predicted time between the events of the answer.
         loss: Expected loss of credit, the measure of the choice.
+        shares: Memory to reserve; empty if the first engine has the room.
     """
 
     first: server_directory.ServerEntry
@@ -51,6 +53,7 @@
     first_token_ms: float
     pass_ms: float
     loss: float
+    shares: tuple[memory_shares.MemoryShare, ...] = ()
 
 
 class EngineChooser(abc.ABC):
@@ -92,6 +95,10 @@
         overfull: Loss per request above the slots, which waits for an end.
         overcommitted: Share of the credit that is lost if the memory of the
             engine doesn't suffice and the request is read again.
+        crowded_memory: Loss for writing at an engine without enough memory,
+            which orders the engines that hold a share.
+        order: Price of an order to an engine, which the stated price lists
+            put at a fiftieth of a short answer.
         helper: Loss per additional engine that reads.
         byte: Loss per byte that crosses availability zones.
         joined_read_ms: Shortest reading time that is divided among engines.
@@ -106,6 +113,8 @@
     crowding: float = 0.3
     overfull: float = 2.0
     overcommitted: float = 0.75
+    crowded_memory: float = 0.2
+    order: float = 0.02
     helper: float = 0.005
     byte: float = 2.9e-6
     joined_read_ms: float = 50.0
@@ -235,10 +244,21 @@
             readers,
             key=lambda s: self._writer_loss(demand, s[0]),
         )[0]
+        shares: tuple[memory_shares.MemoryShare, ...] = ()
+        if not self._has_room(demand, first):
+            shares = self._shares(demand, [s[0] for s in readers])
+            holders = {share.holder.id for share in shares}
+            held = [s[0] for s in readers if s[0].entry.id in holders]
+            # The engine that writes has to hold a share itself.
+            first = min(
+                held or [first],
+                key=lambda engine: self._writer_loss(demand, engine),
+            )
         first_token_ms = slowest + first.pass_ms
         loss = (
             sum(harm for _, _, harm in readers)
             + self._writer_loss(demand, first)
+            + self._room_loss(demand, first, shares)
             + first_token_ms * waiting
             + (count - 1) * self._weights.helper
             + self.credit(demand.size)
@@ -252,18 +272,53 @@
             first_token_ms,
             first.pass_ms,
             loss,
+            shares,
         )
 
     def _writer_loss(self, demand: Demand, engine: _Candidate) -> float:
         """Returns the loss if the answer is written at this engine."""
         weights = self._weights
         loss = 0.0 if engine.load.writers else weights.opening
-        if engine.load.memory + demand.size.memory > self._model.profile.memory:
-            loss += self.credit(demand.size) * weights.overcommitted
+        if not self._has_room(demand, engine):
+            loss += weights.crowded_memory
         if engine.entry.availability_zone != demand.zone:
             loss += weights.byte * (demand.body + 3 * demand.size.answer)
         return loss
 
+    def _has_room(self, demand: Demand, engine: _Candidate) -> bool:
+        free = self._model.profile.memory - engine.load.memory
+        return demand.size.memory <= free
+
+    def _shares(
+        self, demand: Demand, readers: list[_Candidate]
+    ) -> tuple[memory_shares.MemoryShare, ...]:
+        memory = self._model.profile.memory
+        return memory_shares.divide(
+            demand.size.memory,
+            memory,
+            [
+                memory_shares.FreeMemory(
+                    reader.entry, memory - reader.load.memory
+                )
+                for reader in readers
+            ],
+        )
+
+    def _room_loss(
+        self,
+        demand: Demand,
+        first: _Candidate,
+        shares: tuple[memory_shares.MemoryShare, ...],
+    ) -> float:
+        """Returns the loss if the memory for the prompt may not suffice."""
+        if shares:
+            return self._weights.order * 3 * len(shares)
+        if self._has_room(demand, first):
+            return 0.0
+        if demand.size.memory > self._model.profile.memory:
+            return self.credit(demand.size)
+        return self.credit(demand.size) * self._weights.overcommitted
+
     def _harm(
         self,
         engine: _Candidate,
--- a/packages/routing/src/lavendershed/routing/load_board.py
+++ b/packages/routing/src/lavendershed/routing/load_board.py
@@ -110,12 +110,24 @@
         self._changed()
         return number
 
-    def start_writing(self, number: int) -> None:
-        """Notes that the first token of own work has arrived."""
-        work = self._own.get(number)
-        if work is not None:
-            work.phase = forwarding_states.WorkPhase.WRITING
-            self._changed()
+    def start_writing(self, numbers: Iterable[int]) -> None:
+        """Notes that the first token of a request has arrived.
+
+        Engines that only read for it are done; those that hold its memory
+        take part in each step.
+        """
+        for number in numbers:
+            work = self._own.get(number)
+            if (
+                work is None
+                or work.phase is forwarding_states.WorkPhase.WRITING
+            ):
+                continue
+            if work.memory:
+                work.phase = forwarding_states.WorkPhase.WRITING
+                self._changed()
+            else:
+                self.remove(number)
 
     def remove(self, number: int) -> None:
         """Removes own work; unknown numbers are ignored."""
