Report progress of work every 100 ms, new work within 10 ms

Cause: each report is a datagram to every daemon, three per request. Change: only new work is urgent; progress and ends wait for 100 ms.

--- a/packages/forwarding/src/lavendershed/forwarding/load_sharing.py
+++ b/packages/forwarding/src/lavendershed/forwarding/load_sharing.py
@@ -20,8 +20,12 @@
 from lavendershed.telemetry import events
 from lavendershed.telemetry import log
 
-# Changes within this time go into one report.
-_COALESCE = units.Seconds(0.01)
+# New work within this time goes into one report; an engine is chosen about
+# once in this time by all daemons together.
+_URGENT_DELAY = units.Seconds(0.01)
+# Progress and ends of work within this time go into one report. Each report
+# is a datagram to every daemon.
+_DELAY = units.Seconds(0.1)
 # A report without changes repeats the state for daemons that missed one.
 _REPEAT = units.Seconds(1.0)
 
@@ -156,11 +160,15 @@
             self._send()
             await asyncio.sleep(_REPEAT)
 
-    def _on_change(self) -> None:
+    def _on_change(self, urgent: bool) -> None:
         """Schedules a report of a change of the own work."""
-        if self._scheduled is None:
-            loop = asyncio.get_running_loop()
-            self._scheduled = loop.call_later(_COALESCE, self._send)
+        loop = asyncio.get_running_loop()
+        when = loop.time() + (_URGENT_DELAY if urgent else _DELAY)
+        if self._scheduled is not None:
+            if self._scheduled.when() <= when:
+                return
+            self._scheduled.cancel()
+        self._scheduled = loop.call_at(when, self._send)
 
     def _send(self) -> None:
         now = self._timers.now()
--- a/packages/routing/src/lavendershed/routing/load_board.py
+++ b/packages/routing/src/lavendershed/routing/load_board.py
@@ -43,6 +43,10 @@
     credit: float
 
 
+# Takes whether the change is urgent.
+ChangeListener = Callable[[bool], object]
+
+
 class EngineLoad:
     """Work at one engine at one moment; durations in milliseconds."""
 
@@ -91,15 +95,20 @@
             ids.Incarnation, tuple[units.Instant, tuple[Work, ...]]
         ] = {}
         self._index: dict[ids.BackendServerId, list[Work]] = {}
-        self._listeners: list[Callable[[], object]] = []
+        self._listeners: list[ChangeListener] = []
 
     @property
     def own(self) -> tuple[Work, ...]:
         """Work that this daemon has placed."""
         return tuple(self._own.values())
 
-    def subscribe(self, listener: Callable[[], object]) -> None:
-        """Calls `listener` after each change of the own work."""
+    def subscribe(self, listener: ChangeListener) -> None:
+        """Calls `listener` after each change of the own work.
+
+        New work is urgent: others choose worse as long as they don't know of
+        it. What they believe of work that has gone on or ended is on the safe
+        side.
+        """
         self._listeners.append(listener)
 
     def add(self, work: Work) -> int:
@@ -107,7 +116,7 @@
         number = next(self._numbers)
         self._own[number] = work
         self._index.setdefault(work.server, []).append(work)
-        self._changed()
+        self._changed(urgent=True)
         return number
 
     def start_writing(self, numbers: Iterable[int]) -> None:
@@ -125,7 +134,7 @@
                 continue
             if work.memory:
                 work.phase = forwarding_states.WorkPhase.WRITING
-                self._changed()
+                self._changed(urgent=False)
             else:
                 self.remove(number)
 
@@ -134,7 +143,7 @@
         work = self._own.pop(number, None)
         if work is not None:
             self._index[work.server].remove(work)
-            self._changed()
+            self._changed(urgent=False)
 
     def on_report(
         self,
@@ -162,9 +171,9 @@
         """Returns the work at an engine."""
         return EngineLoad(self._index.get(server, ()))
 
-    def _changed(self) -> None:
+    def _changed(self, *, urgent: bool) -> None:
         for listener in self._listeners:
-            listener()
+            listener(urgent)
 
     def _forget(self, daemon: ids.Incarnation) -> None:
         _, works = self._peers.pop(daemon, (0.0, ()))
