Weigh requests by their expected answers and keep abandoned reads

Short answers were weighed by their longest length, four times too much. Change: the credit uses the caller's estimate or the usual length; abandoned reads count until their predicted end; new daemons are told the load at once; the first watch after a failure returns at once.

--- a/packages/forwarding/src/lavendershed/forwarding/load_sharing.py
+++ b/packages/forwarding/src/lavendershed/forwarding/load_sharing.py
@@ -137,6 +137,9 @@
         if report.daemon == self._daemon:
             return
         address = addresses.Address(str(addr[0]), addr[1])
+        if address not in self._peers.heard:
+            # A daemon that has just started knows nothing of the load.
+            self._on_change(urgent=True)
         newest = self._peers.on_report(
             address, report.daemon, report.sequence, report.peers, now
         )
--- a/packages/forwarding/src/lavendershed/forwarding/stream_run.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_run.py
@@ -158,8 +158,9 @@
         finally:
             if held is not None:
                 held.release()
+            now = self._context.timers.now()
             for number in numbers:
-                self._context.board.remove(number)
+                self._context.board.abandon(number, now)
 
     def _place(self, placement: engine_choice.Placement) -> list[int]:
         """Adds the work to the board; the first number is the writer's."""
--- a/packages/forwarding/src/lavendershed/forwarding/synchronisation.py
+++ b/packages/forwarding/src/lavendershed/forwarding/synchronisation.py
@@ -20,6 +20,9 @@
 # by the transport's probes, so that the wait may be longer than the time in
 # which a change has to be in force.
 _WATCH_WAIT = units.Seconds(9.0)
+# After a failure the first watch comes back at once: a store that has returned
+# is noticed then, and not with its next change.
+_FIRST_WAIT = units.Seconds(0.001)
 # Calls to a store that is away are priced too, and its return has to be seen
 # well within the two seconds in which lapsed entries come back.
 _RETRY_LIMITS = backoff.BackoffLimits(
@@ -79,6 +82,7 @@
         self._log = event_log
         self._backoff = backoff.Backoff(generator, _RETRY_LIMITS)
         self._revision: ids.ObjectVersion | None = None
+        self._failed = False
 
     async def run(self) -> None:
         """Follows the objects until cancelled."""
@@ -86,6 +90,7 @@
             error = await (
                 self._list() if self._revision is None else self._watch()
             )
+            self._failed = error is not None
             if error is None:
                 self._backoff.reset()
                 continue
@@ -109,7 +114,8 @@
 
     async def _watch(self) -> translators.SourceError | None:
         assert self._revision is not None
-        watched = await self._source.watch(self._revision, _WATCH_WAIT)
+        wait = _FIRST_WAIT if self._failed else _WATCH_WAIT
+        watched = await self._source.watch(self._revision, wait)
         if isinstance(watched, result.Err):
             return watched.err_value
         changed, removed, revision = watched.ok_value
--- a/packages/platform/src/lavendershed/platform/callers.py
+++ b/packages/platform/src/lavendershed/platform/callers.py
@@ -40,7 +40,9 @@
         patience = fields.get(names.TIME_LEFT)
         if patience is not None and not patience.isdigit():
             return _improper(names.TIME_LEFT)
-        size = _size(fields.get(names.SIZE))
+        size = _size(
+            fields.get(names.SIZE), fields.get(names.EXPECTED_ANSWER)
+        )
         if isinstance(size, result.Err):
             return size
         last_event = fields.get(names.LAST_EVENT)
@@ -94,7 +96,7 @@
 
 
 def _size(
-    text: str | None,
+    text: str | None, expected: str | None
 ) -> result.Result[pass_model.PromptSize | None, outcomes.RequestFailure]:
     if text is None:
         return result.Ok(None)
@@ -103,7 +105,11 @@
         return _improper(names.SIZE)
     return result.Ok(
         pass_model.PromptSize(
-            units.Tokens(int(prompt)), units.Tokens(int(answer))
+            units.Tokens(int(prompt)),
+            units.Tokens(int(answer)),
+            units.Tokens(int(expected))
+            if expected is not None and expected.isdigit()
+            else None,
         )
     )
 
--- a/packages/platform/src/lavendershed/platform/names.py
+++ b/packages/platform/src/lavendershed/platform/names.py
@@ -11,6 +11,8 @@
 ORGANISATION = "tenant"
 # Prompt tokens and most answer tokens, separated by a comma.
 SIZE = "token-count"
+# The client's estimate of the answer's tokens; right at the median only.
+EXPECTED_ANSWER = "length-hint"
 LAST_EVENT = "last-event-id"
 # Signature of the engine that ran the request.
 SIGNATURE = "engine-seal"
--- a/packages/platform/src/lavendershed/platform/objects.py
+++ b/packages/platform/src/lavendershed/platform/objects.py
@@ -145,6 +145,7 @@
 
 
 def _engine(body: dict[str, fields.Body]) -> engine_profile.EngineProfile:
+    usual = fields.table(body.get("usual", {}), "usual")
     return engine_profile.EngineProfile(
         slots=fields.whole(body, "slots"),
         memory=units.Tokens(fields.whole(body, "kv_capacity")),
@@ -155,6 +156,7 @@
         read_tokens_per_ms=fields.number(body, "read_per_s") / _PER_SECOND,
         pairs_ms=fields.number(body, "pairs_per_m", 0.0),
         read_tokens_per_step=fields.whole(body, "chunk", 1),
+        usual_answer=units.Tokens(int(fields.number(usual, "answer", 0.0))),
         helper_hop_ms=fields.number(body, "hop_ms", 0.0),
     )
 
--- a/packages/routes/src/lavendershed/routes/engine_profile.py
+++ b/packages/routes/src/lavendershed/routes/engine_profile.py
@@ -25,6 +25,7 @@
         read_tokens_per_ms: Prompt tokens that are read in a millisecond.
         pairs_ms: Milliseconds per million pairs of a token and an earlier one.
         read_tokens_per_step: Most prompt tokens that are read in a step.
+        usual_answer: Mean tokens of an answer.
         helper_hop_ms: Milliseconds that a joint request adds to a step.
     """
 
@@ -37,4 +38,5 @@
     read_tokens_per_ms: float
     pairs_ms: float
     read_tokens_per_step: int
+    usual_answer: units.Tokens
     helper_hop_ms: float
--- a/packages/routing/src/lavendershed/routing/engine_choice.py
+++ b/packages/routing/src/lavendershed/routing/engine_choice.py
@@ -82,11 +82,10 @@
     """Weights of the expected loss; credit is what a request is worth.
 
     The worths of the kinds of requests are not on the wire. Over the stated
-    workloads, one credit stands for about 10,000 tokens, an answer token
-    counting as ten.
+    workloads, one credit stands for about 10,000 tokens of work.
 
     Attributes:
-        credit_per_token: Credit per prompt token and tenth of answer token.
+        credit_per_token: Credit per token of work.
         late_share: Part of the credit that a late answer loses.
         waiting: Loss per second to the first token, of any request.
         opening: Loss for the first writer of an engine, which long prompts
@@ -164,7 +163,7 @@
 
     def credit(self, size: pass_model.PromptSize) -> float:
         """Returns what a request of this size is worth on time."""
-        return (size.prompt + 10 * size.answer) * self._weights.credit_per_token
+        return self._model.work_tokens(size) * self._weights.credit_per_token
 
     def choose(
         self,
--- a/packages/routing/src/lavendershed/routing/load_board.py
+++ b/packages/routing/src/lavendershed/routing/load_board.py
@@ -43,6 +43,10 @@
     credit: float
 
 
+# An engine reads about 100,000 tokens in a pass, which takes up to some seconds
+# with the pairs of a long prompt.
+_LONGEST_PASS = units.Seconds(3.0)
+
 # Takes whether the change is urgent.
 ChangeListener = Callable[[bool], object]
 
@@ -95,6 +99,7 @@
             ids.Incarnation, tuple[units.Instant, tuple[Work, ...]]
         ] = {}
         self._index: dict[ids.BackendServerId, list[Work]] = {}
+        self._abandoned: set[int] = set()
         self._listeners: list[ChangeListener] = []
 
     @property
@@ -138,6 +143,26 @@
             else:
                 self.remove(number)
 
+    def abandon(self, number: int, now: units.Instant) -> None:
+        """Ends own work whose request was given up.
+
+        An engine that reads ends its pass all the same, so that the work
+        counts until its predicted end, at most `_LONGEST_PASS` from now.
+        """
+        work = self._own.get(number)
+        if (
+            work is None
+            or work.phase is forwarding_states.WorkPhase.WRITING
+            or work.ready_at <= now
+        ):
+            self.remove(number)
+            return
+        work.memory = work.context = 0
+        work.credit = 0.0
+        work.ready_at = min(work.ready_at, units.after(now, _LONGEST_PASS))
+        self._abandoned.add(number)
+        self._changed(urgent=False)
+
     def remove(self, number: int) -> None:
         """Removes own work; unknown numbers are ignored."""
         work = self._own.pop(number, None)
@@ -158,7 +183,18 @@
             self._index.setdefault(work.server, []).append(work)
 
     def expire(self, now: units.Instant) -> None:
-        """Forgets daemons that have been silent for `PEER_LIFETIME`."""
+        """Forgets abandoned work that has ended, and silent daemons.
+
+        A daemon is silent after `PEER_LIFETIME` without a report.
+        """
+        ended = [
+            number
+            for number in self._abandoned
+            if self._own[number].ready_at <= now
+        ]
+        for number in ended:
+            self._abandoned.discard(number)
+            self.remove(number)
         silent = [
             daemon
             for daemon, (at, _) in self._peers.items()
--- a/packages/routing/src/lavendershed/routing/pass_model.py
+++ b/packages/routing/src/lavendershed/routing/pass_model.py
@@ -8,6 +8,7 @@
 from lavendershed.routes import engine_profile
 
 _MILLION = 1_000_000.0
+_WRITTEN_WEIGHT = 10
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -17,10 +18,12 @@
     Attributes:
         prompt: Tokens to read.
         answer: Most tokens that may be written.
+        expected: Tokens that the caller expects to be written, if it says so.
     """
 
     prompt: units.Tokens
     answer: units.Tokens
+    expected: units.Tokens | None = None
 
     @property
     def memory(self) -> int:
@@ -39,6 +42,17 @@
         """Figures of the engines."""
         return self._profile
 
+    def work_tokens(self, size: PromptSize) -> float:
+        """Returns the work of a request in prompt tokens.
+
+        A token that is written counts as ten that are read, the weight that
+        the users give it.
+        """
+        expected = size.expected
+        if expected is None:
+            expected = self._profile.usual_answer
+        return size.prompt + _WRITTEN_WEIGHT * min(size.answer, expected)
+
     def pass_ms(self, writers: int, context: int) -> float:
         """Returns the length of a pass without reading.
 
