--- a/packages/platform/src/lavendershed/platform/callers.py
+++ b/packages/platform/src/lavendershed/platform/callers.py
@@ -40,9 +40,7 @@
         patience = fields.get(names.TIME_LEFT)
         if patience is not None and not patience.isdigit():
             return _improper(names.TIME_LEFT)
-        size = _size(
-            fields.get(names.SIZE), fields.get(names.EXPECTED_ANSWER)
-        )
+        size = _size(fields.get(names.SIZE), fields.get(names.EXPECTED_ANSWER))
         if isinstance(size, result.Err):
             return size
         last_event = fields.get(names.LAST_EVENT)
