Model slots, count a delayed request once and keep engines for short ones

Cause: under bursts, requests waited for slots that the prediction did not know; parts of one long prompt counted as many losses; long prompts held up all engines. Change: the board carries the predicted end of answers; the wait for a slot is part of the prediction; losses count once for a request; long parts leave engines free in proportion to the answers being written; a prompt without room waits up to its target latency.

--- a/packages/forwarding/src/lavendershed/forwarding/attempts.py
+++ b/packages/forwarding/src/lavendershed/forwarding/attempts.py
@@ -79,6 +79,8 @@
         self._results: list[AttemptResult] = []
         self._tried: set[ids.BackendServerId] = set()
         self._delivered = 0
+        # The result whose further attempt has been taken from the budget.
+        self._charged: AttemptResult | None = None
 
     @property
     def tried(self) -> frozenset[ids.BackendServerId]:
@@ -129,7 +131,7 @@
             return self.failure(
                 states.FailureReason.DEADLINE_EXCEEDED, "the time is over"
             )
-        if not self._results:
+        if not self._results or self._results[-1] is self._charged:
             return None
         last = self._results[-1]
         repeatable = self._admitted.route.repeatable
@@ -153,6 +155,7 @@
             self._admitted.service.id, now
         ):
             return self._server_failed("the retry budget is used up")
+        self._charged = last
         return None
 
     def failure(
--- a/packages/forwarding/src/lavendershed/forwarding/stream_run.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
 
 import result
@@ -31,6 +32,9 @@
 # margin; a caller gives up after two seconds or four times the target.
 _FIRST_EVENT_FACTOR = 1.5
 _FIRST_EVENT_MARGIN = units.Seconds(1.0)
+# Engines read parts of other prompts first, so that a long prompt may need
+# this multiple of its target latency.
+_FIRST_EVENT_TARGETS = 2.0
 # A running stream has stalled after this multiple of the longest pause on
 # time, and not before this time: engines read a request again that they had
 # to put aside.
@@ -38,6 +42,11 @@
 _SHORTEST_STALL = units.Seconds(1.0)
 # Longest pause of a route that states none.
 _DEFAULT_PAUSE = units.Seconds(0.5)
+# Reports carry 31 bits of the fingerprint to tell requests apart.
+_REQUEST_NUMBER_MASK = 0x7FFF_FFFF
+# A prompt that finds no memory tries again after this time, and fails after
+# its target latency: memory is freed by the end of any long request.
+_MEMORY_RETRY = units.Seconds(0.1)
 _MAX_FAILED_ANSWER = units.Bytes(1_000_000)
 
 
@@ -74,12 +83,15 @@
         while True:
             failure = self._attempts.next_failure()
             placement = None if failure is not None else self._choose()
+            if placement is None and failure is None and self._may_wait():
+                await asyncio.sleep(_MEMORY_RETRY)
+                continue
             if placement is None:
                 await self._give_up(
                     failure
                     or self._attempts.failure(
                         states.FailureReason.NO_BACKEND_SERVER,
-                        f"service {self._admitted.service.id} has no engine",
+                        f"service {self._admitted.service.id} has no room",
                     )
                 )
                 return
@@ -89,6 +101,14 @@
                 return
             self._attempts.add(placement.first, ended)
 
+    def _may_wait(self) -> bool:
+        """Returns whether an engine may have room in time."""
+        waited = self._context.timers.now() - self._admitted.received
+        servers = self._context.view.directory.of_service(
+            self._admitted.service.id
+        )
+        return bool(servers) and waited < self._admitted.route.target_latency
+
     def _choose(self) -> engine_choice.Placement | None:
         context = self._context
         candidates = context.view.directory.of_service(
@@ -110,6 +130,7 @@
         demand = engine_choice.Demand(
             self._size,
             due_at,
+            self._admitted.limit_at,
             self._pause,
             context.zone,
             units.Bytes(len(self._admitted.caller.body)),
@@ -176,13 +197,18 @@
         ready_at = units.after(
             now, units.Seconds(placement.first_token_ms / 1_000)
         )
+        ends_at = units.after(
+            ready_at, units.Seconds(placement.write_ms / 1_000)
+        )
         return [
             self._context.board.add(
                 load_board.Work(
+                    self._admitted.fingerprint & _REQUEST_NUMBER_MASK,
                     entry.id,
                     forwarding_states.WorkPhase.READING,
                     placement.read_ms,
                     ready_at,
+                    ends_at,
                     held.get(entry.id, 0),
                     held.get(entry.id, 0),
                     self._pause,
@@ -341,9 +367,13 @@
         self, placement: engine_choice.Placement
     ) -> units.Seconds:
         predicted = placement.first_token_ms / 1_000 * _FIRST_EVENT_FACTOR
+        target = self._admitted.route.target_latency
         return units.Seconds(
             min(
-                predicted + _FIRST_EVENT_MARGIN,
+                max(
+                    predicted + _FIRST_EVENT_MARGIN,
+                    target * _FIRST_EVENT_TARGETS,
+                ),
                 max(0.0, self._attempts.time_left),
             )
         )
@@ -382,7 +412,7 @@
         detail = f"status {answer.status}"
         match answer.kind:
             case requests.AnswerKind.NOT_RUN:
-                if answer.faulty is not None:
+                if answer.faulty not in (None, entry.address):
                     self._exclude_address(answer)
                 return attempts.AttemptResult(
                     forwarding_states.AttemptEnd.REFUSED, detail
--- a/packages/peer/src/lavendershed/peer/load_reports.py
+++ b/packages/peer/src/lavendershed/peer/load_reports.py
@@ -18,14 +18,14 @@
 from lavendershed.peer.gen.messages import ttypes
 from lavendershed.routing import load_board
 
-_WORK_FIELDS = 9
+_WORK_FIELDS = 11
 # Memory and contexts are rounded to blocks, which takes a byte less each.
 _TOKENS_PER_BLOCK = 64
 _CREDIT_STEPS = 10
 _PORT_RANGE = 65_536
 # A report has to fit into one datagram of 1,400 bytes. A part takes about 16
 # bytes; a daemon of the largest deployment has about 40 open requests.
-_MAX_WORKS = 72
+_MAX_WORKS = 64
 _MAX_SUSPECTS = 8
 _MAX_PEERS = 24
 
@@ -120,10 +120,12 @@
 
 def _work_numbers(work: load_board.Work, now: units.Instant) -> tuple[int, ...]:
     return (
+        work.request,
         server_number(work.server),
         work.phase.value,
         round(work.read_ms),
         round((work.ready_at - now) * 1_000),
+        round((work.ends_at - work.ready_at) * 1_000),
         -(-work.memory // _TOKENS_PER_BLOCK),
         -(-work.context // _TOKENS_PER_BLOCK),
         round(work.longest_pause * 1_000),
@@ -135,15 +137,18 @@
 def _work(
     numbers: list[int], lookup: ServerLookup, now: units.Instant
 ) -> load_board.Work | None:
-    number, phase, read, ready, memory, context, pause, due, credit = numbers
+    request, number, phase, read, ready, length = numbers[:6]
+    memory, context, pause, due, credit = numbers[6:]
     server = lookup(number)
     if server is None:
         return None
     return load_board.Work(
+        request,
         server,
         forwarding_states.WorkPhase(phase),
         float(read),
         units.Instant(now + ready / 1_000),
+        units.Instant(now + (ready + length) / 1_000),
         memory * _TOKENS_PER_BLOCK,
         context * _TOKENS_PER_BLOCK,
         units.Seconds(pause / 1_000),
--- a/packages/routing/src/lavendershed/routing/engine_choice.py
+++ b/packages/routing/src/lavendershed/routing/engine_choice.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import abc
+from collections.abc import Iterable
+from collections.abc import Iterator
 from collections.abc import Sequence
 import dataclasses
 
@@ -21,6 +23,7 @@
     Attributes:
         size: Tokens in and out.
         due_at: Time by which the first token is due.
+        limit_at: Time by which the answer is due.
         longest_pause: Longest pause of an answer on time.
         zone: Availability zone of the deciding daemon.
         body: Bytes that go to the engine.
@@ -28,6 +31,7 @@
 
     size: pass_model.PromptSize
     due_at: units.Instant
+    limit_at: units.Instant
     longest_pause: units.Seconds
     zone: ids.AvailabilityZoneId
     body: units.Bytes
@@ -43,6 +47,7 @@
         read_ms: Time to read one part.
         first_token_ms: Predicted time to the first token.
         pass_ms: Predicted time between the events of the answer.
+        write_ms: Predicted time to write the whole answer.
         loss: Expected loss of credit, the measure of the choice.
         shares: Memory to reserve; empty if the first engine has the room.
     """
@@ -52,6 +57,7 @@
     read_ms: float
     first_token_ms: float
     pass_ms: float
+    write_ms: float
     loss: float
     shares: tuple[memory_shares.MemoryShare, ...] = ()
 
@@ -67,7 +73,7 @@
         avoided: frozenset[ids.BackendServerId],
         now: units.Instant,
     ) -> Placement | None:
-        """Returns the engines to use, or None without any candidate.
+        """Returns the engines to use, or None if there is no room.
 
         Args:
             demand: What the request needs.
@@ -91,7 +97,6 @@
         opening: Loss for the first writer of an engine, which long prompts
             could have used without delaying anyone.
         crowding: Loss per request above the comfortable number.
-        overfull: Loss per request above the slots, which waits for an end.
         overcommitted: Share of the credit that is lost if the memory of the
             engine doesn't suffice and the request is read again.
         crowded_memory: Loss for writing at an engine without enough memory,
@@ -110,7 +115,6 @@
     waiting: float = 1.0
     opening: float = 0.3
     crowding: float = 0.3
-    overfull: float = 2.0
     overcommitted: float = 0.75
     crowded_memory: float = 0.2
     order: float = 0.02
@@ -126,6 +130,16 @@
 # second on; between them the probability grows evenly.
 _LATE_FROM = 0.85
 _LATE_TO = 1.1
+# One engine in this many reads no part of a joint prompt, so that requests
+# which arrive meanwhile find an engine that is not held up.
+_LEFT_OUT = 7
+# A part that takes longer makes the answers at its engine late.
+_BLOCKING_MS = 180.0
+# Engines are kept for this multiple of the answers that are being written, as
+# bursts double the traffic within seconds.
+_GROWTH = 1.3
+# A prompt that needs more than this share of the time left is not sent.
+_USED_TIME_SHARE = 0.9
 _PART_COUNTS = (1, 2, 3, 4, 6, 8, 12, 16)
 
 
@@ -145,9 +159,57 @@
     load: load_board.EngineLoad
     pass_ms: float
     backlog_ms: float
+    slot_wait_ms: float
     penalty: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Reader:
+    """An engine that may read a part.
+
+    Attributes:
+        engine: The engine.
+        ready_ms: Time until the part is read.
+        harm: Loss of each request there.
+    """
+
+    engine: _Candidate
+    ready_ms: float
+    harm: dict[int, float]
+
+    @property
+    def holds_up_more(self) -> bool:
+        """Whether no other long part holds up the engine already."""
+        return self.engine.backlog_ms < _BLOCKING_MS
+
+    @property
+    def loss(self) -> float:
+        """Loss of all requests there."""
+        return sum(self.harm.values()) + self.engine.penalty
+
+
+def _limited(readers: Iterable[_Reader], spare: int) -> Iterator[_Reader]:
+    """Yields readers, of those that nothing holds up yet at most `spare`."""
+    for reader in readers:
+        if reader.holds_up_more:
+            if spare <= 0:
+                continue
+            spare -= 1
+        yield reader
+
+
+def _combined(readers: Sequence[_Reader]) -> float:
+    """Returns the loss at all readers.
+
+    A request that several of them delay is late only once.
+    """
+    worst: dict[int, float] = {}
+    for reader in readers:
+        for request, loss in reader.harm.items():
+            worst[request] = max(worst.get(request, 0.0), loss)
+    return sum(worst.values()) + sum(r.engine.penalty for r in readers)
+
+
 class PredictedLossChooser(EngineChooser):
     """Minimises the predicted loss of credit of all requests together."""
 
@@ -178,20 +240,28 @@
             return None
         engines = [self._candidate(entry, demand, now) for entry in usable]
         whole_ms = self._model.read_ms(demand.size.prompt)
+        most = min(
+            len(engines) - len(engines) // _LEFT_OUT,
+            self._weights.most_parts,
+        )
         counts = [
             count
             for count in _PART_COUNTS
             if count == 1
-            or (
-                whole_ms > self._weights.joined_read_ms
-                and count <= min(len(engines), self._weights.most_parts)
-            )
+            or (whole_ms > self._weights.joined_read_ms and count <= most)
         ]
         plans = [
             self._plan(demand, engines, whole_ms / count, count, now)
             for count in counts
         ]
-        return min(plans, key=lambda plan: plan.loss)
+        feasible = [
+            plan
+            for plan in plans
+            if (plan.shares or demand.size.memory <= self._model.profile.memory)
+            and plan.first_token_ms
+            <= (demand.limit_at - now) * 1_000 * _USED_TIME_SHARE
+        ]
+        return min(feasible, key=lambda plan: plan.loss, default=None)
 
     def _candidate(
         self,
@@ -208,16 +278,14 @@
             load,
             pass_ms,
             load.backlog_ms(now, pass_ms),
+            load.slot_wait_ms(now, self._model.profile.slots),
             self._crowding(load),
         )
 
     def _crowding(self, load: load_board.EngineLoad) -> float:
         slots = self._model.profile.slots
         above = load.requests + 1 - slots * _COMFORTABLE_SHARE
-        full = load.requests + 1 - slots
-        return self._weights.crowding * max(
-            0.0, above
-        ) + self._weights.overfull * max(0.0, full)
+        return self._weights.crowding * max(0.0, above)
 
     def _plan(
         self,
@@ -228,34 +296,55 @@
         now: units.Instant,
     ) -> Placement:
         helper = count > 1
-        scored = [
-            (
-                engine,
-                engine.backlog_ms + part_ms,
-                self._harm(engine, part_ms, helper, now) + engine.penalty,
-            )
-            for engine in engines
-        ]
         waiting = self._weights.waiting / 1_000
-        readers = sorted(scored, key=lambda s: s[2] + s[1] * waiting)[:count]
-        slowest = max(ready for _, ready, _ in readers)
-        first = min(
+        readers = sorted(
+            (
+                _Reader(
+                    engine,
+                    engine.backlog_ms + part_ms,
+                    self._harm(engine, part_ms, helper, now),
+                )
+                for engine in engines
+            ),
+            key=lambda r: r.loss + r.ready_ms * waiting,
+        )
+        best = min(
             readers,
-            key=lambda s: self._writer_loss(demand, s[0]),
-        )[0]
+            key=lambda r: (
+                r.loss
+                + r.ready_ms * waiting
+                + self._writer_loss(demand, r.engine)
+            ),
+        )
+        others = [reader for reader in readers if reader is not best]
+        if part_ms >= _BLOCKING_MS:
+            spare = self._spare_engines(engines) - best.holds_up_more
+            others = list(_limited(others, spare))
+        readers = [best, *others[: count - 1]]
+        part_ms = part_ms * count / len(readers)
+        first = best.engine
+        slowest = max(r.engine.backlog_ms for r in readers) + part_ms
         shares: tuple[memory_shares.MemoryShare, ...] = ()
         if not self._has_room(demand, first):
-            shares = self._shares(demand, [s[0] for s in readers])
+            shares = self._shares(demand, [r.engine for r in readers])
             holders = {share.holder.id for share in shares}
-            held = [s[0] for s in readers if s[0].entry.id in holders]
+            held = [
+                reader.engine
+                for reader in readers
+                if reader.engine.entry.id in holders
+            ]
             # The engine that writes has to hold a share itself.
             first = min(
                 held or [first],
                 key=lambda engine: self._writer_loss(demand, engine),
             )
-        first_token_ms = slowest + first.pass_ms
+        # Writers' passes are met half-way on the average.
+        joining = first.pass_ms / 2 if first.load.writers else 0.0
+        first_token_ms = (
+            max(slowest + joining, first.slot_wait_ms + part_ms) + first.pass_ms
+        )
         loss = (
-            sum(harm for _, _, harm in readers)
+            _combined(readers)
             + self._writer_loss(demand, first)
             + self._room_loss(demand, first, shares)
             + first_token_ms * waiting
@@ -266,18 +355,32 @@
         )
         return Placement(
             first.entry,
-            tuple(s[0].entry for s in readers if s[0] is not first),
+            tuple(r.engine.entry for r in readers if r.engine is not first),
             part_ms,
             first_token_ms,
             first.pass_ms,
+            self._model.write_ms(demand.size, first.pass_ms),
             loss,
             shares,
         )
 
+    def _spare_engines(self, engines: list[_Candidate]) -> int:
+        """Returns the engines that long parts may hold up in addition.
+
+        Short requests need some engines that no long part holds up. The
+        answers that are being written now tell how many.
+        """
+        free = sum(engine.backlog_ms < _BLOCKING_MS for engine in engines)
+        writers = sum(len(engine.load.writers) for engine in engines)
+        comfortable = self._model.profile.slots * _COMFORTABLE_SHARE
+        needed = 1 + _GROWTH * writers / comfortable
+        return max(1, int(free - needed))
+
     def _writer_loss(self, demand: Demand, engine: _Candidate) -> float:
         """Returns the loss if the answer is written at this engine."""
         weights = self._weights
         loss = 0.0 if engine.load.writers else weights.opening
+        loss += engine.slot_wait_ms * weights.waiting / 1_000
         if not self._has_room(demand, engine):
             loss += weights.crowded_memory
         if engine.entry.availability_zone != demand.zone:
@@ -314,8 +417,6 @@
             return self._weights.order * 3 * len(shares)
         if self._has_room(demand, first):
             return 0.0
-        if demand.size.memory > self._model.profile.memory:
-            return self.credit(demand.size)
         return self.credit(demand.size) * self._weights.overcommitted
 
     def _harm(
@@ -324,23 +425,23 @@
         part_ms: float,
         helper: bool,
         now: units.Instant,
-    ) -> float:
-        """Returns the loss of the requests that are already there."""
+    ) -> dict[int, float]:
+        """Returns the loss of each request that is already there."""
         before = engine.pass_ms + engine.backlog_ms
         after = before + part_ms
-        loss = 0.0
+        share = self._weights.late_share
+        losses: dict[int, float] = {}
         for work in engine.load.writers:
             limit = work.longest_pause * 1_000
-            loss += work.credit * (
-                lateness(after, limit) - lateness(before, limit)
-            )
+            late = lateness(after, limit) - lateness(before, limit)
+            if late > 0:
+                losses[work.request] = work.credit * late * share
         # A part is read before other reads, and a pass with writers gives
         # all its first tokens together at its end.
         if helper or engine.load.writers:
+            delay = part_ms * self._weights.waiting / 1_000
             for work in engine.load.reads:
                 limit = (work.due_at - now) * 1_000
-                loss += work.credit * (
-                    lateness(before + part_ms, limit) - lateness(before, limit)
-                )
-                loss += part_ms * self._weights.waiting / 1_000
-        return loss * self._weights.late_share
+                late = lateness(after, limit) - lateness(before, limit)
+                losses[work.request] = delay + work.credit * late * share
+        return losses
--- a/packages/routing/src/lavendershed/routing/load_board.py
+++ b/packages/routing/src/lavendershed/routing/load_board.py
@@ -21,10 +21,12 @@
     """One part of a request at one engine.
 
     Attributes:
+        request: Number that the parts of one request share.
         server: The engine.
         phase: Whether the engine reads the prompt or writes the answer.
         read_ms: Time that the engine needs to read this part.
         ready_at: Predicted time of the first token.
+        ends_at: Predicted end of the answer.
         memory: Tokens of engine memory that the part holds.
         context: Tokens that each step of a writer has to look at.
         longest_pause: Longest pause of an answer on time.
@@ -32,10 +34,12 @@
         credit: What the request is worth if it is answered on time.
     """
 
+    request: int
     server: ids.BackendServerId
     phase: forwarding_states.WorkPhase
     read_ms: float
     ready_at: units.Instant
+    ends_at: units.Instant
     memory: int
     context: int
     longest_pause: units.Seconds
@@ -47,6 +51,9 @@
 # with the pairs of a long prompt.
 _LONGEST_PASS = units.Seconds(3.0)
 
+# Half of a pass of an engine with some writers.
+_OVERDUE_MS = 25.0
+
 # Takes whether the change is urgent.
 ChangeListener = Callable[[bool], object]
 
@@ -74,6 +81,19 @@
         """Requests that read or write here."""
         return len(self.writers) + len(self.reads)
 
+    def slot_wait_ms(self, now: units.Instant, slots: int) -> float:
+        """Returns the time until one of the engine's slots is free."""
+        ends = sorted(
+            work.ends_at
+            for work in itertools.chain(self.writers, self.reads)
+            if work.memory
+        )
+        surplus = len(ends) - slots
+        if surplus < 0:
+            return 0.0
+        # A request that should have ended ends soon.
+        return max((ends[surplus] - now) * 1_000, _OVERDUE_MS)
+
     def backlog_ms(self, now: units.Instant, pass_ms: float) -> float:
         """Returns the reading time that is left here."""
         if not self.reads:
--- a/packages/routing/src/lavendershed/routing/pass_model.py
+++ b/packages/routing/src/lavendershed/routing/pass_model.py
@@ -48,10 +48,19 @@
         A token that is written counts as ten that are read, the weight that
         the users give it.
         """
+        return size.prompt + _WRITTEN_WEIGHT * self.expected_answer(size)
+
+    def expected_answer(self, size: PromptSize) -> int:
+        """Returns the tokens that are probably written."""
         expected = size.expected
         if expected is None:
             expected = self._profile.usual_answer
-        return size.prompt + _WRITTEN_WEIGHT * min(size.answer, expected)
+        return min(size.answer, expected)
+
+    def write_ms(self, size: PromptSize, pass_ms: float) -> float:
+        """Returns the time to write the expected answer."""
+        passes = self.expected_answer(size) / self._profile.steps_per_pass
+        return passes * pass_ms
 
     def pass_ms(self, writers: int, context: int) -> float:
         """Returns the length of a pass without reading.
