Let requests that are late anyway yield to those that can be in time

Cause: in a burst above the engines' slots a queue forms, and everything behind it is late although the engines serve the same number a second. Change: a request whose first token is expected late gets the least urgent rank and takes no slot from others in the prediction. Long prompts wait three times their target for the first event, since a second reading costs more.

--- a/packages/forwarding/src/lavendershed/forwarding/call_run.py
+++ b/packages/forwarding/src/lavendershed/forwarding/call_run.py
@@ -147,7 +147,7 @@
             entry.id,
             self._admitted.organisation,
             left,
-            urgency=self._admitted.urgency,
+            urgency=min(self._admitted.urgency, requests.LEAST_URGENT),
         )
         connection = lease.connection
         wait = self._wait(left)
--- a/packages/forwarding/src/lavendershed/forwarding/requests.py
+++ b/packages/forwarding/src/lavendershed/forwarding/requests.py
@@ -13,6 +13,9 @@
 
 Headers = tuple[tuple[str, str], ...]
 
+# Ranks go from 0, the first, to this one.
+LEAST_URGENT = 9
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerRequest:
--- a/packages/forwarding/src/lavendershed/forwarding/stream_run.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_run.py
@@ -33,8 +33,8 @@
 _FIRST_EVENT_FACTOR = 1.5
 _FIRST_EVENT_MARGIN = units.Seconds(1.0)
 # Engines read parts of other prompts first, so that a long prompt may need
-# this multiple of its target latency.
-_FIRST_EVENT_TARGETS = 2.0
+# this multiple of its target latency. Callers wait for four times the target.
+_FIRST_EVENT_TARGETS = 3.0
 # A running stream has stalled after this multiple of the longest pause on
 # time, and not before this time: engines read a request again that they had
 # to put aside.
@@ -148,6 +148,7 @@
                 answer=self._size.answer,
                 predicted_ms=round(placement.first_token_ms, 1),
                 loss=round(placement.loss, 3),
+                urgent=placement.urgent,
                 candidates=len(candidates),
                 avoided=len(avoided),
                 attempt=self._attempts.count + 1,
@@ -214,6 +215,7 @@
                     self._pause,
                     due_at,
                     credit,
+                    placement.urgent,
                 )
             )
             for entry in (placement.first, *placement.helpers)
@@ -268,7 +270,11 @@
             self._attempts.time_left,
             last_event=self._last_event,
             helpers=_helpers(placement, held),
-            urgency=self._admitted.urgency,
+            urgency=(
+                min(self._admitted.urgency, requests.LEAST_URGENT - 1)
+                if placement.urgent
+                else requests.LEAST_URGENT
+            ),
         )
         wait = self._first_event_wait(placement)
         sent = await connection.send(
--- a/packages/peer/src/lavendershed/peer/load_reports.py
+++ b/packages/peer/src/lavendershed/peer/load_reports.py
@@ -19,6 +19,8 @@
 from lavendershed.routing import load_board
 
 _WORK_FIELDS = 11
+# Added to the number of the phase.
+_NOT_URGENT = 2
 # Memory and contexts are rounded to blocks, which takes a byte less each.
 _TOKENS_PER_BLOCK = 64
 _CREDIT_STEPS = 10
@@ -122,7 +124,7 @@
     return (
         work.request,
         server_number(work.server),
-        work.phase.value,
+        work.phase.value + (0 if work.urgent else _NOT_URGENT),
         round(work.read_ms),
         round((work.ready_at - now) * 1_000),
         round((work.ends_at - work.ready_at) * 1_000),
@@ -145,7 +147,7 @@
     return load_board.Work(
         request,
         server,
-        forwarding_states.WorkPhase(phase),
+        forwarding_states.WorkPhase(phase % _NOT_URGENT),
         float(read),
         units.Instant(now + ready / 1_000),
         units.Instant(now + (ready + length) / 1_000),
@@ -154,6 +156,7 @@
         units.Seconds(pause / 1_000),
         units.Instant(now + due / 1_000),
         credit / _CREDIT_STEPS,
+        phase < _NOT_URGENT,
     )
 
 
--- a/packages/platform/src/lavendershed/platform/engines.py
+++ b/packages/platform/src/lavendershed/platform/engines.py
@@ -16,7 +16,6 @@
 # These statuses promise that a request has not run. An engine that sends one
 # without saying so may have run it.
 _PROMISES = frozenset({408, 421, 429, 503})
-_LOWEST_URGENCY = 9
 _ORDER_ANSWERS = {
     200: requests.ReservationAnswer.GRANTED,
     400: requests.ReservationAnswer.NO_ROOM,
@@ -56,8 +55,7 @@
                 )
             )
         if request.urgency is not None:
-            urgency = min(request.urgency, _LOWEST_URGENCY)
-            headers.append((names.URGENCY, str(urgency)))
+            headers.append((names.URGENCY, str(request.urgency)))
         return client.RequestHead(caller.method, caller.target, tuple(headers))
 
     def decode(
--- a/packages/routing/src/lavendershed/routing/engine_choice.py
+++ b/packages/routing/src/lavendershed/routing/engine_choice.py
@@ -49,6 +49,8 @@
         pass_ms: Predicted time between the events of the answer.
         write_ms: Predicted time to write the whole answer.
         loss: Expected loss of credit, the measure of the choice.
+        urgent: Whether the first token is expected in time; a request that is
+            late anyway lets the others go first.
         shares: Memory to reserve; empty if the first engine has the room.
     """
 
@@ -59,6 +61,7 @@
     pass_ms: float
     write_ms: float
     loss: float
+    urgent: bool
     shares: tuple[memory_shares.MemoryShare, ...] = ()
 
 
@@ -361,6 +364,7 @@
             first.pass_ms,
             self._model.write_ms(demand.size, first.pass_ms),
             loss,
+            first_token_ms <= (demand.due_at - now) * 1_000 * _LATE_TO,
             shares,
         )
 
--- a/packages/routing/src/lavendershed/routing/load_board.py
+++ b/packages/routing/src/lavendershed/routing/load_board.py
@@ -32,6 +32,7 @@
         longest_pause: Longest pause of an answer on time.
         due_at: Time by which the first token is due.
         credit: What the request is worth if it is answered on time.
+        urgent: Whether engines admit it before requests that are late anyway.
     """
 
     request: int
@@ -45,6 +46,7 @@
     longest_pause: units.Seconds
     due_at: units.Instant
     credit: float
+    urgent: bool = True
 
 
 # An engine reads about 100,000 tokens in a pass, which takes up to some seconds
@@ -59,7 +61,11 @@
 
 
 class EngineLoad:
-    """Work at one engine at one moment; durations in milliseconds."""
+    """Work at one engine at one moment; durations in milliseconds.
+
+    Reads that are not urgent wait until nothing else does, so that they take
+    memory and nothing more.
+    """
 
     __slots__ = ("context", "memory", "reads", "writers")
 
@@ -73,7 +79,7 @@
             if work.phase is forwarding_states.WorkPhase.WRITING:
                 self.writers.append(work)
                 self.context += work.context
-            else:
+            elif work.urgent:
                 self.reads.append(work)
 
     @property
