Test the promises on the platform against stand-ins; give large prompts their engines

Cause: in a deployment of two engines a prompt beyond one engine found no room, because one engine was to be kept free (seen by the new memory tests).

--- a/packages/routing/src/lavendershed/routing/engine_choice.py
+++ b/packages/routing/src/lavendershed/routing/engine_choice.py
@@ -321,7 +321,7 @@
         )
         others = [reader for reader in readers if reader is not best]
         if part_ms >= _BLOCKING_MS:
-            spare = self._spare_engines(engines) - best.holds_up_more
+            spare = self._spare_engines(demand, engines) - best.holds_up_more
             others = list(_limited(others, spare))
         readers = [best, *others[: count - 1]]
         part_ms = part_ms * count / len(readers)
@@ -368,17 +368,21 @@
             shares,
         )
 
-    def _spare_engines(self, engines: list[_Candidate]) -> int:
+    def _spare_engines(self, demand: Demand, engines: list[_Candidate]) -> int:
         """Returns the engines that long parts may hold up in addition.
 
         Short requests need some engines that no long part holds up. The
-        answers that are being written now tell how many.
+        answers that are being written now tell how many. A prompt gets the
+        engines that its memory needs in any case.
         """
         free = sum(engine.backlog_ms < _BLOCKING_MS for engine in engines)
         writers = sum(len(engine.load.writers) for engine in engines)
         comfortable = self._model.profile.slots * _COMFORTABLE_SHARE
         needed = 1 + _GROWTH * writers / comfortable
-        return max(1, int(free - needed))
+        holders = memory_shares.least_holders(
+            demand.size.memory, self._model.profile.memory
+        )
+        return max(holders, int(free - needed))
 
     def _writer_loss(self, demand: Demand, engine: _Candidate) -> float:
         """Returns the loss if the answer is written at this engine."""
--- a/packages/routing/src/lavendershed/routing/memory_shares.py
+++ b/packages/routing/src/lavendershed/routing/memory_shares.py
@@ -29,6 +29,12 @@
     tokens: int
 
 
+def least_holders(need: int, memory: int) -> int:
+    """Returns how many empty engines hold `need` tokens."""
+    usable = memory - int(memory * _KEPT_SHARE) - 2 * _BLOCK
+    return max(1, -(-need // usable))
+
+
 def divide(
     need: int, memory: int, engines: Sequence[FreeMemory]
 ) -> tuple[MemoryShare, ...]:
--- /dev/null
+++ b/packages/standin/src/lavendershed/standin/platform_store.py
@@ -0,0 +1,191 @@
+"""Stand-in of the platform's object store, with faults."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import enum
+from typing import Any
+
+import orjson
+
+from lavendershed.core import timers
+from lavendershed.transport import address as address_module
+from lavendershed.transport import server
+
+_PAGE = 500
+
+
+class StoreFault(enum.Enum):
+    """How the store misbehaves."""
+
+    NONE = "none"
+    RESET = "reset"
+    SILENT = "silent"
+    BUSY = "busy"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Change:
+    revision: int
+    kind: str
+    deleted: bool
+    stored: dict[str, Any]
+
+
+class StandinPlatformStore(server.Handler):
+    """Lists and watches of objects; writes are method calls of the tests."""
+
+    def __init__(self, timer_service: timers.TimerService) -> None:
+        self._server = server.HttpServer(
+            self, timer_service, server.ServerLimits()
+        )
+        self._objects: dict[tuple[str, str], dict[str, Any]] = {}
+        self._changes: list[_Change] = []
+        self._revision = 1
+        self._oldest = 1
+        self._changed = asyncio.Event()
+        self._calls = 0
+        self.fault = StoreFault.NONE
+
+    @property
+    def address(self) -> address_module.Address:
+        """Where the store listens."""
+        return self._server.address
+
+    @property
+    def calls(self) -> int:
+        """Calls so far."""
+        return self._calls
+
+    async def start(self) -> None:
+        """Starts to listen on a free port."""
+        await self._server.start(address_module.Address("127.0.0.1", 0))
+
+    def close(self) -> None:
+        """Stops."""
+        self._server.close()
+
+    def put(self, kind: str, name: str, spec: Any) -> int:  # noqa: ANN401
+        """Writes an object; returns its revision."""
+        self._revision += 1
+        stored = {
+            "metadata": {"name": name, "revision": self._revision},
+            "spec": spec,
+        }
+        self._objects[(kind, name)] = stored
+        self._record(kind, stored, deleted=False)
+        return self._revision
+
+    def delete(self, kind: str, name: str) -> None:
+        """Removes an object."""
+        self._revision += 1
+        stored = self._objects.pop((kind, name))
+        self._record(kind, stored, deleted=True)
+
+    def forget_history(self) -> None:
+        """Drops all changes, so that watches have to list again."""
+        self._changes.clear()
+        self._oldest = self._revision + 1
+        self._wake()
+
+    def cut_watches(self) -> None:
+        """Ends waiting watches without an answer."""
+        self._wake()
+
+    async def handle(
+        self, request: server.ServerRequest, responder: server.Responder
+    ) -> None:
+        """Answers one call."""
+        self._calls += 1
+        if self.fault is StoreFault.SILENT:
+            await responder.disconnected.wait()
+            return
+        if self.fault is StoreFault.RESET:
+            responder.abort()
+            return
+        if self.fault is StoreFault.BUSY:
+            await responder.respond(503, b"")
+            return
+        kind = request.path.removeprefix("/objects/")
+        watch = request.parameter("watch")
+        if watch is None:
+            await self._respond(responder, self._page(kind, request))
+            return
+        await self._watch(kind, int(watch), request, responder)
+
+    def rejection(self, status: int, detail: str) -> bytes:
+        """Returns the body of an answer to a request that is not handled."""
+        return detail.encode()
+
+    def _page(self, kind: str, request: server.ServerRequest) -> dict[str, Any]:
+        after = request.parameter("after") or ""
+        names = sorted(n for k, n in self._objects if k == kind and n > after)
+        return {
+            "items": [self._objects[(kind, n)] for n in names[:_PAGE]],
+            "has_more": len(names) > _PAGE,
+            "as_of": self._revision,
+        }
+
+    async def _watch(
+        self,
+        kind: str,
+        revision: int,
+        request: server.ServerRequest,
+        responder: server.Responder,
+    ) -> None:
+        wait = int(request.parameter("wait_ms") or "0") / 1_000
+        await self._wait_until(
+            lambda: (
+                bool(self._since(kind, revision))
+                or revision + 1 < self._oldest
+                or self.fault is not StoreFault.NONE
+            ),
+            wait,
+        )
+        if self.fault is not StoreFault.NONE:
+            responder.abort()
+            return
+        if revision + 1 < self._oldest:
+            await responder.respond(410, b"")
+            return
+        events = [
+            {"object": change.stored, "deleted": change.deleted}
+            for change in self._since(kind, revision)
+        ]
+        await self._respond(
+            responder, {"events": events, "as_of": self._revision}
+        )
+
+    def _since(self, kind: str, revision: int) -> list[_Change]:
+        return [
+            change
+            for change in self._changes
+            if change.kind == kind and change.revision > revision
+        ]
+
+    async def _wait_until(
+        self, condition: Callable[[], bool], wait: float
+    ) -> None:
+        try:
+            async with asyncio.timeout(wait):
+                while not condition():
+                    await self._changed.wait()
+        except TimeoutError:
+            return
+
+    async def _respond(
+        self, responder: server.Responder, body: dict[str, Any]
+    ) -> None:
+        await responder.respond(200, orjson.dumps(body))
+
+    def _record(
+        self, kind: str, stored: dict[str, Any], *, deleted: bool
+    ) -> None:
+        self._changes.append(_Change(self._revision, kind, deleted, stored))
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
--- /dev/null
+++ b/tests/platform_case.py
@@ -0,0 +1,248 @@
+"""A daemon with stand-ins of the platform's store and engines."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+import unittest
+
+import result
+
+from lavendershed.core import addresses
+from lavendershed.core import ids
+from lavendershed.core import units
+from lavendershed.forwarding import daemon
+from lavendershed.platform import factory
+from lavendershed.platform import settings
+from lavendershed.reliability import fleet_retry_budget
+from lavendershed.standin import platform_engine
+from lavendershed.standin import platform_store
+from lavendershed.telemetry import log
+from lavendershed.transport import boot_timers
+from lavendershed.transport import client
+
+WAIT = units.Seconds(5.0)
+HOST = "users.example"
+KEY = "key-of-the-almanac"
+ORGANISATION = "almanac"
+MODEL_SERVICE = "model"
+PLAIN_SERVICE = "ledger"
+ENGINE = {
+    "slots": 8,
+    "kv_capacity": 315_000,
+    "stride": 51,
+    "step_ms": 0.85,
+    "per_seq_ms": 0.0085,
+    "context_per_k": 0.00285,
+    "read_per_s": 177_000.0,
+    "pairs_per_m": 0.0,
+    "chunk": 2_048,
+    "usual": {"prompt": 11_000, "answer": 1_600},
+    "hop_ms": 0.05,
+}
+_POLL = 0.005
+
+
+def route(prefix, kind, service, **changes):
+    """Returns a route of the platform's configuration."""
+    return {
+        "name": f"route{prefix}",
+        "host": HOST,
+        "path_prefix": prefix,
+        "kind": kind,
+        "timeout_ms": 3_000,
+        "target_latency_ms": 300,
+        "priority": 1,
+        "service": service,
+        "max_attempts": 2,
+        "public": False,
+        **changes,
+    }
+
+
+def configuration(version, *routes, keys=(KEY,)):
+    """Returns a configuration of the platform."""
+    return {
+        "version": version,
+        "route_table": [
+            route(
+                "/stream/",
+                "streaming",
+                MODEL_SERVICE,
+                resumable=True,
+                gap_target_ms=100,
+                timeout_ms=30_000,
+            ),
+            route("/safe/", "safe", PLAIN_SERVICE),
+            route("/unsafe/", "unsafe", PLAIN_SERVICE, max_attempts=2),
+            *routes,
+        ],
+        "services": [
+            {"name": MODEL_SERVICE, "max_connections": 100, "engine": ENGINE},
+            {"name": PLAIN_SERVICE, "max_connections": 100},
+        ],
+        "limits": {
+            "max_header_bytes": 16_384,
+            "max_body_bytes": 4_194_304,
+            "header_timeout_ms": 3_000,
+            "idle_timeout_ms": 15_000,
+        },
+        "tenants": [
+            {"name": ORGANISATION, "api_keys": list(keys), "priority": 1}
+        ],
+    }
+
+
+def free_address():
+    """Returns an address that nobody listens at."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return addresses.Address(*sock.getsockname())
+
+
+class PlatformCase(unittest.IsolatedAsyncioTestCase):
+    """Starts a store, two engines of each service and one daemon."""
+
+    async def asyncSetUp(self):
+        self.loop = asyncio.get_running_loop()
+        self.timers = boot_timers.BootTimerService(self.loop)
+        self.store = platform_store.StandinPlatformStore(self.timers)
+        await self.store.start()
+        self.store.put("config", "main", configuration(1))
+        self.engines = [await self.add_engine(f"e-{n}") for n in range(2)]
+        self.ledgers = [
+            await self.add_engine(f"l-{n}", PLAIN_SERVICE) for n in range(2)
+        ]
+        self._daemons = []
+        self.daemon = await self.start_daemon()
+        self.port = self.daemon.callers
+
+    async def asyncTearDown(self):
+        for running in self._daemons:
+            running.task.cancel()
+        await asyncio.gather(
+            *(running.task for running in self._daemons),
+            return_exceptions=True,
+        )
+        for engine in self.engines + self.ledgers:
+            engine.close()
+        self.store.close()
+
+    async def add_engine(self, name, service=MODEL_SERVICE, **entry):
+        engine = platform_engine.StandinPlatformEngine(name, self.timers)
+        await engine.start()
+        self.announce(engine, service, **entry)
+        return engine
+
+    def announce(self, engine, service=MODEL_SERVICE, **entry):
+        self.store.put(
+            "servers",
+            engine.id,
+            {
+                "service": service,
+                "address": str(engine.address),
+                "zone": "a",
+                "version": "v1",
+                "slots": 8,
+                "state": "ready",
+                "born": 1,
+                "seq": 1,
+                **entry,
+            },
+        )
+
+    async def start_daemon(self, seeds=(), ready=True, grace=2.0):
+        running = RunningDaemon(self, seeds, grace)
+        self._daemons.append(running)
+        if ready:
+            await self.until(lambda: running.daemon.ready)
+        return running
+
+    async def until(self, condition, limit=WAIT):
+        async with asyncio.timeout(limit):
+            while not condition():
+                await asyncio.sleep(_POLL)
+
+    async def request(self, path, body=b"", port=None, **headers):
+        """Sends one request on a new connection; returns the response."""
+        connection = await self.connect(port)
+        try:
+            return await self.exchange(connection, path, body, **headers)
+        finally:
+            connection.close()
+
+    async def connect(self, port=None):
+        return (await client.connect(port or self.port, WAIT)).unwrap()
+
+    async def exchange(self, link, path, body=b"", key=KEY, more=(), **headers):
+        fields = {
+            "host": HOST,
+            "attempt-id": f"id-{random.getrandbits(40):x}",
+            "deadline-ms": "3000",
+            **{n.replace("_", "-"): v for n, v in headers.items()},
+            **dict(more),
+        }
+        if key is not None:
+            fields["x-api-key"] = key
+        head = client.RequestHead("POST", path, tuple(fields.items()))
+        (await link.send(head, body, WAIT)).unwrap()
+        answer = await link.read_head(WAIT)
+        if isinstance(answer, result.Err):
+            return answer
+        content = await link.read_body(WAIT, units.Bytes(1_000_000))
+        if isinstance(content, result.Err):
+            return content
+        return client.Response(answer.ok_value, content.ok_value)
+
+    async def stream(self, size="1000,100", **headers):
+        return await self.request(
+            "/stream/x", b"prompt", token_count=size, model="m", **headers
+        )
+
+    def set_fault(self, fault):
+        for engine in self.engines + self.ledgers:
+            engine.fault = fault
+
+    def ran(self):
+        return [a for e in self.engines + self.ledgers for a in e.ran]
+
+
+class RunningDaemon:
+    """One daemon in the test's loop."""
+
+    def __init__(self, case, seeds, grace):
+        self.callers = free_address()
+        self.ready = free_address()
+        self.peers = free_address()
+        self.log = log.MemoryEventLog()
+        self.stop = asyncio.Event()
+        self.settings = settings.PlatformSettings(
+            ids.VmId("vm"),
+            ids.AvailabilityZoneId("a"),
+            self.callers,
+            self.ready,
+            self.peers,
+            tuple(seeds),
+            case.store.address,
+            units.Seconds(grace),
+            fleet_retry_budget.FleetBudgetLimits(
+                0.2, 100.0, units.Seconds(10.0)
+            ),
+        )
+        self.parts = factory.build(
+            self.settings,
+            ids.Incarnation(random.getrandbits(60)),
+            case.timers,
+            self.log,
+            random.Random(1),
+        )
+        self.daemon = daemon.ForwardingDaemon(
+            self.parts.components,
+            daemon.Endpoints(self.callers, self.ready, self.peers),
+            self.settings.grace,
+        )
+        self.task = case.loop.create_task(self.daemon.run(self.stop))
+
+    def events(self, event):
+        return [fields for found, fields in self.log.records if found is event]
