--- a/packages/platform/src/lavendershed/platform/main.py
+++ b/packages/platform/src/lavendershed/platform/main.py
@@ -10,7 +10,6 @@
 import sys
 
 import result
-import uvloop
 
 from lavendershed.core import ids
 from lavendershed.core import timers
@@ -76,9 +75,9 @@
         event_log.emit(events.Event.SETTINGS_REJECTED, reason=loaded.err_value)
         event_log.flush()
         return _BAD_SETTINGS_STATUS
-    # uvloop reads this before it creates its loop.
-    os.environ["UV_USE_IO_URING"] = "0"
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+    # Not uvloop: it reports a reset that arrives together with data as an
+    # orderly end, and an answer without a length would look complete.
+    with asyncio.Runner() as runner:
         broken = runner.run(_run(path, loaded.ok_value, event_log))
     if broken is not None:
         event_log.emit(events.Event.INVARIANT_BROKEN, error=repr(broken))
--- /dev/null
+++ b/packages/transport/tests/test_client_reset.py
@@ -0,0 +1,58 @@
+"""Guards against taking a reset for the orderly end of an answer."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+import unittest
+
+from lavendershed.core import units
+from lavendershed.transport import address
+from lavendershed.transport import client
+
+LIMIT = units.Seconds(2.0)
+ANSWER = b"HTTP/1.1 200 OK\r\nserver: x\r\n\r\nhalf of the body"
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class ResetTest(unittest.IsolatedAsyncioTestCase):
+    """Fails if an answer without a length that was cut looks complete."""
+
+    async def asyncSetUp(self):
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self._listener.setblocking(False)
+        self.addCleanup(self._listener.close)
+
+    async def body_after(self, *, reset):
+        loop = asyncio.get_running_loop()
+        target = address.Address(*self._listener.getsockname())
+        connection = (await client.connect(target, LIMIT)).unwrap()
+        self.addCleanup(connection.close)
+        accepted, _ = await loop.sock_accept(self._listener)
+        head = client.RequestHead("POST", "/x")
+        (await connection.send(head, b"body", LIMIT)).unwrap()
+        await loop.sock_recv(accepted, 65_536)
+        # The bytes and the end arrive together.
+        await loop.sock_sendall(accepted, ANSWER)
+        if reset:
+            accepted.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+        accepted.close()
+        answer = await connection.read_head(LIMIT)
+        if answer.is_err():
+            return answer
+        return await connection.read_body(LIMIT, units.Bytes(1_000))
+
+    async def test_a_reset_after_a_part_of_the_body_is_an_error(self):
+        body = await self.body_after(reset=True)
+        self.assertTrue(body.is_err())
+
+    async def test_an_orderly_end_completes_the_body(self):
+        body = await self.body_after(reset=False)
+        self.assertEqual(body.unwrap(), b"half of the body")
+
+
+if __name__ == "__main__":
+    unittest.main()
