--- /dev/null
+++ b/packages/membership/tests/test_peer_table.py
@@ -0,0 +1,68 @@
+"""Guards how daemons find each other."""
+
+from __future__ import annotations
+
+import unittest
+
+from lavendershed.core import addresses
+from lavendershed.core import ids
+from lavendershed.core import units
+from lavendershed.membership import peer_table
+
+
+def address(number):
+    """Returns an address of a daemon."""
+    return addresses.Address(f"10.0.0.{number}", 7_000)
+
+
+def at(seconds):
+    """Returns an instant."""
+    return units.Instant(seconds)
+
+
+class PeerTableTest(unittest.TestCase):
+    """Fails if a daemon loses sight of others or keeps dead ones."""
+
+    def setUp(self):
+        self.table = peer_table.PeerTable(address(1))
+        self.table.set_seeds([address(1), address(2)])
+
+    def report(self, number, sequence=1, named=(), now=0.0, daemon=None):
+        daemon = ids.Incarnation(number if daemon is None else daemon)
+        return self.table.on_report(
+            address(number), daemon, sequence, named, at(now)
+        )
+
+    def test_the_own_address_is_no_seed(self):
+        self.assertEqual(self.table.targets(at(0)), (address(2),))
+
+    def test_peers_of_peers_are_tried(self):
+        self.report(2, named=[address(1), address(3)])
+        self.assertEqual(self.table.targets(at(0)), (address(2), address(3)))
+        self.assertEqual(self.table.size, 2)
+
+    def test_a_named_address_that_stays_silent_is_dropped(self):
+        self.report(2, named=[address(3)])
+        self.report(2, sequence=2, now=4.0)
+        self.assertEqual(self.table.targets(at(4.0)), (address(2),))
+
+    def test_silent_peers_are_dropped_but_seeds_are_still_asked(self):
+        self.report(2)
+        self.assertEqual(self.table.heard, (address(2),))
+        self.table.targets(at(10.0))
+        self.assertEqual(self.table.heard, ())
+        self.assertEqual(self.table.targets(at(10.0)), (address(2),))
+
+    def test_reports_that_overtake_each_other_count_once(self):
+        self.assertTrue(self.report(2, sequence=5))
+        self.assertFalse(self.report(2, sequence=4))
+        self.assertFalse(self.report(2, sequence=5))
+        self.assertTrue(self.report(2, sequence=6))
+
+    def test_a_restarted_daemon_starts_its_sequence_anew(self):
+        self.report(2, sequence=50)
+        self.assertTrue(self.report(2, sequence=1, daemon=99))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/membership/tests/test_server_directory.py
@@ -0,0 +1,110 @@
+"""Guards the view of the backend servers."""
+
+from __future__ import annotations
+
+import dataclasses
+import unittest
+
+from lavendershed.core import addresses
+from lavendershed.core import forwarding_states
+from lavendershed.core import ids
+from lavendershed.core import units
+from lavendershed.membership import server_directory
+
+READY = forwarding_states.ServerState.READY
+DRAINING = forwarding_states.ServerState.DRAINING
+SERVICE = ids.ServiceId("s")
+
+
+def entry(name, state=READY, born=1):
+    """Returns an entry of a server."""
+    return server_directory.ServerEntry(
+        ids.BackendServerId(name),
+        ids.Incarnation(born),
+        SERVICE,
+        addresses.Address("10.0.0.1", 80),
+        ids.AvailabilityZoneId("a"),
+        state,
+    )
+
+
+class ServerDirectoryTest(unittest.TestCase):
+    """Fails if a server gets work that it must not get, or none."""
+
+    def setUp(self):
+        self.directory = server_directory.ServerDirectory()
+        self.directory.on_listing([entry("a"), entry("b")], 10)
+
+    def usable(self):
+        return [e.id for e in self.directory.of_service(SERVICE)]
+
+    def test_draining_servers_get_no_new_work(self):
+        change = self.directory.on_events([entry("a", DRAINING)], [], 11)
+        self.assertEqual(self.usable(), ["b"])
+        self.assertEqual([e.id for e in change.draining], ["a"])
+        self.assertIsNotNone(self.directory.entry("a"))
+
+    def test_removed_servers_are_gone_at_once(self):
+        change = self.directory.on_events([], ["a"], 11)
+        self.assertEqual(self.usable(), ["b"])
+        self.assertEqual([e.id for e in change.removed], ["a"])
+
+    def test_older_views_change_nothing(self):
+        self.directory.on_events([], ["a"], 11)
+        self.directory.on_listing([entry("a"), entry("b")], 10)
+        self.directory.on_events([entry("a")], [], 10)
+        self.assertEqual(self.usable(), ["b"])
+
+    def test_a_new_start_under_the_same_id_is_a_new_server(self):
+        change = self.directory.on_events([entry("a", born=2)], [], 11)
+        self.assertEqual([e.id for e in change.added], ["a"])
+
+    def test_lapsed_entries_stay_until_their_grace_is_over(self):
+        until = units.Instant(5.0)
+        self.directory.on_listing([entry("b")], 11, until)
+        self.assertEqual(self.usable(), ["a", "b"])
+        self.directory.expire(units.Instant(4.9))
+        self.assertEqual(self.usable(), ["a", "b"])
+        change = self.directory.expire(units.Instant(5.0))
+        self.assertEqual(self.usable(), ["b"])
+        self.assertEqual([e.id for e in change.removed], ["a"])
+
+    def test_an_entry_that_comes_back_is_no_longer_lapsed(self):
+        self.directory.on_listing([entry("b")], 11, units.Instant(5.0))
+        self.directory.on_events([entry("a")], [], 12)
+        self.directory.expire(units.Instant(9.0))
+        self.assertEqual(self.usable(), ["a", "b"])
+
+    def test_a_removal_after_the_outage_is_none(self):
+        self.directory.on_events([], ["a"], 11, units.Instant(5.0))
+        self.assertEqual(self.usable(), ["a", "b"])
+        self.directory.on_events([], ["b"], 12)
+        self.assertEqual(self.usable(), ["a"])
+
+    def test_a_draining_server_does_not_lapse(self):
+        self.directory.on_events([entry("a", DRAINING)], [], 11)
+        self.directory.on_listing([entry("b")], 12, units.Instant(5.0))
+        self.assertIsNone(self.directory.entry("a"))
+
+    def test_entries_of_one_listing_replace_all(self):
+        self.directory.on_listing([entry("c")], 11)
+        self.assertEqual(self.usable(), ["c"])
+        self.assertEqual(self.directory.revision, 11)
+
+    def test_a_lapse_is_not_prolonged_by_a_second_listing(self):
+        self.directory.on_listing([entry("b")], 11, units.Instant(5.0))
+        self.directory.on_listing([entry("b")], 12, units.Instant(9.0))
+        self.directory.expire(units.Instant(5.0))
+        self.assertEqual(self.usable(), ["b"])
+
+    def test_changed_entries_are_not_reported_as_added(self):
+        moved = dataclasses.replace(
+            entry("a"), address=addresses.Address("10.0.0.2", 80)
+        )
+        change = self.directory.on_events([moved], [], 11)
+        self.assertEqual(change.added, ())
+        self.assertEqual(self.directory.entry("a"), moved)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/reliability/tests/test_fleet_retry_budget.py
@@ -0,0 +1,70 @@
+"""Guards the retry budget that all daemons share."""
+
+from __future__ import annotations
+
+import unittest
+
+from lavendershed.core import ids
+from lavendershed.core import units
+from lavendershed.reliability import fleet_retry_budget
+
+SERVICE = ids.ServiceId("s")
+WINDOW = units.Seconds(10.0)
+
+
+def at(seconds):
+    """Returns an instant."""
+    return units.Instant(seconds)
+
+
+class FleetRetryBudgetTest(unittest.TestCase):
+    """Fails if the daemons together repeat more than allowed."""
+
+    def budget(self, ratio=0.2, slack=100.0):
+        return fleet_retry_budget.FleetRetryBudget(
+            fleet_retry_budget.FleetBudgetLimits(ratio, slack, WINDOW)
+        )
+
+    def spent(self, budget, now=0.0, tries=1_000):
+        return sum(budget.spend(SERVICE, at(now)) for _ in range(tries))
+
+    def test_daemons_together_stay_below_the_slack(self):
+        budgets = [self.budget() for _ in range(9)]
+        for budget in budgets:
+            budget.on_fleet_size(9)
+        self.assertLessEqual(sum(map(self.spent, budgets)), 100)
+
+    def test_requests_allow_more(self):
+        budget = self.budget(slack=0.0)
+        for _ in range(100):
+            budget.on_request(SERVICE, at(0.0))
+        self.assertLessEqual(self.spent(budget), 20)
+        self.assertGreater(self.spent(self.budget()), 0)
+
+    def test_the_window_slides(self):
+        budget = self.budget(ratio=0.0, slack=10.0)
+        first = self.spent(budget, now=0.0)
+        self.assertEqual(self.spent(budget, now=9.9), 0)
+        self.assertEqual(self.spent(budget, now=10.1), first)
+
+    def test_daemons_that_are_out_of_sight_keep_their_share(self):
+        budget = self.budget()
+        budget.on_fleet_size(10)
+        budget.on_fleet_size(1)
+        self.assertLessEqual(self.spent(budget), 10)
+
+    def test_services_are_apart(self):
+        budget = self.budget(ratio=0.0, slack=10.0)
+        self.spent(budget)
+        self.assertTrue(budget.spend(ids.ServiceId("other"), at(0.0)))
+
+    def test_new_limits_hold_at_once(self):
+        budget = self.budget()
+        budget.set_limits(
+            fleet_retry_budget.FleetBudgetLimits(0.0, 0.0, WINDOW)
+        )
+        self.assertFalse(budget.spend(SERVICE, at(0.0)))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/reliability/tests/test_server_health.py
@@ -0,0 +1,69 @@
+"""Guards the exclusion of failing servers."""
+
+from __future__ import annotations
+
+import unittest
+
+from lavendershed.core import ids
+from lavendershed.core import units
+from lavendershed.reliability import server_health
+
+SERVER = ids.BackendServerId("s")
+BORN = ids.Incarnation(1)
+
+
+def at(seconds):
+    """Returns an instant."""
+    return units.Instant(seconds)
+
+
+class ServerHealthTest(unittest.TestCase):
+    """Fails if a dead server keeps getting work, or a sound one none."""
+
+    def setUp(self):
+        self.health = server_health.ServerHealth()
+
+    def excluded(self, now, born=BORN):
+        return self.health.excluded(SERVER, born, at(now))
+
+    def test_a_lost_server_is_excluded_for_a_while(self):
+        self.health.on_loss(SERVER, BORN, at(0))
+        self.assertTrue(self.excluded(0.9))
+        self.assertFalse(self.excluded(1.1))
+
+    def test_the_time_doubles_up_to_a_limit(self):
+        times = []
+        now = 0.0
+        for _ in range(6):
+            times.append(self.health.on_loss(SERVER, BORN, at(now)))
+            now += times[-1] + 0.1
+        self.assertEqual(times, [1.0, 2.0, 4.0, 8.0, 8.0, 8.0])
+
+    def test_it_starts_over_after_a_quiet_time(self):
+        self.health.on_loss(SERVER, BORN, at(0))
+        self.assertEqual(self.health.on_loss(SERVER, BORN, at(60)), 1.0)
+
+    def test_losses_at_the_same_time_count_once(self):
+        self.health.on_loss(SERVER, BORN, at(0))
+        self.assertAlmostEqual(self.health.on_loss(SERVER, BORN, at(0.4)), 0.6)
+
+    def test_single_failures_are_usual(self):
+        self.assertIsNone(self.health.on_failure(SERVER, BORN, at(0)))
+        self.health.on_success(SERVER, BORN)
+        self.assertIsNone(self.health.on_failure(SERVER, BORN, at(0)))
+        self.assertFalse(self.excluded(0))
+        self.assertEqual(self.health.on_failure(SERVER, BORN, at(0)), 1.0)
+        self.assertTrue(self.excluded(0))
+
+    def test_a_new_start_of_the_server_is_sound(self):
+        self.health.on_loss(SERVER, BORN, at(0))
+        self.assertFalse(self.excluded(0, ids.Incarnation(2)))
+
+    def test_servers_that_are_gone_are_forgotten(self):
+        self.health.on_loss(SERVER, BORN, at(0))
+        self.health.forget(SERVER, BORN)
+        self.assertFalse(self.excluded(0))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/routing/tests/test_engine_choice.py
@@ -0,0 +1,172 @@
+"""Guards the choice of engines by predicted loss."""
+
+from __future__ import annotations
+
+import unittest
+
+import engine_fixture
+
+from lavendershed.core import ids
+from lavendershed.core import units
+from lavendershed.routing import engine_choice
+from lavendershed.routing import load_board
+from lavendershed.routing import pass_model
+
+NOW = engine_fixture.NOW
+NOBODY = frozenset()
+
+
+class PredictedLossChooserTest(unittest.TestCase):
+    """Fails if short requests wait behind long ones, or the reverse."""
+
+    def setUp(self):
+        self.board = load_board.LoadBoard()
+        self.chooser = engine_choice.PredictedLossChooser(
+            pass_model.PassModel(engine_fixture.PROFILE), self.board
+        )
+        self.engines = [engine_fixture.engine(f"e{n}") for n in range(14)]
+
+    def choose(self, demand, avoided=NOBODY, engines=None):
+        return self.chooser.choose(
+            demand, engines or self.engines, frozenset(avoided), NOW
+        )
+
+    def write(self, name, count=1, **changes):
+        for number in range(count):
+            self.board.add(engine_fixture.work(name, request=number, **changes))
+
+    def read(self, name, milliseconds, **changes):
+        self.board.add(
+            engine_fixture.work(
+                name,
+                engine_fixture.READING,
+                read_ms=milliseconds,
+                ready_at=units.Instant(NOW + milliseconds / 1_000),
+                **changes,
+            )
+        )
+
+    def test_short_answers_are_kept_together(self):
+        self.write("e3", 2)
+        placement = self.choose(engine_fixture.demand(2_000))
+        self.assertEqual(placement.first.id, "e3")
+        self.assertEqual(placement.helpers, ())
+
+    def test_a_short_prompt_avoids_an_engine_that_reads_a_long_one(self):
+        self.write("e3", 2)
+        self.read("e3", 900.0)
+        self.write("e5", 1)
+        placement = self.choose(engine_fixture.demand(2_000))
+        self.assertEqual(placement.first.id, "e5")
+
+    def test_a_full_engine_is_left_for_another(self):
+        self.write("e3", 8)
+        placement = self.choose(engine_fixture.demand(2_000))
+        self.assertNotEqual(placement.first.id, "e3")
+
+    def test_a_long_prompt_is_read_by_several_engines(self):
+        placement = self.choose(
+            engine_fixture.demand(154_000, due=3.0, limit=15.0, pause=1.0)
+        )
+        self.assertGreaterEqual(len(placement.helpers), 3)
+        self.assertLess(placement.first_token_ms, 1_200)
+
+    def test_long_parts_stay_away_from_answers(self):
+        self.write("e0", 4)
+        self.write("e1", 4)
+        placement = self.choose(
+            engine_fixture.demand(300_000, due=3.0, limit=15.0, pause=1.0)
+        )
+        used = {placement.first.id, *(h.id for h in placement.helpers)}
+        self.assertFalse(used & {"e0", "e1"})
+
+    def test_engines_stay_free_for_short_requests(self):
+        for number in range(6):
+            self.write(f"e{number}", 6)
+        placement = self.choose(
+            engine_fixture.demand(250_000, due=3.0, limit=15.0, pause=1.0)
+        )
+        used = {placement.first.id, *(h.id for h in placement.helpers)}
+        # 36 answers need 7.8 engines and one more; five are left.
+        self.assertLessEqual(len(used), 5)
+
+    def test_a_prompt_beyond_one_engine_is_divided(self):
+        placement = self.choose(
+            engine_fixture.demand(600_000, due=3.0, limit=60.0, pause=1.0)
+        )
+        self.assertGreaterEqual(
+            sum(share.tokens for share in placement.shares), 601_600
+        )
+        holders = {share.holder.id for share in placement.shares}
+        self.assertIn(placement.first.id, holders)
+        helpers = {helper.id for helper in placement.helpers}
+        self.assertLessEqual(holders - {placement.first.id}, helpers)
+
+    def test_without_room_for_the_prompt_there_is_no_placement(self):
+        for number in range(14):
+            self.write(f"e{number}", 1, memory=300_000)
+        self.assertIsNone(
+            self.choose(
+                engine_fixture.demand(600_000, due=3.0, limit=60.0, pause=1.0)
+            )
+        )
+
+    def test_a_prompt_that_cannot_be_read_in_time_is_not_sent(self):
+        placement = self.choose(
+            engine_fixture.demand(300_000, limit=2.0),
+            engines=self.engines[:1],
+        )
+        self.assertIsNone(placement)
+
+    def test_a_request_that_is_late_anyway_is_not_urgent(self):
+        for engine in self.engines:
+            self.write(engine.id, 9)
+        self.assertFalse(self.choose(engine_fixture.demand(2_000)).urgent)
+        self.board = load_board.LoadBoard()
+        self.assertTrue(
+            engine_choice.PredictedLossChooser(
+                pass_model.PassModel(engine_fixture.PROFILE), self.board
+            )
+            .choose(engine_fixture.demand(2_000), self.engines, NOBODY, NOW)
+            .urgent
+        )
+
+    def test_avoided_engines_are_the_last_resort(self):
+        names = {engine.id for engine in self.engines}
+        placement = self.choose(
+            engine_fixture.demand(2_000), avoided=names - {"e7"}
+        )
+        self.assertEqual(placement.first.id, "e7")
+        self.assertIsNotNone(
+            self.choose(engine_fixture.demand(2_000), avoided=names)
+        )
+
+    def test_the_own_zone_wins_a_tie(self):
+        far = engine_fixture.engine("a-far", ids.AvailabilityZoneId("b"))
+        near = engine_fixture.engine("z-near")
+        placement = self.choose(
+            engine_fixture.demand(2_000), engines=[far, near]
+        )
+        self.assertEqual(placement.first.id, "z-near")
+
+    def test_a_request_delayed_at_two_engines_counts_once(self):
+        for number in range(14):
+            self.read(f"e{number}", 20.0, request=99, credit=14.0)
+        placement = self.choose(
+            engine_fixture.demand(154_000, due=3.0, limit=15.0, pause=1.0)
+        )
+        self.assertLess(placement.loss, 14.0 + 3.0)
+
+
+class LatenessTest(unittest.TestCase):
+    """Fails if the probability of being late jumps or leaves its range."""
+
+    def test_it_grows_around_the_limit(self):
+        self.assertEqual(engine_choice.lateness(80, 100), 0.0)
+        self.assertEqual(engine_choice.lateness(120, 100), 1.0)
+        self.assertTrue(0 < engine_choice.lateness(97, 100) < 1)
+        self.assertEqual(engine_choice.lateness(1, 0), 1.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/routing/tests/test_load_board.py
@@ -0,0 +1,127 @@
+"""Guards the shared view of the load."""
+
+from __future__ import annotations
+
+import unittest
+
+import engine_fixture
+
+from lavendershed.core import ids
+from lavendershed.core import units
+from lavendershed.routing import load_board
+
+NOW = engine_fixture.NOW
+PEER = ids.Incarnation(7)
+
+
+class LoadBoardTest(unittest.TestCase):
+    """Fails if work is counted twice, too long or not at all."""
+
+    def setUp(self):
+        self.board = load_board.LoadBoard()
+        self.urgent = []
+        self.board.subscribe(self.urgent.append)
+
+    def writers(self, name="e"):
+        return len(self.board.load(name).writers)
+
+    def test_a_report_replaces_the_one_before(self):
+        work = engine_fixture.work("e")
+        self.board.on_report(PEER, (work, engine_fixture.work("e")), NOW)
+        self.board.on_report(PEER, (work,), NOW)
+        self.assertEqual(self.writers(), 1)
+        self.board.on_report(PEER, (), NOW)
+        self.assertEqual(self.writers(), 0)
+
+    def test_own_and_reported_work_add_up(self):
+        self.board.add(engine_fixture.work("e"))
+        self.board.on_report(PEER, (engine_fixture.work("e"),), NOW)
+        self.assertEqual(self.writers(), 2)
+        self.assertEqual(len(self.board.own), 1)
+
+    def test_a_silent_daemon_is_forgotten(self):
+        self.board.on_report(PEER, (engine_fixture.work("e"),), NOW)
+        self.board.expire(units.Instant(NOW + 2.9))
+        self.assertEqual(self.writers(), 1)
+        self.board.expire(units.Instant(NOW + 3.1))
+        self.assertEqual(self.writers(), 0)
+
+    def test_only_new_work_is_urgent(self):
+        number = self.board.add(
+            engine_fixture.work("e", engine_fixture.READING)
+        )
+        self.board.start_writing([number])
+        self.board.remove(number)
+        self.assertEqual(self.urgent, [True, False, False])
+
+    def test_engines_that_only_read_are_done_with_the_first_token(self):
+        numbers = [
+            self.board.add(
+                engine_fixture.work(name, engine_fixture.READING, memory=memory)
+            )
+            for name, memory in (("first", 9_000), ("helper", 0), ("h", 5))
+        ]
+        self.board.start_writing(numbers)
+        self.assertEqual(self.writers("first"), 1)
+        self.assertEqual(self.board.load("helper").requests, 0)
+        # It holds a part of the memory and takes part in each step.
+        self.assertEqual(self.writers("h"), 1)
+
+    def test_an_abandoned_read_counts_until_its_pass_ends(self):
+        number = self.board.add(
+            engine_fixture.work(
+                "e",
+                engine_fixture.READING,
+                ready_at=units.Instant(NOW + 2.0),
+            )
+        )
+        self.board.abandon(number, NOW)
+        load = self.board.load("e")
+        self.assertEqual(len(load.reads), 1)
+        self.assertEqual(load.memory, 0)
+        self.board.expire(units.Instant(NOW + 2.1))
+        self.assertEqual(self.board.load("e").requests, 0)
+
+    def test_an_abandoned_answer_ends_at_once(self):
+        number = self.board.add(engine_fixture.work("e"))
+        self.board.abandon(number, NOW)
+        self.assertEqual(self.writers(), 0)
+
+
+class EngineLoadTest(unittest.TestCase):
+    """Fails if the wait at an engine is predicted wrongly."""
+
+    def load(self, *works):
+        return load_board.EngineLoad(works)
+
+    def test_a_free_slot_is_not_waited_for(self):
+        load = self.load(*(engine_fixture.work("e") for _ in range(7)))
+        self.assertEqual(load.slot_wait_ms(NOW, 8), 0.0)
+
+    def test_a_full_engine_is_waited_for(self):
+        load = self.load(
+            *(
+                engine_fixture.work("e", ends_at=units.Instant(NOW + n))
+                for n in range(1, 9)
+            )
+        )
+        self.assertAlmostEqual(load.slot_wait_ms(NOW, 8), 1_000.0)
+
+    def test_requests_that_are_late_anyway_hold_up_nobody(self):
+        late = engine_fixture.work("e", engine_fixture.READING, urgent=False)
+        load = self.load(*(late for _ in range(20)))
+        self.assertEqual(load.slot_wait_ms(NOW, 8), 0.0)
+        self.assertEqual(load.backlog_ms(NOW, 45.0), 0.0)
+
+    def test_an_overdue_read_has_not_ended(self):
+        read = engine_fixture.work(
+            "e",
+            engine_fixture.READING,
+            read_ms=400.0,
+            ready_at=units.Instant(NOW - 1.0),
+        )
+        self.assertAlmostEqual(self.load(read).backlog_ms(NOW, 45.0), 100.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/routing/tests/test_memory_shares.py
@@ -0,0 +1,58 @@
+"""Guards the division of memory among engines."""
+
+from __future__ import annotations
+
+import unittest
+
+import engine_fixture
+import hypothesis
+from hypothesis import strategies
+
+from lavendershed.routing import memory_shares
+
+MEMORY = 315_000
+
+
+def free(*tokens):
+    """Returns engines with this free memory."""
+    return [
+        memory_shares.FreeMemory(engine_fixture.engine(f"e{n}"), count)
+        for n, count in enumerate(tokens)
+    ]
+
+
+class DivideTest(unittest.TestCase):
+    """Fails if shares are too small, too many or over the room there is."""
+
+    def test_as_few_engines_as_possible(self):
+        shares = memory_shares.divide(
+            400_000, MEMORY, free(MEMORY, MEMORY, MEMORY)
+        )
+        self.assertEqual(len(shares), 2)
+
+    def test_no_room_gives_no_shares(self):
+        self.assertEqual(
+            memory_shares.divide(400_000, MEMORY, free(MEMORY, 1_000)), ()
+        )
+
+    def test_the_least_number_of_engines(self):
+        self.assertEqual(memory_shares.least_holders(10, MEMORY), 1)
+        self.assertEqual(memory_shares.least_holders(400_000, MEMORY), 2)
+        self.assertEqual(memory_shares.least_holders(700_000, MEMORY), 3)
+
+    @hypothesis.given(
+        strategies.integers(1, 900_000),
+        strategies.lists(strategies.integers(0, MEMORY), max_size=12),
+    )
+    def test_shares_suffice_and_fit(self, need, tokens):
+        engines = free(*tokens)
+        shares = memory_shares.divide(need, MEMORY, engines)
+        room = {f.engine.id: f.tokens for f in engines}
+        if shares:
+            self.assertGreaterEqual(sum(s.tokens for s in shares), need)
+        for share in shares:
+            self.assertLessEqual(share.tokens, room[share.holder.id])
+
+
+if __name__ == "__main__":
+    unittest.main()
