--- a/packages/forwarding/src/lavendershed/forwarding/attempts.py
+++ b/packages/forwarding/src/lavendershed/forwarding/attempts.py
@@ -112,6 +112,9 @@
         self._tried.update(attempt.at_fault or (entry.id,))
         if attempt.end in _DELIVERED:
             self._delivered += 1
+        self._context.instruments.attempt_failed(
+            self._admitted.service.id, entry.id, attempt.end.value
+        )
         self._context.log.emit(
             events.Event.ATTEMPT_FAILED,
             request=self._admitted.caller.id,
--- a/packages/forwarding/src/lavendershed/forwarding/call_run.py
+++ b/packages/forwarding/src/lavendershed/forwarding/call_run.py
@@ -233,14 +233,18 @@
         )
 
     async def _deliver(self, answer: _WholeAnswer) -> None:
+        seconds = units.elapsed(
+            self._admitted.received, self._context.timers.now()
+        )
+        self._context.instruments.ended(
+            self._admitted.route.kind.value, str(answer.head.status), seconds
+        )
         self._context.log.emit(
             events.Event.REQUEST_FINISHED,
             request=self._admitted.caller.id,
             status=answer.head.status,
             attempts=self._attempts.count + 1,
-            seconds=round(
-                self._context.timers.now() - self._admitted.received, 3
-            ),
+            seconds=round(seconds, 3),
         )
         await self._responder.respond(
             answer.head.status, answer.body, answer.head.headers
--- a/packages/forwarding/src/lavendershed/forwarding/components.py
+++ b/packages/forwarding/src/lavendershed/forwarding/components.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import abc
 import dataclasses
 
 from lavendershed.forwarding import context as context_module
@@ -12,14 +11,6 @@
 from lavendershed.forwarding import synchronisation
 
 
-class Metrics(abc.ABC):
-    """Counters and histograms of a daemon."""
-
-    @abc.abstractmethod
-    def exposition(self) -> bytes:
-        """Returns all metrics as text."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Components:
     """All parts, wired."""
@@ -30,4 +21,3 @@
     load_sharing: load_sharing.LoadSharing
     state_server: state_exchange.StateServer
     state_fetcher: state_exchange.StateFetcher
-    metrics: Metrics
--- a/packages/forwarding/src/lavendershed/forwarding/context.py
+++ b/packages/forwarding/src/lavendershed/forwarding/context.py
@@ -28,6 +28,7 @@
 from lavendershed.routing import service_choice
 from lavendershed.telemetry import events
 from lavendershed.telemetry import log
+from lavendershed.telemetry import request_instruments
 from lavendershed.transport import server
 
 T = TypeVar("T")
@@ -52,6 +53,7 @@
     health: server_health.ServerHealth
     timers: timers.TimerService
     log: log.EventLog
+    instruments: request_instruments.RequestInstruments
     zone: ids.AvailabilityZoneId
 
 
@@ -115,6 +117,7 @@
     request: ids.RequestId,
     duration: units.Seconds,
 ) -> None:
+    context.instruments.server_excluded(entry.id, reason)
     context.log.emit(
         events.Event.BACKEND_SERVER_EXCLUDED,
         server=entry.id,
@@ -143,6 +146,10 @@
     context: ForwardingContext, admitted: Admitted, failure: Failure
 ) -> None:
     """Writes the line of a request that ends without a whole answer."""
+    seconds = units.elapsed(admitted.received, context.timers.now())
+    context.instruments.ended(
+        admitted.route.kind.value, failure.reason.value, seconds
+    )
     context.log.emit(
         events.Event.REQUEST_FAILED,
         request=admitted.caller.id,
@@ -150,7 +157,7 @@
         execution=failure.execution.value,
         detail=failure.detail,
         retry_after_s=failure.retry_after,
-        seconds=round(context.timers.now() - admitted.received, 3),
+        seconds=round(seconds, 3),
     )
 
 
--- a/packages/forwarding/src/lavendershed/forwarding/daemon.py
+++ b/packages/forwarding/src/lavendershed/forwarding/daemon.py
@@ -55,7 +55,7 @@
             parts.gateway, parts.context.timers, server.ServerLimits()
         )
         self._health = server.HttpServer(
-            health_endpoint.HealthEndpoint(self, parts.metrics),
+            health_endpoint.HealthEndpoint(self, parts.context.instruments),
             parts.context.timers,
             server.ServerLimits(),
         )
--- a/packages/forwarding/src/lavendershed/forwarding/gateway.py
+++ b/packages/forwarding/src/lavendershed/forwarding/gateway.py
@@ -150,6 +150,7 @@
         failure: outcomes.RequestFailure,
         responder: server.Responder,
     ) -> None:
+        self._context.instruments.refused(failure.reason.value)
         self._context.log.emit(
             events.Event.REQUEST_REFUSED,
             request=caller.id if caller is not None else "",
@@ -182,11 +183,16 @@
             responder.on_disconnect(None)
             task.cancel()
         if task.cancelled():
+            seconds = units.elapsed(admitted.received, context.timers.now())
+            reason = states.FailureReason.CALLER_DISCONNECTED.value
+            context.instruments.ended(
+                admitted.route.kind.value, reason, seconds
+            )
             context.log.emit(
                 events.Event.REQUEST_FAILED,
                 request=admitted.caller.id,
-                reason=states.FailureReason.CALLER_DISCONNECTED.value,
-                seconds=round(context.timers.now() - admitted.received, 3),
+                reason=reason,
+                seconds=round(seconds, 3),
             )
             return
         error = task.exception()
--- a/packages/forwarding/src/lavendershed/forwarding/health_endpoint.py
+++ b/packages/forwarding/src/lavendershed/forwarding/health_endpoint.py
@@ -4,7 +4,7 @@
 
 import abc
 
-from lavendershed.forwarding import components
+from lavendershed.telemetry import request_instruments
 from lavendershed.transport import server
 
 _METRICS_PATH = "/metrics"
@@ -23,10 +23,12 @@
     """Answers the platform's check and serves the metrics."""
 
     def __init__(
-        self, readiness: Readiness, metrics: components.Metrics
+        self,
+        readiness: Readiness,
+        instruments: request_instruments.RequestInstruments,
     ) -> None:
         self._readiness = readiness
-        self._metrics = metrics
+        self._instruments = instruments
 
     async def handle(
         self, request: server.ServerRequest, responder: server.Responder
@@ -35,7 +37,7 @@
         if request.path == _METRICS_PATH:
             await responder.respond(
                 200,
-                self._metrics.exposition(),
+                self._instruments.exposition(),
                 (("content-type", "text/plain; version=0.0.4"),),
             )
             return
--- a/packages/forwarding/src/lavendershed/forwarding/stream_run.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_run.py
@@ -154,6 +154,7 @@
                 attempt=self._attempts.count + 1,
                 version=context.view.version,
                 servers=context.view.directory.revision,
+                load_age_ms=round(context.board.age(now) * 1_000),
             )
         return placement
 
@@ -362,6 +363,10 @@
         now = self._context.timers.now()
         if self._first_event_at is None:
             self._first_event_at = now
+            self._context.instruments.first_event(
+                self._admitted.service.id,
+                units.elapsed(self._admitted.received, now),
+            )
         else:
             self._longest_seen = max(
                 self._longest_seen, now - self._last_event_at
@@ -466,6 +471,10 @@
         context.crashes.on_success(self._admitted.fingerprint)
         received = self._admitted.received
         first = self._first_event_at
+        seconds = units.elapsed(received, context.timers.now())
+        context.instruments.ended(
+            self._admitted.route.kind.value, "complete", seconds
+        )
         context.log.emit(
             events.Event.REQUEST_FINISHED,
             request=self._admitted.caller.id,
@@ -474,7 +483,7 @@
             first_ms=round((first - received) * 1_000) if first else None,
             predicted_ms=round(self._predicted_ms),
             pause_ms=round(self._longest_seen * 1_000),
-            seconds=round(context.timers.now() - received, 3),
+            seconds=round(seconds, 3),
         )
         await self._responder.finish()
 
--- /dev/null
+++ b/packages/forwarding/tests/test_event_splitter.py
@@ -0,0 +1,45 @@
+"""Guards the division of a stream into events."""
+
+from __future__ import annotations
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from lavendershed.forwarding import event_splitter
+
+STREAM = b"".join(
+    b"weight-versions: 2\nid: %d\ndata: piece\n\n" % n for n in range(1, 6)
+)
+
+
+class EventSplitterTest(unittest.TestCase):
+    """Fails if an event is cut, lost or doubled."""
+
+    @hypothesis.given(strategies.lists(strategies.integers(0, len(STREAM))))
+    def test_every_division_gives_the_same_events(self, cuts):
+        splitter = event_splitter.EventSplitter()
+        bounds = [0, *sorted(cuts), len(STREAM)]
+        found = [
+            event
+            for start, end in zip(bounds, bounds[1:], strict=False)
+            for event in splitter.feed(STREAM[start:end])
+        ]
+        self.assertEqual(b"".join(e.encoded for e in found), STREAM)
+        self.assertEqual([e.number for e in found], [1, 2, 3, 4, 5])
+        self.assertFalse(splitter.has_partial_event)
+
+    def test_an_event_that_is_not_whole_is_kept(self):
+        splitter = event_splitter.EventSplitter()
+        self.assertEqual(splitter.feed(b"id: 1\ndata"), ())
+        self.assertTrue(splitter.has_partial_event)
+
+    def test_an_id_that_is_no_number_is_none(self):
+        splitter = event_splitter.EventSplitter()
+        (event,) = splitter.feed(b"id: x\ndata: 1\n\n")
+        self.assertIsNone(event.number)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/peer/src/lavendershed/peer/load_reports.py
+++ b/packages/peer/src/lavendershed/peer/load_reports.py
@@ -25,9 +25,9 @@
 _TOKENS_PER_BLOCK = 64
 _CREDIT_STEPS = 10
 _PORT_RANGE = 65_536
-# A report has to fit into one datagram of 1,400 bytes. A part takes about 16
+# A report has to fit into one datagram of 1,400 bytes. A part takes up to 25
 # bytes; a daemon of the largest deployment has about 40 open requests.
-_MAX_WORKS = 64
+_MAX_WORKS = 40
 _MAX_SUSPECTS = 8
 _MAX_PEERS = 24
 
--- /dev/null
+++ b/packages/peer/tests/test_load_reports.py
@@ -0,0 +1,118 @@
+"""Guards the encoding of load reports and of exchanged state."""
+
+from __future__ import annotations
+
+import contextlib
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from lavendershed.core import addresses
+from lavendershed.core import forwarding_states
+from lavendershed.core import ids
+from lavendershed.core import units
+from lavendershed.peer import load_reports
+from lavendershed.peer import wire
+from lavendershed.routing import load_board
+
+NOW = units.Instant(1_000.0)
+SERVER = ids.BackendServerId("i-1")
+MAX_DATAGRAM = 1_400
+
+
+def work(**changes):
+    """Returns one part of a request."""
+    fields = {
+        "request": 0x7FFF_FFFF,
+        "server": SERVER,
+        "phase": forwarding_states.WorkPhase.READING,
+        "read_ms": 250.0,
+        "ready_at": units.Instant(NOW + 0.5),
+        "ends_at": units.Instant(NOW + 2.0),
+        "memory": 64_000,
+        "context": 64_000,
+        "longest_pause": units.Seconds(0.25),
+        "due_at": units.Instant(NOW + 3.0),
+        "credit": 12.5,
+        "urgent": False,
+        **changes,
+    }
+    return load_board.Work(**fields)
+
+
+def report(works=(), suspects=(), peers=()):
+    """Returns a report."""
+    return load_reports.LoadReport(
+        ids.Incarnation(1 << 61),
+        7,
+        ids.Epoch(12),
+        ids.ObjectVersion(99),
+        tuple(works),
+        tuple(suspects),
+        tuple(peers),
+    )
+
+
+def lookup(number):
+    """Returns the only known server."""
+    return SERVER if number == load_reports.server_number(SERVER) else None
+
+
+class LoadReportTest(unittest.TestCase):
+    """Fails if daemons misunderstand each other's load."""
+
+    def carry(self, sent, later=0.0):
+        return load_reports.decode_report(
+            load_reports.encode_report(sent, NOW),
+            lookup,
+            units.Instant(NOW + later),
+        )
+
+    def test_a_report_arrives_as_it_was_sent(self):
+        sent = report(
+            [work(), work(phase=forwarding_states.WorkPhase.WRITING)],
+            [(ids.Fingerprint((1 << 64) - 3), 2)],
+            [addresses.Address("10.1.2.3", 7_340)],
+        )
+        self.assertEqual(self.carry(sent), sent)
+
+    def test_times_are_relative_to_the_clock_of_the_receiver(self):
+        received = self.carry(report([work()]), later=100.0).works[0]
+        self.assertAlmostEqual(received.ready_at, NOW + 100.5)
+
+    def test_work_at_unknown_servers_is_left_out(self):
+        sent = report([work(server=ids.BackendServerId("other")), work()])
+        self.assertEqual(len(self.carry(sent).works), 1)
+
+    def test_a_full_report_fits_into_a_datagram(self):
+        sent = report(
+            [work() for _ in range(200)],
+            [(ids.Fingerprint((1 << 63) + n), 2) for n in range(50)],
+            [addresses.Address("10.255.255.1", n) for n in range(900)],
+        )
+        datagram = load_reports.encode_report(sent, NOW)
+        self.assertLessEqual(len(datagram), MAX_DATAGRAM)
+
+    @hypothesis.given(strategies.binary(max_size=200))
+    def test_foreign_bytes_raise_only_what_is_expected(self, data):
+        with contextlib.suppress(wire.MALFORMED):
+            load_reports.decode_report(data, lookup, NOW)
+
+
+class PeerStateTest(unittest.TestCase):
+    """Fails if a daemon takes over another state than the peer's."""
+
+    def test_objects_arrive_as_they_were_sent(self):
+        stored = load_reports.StoredObject(
+            "main", ids.ObjectVersion(5), b'{"version":1}'
+        )
+        state = load_reports.PeerState(
+            ids.ObjectVersion(5), (stored,), ids.ObjectVersion(6), ()
+        )
+        encoded = load_reports.encode_state(state)
+        self.assertEqual(load_reports.decode_state(encoded), state)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/platform/src/lavendershed/platform/factory.py
+++ b/packages/platform/src/lavendershed/platform/factory.py
@@ -30,6 +30,7 @@
 from lavendershed.routing import load_board
 from lavendershed.routing import service_choice
 from lavendershed.telemetry import log
+from lavendershed.telemetry import request_instruments
 
 _KINDS = {
     translators.ObjectKind.CONFIGURATION: "config",
@@ -37,14 +38,6 @@
 }
 
 
-class NoMetrics(components.Metrics):
-    """Placeholder."""
-
-    def exposition(self) -> bytes:
-        """Returns nothing."""
-        return b""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlatformParts:
     """The parts and what a change of the settings touches."""
@@ -90,6 +83,7 @@
         health,
         timer_service,
         event_log,
+        request_instruments.RequestInstruments(current.vm),
         current.zone,
     )
     store_connection = synchronisation.StoreConnection()
@@ -126,6 +120,5 @@
         state_exchange.StateFetcher(
             peers, versions, view, store_connection, timer_service, event_log
         ),
-        NoMetrics(),
     )
     return PlatformParts(built, peers, budget)
--- /dev/null
+++ b/packages/platform/tests/test_engines.py
@@ -0,0 +1,114 @@
+"""Guards what the head of an engine's answer is taken for."""
+
+from __future__ import annotations
+
+import unittest
+
+from lavendershed.core import addresses
+from lavendershed.core import ids
+from lavendershed.core import units
+from lavendershed.forwarding import requests
+from lavendershed.platform import engines
+from lavendershed.transport import client
+
+KIND = requests.AnswerKind
+CALLER = requests.CallerRequest(
+    ids.RequestId("r1"),
+    "POST",
+    "/a?b",
+    "/a",
+    "h",
+    (("attempt-id", "r1"),),
+    b"",
+    None,
+    None,
+    None,
+    None,
+)
+SOUND = {"attempt-id": "r1", "engine-seal": "s"}
+
+
+class DecodeTest(unittest.TestCase):
+    """Fails if an answer is taken for more than it is."""
+
+    def decode(self, status, headers):
+        head = client.ResponseHead(status, tuple(headers.items()))
+        return engines.PlatformServers().decode(head, CALLER)
+
+    def test_kinds(self):
+        for status, headers, kind in (
+            (200, SOUND, KIND.SUCCESS),
+            (200, {"attempt-id": "r1"}, KIND.INVALID),
+            (200, {"engine-seal": "s"}, KIND.INVALID),
+            (200, {**SOUND, "content-encoding": "gzip"}, KIND.INVALID),
+            (200, {**SOUND, "attempt-id": "r2"}, KIND.OTHER_REQUEST),
+            (503, {"not-executed": "1"}, KIND.NOT_RUN),
+            (429, {"not-executed": "1"}, KIND.NOT_RUN),
+            (503, {}, KIND.INVALID),
+            (429, SOUND, KIND.INVALID),
+            (408, SOUND, KIND.INVALID),
+            (421, {"instance-id": "i"}, KIND.WRONG_SERVER),
+            (500, SOUND, KIND.FAILURE),
+            (504, SOUND, KIND.FAILURE),
+            (404, SOUND, KIND.FAILURE),
+        ):
+            with self.subTest(status=status, headers=headers):
+                self.assertIs(self.decode(status, headers).kind, kind)
+
+    def test_idle_limits(self):
+        for headers, limit in (
+            ({"keep-alive": "timeout=5, max=9"}, 5.0),
+            ({"keep-alive": "timeout=5", "connection": "close"}, None),
+            ({"connection": "Close"}, None),
+            ({}, 0.5),
+        ):
+            with self.subTest(headers=headers):
+                answer = self.decode(200, {**SOUND, **headers})
+                self.assertEqual(answer.idle_limit, limit)
+
+    def test_the_engine_at_fault_is_read(self):
+        answer = self.decode(
+            503, {"not-executed": "1", "at-server": "10.0.0.3:80"}
+        )
+        self.assertEqual(answer.faulty, addresses.Address("10.0.0.3", 80))
+        self.assertIsNone(self.decode(503, {"at-server": "x"}).faulty)
+
+    def test_headers_of_the_connection_are_not_passed_on(self):
+        answer = self.decode(
+            200, {**SOUND, "keep-alive": "timeout=5", "content-length": "3"}
+        )
+        self.assertEqual(dict(answer.headers), SOUND)
+
+
+class EncodeTest(unittest.TestCase):
+    """Fails if an engine is asked for something else."""
+
+    def encode(self, **changes):
+        request = requests.ServerRequest(
+            CALLER,
+            ids.BackendServerId("i-1"),
+            ids.OrganisationId("o"),
+            units.Seconds(1.2345),
+            **changes,
+        )
+        return engines.PlatformServers().encode(request)
+
+    def test_the_engine_and_the_time_left_are_named(self):
+        head = self.encode()
+        headers = dict(head.headers)
+        self.assertEqual(head.target, "/a?b")
+        self.assertEqual(headers["expect-instance"], "i-1")
+        self.assertEqual(headers["deadline-ms"], "1234")
+        self.assertEqual(headers["tenant"], "o")
+
+    def test_helpers_and_their_tickets(self):
+        helpers = (
+            (addresses.Address("10.0.0.1", 80), "t1"),
+            (addresses.Address("10.0.0.2", 80), None),
+        )
+        headers = dict(self.encode(helpers=helpers).headers)
+        self.assertEqual(headers["helpers"], "10.0.0.1:80/t1,10.0.0.2:80")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/platform/tests/test_objects.py
@@ -0,0 +1,174 @@
+"""Guards the reading of configurations and server entries."""
+
+from __future__ import annotations
+
+import copy
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+import orjson
+
+from lavendershed.core import ids
+from lavendershed.peer import load_reports
+from lavendershed.platform import objects
+from lavendershed.routes import model
+
+ENTRY = {
+    "service": "s",
+    "address": "10.0.0.9:80",
+    "zone": "a",
+    "state": "ready",
+    "born": 17,
+    "seq": 4,
+}
+CONFIGURATION = {
+    "version": 7,
+    "route_table": [
+        {
+            "name": "r",
+            "host": "Users.Example",
+            "path_prefix": "/a/",
+            "kind": "streaming",
+            "timeout_ms": 10_000,
+            "target_latency_ms": 300,
+            "priority": 1,
+            "weighted_services": [
+                {"service": "s", "weight": 90},
+                {"service": "t", "weight": 10},
+            ],
+            "max_attempts": 2,
+            "public": False,
+            "resumable": True,
+            "gap_target_ms": 250,
+        }
+    ],
+    "services": [
+        {
+            "name": "s",
+            "max_connections": 434,
+            "engine": {
+                "slots": 8,
+                "kv_capacity": 315_000,
+                "stride": 51,
+                "step_ms": 0.85,
+                "read_per_s": 177_000.0,
+                "usual": {"prompt": 11_121, "answer": 1_622},
+            },
+        }
+    ],
+    "limits": {
+        "max_header_bytes": 16_384,
+        "max_body_bytes": 4_194_304,
+        "header_timeout_ms": 3_000,
+        "idle_timeout_ms": 15_000,
+    },
+    "tenants": [{"name": "o", "api_keys": ["k"], "priority": 1}],
+}
+
+
+def stored(body, name="main"):
+    """Returns an object with an encoded body."""
+    return load_reports.StoredObject(
+        name, ids.ObjectVersion(3), orjson.dumps(body)
+    )
+
+
+class ConfigurationTest(unittest.TestCase):
+    """Fails if a configuration is misread or an error does not name it."""
+
+    def setUp(self):
+        self.objects = objects.PlatformObjects()
+        self.body = copy.deepcopy(CONFIGURATION)
+
+    def problem(self):
+        return self.objects.configuration(stored(self.body)).unwrap_err()
+
+    def test_all_fields_have_their_units(self):
+        decoded = self.objects.configuration(stored(self.body)).unwrap()
+        route = decoded.routes[0]
+        self.assertEqual(route.host, "users.example")
+        self.assertEqual(route.timeout, 10.0)
+        self.assertEqual(route.longest_pause, 0.25)
+        self.assertIs(route.kind, model.RequestKind.STREAMING)
+        self.assertEqual([s.weight for s in route.services], [90, 10])
+        engine = decoded.services[0].engine
+        self.assertEqual(engine.read_tokens_per_ms, 177.0)
+        self.assertEqual(engine.usual_answer, 1_622)
+        self.assertEqual(decoded.organisations[0].keys, ("k",))
+
+    def test_unknown_fields_are_ignored(self):
+        self.body["new"] = self.body["route_table"][0]["new"] = 1
+        self.assertTrue(self.objects.configuration(stored(self.body)).is_ok())
+
+    def test_without_organisations_no_key_is_needed(self):
+        del self.body["tenants"]
+        decoded = self.objects.configuration(stored(self.body)).unwrap()
+        self.assertIsNone(decoded.organisations)
+
+    def test_errors_name_the_field(self):
+        for table, field, value in (
+            (self.body, "version", "x"),
+            (self.body["route_table"][0], "kind", "odd"),
+            (self.body["route_table"][0], "timeout_ms", None),
+            (self.body["services"][0]["engine"], "slots", True),
+            (self.body["limits"], "max_body_bytes", -1),
+            (self.body["tenants"][0], "api_keys", [1]),
+        ):
+            with self.subTest(field=field):
+                kept = table[field]
+                table[field] = value
+                self.assertIn(field, self.problem())
+                table[field] = kept
+
+
+class ServerEntryTest(unittest.TestCase):
+    """Fails if a foreign entry names a server, or a proper one doesn't."""
+
+    def setUp(self):
+        self.objects = objects.PlatformObjects()
+
+    def test_an_entry_names_its_server(self):
+        entry = self.objects.server(stored(ENTRY, "i-1")).unwrap()
+        self.assertEqual(entry.id, "i-1")
+        self.assertEqual(entry.born, 17)
+        self.assertTrue(entry.accepts_work)
+
+    def test_missing_and_wrong_fields_are_named(self):
+        for field in ("service", "address", "zone", "state"):
+            for value in (None, 5, "", "odd:odd"):
+                if field in ("service", "zone") and value == "odd:odd":
+                    continue
+                with self.subTest(field=field, value=value):
+                    decoded = self.objects.server(
+                        stored({**ENTRY, field: value}, "i-1")
+                    )
+                    self.assertIn(field, decoded.unwrap_err())
+
+    @hypothesis.given(
+        strategies.recursive(
+            strategies.none() | strategies.integers() | strategies.text(),
+            lambda inner: (
+                strategies.lists(inner)
+                | strategies.dictionaries(
+                    strategies.sampled_from([*ENTRY, "other"]), inner
+                )
+            ),
+        )
+    )
+    def test_any_body_gives_an_entry_or_a_reason(self, body):
+        try:
+            item = stored(body, "i-1")
+        except orjson.JSONEncodeError:
+            return
+        self.objects.server(item)
+        self.objects.configuration(item)
+
+    def test_bytes_that_are_no_body_give_a_reason(self):
+        item = load_reports.StoredObject("i", ids.ObjectVersion(1), b"\xff{")
+        self.assertTrue(self.objects.server(item).is_err())
+        self.assertTrue(self.objects.configuration(item).is_err())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/platform/tests/test_settings.py
@@ -0,0 +1,71 @@
+"""Guards the reading of the platform's settings file."""
+
+from __future__ import annotations
+
+import pathlib
+import tempfile
+import unittest
+
+from lavendershed.platform import settings
+
+FILE = """
+node_name = "edge-1"
+ip = "10.1.0.40"
+zone = "a"
+internal_ports = [7340, 7355]
+seeds = ["10.1.0.40:8229", "10.2.0.29:8229"]
+unknown = "ignored"
+[listen]
+frontend = "10.1.0.40:8227"
+ready = "10.1.0.40:8220"
+[bounds]
+grace_s = 8
+retry_budget_ratio = 0.2
+budget_window_s = 10
+budget_slack = 106
+[provider]
+address = "10.200.1.7:8223"
+"""
+
+
+class SettingsTest(unittest.TestCase):
+    """Fails if a setting is misread or an error does not name it."""
+
+    def load(self, text):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "settings.toml"
+            path.write_text(text)
+            return settings.load(path)
+
+    def test_all_fields_are_read(self):
+        loaded = self.load(FILE).unwrap()
+        self.assertEqual(str(loaded.callers), "10.1.0.40:8227")
+        self.assertEqual(str(loaded.peers), "10.1.0.40:7340")
+        self.assertEqual(str(loaded.seeds[1]), "10.2.0.29:7340")
+        self.assertEqual(loaded.grace, 8.0)
+        self.assertEqual(loaded.budget.slack, 106)
+
+    def test_errors_name_the_field(self):
+        for field, line in (
+            ("frontend", 'frontend = "edge:8227"'),
+            ("grace_s", "grace_s = -1"),
+            ("internal_ports", "internal_ports = []"),
+            ("zone", "zone = 5"),
+            ("address", 'address = "10.200.1.7"'),
+        ):
+            lines = [
+                line if old.startswith(f"{field} =") else old
+                for old in FILE.splitlines()
+            ]
+            with self.subTest(field=field):
+                problem = self.load("\n".join(lines)).unwrap_err()
+                self.assertIn(field, problem)
+
+    def test_a_file_that_is_missing_or_no_toml_is_an_error(self):
+        self.assertTrue(self.load("= nothing").is_err())
+        missing = settings.load(pathlib.Path("missing.toml"))
+        self.assertIn("missing.toml", missing.unwrap_err())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/routing/src/lavendershed/routing/load_board.py
+++ b/packages/routing/src/lavendershed/routing/load_board.py
@@ -133,6 +133,12 @@
         """Work that this daemon has placed."""
         return tuple(self._own.values())
 
+    def age(self, now: units.Instant) -> units.Seconds:
+        """Returns the age of the oldest report; 0 without any."""
+        return units.Seconds(
+            max((now - at for at, _ in self._peers.values()), default=0.0)
+        )
+
     def subscribe(self, listener: ChangeListener) -> None:
         """Calls `listener` after each change of the own work.
 
--- a/packages/telemetry/src/lavendershed/telemetry/buffered_log.py
+++ b/packages/telemetry/src/lavendershed/telemetry/buffered_log.py
@@ -44,6 +44,10 @@
         """Writes what waits, again and again."""
         timer_service.subscribe_every(_FLUSH_INTERVAL, self.flush)
 
+    def close(self) -> None:
+        """Takes no further events."""
+        eliot.remove_destination(self._take)
+
     def emit(self, event: events.Event, **fields: log.LogValue) -> None:
         """Queues one event with its fields."""
         eliot.log_message(
--- a/tests/test_boundaries.py
+++ b/tests/test_boundaries.py
@@ -18,6 +18,7 @@
     "reliability",
     "membership",
     "placement",
+    "routes",
     "booking",
 )
 FORBIDDEN_IN_DECISIONS = {
