--- /dev/null
+++ b/packages/cli/src/lavendershed/cli/commands/explain.py
@@ -0,0 +1,119 @@
+"""The `explain` command."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+import dataclasses
+import pathlib
+import sys
+from typing import Any
+
+import click
+import orjson
+
+# Fields that every line has, or that the heading of a line shows.
+_HEADING_FIELDS = frozenset(
+    {"event", "message_type", "request", "task_level", "task_uuid", "timestamp"}
+)
+_NAME_PREFIX = "lavendershed."
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Line:
+    """One log line.
+
+    Attributes:
+        source: File that it stands in.
+        fields: All its fields.
+    """
+
+    source: str
+    fields: dict[str, Any]
+
+    @property
+    def timestamp(self) -> float:
+        """Unix time in seconds; 0 if the line has none."""
+        value = self.fields.get("timestamp", 0.0)
+        return float(value) if isinstance(value, int | float) else 0.0
+
+    def __str__(self) -> str:
+        """Returns the line as people read it."""
+        name = str(self.fields.get("message_type", "unknown"))
+        details = " ".join(
+            f"{field}={_shown(value)}"
+            for field, value in self.fields.items()
+            if field not in _HEADING_FIELDS and value is not None
+        )
+        heading = f"{self.timestamp:.3f} {self.source}"
+        return f"{heading} {name.removeprefix(_NAME_PREFIX)} {details}"
+
+
+class LogReader:
+    """Reads log lines and counts those that are not whole."""
+
+    def __init__(self) -> None:
+        self._unreadable = 0
+
+    @property
+    def unreadable(self) -> int:
+        """Lines that were not JSON objects."""
+        return self._unreadable
+
+    def read(self, source: str, lines: Iterable[bytes]) -> Iterator[Line]:
+        """Yields the lines that can be read."""
+        for line in lines:
+            # Collectors put a prefix in front of what a process writes.
+            start = line.find(b"{")
+            try:
+                fields = orjson.loads(line[start:]) if start >= 0 else None
+            except orjson.JSONDecodeError:
+                fields = None
+            if not isinstance(fields, dict):
+                self._unreadable += bool(line.strip())
+                continue
+            yield Line(source, fields)
+
+
+@click.command()
+@click.argument("request_id")
+@click.argument("files", nargs=-1, type=click.Path(path_type=pathlib.Path))
+def explain(request_id: str, files: tuple[pathlib.Path, ...]) -> None:
+    """Prints the story of one request, from log files or standard input."""
+    reader = LogReader()
+    story: list[Line] = []
+    if not files:
+        story += _of_request(reader.read("-", sys.stdin.buffer), request_id)
+    for path in files:
+        try:
+            with path.open("rb") as file:
+                lines = reader.read(path.name, file)
+                story += _of_request(lines, request_id)
+        except OSError as error:
+            raise click.ClickException(
+                f"{path} can't be read: {error.strerror}"
+            ) from error
+    for line in sorted(story, key=lambda found: found.timestamp):
+        click.echo(str(line))
+    if reader.unreadable:
+        click.echo(
+            f"{reader.unreadable} lines could not be read; the log may have "
+            "been cut",
+            err=True,
+        )
+    if not story:
+        raise click.ClickException(
+            f"no line mentions request {request_id}; give the logs of all "
+            "daemons of its availability zone and look for lines "
+            "log_lines_dropped"
+        )
+
+
+def _of_request(lines: Iterable[Line], request_id: str) -> Iterator[Line]:
+    return (line for line in lines if line.fields.get("request") == request_id)
+
+
+def _shown(value: object) -> str:
+    if isinstance(value, list):
+        return ",".join(map(str, value)) or "none"
+    return str(value)
--- a/packages/cli/src/lavendershed/cli/main.py
+++ b/packages/cli/src/lavendershed/cli/main.py
@@ -7,6 +7,7 @@
 from lavendershed import cli
 from lavendershed.cli.commands import apply
 from lavendershed.cli.commands import diff
+from lavendershed.cli.commands import explain
 from lavendershed.cli.commands import export
 from lavendershed.cli.commands import history
 from lavendershed.cli.commands import organisation
@@ -25,6 +26,7 @@
 for command in (
     apply.apply,
     diff.diff,
+    explain.explain,
     export.export,
     history.history,
     organisation.organisation,
--- a/packages/forwarding/src/lavendershed/forwarding/synchronisation.py
+++ b/packages/forwarding/src/lavendershed/forwarding/synchronisation.py
@@ -23,6 +23,9 @@
 # After a failure the first watch comes back at once: a store that has returned
 # is noticed then, and not with its next change.
 _FIRST_WAIT = units.Seconds(0.001)
+# Pause after changes, so that those which follow at once come with one call.
+# Each call is priced, and changes have to be in force within two seconds.
+_BATCH_PAUSE = units.Seconds(0.25)
 # Calls to a store that is away are priced too, and its return has to be seen
 # well within the two seconds in which lapsed entries come back.
 _RETRY_LIMITS = backoff.BackoffLimits(
@@ -128,6 +131,8 @@
                 changed, removed, revision, self._timers.now()
             )
         self._revision = revision
+        if changed or removed:
+            await asyncio.sleep(_BATCH_PAUSE)
         return None
 
     def _on_answer(self) -> None:
