Add a fault soak of daemons on the platform

Change: daemons as processes, stand-ins behind proxies, signals, engine and store faults, changes; promises checked from what callers and engines saw.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,10 @@
 export PYTHONPATH := $(subst $(space),:,$(abspath $(SOURCES)))
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: demo test lint bench binary format relay
+.PHONY: demo test lint bench binary format relay soak
+
+SEEDS ?= 1-10
+SECONDS ?= 20
 
 $(VENV)/installed: requirements.txt requirements-product.txt
 	test -x $(PYTHON) || python3 -m venv $(VENV)
@@ -36,3 +39,6 @@
 
 binary: $(VENV)/installed
 	$(PYTHON) tools/build_binary.py
+
+soak: $(VENV)/installed
+	$(PYTHON) tools/soak.py $(SEEDS) $(SECONDS)
--- /dev/null
+++ b/tests/test_platform_soak.py
@@ -0,0 +1,29 @@
+"""Guards the promises on the platform under random faults, as processes.
+
+`LAVENDERSHED_SOAK_SEED` repeats a run with another seed; `make soak` runs
+many. Seeds that have failed are listed in `SEEDS` with their cause.
+"""
+
+from __future__ import annotations
+
+import os
+import unittest
+
+from lavendershed.standin import platform_soak
+
+SEEDS = [int(os.environ.get("LAVENDERSHED_SOAK_SEED", "1"))]
+SHAPE = platform_soak.SoakShape(seconds=8.0)
+
+
+class PlatformSoakTest(unittest.IsolatedAsyncioTestCase):
+    """Fails if a promise breaks while faults overlap."""
+
+    async def test_promises_hold(self):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                soak = platform_soak.PlatformSoak(seed, SHAPE)
+                self.assertEqual(await soak.run(), [], soak.folder)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tools/soak.py
@@ -0,0 +1,41 @@
+"""Runs the fault soak on the platform for a range of seeds.
+
+make soak SEEDS=1-50 SECONDS=20
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+
+from lavendershed.standin import platform_soak
+
+
+async def run_seed(seed: int, shape: platform_soak.SoakShape) -> bool:
+    """Returns whether all promises held."""
+    soak = platform_soak.PlatformSoak(seed, shape)
+    problems = await soak.run()
+    outcomes = ", ".join(f"{n} {k}" for k, n in sorted(soak.outcomes.items()))
+    print(f"seed {seed}: {'held' if not problems else 'BROKEN'}; {outcomes}")
+    for problem in problems:
+        print(f"  {problem}")
+    if problems:
+        print(f"  logs in {soak.folder}")
+    return not problems
+
+
+def main() -> int:
+    """Runs all seeds; returns the exit status."""
+    first, _, last = sys.argv[1].partition("-")
+    seconds = float(sys.argv[2]) if len(sys.argv) > 2 else 20.0
+    shape = platform_soak.SoakShape(seconds=seconds)
+    held = [
+        asyncio.run(run_seed(seed, shape))
+        for seed in range(int(first), int(last or first) + 1)
+    ]
+    print(f"{sum(held)} of {len(held)} seeds held")
+    return 0 if all(held) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
