Deliver the events in front of a gap; wait for memory that is reserved

Cause: soak seed 29: an engine skipped an event, and the events that came with it were taken for delivered, so that the second engine went on after them: the caller got event 6 alone as a whole answer. Change: events up to the gap are passed on, the next engine goes on from there, and a new stream begins with event 0 or 1. A prompt without memory is tried again every 0.2 s up to its target latency. The soak starts a daemon once where two signals end it.

--- a/packages/forwarding/src/lavendershed/forwarding/attempts.py
+++ b/packages/forwarding/src/lavendershed/forwarding/attempts.py
@@ -57,8 +57,7 @@
     Attributes:
         end: How it ended.
         detail: One sentence for logs.
-        at_fault: Servers to avoid in the next attempt, if not the one that
-            was tried.
+        at_fault: Engines that had no memory to reserve.
     """
 
     end: forwarding_states.AttemptEnd
@@ -79,6 +78,8 @@
         self._results: list[AttemptResult] = []
         self._tried: set[ids.BackendServerId] = set()
         self._delivered = 0
+        # Attempts that got as far as a connection.
+        self._counted = 0
         # The result whose further attempt has been taken from the budget.
         self._charged: AttemptResult | None = None
 
@@ -87,6 +88,11 @@
         """Servers that failed this request."""
         return frozenset(self._tried)
 
+    @property
+    def short_of_memory(self) -> frozenset[ids.BackendServerId]:
+        """Engines that had no memory in the last attempt."""
+        return frozenset(self._results[-1].at_fault if self._results else ())
+
     @property
     def count(self) -> int:
         """Attempts so far."""
@@ -109,7 +115,9 @@
     ) -> None:
         """Notes an attempt that did not give the whole answer."""
         self._results.append(attempt)
-        self._tried.update(attempt.at_fault or (entry.id,))
+        if attempt.end is not forwarding_states.AttemptEnd.NO_MEMORY:
+            self._tried.add(entry.id)
+            self._counted += 1
         if attempt.end in _DELIVERED:
             self._delivered += 1
         self._context.instruments.attempt_failed(
@@ -142,7 +150,7 @@
             return self._server_failed(f"it may have run: {last.detail}")
         if (
             self._delivered >= self._admitted.route.max_attempts
-            or self.count >= _MOST_ATTEMPTS
+            or self._counted >= _MOST_ATTEMPTS
         ):
             return self._server_failed(f"no attempt is left: {last.detail}")
         now = self._context.timers.now()
--- a/packages/forwarding/src/lavendershed/forwarding/stream_run.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_run.py
@@ -46,7 +46,9 @@
 _REQUEST_NUMBER_MASK = 0x7FFF_FFFF
 # A prompt that finds no memory tries again after this time, and fails after
 # its target latency: memory is freed by the end of any long request.
-_MEMORY_RETRY = units.Seconds(0.1)
+_MEMORY_RETRY = units.Seconds(0.2)
+# Engines count events from zero or one.
+_FIRST_NUMBERS = (0, 1)
 _MAX_FAILED_ANSWER = units.Bytes(1_000_000)
 
 
@@ -100,6 +102,16 @@
                 await self._finish(placement)
                 return
             self._attempts.add(placement.first, ended)
+            if ended.end is forwarding_states.AttemptEnd.NO_MEMORY:
+                if not self._may_wait():
+                    await self._give_up(
+                        self._attempts.failure(
+                            states.FailureReason.NO_BACKEND_SERVER,
+                            ended.detail,
+                        )
+                    )
+                    return
+                await asyncio.sleep(_MEMORY_RETRY)
 
     def _may_wait(self) -> bool:
         """Returns whether an engine may have room in time."""
@@ -135,7 +147,10 @@
             context.zone,
             units.Bytes(len(self._admitted.caller.body)),
         )
-        placement = chooser.choose(demand, candidates, avoided, now)
+        short = self._attempts.short_of_memory
+        placement = chooser.choose(demand, candidates, avoided | short, now)
+        if placement is None and short:
+            placement = chooser.choose(demand, candidates, avoided, now)
         if placement is not None:
             self._predicted_ms = placement.first_token_ms
             context.log.emit(
@@ -329,7 +344,11 @@
             received = splitter.feed(part.ok_value)
             if not received:
                 continue
-            if not self._follows(received):
+            following = self._following(received)
+            if following:
+                await self._pass_on(answer, following, numbers)
+                wait = self._stall_wait(placement)
+            if len(following) < len(received):
                 context_module.count_failed_answer(
                     self._context,
                     entry,
@@ -340,24 +359,36 @@
                     forwarding_states.AttemptEnd.INVALID_ANSWER,
                     "the events do not follow each other",
                 )
-            self._on_events(numbers)
-            wait = self._stall_wait(placement)
-            if not self._responder.started:
-                self._responder.start(answer.status, answer.headers)
-            await self._responder.write(
-                b"".join(event.encoded for event in received)
-            )
 
-    def _follows(self, received: tuple[event_splitter.Event, ...]) -> bool:
-        """Returns whether the events go on where the last one ended."""
-        for event in received:
+    async def _pass_on(
+        self,
+        answer: requests.AnswerHead,
+        following: tuple[event_splitter.Event, ...],
+        numbers: list[int],
+    ) -> None:
+        """Sends events to the caller and notes the last one."""
+        self._on_events(numbers)
+        known = [e.number for e in following if e.number is not None]
+        if known:
+            self._last_event = known[-1]
+        if not self._responder.started:
+            self._responder.start(answer.status, answer.headers)
+        await self._responder.write(
+            b"".join(event.encoded for event in following)
+        )
+
+    def _following(
+        self, received: tuple[event_splitter.Event, ...]
+    ) -> tuple[event_splitter.Event, ...]:
+        """Returns the events up to the first that does not follow."""
+        last = self._last_event
+        for position, event in enumerate(received):
             if event.number is None:
                 continue
-            last = self._last_event
-            if last is not None and event.number != last + 1:
-                return False
-            self._last_event = event.number
-        return True
+            if event.number not in _next_numbers(last):
+                return received[:position]
+            last = event.number
+        return received
 
     def _on_events(self, numbers: list[int]) -> None:
         now = self._context.timers.now()
@@ -522,3 +553,8 @@
             if entry.id not in names
         ),
     )
+
+
+def _next_numbers(last: int | None) -> tuple[int, ...]:
+    """Returns the numbers that the next event may have."""
+    return _FIRST_NUMBERS if last is None else (last + 1,)
--- a/packages/standin/src/lavendershed/standin/platform_engine.py
+++ b/packages/standin/src/lavendershed/standin/platform_engine.py
@@ -72,6 +72,8 @@
         self.orders: list[dict[str, Any]] = []
         self.event_delay = 0.005
         self.memory = 315_000
+        # Whether all events of a stream are written together.
+        self.batched = False
 
     @property
     def address(self) -> address_module.Address:
@@ -207,6 +209,7 @@
             await asyncio.sleep(self._model.read_ms(prompt, parts) / 1_000)
         responder.start(200, (*answer, ("content-type", "text/event-stream")))
         first = int(headers.get("last-event-id", "0")) + 1
+        batch = b""
         for number in range(first, self._events + 1):
             await asyncio.sleep(self.event_delay)
             if fault is EngineFault.GAP and number == self._events:
@@ -223,7 +226,10 @@
                 if fault is EngineFault.PARTIAL_EVENT:
                     await responder.write(event[:7])
                     break
-            await responder.write(event)
+            batch += event
+            if not self.batched or number >= self._events:
+                await responder.write(batch)
+                batch = b""
         await responder.finish()
 
     async def _order(
--- a/packages/standin/src/lavendershed/standin/platform_soak.py
+++ b/packages/standin/src/lavendershed/standin/platform_soak.py
@@ -171,6 +171,7 @@
         self._proxies: list[fault_proxy.FaultProxy] = []
         self._engines: list[platform_engine.StandinPlatformEngine] = []
         self._daemons: list[DaemonProcess] = []
+        self._restarting: set[DaemonProcess] = set()
         self._outcomes: dict[str, _Outcome] = {}
         self._numbers = itertools.count()
         self._versions = itertools.count(1)
@@ -431,7 +432,13 @@
             case _:
                 daemon.signal(signal.SIGHUP)
                 return
+        if daemon in self._restarting:
+            return
+        # Signals come in series, but only one of them starts it again.
+        self._restarting.add(daemon)
+        daemon.signal(signal.SIGCONT)
         status = await daemon.ended()
+        self._restarting.discard(daemon)
         if status not in (0, -signal.SIGKILL):
             self._problems.append(f"a daemon ended with status {status}")
         await self._start_daemon(daemon)
--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -73,6 +73,7 @@
                 resumable=True,
                 gap_target_ms=100,
                 timeout_ms=30_000,
+                target_latency_ms=600,
             ),
             route("/safe/", "safe", PLAIN_SERVICE),
             route("/unsafe/", "unsafe", PLAIN_SERVICE, max_attempts=2),
--- a/tests/test_platform_rules.py
+++ b/tests/test_platform_rules.py
@@ -247,6 +247,14 @@
         answer = await self.stream()
         self.assertTrue(answer.is_err())
 
+    async def test_events_in_front_of_a_gap_are_not_lost(self):
+        # Found by the soak, seed 29: events that arrived together with the
+        # one after the gap were taken for delivered.
+        self.engines[0].fault = Fault.GAP
+        self.engines[0].batched = True
+        for _ in range(3):
+            self.assertEqual((await self.stream()).body, self.WHOLE)
+
     async def test_a_stream_that_cannot_end_does_not_look_complete(self):
         self.set_fault(Fault.RESET_IN_STREAM)
         self.assertTrue((await self.stream()).is_err())
@@ -399,6 +407,15 @@
         self.assertEqual(self.ran(), [])
         await self.until(lambda: not any(e.tickets for e in self.engines))
 
+    async def test_memory_that_becomes_free_in_time_is_used(self):
+        self.engines[1].memory = 1_000
+        task = self.loop.create_task(
+            self.stream(size="400000,100", deadline_ms="9000")
+        )
+        await self.until(lambda: self.engines[1].orders)
+        self.engines[1].memory = 315_000
+        self.assertEqual((await task).body, StreamTest.WHOLE)
+
     async def test_the_memory_is_released_if_the_caller_leaves(self):
         self.set_fault(Fault.HANG)
         task = self.loop.create_task(
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -11,7 +11,11 @@
 
 from lavendershed.standin import platform_soak
 
-SEEDS = [int(os.environ.get("LAVENDERSHED_SOAK_SEED", "1"))]
+SEEDS = [
+    int(os.environ.get("LAVENDERSHED_SOAK_SEED", "1")),
+    # Events in front of a gap were taken for delivered.
+    29,
+]
 SHAPE = platform_soak.SoakShape(seconds=8.0)
 
 
