--- a/deploy/build.py
+++ b/deploy/build.py
@@ -11,6 +11,8 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 TARGET = ROOT / "target" / "deps"
 REQUIREMENTS = ROOT / "requirements-platform.txt"
+# Copy of the requirements that the folder was built from.
+INSTALLED = TARGET / "requirements.txt"
 # What runs on the platform; other libraries serve the own interface only.
 LIBRARIES = (
     "core",
@@ -26,15 +28,26 @@
 )
 
 
+def _installed() -> bool:
+    """Returns whether the folder holds the required packages."""
+    return (
+        INSTALLED.exists()
+        and INSTALLED.read_bytes() == REQUIREMENTS.read_bytes()
+    )
+
+
 def main() -> int:
     """Builds the folder; returns the exit status."""
-    if not TARGET.exists():
+    if not _installed():
+        shutil.rmtree(TARGET, ignore_errors=True)
         command = [sys.executable, "-m", "pip", "install", "-q"]
         command += ["--target", str(TARGET), "-r", str(REQUIREMENTS)]
-        installed = subprocess.run(command, check=False)
-        if installed.returncode:
-            shutil.rmtree(TARGET, ignore_errors=True)
-            return installed.returncode
+        status = subprocess.run(command, check=False).returncode
+        if status:
+            return status
+        shutil.copy(REQUIREMENTS, INSTALLED)
+    # Modules that are gone from the sources must not stay importable.
+    shutil.rmtree(TARGET / "lavendershed", ignore_errors=True)
     for library in LIBRARIES:
         shutil.copytree(
             ROOT / "packages" / library / "src",
--- a/packages/standin/src/lavendershed/standin/platform_soak.py
+++ b/packages/standin/src/lavendershed/standin/platform_soak.py
@@ -46,6 +46,8 @@
 _PORT_COUNT = 4
 # Answers that promise that a request has not run.
 _PROMISES = frozenset({408, 421, 429, 503})
+# A process that gets SIGTERM before it listens has nothing to finish.
+_EXPECTED_STATUSES = (0, -signal.SIGKILL, -signal.SIGTERM)
 _ENGINE_FAULTS = (
     platform_engine.EngineFault.SHED,
     platform_engine.EngineFault.ERROR,
@@ -439,7 +441,7 @@
         daemon.signal(signal.SIGCONT)
         status = await daemon.ended()
         self._restarting.discard(daemon)
-        if status not in (0, -signal.SIGKILL):
+        if status not in _EXPECTED_STATUSES:
             self._problems.append(f"a daemon ended with status {status}")
         await self._start_daemon(daemon)
 
