Recognise slow engines by the pace of their events

Cause: an engine that turned slow kept getting work; only its longer stay on the board spoke against it. Change: the smallest of four pauses in a row against the prediction gives a factor for each engine, which daemons share and the choice uses.

--- a/packages/forwarding/src/lavendershed/forwarding/engine_choosers.py
+++ b/packages/forwarding/src/lavendershed/forwarding/engine_choosers.py
@@ -5,6 +5,7 @@
 from lavendershed.core import ids
 from lavendershed.routes import model
 from lavendershed.routing import engine_choice
+from lavendershed.routing import engine_pace
 from lavendershed.routing import load_board
 from lavendershed.routing import pass_model
 
@@ -12,13 +13,31 @@
 class EngineChoosers:
     """Keeps choosers until the figures of their engines change."""
 
-    def __init__(self, board: load_board.LoadBoard) -> None:
+    def __init__(
+        self, board: load_board.LoadBoard, paces: engine_pace.EnginePaces
+    ) -> None:
         self._board = board
+        self._paces = paces
         self._choosers: dict[
             ids.ServiceId,
             tuple[pass_model.PassModel, engine_choice.PredictedLossChooser],
         ] = {}
 
+    @property
+    def paces(self) -> engine_pace.EnginePaces:
+        """Slow engines."""
+        return self._paces
+
+    def predicted_pass_ms(
+        self, service: model.Service, server: ids.BackendServerId
+    ) -> float:
+        """Returns the time of a pass of an engine with its present work."""
+        known = self._choosers.get(service.id)
+        if known is None:
+            return 0.0
+        load = self._board.load(server)
+        return known[0].pass_ms(max(1, len(load.writers)), load.context)
+
     def chooser(
         self, service: model.Service
     ) -> engine_choice.PredictedLossChooser | None:
@@ -30,6 +49,8 @@
         if known is not None and known[0].profile == profile:
             return known[1]
         engine_model = pass_model.PassModel(profile)
-        chooser = engine_choice.PredictedLossChooser(engine_model, self._board)
+        chooser = engine_choice.PredictedLossChooser(
+            engine_model, self._board, self._paces
+        )
         self._choosers[service.id] = (engine_model, chooser)
         return chooser
--- a/packages/forwarding/src/lavendershed/forwarding/load_sharing.py
+++ b/packages/forwarding/src/lavendershed/forwarding/load_sharing.py
@@ -16,6 +16,7 @@
 from lavendershed.peer import wire
 from lavendershed.reliability import crash_counts
 from lavendershed.reliability import fleet_retry_budget
+from lavendershed.routing import engine_pace
 from lavendershed.routing import load_board
 from lavendershed.telemetry import events
 from lavendershed.telemetry import log
@@ -74,6 +75,7 @@
         view: deployment_view.DeploymentView,
         board: load_board.LoadBoard,
         crashes: crash_counts.CrashCounts,
+        paces: engine_pace.EnginePaces,
         budget: fleet_retry_budget.FleetRetryBudget,
         timer_service: timers.TimerService,
         event_log: log.EventLog,
@@ -84,6 +86,7 @@
         self._view = view
         self._board = board
         self._crashes = crashes
+        self._paces = paces
         self._budget = budget
         self._timers = timer_service
         self._log = event_log
@@ -147,6 +150,7 @@
             return
         self._board.on_report(report.daemon, report.works, now)
         self._crashes.on_report(report.suspects, now)
+        self._paces.on_report(report.slow, now)
         self._versions.on_report(address, report)
         self._budget.on_fleet_size(self._peers.size)
 
@@ -188,6 +192,7 @@
                 self._view.directory.revision,
                 self._board.own,
                 self._crashes.own(now),
+                self._paces.own(now),
                 # Addresses change rarely; one report a second carries them.
                 self._peers.heard if self._sequence % 8 == 1 else (),
             ),
--- a/packages/forwarding/src/lavendershed/forwarding/stream_run.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_run.py
@@ -346,7 +346,7 @@
                 continue
             following = self._following(received)
             if following:
-                await self._pass_on(answer, following, numbers)
+                await self._pass_on(entry, answer, following, numbers)
                 wait = self._stall_wait(placement)
             if len(following) < len(received):
                 context_module.count_failed_answer(
@@ -362,12 +362,13 @@
 
     async def _pass_on(
         self,
+        entry: server_directory.ServerEntry,
         answer: requests.AnswerHead,
         following: tuple[event_splitter.Event, ...],
         numbers: list[int],
     ) -> None:
         """Sends events to the caller and notes the last one."""
-        self._on_events(numbers)
+        self._on_events(entry, numbers)
         known = [e.number for e in following if e.number is not None]
         if known:
             self._last_event = known[-1]
@@ -390,7 +391,9 @@
             last = event.number
         return received
 
-    def _on_events(self, numbers: list[int]) -> None:
+    def _on_events(
+        self, entry: server_directory.ServerEntry, numbers: list[int]
+    ) -> None:
         now = self._context.timers.now()
         if self._first_event_at is None:
             self._first_event_at = now
@@ -399,9 +402,13 @@
                 units.elapsed(self._admitted.received, now),
             )
         else:
-            self._longest_seen = max(
-                self._longest_seen, now - self._last_event_at
+            pause = now - self._last_event_at
+            self._longest_seen = max(self._longest_seen, pause)
+            choosers = self._context.choosers
+            predicted = choosers.predicted_pass_ms(
+                self._admitted.service, entry.id
             )
+            choosers.paces.on_pause(entry.id, pause * 1_000, predicted, now)
         self._last_event_at = now
         self._context.board.start_writing(numbers)
 
--- a/packages/peer/idl/messages.thrift
+++ b/packages/peer/idl/messages.thrift
@@ -111,6 +111,8 @@
   6: optional list<i64> suspects
   // Known daemons: IPv4 number times 65,536 plus port.
   7: optional list<i64> peers
+  // Slow engines: number of the engine and ten times its factor, in turn.
+  8: optional list<i32> slow
 }
 
 struct StoredObject {
--- a/packages/peer/src/lavendershed/peer/gen/messages/ttypes.py
+++ b/packages/peer/src/lavendershed/peer/gen/messages/ttypes.py
@@ -1487,6 +1487,7 @@
      - works
      - suspects
      - peers
+     - slow
 
     """
 
@@ -1498,10 +1499,11 @@
         'works',
         'suspects',
         'peers',
+        'slow',
     )
 
 
-    def __init__(self, incarnation=None, sequence=None, configuration_version=None, server_revision=None, works=None, suspects=None, peers=None,):
+    def __init__(self, incarnation=None, sequence=None, configuration_version=None, server_revision=None, works=None, suspects=None, peers=None, slow=None,):
         self.incarnation = incarnation
         self.sequence = sequence
         self.configuration_version = configuration_version
@@ -1509,6 +1511,7 @@
         self.works = works
         self.suspects = suspects
         self.peers = peers
+        self.slow = slow
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1569,6 +1572,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.slow = []
+                    (_etype63, _size60) = iprot.readListBegin()
+                    for _i64 in range(_size60):
+                        _elem65 = iprot.readI32()
+                        self.slow.append(_elem65)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1598,22 +1611,29 @@
         if self.works is not None:
             oprot.writeFieldBegin('works', TType.LIST, 5)
             oprot.writeListBegin(TType.I32, len(self.works))
-            for iter60 in self.works:
-                oprot.writeI32(iter60)
+            for iter66 in self.works:
+                oprot.writeI32(iter66)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 6)
             oprot.writeListBegin(TType.I64, len(self.suspects))
-            for iter61 in self.suspects:
-                oprot.writeI64(iter61)
+            for iter67 in self.suspects:
+                oprot.writeI64(iter67)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.peers is not None:
             oprot.writeFieldBegin('peers', TType.LIST, 7)
             oprot.writeListBegin(TType.I64, len(self.peers))
-            for iter62 in self.peers:
-                oprot.writeI64(iter62)
+            for iter68 in self.peers:
+                oprot.writeI64(iter68)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.slow is not None:
+            oprot.writeFieldBegin('slow', TType.LIST, 8)
+            oprot.writeListBegin(TType.I32, len(self.slow))
+            for iter69 in self.slow:
+                oprot.writeI32(iter69)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1854,11 +1874,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.configuration = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = StoredObject()
-                        _elem68.read(iprot)
-                        self.configuration.append(_elem68)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = StoredObject()
+                        _elem75.read(iprot)
+                        self.configuration.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1870,11 +1890,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.servers = []
-                    (_etype72, _size69) = iprot.readListBegin()
-                    for _i73 in range(_size69):
-                        _elem74 = StoredObject()
-                        _elem74.read(iprot)
-                        self.servers.append(_elem74)
+                    (_etype79, _size76) = iprot.readListBegin()
+                    for _i80 in range(_size76):
+                        _elem81 = StoredObject()
+                        _elem81.read(iprot)
+                        self.servers.append(_elem81)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1895,8 +1915,8 @@
         if self.configuration is not None:
             oprot.writeFieldBegin('configuration', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.configuration))
-            for iter75 in self.configuration:
-                iter75.write(oprot)
+            for iter82 in self.configuration:
+                iter82.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.server_revision is not None:
@@ -1906,8 +1926,8 @@
         if self.servers is not None:
             oprot.writeFieldBegin('servers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.servers))
-            for iter76 in self.servers:
-                iter76.write(oprot)
+            for iter83 in self.servers:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2050,6 +2070,7 @@
     (5, TType.LIST, 'works', (TType.I32, None, False), None, ),  # 5
     (6, TType.LIST, 'suspects', (TType.I64, None, False), None, ),  # 6
     (7, TType.LIST, 'peers', (TType.I64, None, False), None, ),  # 7
+    (8, TType.LIST, 'slow', (TType.I32, None, False), None, ),  # 8
 )
 all_structs.append(StoredObject)
 StoredObject.thrift_spec = (
--- a/packages/peer/src/lavendershed/peer/load_reports.py
+++ b/packages/peer/src/lavendershed/peer/load_reports.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Iterator
 import dataclasses
 import ipaddress
 import itertools
@@ -16,6 +17,7 @@
 from lavendershed.core import units
 from lavendershed.peer import wire
 from lavendershed.peer.gen.messages import ttypes
+from lavendershed.routing import engine_pace
 from lavendershed.routing import load_board
 
 _WORK_FIELDS = 11
@@ -29,6 +31,8 @@
 # bytes; a daemon of the largest deployment has about 40 open requests.
 _MAX_WORKS = 40
 _MAX_SUSPECTS = 8
+_MAX_SLOW = 8
+_PACE_STEPS = 10
 _MAX_PEERS = 24
 
 ServerLookup = Callable[[int], ids.BackendServerId | None]
@@ -45,6 +49,7 @@
         servers: Revision of the list of backend servers there.
         works: Open work of the sender.
         suspects: Requests that may crash engines, with their counts.
+        slow: Slow engines, with the factor that each takes longer.
         peers: Addresses of daemons that the sender has heard of.
     """
 
@@ -54,6 +59,7 @@
     servers: ids.ObjectVersion
     works: tuple[load_board.Work, ...]
     suspects: tuple[tuple[ids.Fingerprint, int], ...]
+    slow: tuple[engine_pace.Pace, ...]
     peers: tuple[addresses.Address, ...]
 
 
@@ -72,6 +78,10 @@
         (_signed(fingerprint), count)
         for fingerprint, count in report.suspects[:_MAX_SUSPECTS]
     )
+    slow = itertools.chain.from_iterable(
+        (server_number(server), round(factor * _PACE_STEPS))
+        for server, factor in report.slow[:_MAX_SLOW]
+    )
     return wire.encode(
         ttypes.LoadReport(
             incarnation=report.daemon,
@@ -80,6 +90,7 @@
             server_revision=report.servers,
             works=list(works),
             suspects=list(suspects),
+            slow=list(slow),
             peers=[_address_number(a) for a in report.peers[:_MAX_PEERS]],
         )
     )
@@ -116,10 +127,20 @@
             (ids.Fingerprint(_unsigned(suspects[i])), suspects[i + 1])
             for i in range(0, len(suspects) - 1, 2)
         ),
+        tuple(_paces(message.slow or [], lookup)),
         tuple(_address(number) for number in message.peers or []),
     )
 
 
+def _paces(
+    numbers: list[int], lookup: ServerLookup
+) -> Iterator[engine_pace.Pace]:
+    for number, factor in zip(numbers[::2], numbers[1::2], strict=False):
+        server = lookup(number)
+        if server is not None:
+            yield server, factor / _PACE_STEPS
+
+
 def _work_numbers(work: load_board.Work, now: units.Instant) -> tuple[int, ...]:
     return (
         work.request,
--- a/packages/peer/tests/test_load_reports.py
+++ b/packages/peer/tests/test_load_reports.py
@@ -50,6 +50,7 @@
         ids.ObjectVersion(99),
         tuple(works),
         tuple(suspects),
+        ((SERVER, 2.5),),
         tuple(peers),
     )
 
--- a/packages/platform/src/lavendershed/platform/factory.py
+++ b/packages/platform/src/lavendershed/platform/factory.py
@@ -27,6 +27,7 @@
 from lavendershed.reliability import crash_counts
 from lavendershed.reliability import fleet_retry_budget
 from lavendershed.reliability import server_health
+from lavendershed.routing import engine_pace
 from lavendershed.routing import load_board
 from lavendershed.routing import service_choice
 from lavendershed.telemetry import log
@@ -65,6 +66,7 @@
         objects.PlatformObjects(), health, event_log
     )
     board = load_board.LoadBoard()
+    paces = engine_pace.EnginePaces()
     crashes = crash_counts.CrashCounts()
     budget = fleet_retry_budget.FleetRetryBudget(current.budget)
     server_connections = connections.ServerConnections(timer_service)
@@ -74,7 +76,7 @@
         callers.PlatformCallers(),
         servers,
         server_connections,
-        engine_choosers.EngineChoosers(board),
+        engine_choosers.EngineChoosers(board, paces),
         service_choice.LeastOutstanding(current.zone, generator),
         board,
         budget,
@@ -112,6 +114,7 @@
             view,
             board,
             crashes,
+            paces,
             budget,
             timer_service,
             event_log,
--- a/packages/routing/src/lavendershed/routing/engine_choice.py
+++ b/packages/routing/src/lavendershed/routing/engine_choice.py
@@ -11,6 +11,7 @@
 from lavendershed.core import ids
 from lavendershed.core import units
 from lavendershed.membership import server_directory
+from lavendershed.routing import engine_pace
 from lavendershed.routing import load_board
 from lavendershed.routing import memory_shares
 from lavendershed.routing import pass_model
@@ -160,6 +161,7 @@
 
     entry: server_directory.ServerEntry
     load: load_board.EngineLoad
+    pace: float
     pass_ms: float
     backlog_ms: float
     slot_wait_ms: float
@@ -220,10 +222,12 @@
         self,
         model: pass_model.PassModel,
         board: load_board.LoadBoard,
+        paces: engine_pace.EnginePaces,
         weights: ChoiceWeights = ChoiceWeights(),  # noqa: B008
     ) -> None:
         self._model = model
         self._board = board
+        self._paces = paces
         self._weights = weights
 
     def credit(self, size: pass_model.PromptSize) -> float:
@@ -273,12 +277,14 @@
         now: units.Instant,
     ) -> _Candidate:
         load = self._board.load(entry.id)
-        pass_ms = self._model.pass_ms(
+        pace = self._paces.factor(entry.id, now)
+        pass_ms = pace * self._model.pass_ms(
             len(load.writers) + 1, load.context + demand.size.prompt
         )
         return _Candidate(
             entry,
             load,
+            pace,
             pass_ms,
             load.backlog_ms(now, pass_ms),
             load.slot_wait_ms(now, self._model.profile.slots),
@@ -304,8 +310,8 @@
             (
                 _Reader(
                     engine,
-                    engine.backlog_ms + part_ms,
-                    self._harm(engine, part_ms, helper, now),
+                    engine.backlog_ms + part_ms * engine.pace,
+                    self._harm(engine, part_ms * engine.pace, helper, now),
                 )
                 for engine in engines
             ),
@@ -326,7 +332,9 @@
         readers = [best, *others[: count - 1]]
         part_ms = part_ms * count / len(readers)
         first = best.engine
-        slowest = max(r.engine.backlog_ms for r in readers) + part_ms
+        slowest = max(
+            r.engine.backlog_ms + part_ms * r.engine.pace for r in readers
+        )
         shares: tuple[memory_shares.MemoryShare, ...] = ()
         if not self._has_room(demand, first):
             shares = self._shares(demand, [r.engine for r in readers])
--- a/packages/routing/tests/test_engine_choice.py
+++ b/packages/routing/tests/test_engine_choice.py
@@ -9,6 +9,7 @@
 from lavendershed.core import ids
 from lavendershed.core import units
 from lavendershed.routing import engine_choice
+from lavendershed.routing import engine_pace
 from lavendershed.routing import load_board
 from lavendershed.routing import pass_model
 
@@ -21,8 +22,11 @@
 
     def setUp(self):
         self.board = load_board.LoadBoard()
+        self.paces = engine_pace.EnginePaces()
         self.chooser = engine_choice.PredictedLossChooser(
-            pass_model.PassModel(engine_fixture.PROFILE), self.board
+            pass_model.PassModel(engine_fixture.PROFILE),
+            self.board,
+            self.paces,
         )
         self.engines = [engine_fixture.engine(f"e{n}") for n in range(14)]
 
@@ -59,6 +63,12 @@
         placement = self.choose(engine_fixture.demand(2_000))
         self.assertEqual(placement.first.id, "e5")
 
+    def test_a_slow_engine_is_left_for_another(self):
+        self.write("e3", 2)
+        self.paces.on_report([(ids.BackendServerId("e3"), 6.0)], NOW)
+        placement = self.choose(engine_fixture.demand(2_000))
+        self.assertNotEqual(placement.first.id, "e3")
+
     def test_a_full_engine_is_left_for_another(self):
         self.write("e3", 8)
         placement = self.choose(engine_fixture.demand(2_000))
@@ -125,7 +135,9 @@
         self.board = load_board.LoadBoard()
         self.assertTrue(
             engine_choice.PredictedLossChooser(
-                pass_model.PassModel(engine_fixture.PROFILE), self.board
+                pass_model.PassModel(engine_fixture.PROFILE),
+                self.board,
+                engine_pace.EnginePaces(),
             )
             .choose(engine_fixture.demand(2_000), self.engines, NOBODY, NOW)
             .urgent
--- /dev/null
+++ b/packages/routing/tests/test_engine_pace.py
@@ -0,0 +1,61 @@
+"""Guards the recognition of slow engines."""
+
+from __future__ import annotations
+
+import unittest
+
+from lavendershed.core import ids
+from lavendershed.core import units
+from lavendershed.routing import engine_pace
+
+ENGINE = ids.BackendServerId("e")
+
+
+def at(seconds):
+    """Returns an instant."""
+    return units.Instant(seconds)
+
+
+class EnginePacesTest(unittest.TestCase):
+    """Fails if a slow engine is not seen, or a sound one is avoided."""
+
+    def setUp(self):
+        self.paces = engine_pace.EnginePaces()
+
+    def pause(self, *pauses, now=0.0):
+        for seen in pauses:
+            self.paces.on_pause(ENGINE, seen, 50.0, at(now))
+
+    def factor(self, now=0.0):
+        return self.paces.factor(ENGINE, at(now))
+
+    def test_long_pauses_in_a_row_show_a_slow_engine(self):
+        self.pause(250.0, 260.0, 240.0)
+        self.assertEqual(self.factor(), 1.0)
+        self.pause(250.0)
+        self.assertAlmostEqual(self.factor(), 4.8)
+        self.assertEqual(len(self.paces.own(at(0.0))), 1)
+
+    def test_single_long_pauses_are_usual(self):
+        self.pause(400.0, 50.0, 400.0, 400.0, 60.0, 400.0)
+        self.assertEqual(self.factor(), 1.0)
+
+    def test_an_engine_that_recovers_is_sound(self):
+        self.pause(250.0, 250.0, 250.0, 250.0, 50.0)
+        self.assertEqual(self.factor(), 1.0)
+
+    def test_old_observations_are_forgotten(self):
+        self.pause(250.0, 250.0, 250.0, 250.0)
+        self.assertEqual(self.factor(now=4.0), 1.0)
+        self.pause(250.0, now=4.0)
+        self.assertEqual(self.factor(now=4.0), 1.0)
+
+    def test_reports_of_others_count_and_expire(self):
+        self.paces.on_report([(ENGINE, 3.0)], at(0.0))
+        self.assertEqual(self.factor(now=1.0), 3.0)
+        self.assertEqual(self.paces.own(at(1.0)), ())
+        self.assertEqual(self.factor(now=4.0), 1.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tools/measure_forwarding.py
+++ b/tools/measure_forwarding.py
@@ -19,6 +19,7 @@
 from lavendershed.peer import load_reports
 from lavendershed.routes import engine_profile
 from lavendershed.routing import engine_choice
+from lavendershed.routing import engine_pace
 from lavendershed.routing import load_board
 from lavendershed.routing import pass_model
 
@@ -102,7 +103,7 @@
     for number in range(count * _WORKS_PER_ENGINE):
         board.add(work(number, generator.choice(engines).id))
     chooser = engine_choice.PredictedLossChooser(
-        pass_model.PassModel(_PROFILE), board
+        pass_model.PassModel(_PROFILE), board, engine_pace.EnginePaces()
     )
     repeat = max(1, 2_000 // count)
     for prompt in (2_000, 154_000):
