Weigh the own lateness of a request when its engine is chosen

Cause: the test of a slow engine failed: the engine that writes was chosen by the loss of others and the time to read, without its pass and its slots. Change: the choice of the first engine uses the whole predicted time to the first token and the pauses of its answer.

--- a/packages/routing/src/lavendershed/routing/engine_choice.py
+++ b/packages/routing/src/lavendershed/routing/engine_choice.py
@@ -321,8 +321,12 @@
             readers,
             key=lambda r: (
                 r.loss
-                + r.ready_ms * waiting
                 + self._writer_loss(demand, r.engine)
+                + self._own_loss(
+                    demand,
+                    self._first_token_ms(r.engine, r.ready_ms, part_ms),
+                    now,
+                )
             ),
         )
         others = [reader for reader in readers if reader is not best]
@@ -349,20 +353,13 @@
                 held or [first],
                 key=lambda engine: self._writer_loss(demand, engine),
             )
-        # Writers' passes are met half-way on the average.
-        joining = first.pass_ms / 2 if first.load.writers else 0.0
-        first_token_ms = (
-            max(slowest + joining, first.slot_wait_ms + part_ms) + first.pass_ms
-        )
+        first_token_ms = self._first_token_ms(first, slowest, part_ms)
         loss = (
             _combined(readers)
             + self._writer_loss(demand, first)
             + self._room_loss(demand, first, shares)
-            + first_token_ms * waiting
-            + (count - 1) * self._weights.helper
-            + self.credit(demand.size)
-            * self._weights.late_share
-            * lateness(first_token_ms, (demand.due_at - now) * 1_000)
+            + self._own_loss(demand, first_token_ms, now)
+            + (len(readers) - 1) * self._weights.helper
         )
         return Placement(
             first.entry,
@@ -376,6 +373,27 @@
             shares,
         )
 
+    def _first_token_ms(
+        self, engine: _Candidate, ready_ms: float, part_ms: float
+    ) -> float:
+        """Returns the time to the first token if the parts are read then."""
+        # Writers' passes are met half-way on the average.
+        joining = engine.pass_ms / 2 if engine.load.writers else 0.0
+        return (
+            max(ready_ms + joining, engine.slot_wait_ms + part_ms * engine.pace)
+            + engine.pass_ms
+        )
+
+    def _own_loss(
+        self, demand: Demand, first_token_ms: float, now: units.Instant
+    ) -> float:
+        """Returns the loss of the request itself until its first token."""
+        late = lateness(first_token_ms, (demand.due_at - now) * 1_000)
+        return (
+            first_token_ms * self._weights.waiting / 1_000
+            + self.credit(demand.size) * self._weights.late_share * late
+        )
+
     def _spare_engines(self, demand: Demand, engines: list[_Candidate]) -> int:
         """Returns the engines that long parts may hold up in addition.
 
@@ -396,7 +414,11 @@
         """Returns the loss if the answer is written at this engine."""
         weights = self._weights
         loss = 0.0 if engine.load.writers else weights.opening
-        loss += engine.slot_wait_ms * weights.waiting / 1_000
+        loss += (
+            self.credit(demand.size)
+            * weights.late_share
+            * lateness(engine.pass_ms, demand.longest_pause * 1_000)
+        )
         if not self._has_room(demand, engine):
             loss += weights.crowded_memory
         if engine.entry.availability_zone != demand.zone:
--- a/packages/standin/src/lavendershed/standin/platform_engine.py
+++ b/packages/standin/src/lavendershed/standin/platform_engine.py
@@ -65,7 +65,9 @@
         )
         self._model = model
         self._events = events
-        self._tickets: dict[str, int] = {}
+        self._timers = timer_service
+        # Tokens and the end of the lease by ticket.
+        self._leases: dict[str, tuple[int, float]] = {}
         self._open = 0
         self.fault = EngineFault.NONE
         self.arrivals: list[Arrival] = []
@@ -98,7 +100,8 @@
     @property
     def tickets(self) -> dict[str, int]:
         """Reserved tokens by ticket."""
-        return self._tickets
+        now = self._timers.now()
+        return {t: n for t, (n, until) in self._leases.items() if until > now}
 
     async def start(self) -> None:
         """Starts to listen on a free port."""
@@ -237,14 +240,15 @@
     ) -> None:
         self.orders.append(order)
         if order["op"] == "release":
-            self._tickets.pop(order["id"], None)
+            self._leases.pop(order["id"], None)
             await responder.respond(200, b"{}")
             return
         others = sum(
-            tokens for t, tokens in self._tickets.items() if t != order["id"]
+            tokens for t, tokens in self.tickets.items() if t != order["id"]
         )
         if others + order["tokens"] > self.memory:
             await responder.respond(409, b"{}")
             return
-        self._tickets[order["id"]] = order["tokens"]
+        until = self._timers.now() + order["hold_ms"] / 1_000
+        self._leases[order["id"]] = (order["tokens"], until)
         await responder.respond(200, b'{"free":0}')
