Place a huge prompt only if it pays

Change: a prompt of more than a second of reading waits if others lose more than it gains, with a price for the time of engines that are in use.

--- a/packages/routing/src/lavendershed/routing/engine_choice.py
+++ b/packages/routing/src/lavendershed/routing/engine_choice.py
@@ -142,6 +142,13 @@
 # Engines are kept for this multiple of the answers that are being written, as
 # bursts double the traffic within seconds.
 _GROWTH = 1.3
+# Prompts that take longer to read are placed only if it pays.
+_LONG_READ_MS = 1_000.0
+# Shares of the comfortable number of answers between which the time of the
+# engines becomes scarce.
+_FREE_UP_TO = 0.5
+_SCARCE_FROM = 0.9
+_SHORTEST_ANSWER = units.Seconds(0.5)
 # A prompt that needs more than this share of the time left is not sent.
 _USED_TIME_SHARE = 0.9
 _PART_COUNTS = (1, 2, 3, 4, 6, 8, 12, 16)
@@ -268,7 +275,47 @@
             and plan.first_token_ms
             <= (demand.limit_at - now) * 1_000 * _USED_TIME_SHARE
         ]
-        return min(feasible, key=lambda plan: plan.loss, default=None)
+        best = min(feasible, key=lambda plan: plan.loss, default=None)
+        if best is None or whole_ms < _LONG_READ_MS:
+            return best
+        return (
+            best if self._pays(demand, best, engines, whole_ms, now) else None
+        )
+
+    def _pays(
+        self,
+        demand: Demand,
+        plan: Placement,
+        engines: list[_Candidate],
+        whole_ms: float,
+        now: units.Instant,
+    ) -> bool:
+        """Returns whether a long prompt is worth what others lose by it."""
+        own = self._own_loss(demand, plan.first_token_ms, now)
+        gain = self.credit(demand.size) - own
+        others = plan.loss - own
+        return others + self._occupation_loss(engines, whole_ms) < gain
+
+    def _occupation_loss(
+        self, engines: list[_Candidate], whole_ms: float
+    ) -> float:
+        """Returns the loss of requests that find the engines occupied.
+
+        Time of the engines costs nothing while they have slots to spare, and
+        what short answers bring in this time when they have none.
+        """
+        writers = [w for engine in engines for w in engine.load.writers]
+        comfortable = self._model.profile.slots * _COMFORTABLE_SHARE
+        busy = len(writers) / comfortable
+        used = busy / len(engines)
+        scarcity = (used - _FREE_UP_TO) / (_SCARCE_FROM - _FREE_UP_TO)
+        if not writers or scarcity <= 0:
+            return 0.0
+        credit_per_second = sum(
+            work.credit / max(_SHORTEST_ANSWER, work.ends_at - work.ready_at)
+            for work in writers
+        )
+        return min(1.0, scarcity) * whole_ms / 1_000 * credit_per_second / busy
 
     def _candidate(
         self,
--- a/packages/routing/tests/test_engine_choice.py
+++ b/packages/routing/tests/test_engine_choice.py
@@ -100,6 +100,15 @@
         # 36 answers need 7.8 engines and one more; five are left.
         self.assertLessEqual(len(used), 5)
 
+    def test_a_huge_prompt_does_not_take_engines_that_are_needed(self):
+        huge = engine_fixture.demand(280_000, due=3.0, limit=15.0, pause=1.0)
+        for number in range(14):
+            self.write(f"e{number}", 2)
+        self.assertIsNotNone(self.choose(huge))
+        for number in range(14):
+            self.write(f"e{number}", 4, credit=2.0)
+        self.assertIsNone(self.choose(huge))
+
     def test_a_prompt_beyond_one_engine_is_divided(self):
         placement = self.choose(
             engine_fixture.demand(600_000, due=3.0, limit=60.0, pause=1.0)
