Count the lateness of a request once; tell when to come back

Cause: a request that is late by its first token was counted late by its pauses again, so that a prompt of 400,000 tokens was refused on idle engines (three memory tests red in the working tree). Change: one lateness by either cause; 3 s before a request comes back to a daemon without configuration, 2 s for a prompt without room.

--- a/packages/forwarding/src/lavendershed/forwarding/attempts.py
+++ b/packages/forwarding/src/lavendershed/forwarding/attempts.py
@@ -14,8 +14,11 @@
 from lavendershed.reliability import execution
 from lavendershed.telemetry import events
 
-# Time after which a request that found no server may find one.
+# Time after which a server that was full may take a request.
 _RETRY_AFTER = units.Seconds(0.5)
+# Time after which a prompt that found no room has a chance: as long as a long
+# prompt is read and answered.
+_ROOM_RETRY_AFTER = units.Seconds(2.0)
 # An attempt with less time than this can't succeed on any server.
 SHORTEST_ATTEMPT = units.Seconds(0.03)
 
@@ -174,11 +177,10 @@
     ) -> outcomes.RequestFailure:
         """Returns a failure that tells the truth about the execution."""
         execution_state = self.execution
-        retry_after = (
-            _RETRY_AFTER
-            if execution_state is states.Execution.NOT_RUN
-            else None
-        )
+        retry_after: units.Seconds | None = None
+        if execution_state is states.Execution.NOT_RUN:
+            no_room = reason is states.FailureReason.NO_BACKEND_SERVER
+            retry_after = _ROOM_RETRY_AFTER if no_room else _RETRY_AFTER
         return outcomes.RequestFailure(
             reason, execution_state, detail, retry_after
         )
--- a/packages/forwarding/src/lavendershed/forwarding/gateway.py
+++ b/packages/forwarding/src/lavendershed/forwarding/gateway.py
@@ -21,8 +21,10 @@
 from lavendershed.telemetry import events
 from lavendershed.transport import server
 
-# A process that has just started knows its deployment within a second.
-_NOT_READY_RETRY = units.Seconds(0.5)
+# A daemon that takes requests without a configuration has started while the
+# store is away, which lasts for seconds. Callers wait for a third of the time
+# that they have left at most.
+_NOT_READY_RETRY = units.Seconds(3.0)
 _NO_SERVICE_RETRY = units.Seconds(1.0)
 # The quarantine of a harmful request lasts for minutes.
 _QUARANTINE_RETRY = units.Seconds(60.0)
--- a/packages/platform/src/lavendershed/platform/store.py
+++ b/packages/platform/src/lavendershed/platform/store.py
@@ -25,7 +25,7 @@
 
 
 class PlatformStore(translators.ObjectSource):
-    """Objects of one kind, and of one name if it is given."""
+    """Objects of one kind."""
 
     def __init__(
         self,
--- a/packages/routing/src/lavendershed/routing/engine_choice.py
+++ b/packages/routing/src/lavendershed/routing/engine_choice.py
@@ -291,7 +291,7 @@
         now: units.Instant,
     ) -> bool:
         """Returns whether a long prompt is worth what others lose by it."""
-        own = self._own_loss(demand, plan.first_token_ms, now)
+        own = self._own_loss(demand, plan.first_token_ms, plan.pass_ms, now)
         gain = self.credit(demand.size) - own
         others = plan.loss - own
         return others + self._occupation_loss(engines, whole_ms) < gain
@@ -372,6 +372,7 @@
                 + self._own_loss(
                     demand,
                     self._first_token_ms(r.engine, r.ready_ms, part_ms),
+                    r.engine.pass_ms,
                     now,
                 )
             ),
@@ -405,7 +406,7 @@
             _combined(readers)
             + self._writer_loss(demand, first)
             + self._room_loss(demand, first, shares)
-            + self._own_loss(demand, first_token_ms, now)
+            + self._own_loss(demand, first_token_ms, first.pass_ms, now)
             + (len(readers) - 1) * self._weights.helper
         )
         return Placement(
@@ -432,10 +433,20 @@
         )
 
     def _own_loss(
-        self, demand: Demand, first_token_ms: float, now: units.Instant
+        self,
+        demand: Demand,
+        first_token_ms: float,
+        pass_ms: float,
+        now: units.Instant,
     ) -> float:
-        """Returns the loss of the request itself until its first token."""
-        late = lateness(first_token_ms, (demand.due_at - now) * 1_000)
+        """Returns the loss of the request itself.
+
+        It is late by its first token or by the pauses of its answer.
+        """
+        late = max(
+            lateness(first_token_ms, (demand.due_at - now) * 1_000),
+            lateness(pass_ms, demand.longest_pause * 1_000),
+        )
         return (
             first_token_ms * self._weights.waiting / 1_000
             + self.credit(demand.size) * self._weights.late_share * late
@@ -461,11 +472,6 @@
         """Returns the loss if the answer is written at this engine."""
         weights = self._weights
         loss = 0.0 if engine.load.writers else weights.opening
-        loss += (
-            self.credit(demand.size)
-            * weights.late_share
-            * lateness(engine.pass_ms, demand.longest_pause * 1_000)
-        )
         if not self._has_room(demand, engine):
             loss += weights.crowded_memory
         if engine.entry.availability_zone != demand.zone:
