Split the delivery of streams and the placements into modules of their own

Cause: stream_run.py and engine_choice.py held two jobs each. Change: stream_delivery, placements and choice_weights; no change of behaviour.

--- a/packages/forwarding/src/lavendershed/forwarding/stream_run.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_run.py
@@ -18,10 +18,11 @@
 from lavendershed.forwarding import event_splitter
 from lavendershed.forwarding import requests
 from lavendershed.forwarding import reservations
+from lavendershed.forwarding import stream_delivery
 from lavendershed.membership import server_directory
-from lavendershed.routing import engine_choice
 from lavendershed.routing import load_board
 from lavendershed.routing import pass_model
+from lavendershed.routing import placements
 from lavendershed.telemetry import events
 from lavendershed.transport import errors
 from lavendershed.transport import server
@@ -47,8 +48,6 @@
 # A prompt that finds no memory tries again after this time, and fails after
 # its target latency: memory is freed by the end of any long request.
 _MEMORY_RETRY = units.Seconds(0.2)
-# Engines count events from zero or one.
-_FIRST_NUMBERS = (0, 1)
 _MAX_FAILED_ANSWER = units.Bytes(1_000_000)
 
 
@@ -73,11 +72,10 @@
         self._attempts = attempts.AttemptRecord(context, admitted)
         self._size = admitted.caller.size or _UNKNOWN_SIZE
         self._pause = admitted.route.longest_pause or _DEFAULT_PAUSE
-        self._last_event = admitted.caller.last_event
+        self._delivery = stream_delivery.StreamDelivery(
+            context, admitted, responder
+        )
         self._failed_answer: _FailedAnswer | None = None
-        self._first_event_at: units.Instant | None = None
-        self._last_event_at = admitted.received
-        self._longest_seen = 0.0
         self._predicted_ms = 0.0
 
     async def run(self) -> None:
@@ -121,7 +119,7 @@
         )
         return bool(servers) and waited < self._admitted.route.target_latency
 
-    def _choose(self) -> engine_choice.Placement | None:
+    def _choose(self) -> placements.Placement | None:
         context = self._context
         candidates = context.view.directory.of_service(
             self._admitted.service.id
@@ -136,10 +134,10 @@
         target = self._admitted.route.target_latency
         if self._responder.started:
             # The next event of a stream that is resumed is due like any other.
-            due_at = units.after(self._last_event_at, self._pause)
+            due_at = units.after(self._delivery.last_event_at, self._pause)
         else:
             due_at = units.after(self._admitted.received, target)
-        demand = engine_choice.Demand(
+        demand = placements.Demand(
             self._size,
             due_at,
             self._admitted.limit_at,
@@ -174,7 +172,7 @@
         return placement
 
     async def _attempt(
-        self, placement: engine_choice.Placement
+        self, placement: placements.Placement
     ) -> attempts.AttemptResult:
         # On the board before the first wait, so that no other request counts
         # on the same memory.
@@ -200,7 +198,7 @@
             for number in numbers:
                 self._context.board.abandon(number, now)
 
-    def _place(self, placement: engine_choice.Placement) -> list[int]:
+    def _place(self, placement: placements.Placement) -> list[int]:
         """Adds the work to the board; the first number is the writer's."""
         held = {share.holder.id: share.tokens for share in placement.shares}
         if not held:
@@ -239,7 +237,7 @@
 
     async def _connect(
         self,
-        placement: engine_choice.Placement,
+        placement: placements.Placement,
         held: reservations.Reservation | None,
         numbers: list[int],
     ) -> attempts.AttemptResult:
@@ -271,7 +269,7 @@
 
     async def _exchange(
         self,
-        placement: engine_choice.Placement,
+        placement: placements.Placement,
         lease: connections.Lease,
         held: reservations.Reservation | None,
         numbers: list[int],
@@ -284,7 +282,7 @@
             entry.id,
             self._admitted.organisation,
             self._attempts.time_left,
-            last_event=self._last_event,
+            last_event=self._delivery.last_event,
             helpers=_helpers(placement, held),
             urgency=(
                 min(self._admitted.urgency, requests.LEAST_URGENT - 1)
@@ -313,7 +311,7 @@
 
     async def _relay(
         self,
-        placement: engine_choice.Placement,
+        placement: placements.Placement,
         lease: connections.Lease,
         answer: requests.AnswerHead,
         numbers: list[int],
@@ -335,18 +333,18 @@
                         "the stream ended inside an event",
                     )
                 self._context.health.on_success(entry.id, entry.born)
-                if not self._responder.started:
-                    # A caller that has all events gets an empty stream.
-                    self._responder.start(answer.status, answer.headers)
+                # A caller that has all events gets an empty stream.
+                self._delivery.start(answer)
                 return attempts.AttemptResult(
                     forwarding_states.AttemptEnd.COMPLETE
                 )
             received = splitter.feed(part.ok_value)
             if not received:
                 continue
-            following = self._following(received)
+            following = self._delivery.following(received)
             if following:
-                await self._pass_on(entry, answer, following, numbers)
+                self._context.board.start_writing(numbers)
+                await self._delivery.pass_on(entry, answer, following)
                 wait = self._stall_wait(placement)
             if len(following) < len(received):
                 context_module.count_failed_answer(
@@ -360,60 +358,8 @@
                     "the events do not follow each other",
                 )
 
-    async def _pass_on(
-        self,
-        entry: server_directory.ServerEntry,
-        answer: requests.AnswerHead,
-        following: tuple[event_splitter.Event, ...],
-        numbers: list[int],
-    ) -> None:
-        """Sends events to the caller and notes the last one."""
-        self._on_events(entry, numbers)
-        known = [e.number for e in following if e.number is not None]
-        if known:
-            self._last_event = known[-1]
-        if not self._responder.started:
-            self._responder.start(answer.status, answer.headers)
-        await self._responder.write(
-            b"".join(event.encoded for event in following)
-        )
-
-    def _following(
-        self, received: tuple[event_splitter.Event, ...]
-    ) -> tuple[event_splitter.Event, ...]:
-        """Returns the events up to the first that does not follow."""
-        last = self._last_event
-        for position, event in enumerate(received):
-            if event.number is None:
-                continue
-            if event.number not in _next_numbers(last):
-                return received[:position]
-            last = event.number
-        return received
-
-    def _on_events(
-        self, entry: server_directory.ServerEntry, numbers: list[int]
-    ) -> None:
-        now = self._context.timers.now()
-        if self._first_event_at is None:
-            self._first_event_at = now
-            self._context.instruments.first_event(
-                self._admitted.service.id,
-                units.elapsed(self._admitted.received, now),
-            )
-        else:
-            pause = now - self._last_event_at
-            self._longest_seen = max(self._longest_seen, pause)
-            choosers = self._context.choosers
-            predicted = choosers.predicted_pass_ms(
-                self._admitted.service, entry.id
-            )
-            choosers.paces.on_pause(entry.id, pause * 1_000, predicted, now)
-        self._last_event_at = now
-        self._context.board.start_writing(numbers)
-
     def _first_event_wait(
-        self, placement: engine_choice.Placement
+        self, placement: placements.Placement
     ) -> units.Seconds:
         predicted = placement.first_token_ms / 1_000 * _FIRST_EVENT_FACTOR
         target = self._admitted.route.target_latency
@@ -427,7 +373,7 @@
             )
         )
 
-    def _stall_wait(self, placement: engine_choice.Placement) -> units.Seconds:
+    def _stall_wait(self, placement: placements.Placement) -> units.Seconds:
         longest = max(self._pause, placement.pass_ms / 1_000)
         return units.Seconds(max(_SHORTEST_STALL, longest * _STALL_FACTOR))
 
@@ -504,11 +450,11 @@
             self._context, entry, reason, self._admitted.caller.id
         )
 
-    async def _finish(self, placement: engine_choice.Placement) -> None:
+    async def _finish(self, placement: placements.Placement) -> None:
         context = self._context
         context.crashes.on_success(self._admitted.fingerprint)
         received = self._admitted.received
-        first = self._first_event_at
+        first = self._delivery.first_event_at
         seconds = units.elapsed(received, context.timers.now())
         context.instruments.ended(
             self._admitted.route.kind.value, "complete", seconds
@@ -520,7 +466,7 @@
             attempts=self._attempts.count + 1,
             first_ms=round((first - received) * 1_000) if first else None,
             predicted_ms=round(self._predicted_ms),
-            pause_ms=round(self._longest_seen * 1_000),
+            pause_ms=round(self._delivery.longest_pause * 1_000),
             seconds=round(seconds, 3),
         )
         await self._responder.finish()
@@ -544,7 +490,7 @@
 
 
 def _helpers(
-    placement: engine_choice.Placement, held: reservations.Reservation | None
+    placement: placements.Placement, held: reservations.Reservation | None
 ) -> tuple[tuple[addresses.Address, str | None], ...]:
     """Returns the engines that read, each with its reservation if any."""
     ticketed = () if held is None else held.holders
@@ -560,8 +506,3 @@
             if entry.id not in names
         ),
     )
-
-
-def _next_numbers(last: int | None) -> tuple[int, ...]:
-    """Returns the numbers that the next event may have."""
-    return _FIRST_NUMBERS if last is None else (last + 1,)
--- a/packages/routing/src/lavendershed/routing/engine_choice.py
+++ b/packages/routing/src/lavendershed/routing/engine_choice.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import abc
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Sequence
@@ -11,129 +10,15 @@
 from lavendershed.core import ids
 from lavendershed.core import units
 from lavendershed.membership import server_directory
+from lavendershed.routing import choice_weights
 from lavendershed.routing import engine_pace
 from lavendershed.routing import load_board
 from lavendershed.routing import memory_shares
 from lavendershed.routing import pass_model
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Demand:
-    """What a request needs and when.
-
-    Attributes:
-        size: Tokens in and out.
-        due_at: Time by which the first token is due.
-        limit_at: Time by which the answer is due.
-        longest_pause: Longest pause of an answer on time.
-        zone: Availability zone of the deciding daemon.
-        body: Bytes that go to the engine.
-    """
-
-    size: pass_model.PromptSize
-    due_at: units.Instant
-    limit_at: units.Instant
-    longest_pause: units.Seconds
-    zone: ids.AvailabilityZoneId
-    body: units.Bytes
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Placement:
-    """Engines chosen for one attempt.
-
-    Attributes:
-        first: Engine that gets the request and writes the answer.
-        helpers: Engines that read parts of the prompt.
-        read_ms: Time to read one part.
-        first_token_ms: Predicted time to the first token.
-        pass_ms: Predicted time between the events of the answer.
-        write_ms: Predicted time to write the whole answer.
-        loss: Expected loss of credit, the measure of the choice.
-        urgent: Whether the first token is expected in time; a request that is
-            late anyway lets the others go first.
-        shares: Memory to reserve; empty if the first engine has the room.
-    """
-
-    first: server_directory.ServerEntry
-    helpers: tuple[server_directory.ServerEntry, ...]
-    read_ms: float
-    first_token_ms: float
-    pass_ms: float
-    write_ms: float
-    loss: float
-    urgent: bool
-    shares: tuple[memory_shares.MemoryShare, ...] = ()
-
-
-class EngineChooser(abc.ABC):
-    """Chooses engines for requests to one service."""
-
-    @abc.abstractmethod
-    def choose(
-        self,
-        demand: Demand,
-        candidates: Sequence[server_directory.ServerEntry],
-        avoided: frozenset[ids.BackendServerId],
-        now: units.Instant,
-    ) -> Placement | None:
-        """Returns the engines to use, or None if there is no room.
-
-        Args:
-            demand: What the request needs.
-            candidates: Engines that accept new work.
-            avoided: Engines to use only if there are no others.
-            now: Current time.
-        """
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ChoiceWeights:
-    """Weights of the expected loss; credit is what a request is worth.
-
-    The worths of the kinds of requests are not on the wire. Over the stated
-    workloads, one credit stands for about 10,000 tokens of work.
-
-    Attributes:
-        credit_per_token: Credit per token of work.
-        late_share: Part of the credit that a late answer loses.
-        waiting: Loss per second to the first token, of any request.
-        opening: Loss for the first writer of an engine, which long prompts
-            could have used without delaying anyone.
-        crowding: Loss per request above the comfortable number.
-        overcommitted: Share of the credit that is lost if the memory of the
-            engine doesn't suffice and the request is read again.
-        crowded_memory: Loss for writing at an engine without enough memory,
-            which orders the engines that hold a share.
-        order: Price of an order to an engine, which the stated price lists
-            put at a fiftieth of a short answer.
-        helper: Loss per additional engine that reads.
-        byte: Loss per byte that crosses availability zones.
-        joined_read_ms: Shortest reading time that is divided among engines.
-        most_parts: Most engines that read one prompt, the limit of the
-            engines' protocol with the first engine included.
-    """
-
-    credit_per_token: float = 1e-4
-    late_share: float = 0.75
-    waiting: float = 1.0
-    opening: float = 0.3
-    crowding: float = 0.3
-    overcommitted: float = 0.75
-    crowded_memory: float = 0.2
-    order: float = 0.02
-    helper: float = 0.005
-    byte: float = 2.9e-6
-    joined_read_ms: float = 50.0
-    most_parts: int = 16
-
+from lavendershed.routing import placements
 
 # Share of the slots up to which an engine is not crowded.
 _COMFORTABLE_SHARE = 0.75
-# A value counts as late from this share of its limit on, and surely from the
-# second on; between them the probability grows evenly.
-_LATE_FROM = 0.85
-_LATE_TO = 1.1
 # One engine in this many reads no part of a joint prompt, so that requests
 # which arrive meanwhile find an engine that is not held up.
 _LEFT_OUT = 7
@@ -154,14 +39,6 @@
 _PART_COUNTS = (1, 2, 3, 4, 6, 8, 12, 16)
 
 
-def lateness(value: float, limit: float) -> float:
-    """Returns the probability that a predicted value exceeds its limit."""
-    if limit <= 0:
-        return 1.0
-    share = (value / limit - _LATE_FROM) / (_LATE_TO - _LATE_FROM)
-    return min(1.0, max(0.0, share))
-
-
 @dataclasses.dataclass(slots=True)
 class _Candidate:
     """An engine with its load; durations in milliseconds."""
@@ -222,7 +99,7 @@
     return sum(worst.values()) + sum(r.engine.penalty for r in readers)
 
 
-class PredictedLossChooser(EngineChooser):
+class PredictedLossChooser(placements.EngineChooser):
     """Minimises the predicted loss of credit of all requests together."""
 
     def __init__(
@@ -230,7 +107,7 @@
         model: pass_model.PassModel,
         board: load_board.LoadBoard,
         paces: engine_pace.EnginePaces,
-        weights: ChoiceWeights = ChoiceWeights(),  # noqa: B008
+        weights: choice_weights.ChoiceWeights = choice_weights.ChoiceWeights(),  # noqa: B008
     ) -> None:
         self._model = model
         self._board = board
@@ -243,11 +120,11 @@
 
     def choose(
         self,
-        demand: Demand,
+        demand: placements.Demand,
         candidates: Sequence[server_directory.ServerEntry],
         avoided: frozenset[ids.BackendServerId],
         now: units.Instant,
-    ) -> Placement | None:
+    ) -> placements.Placement | None:
         """Returns the engines with the least predicted loss."""
         usable = [c for c in candidates if c.id not in avoided] or candidates
         if not usable:
@@ -284,8 +161,8 @@
 
     def _pays(
         self,
-        demand: Demand,
-        plan: Placement,
+        demand: placements.Demand,
+        plan: placements.Placement,
         engines: list[_Candidate],
         whole_ms: float,
         now: units.Instant,
@@ -320,7 +197,7 @@
     def _candidate(
         self,
         entry: server_directory.ServerEntry,
-        demand: Demand,
+        demand: placements.Demand,
         now: units.Instant,
     ) -> _Candidate:
         load = self._board.load(entry.id)
@@ -345,12 +222,12 @@
 
     def _plan(
         self,
-        demand: Demand,
+        demand: placements.Demand,
         engines: list[_Candidate],
         part_ms: float,
         count: int,
         now: units.Instant,
-    ) -> Placement:
+    ) -> placements.Placement:
         helper = count > 1
         waiting = self._weights.waiting / 1_000
         readers = sorted(
@@ -409,7 +286,7 @@
             + self._own_loss(demand, first_token_ms, first.pass_ms, now)
             + (len(readers) - 1) * self._weights.helper
         )
-        return Placement(
+        return placements.Placement(
             first.entry,
             tuple(r.engine.entry for r in readers if r.engine is not first),
             part_ms,
@@ -417,7 +294,9 @@
             first.pass_ms,
             self._model.write_ms(demand.size, first.pass_ms),
             loss,
-            first_token_ms <= (demand.due_at - now) * 1_000 * _LATE_TO,
+            not choice_weights.surely_late(
+                first_token_ms, (demand.due_at - now) * 1_000
+            ),
             shares,
         )
 
@@ -434,7 +313,7 @@
 
     def _own_loss(
         self,
-        demand: Demand,
+        demand: placements.Demand,
         first_token_ms: float,
         pass_ms: float,
         now: units.Instant,
@@ -444,15 +323,19 @@
         It is late by its first token or by the pauses of its answer.
         """
         late = max(
-            lateness(first_token_ms, (demand.due_at - now) * 1_000),
-            lateness(pass_ms, demand.longest_pause * 1_000),
+            choice_weights.lateness(
+                first_token_ms, (demand.due_at - now) * 1_000
+            ),
+            choice_weights.lateness(pass_ms, demand.longest_pause * 1_000),
         )
         return (
             first_token_ms * self._weights.waiting / 1_000
             + self.credit(demand.size) * self._weights.late_share * late
         )
 
-    def _spare_engines(self, demand: Demand, engines: list[_Candidate]) -> int:
+    def _spare_engines(
+        self, demand: placements.Demand, engines: list[_Candidate]
+    ) -> int:
         """Returns the engines that long parts may hold up in addition.
 
         Short requests need some engines that no long part holds up. The
@@ -468,7 +351,9 @@
         )
         return max(holders, int(free - needed))
 
-    def _writer_loss(self, demand: Demand, engine: _Candidate) -> float:
+    def _writer_loss(
+        self, demand: placements.Demand, engine: _Candidate
+    ) -> float:
         """Returns the loss if the answer is written at this engine."""
         weights = self._weights
         loss = 0.0 if engine.load.writers else weights.opening
@@ -478,12 +363,12 @@
             loss += weights.byte * (demand.body + 3 * demand.size.answer)
         return loss
 
-    def _has_room(self, demand: Demand, engine: _Candidate) -> bool:
+    def _has_room(self, demand: placements.Demand, engine: _Candidate) -> bool:
         free = self._model.profile.memory - engine.load.memory
         return demand.size.memory <= free
 
     def _shares(
-        self, demand: Demand, readers: list[_Candidate]
+        self, demand: placements.Demand, readers: list[_Candidate]
     ) -> tuple[memory_shares.MemoryShare, ...]:
         memory = self._model.profile.memory
         return memory_shares.divide(
@@ -499,7 +384,7 @@
 
     def _room_loss(
         self,
-        demand: Demand,
+        demand: placements.Demand,
         first: _Candidate,
         shares: tuple[memory_shares.MemoryShare, ...],
     ) -> float:
@@ -524,7 +409,9 @@
         losses: dict[int, float] = {}
         for work in engine.load.writers:
             limit = work.longest_pause * 1_000
-            late = lateness(after, limit) - lateness(before, limit)
+            late = choice_weights.lateness(
+                after, limit
+            ) - choice_weights.lateness(before, limit)
             if late > 0:
                 losses[work.request] = work.credit * late * share
         # A part is read before other reads, and a pass with writers gives
@@ -533,6 +420,8 @@
             delay = part_ms * self._weights.waiting / 1_000
             for work in engine.load.reads:
                 limit = (work.due_at - now) * 1_000
-                late = lateness(after, limit) - lateness(before, limit)
+                late = choice_weights.lateness(
+                    after, limit
+                ) - choice_weights.lateness(before, limit)
                 losses[work.request] = delay + work.credit * late * share
         return losses
--- a/packages/routing/tests/engine_fixture.py
+++ b/packages/routing/tests/engine_fixture.py
@@ -8,9 +8,9 @@
 from lavendershed.core import units
 from lavendershed.membership import server_directory
 from lavendershed.routes import engine_profile
-from lavendershed.routing import engine_choice
 from lavendershed.routing import load_board
 from lavendershed.routing import pass_model
+from lavendershed.routing import placements
 
 ZONE = ids.AvailabilityZoneId("a")
 NOW = units.Instant(100.0)
@@ -65,7 +65,7 @@
 
 def demand(prompt, answer=1_600, due=0.3, limit=10.0, pause=0.25):
     """Returns the demand of a request."""
-    return engine_choice.Demand(
+    return placements.Demand(
         pass_model.PromptSize(units.Tokens(prompt), units.Tokens(answer)),
         units.Instant(NOW + due),
         units.Instant(NOW + limit),
--- a/packages/routing/tests/test_engine_choice.py
+++ b/packages/routing/tests/test_engine_choice.py
@@ -8,6 +8,7 @@
 
 from lavendershed.core import ids
 from lavendershed.core import units
+from lavendershed.routing import choice_weights
 from lavendershed.routing import engine_choice
 from lavendershed.routing import engine_pace
 from lavendershed.routing import load_board
@@ -183,10 +184,10 @@
     """Fails if the probability of being late jumps or leaves its range."""
 
     def test_it_grows_around_the_limit(self):
-        self.assertEqual(engine_choice.lateness(80, 100), 0.0)
-        self.assertEqual(engine_choice.lateness(120, 100), 1.0)
-        self.assertTrue(0 < engine_choice.lateness(97, 100) < 1)
-        self.assertEqual(engine_choice.lateness(1, 0), 1.0)
+        self.assertEqual(choice_weights.lateness(80, 100), 0.0)
+        self.assertEqual(choice_weights.lateness(120, 100), 1.0)
+        self.assertTrue(0 < choice_weights.lateness(97, 100) < 1)
+        self.assertEqual(choice_weights.lateness(1, 0), 1.0)
 
 
 if __name__ == "__main__":
--- a/tools/measure_forwarding.py
+++ b/tools/measure_forwarding.py
@@ -22,6 +22,7 @@
 from lavendershed.routing import engine_pace
 from lavendershed.routing import load_board
 from lavendershed.routing import pass_model
+from lavendershed.routing import placements
 
 _ROUNDS = 5
 _NOW = units.Instant(100.0)
@@ -83,9 +84,9 @@
     )
 
 
-def demand(prompt: int) -> engine_choice.Demand:
+def demand(prompt: int) -> placements.Demand:
     """Returns the demand of a prompt."""
-    return engine_choice.Demand(
+    return placements.Demand(
         pass_model.PromptSize(units.Tokens(prompt), units.Tokens(1_600)),
         units.Instant(_NOW + 3.0),
         units.Instant(_NOW + 15.0),
