--- a/packages/backend/src/lavendershed/backend/http_engine.py
+++ b/packages/backend/src/lavendershed/backend/http_engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import contextlib
 from typing import Any
 from typing import TypeVar
 import urllib.parse
@@ -230,25 +231,23 @@
         connection = acquired.ok_value
         stream = event_stream.HttpEngineStream(connection, self._pool)
         timeout = self._pool.limits.idle_timeout
-        try:
+        with contextlib.ExitStack() as unfinished:
+            unfinished.callback(connection.close)
             sent = await connection.send(head, body, timeout)
             if isinstance(sent, result.Err):
-                connection.close()
                 return result.Err(
                     transport_errors.backend_error(sent.err_value)
                 )
             answer = await connection.read_head(timeout)
             if isinstance(answer, result.Err):
-                connection.close()
                 return result.Err(
                     transport_errors.backend_error(answer.err_value)
                 )
             if answer.ok_value.status == 200:
+                unfinished.pop_all()
                 return result.Ok(stream)
             content = await connection.read_body(timeout, _MAX_ERROR_BYTES)
-        except BaseException:
-            connection.close()
-            raise
+            unfinished.pop_all()
         self._pool.release(connection)
         return result.Err(
             _refusal(answer.ok_value.status, content.unwrap_or(b""))
--- a/packages/daemon/src/lavendershed/daemon/engine_group.py
+++ b/packages/daemon/src/lavendershed/daemon/engine_group.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+import contextlib
 import dataclasses
 
 import result
@@ -88,18 +89,19 @@
     ) -> result.Result[Ready, group_planner.GroupFailure]:
         """Takes the holds and prefills all segments but the last."""
         commands = list(self._plan.on_start(self._timers.now()))
-        try:
+        with contextlib.ExitStack() as unformed:
+            unformed.callback(self.end)
             while True:
                 command = commands.pop(0)
                 if isinstance(command, group_planner.StartStream):
-                    return await self._start(command)
+                    formed = await self._start(command)
+                    unformed.pop_all()
+                    return formed
                 if isinstance(command, group_planner.GiveUp):
+                    unformed.pop_all()
                     self._release_imports()
                     return result.Err(command.reason)
                 commands += await self._execute(command)
-        except BaseException:
-            self.end()
-            raise
 
     def end(self) -> None:
         """Gives all memory of the group back. Idempotent."""
--- a/packages/forwarding/src/lavendershed/forwarding/call_run.py
+++ b/packages/forwarding/src/lavendershed/forwarding/call_run.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
-
 import result
 
 from lavendershed.core import forwarding_states
@@ -12,11 +10,11 @@
 from lavendershed.forwarding import attempts
 from lavendershed.forwarding import connections
 from lavendershed.forwarding import context as context_module
+from lavendershed.forwarding import request_run
 from lavendershed.forwarding import requests
 from lavendershed.membership import server_directory
 from lavendershed.telemetry import events
 from lavendershed.transport import errors
-from lavendershed.transport import server
 
 # Answers of plain services are buffered whole, so that one that was cut can't
 # look complete.
@@ -26,28 +24,9 @@
 _SECOND_TRY_AFTER = 1.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _WholeAnswer:
-    head: requests.AnswerHead
-    body: bytes
-
-
-class CallRun:
+class CallRun(request_run.RequestRun):
     """One request to a plain service, with all its attempts."""
 
-    def __init__(
-        self,
-        context: context_module.ForwardingContext,
-        admitted: context_module.Admitted,
-        responder: server.Responder,
-    ) -> None:
-        self._context = context
-        self._admitted = admitted
-        self._responder = responder
-        self._attempts = attempts.AttemptRecord(context, admitted)
-        # A server's own failure, which is passed on if nothing better comes.
-        self._failed_answer: _WholeAnswer | None = None
-
     async def run(self) -> None:
         """Answers the request."""
         while True:
@@ -97,7 +76,7 @@
 
     async def _attempt(
         self, entry: server_directory.ServerEntry
-    ) -> result.Result[_WholeAnswer, attempts.AttemptResult]:
+    ) -> result.Result[requests.WholeAnswer, attempts.AttemptResult]:
         context = self._context
         context.plain_choice.started(entry.id)
         try:
@@ -107,7 +86,7 @@
 
     async def _attempt_counted(
         self, entry: server_directory.ServerEntry
-    ) -> result.Result[_WholeAnswer, attempts.AttemptResult]:
+    ) -> result.Result[requests.WholeAnswer, attempts.AttemptResult]:
         context = self._context
         repeatable = self._admitted.route.repeatable
         # A reset of a kept connection can't be told from a request that ran.
@@ -139,7 +118,7 @@
         self,
         entry: server_directory.ServerEntry,
         lease: connections.Lease,
-    ) -> result.Result[_WholeAnswer, errors.TransportError]:
+    ) -> result.Result[requests.WholeAnswer, errors.TransportError]:
         context = self._context
         left = self._attempts.time_left
         request = requests.ServerRequest(
@@ -165,7 +144,7 @@
         if isinstance(body, result.Err):
             return body
         decoded = context.servers.decode(head.ok_value, self._admitted.caller)
-        return result.Ok(_WholeAnswer(decoded, body.ok_value))
+        return result.Ok(requests.WholeAnswer(decoded, body.ok_value))
 
     def _wait(self, left: units.Seconds) -> units.Seconds:
         """Returns how long this attempt may be silent."""
@@ -179,8 +158,8 @@
         self,
         entry: server_directory.ServerEntry,
         lease: connections.Lease,
-        answer: result.Result[_WholeAnswer, errors.TransportError],
-    ) -> result.Result[_WholeAnswer, attempts.AttemptResult]:
+        answer: result.Result[requests.WholeAnswer, errors.TransportError],
+    ) -> result.Result[requests.WholeAnswer, attempts.AttemptResult]:
         context = self._context
         request = self._admitted.caller.id
         if isinstance(answer, result.Err):
@@ -225,14 +204,7 @@
                     whole.head.kind.value,
                 )
 
-    def _exclude(
-        self, entry: server_directory.ServerEntry, reason: str
-    ) -> None:
-        context_module.exclude_lost_server(
-            self._context, entry, reason, self._admitted.caller.id
-        )
-
-    async def _deliver(self, answer: _WholeAnswer) -> None:
+    async def _deliver(self, answer: requests.WholeAnswer) -> None:
         seconds = units.elapsed(
             self._admitted.received, self._context.timers.now()
         )
@@ -250,12 +222,6 @@
             answer.head.status, answer.body, answer.head.headers
         )
 
-    async def _fail(self, failure: context_module.Failure) -> None:
-        context_module.log_failure(self._context, self._admitted, failure)
-        await context_module.respond_failure(
-            self._context, self._responder, failure
-        )
-
 
 def _ended(
     end: forwarding_states.AttemptEnd, detail: str = ""
--- a/packages/forwarding/src/lavendershed/forwarding/gateway.py
+++ b/packages/forwarding/src/lavendershed/forwarding/gateway.py
@@ -14,6 +14,7 @@
 from lavendershed.core import units
 from lavendershed.forwarding import call_run
 from lavendershed.forwarding import context as context_module
+from lavendershed.forwarding import request_run
 from lavendershed.forwarding import requests
 from lavendershed.forwarding import stream_run
 from lavendershed.routes import model
@@ -199,7 +200,7 @@
     ) -> None:
         context = self._context
         context.budget.on_request(admitted.service.id, admitted.received)
-        run: stream_run.StreamRun | call_run.CallRun
+        run: request_run.RequestRun
         if admitted.route.kind is model.RequestKind.STREAMING:
             run = stream_run.StreamRun(context, admitted, responder)
         else:
--- a/packages/forwarding/src/lavendershed/forwarding/requests.py
+++ b/packages/forwarding/src/lavendershed/forwarding/requests.py
@@ -78,6 +78,14 @@
     faulty: addresses.Address | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WholeAnswer:
+    """An answer with its whole body."""
+
+    head: AnswerHead
+    body: bytes
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerRequest:
     """What a server is asked.
--- a/packages/peer/src/lavendershed/peer/client.py
+++ b/packages/peer/src/lavendershed/peer/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import socket
 from typing import Any
@@ -138,14 +139,13 @@
 ) -> bytes | None:
     family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_STREAM)
-    sock.setblocking(False)
-    try:
+    with contextlib.ExitStack() as unconnected:
+        unconnected.callback(sock.close)
+        sock.setblocking(False)
         loop = asyncio.get_running_loop()
         await loop.sock_connect(sock, (address.host, address.port))
         reader, writer = await asyncio.open_connection(sock=sock)
-    except BaseException:
-        sock.close()
-        raise
+        unconnected.pop_all()
     try:
         writer.write(frames.frame(sealed))
         await writer.drain()
--- a/packages/transport/src/lavendershed/transport/client.py
+++ b/packages/transport/src/lavendershed/transport/client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable
+import contextlib
 import dataclasses
 import socket
 from typing import TypeVar
@@ -335,7 +336,8 @@
     """Connects without the loop's own connect, which uses a resolver thread."""
     family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_STREAM)
-    try:
+    with contextlib.ExitStack() as unconnected:
+        unconnected.callback(sock.close)
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         _detect_silence(sock)
@@ -346,9 +348,7 @@
         code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if code:
             raise OSError(code, "connect failed")
-    except BaseException:
-        sock.close()
-        raise
+        unconnected.pop_all()
     return sock
 
 
--- a/packages/transport/src/lavendershed/transport/pool.py
+++ b/packages/transport/src/lavendershed/transport/pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 
 import result
@@ -124,7 +125,8 @@
                     f"{self._address}: connected too late to send",
                 )
             )
-        try:
+        with contextlib.ExitStack() as unfinished:
+            unfinished.callback(connection.close)
             response = await self._exchange_on(
                 connection,
                 head,
@@ -132,13 +134,9 @@
                 self._limits.idle_timeout if timeout is None else timeout,
                 max_body,
             )
-        except BaseException:
-            connection.close()
-            raise
-        if isinstance(response, result.Err) or fresh:
-            connection.close()
-        else:
-            self.release(connection)
+            if isinstance(response, result.Ok) and not fresh:
+                unfinished.pop_all()
+                self.release(connection)
         return response
 
     async def _exchange_on(
