--- a/packages/routing/src/lavendershed/routing/engine_choice.py
+++ b/packages/routing/src/lavendershed/routing/engine_choice.py
@@ -16,9 +16,8 @@
 from lavendershed.routing import memory_shares
 from lavendershed.routing import pass_model
 from lavendershed.routing import placements
+from lavendershed.routing import predicted_loss
 
-# Share of the slots up to which an engine is not crowded.
-_COMFORTABLE_SHARE = 0.75
 # One engine in this many reads no part of a joint prompt, so that requests
 # which arrive meanwhile find an engine that is not held up.
 _LEFT_OUT = 7
@@ -29,29 +28,11 @@
 _GROWTH = 1.3
 # Prompts that take longer to read are placed only if it pays.
 _LONG_READ_MS = 1_000.0
-# Shares of the comfortable number of answers between which the time of the
-# engines becomes scarce.
-_FREE_UP_TO = 0.5
-_SCARCE_FROM = 0.9
-_SHORTEST_ANSWER = units.Seconds(0.5)
 # A prompt that needs more than this share of the time left is not sent.
 _USED_TIME_SHARE = 0.9
 _PART_COUNTS = (1, 2, 3, 4, 6, 8, 12, 16)
 
 
-@dataclasses.dataclass(slots=True)
-class _Candidate:
-    """An engine with its load; durations in milliseconds."""
-
-    entry: server_directory.ServerEntry
-    load: load_board.EngineLoad
-    pace: float
-    pass_ms: float
-    backlog_ms: float
-    slot_wait_ms: float
-    penalty: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Reader:
     """An engine that may read a part.
@@ -62,7 +43,7 @@
         harm: Loss of each request there.
     """
 
-    engine: _Candidate
+    engine: predicted_loss.Candidate
     ready_ms: float
     harm: dict[int, float]
 
@@ -113,10 +94,11 @@
         self._board = board
         self._paces = paces
         self._weights = weights
+        self._losses = predicted_loss.PredictedLoss(model, weights)
 
     def credit(self, size: pass_model.PromptSize) -> float:
         """Returns what a request of this size is worth on time."""
-        return self._model.work_tokens(size) * self._weights.credit_per_token
+        return self._losses.credit(size)
 
     def choose(
         self,
@@ -163,67 +145,43 @@
         self,
         demand: placements.Demand,
         plan: placements.Placement,
-        engines: list[_Candidate],
+        engines: list[predicted_loss.Candidate],
         whole_ms: float,
         now: units.Instant,
     ) -> bool:
         """Returns whether a long prompt is worth what others lose by it."""
-        own = self._own_loss(demand, plan.first_token_ms, plan.pass_ms, now)
-        gain = self.credit(demand.size) - own
-        others = plan.loss - own
-        return others + self._occupation_loss(engines, whole_ms) < gain
-
-    def _occupation_loss(
-        self, engines: list[_Candidate], whole_ms: float
-    ) -> float:
-        """Returns the loss of requests that find the engines occupied.
-
-        Time of the engines costs nothing while they have slots to spare, and
-        what short answers bring in this time when they have none.
-        """
-        writers = [w for engine in engines for w in engine.load.writers]
-        comfortable = self._model.profile.slots * _COMFORTABLE_SHARE
-        busy = len(writers) / comfortable
-        used = busy / len(engines)
-        scarcity = (used - _FREE_UP_TO) / (_SCARCE_FROM - _FREE_UP_TO)
-        if not writers or scarcity <= 0:
-            return 0.0
-        credit_per_second = sum(
-            work.credit / max(_SHORTEST_ANSWER, work.ends_at - work.ready_at)
-            for work in writers
+        own = self._losses.own_loss(
+            demand, plan.first_token_ms, plan.pass_ms, now
         )
-        return min(1.0, scarcity) * whole_ms / 1_000 * credit_per_second / busy
+        gain = self._losses.credit(demand.size) - own
+        others = plan.loss - own
+        return others + self._losses.occupation_loss(engines, whole_ms) < gain
 
     def _candidate(
         self,
         entry: server_directory.ServerEntry,
         demand: placements.Demand,
         now: units.Instant,
-    ) -> _Candidate:
+    ) -> predicted_loss.Candidate:
         load = self._board.load(entry.id)
         pace = self._paces.factor(entry.id, now)
         pass_ms = pace * self._model.pass_ms(
             len(load.writers) + 1, load.context + demand.size.prompt
         )
-        return _Candidate(
+        return predicted_loss.Candidate(
             entry,
             load,
             pace,
             pass_ms,
             load.backlog_ms(now, pass_ms),
             load.slot_wait_ms(now, self._model.profile.slots),
-            self._crowding(load),
+            self._losses.crowding(load),
         )
 
-    def _crowding(self, load: load_board.EngineLoad) -> float:
-        slots = self._model.profile.slots
-        above = load.requests + 1 - slots * _COMFORTABLE_SHARE
-        return self._weights.crowding * max(0.0, above)
-
     def _plan(
         self,
         demand: placements.Demand,
-        engines: list[_Candidate],
+        engines: list[predicted_loss.Candidate],
         part_ms: float,
         count: int,
         now: units.Instant,
@@ -235,7 +193,9 @@
                 _Reader(
                     engine,
                     engine.backlog_ms + part_ms * engine.pace,
-                    self._harm(engine, part_ms * engine.pace, helper, now),
+                    self._losses.harm(
+                        engine, part_ms * engine.pace, helper, now
+                    ),
                 )
                 for engine in engines
             ),
@@ -245,8 +205,8 @@
             readers,
             key=lambda r: (
                 r.loss
-                + self._writer_loss(demand, r.engine)
-                + self._own_loss(
+                + self._losses.writer_loss(demand, r.engine)
+                + self._losses.own_loss(
                     demand,
                     self._first_token_ms(r.engine, r.ready_ms, part_ms),
                     r.engine.pass_ms,
@@ -265,7 +225,7 @@
             r.engine.backlog_ms + part_ms * r.engine.pace for r in readers
         )
         shares: tuple[memory_shares.MemoryShare, ...] = ()
-        if not self._has_room(demand, first):
+        if not self._losses.has_room(demand, first):
             shares = self._shares(demand, [r.engine for r in readers])
             holders = {share.holder.id for share in shares}
             held = [
@@ -276,14 +236,14 @@
             # The engine that writes has to hold a share itself.
             first = min(
                 held or [first],
-                key=lambda engine: self._writer_loss(demand, engine),
+                key=lambda engine: self._losses.writer_loss(demand, engine),
             )
         first_token_ms = self._first_token_ms(first, slowest, part_ms)
         loss = (
             _combined(readers)
-            + self._writer_loss(demand, first)
-            + self._room_loss(demand, first, shares)
-            + self._own_loss(demand, first_token_ms, first.pass_ms, now)
+            + self._losses.writer_loss(demand, first)
+            + self._losses.room_loss(demand, first, shares)
+            + self._losses.own_loss(demand, first_token_ms, first.pass_ms, now)
             + (len(readers) - 1) * self._weights.helper
         )
         return placements.Placement(
@@ -301,7 +261,7 @@
         )
 
     def _first_token_ms(
-        self, engine: _Candidate, ready_ms: float, part_ms: float
+        self, engine: predicted_loss.Candidate, ready_ms: float, part_ms: float
     ) -> float:
         """Returns the time to the first token if the parts are read then."""
         # Writers' passes are met half-way on the average.
@@ -311,30 +271,8 @@
             + engine.pass_ms
         )
 
-    def _own_loss(
-        self,
-        demand: placements.Demand,
-        first_token_ms: float,
-        pass_ms: float,
-        now: units.Instant,
-    ) -> float:
-        """Returns the loss of the request itself.
-
-        It is late by its first token or by the pauses of its answer.
-        """
-        late = max(
-            choice_weights.lateness(
-                first_token_ms, (demand.due_at - now) * 1_000
-            ),
-            choice_weights.lateness(pass_ms, demand.longest_pause * 1_000),
-        )
-        return (
-            first_token_ms * self._weights.waiting / 1_000
-            + self.credit(demand.size) * self._weights.late_share * late
-        )
-
     def _spare_engines(
-        self, demand: placements.Demand, engines: list[_Candidate]
+        self, demand: placements.Demand, engines: list[predicted_loss.Candidate]
     ) -> int:
         """Returns the engines that long parts may hold up in addition.
 
@@ -344,31 +282,17 @@
         """
         free = sum(engine.backlog_ms < _BLOCKING_MS for engine in engines)
         writers = sum(len(engine.load.writers) for engine in engines)
-        comfortable = self._model.profile.slots * _COMFORTABLE_SHARE
+        comfortable = (
+            self._model.profile.slots * predicted_loss.COMFORTABLE_SHARE
+        )
         needed = 1 + _GROWTH * writers / comfortable
         holders = memory_shares.least_holders(
             demand.size.memory, self._model.profile.memory
         )
         return max(holders, int(free - needed))
 
-    def _writer_loss(
-        self, demand: placements.Demand, engine: _Candidate
-    ) -> float:
-        """Returns the loss if the answer is written at this engine."""
-        weights = self._weights
-        loss = 0.0 if engine.load.writers else weights.opening
-        if not self._has_room(demand, engine):
-            loss += weights.crowded_memory
-        if engine.entry.availability_zone != demand.zone:
-            loss += weights.byte * (demand.body + 3 * demand.size.answer)
-        return loss
-
-    def _has_room(self, demand: placements.Demand, engine: _Candidate) -> bool:
-        free = self._model.profile.memory - engine.load.memory
-        return demand.size.memory <= free
-
     def _shares(
-        self, demand: placements.Demand, readers: list[_Candidate]
+        self, demand: placements.Demand, readers: list[predicted_loss.Candidate]
     ) -> tuple[memory_shares.MemoryShare, ...]:
         memory = self._model.profile.memory
         return memory_shares.divide(
@@ -381,47 +305,3 @@
                 for reader in readers
             ],
         )
-
-    def _room_loss(
-        self,
-        demand: placements.Demand,
-        first: _Candidate,
-        shares: tuple[memory_shares.MemoryShare, ...],
-    ) -> float:
-        """Returns the loss if the memory for the prompt may not suffice."""
-        if shares:
-            return self._weights.order * 3 * len(shares)
-        if self._has_room(demand, first):
-            return 0.0
-        return self.credit(demand.size) * self._weights.overcommitted
-
-    def _harm(
-        self,
-        engine: _Candidate,
-        part_ms: float,
-        helper: bool,
-        now: units.Instant,
-    ) -> dict[int, float]:
-        """Returns the loss of each request that is already there."""
-        before = engine.pass_ms + engine.backlog_ms
-        after = before + part_ms
-        share = self._weights.late_share
-        losses: dict[int, float] = {}
-        for work in engine.load.writers:
-            limit = work.longest_pause * 1_000
-            late = choice_weights.lateness(
-                after, limit
-            ) - choice_weights.lateness(before, limit)
-            if late > 0:
-                losses[work.request] = work.credit * late * share
-        # A part is read before other reads, and a pass with writers gives
-        # all its first tokens together at its end.
-        if helper or engine.load.writers:
-            delay = part_ms * self._weights.waiting / 1_000
-            for work in engine.load.reads:
-                limit = (work.due_at - now) * 1_000
-                late = choice_weights.lateness(
-                    after, limit
-                ) - choice_weights.lateness(before, limit)
-                losses[work.request] = delay + work.credit * late * share
-        return losses
