Soak with kept connections, cuts of one direction and planned changes

Change: callers keep connections open until the process is gone; answers are due half a second after the limit; calls that a server had may not end with a closed connection; requests or answers alone are lost on links; after the faults an engine leaves, a key is removed and all daemons are stopped in turn. Split into deployment, daemon, callers and schedule of faults.

--- a/packages/standin/src/lavendershed/standin/fault_proxy.py
+++ b/packages/standin/src/lavendershed/standin/fault_proxy.py
@@ -20,12 +20,14 @@
 
     FORWARD passes them on. SILENT takes them without passing them on or
     closing, as a middlebox does that has lost track of the connection.
-    LOSE_ANSWERS passes requests on and drops every answer.
+    LOSE_ANSWERS passes requests on and drops every answer, LOSE_REQUESTS the
+    other way round.
     """
 
     FORWARD = "forward"
     SILENT = "silent"
     LOSE_ANSWERS = "lose_answers"
+    LOSE_REQUESTS = "lose_requests"
 
 
 class _Relay:
@@ -143,13 +145,12 @@
         *,
         answers: bool,
     ) -> None:
+        one_way = Behaviour.LOSE_ANSWERS if answers else Behaviour.LOSE_REQUESTS
         try:
             while data := await reader.read(_READ_BYTES):
                 if self._delay:
                     await asyncio.sleep(self._delay)
-                if relay.behaviour is Behaviour.SILENT or (
-                    answers and relay.behaviour is Behaviour.LOSE_ANSWERS
-                ):
+                if relay.behaviour in (Behaviour.SILENT, one_way):
                     continue
                 writer.write(data)
                 await writer.drain()
--- /dev/null
+++ b/packages/standin/src/lavendershed/standin/soak_daemon.py
@@ -0,0 +1,105 @@
+"""A daemon of the soak, as a process of its own."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import pathlib
+import signal
+import sys
+
+from lavendershed.core import units
+from lavendershed.transport import address as address_module
+
+# Time between SIGTERM and the end of a daemon.
+GRACE = units.Seconds(4.0)
+
+
+class DaemonProcess:
+    """One daemon, with an address of its own on the loopback network."""
+
+    def __init__(
+        self, number: int, first_port: int, folder: pathlib.Path
+    ) -> None:
+        self._host = f"127.0.{number // 200}.{10 + number % 200}"
+        self._first_port = first_port
+        self._folder = folder
+        self._process: asyncio.subprocess.Process | None = None
+        self._log = (folder / f"daemon-{number}.log").open("ab")
+        # Times at which the process was disturbed, by signal.
+        self._signals: list[tuple[float, signal.Signals]] = []
+
+    @property
+    def callers(self) -> address_module.Address:
+        """Where requests arrive."""
+        return address_module.Address(self._host, self._first_port)
+
+    @property
+    def ready(self) -> address_module.Address:
+        """Where readiness is asked."""
+        return address_module.Address(self._host, self._first_port + 1)
+
+    @property
+    def running(self) -> bool:
+        """Whether the process has not ended."""
+        return self._process is not None and self._process.returncode is None
+
+    async def start(
+        self, store: address_module.Address, seeds: list[str]
+    ) -> None:
+        """Starts the program with a settings file of its own."""
+        path = self._folder / f"{self._host}.toml"
+        path.write_text(self._settings(store, seeds))
+        self._process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "lavendershed.platform.main",
+            env={**os.environ, "LAVENDERSHED_CONFIG": str(path)},
+            stdout=self._log,
+            stderr=self._log,
+        )
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Sends a signal to this process only."""
+        if self._process is not None and self.running:
+            now = asyncio.get_running_loop().time()
+            self._signals.append((now, number))
+            self._process.send_signal(number)
+
+    def signalled(
+        self, numbers: tuple[signal.Signals, ...], since: float, until: float
+    ) -> bool:
+        """Returns whether a signal was sent between two times of the loop."""
+        return any(
+            since <= at <= until and number in numbers
+            for at, number in self._signals
+        )
+
+    async def ended(self) -> int | None:
+        """Waits for the end; returns the exit status."""
+        return None if self._process is None else await self._process.wait()
+
+    def close(self) -> None:
+        """Ends the process and its log."""
+        self.send_signal(signal.SIGKILL)
+        self._log.close()
+
+    def _settings(self, store: address_module.Address, seeds: list[str]) -> str:
+        listed = ", ".join(f'"{seed}:1"' for seed in seeds)
+        return f"""
+node_name = "{self._host}"
+ip = "{self._host}"
+zone = "a"
+internal_ports = [{self._first_port + 2}, {self._first_port + 3}]
+seeds = [{listed}]
+[listen]
+frontend = "{self.callers}"
+ready = "{self.ready}"
+[bounds]
+grace_s = {int(GRACE)}
+retry_budget_ratio = 0.2
+budget_window_s = 10
+budget_slack = 100
+[provider]
+address = "{store}"
+"""
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -10,13 +10,14 @@
 import unittest
 
 from lavendershed.standin import platform_soak
+from lavendershed.standin import soak_deployment
 
 SEEDS = [
     int(os.environ.get("LAVENDERSHED_SOAK_SEED", "1")),
     # Events in front of a gap were taken for delivered.
     29,
 ]
-SHAPE = platform_soak.SoakShape(seconds=8.0)
+SHAPE = soak_deployment.SoakShape(seconds=8.0)
 
 
 class PlatformSoakTest(unittest.IsolatedAsyncioTestCase):
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -9,9 +9,10 @@
 import sys
 
 from lavendershed.standin import platform_soak
+from lavendershed.standin import soak_deployment
 
 
-async def run_seed(seed: int, shape: platform_soak.SoakShape) -> bool:
+async def run_seed(seed: int, shape: soak_deployment.SoakShape) -> bool:
     """Returns whether all promises held."""
     soak = platform_soak.PlatformSoak(seed, shape)
     problems = await soak.run()
@@ -28,7 +29,7 @@
     """Runs all seeds; returns the exit status."""
     first, _, last = sys.argv[1].partition("-")
     seconds = float(sys.argv[2]) if len(sys.argv) > 2 else 20.0
-    shape = platform_soak.SoakShape(seconds=seconds)
+    shape = soak_deployment.SoakShape(seconds=seconds)
     held = [
         asyncio.run(run_seed(seed, shape))
         for seed in range(int(first), int(last or first) + 1)
