Tell all daemons of engines that can't be reached

Cause: each daemon had to lose a request of its own to find an engine that had crashed.

Change: load reports carry the servers that the sender can't connect to, or that another engine blames; peers leave them out for 2 s at most, a little longer than the sender, which tries first. Answers that are lost or wrong are not told. A daemon that reaches less than half of the servers tells nothing. Sample engines for tests and tools are in one module; tools/measure_logging.py measures what the log costs.

The new test fails if reports are not taken.

--- a/packages/forwarding/src/lavendershed/forwarding/call_run.py
+++ b/packages/forwarding/src/lavendershed/forwarding/call_run.py
@@ -94,7 +94,13 @@
             entry.address, fresh=not repeatable
         )
         if isinstance(acquired, result.Err):
-            self._exclude(entry, "connect_failed")
+            context_module.exclude_lost_server(
+                context,
+                entry,
+                "connect_failed",
+                self._admitted.caller.id,
+                unreachable=True,
+            )
             return _ended(
                 forwarding_states.AttemptEnd.NOT_SENT, acquired.err_value.detail
             )
@@ -193,7 +199,9 @@
                     f"status {whole.head.status}",
                 )
             case requests.AnswerKind.WRONG_SERVER:
-                self._exclude(entry, "another server has the address")
+                context_module.exclude_lost_server(
+                    context, entry, "another server has the address", request
+                )
                 return _ended(forwarding_states.AttemptEnd.WRONG_SERVER)
             case _:
                 context_module.count_failed_answer(
--- a/packages/forwarding/src/lavendershed/forwarding/context.py
+++ b/packages/forwarding/src/lavendershed/forwarding/context.py
@@ -87,11 +87,16 @@
     entry: server_directory.ServerEntry,
     reason: str,
     request: ids.RequestId,
+    *,
+    unreachable: bool = False,
 ) -> None:
-    """Keeps new work away from a server that can't be reached."""
+    """Keeps new work away from a server that failed a request.
+
+    Other daemons are told of one that can't be reached at all.
+    """
     context.connections.discard(entry.address)
     duration = context.health.on_loss(
-        entry.id, entry.born, context.timers.now()
+        entry.id, entry.born, context.timers.now(), unreachable=unreachable
     )
     _log_exclusion(context, entry, reason, request, duration)
 
--- a/packages/forwarding/src/lavendershed/forwarding/load_sharing.py
+++ b/packages/forwarding/src/lavendershed/forwarding/load_sharing.py
@@ -16,6 +16,7 @@
 from lavendershed.peer import wire
 from lavendershed.reliability import crash_counts
 from lavendershed.reliability import fleet_retry_budget
+from lavendershed.reliability import server_health
 from lavendershed.routing import engine_pace
 from lavendershed.routing import load_board
 from lavendershed.telemetry import events
@@ -27,6 +28,9 @@
 # Progress and ends of work within this time go into one report. Each report
 # is a datagram to every daemon.
 _DELAY = units.Seconds(0.1)
+# Share of the servers up to which failed connections tell of the servers and
+# not of this daemon's own network.
+_MOST_UNREACHABLE = 0.5
 # A report without changes repeats the state for daemons that missed one.
 _REPEAT = units.Seconds(1.0)
 
@@ -76,6 +80,7 @@
         board: load_board.LoadBoard,
         crashes: crash_counts.CrashCounts,
         paces: engine_pace.EnginePaces,
+        health: server_health.ServerHealth,
         budget: fleet_retry_budget.FleetRetryBudget,
         timer_service: timers.TimerService,
         event_log: log.EventLog,
@@ -87,6 +92,7 @@
         self._board = board
         self._crashes = crashes
         self._paces = paces
+        self._health = health
         self._budget = budget
         self._timers = timer_service
         self._log = event_log
@@ -151,6 +157,7 @@
         self._board.on_report(report.daemon, report.works, now)
         self._crashes.on_report(report.suspects, now)
         self._paces.on_report(report.slow, now)
+        self._health.on_report(report.unreachable, now)
         self._versions.on_report(address, report)
         self._budget.on_fleet_size(self._peers.size)
 
@@ -193,6 +200,7 @@
                 self._board.own,
                 self._crashes.own(now),
                 self._paces.own(now),
+                self._unreachable(now),
                 # Addresses change rarely; one report a second carries them.
                 self._peers.heard if self._sequence % 8 == 1 else (),
             ),
@@ -203,6 +211,17 @@
         for target in targets:
             self._transport.sendto(datagram, (target.host, target.port))
 
+    def _unreachable(
+        self, now: units.Instant
+    ) -> tuple[server_health.Unreachable, ...]:
+        """Returns the servers to tell the others of.
+
+        A daemon that reaches few servers is probably cut off itself.
+        """
+        found = self._health.unreachable(now)
+        most = len(self._view.directory.entries) * _MOST_UNREACHABLE
+        return found if len(found) <= most else ()
+
     def _log_changes(self) -> None:
         heard = frozenset(self._peers.heard)
         for address in heard ^ self._known:
--- a/packages/forwarding/src/lavendershed/forwarding/request_run.py
+++ b/packages/forwarding/src/lavendershed/forwarding/request_run.py
@@ -7,7 +7,6 @@
 from lavendershed.forwarding import attempts
 from lavendershed.forwarding import context as context_module
 from lavendershed.forwarding import requests
-from lavendershed.membership import server_directory
 from lavendershed.transport import server
 
 
@@ -31,13 +30,6 @@
     async def run(self) -> None:
         """Answers the request."""
 
-    def _exclude(
-        self, entry: server_directory.ServerEntry, reason: str
-    ) -> None:
-        context_module.exclude_lost_server(
-            self._context, entry, reason, self._admitted.caller.id
-        )
-
     async def _fail(self, failure: context_module.Failure) -> None:
         context_module.log_failure(self._context, self._admitted, failure)
         await context_module.respond_failure(
--- a/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
@@ -140,7 +140,7 @@
             entry.address, fresh=not self._admitted.route.repeatable
         )
         if isinstance(acquired, result.Err):
-            self._exclude(entry, "connect_failed")
+            self._exclude(entry, "connect_failed", unreachable=True)
             return attempts.AttemptResult(
                 forwarding_states.AttemptEnd.NOT_SENT, acquired.err_value.detail
             )
@@ -328,13 +328,23 @@
         """Excludes the engine that an answer blames."""
         for entry in self._context.view.directory.entries:
             if entry.address == answer.faulty:
-                self._exclude(entry, "blamed by another engine")
+                self._exclude(
+                    entry, "blamed by another engine", unreachable=True
+                )
 
     def _exclude(
-        self, entry: server_directory.ServerEntry, reason: str
+        self,
+        entry: server_directory.ServerEntry,
+        reason: str,
+        *,
+        unreachable: bool = False,
     ) -> None:
         context_module.exclude_lost_server(
-            self._context, entry, reason, self._admitted.caller.id
+            self._context,
+            entry,
+            reason,
+            self._admitted.caller.id,
+            unreachable=unreachable,
         )
 
 
--- a/packages/peer/idl/messages.thrift
+++ b/packages/peer/idl/messages.thrift
@@ -113,6 +113,9 @@
   7: optional list<i64> peers
   // Slow engines: number of the engine and ten times its factor, in turn.
   8: optional list<i32> slow
+  // Unreachable servers: number of the server and milliseconds for which it is
+  // left out, in turn.
+  9: optional list<i32> unreachable
 }
 
 struct StoredObject {
--- a/packages/peer/src/lavendershed/peer/gen/messages/ttypes.py
+++ b/packages/peer/src/lavendershed/peer/gen/messages/ttypes.py
@@ -1488,6 +1488,7 @@
      - suspects
      - peers
      - slow
+     - unreachable
 
     """
 
@@ -1500,10 +1501,11 @@
         'suspects',
         'peers',
         'slow',
+        'unreachable',
     )
 
 
-    def __init__(self, incarnation=None, sequence=None, configuration_version=None, server_revision=None, works=None, suspects=None, peers=None, slow=None,):
+    def __init__(self, incarnation=None, sequence=None, configuration_version=None, server_revision=None, works=None, suspects=None, peers=None, slow=None, unreachable=None,):
         self.incarnation = incarnation
         self.sequence = sequence
         self.configuration_version = configuration_version
@@ -1512,6 +1514,7 @@
         self.suspects = suspects
         self.peers = peers
         self.slow = slow
+        self.unreachable = unreachable
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1582,6 +1585,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.unreachable = []
+                    (_etype69, _size66) = iprot.readListBegin()
+                    for _i70 in range(_size66):
+                        _elem71 = iprot.readI32()
+                        self.unreachable.append(_elem71)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1611,29 +1624,36 @@
         if self.works is not None:
             oprot.writeFieldBegin('works', TType.LIST, 5)
             oprot.writeListBegin(TType.I32, len(self.works))
-            for iter66 in self.works:
-                oprot.writeI32(iter66)
+            for iter72 in self.works:
+                oprot.writeI32(iter72)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 6)
             oprot.writeListBegin(TType.I64, len(self.suspects))
-            for iter67 in self.suspects:
-                oprot.writeI64(iter67)
+            for iter73 in self.suspects:
+                oprot.writeI64(iter73)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.peers is not None:
             oprot.writeFieldBegin('peers', TType.LIST, 7)
             oprot.writeListBegin(TType.I64, len(self.peers))
-            for iter68 in self.peers:
-                oprot.writeI64(iter68)
+            for iter74 in self.peers:
+                oprot.writeI64(iter74)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.slow is not None:
             oprot.writeFieldBegin('slow', TType.LIST, 8)
             oprot.writeListBegin(TType.I32, len(self.slow))
-            for iter69 in self.slow:
-                oprot.writeI32(iter69)
+            for iter75 in self.slow:
+                oprot.writeI32(iter75)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.unreachable is not None:
+            oprot.writeFieldBegin('unreachable', TType.LIST, 9)
+            oprot.writeListBegin(TType.I32, len(self.unreachable))
+            for iter76 in self.unreachable:
+                oprot.writeI32(iter76)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1874,11 +1894,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.configuration = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = StoredObject()
-                        _elem75.read(iprot)
-                        self.configuration.append(_elem75)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = StoredObject()
+                        _elem82.read(iprot)
+                        self.configuration.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1890,11 +1910,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.servers = []
-                    (_etype79, _size76) = iprot.readListBegin()
-                    for _i80 in range(_size76):
-                        _elem81 = StoredObject()
-                        _elem81.read(iprot)
-                        self.servers.append(_elem81)
+                    (_etype86, _size83) = iprot.readListBegin()
+                    for _i87 in range(_size83):
+                        _elem88 = StoredObject()
+                        _elem88.read(iprot)
+                        self.servers.append(_elem88)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1915,8 +1935,8 @@
         if self.configuration is not None:
             oprot.writeFieldBegin('configuration', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.configuration))
-            for iter82 in self.configuration:
-                iter82.write(oprot)
+            for iter89 in self.configuration:
+                iter89.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.server_revision is not None:
@@ -1926,8 +1946,8 @@
         if self.servers is not None:
             oprot.writeFieldBegin('servers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.servers))
-            for iter83 in self.servers:
-                iter83.write(oprot)
+            for iter90 in self.servers:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2071,6 +2091,7 @@
     (6, TType.LIST, 'suspects', (TType.I64, None, False), None, ),  # 6
     (7, TType.LIST, 'peers', (TType.I64, None, False), None, ),  # 7
     (8, TType.LIST, 'slow', (TType.I32, None, False), None, ),  # 8
+    (9, TType.LIST, 'unreachable', (TType.I32, None, False), None, ),  # 9
 )
 all_structs.append(StoredObject)
 StoredObject.thrift_spec = (
--- a/packages/peer/src/lavendershed/peer/load_reports.py
+++ b/packages/peer/src/lavendershed/peer/load_reports.py
@@ -17,6 +17,7 @@
 from lavendershed.core import units
 from lavendershed.peer import wire
 from lavendershed.peer.gen.messages import ttypes
+from lavendershed.reliability import server_health
 from lavendershed.routing import engine_pace
 from lavendershed.routing import load_board
 
@@ -33,6 +34,7 @@
 _MAX_SUSPECTS = 8
 _MAX_SLOW = 8
 _PACE_STEPS = 10
+_MAX_UNREACHABLE = 8
 _MAX_PEERS = 24
 
 ServerLookup = Callable[[int], ids.BackendServerId | None]
@@ -50,6 +52,7 @@
         works: Open work of the sender.
         suspects: Requests that may crash engines, with their counts.
         slow: Slow engines, with the factor that each takes longer.
+        unreachable: Servers that the sender can't reach.
         peers: Addresses of daemons that the sender has heard of.
     """
 
@@ -60,6 +63,7 @@
     works: tuple[load_board.Work, ...]
     suspects: tuple[tuple[ids.Fingerprint, int], ...]
     slow: tuple[engine_pace.Pace, ...]
+    unreachable: tuple[server_health.Unreachable, ...]
     peers: tuple[addresses.Address, ...]
 
 
@@ -82,6 +86,10 @@
         (server_number(server), round(factor * _PACE_STEPS))
         for server, factor in report.slow[:_MAX_SLOW]
     )
+    unreachable = itertools.chain.from_iterable(
+        (server_number(server), round(remaining * 1_000))
+        for server, remaining in report.unreachable[:_MAX_UNREACHABLE]
+    )
     return wire.encode(
         ttypes.LoadReport(
             incarnation=report.daemon,
@@ -91,6 +99,7 @@
             works=list(works),
             suspects=list(suspects),
             slow=list(slow),
+            unreachable=list(unreachable),
             peers=[_address_number(a) for a in report.peers[:_MAX_PEERS]],
         )
     )
@@ -127,18 +136,27 @@
             (ids.Fingerprint(_unsigned(suspects[i])), suspects[i + 1])
             for i in range(0, len(suspects) - 1, 2)
         ),
-        tuple(_paces(message.slow or [], lookup)),
+        tuple(
+            (server, factor / _PACE_STEPS)
+            for server, factor in _by_server(message.slow, lookup)
+        ),
+        tuple(
+            (server, units.Seconds(remaining / 1_000))
+            for server, remaining in _by_server(message.unreachable, lookup)
+        ),
         tuple(_address(number) for number in message.peers or []),
     )
 
 
-def _paces(
-    numbers: list[int], lookup: ServerLookup
-) -> Iterator[engine_pace.Pace]:
-    for number, factor in zip(numbers[::2], numbers[1::2], strict=False):
+def _by_server(
+    numbers: list[int] | None, lookup: ServerLookup
+) -> Iterator[tuple[ids.BackendServerId, int]]:
+    """Yields the known servers with the figure that follows each number."""
+    listed = numbers or []
+    for number, figure in zip(listed[::2], listed[1::2], strict=False):
         server = lookup(number)
         if server is not None:
-            yield server, factor / _PACE_STEPS
+            yield server, figure
 
 
 def _work_numbers(work: load_board.Work, now: units.Instant) -> tuple[int, ...]:
--- a/packages/peer/tests/test_load_reports.py
+++ b/packages/peer/tests/test_load_reports.py
@@ -51,6 +51,7 @@
         tuple(works),
         tuple(suspects),
         ((SERVER, 2.5),),
+        ((SERVER, units.Seconds(1.25)),),
         tuple(peers),
     )
 
--- a/packages/platform/src/lavendershed/platform/factory.py
+++ b/packages/platform/src/lavendershed/platform/factory.py
@@ -115,6 +115,7 @@
             board,
             crashes,
             paces,
+            health,
             budget,
             timer_service,
             event_log,
--- a/packages/reliability/tests/test_server_health.py
+++ b/packages/reliability/tests/test_server_health.py
@@ -55,6 +55,30 @@
         self.assertEqual(self.health.on_failure(SERVER, BORN, at(0)), 1.0)
         self.assertTrue(self.excluded(0))
 
+    def test_a_server_that_a_peer_cannot_reach_is_left_out(self):
+        """Guards against each daemon losing a request to find it out."""
+        self.health.on_loss(SERVER, BORN, at(0), unreachable=True)
+        peer = server_health.ServerHealth()
+        peer.on_report(self.health.unreachable(at(0.2)), at(0.2))
+        self.assertTrue(peer.excluded(SERVER, BORN, at(1.2)))
+        self.assertFalse(peer.excluded(SERVER, BORN, at(1.4)))
+
+    def test_a_report_counts_for_two_seconds_at_most(self):
+        """Guards against a peer whose own path is broken."""
+        self.health.on_report([(SERVER, units.Seconds(8.0))], at(0))
+        self.assertTrue(self.excluded(1.9))
+        self.assertFalse(self.excluded(2.1))
+
+    def test_only_failed_connections_are_told(self):
+        """Guards against fleets that leave out servers for lost answers."""
+        self.health.on_loss(SERVER, BORN, at(0))
+        self.assertEqual(self.health.unreachable(at(0.1)), ())
+
+    def test_an_own_answer_outweighs_a_report(self):
+        self.health.on_report([(SERVER, units.Seconds(2.0))], at(0))
+        self.health.on_success(SERVER, BORN)
+        self.assertFalse(self.excluded(0.1))
+
     def test_a_new_start_of_the_server_is_sound(self):
         self.health.on_loss(SERVER, BORN, at(0))
         self.assertFalse(self.excluded(0, ids.Incarnation(2)))
--- a/tests/test_platform_rules.py
+++ b/tests/test_platform_rules.py
@@ -193,6 +193,35 @@
         self.assertEqual(answer.head.status, 503)
 
 
+class UnreachableServerTest(platform_case.PlatformCase):
+    """Fails if every daemon has to lose requests to find a dead engine."""
+
+    async def test_peers_leave_out_what_one_daemon_cannot_reach(self):
+        other = await self.start_daemon(seeds=(self.daemon.peers,))
+        heard = other.parts.peers
+        await self.until(lambda: heard.heard)
+        for engine in self.engines:
+            engine.close()
+        # Two of five servers are fewer than the share from which a daemon
+        # blames its own network.
+        self.engines.append(await self.add_engine("e-2"))
+        await self.stream()
+        excluded = [
+            fields["server"]
+            for fields in self.daemon.events(
+                events.Event.BACKEND_SERVER_EXCLUDED
+            )
+        ]
+        self.assertTrue(excluded)
+        health = other.parts.components.context.health
+        directory = other.parts.components.context.view.directory
+        entry = directory.entry(excluded[0])
+        await self.until(
+            lambda: health.excluded(entry.id, entry.born, self.timers.now()),
+            units.Seconds(0.5),
+        )
+
+
 class CallerLeftTest(platform_case.PlatformCase):
     """Fails if an engine works on for a caller that has left (GONE)."""
 
--- a/tools/measure_forwarding.py
+++ b/tools/measure_forwarding.py
@@ -11,35 +11,16 @@
 import statistics
 import time
 
-from lavendershed.core import addresses
-from lavendershed.core import forwarding_states
 from lavendershed.core import ids
-from lavendershed.core import units
-from lavendershed.membership import server_directory
 from lavendershed.peer import load_reports
-from lavendershed.routes import engine_profile
 from lavendershed.routing import engine_choice
 from lavendershed.routing import engine_pace
 from lavendershed.routing import load_board
 from lavendershed.routing import pass_model
-from lavendershed.routing import placements
+from lavendershed.standin import engine_samples
 
 _ROUNDS = 5
-_NOW = units.Instant(100.0)
-_ZONE = ids.AvailabilityZoneId("a")
-_PROFILE = engine_profile.EngineProfile(
-    slots=8,
-    memory=units.Tokens(315_000),
-    steps_per_pass=51,
-    step_ms=0.85,
-    writer_step_ms=0.0085,
-    context_step_ms=0.00285,
-    read_tokens_per_ms=177.0,
-    pairs_ms=0.184,
-    read_tokens_per_step=2_048,
-    usual_answer=units.Tokens(1_600),
-    helper_hop_ms=0.05,
-)
+_NOW = engine_samples.NOW
 # Answers being written for each engine.
 _WORKS_PER_ENGINE = 3
 
@@ -55,60 +36,21 @@
     return statistics.median(times)
 
 
-def engine(number: int) -> server_directory.ServerEntry:
-    """Returns the entry of an engine."""
-    return server_directory.ServerEntry(
-        ids.BackendServerId(f"i-{number}"),
-        ids.Incarnation(1),
-        ids.ServiceId("model"),
-        addresses.Address("10.0.0.1", 80),
-        _ZONE,
-        forwarding_states.ServerState.READY,
-    )
-
-
-def work(number: int, server: ids.BackendServerId) -> load_board.Work:
-    """Returns a short answer that is being written."""
-    return load_board.Work(
-        number,
-        server,
-        forwarding_states.WorkPhase.WRITING,
-        30.0,
-        _NOW,
-        units.Instant(_NOW + 1.0),
-        7_000,
-        5_000,
-        units.Seconds(0.25),
-        units.Instant(_NOW + 0.3),
-        2.0,
-    )
-
-
-def demand(prompt: int) -> placements.Demand:
-    """Returns the demand of a prompt."""
-    return placements.Demand(
-        pass_model.PromptSize(units.Tokens(prompt), units.Tokens(1_600)),
-        units.Instant(_NOW + 3.0),
-        units.Instant(_NOW + 15.0),
-        units.Seconds(1.0),
-        _ZONE,
-        units.Bytes(1_000),
-    )
-
-
 def measure_choice(count: int) -> None:
     """Prints the time of a choice among `count` engines."""
-    engines = [engine(number) for number in range(count)]
+    engines = [engine_samples.engine(f"i-{n}") for n in range(count)]
     board = load_board.LoadBoard()
     generator = random.Random(1)
     for number in range(count * _WORKS_PER_ENGINE):
-        board.add(work(number, generator.choice(engines).id))
+        board.add(engine_samples.writing(generator.choice(engines).id, number))
     chooser = engine_choice.PredictedLossChooser(
-        pass_model.PassModel(_PROFILE), board, engine_pace.EnginePaces()
+        pass_model.PassModel(engine_samples.PROFILE),
+        board,
+        engine_pace.EnginePaces(),
     )
     repeat = max(1, 2_000 // count)
     for prompt in (2_000, 154_000):
-        wanted = demand(prompt)
+        wanted = engine_samples.demand(prompt, due=3.0, limit=15.0, pause=1.0)
         spent = microseconds(
             lambda: chooser.choose(wanted, engines, frozenset(), _NOW),  # noqa: B023
             repeat,
@@ -118,16 +60,18 @@
 
 def measure_report(parts: int) -> None:
     """Prints size and time of a load report with `parts` parts."""
+    works = tuple(engine_samples.writing(f"i-{n}", n) for n in range(parts))
     servers = {
-        load_reports.server_number(entry.id): entry.id
-        for entry in map(engine, range(100))
+        load_reports.server_number(work.server): work.server for work in works
     }
     report = load_reports.LoadReport(
         ids.Incarnation(1 << 60),
         1_000,
         ids.Epoch(1_000),
         ids.ObjectVersion(100_000),
-        tuple(work(n, ids.BackendServerId(f"i-{n}")) for n in range(parts)),
+        works,
+        (),
+        (),
         (),
         (),
     )
--- /dev/null
+++ b/tools/measure_logging.py
@@ -0,0 +1,170 @@
+"""Measures what the log costs a daemon in processor time per request.
+
+A daemon and its stand-ins run in this process. The same requests are sent
+with a log that writes lines to a pipe and with one that drops events; both
+take turns, and the difference of the medians is the cost. Lines for each
+request are counted as well.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import os
+import random
+import socket
+import statistics
+import time
+
+from lavendershed.core import addresses
+from lavendershed.core import ids
+from lavendershed.core import units
+from lavendershed.forwarding import daemon
+from lavendershed.platform import factory
+from lavendershed.platform import settings
+from lavendershed.reliability import fleet_retry_budget
+from lavendershed.standin import soak_deployment
+from lavendershed.telemetry import buffered_log
+from lavendershed.telemetry import events
+from lavendershed.telemetry import log
+from lavendershed.transport import boot_timers
+from lavendershed.transport import client
+
+_ROUNDS = 9
+_REQUESTS = 300
+_TIMEOUT = units.Seconds(5.0)
+_KEY = "measured"
+_HEADERS = {
+    "safe": (),
+    "stream": (("token-count", "1000,100"),),
+}
+
+
+class NullEventLog(log.EventLog):
+    """Drops all events."""
+
+    def emit(self, event: events.Event, **fields: log.LogValue) -> None:
+        """Drops one event."""
+
+
+class CountingReader(asyncio.Protocol):
+    """Reads the lines of the log and counts them."""
+
+    def __init__(self) -> None:
+        self.lines = 0
+
+    def data_received(self, data: bytes) -> None:
+        """Counts lines."""
+        self.lines += data.count(b"\n")
+
+
+def free_address() -> addresses.Address:
+    """Returns an address that nobody listens at."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return addresses.Address(*sock.getsockname())
+
+
+async def start_daemon(
+    event_log: log.EventLog,
+    store: addresses.Address,
+    timer_service: boot_timers.BootTimerService,
+) -> tuple[addresses.Address, asyncio.Task[Exception | None]]:
+    """Returns where a daemon takes requests, and its task."""
+    callers, ready, peers = (free_address() for _ in range(3))
+    current = settings.PlatformSettings(
+        ids.VmId("vm"),
+        ids.AvailabilityZoneId("a"),
+        callers,
+        ready,
+        peers,
+        (),
+        store,
+        units.Seconds(1.0),
+        fleet_retry_budget.FleetBudgetLimits(0.2, 100.0, units.Seconds(10.0)),
+    )
+    parts = factory.build(
+        current, ids.Incarnation(1), timer_service, event_log, random.Random(1)
+    )
+    running = daemon.ForwardingDaemon(
+        parts.components,
+        daemon.Endpoints(callers, ready, peers),
+        current.grace,
+    )
+    task = asyncio.get_running_loop().create_task(running.run(asyncio.Event()))
+    while not running.ready:
+        await asyncio.sleep(0.01)
+    return callers, task
+
+
+async def send(address: addresses.Address, kind: str, numbers: range) -> None:
+    """Sends requests in a row over one connection."""
+    connection = (await client.connect(address, _TIMEOUT)).unwrap()
+    for number in numbers:
+        head = client.RequestHead(
+            "POST",
+            f"/{kind}/x",
+            (
+                ("host", "users.example"),
+                ("attempt-id", f"{kind}-{number}"),
+                ("deadline-ms", "4000"),
+                ("x-api-key", _KEY),
+                *_HEADERS[kind],
+            ),
+        )
+        (await connection.send(head, b"body", _TIMEOUT)).unwrap()
+        (await connection.read_head(_TIMEOUT)).unwrap()
+        (await connection.read_body(_TIMEOUT, units.Bytes(1 << 20))).unwrap()
+        connection.start_next_exchange()
+    connection.close()
+
+
+async def main() -> None:
+    """Prints the cost for each kind of request."""
+    loop = asyncio.get_running_loop()
+    timer_service = boot_timers.BootTimerService(loop)
+    shape = soak_deployment.SoakShape(daemons=0, engines=2, ledgers=2)
+    deployment = soak_deployment.SoakDeployment(
+        shape, random.Random(1), timer_service
+    )
+    await deployment.start(_KEY)
+    for engine in deployment.engines:
+        engine.event_delay = 0.0
+    reading, writing = os.pipe()
+    written = buffered_log.BufferedEventLog(writing)
+    written.start(timer_service)
+    reader = CountingReader()
+    await loop.connect_read_pipe(lambda: reader, os.fdopen(reading, "rb"))
+    store = deployment.store.address
+    with_log, first = await start_daemon(written, store, timer_service)
+    without, second = await start_daemon(NullEventLog(), store, timer_service)
+    numbers = itertools.count(0, _REQUESTS)
+    for kind in _HEADERS:
+        spent: dict[addresses.Address, list[float]] = {
+            with_log: [],
+            without: [],
+        }
+        for address in (with_log, without):
+            await send(address, kind, range(20))
+        reader.lines = 0
+        for _ in range(_ROUNDS):
+            for address, times in spent.items():
+                start = next(numbers)
+                started = time.process_time()
+                await send(address, kind, range(start, start + _REQUESTS))
+                times.append((time.process_time() - started) / _REQUESTS * 1e6)
+        await asyncio.sleep(0.3)
+        lines = reader.lines / _ROUNDS / _REQUESTS
+        logged, silent = (statistics.median(t) for t in spent.values())
+        print(
+            f"{kind}: {logged:.0f} us with the log, {silent:.0f} us without, "
+            f"difference {logged - silent:.0f} us for {lines:.2f} lines"
+        )
+    for task in (first, second):
+        task.cancel()
+    await asyncio.gather(first, second, return_exceptions=True)
+    await deployment.close()
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
