--- a/packages/forwarding/src/lavendershed/forwarding/attempts.py
+++ b/packages/forwarding/src/lavendershed/forwarding/attempts.py
@@ -61,11 +61,14 @@
         end: How it ended.
         detail: One sentence for logs.
         at_fault: Engines that had no memory to reserve.
+        helper_failed: Whether a server refused for another engine's fault, so
+            that it may get the request again with other helpers.
     """
 
     end: forwarding_states.AttemptEnd
     detail: str = ""
     at_fault: tuple[ids.BackendServerId, ...] = ()
+    helper_failed: bool = False
 
 
 class AttemptRecord:
@@ -80,7 +83,8 @@
         self._admitted = admitted
         self._results: list[AttemptResult] = []
         self._tried: set[ids.BackendServerId] = set()
-        self._delivered = 0
+        # Servers that have seen the request; the route limits their number.
+        self._delivered: set[ids.BackendServerId] = set()
         # Attempts that got as far as a connection.
         self._counted = 0
         # The result whose further attempt has been taken from the budget.
@@ -91,6 +95,24 @@
         """Servers that failed this request."""
         return frozenset(self._tried)
 
+    @property
+    def repeatable_at(self) -> frozenset[ids.BackendServerId]:
+        """Servers that may get the request once more.
+
+        They refused it for the fault of an engine that was to help. Only
+        these are left once the route allows no further server.
+        """
+        return frozenset(self._delivered - self._tried)
+
+    @property
+    def only_repeatable(self) -> bool:
+        """Whether the request may go to no server that has not seen it."""
+        return self._new_servers_left <= 0
+
+    @property
+    def _new_servers_left(self) -> int:
+        return self._admitted.route.max_attempts - len(self._delivered)
+
     @property
     def short_of_memory(self) -> frozenset[ids.BackendServerId]:
         """Engines that had no memory in the last attempt."""
@@ -119,10 +141,11 @@
         """Notes an attempt that did not give the whole answer."""
         self._results.append(attempt)
         if attempt.end is not forwarding_states.AttemptEnd.NO_MEMORY:
-            self._tried.add(entry.id)
             self._counted += 1
+            if not attempt.helper_failed:
+                self._tried.add(entry.id)
         if attempt.end in _DELIVERED:
-            self._delivered += 1
+            self._delivered.add(entry.id)
         self._context.instruments.attempt_failed(
             self._admitted.service.id, entry.id, attempt.end.value
         )
@@ -152,9 +175,8 @@
         if not repeatable and self.execution is not states.Execution.NOT_RUN:
             return self._server_failed(f"it may have run: {last.detail}")
         if (
-            self._delivered >= self._admitted.route.max_attempts
-            or self._counted >= _MOST_ATTEMPTS
-        ):
+            self._new_servers_left <= 0 and not self.repeatable_at
+        ) or self._counted >= _MOST_ATTEMPTS:
             return self._server_failed(f"no attempt is left: {last.detail}")
         now = self._context.timers.now()
         crashes = self._context.crashes
--- a/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
@@ -294,10 +294,13 @@
         detail = f"status {answer.status}"
         match answer.kind:
             case requests.AnswerKind.NOT_RUN:
-                if answer.faulty not in (None, entry.address):
+                helper_failed = answer.faulty not in (None, entry.address)
+                if helper_failed:
                     self._exclude_address(answer)
                 return attempts.AttemptResult(
-                    forwarding_states.AttemptEnd.REFUSED, detail
+                    forwarding_states.AttemptEnd.REFUSED,
+                    detail,
+                    helper_failed=helper_failed,
                 )
             case requests.AnswerKind.WRONG_SERVER:
                 self._exclude(entry, "another server has the address")
--- a/packages/forwarding/src/lavendershed/forwarding/stream_run.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_run.py
@@ -119,6 +119,9 @@
             self._pause,
             context.zone,
             units.Bytes(len(self._admitted.caller.body)),
+            self._attempts.repeatable_at
+            if self._attempts.only_repeatable
+            else frozenset(),
         )
         short = self._attempts.short_of_memory
         placement = chooser.choose(demand, candidates, avoided | short, now)
--- a/packages/routing/src/lavendershed/routing/engine_choice.py
+++ b/packages/routing/src/lavendershed/routing/engine_choice.py
@@ -130,7 +130,10 @@
         feasible = [
             plan
             for plan in plans
-            if (plan.shares or demand.size.memory <= self._model.profile.memory)
+            if plan is not None
+            and (
+                plan.shares or demand.size.memory <= self._model.profile.memory
+            )
             and plan.first_token_ms
             <= (demand.limit_at - now) * 1_000 * _USED_TIME_SHARE
         ]
@@ -185,7 +188,8 @@
         part_ms: float,
         count: int,
         now: units.Instant,
-    ) -> placements.Placement:
+    ) -> placements.Placement | None:
+        """Returns the best plan with `count` readers, if there is one."""
         helper = count > 1
         waiting = self._weights.waiting / 1_000
         readers = sorted(
@@ -202,7 +206,7 @@
             key=lambda r: r.loss + r.ready_ms * waiting,
         )
         best = min(
-            readers,
+            (r for r in readers if demand.may_write(r.engine.entry.id)),
             key=lambda r: (
                 r.loss
                 + self._losses.writer_loss(demand, r.engine)
@@ -213,7 +217,10 @@
                     now,
                 )
             ),
+            default=None,
         )
+        if best is None:
+            return None
         others = [reader for reader in readers if reader is not best]
         if part_ms >= _BLOCKING_MS:
             spare = self._spare_engines(demand, engines) - best.holds_up_more
@@ -228,12 +235,15 @@
         if not self._losses.has_room(demand, first):
             shares = self._shares(demand, [r.engine for r in readers])
             holders = {share.holder.id for share in shares}
+            # The engine that writes has to hold a share itself.
             held = [
                 reader.engine
                 for reader in readers
                 if reader.engine.entry.id in holders
+                and demand.may_write(reader.engine.entry.id)
             ]
-            # The engine that writes has to hold a share itself.
+            if holders and not held:
+                return None
             first = min(
                 held or [first],
                 key=lambda engine: self._losses.writer_loss(demand, engine),
--- a/packages/routing/src/lavendershed/routing/placements.py
+++ b/packages/routing/src/lavendershed/routing/placements.py
@@ -24,6 +24,7 @@
         longest_pause: Longest pause of an answer on time.
         zone: Availability zone of the deciding daemon.
         body: Bytes that go to the engine.
+        writers: Engines that may get the request; any if empty.
     """
 
     size: pass_model.PromptSize
@@ -32,6 +33,11 @@
     longest_pause: units.Seconds
     zone: ids.AvailabilityZoneId
     body: units.Bytes
+    writers: frozenset[ids.BackendServerId] = frozenset()
+
+    def may_write(self, server: ids.BackendServerId) -> bool:
+        """Returns whether an engine may get the request."""
+        return not self.writers or server in self.writers
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/standin/src/lavendershed/standin/platform_engine.py
+++ b/packages/standin/src/lavendershed/standin/platform_engine.py
@@ -73,6 +73,8 @@
         self.arrivals: list[Arrival] = []
         self.orders: list[dict[str, Any]] = []
         self.event_delay = 0.005
+        # Engine that can't help; requests that name it are refused.
+        self.lost_helper: address_module.Address | None = None
         self.memory = 315_000
         # Whether all events of a stream are written together.
         self.batched = False
@@ -126,9 +128,13 @@
         fault = self.fault
         expected = headers.get("expect-instance")
         misdirected = expected is not None and expected != self._id
-        refused = misdirected or fault in (
-            EngineFault.SHED,
-            EngineFault.WRONG_SERVER,
+        unhelped = self.lost_helper is not None and (
+            str(self.lost_helper) in headers.get("helpers", "")
+        )
+        refused = (
+            misdirected
+            or unhelped
+            or fault in (EngineFault.SHED, EngineFault.WRONG_SERVER)
         )
         self.arrivals.append(
             Arrival(
@@ -142,6 +148,10 @@
         if misdirected or fault is EngineFault.WRONG_SERVER:
             await responder.respond(421, b"", (("instance-id", self._id),))
             return
+        if unhelped:
+            blamed = ("at-server", str(self.lost_helper))
+            await responder.respond(503, b"", (("not-executed", "1"), blamed))
+            return
         if fault is EngineFault.SHED:
             await responder.respond(503, b"", (("not-executed", "1"),))
             return
--- a/tests/test_platform_rules.py
+++ b/tests/test_platform_rules.py
@@ -171,6 +171,30 @@
         await self.request("/safe/a")
         self.assertEqual(len(self.ran()), 2)
 
+    async def test_a_lost_helper_does_not_use_up_the_engines(self):
+        """Guards against refusals because two helpers failed in a row."""
+        self.engines.append(await self.add_engine("e-2"))
+        only = platform_case.route(
+            "/once/",
+            "streaming",
+            platform_case.MODEL_SERVICE,
+            max_attempts=1,
+            resumable=True,
+            target_latency_ms=2_000,
+            timeout_ms=9_000,
+        )
+        self.store.put("config", "main", platform_case.configuration(2, only))
+        view = self.daemon.parts.components.context.view
+        await self.until(lambda: view.version == 2)
+        for lost in self.engines:
+            for engine in self.engines:
+                engine.lost_helper = lost.address
+            with self.subTest(lost=lost.id):
+                answer = await self.request(
+                    "/once/x", token_count="280000,10", deadline_ms="9000"
+                )
+                self.assertEqual(answer.head.status, 200)
+
     async def test_the_engine_gets_what_is_left_of_the_time(self):
         await self.request("/safe/a", deadline_ms="700")
         left = int(self.ran()[0].headers["deadline-ms"])
