--- a/packages/backend/tests/test_http_engine.py
+++ b/packages/backend/tests/test_http_engine.py
@@ -14,6 +14,7 @@
 from lavendershed.core import units
 from lavendershed.transport import address
 from lavendershed.transport import event_loop_timers
+from lavendershed.transport import handlers
 from lavendershed.transport import pool
 from lavendershed.transport import server
 
@@ -50,7 +51,7 @@
 ]
 
 
-class FixedAnswer(server.Handler):
+class FixedAnswer(handlers.Handler):
     """Gives the same answer to every call."""
 
     def __init__(self):
--- a/packages/forwarding/src/lavendershed/forwarding/context.py
+++ b/packages/forwarding/src/lavendershed/forwarding/context.py
@@ -29,7 +29,7 @@
 from lavendershed.telemetry import events
 from lavendershed.telemetry import log
 from lavendershed.telemetry import request_instruments
-from lavendershed.transport import server
+from lavendershed.transport import handlers
 
 T = TypeVar("T")
 
@@ -168,7 +168,7 @@
 
 async def respond_failure(
     context: ForwardingContext,
-    responder: server.Responder,
+    responder: handlers.Responder,
     failure: outcomes.RequestFailure,
 ) -> None:
     """Sends the final answer of a request that failed."""
--- a/packages/forwarding/src/lavendershed/forwarding/gateway.py
+++ b/packages/forwarding/src/lavendershed/forwarding/gateway.py
@@ -20,7 +20,7 @@
 from lavendershed.routes import model
 from lavendershed.routes import table
 from lavendershed.telemetry import events
-from lavendershed.transport import server
+from lavendershed.transport import handlers
 
 # A daemon that takes requests without a configuration has started while the
 # store is away, which lasts for seconds. Callers wait for a third of the time
@@ -39,7 +39,7 @@
 _QUARANTINE_RETRY = units.Seconds(60.0)
 
 
-class Gateway(server.Handler):
+class Gateway(handlers.Handler):
     """Answers the requests of callers."""
 
     def __init__(
@@ -56,7 +56,7 @@
         self._ends_at = when
 
     async def handle(
-        self, request: server.ServerRequest, responder: server.Responder
+        self, request: handlers.ServerRequest, responder: handlers.Responder
     ) -> None:
         """Answers one request."""
         received = self._context.timers.now()
@@ -180,7 +180,7 @@
         self,
         caller: requests.CallerRequest | None,
         failure: outcomes.RequestFailure,
-        responder: server.Responder,
+        responder: handlers.Responder,
     ) -> None:
         self._context.instruments.refused(failure.reason.value)
         self._context.log.emit(
@@ -196,7 +196,7 @@
     async def _run(
         self,
         admitted: context_module.Admitted,
-        responder: server.Responder,
+        responder: handlers.Responder,
     ) -> None:
         context = self._context
         context.budget.on_request(admitted.service.id, admitted.received)
--- a/packages/forwarding/src/lavendershed/forwarding/health_endpoint.py
+++ b/packages/forwarding/src/lavendershed/forwarding/health_endpoint.py
@@ -5,7 +5,7 @@
 import abc
 
 from lavendershed.telemetry import request_instruments
-from lavendershed.transport import server
+from lavendershed.transport import handlers
 
 _METRICS_PATH = "/metrics"
 
@@ -19,7 +19,7 @@
         """Whether new connections are welcome."""
 
 
-class HealthEndpoint(server.Handler):
+class HealthEndpoint(handlers.Handler):
     """Answers the platform's check and serves the metrics."""
 
     def __init__(
@@ -31,7 +31,7 @@
         self._instruments = instruments
 
     async def handle(
-        self, request: server.ServerRequest, responder: server.Responder
+        self, request: handlers.ServerRequest, responder: handlers.Responder
     ) -> None:
         """Answers one request."""
         if request.path == _METRICS_PATH:
--- a/packages/forwarding/src/lavendershed/forwarding/request_run.py
+++ b/packages/forwarding/src/lavendershed/forwarding/request_run.py
@@ -7,7 +7,7 @@
 from lavendershed.forwarding import attempts
 from lavendershed.forwarding import context as context_module
 from lavendershed.forwarding import requests
-from lavendershed.transport import server
+from lavendershed.transport import handlers
 
 
 class RequestRun(abc.ABC):
@@ -17,7 +17,7 @@
         self,
         context: context_module.ForwardingContext,
         admitted: context_module.Admitted,
-        responder: server.Responder,
+        responder: handlers.Responder,
     ) -> None:
         self._context = context
         self._admitted = admitted
--- a/packages/forwarding/src/lavendershed/forwarding/state_exchange.py
+++ b/packages/forwarding/src/lavendershed/forwarding/state_exchange.py
@@ -23,7 +23,7 @@
 from lavendershed.peer import wire
 from lavendershed.telemetry import events
 from lavendershed.telemetry import log
-from lavendershed.transport import client
+from lavendershed.transport import streams
 
 _MAX_STATE = units.Bytes(16_000_000)
 _TIMEOUT = units.Seconds(1.0)
@@ -77,7 +77,7 @@
     address: addresses.Address,
 ) -> result.Result[load_reports.PeerState, str]:
     """Returns what the daemon at `address` knows of the store."""
-    opened = await client.open_streams(address, _TIMEOUT)
+    opened = await streams.open_streams(address, _TIMEOUT)
     if isinstance(opened, result.Err):
         return result.Err(opened.err_value.detail)
     reader, writer = opened.ok_value
--- a/packages/forwarding/src/lavendershed/forwarding/stream_delivery.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_delivery.py
@@ -7,7 +7,7 @@
 from lavendershed.forwarding import event_splitter
 from lavendershed.forwarding import requests
 from lavendershed.membership import server_directory
-from lavendershed.transport import server
+from lavendershed.transport import handlers
 
 # Engines count events from zero or one.
 _FIRST_NUMBERS = (0, 1)
@@ -20,7 +20,7 @@
         self,
         context: context_module.ForwardingContext,
         admitted: context_module.Admitted,
-        responder: server.Responder,
+        responder: handlers.Responder,
     ) -> None:
         self._context = context
         self._admitted = admitted
--- a/packages/forwarding/src/lavendershed/forwarding/stream_run.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_run.py
@@ -15,7 +15,7 @@
 from lavendershed.routing import pass_model
 from lavendershed.routing import placements
 from lavendershed.telemetry import events
-from lavendershed.transport import server
+from lavendershed.transport import handlers
 
 # Size of a request that does not state one: a short prompt and answer.
 _UNKNOWN_SIZE = pass_model.PromptSize(units.Tokens(1_000), units.Tokens(1_000))
@@ -33,7 +33,7 @@
         self,
         context: context_module.ForwardingContext,
         admitted: context_module.Admitted,
-        responder: server.Responder,
+        responder: handlers.Responder,
     ) -> None:
         super().__init__(context, admitted, responder)
         self._size = admitted.caller.size or _UNKNOWN_SIZE
--- a/packages/forwarding/src/lavendershed/forwarding/translators.py
+++ b/packages/forwarding/src/lavendershed/forwarding/translators.py
@@ -15,7 +15,7 @@
 from lavendershed.peer import load_reports
 from lavendershed.routes import model
 from lavendershed.transport import client
-from lavendershed.transport import server
+from lavendershed.transport import handlers
 
 
 class CallerTranslator(abc.ABC):
@@ -23,7 +23,7 @@
 
     @abc.abstractmethod
     def decode(
-        self, request: server.ServerRequest
+        self, request: handlers.ServerRequest
     ) -> result.Result[requests.CallerRequest, outcomes.RequestFailure]:
         """Returns the request, or why it is not proper."""
 
--- a/packages/httpd/src/lavendershed/httpd/front_end.py
+++ b/packages/httpd/src/lavendershed/httpd/front_end.py
@@ -18,7 +18,7 @@
 from lavendershed.httpd import application
 from lavendershed.httpd import problem
 from lavendershed.httpd import request_decoder
-from lavendershed.transport import server
+from lavendershed.transport import handlers
 
 _GENERATE = re.compile(r"/v1/services/([^/]+)/generate")
 _CALL = re.compile(r"/v1/services/([^/]+)/call/(.+)")
@@ -34,7 +34,7 @@
     """Writes an answer as server-sent events."""
 
     def __init__(
-        self, responder: server.Responder, request_id: ids.RequestId
+        self, responder: handlers.Responder, request_id: ids.RequestId
     ) -> None:
         self._responder = responder
         self._request_id = request_id
@@ -89,7 +89,7 @@
             )
 
 
-class FrontEnd(server.Handler):
+class FrontEnd(handlers.Handler):
     """Maps HTTP requests to calls of the application."""
 
     def __init__(
@@ -99,7 +99,7 @@
         self._timers = timer_service
 
     async def handle(
-        self, request: server.ServerRequest, responder: server.Responder
+        self, request: handlers.ServerRequest, responder: handlers.Responder
     ) -> None:
         """Answers one request."""
         request_id = _request_id(request)
@@ -135,7 +135,7 @@
         )
         return problem.encode(outcomes.not_run(reason, detail), "")
 
-    async def _respond_ready(self, responder: server.Responder) -> None:
+    async def _respond_ready(self, responder: handlers.Responder) -> None:
         if self._app.ready:
             await responder.respond(200, b"ready\n")
             return
@@ -143,8 +143,8 @@
 
     async def _handle_service(
         self,
-        request: server.ServerRequest,
-        responder: server.Responder,
+        request: handlers.ServerRequest,
+        responder: handlers.Responder,
         request_id: ids.RequestId,
     ) -> None:
         sink = _HttpAnswerSink(responder, request_id)
@@ -158,8 +158,8 @@
 
     async def _run(
         self,
-        request: server.ServerRequest,
-        responder: server.Responder,
+        request: handlers.ServerRequest,
+        responder: handlers.Responder,
         request_id: ids.RequestId,
         sink: _HttpAnswerSink,
     ) -> result.Result[None, outcomes.RequestFailure]:
@@ -220,7 +220,7 @@
         )
 
     async def _call(
-        self, request: requests.CallRequest, responder: server.Responder
+        self, request: requests.CallRequest, responder: handlers.Responder
     ) -> result.Result[None, outcomes.RequestFailure]:
         answer = await self._app.call(request)
         if isinstance(answer, result.Err):
@@ -237,7 +237,7 @@
         return result.Ok(None)
 
     def _authenticate(
-        self, request: server.ServerRequest
+        self, request: handlers.ServerRequest
     ) -> result.Result[ids.OrganisationId, outcomes.RequestFailure]:
         authorization = request.header("authorization") or ""
         if not authorization.startswith(_BEARER):
@@ -251,7 +251,7 @@
 
 
 async def _respond_failure(
-    responder: server.Responder,
+    responder: handlers.Responder,
     failure: outcomes.RequestFailure,
     request_id: ids.RequestId,
 ) -> None:
@@ -265,7 +265,7 @@
     )
 
 
-def _request_id(request: server.ServerRequest) -> ids.RequestId:
+def _request_id(request: handlers.ServerRequest) -> ids.RequestId:
     sent = request.header("request-id")
     if sent is not None and _REQUEST_ID.fullmatch(sent):
         return ids.RequestId(sent)
--- a/packages/httpd/src/lavendershed/httpd/request_decoder.py
+++ b/packages/httpd/src/lavendershed/httpd/request_decoder.py
@@ -15,7 +15,7 @@
 from lavendershed.core import states
 from lavendershed.core import units
 from lavendershed.httpd import application
-from lavendershed.transport import server
+from lavendershed.transport import handlers
 
 MAX_TOKENS_LIMIT = 1_000_000
 _MAX_KEY_CHARACTERS = 255
@@ -34,7 +34,7 @@
 
 
 def deadline(
-    request: server.ServerRequest,
+    request: handlers.ServerRequest,
     limits: application.RequestLimits,
     now: units.Instant,
 ) -> result.Result[deadlines.Deadline, outcomes.RequestFailure]:
@@ -55,7 +55,7 @@
 
 
 def idempotency_key(
-    request: server.ServerRequest,
+    request: handlers.ServerRequest,
 ) -> result.Result[ids.IdempotencyKey | None, outcomes.RequestFailure]:
     """Returns the `Idempotency-Key` header, or None without one."""
     text = request.header("idempotency-key")
@@ -70,7 +70,7 @@
 
 
 def generate_request(
-    request: server.ServerRequest,
+    request: handlers.ServerRequest,
     request_id: ids.RequestId,
     organisation: ids.OrganisationId,
     service: ids.ServiceId,
--- a/packages/httpd/tests/test_front_end.py
+++ b/packages/httpd/tests/test_front_end.py
@@ -22,6 +22,7 @@
 from lavendershed.transport import address
 from lavendershed.transport import client
 from lavendershed.transport import event_loop_timers
+from lavendershed.transport import handlers
 from lavendershed.transport import pool
 from lavendershed.transport import server
 
@@ -201,7 +202,7 @@
     )
     def test_bodies_are_decoded_or_refused(self, body):
         decoded = request_decoder.generate_request(
-            server.ServerRequest("POST", GENERATE, "", (), body),
+            handlers.ServerRequest("POST", GENERATE, "", (), body),
             ids.RequestId("r"),
             ids.OrganisationId("press"),
             ids.ServiceId("drafting"),
--- a/packages/platform/src/lavendershed/platform/callers.py
+++ b/packages/platform/src/lavendershed/platform/callers.py
@@ -12,7 +12,7 @@
 from lavendershed.forwarding import translators
 from lavendershed.platform import names
 from lavendershed.routing import pass_model
-from lavendershed.transport import server
+from lavendershed.transport import handlers
 
 # The connection carries these itself.
 _FRAMING = frozenset({"content-length", "expect"})
@@ -32,7 +32,7 @@
     """Translates between the platform's clients and requests."""
 
     def decode(
-        self, request: server.ServerRequest
+        self, request: handlers.ServerRequest
     ) -> result.Result[requests.CallerRequest, outcomes.RequestFailure]:
         """Returns the request, or which header is not proper."""
         fields = dict(reversed(request.headers))
--- a/packages/standin/src/lavendershed/standin/engine_faults.py
+++ b/packages/standin/src/lavendershed/standin/engine_faults.py
@@ -6,15 +6,17 @@
 import weakref
 
 from lavendershed.core import units
-from lavendershed.transport import server
+from lavendershed.transport import handlers
 
 
 class EngineFaults:
     """Silent connections, refusals, lost connections and slowness."""
 
     def __init__(self) -> None:
-        self._connections: weakref.WeakSet[server.Responder] = weakref.WeakSet()
-        self._silent: weakref.WeakSet[server.Responder] = weakref.WeakSet()
+        self._connections: weakref.WeakSet[handlers.Responder] = (
+            weakref.WeakSet()
+        )
+        self._silent: weakref.WeakSet[handlers.Responder] = weakref.WeakSet()
         self._refusing = False
         self._aborting = False
         self._delay = units.Seconds(0.0)
@@ -44,11 +46,11 @@
         if "slow_ms" in content:
             self._delay = units.Seconds(float(str(content["slow_ms"])) / 1000)
 
-    def on_connection(self, responder: server.Responder) -> None:
+    def on_connection(self, responder: handlers.Responder) -> None:
         """Notes a connection that carries a request."""
         self._connections.add(responder)
 
-    async def pass_through(self, responder: server.Responder) -> bool:
+    async def pass_through(self, responder: handlers.Responder) -> bool:
         """Delays or withholds a write; returns False once the peer is gone."""
         if self._delay:
             await asyncio.sleep(self._delay)
--- a/packages/standin/src/lavendershed/standin/fault_proxy.py
+++ b/packages/standin/src/lavendershed/standin/fault_proxy.py
@@ -9,7 +9,7 @@
 
 from lavendershed.core import units
 from lavendershed.transport import address as address_module
-from lavendershed.transport import client
+from lavendershed.transport import streams
 
 _READ_BYTES = 65_536
 _CONNECT_TIMEOUT = units.Seconds(1.0)
@@ -121,7 +121,7 @@
         assert task is not None
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-        opened = await client.open_streams(self._upstream, _CONNECT_TIMEOUT)
+        opened = await streams.open_streams(self._upstream, _CONNECT_TIMEOUT)
         if isinstance(opened, result.Err):
             writer.transport.abort()
             return
--- a/packages/standin/src/lavendershed/standin/json_handler.py
+++ b/packages/standin/src/lavendershed/standin/json_handler.py
@@ -4,12 +4,12 @@
 
 import orjson
 
-from lavendershed.transport import server
+from lavendershed.transport import handlers
 
 JSON_HEADERS = (("content-type", "application/json"),)
 
 
-class JsonHandler(server.Handler):
+class JsonHandler(handlers.Handler):
     """Answers with JSON documents."""
 
     def rejection(self, status: int, detail: str) -> bytes:
@@ -18,10 +18,10 @@
 
     async def answer(
         self,
-        responder: server.Responder,
+        responder: handlers.Responder,
         content: object,
         status: int = 200,
-        headers: server.Headers = (),
+        headers: handlers.Headers = (),
     ) -> None:
         """Sends `content` as JSON."""
         await responder.respond(
--- a/packages/standin/src/lavendershed/standin/main.py
+++ b/packages/standin/src/lavendershed/standin/main.py
@@ -17,6 +17,7 @@
 from lavendershed.standin import plain_service
 from lavendershed.transport import address
 from lavendershed.transport import event_loop_timers
+from lavendershed.transport import handlers
 from lavendershed.transport import server
 
 _listen = click.option("--listen", required=True, help="host:port")
@@ -30,7 +31,7 @@
     """Runs stand-ins of outside systems for tests and experiments."""
 
 
-async def _serve(handler: server.Handler, listen: str) -> None:
+async def _serve(handler: handlers.Handler, listen: str) -> None:
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/packages/standin/src/lavendershed/standin/model_engine.py
+++ b/packages/standin/src/lavendershed/standin/model_engine.py
@@ -28,8 +28,8 @@
 from lavendershed.standin import json_handler
 from lavendershed.transport import address as address_module
 from lavendershed.transport import client
+from lavendershed.transport import handlers
 from lavendershed.transport import pool
-from lavendershed.transport import server
 
 # A prompt that contains this text crashes the engine that accepts it.
 CRASH_MARKER = "crash-the-engine"
@@ -44,7 +44,7 @@
 _MAX_CANCELLED = 10_000
 
 _Route = Callable[
-    [re.Match[str], server.ServerRequest, server.Responder], Awaitable[None]
+    [re.Match[str], handlers.ServerRequest, handlers.Responder], Awaitable[None]
 ]
 
 
@@ -183,7 +183,7 @@
                 self._cache_events.add(stored, evicted)
 
     async def handle(
-        self, request: server.ServerRequest, responder: server.Responder
+        self, request: handlers.ServerRequest, responder: handlers.Responder
     ) -> None:
         """Answers one call."""
         if not request.path.startswith("/control/"):
@@ -207,8 +207,8 @@
     async def _start_stream(
         self,
         match: re.Match[str],
-        request: server.ServerRequest,
-        responder: server.Responder,
+        request: handlers.ServerRequest,
+        responder: handlers.Responder,
     ) -> None:
         content = orjson.loads(request.body)
         name = str(content["stream_id"])
@@ -298,8 +298,8 @@
     async def _resume(
         self,
         match: re.Match[str],
-        request: server.ServerRequest,
-        responder: server.Responder,
+        request: handlers.ServerRequest,
+        responder: handlers.Responder,
     ) -> None:
         stream = self._streams.get(match[1])
         offset = int(request.parameter("from") or 0)
@@ -316,7 +316,7 @@
         self,
         stream: engine_streams.LiveStream,
         offset: int,
-        responder: server.Responder,
+        responder: handlers.Responder,
     ) -> None:
         responder.start(200, (("content-type", "text/event-stream"),))
         accepted = {
@@ -355,8 +355,8 @@
     async def _cancel(
         self,
         match: re.Match[str],
-        request: server.ServerRequest,
-        responder: server.Responder,
+        request: handlers.ServerRequest,
+        responder: handlers.Responder,
     ) -> None:
         self._streams.cancel(match[1])
         self._cancelled[match[1]] = None
@@ -367,8 +367,8 @@
     async def _allocations(
         self,
         match: re.Match[str],
-        request: server.ServerRequest,
-        responder: server.Responder,
+        request: handlers.ServerRequest,
+        responder: handlers.Responder,
     ) -> None:
         owner = request.parameter("owner")
         streams = (
@@ -418,8 +418,8 @@
     async def _hold(
         self,
         match: re.Match[str],
-        request: server.ServerRequest,
-        responder: server.Responder,
+        request: handlers.ServerRequest,
+        responder: handlers.Responder,
     ) -> None:
         content = orjson.loads(request.body)
         tokens = -(-int(content["bytes"]) // self._options.bytes_per_token)
@@ -437,8 +437,8 @@
     async def _release_hold(
         self,
         match: re.Match[str],
-        request: server.ServerRequest,
-        responder: server.Responder,
+        request: handlers.ServerRequest,
+        responder: handlers.Responder,
     ) -> None:
         self._memory.release_hold(match[1])
         await self._confirm(responder)
@@ -446,8 +446,8 @@
     async def _export(
         self,
         match: re.Match[str],
-        request: server.ServerRequest,
-        responder: server.Responder,
+        request: handlers.ServerRequest,
+        responder: handlers.Responder,
     ) -> None:
         content = orjson.loads(request.body)
         name = str(content["handle"])
@@ -505,8 +505,8 @@
     async def _import(
         self,
         match: re.Match[str],
-        request: server.ServerRequest,
-        responder: server.Responder,
+        request: handlers.ServerRequest,
+        responder: handlers.Responder,
     ) -> None:
         content = orjson.loads(request.body)
         name = str(content["handle"])
@@ -542,8 +542,8 @@
     async def _describe_segment(
         self,
         match: re.Match[str],
-        request: server.ServerRequest,
-        responder: server.Responder,
+        request: handlers.ServerRequest,
+        responder: handlers.Responder,
     ) -> None:
         segment = self._memory.segment(match[1])
         if segment is None:
@@ -557,8 +557,8 @@
     async def _release_segment(
         self,
         match: re.Match[str],
-        request: server.ServerRequest,
-        responder: server.Responder,
+        request: handlers.ServerRequest,
+        responder: handlers.Responder,
     ) -> None:
         self._drop_export(match[1])
         self._memory.release_segment(match[1])
@@ -568,8 +568,8 @@
     async def _load(
         self,
         match: re.Match[str],
-        request: server.ServerRequest,
-        responder: server.Responder,
+        request: handlers.ServerRequest,
+        responder: handlers.Responder,
     ) -> None:
         model = self._model
         scale = self._options.bytes_per_token
@@ -591,8 +591,8 @@
     async def _read_cache_events(
         self,
         match: re.Match[str],
-        request: server.ServerRequest,
-        responder: server.Responder,
+        request: handlers.ServerRequest,
+        responder: handlers.Responder,
     ) -> None:
         after = int(request.parameter("after") or 0)
         await self.answer(
@@ -602,8 +602,8 @@
     async def _order(
         self,
         match: re.Match[str],
-        request: server.ServerRequest,
-        responder: server.Responder,
+        request: handlers.ServerRequest,
+        responder: handlers.Responder,
     ) -> None:
         content = orjson.loads(request.body)
         taken = self._orders.take(
@@ -622,8 +622,8 @@
     async def _control(
         self,
         match: re.Match[str],
-        request: server.ServerRequest,
-        responder: server.Responder,
+        request: handlers.ServerRequest,
+        responder: handlers.Responder,
     ) -> None:
         content = orjson.loads(request.body or b"{}")
         if match[1] == "faults":
@@ -642,7 +642,7 @@
         return self._leaving or self._faults.refusing
 
     async def _refuse_work(
-        self, responder: server.Responder, detail: str
+        self, responder: handlers.Responder, detail: str
     ) -> None:
         if self._leaving:
             await self.answer(
@@ -653,13 +653,13 @@
         await self._refuse(responder, status, detail)
 
     async def _refuse(
-        self, responder: server.Responder, status: int, detail: str
+        self, responder: handlers.Responder, status: int, detail: str
     ) -> None:
         await self.answer(
             responder, {"started": False, "detail": detail}, status
         )
 
-    async def _confirm(self, responder: server.Responder) -> None:
+    async def _confirm(self, responder: handlers.Responder) -> None:
         await self.answer(responder, {"incarnation": self._incarnation})
 
     def _on_token(self, name: str, last: bool) -> None:
--- a/packages/standin/src/lavendershed/standin/object_store.py
+++ b/packages/standin/src/lavendershed/standin/object_store.py
@@ -15,7 +15,7 @@
 from lavendershed.standin import history as history_module
 from lavendershed.standin import json_handler
 from lavendershed.standin import objects
-from lavendershed.transport import server
+from lavendershed.transport import handlers
 
 _OBJECTS = "/objects/"
 _ERROR_STATUSES = {
@@ -88,7 +88,7 @@
         self._watching = 0
 
     async def handle(
-        self, request: server.ServerRequest, responder: server.Responder
+        self, request: handlers.ServerRequest, responder: handlers.Responder
     ) -> None:
         """Answers one call."""
         if request.path == "/control":
@@ -123,7 +123,7 @@
             return self._writes.exceeded(self._faults.writes_per_second)
         return self._reads.exceeded(self._faults.reads_per_second)
 
-    def _record(self, request: server.ServerRequest, outcome: str) -> None:
+    def _record(self, request: handlers.ServerRequest, outcome: str) -> None:
         self._history.record(
             "call",
             method=request.method,
@@ -133,7 +133,7 @@
         )
 
     async def _control(
-        self, request: server.ServerRequest, responder: server.Responder
+        self, request: handlers.ServerRequest, responder: handlers.Responder
     ) -> None:
         if request.method == "POST":
             content = orjson.loads(request.body)
@@ -168,7 +168,7 @@
         )
 
     async def _read(
-        self, request: server.ServerRequest, responder: server.Responder
+        self, request: handlers.ServerRequest, responder: handlers.Responder
     ) -> None:
         self._record(request, "read")
         if request.path.startswith(_OBJECTS):
@@ -191,7 +191,7 @@
             await self.answer(responder, {"detail": "no such call"}, 400)
 
     async def _write(
-        self, request: server.ServerRequest, responder: server.Responder
+        self, request: handlers.ServerRequest, responder: handlers.Responder
     ) -> None:
         if self._faults.lose_writes:
             self._faults = dataclasses.replace(
@@ -229,7 +229,7 @@
         await self.answer(responder, {}, headers=(("etag", str(written)),))
 
     async def _watch(
-        self, request: server.ServerRequest, responder: server.Responder
+        self, request: handlers.ServerRequest, responder: handlers.Responder
     ) -> None:
         self._record(request, "watch")
         try:
@@ -259,7 +259,7 @@
         prefix: str,
         since: int,
         timeout: float,
-        responder: server.Responder,
+        responder: handlers.Responder,
     ) -> list[objects.Entry]:
         try:
             async with asyncio.timeout(timeout):
@@ -277,7 +277,7 @@
         self._changed = asyncio.Event()
 
 
-def _kind(request: server.ServerRequest) -> _CallKind:
+def _kind(request: handlers.ServerRequest) -> _CallKind:
     if request.path == "/watch":
         return _CallKind.WATCH
     writes = request.method in ("PUT", "DELETE")
@@ -287,7 +287,7 @@
 
 
 def _condition(
-    request: server.ServerRequest,
+    request: handlers.ServerRequest,
 ) -> object_store.Condition | None:
     if request.header("if-none-match") == "*":
         return object_store.IfAbsent()
--- a/packages/standin/src/lavendershed/standin/plain_service.py
+++ b/packages/standin/src/lavendershed/standin/plain_service.py
@@ -13,7 +13,7 @@
 from lavendershed.backend import http_plain_service
 from lavendershed.standin import history as history_module
 from lavendershed.standin import json_handler
-from lavendershed.transport import server
+from lavendershed.transport import handlers
 
 _CRASH_STATUS = 71
 
@@ -72,7 +72,7 @@
         self._faults: list[Fault] = []
 
     async def handle(
-        self, request: server.ServerRequest, responder: server.Responder
+        self, request: handlers.ServerRequest, responder: handlers.Responder
     ) -> None:
         """Runs one call."""
         if request.path == "/control":
@@ -98,7 +98,7 @@
             },
         )
 
-    async def _execute(self, request: server.ServerRequest) -> int:
+    async def _execute(self, request: handlers.ServerRequest) -> int:
         self._executions += 1
         execution = self._executions
         fields: dict[str, object] = {
@@ -116,7 +116,7 @@
         return execution
 
     async def _refuse(
-        self, request: server.ServerRequest, responder: server.Responder
+        self, request: handlers.ServerRequest, responder: handlers.Responder
     ) -> None:
         self._history.record("refuse", request=request.header("request-id"))
         leaving = ((http_plain_service.LEAVING_HEADER, "true"),)
@@ -128,7 +128,7 @@
             + (leaving if self._leaving else ()),
         )
 
-    async def _fail(self, fault: Fault, responder: server.Responder) -> None:
+    async def _fail(self, fault: Fault, responder: handlers.Responder) -> None:
         if fault in _CRASHES:
             os._exit(_CRASH_STATUS)
         if fault in _DROPS:
@@ -137,7 +137,7 @@
         await responder.disconnected.wait()
 
     async def _control(
-        self, request: server.ServerRequest, responder: server.Responder
+        self, request: handlers.ServerRequest, responder: handlers.Responder
     ) -> None:
         content = orjson.loads(request.body)
         self._leaving = content.get("leaving", self._leaving)
--- a/packages/standin/src/lavendershed/standin/platform_engine.py
+++ b/packages/standin/src/lavendershed/standin/platform_engine.py
@@ -12,6 +12,7 @@
 from lavendershed.core import timers
 from lavendershed.routing import pass_model
 from lavendershed.transport import address as address_module
+from lavendershed.transport import handlers
 from lavendershed.transport import server
 
 
@@ -45,7 +46,7 @@
     ran: bool
 
 
-class StandinPlatformEngine(server.Handler):
+class StandinPlatformEngine(handlers.Handler):
     """Answers requests, streams events and keeps reservations.
 
     Timing follows the pass model where one is given; memory is counted from
@@ -118,7 +119,7 @@
         return detail.encode()
 
     async def handle(
-        self, request: server.ServerRequest, responder: server.Responder
+        self, request: handlers.ServerRequest, responder: handlers.Responder
     ) -> None:
         """Answers a request or an order."""
         headers = dict(request.headers)
@@ -170,9 +171,9 @@
 
     async def _run(
         self,
-        request: server.ServerRequest,
+        request: handlers.ServerRequest,
         headers: dict[str, str],
-        responder: server.Responder,
+        responder: handlers.Responder,
         fault: EngineFault,
     ) -> None:
         if fault is EngineFault.HANG:
@@ -210,7 +211,7 @@
     async def _stream(
         self,
         headers: dict[str, str],
-        responder: server.Responder,
+        responder: handlers.Responder,
         answer: tuple[tuple[str, str], ...],
         fault: EngineFault,
     ) -> None:
@@ -246,7 +247,7 @@
         await responder.finish()
 
     async def _order(
-        self, order: dict[str, Any], responder: server.Responder
+        self, order: dict[str, Any], responder: handlers.Responder
     ) -> None:
         self.orders.append(order)
         if order["op"] == "release":
--- a/packages/standin/src/lavendershed/standin/platform_store.py
+++ b/packages/standin/src/lavendershed/standin/platform_store.py
@@ -12,6 +12,7 @@
 
 from lavendershed.core import timers
 from lavendershed.transport import address as address_module
+from lavendershed.transport import handlers
 from lavendershed.transport import server
 
 _PAGE = 500
@@ -34,7 +35,7 @@
     stored: dict[str, Any]
 
 
-class StandinPlatformStore(server.Handler):
+class StandinPlatformStore(handlers.Handler):
     """Lists and watches of objects; writes are method calls of the tests."""
 
     def __init__(self, timer_service: timers.TimerService) -> None:
@@ -95,7 +96,7 @@
         self._wake()
 
     async def handle(
-        self, request: server.ServerRequest, responder: server.Responder
+        self, request: handlers.ServerRequest, responder: handlers.Responder
     ) -> None:
         """Answers one call."""
         self._calls += 1
@@ -119,7 +120,9 @@
         """Returns the body of an answer to a request that is not handled."""
         return detail.encode()
 
-    def _page(self, kind: str, request: server.ServerRequest) -> dict[str, Any]:
+    def _page(
+        self, kind: str, request: handlers.ServerRequest
+    ) -> dict[str, Any]:
         after = request.parameter("after") or ""
         names = sorted(n for k, n in self._objects if k == kind and n > after)
         return {
@@ -132,8 +135,8 @@
         self,
         kind: str,
         revision: int,
-        request: server.ServerRequest,
-        responder: server.Responder,
+        request: handlers.ServerRequest,
+        responder: handlers.Responder,
     ) -> None:
         wait = int(request.parameter("wait_ms") or "0") / 1_000
         await self._wait_until(
@@ -176,7 +179,7 @@
             return
 
     async def _respond(
-        self, responder: server.Responder, body: dict[str, Any]
+        self, responder: handlers.Responder, body: dict[str, Any]
     ) -> None:
         await responder.respond(200, orjson.dumps(body))
 
--- /dev/null
+++ b/packages/transport/src/lavendershed/transport/handlers.py
@@ -0,0 +1,103 @@
+"""Interfaces between an HTTP server and what answers its requests."""
+
+from __future__ import annotations
+
+import abc
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import urllib.parse
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerRequest:
+    """A whole request; header names are in lower case.
+
+    Attributes:
+        method: Method as sent.
+        path: Path without percent-encoding.
+        query: What follows the question mark.
+        headers: All headers in order.
+        body: Whole body.
+        target: Request target as sent.
+    """
+
+    method: str
+    path: str
+    query: str
+    headers: Headers
+    body: bytes
+    target: str = ""
+
+    def header(self, name: str) -> str | None:
+        """Returns the first header with this lower-case name."""
+        return next((v for n, v in self.headers if n == name), None)
+
+    def parameter(self, name: str) -> str | None:
+        """Returns the first query parameter with this name."""
+        values = urllib.parse.parse_qs(self.query).get(name)
+        return values[0] if values else None
+
+
+class Responder(abc.ABC):
+    """Sends the response to one request."""
+
+    @property
+    @abc.abstractmethod
+    def started(self) -> bool:
+        """Whether the status line has been sent."""
+
+    @property
+    @abc.abstractmethod
+    def disconnected(self) -> asyncio.Event:
+        """Set once the peer has closed the connection."""
+
+    @abc.abstractmethod
+    def on_disconnect(self, callback: Callable[[], object] | None) -> None:
+        """Calls `callback` when the peer closes; None ends the subscription.
+
+        A peer that has already closed is reported soon, not at once.
+        """
+
+    @abc.abstractmethod
+    async def respond(
+        self, status: int, body: bytes, headers: Headers = ()
+    ) -> None:
+        """Sends a whole response."""
+
+    @abc.abstractmethod
+    def start(self, status: int, headers: Headers = ()) -> None:
+        """Sends the status line and headers of a streamed response."""
+
+    @abc.abstractmethod
+    async def write(self, data: bytes) -> bool:
+        """Sends body bytes; returns False once the peer is gone."""
+
+    @abc.abstractmethod
+    async def finish(self) -> None:
+        """Ends a streamed response."""
+
+    @abc.abstractmethod
+    def abort(self) -> None:
+        """Closes the connection without ending the response."""
+
+
+class Handler(abc.ABC):
+    """Answers requests."""
+
+    @abc.abstractmethod
+    async def handle(
+        self, request: ServerRequest, responder: Responder
+    ) -> None:
+        """Answers one request; each request has its own task."""
+
+    @abc.abstractmethod
+    def rejection(self, status: int, detail: str) -> bytes:
+        """Returns the body of an answer to a request that is not handled."""
+
+    @property
+    def rejection_type(self) -> str:
+        """Content type of `rejection`."""
+        return "application/problem+json"
--- a/packages/transport/src/lavendershed/transport/server.py
+++ b/packages/transport/src/lavendershed/transport/server.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import abc
 import asyncio
 from collections.abc import Callable
 import dataclasses
@@ -15,11 +14,10 @@
 from lavendershed.core import timers
 from lavendershed.core import units
 from lavendershed.transport import address as address_module
+from lavendershed.transport import handlers
 
 _BACKLOG = 1_024
 
-Headers = tuple[tuple[str, str], ...]
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerLimits:
@@ -37,99 +35,7 @@
     idle_timeout: units.Seconds | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ServerRequest:
-    """A whole request; header names are in lower case.
-
-    Attributes:
-        method: Method as sent.
-        path: Path without percent-encoding.
-        query: What follows the question mark.
-        headers: All headers in order.
-        body: Whole body.
-        target: Request target as sent.
-    """
-
-    method: str
-    path: str
-    query: str
-    headers: Headers
-    body: bytes
-    target: str = ""
-
-    def header(self, name: str) -> str | None:
-        """Returns the first header with this lower-case name."""
-        return next((v for n, v in self.headers if n == name), None)
-
-    def parameter(self, name: str) -> str | None:
-        """Returns the first query parameter with this name."""
-        values = urllib.parse.parse_qs(self.query).get(name)
-        return values[0] if values else None
-
-
-class Responder(abc.ABC):
-    """Sends the response to one request."""
-
-    @property
-    @abc.abstractmethod
-    def started(self) -> bool:
-        """Whether the status line has been sent."""
-
-    @property
-    @abc.abstractmethod
-    def disconnected(self) -> asyncio.Event:
-        """Set once the peer has closed the connection."""
-
-    @abc.abstractmethod
-    def on_disconnect(self, callback: Callable[[], object] | None) -> None:
-        """Calls `callback` when the peer closes; None ends the subscription.
-
-        A peer that has already closed is reported soon, not at once.
-        """
-
-    @abc.abstractmethod
-    async def respond(
-        self, status: int, body: bytes, headers: Headers = ()
-    ) -> None:
-        """Sends a whole response."""
-
-    @abc.abstractmethod
-    def start(self, status: int, headers: Headers = ()) -> None:
-        """Sends the status line and headers of a streamed response."""
-
-    @abc.abstractmethod
-    async def write(self, data: bytes) -> bool:
-        """Sends body bytes; returns False once the peer is gone."""
-
-    @abc.abstractmethod
-    async def finish(self) -> None:
-        """Ends a streamed response."""
-
-    @abc.abstractmethod
-    def abort(self) -> None:
-        """Closes the connection without ending the response."""
-
-
-class Handler(abc.ABC):
-    """Answers requests."""
-
-    @abc.abstractmethod
-    async def handle(
-        self, request: ServerRequest, responder: Responder
-    ) -> None:
-        """Answers one request; each request has its own task."""
-
-    @abc.abstractmethod
-    def rejection(self, status: int, detail: str) -> bytes:
-        """Returns the body of an answer to a request that is not handled."""
-
-    @property
-    def rejection_type(self) -> str:
-        """Content type of `rejection`."""
-        return "application/problem+json"
-
-
-class _ServerConnection(asyncio.Protocol, Responder):
+class _ServerConnection(asyncio.Protocol, handlers.Responder):
     def __init__(self, server: HttpServer) -> None:
         self._server = server
         self._protocol = h11.Connection(h11.SERVER)
@@ -200,14 +106,14 @@
         return False
 
     async def respond(
-        self, status: int, body: bytes, headers: Headers = ()
+        self, status: int, body: bytes, headers: handlers.Headers = ()
     ) -> None:
         length = (("content-length", str(len(body))),)
         self.start(status, headers + length)
         await self.write(body)
         await self.finish()
 
-    def start(self, status: int, headers: Headers = ()) -> None:
+    def start(self, status: int, headers: handlers.Headers = ()) -> None:
         self._started = True
         if self._server.stopping:
             headers += (("connection", "close"),)
@@ -279,7 +185,7 @@
         self._disarm_deadline()
         target = self._request.target.decode("latin-1")
         path, _, query = target.partition("?")
-        request = ServerRequest(
+        request = handlers.ServerRequest(
             self._request.method.decode("latin-1"),
             urllib.parse.unquote(path),
             query,
@@ -295,7 +201,7 @@
             self._handle(request)
         )
 
-    async def _handle(self, request: ServerRequest) -> None:
+    async def _handle(self, request: handlers.ServerRequest) -> None:
         try:
             await self._server.handler.handle(request, self)
         except Exception as error:  # noqa: BLE001
@@ -376,7 +282,7 @@
 
     def __init__(
         self,
-        handler: Handler,
+        handler: handlers.Handler,
         timer_service: timers.TimerService,
         limits: ServerLimits,
     ) -> None:
@@ -389,7 +295,7 @@
         self._broken_invariant: asyncio.Future[Exception] = asyncio.Future()
 
     @property
-    def handler(self) -> Handler:
+    def handler(self) -> handlers.Handler:
         """The handler of this listener."""
         return self._handler
 
--- a/packages/transport/tests/test_server.py
+++ b/packages/transport/tests/test_server.py
@@ -12,14 +12,16 @@
 from lavendershed.transport import address
 from lavendershed.transport import client
 from lavendershed.transport import event_loop_timers
+from lavendershed.transport import handlers
 from lavendershed.transport import pool
 from lavendershed.transport import server
+from lavendershed.transport import streams
 
 MAX_BODY = units.Bytes(1_000)
 TIMEOUT = units.Seconds(2.0)
 
 
-class EchoHandler(server.Handler):
+class EchoHandler(handlers.Handler):
     """Answers with the request body."""
 
     def __init__(self):
@@ -41,7 +43,7 @@
 
 async def exchange_bytes(target, data):
     """Sends raw bytes and returns all that the server answers."""
-    reader, writer = (await client.open_streams(target, TIMEOUT)).unwrap()
+    reader, writer = (await streams.open_streams(target, TIMEOUT)).unwrap()
     writer.write(data)
     writer.write_eof()
     try:
@@ -80,7 +82,7 @@
 
     async def test_incomplete_request_is_answered_408(self):
         reader, writer = (
-            await client.open_streams(self.server.address, TIMEOUT)
+            await streams.open_streams(self.server.address, TIMEOUT)
         ).unwrap()
         writer.write(b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\n\r\n")
         async with asyncio.timeout(TIMEOUT):
