Let all daemons of a large fleet find each other

Cause: a load report named the first 24 daemons that its sender had heard of, the same ones each time, in one of eight reports. On the first grown deployment 34 of 60 daemons heard of 26 others and chose engines without the load of the rest: their first events came 348 ms (median) later than predicted, those of the other daemons 20 ms.

Change: addresses are passed on in turn, in each report for five seconds after a daemon has appeared and in one of eight otherwise.

The test of sixty tables fails if addresses don't take turns.

--- a/packages/forwarding/src/lavendershed/forwarding/load_sharing.py
+++ b/packages/forwarding/src/lavendershed/forwarding/load_sharing.py
@@ -201,8 +201,7 @@
                 self._crashes.own(now),
                 self._paces.own(now),
                 self._unreachable(now),
-                # Addresses change rarely; one report a second carries them.
-                self._peers.heard if self._sequence % 8 == 1 else (),
+                self._peers.names_for_report(self._sequence, now),
             ),
             now,
         )
--- a/packages/membership/src/lavendershed/membership/peer_table.py
+++ b/packages/membership/src/lavendershed/membership/peer_table.py
@@ -13,6 +13,14 @@
 SILENCE = units.Seconds(5.0)
 # An address that only others have named is tried for this long.
 _TRIAL = units.Seconds(3.0)
+# For this long after a daemon has appeared, addresses are passed on with each
+# report, so that all daemons know each other after a few reports.
+_SPREADING = units.Seconds(5.0)
+# Otherwise this part of the reports carries addresses.
+_NAMING_REPORTS = 8
+# Addresses in one report, which has to fit into a datagram. Larger fleets are
+# named in turn.
+MAX_NAMED = 24
 
 
 class PeerTable:
@@ -26,6 +34,9 @@
             addresses.Address, tuple[ids.Incarnation, int]
         ] = {}
         self._named: dict[addresses.Address, units.Instant] = {}
+        self._appeared_at: units.Instant | None = None
+        # Position in `heard` from which addresses are passed on next.
+        self._next_named = 0
 
     @property
     def seeds(self) -> tuple[addresses.Address, ...]:
@@ -51,6 +62,23 @@
         self._expire(now)
         return tuple(dict.fromkeys((*self._heard, *self._named, *self._seeds)))
 
+    def names_for_report(
+        self, sequence: int, now: units.Instant
+    ) -> tuple[addresses.Address, ...]:
+        """Returns the addresses to pass on with a report, each in its turn."""
+        spreading = (
+            self._appeared_at is not None
+            and now - self._appeared_at < _SPREADING
+        )
+        if not self._heard or not (
+            spreading or sequence % _NAMING_REPORTS == 1
+        ):
+            return ()
+        known = tuple(self._heard)
+        start = self._next_named % len(known)
+        self._next_named = start + MAX_NAMED
+        return (*known[start:], *known[:start])[:MAX_NAMED]
+
     def on_report(
         self,
         address: addresses.Address,
@@ -64,6 +92,8 @@
         if known == daemon and sequence <= newest:
             return False
         self._incarnations[address] = (daemon, sequence)
+        if address not in self._heard:
+            self._appeared_at = now
         self._heard[address] = now
         self._named.pop(address, None)
         until = units.after(now, _TRIAL)
--- a/packages/membership/tests/test_peer_table.py
+++ b/packages/membership/tests/test_peer_table.py
@@ -33,6 +33,41 @@
             address(number), daemon, sequence, named, at(now)
         )
 
+    def test_large_fleets_find_each_other(self):
+        """Guards against daemons that know a part of the fleet only.
+
+        Found on the first grown deployment: reports named the same 24 of 60
+        daemons each time, so that half of the daemons never heard of the rest.
+        """
+        count = 60
+        tables = [peer_table.PeerTable(address(n)) for n in range(count)]
+        for table in tables:
+            table.set_seeds([address(0), address(1), address(2)])
+        for sequence in range(1, 6):
+            now = at(float(sequence))
+            for number, table in enumerate(tables):
+                named = table.names_for_report(sequence, now)
+                self.assertLessEqual(len(named), peer_table.MAX_NAMED)
+                for target in table.targets(now):
+                    receiver = int(target.host.rpartition(".")[2])
+                    tables[receiver].on_report(
+                        address(number),
+                        ids.Incarnation(number),
+                        sequence,
+                        named,
+                        now,
+                    )
+        self.assertEqual({table.size for table in tables}, {count})
+
+    def test_addresses_are_passed_on_rarely_in_a_calm_fleet(self):
+        """Guards against the bytes of addresses in each report."""
+        self.report(2)
+        carried = [
+            bool(self.table.names_for_report(sequence, at(60.0)))
+            for sequence in range(16)
+        ]
+        self.assertEqual(sum(carried), 2)
+
     def test_the_own_address_is_no_seed(self):
         self.assertEqual(self.table.targets(at(0)), (address(2),))
 
--- a/packages/peer/src/lavendershed/peer/load_reports.py
+++ b/packages/peer/src/lavendershed/peer/load_reports.py
@@ -15,6 +15,7 @@
 from lavendershed.core import forwarding_states
 from lavendershed.core import ids
 from lavendershed.core import units
+from lavendershed.membership import peer_table
 from lavendershed.peer import wire
 from lavendershed.peer.gen.messages import ttypes
 from lavendershed.reliability import server_health
@@ -35,7 +36,6 @@
 _MAX_SLOW = 8
 _PACE_STEPS = 10
 _MAX_UNREACHABLE = 8
-_MAX_PEERS = 24
 
 ServerLookup = Callable[[int], ids.BackendServerId | None]
 
@@ -100,7 +100,9 @@
             suspects=list(suspects),
             slow=list(slow),
             unreachable=list(unreachable),
-            peers=[_address_number(a) for a in report.peers[:_MAX_PEERS]],
+            peers=[
+                _address_number(a) for a in report.peers[: peer_table.MAX_NAMED]
+            ],
         )
     )
 
