Send load reports to large zones through one of their daemons

Change: another availability zone with more than four daemons gets a report through one of them, in turn, which passes it on to its neighbours. Reports carry the address and the zone of their sender for this. Smaller zones get them directly, since a relay that is frozen would cost them a third of the reports.

--- a/packages/forwarding/src/lavendershed/forwarding/daemon.py
+++ b/packages/forwarding/src/lavendershed/forwarding/daemon.py
@@ -75,7 +75,7 @@
             OSError: An address can't be bound.
         """
         log = self._parts.context.log
-        await self._parts.load_sharing.start(self._endpoints.peers)
+        await self._parts.load_sharing.start()
         await self._parts.state_server.start(self._endpoints.peers)
         await self._callers.start(self._endpoints.callers)
         await self._health.start(self._endpoints.ready)
--- a/packages/forwarding/src/lavendershed/forwarding/load_sharing.py
+++ b/packages/forwarding/src/lavendershed/forwarding/load_sharing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import socket
 import typing
 
@@ -74,6 +75,8 @@
     def __init__(
         self,
         daemon: ids.Incarnation,
+        address: addresses.Address,
+        zone: ids.AvailabilityZoneId,
         peers: peer_table.PeerTable,
         versions: PeerVersions,
         view: deployment_view.DeploymentView,
@@ -86,6 +89,8 @@
         event_log: log.EventLog,
     ) -> None:
         self._daemon = daemon
+        self._address = address
+        self._zone = zone
         self._peers = peers
         self._versions = versions
         self._view = view
@@ -101,8 +106,8 @@
         self._scheduled: asyncio.TimerHandle | None = None
         self._known: frozenset[addresses.Address] = frozenset()
 
-    async def start(self, address: addresses.Address) -> None:
-        """Binds the address.
+    async def start(self) -> None:
+        """Binds the own address.
 
         Raises:
             OSError: The address can't be bound.
@@ -110,7 +115,7 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         try:
             sock.setblocking(False)
-            sock.bind((address.host, address.port))
+            sock.bind((self._address.host, self._address.port))
         except OSError:
             sock.close()
             raise
@@ -145,12 +150,19 @@
             return
         if report.daemon == self._daemon:
             return
-        address = addresses.Address(str(addr[0]), addr[1])
+        if report.relayed:
+            self._pass_on(report)
+        address = report.sender or addresses.Address(str(addr[0]), addr[1])
         if address not in self._peers.heard:
             # A daemon that has just started knows nothing of the load.
             self._on_change(urgent=True)
         newest = self._peers.on_report(
-            address, report.daemon, report.sequence, report.peers, now
+            address,
+            report.daemon,
+            report.sequence,
+            report.peers,
+            report.zone,
+            now,
         )
         if not newest:
             return
@@ -191,22 +203,39 @@
         targets = self._peers.targets(now)
         self._log_changes()
         self._sequence += 1
-        datagram = load_reports.encode_report(
-            load_reports.LoadReport(
-                self._daemon,
-                self._sequence,
-                self._view.version,
-                self._view.directory.revision,
-                self._board.own,
-                self._crashes.own(now),
-                self._paces.own(now),
-                self._unreachable(now),
-                self._peers.names_for_report(self._sequence, now),
-            ),
-            now,
+        report = load_reports.LoadReport(
+            self._daemon,
+            self._address,
+            self._zone,
+            self._sequence,
+            self._view.version,
+            self._view.directory.revision,
+            self._board.own,
+            self._crashes.own(now),
+            self._paces.own(now),
+            self._unreachable(now),
+            self._peers.names_for_report(self._sequence, now),
         )
-        if self._transport is None:
+        self._send_to(targets.direct, report, now)
+        if targets.relays:
+            relayed = dataclasses.replace(report, relayed=True)
+            self._send_to(targets.relays, relayed, now)
+
+    def _pass_on(self, report: load_reports.LoadReport) -> None:
+        """Sends a report of another zone to the daemons of the own zone."""
+        now = self._timers.now()
+        direct = dataclasses.replace(report, relayed=False)
+        self._send_to(self._peers.neighbours, direct, now)
+
+    def _send_to(
+        self,
+        targets: tuple[addresses.Address, ...],
+        report: load_reports.LoadReport,
+        now: units.Instant,
+    ) -> None:
+        if self._transport is None or not targets:
             return
+        datagram = load_reports.encode_report(report, now)
         for target in targets:
             self._transport.sendto(datagram, (target.host, target.port))
 
--- /dev/null
+++ b/packages/forwarding/tests/test_load_sharing.py
@@ -0,0 +1,117 @@
+"""Guards how load reports travel between daemons."""
+
+from __future__ import annotations
+
+import types
+import unittest
+
+from lavendershed.core import addresses
+from lavendershed.core import ids
+from lavendershed.core import units
+from lavendershed.forwarding import load_sharing
+from lavendershed.membership import peer_table
+from lavendershed.peer import load_reports
+from lavendershed.reliability import crash_counts
+from lavendershed.reliability import fleet_retry_budget
+from lavendershed.reliability import server_health
+from lavendershed.routing import engine_pace
+from lavendershed.routing import load_board
+from lavendershed.telemetry import log
+
+NOW = units.Instant(10.0)
+OWN_ZONE = ids.AvailabilityZoneId("a")
+OTHER_ZONE = ids.AvailabilityZoneId("b")
+
+
+class FakeTransport:
+    """Keeps datagrams by target."""
+
+    def __init__(self):
+        self.sent = []
+
+    def sendto(self, datagram, target):
+        self.sent.append((addresses.Address(*target), datagram))
+
+
+def address(number):
+    """Returns an address of a daemon."""
+    return addresses.Address(f"10.0.0.{number}", 7_000)
+
+
+def report(sender, zone, relayed):
+    """Returns the datagram of a report without any work."""
+    return load_reports.encode_report(
+        load_reports.LoadReport(
+            ids.Incarnation(sender),
+            address(sender),
+            zone,
+            1,
+            ids.Epoch(1),
+            ids.ObjectVersion(1),
+            (),
+            (),
+            (),
+            (),
+            (),
+            relayed,
+        ),
+        NOW,
+    )
+
+
+class LoadSharingTest(unittest.IsolatedAsyncioTestCase):
+    """Fails if a relayed report does not reach its availability zone."""
+
+    async def asyncSetUp(self):
+        self.peers = peer_table.PeerTable(address(1), OWN_ZONE)
+        directory = types.SimpleNamespace(revision=1, entries=())
+        self.sharing = load_sharing.LoadSharing(
+            ids.Incarnation(1),
+            address(1),
+            OWN_ZONE,
+            self.peers,
+            load_sharing.PeerVersions(),
+            types.SimpleNamespace(
+                version=1, directory=directory, server_of=lambda number: None
+            ),
+            load_board.LoadBoard(),
+            crash_counts.CrashCounts(),
+            engine_pace.EnginePaces(),
+            server_health.ServerHealth(),
+            fleet_retry_budget.FleetRetryBudget(
+                fleet_retry_budget.FleetBudgetLimits(
+                    0.2, 100.0, units.Seconds(10.0)
+                )
+            ),
+            types.SimpleNamespace(now=lambda: NOW),
+            log.MemoryEventLog(),
+        )
+        self.transport = FakeTransport()
+        self.sharing.connection_made(self.transport)
+        for neighbour in (2, 3):
+            self.receive(report(neighbour, OWN_ZONE, False), neighbour)
+
+    def receive(self, datagram, source):
+        found = address(source)
+        self.sharing.datagram_received(datagram, (found.host, found.port))
+
+    async def test_a_relayed_report_goes_to_the_own_zone_once(self):
+        self.receive(report(9, OTHER_ZONE, True), 9)
+        targets = {target for target, _ in self.transport.sent}
+        self.assertEqual(targets, {address(2), address(3)})
+        for _, datagram in self.transport.sent:
+            passed = load_reports.decode_report(
+                datagram, lambda number: None, NOW
+            )
+            # A second relay would send it round in circles.
+            self.assertFalse(passed.relayed)
+            self.assertEqual(passed.sender, address(9))
+
+    async def test_a_report_counts_for_its_sender_and_not_for_the_relay(self):
+        self.receive(report(9, OTHER_ZONE, False), 2)
+        self.assertIn(address(9), self.peers.heard)
+        self.assertEqual(self.transport.sent, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/membership/src/lavendershed/membership/peer_table.py
+++ b/packages/membership/src/lavendershed/membership/peer_table.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+import dataclasses
+import zlib
 
 from lavendershed.core import addresses
 from lavendershed.core import ids
@@ -21,19 +23,43 @@
 # Addresses in one report, which has to fit into a datagram. Larger fleets are
 # named in turn.
 MAX_NAMED = 24
+# Other availability zones with more daemons than this get reports through one
+# of them, since bytes between zones are priced. In smaller ones the loss of a
+# relay would cost too large a share of the reports.
+_MOST_DIRECT = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Targets:
+    """Where a report goes.
+
+    Attributes:
+        direct: Daemons that get it from the sender.
+        relays: One daemon of each large other availability zone, which passes
+            it on there.
+    """
+
+    direct: tuple[addresses.Address, ...]
+    relays: tuple[addresses.Address, ...]
 
 
 class PeerTable:
     """Addresses of the daemons and when each was heard last."""
 
-    def __init__(self, own: addresses.Address) -> None:
+    def __init__(
+        self, own: addresses.Address, zone: ids.AvailabilityZoneId
+    ) -> None:
         self._own = own
+        self._zone = zone
         self._seeds: tuple[addresses.Address, ...] = ()
         self._heard: dict[addresses.Address, units.Instant] = {}
         self._incarnations: dict[
             addresses.Address, tuple[ids.Incarnation, int]
         ] = {}
         self._named: dict[addresses.Address, units.Instant] = {}
+        self._zones: dict[addresses.Address, ids.AvailabilityZoneId] = {}
+        # Relays take turns, from another one at each daemon on.
+        self._turn = zlib.crc32(str(own).encode())
         self._appeared_at: units.Instant | None = None
         # Position in `heard` from which addresses are passed on next.
         self._next_named = 0
@@ -57,10 +83,34 @@
         """Replaces the configured addresses."""
         self._seeds = tuple(seed for seed in seeds if seed != self._own)
 
-    def targets(self, now: units.Instant) -> tuple[addresses.Address, ...]:
+    @property
+    def neighbours(self) -> tuple[addresses.Address, ...]:
+        """Daemons of the own availability zone that have been heard lately."""
+        return tuple(a for a in self._heard if self._zones[a] == self._zone)
+
+    def targets(self, now: units.Instant) -> Targets:
         """Returns where reports go: heard daemons, named ones and seeds."""
         self._expire(now)
-        return tuple(dict.fromkeys((*self._heard, *self._named, *self._seeds)))
+        self._turn += 1
+        by_zone: dict[ids.AvailabilityZoneId, list[addresses.Address]] = {}
+        for address in self._heard:
+            by_zone.setdefault(self._zones[address], []).append(address)
+        large = {
+            zone: members
+            for zone, members in by_zone.items()
+            if zone != self._zone and len(members) > _MOST_DIRECT
+        }
+        known = (*self._heard, *self._named, *self._seeds)
+        return Targets(
+            tuple(
+                address
+                for address in dict.fromkeys(known)
+                if self._zones.get(address) not in large
+            ),
+            tuple(
+                members[self._turn % len(members)] for members in large.values()
+            ),
+        )
 
     def names_for_report(
         self, sequence: int, now: units.Instant
@@ -85,6 +135,7 @@
         daemon: ids.Incarnation,
         sequence: int,
         named: Iterable[addresses.Address],
+        zone: ids.AvailabilityZoneId,
         now: units.Instant,
     ) -> bool:
         """Takes a report; returns False if a newer one came before it."""
@@ -95,6 +146,7 @@
         if address not in self._heard:
             self._appeared_at = now
         self._heard[address] = now
+        self._zones[address] = zone
         self._named.pop(address, None)
         until = units.after(now, _TRIAL)
         for other in named:
@@ -108,5 +160,6 @@
         ]:
             del self._heard[address]
             del self._incarnations[address]
+            del self._zones[address]
         for address in [a for a, until in self._named.items() if until < now]:
             del self._named[address]
--- a/packages/peer/idl/messages.thrift
+++ b/packages/peer/idl/messages.thrift
@@ -116,6 +116,11 @@
   // Unreachable servers: number of the server and milliseconds for which it is
   // left out, in turn.
   9: optional list<i32> unreachable
+  // Address of the sender, in the form of `peers`, and its availability zone.
+  10: optional i64 sender
+  11: optional string zone
+  // Whether the receiver passes the report on inside its availability zone.
+  12: optional bool relayed
 }
 
 struct StoredObject {
--- a/packages/peer/src/lavendershed/peer/gen/messages/ttypes.py
+++ b/packages/peer/src/lavendershed/peer/gen/messages/ttypes.py
@@ -1489,6 +1489,9 @@
      - peers
      - slow
      - unreachable
+     - sender
+     - zone
+     - relayed
 
     """
 
@@ -1502,10 +1505,13 @@
         'peers',
         'slow',
         'unreachable',
+        'sender',
+        'zone',
+        'relayed',
     )
 
 
-    def __init__(self, incarnation=None, sequence=None, configuration_version=None, server_revision=None, works=None, suspects=None, peers=None, slow=None, unreachable=None,):
+    def __init__(self, incarnation=None, sequence=None, configuration_version=None, server_revision=None, works=None, suspects=None, peers=None, slow=None, unreachable=None, sender=None, zone=None, relayed=None,):
         self.incarnation = incarnation
         self.sequence = sequence
         self.configuration_version = configuration_version
@@ -1515,6 +1521,9 @@
         self.peers = peers
         self.slow = slow
         self.unreachable = unreachable
+        self.sender = sender
+        self.zone = zone
+        self.relayed = relayed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1595,6 +1604,21 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.sender = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRING:
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.BOOL:
+                    self.relayed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1656,6 +1680,18 @@
                 oprot.writeI32(iter76)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.sender is not None:
+            oprot.writeFieldBegin('sender', TType.I64, 10)
+            oprot.writeI64(self.sender)
+            oprot.writeFieldEnd()
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 11)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
+        if self.relayed is not None:
+            oprot.writeFieldBegin('relayed', TType.BOOL, 12)
+            oprot.writeBool(self.relayed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2092,6 +2128,9 @@
     (7, TType.LIST, 'peers', (TType.I64, None, False), None, ),  # 7
     (8, TType.LIST, 'slow', (TType.I32, None, False), None, ),  # 8
     (9, TType.LIST, 'unreachable', (TType.I32, None, False), None, ),  # 9
+    (10, TType.I64, 'sender', None, None, ),  # 10
+    (11, TType.STRING, 'zone', 'UTF8', None, ),  # 11
+    (12, TType.BOOL, 'relayed', None, None, ),  # 12
 )
 all_structs.append(StoredObject)
 StoredObject.thrift_spec = (
--- a/packages/peer/src/lavendershed/peer/load_reports.py
+++ b/packages/peer/src/lavendershed/peer/load_reports.py
@@ -46,6 +46,9 @@
 
     Attributes:
         daemon: Incarnation of the sender.
+        sender: Address of the sender, unless an older version sent it; a
+            relay may be between.
+        zone: Availability zone of the sender.
         sequence: Number of the report; higher ones are newer.
         configuration: Version of the configuration in force there.
         servers: Revision of the list of backend servers there.
@@ -54,9 +57,12 @@
         slow: Slow engines, with the factor that each takes longer.
         unreachable: Servers that the sender can't reach.
         peers: Addresses of daemons that the sender has heard of.
+        relayed: Whether the receiver passes it on in its availability zone.
     """
 
     daemon: ids.Incarnation
+    sender: addresses.Address | None
+    zone: ids.AvailabilityZoneId
     sequence: int
     configuration: ids.Epoch
     servers: ids.ObjectVersion
@@ -65,6 +71,7 @@
     slow: tuple[engine_pace.Pace, ...]
     unreachable: tuple[server_health.Unreachable, ...]
     peers: tuple[addresses.Address, ...]
+    relayed: bool = False
 
 
 def server_number(server: ids.BackendServerId) -> int:
@@ -93,6 +100,11 @@
     return wire.encode(
         ttypes.LoadReport(
             incarnation=report.daemon,
+            sender=None
+            if report.sender is None
+            else _address_number(report.sender),
+            zone=report.zone,
+            relayed=report.relayed or None,
             sequence=report.sequence,
             configuration_version=report.configuration,
             server_revision=report.servers,
@@ -130,6 +142,8 @@
     )
     return LoadReport(
         ids.Incarnation(message.incarnation or 0),
+        _address(message.sender) if message.sender else None,
+        ids.AvailabilityZoneId(message.zone or ""),
         message.sequence or 0,
         ids.Epoch(message.configuration_version or 0),
         ids.ObjectVersion(message.server_revision or 0),
@@ -147,6 +161,7 @@
             for server, remaining in _by_server(message.unreachable, lookup)
         ),
         tuple(_address(number) for number in message.peers or []),
+        bool(message.relayed),
     )
 
 
--- a/packages/peer/tests/test_load_reports.py
+++ b/packages/peer/tests/test_load_reports.py
@@ -45,6 +45,8 @@
     """Returns a report."""
     return load_reports.LoadReport(
         ids.Incarnation(1 << 61),
+        addresses.Address("10.1.2.9", 7_340),
+        ids.AvailabilityZoneId("nbo"),
         7,
         ids.Epoch(12),
         ids.ObjectVersion(99),
@@ -53,6 +55,7 @@
         ((SERVER, 2.5),),
         ((SERVER, units.Seconds(1.25)),),
         tuple(peers),
+        relayed=True,
     )
 
 
--- a/packages/platform/src/lavendershed/platform/factory.py
+++ b/packages/platform/src/lavendershed/platform/factory.py
@@ -89,7 +89,7 @@
         current.zone,
     )
     store_connection = synchronisation.StoreConnection()
-    peers = peer_table.PeerTable(current.peers)
+    peers = peer_table.PeerTable(current.peers, current.zone)
     peers.set_seeds(current.seeds)
     versions = load_sharing.PeerVersions()
     built = components.Components(
@@ -109,6 +109,8 @@
         ),
         load_sharing.LoadSharing(
             incarnation,
+            current.peers,
+            current.zone,
             peers,
             versions,
             view,
--- a/tools/measure_forwarding.py
+++ b/tools/measure_forwarding.py
@@ -11,6 +11,7 @@
 import statistics
 import time
 
+from lavendershed.core import addresses
 from lavendershed.core import ids
 from lavendershed.peer import load_reports
 from lavendershed.routing import engine_choice
@@ -66,6 +67,8 @@
     }
     report = load_reports.LoadReport(
         ids.Incarnation(1 << 60),
+        addresses.Address("10.0.0.1", 7_340),
+        engine_samples.ZONE,
         1_000,
         ids.Epoch(1_000),
         ids.ObjectVersion(100_000),
