--- a/packages/forwarding/src/lavendershed/forwarding/load_sharing.py
+++ b/packages/forwarding/src/lavendershed/forwarding/load_sharing.py
@@ -169,7 +169,14 @@
         self._board.on_report(report.daemon, report.works, now)
         self._crashes.on_report(report.suspects, now)
         self._paces.on_report(report.slow, now)
-        self._health.on_report(report.unreachable, now)
+        for server, rest in self._health.on_report(report.unreachable, now):
+            self._log.emit(
+                events.Event.BACKEND_SERVER_EXCLUDED,
+                server=server,
+                reason="a peer can't reach it",
+                peer=str(address),
+                seconds=round(rest, 3),
+            )
         self._versions.on_report(address, report)
         self._budget.on_fleet_size(self._peers.size)
 
--- a/packages/reliability/src/lavendershed/reliability/server_health.py
+++ b/packages/reliability/src/lavendershed/reliability/server_health.py
@@ -86,14 +86,23 @@
 
     def on_report(
         self, unreachable: Iterable[Unreachable], now: units.Instant
-    ) -> None:
-        """Takes the servers that another daemon can't reach."""
+    ) -> tuple[Unreachable, ...]:
+        """Takes the servers that another daemon can't reach.
+
+        Returns:
+            Those that were not left out for a report yet, with the time for
+            which they are.
+        """
+        new = []
         for server, remaining in unreachable:
-            rest = min(remaining + self._limits.patience, self._limits.reported)
-            until = units.after(now, units.Seconds(rest))
-            self._reported[server] = max(
-                until, self._reported.get(server, until)
+            rest = units.Seconds(
+                min(remaining + self._limits.patience, self._limits.reported)
             )
+            known = self._reported.get(server, now)
+            if known <= now:
+                new.append((server, rest))
+            self._reported[server] = max(known, units.after(now, rest))
+        return tuple(new)
 
     def on_success(
         self, server: ids.BackendServerId, born: ids.Incarnation
--- a/packages/reliability/tests/test_server_health.py
+++ b/packages/reliability/tests/test_server_health.py
@@ -65,7 +65,9 @@
 
     def test_a_report_counts_for_two_seconds_at_most(self):
         """Guards against a peer whose own path is broken."""
-        self.health.on_report([(SERVER, units.Seconds(8.0))], at(0))
+        told = [(SERVER, units.Seconds(8.0))]
+        self.assertEqual(self.health.on_report(told, at(0)), ((SERVER, 2.0),))
+        self.assertEqual(self.health.on_report(told, at(0)), ())
         self.assertTrue(self.excluded(1.9))
         self.assertFalse(self.excluded(2.1))
 
