Measure the cost of a single log line

Cause: the difference between requests with and without the log is small against their own cost and drowns on a busy machine.

Change: tools/measure_logging.py measures a line alone first.

--- a/tools/measure_logging.py
+++ b/tools/measure_logging.py
@@ -3,7 +3,7 @@
 A daemon and its stand-ins run in this process. The same requests are sent
 with a log that writes lines to a pipe and with one that drops events; both
 take turns, and the difference of the medians is the cost. Lines for each
-request are counted as well.
+request are counted as well. A single line is measured before that.
 """
 
 from __future__ import annotations
@@ -32,6 +32,7 @@
 
 _ROUNDS = 9
 _REQUESTS = 300
+_LINES = 3_000
 _TIMEOUT = units.Seconds(5.0)
 _KEY = "measured"
 _HEADERS = {
@@ -119,8 +120,44 @@
     connection.close()
 
 
+def measure_line() -> None:
+    """Prints the time of one line about the choice of an engine."""
+    reading, writing = os.pipe()
+    event_log = buffered_log.BufferedEventLog(writing)
+    times = []
+    for _ in range(_ROUNDS):
+        started = time.process_time()
+        for number in range(_LINES):
+            event_log.emit(
+                events.Event.REQUEST_DISPATCHED,
+                request=f"{number:016x}",
+                route="stream",
+                server="i-3f1c9a77d0",
+                helpers=["i-0b52c9e1aa", "i-77d0e1c9f2"],
+                prompt=5_000,
+                answer=1_600,
+                predicted_ms=101.3,
+                loss=0.115,
+                candidates=69,
+                attempt=1,
+                version=12,
+                load_age_ms=310,
+            )
+            if number % 10 == 0:
+                event_log.flush()
+                os.read(reading, 1 << 16)
+        times.append((time.process_time() - started) / _LINES * 1e6)
+        event_log.flush()
+        os.read(reading, 1 << 16)
+    event_log.close()
+    os.close(reading)
+    os.close(writing)
+    print(f"one line: {statistics.median(times):.0f} us")
+
+
 async def main() -> None:
     """Prints the cost for each kind of request."""
+    measure_line()
     loop = asyncio.get_running_loop()
     timer_service = boot_timers.BootTimerService(loop)
     shape = soak_deployment.SoakShape(daemons=0, engines=2, ledgers=2)
