--- /dev/null
+++ b/packages/standin/src/lavendershed/standin/bench/simulated_engine.py
@@ -0,0 +1,118 @@
+"""An engine of the simulation, on its virtual clock."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import random
+
+from lavendershed.core import backend_servers
+from lavendershed.core import ids
+from lavendershed.core import states
+from lavendershed.core import timers
+from lavendershed.core import units
+from lavendershed.standin import engine_model
+from lavendershed.standin.bench import workload
+
+# Engines publish their load at this interval; a poll reads the last one.
+_REPORT_INTERVAL = units.Seconds(0.1)
+_CACHE_EVENT_LOSS = 0.05
+_KEPT_CACHE_EVENTS = 4_000
+_IDLE_STEP = units.Seconds(0.001)
+
+
+@dataclasses.dataclass(slots=True)
+class SimulatedStream:
+    """A stream and what to call when it begins and ends."""
+
+    on_first_token: timers.Callback
+    on_end: timers.Callback
+    started: bool = False
+
+
+class SimulatedEngine:
+    """An engine model that steps on the virtual clock."""
+
+    def __init__(
+        self, number: int, timer_service: timers.TimerService, seed: str
+    ) -> None:
+        self.zone = number % 3
+        self.model = engine_model.EngineModel(workload.ENGINE)
+        self.report = self._snapshot(units.Instant(0.0))
+        self.busy = 0.0
+        self.prefilled = 0.0
+        self.cache_events: collections.deque[
+            tuple[units.Instant, backend_servers.CacheEvent]
+        ] = collections.deque(maxlen=_KEPT_CACHE_EVENTS)
+        self._timers = timer_service
+        self._random = random.Random(seed)
+        self._sequence = 0
+        self._stepping = False
+        self._streams: dict[ids.StreamId, SimulatedStream] = {}
+        timer_service.subscribe_every(_REPORT_INTERVAL, self._publish)
+
+    def submit(
+        self, spec: engine_model.StreamSpec, stream: SimulatedStream
+    ) -> None:
+        """Starts a stream."""
+        self.model.submit(spec).unwrap()
+        self._streams[spec.stream_id] = stream
+        if not self._stepping:
+            self._step()
+
+    def cancel(self, stream_id: ids.StreamId) -> None:
+        """Ends a stream without its callbacks."""
+        self.model.cancel(stream_id)
+        self._streams.pop(stream_id, None)
+
+    def _step(self) -> None:
+        if self.model.idle:
+            self._stepping = False
+            return
+        self._stepping = True
+        step = self.model.step()
+        self.prefilled += step.prefilled
+        self.busy += step.duration
+        now = self._timers.now()
+        for stored, evicted in self.model.take_cache_events():
+            self._sequence += 1
+            if self._random.random() < _CACHE_EVENT_LOSS:
+                continue
+            event = backend_servers.CacheEvent(self._sequence, stored, evicted)
+            self.cache_events.append((now, event))
+        duration = max(step.duration, _IDLE_STEP)
+        self._timers.subscribe_at(
+            units.after(now, units.Seconds(duration)),
+            lambda: self._end_step(step),
+        )
+
+    def _end_step(self, step: engine_model.Step) -> None:
+        finished = set(step.finished)
+        for name in step.decoded:
+            stream = self._streams.get(name)
+            if stream is None:
+                continue
+            if not stream.started:
+                stream.started = True
+                stream.on_first_token()
+            if name in finished:
+                del self._streams[name]
+                stream.on_end()
+        self._step()
+
+    def _publish(self) -> None:
+        self.report = self._snapshot(self._timers.now())
+
+    def _snapshot(self, now: units.Instant) -> backend_servers.LoadReport:
+        return backend_servers.LoadReport(
+            now,
+            ids.Incarnation(1),
+            self.model.running,
+            self.model.waiting,
+            self.model.prefill_tokens_queued,
+            units.Bytes(self.model.used_tokens),
+            units.Bytes(workload.ENGINE.kv_tokens),
+            states.EngineRole.GENERAL,
+            (),
+            False,
+        )
--- a/packages/standin/src/lavendershed/standin/bench/simulation.py
+++ b/packages/standin/src/lavendershed/standin/bench/simulation.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import collections
 from collections.abc import Callable
 import dataclasses
 import random
@@ -22,23 +21,19 @@
 from lavendershed.routing import work as work_module
 from lavendershed.standin import engine_model
 from lavendershed.standin.bench import policies
+from lavendershed.standin.bench import simulated_engine
 from lavendershed.standin.bench import workload
 
 _SAME_ZONE_DELAY = units.Seconds(0.0001)
-# Engines publish their load at this interval; a poll reads the last one.
-_REPORT_INTERVAL = units.Seconds(0.1)
 _POLL_INTERVAL = units.Seconds(0.25)
 _CACHE_POLL_INTERVAL = units.Seconds(1.0)
 _CACHE_EVENT_DELAY = units.Seconds(0.5)
-_CACHE_EVENT_LOSS = 0.05
-_KEPT_CACHE_EVENTS = 4_000
 _DIGEST_INTERVAL = units.Seconds(0.5)
 _DIGEST_LOSS = 0.01
 # Time from a change of load to the digest that tells of it, if it is sent on
 # its own and not with the next message between daemons.
 PROMPT_DIGEST_DELAY = units.Seconds(0.005)
 _DRAIN = units.Seconds(700.0)
-_IDLE_STEP = units.Seconds(0.001)
 
 
 @dataclasses.dataclass(slots=True)
@@ -66,97 +61,6 @@
     cached_share: float
 
 
-class _Engine:
-    """An engine model that steps on the virtual clock."""
-
-    def __init__(
-        self, number: int, timer_service: timers.TimerService, seed: str
-    ) -> None:
-        self.zone = number % 3
-        self.model = engine_model.EngineModel(workload.ENGINE)
-        self.report = self._snapshot(units.Instant(0.0))
-        self.busy = 0.0
-        self.prefilled = 0.0
-        self.cache_events: collections.deque[
-            tuple[units.Instant, backend_servers.CacheEvent]
-        ] = collections.deque(maxlen=_KEPT_CACHE_EVENTS)
-        self._timers = timer_service
-        self._random = random.Random(seed)
-        self._sequence = 0
-        self._stepping = False
-        self._streams: dict[ids.StreamId, _Stream] = {}
-        timer_service.subscribe_every(_REPORT_INTERVAL, self._publish)
-
-    def submit(self, spec: engine_model.StreamSpec, stream: _Stream) -> None:
-        self.model.submit(spec).unwrap()
-        self._streams[spec.stream_id] = stream
-        if not self._stepping:
-            self._step()
-
-    def cancel(self, stream_id: ids.StreamId) -> None:
-        self.model.cancel(stream_id)
-        self._streams.pop(stream_id, None)
-
-    def _step(self) -> None:
-        if self.model.idle:
-            self._stepping = False
-            return
-        self._stepping = True
-        step = self.model.step()
-        self.prefilled += step.prefilled
-        self.busy += step.duration
-        now = self._timers.now()
-        for stored, evicted in self.model.take_cache_events():
-            self._sequence += 1
-            if self._random.random() < _CACHE_EVENT_LOSS:
-                continue
-            event = backend_servers.CacheEvent(self._sequence, stored, evicted)
-            self.cache_events.append((now, event))
-        duration = max(step.duration, _IDLE_STEP)
-        self._timers.subscribe_at(
-            units.after(now, units.Seconds(duration)),
-            lambda: self._end_step(step),
-        )
-
-    def _end_step(self, step: engine_model.Step) -> None:
-        finished = set(step.finished)
-        for name in step.decoded:
-            stream = self._streams.get(name)
-            if stream is None:
-                continue
-            if not stream.started:
-                stream.started = True
-                stream.on_first_token()
-            if name in finished:
-                del self._streams[name]
-                stream.on_end()
-        self._step()
-
-    def _publish(self) -> None:
-        self.report = self._snapshot(self._timers.now())
-
-    def _snapshot(self, now: units.Instant) -> backend_servers.LoadReport:
-        return backend_servers.LoadReport(
-            now,
-            ids.Incarnation(1),
-            self.model.running,
-            self.model.waiting,
-            self.model.prefill_tokens_queued,
-            units.Bytes(self.model.used_tokens),
-            units.Bytes(workload.ENGINE.kv_tokens),
-            states.EngineRole.GENERAL,
-            (),
-            False,
-        )
-
-
-@dataclasses.dataclass(slots=True)
-class _Stream:
-    on_first_token: timers.Callback
-    on_end: timers.Callback
-    started: bool = False
-
-
 class _Router:
     """One daemon: a scheduler with its own view, behind network delays."""
 
@@ -178,7 +82,9 @@
         self._arrivals: dict[
             work_module.Ticket, tuple[workload.Arrival, Record]
         ] = {}
-        self._running: dict[work_module.Ticket, _Engine] = {}
+        self._running: dict[
+            work_module.Ticket, simulated_engine.SimulatedEngine
+        ] = {}
         self._digest_pending = False
         self.scheduler = scheduler_module.ServiceScheduler(
             self._service,
@@ -256,7 +162,7 @@
             command.priority,
             arrival.block_hashes,
         )
-        stream = _Stream(
+        stream = simulated_engine.SimulatedStream(
             lambda: self._after(delay, lambda: self._on_first_token(ticket)),
             lambda: self._after(delay, lambda: self._on_end(ticket)),
         )
@@ -309,7 +215,7 @@
         interval: units.Seconds,
         poll: policies.Poll,
         name: ids.BackendServerId,
-        engine: _Engine,
+        engine: simulated_engine.SimulatedEngine,
     ) -> None:
         self._after(
             self._random.uniform(0.0, interval),
@@ -318,7 +224,11 @@
             ),
         )
 
-    def _poll_load(self, name: ids.BackendServerId, engine: _Engine) -> None:
+    def _poll_load(
+        self,
+        name: ids.BackendServerId,
+        engine: simulated_engine.SimulatedEngine,
+    ) -> None:
         delay = self._simulation.delay(self.zone, engine.zone)
 
         def read() -> None:
@@ -333,7 +243,11 @@
         now = self._timers.now()
         self._execute(self.scheduler.on_load_report(name, report, now))
 
-    def _poll_cache(self, name: ids.BackendServerId, engine: _Engine) -> None:
+    def _poll_cache(
+        self,
+        name: ids.BackendServerId,
+        engine: simulated_engine.SimulatedEngine,
+    ) -> None:
         view = self.scheduler.fleet.view(name)
         assert view is not None
         oldest = self._timers.now() - _CACHE_EVENT_DELAY
@@ -383,7 +297,9 @@
         self.timers = timers.VirtualTimerService()
         self._random = random.Random(f"balancer/{seed}")
         self.engines = {
-            server.name: _Engine(n, self.timers, f"engine/{seed}/{n}")
+            server.name: simulated_engine.SimulatedEngine(
+                n, self.timers, f"engine/{seed}/{n}"
+            )
             for n, server in enumerate(
                 workload.service(deployment).backend_servers
             )
