Check the time of refusals in the soak too

Cause: the check of late answers left out refusals, for which the limit of the route holds as well.

Change: no exception.

--- a/packages/standin/src/lavendershed/standin/soak_callers.py
+++ b/packages/standin/src/lavendershed/standin/soak_callers.py
@@ -188,18 +188,15 @@
 
     def _judge(self, identity: str, outcome: Outcome, runs: int) -> list[str]:
         found = []
-        promised = outcome.status in _PROMISES
         if outcome.kind == "unsafe" and runs > 1:
             found.append(f"ran {runs} times")
-        if outcome.kind == "unsafe" and promised and runs:
+        if outcome.kind == "unsafe" and outcome.status in _PROMISES and runs:
             found.append(f"was refused but ran: {outcome}")
         if self._lost(outcome, runs):
             found.append(f"was passed on and lost: {outcome}")
         limit = PATIENCE + _ANSWER_SLACK + self._lag
-        if (
-            outcome.ended_at - outcome.sent_at > limit
-            and not self._disturbed(outcome)
-            and not promised
+        if outcome.ended_at - outcome.sent_at > limit and not self._disturbed(
+            outcome
         ):
             found.append(f"had no answer in time: {outcome}")
         if outcome.status != 200 or not outcome.complete:
