--- a/packages/transport/tests/test_client_reset.py
+++ b/packages/transport/tests/test_client_reset.py
@@ -54,5 +54,45 @@
         self.assertEqual(body.unwrap(), b"half of the body")
 
 
+class SurplusBytesTest(unittest.IsolatedAsyncioTestCase):
+    """Fails if bytes after an answer are taken for the next one."""
+
+    WHOLE = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+
+    async def exchange(self, *pieces):
+        """Returns a connection after one exchange answered in pieces."""
+        loop = asyncio.get_running_loop()
+        listener = socket.create_server(("127.0.0.1", 0))
+        listener.setblocking(False)
+        self.addCleanup(listener.close)
+        target = address.Address(*listener.getsockname())
+        connection = (await client.connect(target, LIMIT)).unwrap()
+        self.addCleanup(connection.close)
+        accepted, _ = await loop.sock_accept(listener)
+        self.addCleanup(accepted.close)
+        head = client.RequestHead("GET", "/x")
+        (await connection.send(head, b"", LIMIT)).unwrap()
+        await loop.sock_recv(accepted, 65_536)
+        await loop.sock_sendall(accepted, pieces[0])
+        (await connection.read_head(LIMIT)).unwrap()
+        (await connection.read_body(LIMIT, units.Bytes(1_000))).unwrap()
+        for piece in pieces[1:]:
+            await loop.sock_sendall(accepted, piece)
+            await asyncio.sleep(0.05)
+        return connection
+
+    async def test_a_clean_connection_is_used_again(self):
+        connection = await self.exchange(self.WHOLE)
+        self.assertTrue(connection.reusable)
+
+    async def test_a_second_answer_with_the_first_ends_the_connection(self):
+        connection = await self.exchange(self.WHOLE + self.WHOLE)
+        self.assertFalse(connection.reusable)
+
+    async def test_a_late_second_answer_ends_the_connection(self):
+        connection = await self.exchange(self.WHOLE, self.WHOLE)
+        self.assertFalse(connection.reusable)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -153,8 +153,8 @@
             },
         )
 
-    async def start_daemon(self, seeds=(), ready=True, grace=2.0):
-        running = RunningDaemon(self, seeds, grace)
+    async def start_daemon(self, seeds=(), ready=True, grace=2.0, store=None):
+        running = RunningDaemon(self, seeds, grace, store or self.store.address)
         self._daemons.append(running)
         if ready:
             await self.until(lambda: running.daemon.ready)
@@ -212,7 +212,7 @@
 class RunningDaemon:
     """One daemon in the test's loop."""
 
-    def __init__(self, case, seeds, grace):
+    def __init__(self, case, seeds, grace, store):
         self.callers = free_address()
         self.ready = free_address()
         self.peers = free_address()
@@ -225,7 +225,7 @@
             self.ready,
             self.peers,
             tuple(seeds),
-            case.store.address,
+            store,
             units.Seconds(grace),
             fleet_retry_budget.FleetBudgetLimits(
                 0.2, 100.0, units.Seconds(10.0)
--- a/tests/test_platform_rules.py
+++ b/tests/test_platform_rules.py
@@ -11,6 +11,7 @@
 import platform_case
 
 from lavendershed.core import units
+from lavendershed.standin import fault_proxy
 from lavendershed.standin import platform_engine
 from lavendershed.standin import platform_store
 from lavendershed.telemetry import events
@@ -355,6 +356,27 @@
         self.store.put("config", "main", platform_case.configuration(7))
         await self.until(lambda: self._version() == 7)
 
+    async def test_a_daemon_without_the_store_learns_changes_in_time(self):
+        """Guards against old versions behind a broken path to the store.
+
+        The watch goes silent, as if a middlebox had lost the connection, or
+        the store turns away this daemon only.
+        """
+        proxy = fault_proxy.FaultProxy(self.store.address)
+        await proxy.start()
+        other = await self.start_daemon(
+            seeds=(self.daemon.peers,), store=proxy.address
+        )
+        view = other.parts.components.context.view
+        proxy.silence_established()
+        self.store.put("config", "main", platform_case.configuration(8))
+        await self.until(lambda: view.version == 8, units.Seconds(2.0))
+        proxy.set_refusing(True)
+        proxy.cut()
+        self.store.put("config", "main", platform_case.configuration(9))
+        await self.until(lambda: view.version == 9, units.Seconds(2.0))
+        await proxy.stop()
+
     async def test_the_answer_is_due_at_the_routes_limit(self):
         self.set_fault(Fault.HANG)
         started = self.loop.time()
