--- a/packages/forwarding/src/lavendershed/forwarding/attempts.py
+++ b/packages/forwarding/src/lavendershed/forwarding/attempts.py
@@ -27,6 +27,9 @@
 # connection. This limit ends such a search, since a retry by the caller at
 # another daemon is more likely to succeed.
 _MAX_COUNTED_ATTEMPTS = 4
+# Refusals because of a prefill helper name one failed engine each. While the
+# store is away, several engines may have left without notice.
+_MAX_HELPER_FAILURES = 8
 
 _EXECUTION_BY_OUTCOME = {
     forwarding_states.AttemptOutcome.NOT_SENT: states.Execution.NOT_RUN,
@@ -38,9 +41,16 @@
     ),
     forwarding_states.AttemptOutcome.LOST: states.Execution.UNKNOWN,
     forwarding_states.AttemptOutcome.STALLED: states.Execution.UNKNOWN,
+    forwarding_states.AttemptOutcome.SLOW_ENGINE: states.Execution.UNKNOWN,
     forwarding_states.AttemptOutcome.INVALID_RESPONSE: states.Execution.UNKNOWN,
     forwarding_states.AttemptOutcome.COMPLETE: states.Execution.COMPLETED,
 }
+# Outcomes after which no engine has begun to work on the request.
+OUTCOMES_NOT_STARTED = frozenset(
+    outcome
+    for outcome, execution_state in _EXECUTION_BY_OUTCOME.items()
+    if execution_state is states.Execution.NOT_RUN
+)
 _OUTCOMES_BEFORE_SEND = frozenset(
     {
         forwarding_states.AttemptOutcome.NOT_SENT,
@@ -87,8 +97,10 @@
         self._failed_servers: set[ids.BackendServerId] = set()
         # Servers that received the request; the route limits their number.
         self._delivered_to: set[ids.BackendServerId] = set()
-        # All attempts but those that failed to reserve memory.
+        # All attempts but those that failed to reserve memory, or because of
+        # a prefill helper.
         self._counted_attempts = 0
+        self._helper_failures = 0
         # The result whose retry has been charged to the retry budget.
         self._budgeted_result: AttemptResult | None = None
 
@@ -154,8 +166,10 @@
             attempt_result.outcome
             is not forwarding_states.AttemptOutcome.NO_MEMORY
         ):
-            self._counted_attempts += 1
-            if not attempt_result.helper_failed:
+            if attempt_result.helper_failed:
+                self._helper_failures += 1
+            else:
+                self._counted_attempts += 1
                 self._failed_servers.add(server.id)
         if attempt_result.outcome in _OUTCOMES_AFTER_DELIVERY:
             self._delivered_to.add(server.id)
@@ -193,8 +207,10 @@
                 f"not retried, the request may have run: {last_result.detail}"
             )
         if (
-            self._remaining_new_servers <= 0 and not self.retryable_servers
-        ) or self._counted_attempts >= _MAX_COUNTED_ATTEMPTS:
+            (self._remaining_new_servers <= 0 and not self.retryable_servers)
+            or self._counted_attempts >= _MAX_COUNTED_ATTEMPTS
+            or self._helper_failures >= _MAX_HELPER_FAILURES
+        ):
             return self._backend_server_failure(
                 f"attempt limit reached: {last_result.detail}"
             )
@@ -214,6 +230,15 @@
         self._budgeted_result = last_result
         return None
 
+    @property
+    def may_try_another_engine(self) -> bool:
+        """Whether the route allows another engine besides the current one."""
+        return (
+            self._admitted_request.route.idempotent
+            and self._remaining_new_servers > 1
+            and self._counted_attempts + 1 < _MAX_COUNTED_ATTEMPTS
+        )
+
     def build_failure(
         self, reason: states.FailureReason, detail: str
     ) -> outcomes.RequestFailure:
--- a/packages/forwarding/src/lavendershed/forwarding/codecs.py
+++ b/packages/forwarding/src/lavendershed/forwarding/codecs.py
@@ -69,6 +69,18 @@
     ) -> tuple[requests.ReservationStatus, units.Seconds | None]:
         """Returns the reservation status and the keep-alive timeout."""
 
+    @abc.abstractmethod
+    def encode_status_query(
+        self, server: ids.BackendServerId
+    ) -> client.RequestHead:
+        """Returns a query for the state of an engine."""
+
+    @abc.abstractmethod
+    def decode_status(
+        self, head: client.ResponseHead, body: bytes
+    ) -> result.Result[requests.EngineStatus, str]:
+        """Returns the state of an engine, or why it is invalid."""
+
 
 class ObjectKind(enum.Enum):
     """Object collections of the store that a daemon watches."""
--- a/packages/forwarding/src/lavendershed/forwarding/context.py
+++ b/packages/forwarding/src/lavendershed/forwarding/context.py
@@ -17,6 +17,7 @@
 from lavendershed.forwarding import connections
 from lavendershed.forwarding import deployment_view
 from lavendershed.forwarding import engine_choosers
+from lavendershed.forwarding import engine_inspection
 from lavendershed.forwarding import requests
 from lavendershed.forwarding import reservations
 from lavendershed.membership import server_directory
@@ -50,6 +51,7 @@
     retry_budget: fleet_retry_budget.FleetRetryBudget
     crashes: crash_counts.CrashCounts
     reservations: reservations.ReservationClient
+    inspector: engine_inspection.EngineInspector
     health: server_health.ServerHealth
     timers: timers.TimerService
     log: log.EventLog
--- a/packages/forwarding/src/lavendershed/forwarding/daemon.py
+++ b/packages/forwarding/src/lavendershed/forwarding/daemon.py
@@ -81,6 +81,7 @@
         """
         log = self._components.context.log
         await self._components.load_reporter.start()
+        self._components.load_reporter.start_reports()
         await self._components.state_server.start(self._endpoints.peers)
         await self._caller_server.start(self._endpoints.callers)
         await self._health_server.start(self._endpoints.health)
@@ -94,7 +95,6 @@
             loop.create_task(coroutine)
             for coroutine in (
                 *(watcher.run() for watcher in self._components.watchers),
-                self._components.load_reporter.run(),
                 self._components.state_fetcher.run(),
                 self._maintain(),
             )
--- a/packages/forwarding/src/lavendershed/forwarding/deployment_view.py
+++ b/packages/forwarding/src/lavendershed/forwarding/deployment_view.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from lavendershed.core import ids
 from lavendershed.core import units
 from lavendershed.forwarding import codecs
+from lavendershed.forwarding import server_changes
 from lavendershed.membership import server_directory
 from lavendershed.peer import load_reports
 from lavendershed.reliability import server_health
@@ -13,6 +16,8 @@
 from lavendershed.telemetry import events
 from lavendershed.telemetry import log
 
+ChangeListener = Callable[[], object]
+
 
 class DeploymentView:
     """Configuration and backend servers of the newest known objects.
@@ -36,6 +41,13 @@
         self._stored_servers: dict[str, load_reports.StoredObject] = {}
         self._server_ids_by_number: dict[int, ids.BackendServerId] = {}
         self._grace_ends_at = units.Instant(0.0)
+        self._changes = server_changes.ServerChanges()
+        self._last_server_change = ids.ObjectVersion(0)
+        self._listeners: list[ChangeListener] = []
+
+    def subscribe(self, listener: ChangeListener) -> None:
+        """Calls `listener` after each new configuration or server list."""
+        self._listeners.append(listener)
 
     @property
     def table(self) -> table.RouteTable | None:
@@ -58,16 +70,67 @@
         return self._table is not None and self._directory.is_initialised
 
     @property
-    def state(self) -> load_reports.PeerState:
-        """All stored objects, for a peer that can't reach the store."""
-        configuration = self._stored_configuration
+    def last_server_change(self) -> ids.ObjectVersion:
+        """Revision of the newest known change of the server list.
+
+        The revision of a listing may be higher without any change; peers
+        that compared it would fetch the list for nothing.
+        """
+        return self._last_server_change
+
+    def revision(self, kind: codecs.ObjectKind) -> ids.ObjectVersion:
+        """Returns the store revision up to which the objects are known."""
+        if kind is codecs.ObjectKind.SERVERS:
+            return self._directory.revision
+        stored = self._stored_configuration
+        return stored.revision if stored else ids.ObjectVersion(0)
+
+    def state_since(
+        self,
+        version: ids.Epoch,
+        revision: ids.ObjectVersion,
+        now: units.Instant,
+    ) -> load_reports.PeerState:
+        """Returns what a peer lacks that has this version and revision.
+
+        Args:
+            version: Version of its configuration; 0 if it has none.
+            revision: Revision of its server list; 0 if it has none.
+            now: Current time.
+        """
+        stored = self._stored_configuration
+        changes = self._changes.since(revision)
+        names = self._stored_servers if changes is None else changes.changed
         return load_reports.PeerState(
-            configuration.revision if configuration else ids.ObjectVersion(0),
-            (configuration,) if configuration else (),
+            stored.revision if stored else ids.ObjectVersion(0),
+            (stored,) if stored and self.version > version else (),
             self._directory.revision,
-            tuple(self._stored_servers.values()),
+            tuple(self._stored_servers[name] for name in names),
+            partial=changes is not None,
+            removed_servers=() if changes is None else changes.removed,
+            grace=units.Seconds(max(0.0, self._grace_ends_at - now)),
         )
 
+    def on_peer_state(
+        self, state: load_reports.PeerState, now: units.Instant
+    ) -> None:
+        """Applies what a peer has sent; older state is ignored."""
+        for stored in state.configuration:
+            self.on_configuration(stored)
+        if state.grace:
+            self._grace_ends_at = units.Instant(
+                max(self._grace_ends_at, now + state.grace)
+            )
+        if not state.partial:
+            self.on_server_listing(state.servers, state.server_revision, now)
+        elif state.server_revision > self._directory.revision:
+            self.on_server_events(
+                state.servers,
+                state.removed_servers,
+                state.server_revision,
+                now,
+            )
+
     def server_by_number(self, number: int) -> ids.BackendServerId | None:
         """Returns the server that a number in a load report refers to."""
         return self._server_ids_by_number.get(number)
@@ -97,6 +160,7 @@
             routes=len(configuration.routes),
             organisations=len(configuration.organisations or ()),
         )
+        self._notify_listeners()
 
     def on_store_recovered(self, now: units.Instant) -> None:
         """Starts the grace period for entries that expired in an outage."""
@@ -115,10 +179,15 @@
             return
         entries = self._decode_servers(stored)
         self._stored_servers = {o.name: o for o in stored}
+        self._changes.on_listing(revision)
+        self._last_server_change = max(
+            (self._last_server_change, *(o.revision for o in stored))
+        )
         change = self._directory.on_listing(
             entries, revision, self._retain_until(now)
         )
         self._on_directory_change(change)
+        self._notify_listeners()
 
     def on_server_events(
         self,
@@ -133,6 +202,10 @@
         self._stored_servers.update((o.name, o) for o in changed)
         for name in removed:
             self._stored_servers.pop(name, None)
+        self._last_server_change = revision
+        self._changes.on_events(
+            revision, tuple(o.name for o in changed), removed
+        )
         entries = self._decode_servers(changed)
         decoded_ids = {entry.id for entry in entries}
         # A server whose changed entry is invalid is removed.
@@ -148,11 +221,16 @@
             self._retain_until(now),
         )
         self._on_directory_change(change)
+        self._notify_listeners()
 
     def expire(self, now: units.Instant) -> None:
         """Removes servers whose entries were not renewed after an outage."""
         self._on_directory_change(self._directory.expire(now))
 
+    def _notify_listeners(self) -> None:
+        for listener in self._listeners:
+            listener()
+
     def _retain_until(self, now: units.Instant) -> units.Instant | None:
         return self._grace_ends_at if now < self._grace_ends_at else None
 
--- /dev/null
+++ b/packages/forwarding/src/lavendershed/forwarding/engine_inspection.py
@@ -0,0 +1,123 @@
+"""Queries of engines that delay a prefill."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+
+import result
+
+from lavendershed.core import ids
+from lavendershed.core import timers
+from lavendershed.core import units
+from lavendershed.forwarding import codecs
+from lavendershed.forwarding import connections
+from lavendershed.forwarding import requests
+from lavendershed.membership import server_directory
+from lavendershed.routing import engine_slowdown
+from lavendershed.telemetry import events
+from lavendershed.telemetry import log
+
+_QUERY_TIMEOUT = units.Seconds(0.2)
+_MAX_STATUS_BODY = units.Bytes(100_000)
+# Queries are billed, and an engine that was not slow just before is not likely
+# to be the cause of the next delay.
+_QUERY_INTERVAL = units.Seconds(1.0)
+
+
+class EngineInspector:
+    """Asks engines whether they are slow.
+
+    A slow engine that decodes no request is not noticed otherwise, and the
+    first token of a prompt comes after its slowest part.
+    """
+
+    def __init__(
+        self,
+        server_connections: connections.BackendConnectionPool,
+        codec: codecs.BackendCodec,
+        slowdowns: engine_slowdown.EngineSlowdowns,
+        timer_service: timers.TimerService,
+        event_log: log.EventLog,
+    ) -> None:
+        self._connections = server_connections
+        self._codec = codec
+        self._slowdowns = slowdowns
+        self._timers = timer_service
+        self._log = event_log
+        self._queried_at: dict[ids.BackendServerId, units.Instant] = {}
+
+    async def inspect(
+        self,
+        engines: Iterable[server_directory.ServerEntry],
+        request: ids.RequestId,
+    ) -> None:
+        """Queries engines and records those that are slow.
+
+        Args:
+            engines: Engines that work on a prompt.
+            request: The delayed request.
+        """
+        now = self._timers.now()
+        self._queried_at = {
+            server: at
+            for server, at in self._queried_at.items()
+            if now - at < _QUERY_INTERVAL
+        }
+        due = [e for e in engines if e.id not in self._queried_at]
+        self._queried_at.update((engine.id, now) for engine in due)
+        statuses = await asyncio.gather(*(self._query(e) for e in due))
+        slow = []
+        for engine, status in zip(due, statuses, strict=True):
+            if isinstance(status, result.Ok):
+                slowdown = status.ok_value.slowdown
+                self._slowdowns.on_stated_slowdown(
+                    engine.id, slowdown, self._timers.now()
+                )
+                if self._slowdowns.factor(engine.id, self._timers.now()) > 1.0:
+                    slow.append(f"{engine.id}: {slowdown:.1f}")
+        self._log.emit(
+            events.Event.ENGINES_INSPECTED,
+            request=request,
+            engines=[engine.id for engine in due],
+            failed=[
+                f"{engine.id}: {status.err_value}"
+                for engine, status in zip(due, statuses, strict=True)
+                if isinstance(status, result.Err)
+            ],
+            slow=slow,
+        )
+
+    async def _query(
+        self, engine: server_directory.ServerEntry
+    ) -> result.Result[requests.EngineStatus, str]:
+        acquired = await self._connections.acquire(
+            engine.address, new_connection=False
+        )
+        if isinstance(acquired, result.Err):
+            return result.Err(acquired.err_value.detail)
+        connection = acquired.ok_value.connection
+        returned_to_pool = False
+        try:
+            query = self._codec.encode_status_query(engine.id)
+            sent = await connection.send(query, b"", _QUERY_TIMEOUT)
+            if isinstance(sent, result.Err):
+                return result.Err(sent.err_value.detail)
+            head = await connection.read_head(_QUERY_TIMEOUT)
+            if isinstance(head, result.Err):
+                return result.Err(head.err_value.detail)
+            body = await connection.read_body(_QUERY_TIMEOUT, _MAX_STATUS_BODY)
+            if isinstance(body, result.Err):
+                return result.Err(body.err_value.detail)
+            status = self._codec.decode_status(head.ok_value, body.ok_value)
+            if isinstance(status, result.Ok):
+                self._connections.release(
+                    engine.address,
+                    connection,
+                    status.ok_value.keep_alive_timeout,
+                )
+                returned_to_pool = True
+            return status
+        finally:
+            if not returned_to_pool:
+                connection.close()
--- a/packages/forwarding/src/lavendershed/forwarding/event_splitter.py
+++ b/packages/forwarding/src/lavendershed/forwarding/event_splitter.py
@@ -4,8 +4,13 @@
 
 import dataclasses
 
+from lavendershed.core import units
+
 _SEPARATOR = b"\n\n"
 _ID_FIELD = b"id:"
+_COMMENT = b":"
+# An engine that never ends an event must not fill the memory.
+MAX_EVENT_BYTES = units.Bytes(1_000_000)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -20,6 +25,17 @@
     raw: bytes
     event_id: int | None
 
+    @property
+    def is_comment(self) -> bool:
+        """Whether it has only comment lines, which servers send to keep alive.
+
+        See the event stream format of the HTML standard.
+        """
+        return all(
+            not line or line.startswith(_COMMENT)
+            for line in self.raw.split(b"\n")
+        )
+
 
 class EventSplitter:
     """Buffers a partial event until the rest of it arrives."""
@@ -32,6 +48,11 @@
         """Whether the buffer holds an incomplete event."""
         return bool(self._buffer)
 
+    @property
+    def is_oversized(self) -> bool:
+        """Whether the incomplete event is larger than any event may be."""
+        return len(self._buffer) > MAX_EVENT_BYTES
+
     def feed(self, data: bytes) -> tuple[Event, ...]:
         """Returns the events that `data` completes."""
         *complete, self._buffer = (self._buffer + data).split(_SEPARATOR)
--- a/packages/forwarding/src/lavendershed/forwarding/load_reporting.py
+++ b/packages/forwarding/src/lavendershed/forwarding/load_reporting.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
+from collections.abc import Iterable
 import math
 import socket
 import typing
@@ -12,8 +12,12 @@
 from lavendershed.core import ids
 from lavendershed.core import timers
 from lavendershed.core import units
+from lavendershed.forwarding import bundle_distribution
 from lavendershed.forwarding import deployment_view
+from lavendershed.forwarding import peer_versions
+from lavendershed.forwarding import store_watch_role
 from lavendershed.membership import peer_table
+from lavendershed.membership import report_topology
 from lavendershed.peer import load_reports
 from lavendershed.peer import wire
 from lavendershed.reliability import crash_counts
@@ -27,48 +31,20 @@
 # Tasks that start within this time share one report; all daemons together place
 # about one request in this time.
 _URGENT_REPORT_DELAY = units.Seconds(0.01)
-# Progress and completions within this time share one report. Each report is a
-# datagram to every daemon, and decoding them takes a third of the CPU time of a
-# daemon in a deployment of sixty.
+# Progress and completions within this time share one report. Every daemon
+# decodes each report.
 _REPORT_DELAY = units.Seconds(0.2)
 # If more than this fraction of the servers is unreachable, the cause is
 # probably this daemon's own network and not the servers.
 _MAX_UNREACHABLE_FRACTION = 0.5
 # Unchanged state is repeated for daemons that missed a report.
 _REPORT_INTERVAL = units.Seconds(1.0)
-
-
-class PeerVersions:
-    """Newest versions reported by other daemons."""
-
-    def __init__(self) -> None:
-        self._configuration: tuple[ids.Epoch, addresses.Address | None] = (
-            ids.Epoch(0),
-            None,
-        )
-        self._servers: tuple[ids.ObjectVersion, addresses.Address | None] = (
-            ids.ObjectVersion(0),
-            None,
-        )
-
-    @property
-    def configuration(self) -> tuple[ids.Epoch, addresses.Address | None]:
-        """Newest configuration version and a daemon that has it."""
-        return self._configuration
-
-    @property
-    def servers(self) -> tuple[ids.ObjectVersion, addresses.Address | None]:
-        """Newest server list revision and a daemon that has it."""
-        return self._servers
-
-    def on_report(
-        self, address: addresses.Address, report: load_reports.LoadReport
-    ) -> None:
-        """Updates the newest versions from a report."""
-        if report.configuration_epoch >= self._configuration[0]:
-            self._configuration = (report.configuration_epoch, address)
-        if report.server_revision >= self._servers[0]:
-            self._servers = (report.server_revision, address)
+# A daemon is told at most once in this time which daemons it should report to.
+_INTRODUCTION_INTERVAL = units.Seconds(0.5)
+_MAX_LOGGED_ADDRESSES = 8
+_WITHOUT_NEWS = frozenset(
+    {peer_table.ReportStatus.STALE, peer_table.ReportStatus.REPEATED}
+)
 
 
 class LoadReporter(asyncio.DatagramProtocol):
@@ -82,8 +58,12 @@
         incarnation: ids.Incarnation,
         address: addresses.Address,
         zone: ids.AvailabilityZoneId,
+        bandwidth_mbps: int,
         peers: peer_table.PeerTable,
-        versions: PeerVersions,
+        topology: report_topology.ReportTopology,
+        bundles: bundle_distribution.BundleDistributor,
+        store_role: store_watch_role.StoreWatchRole,
+        versions: peer_versions.PeerVersions,
         view: deployment_view.DeploymentView,
         tracker: load_tracker.LoadTracker,
         crashes: crash_counts.CrashCounts,
@@ -96,7 +76,11 @@
         self._incarnation = incarnation
         self._address = address
         self._zone = zone
+        self._bandwidth_mbps = bandwidth_mbps
         self._peers = peers
+        self._topology = topology
+        self._bundles = bundles
+        self._store_role = store_role
         self._versions = versions
         self._view = view
         self._load_tracker = tracker
@@ -108,10 +92,16 @@
         self._log = event_log
         self._transport: asyncio.DatagramTransport | None = None
         self._sequence = 0
-        self._pending_report: asyncio.TimerHandle | None = None
-        # Event loop time; the first report is due immediately.
-        self._last_sent_at = -math.inf
+        self._reports_sent = 0
+        # Whether the tasks changed since the last report.
+        self._has_changed = True
+        # What the last report stated besides the tasks.
+        self._reported_state: object = None
+        self._next_report: timers.Timer | None = None
+        self._next_report_at = units.Instant(math.inf)
         self._logged_peers: frozenset[addresses.Address] = frozenset()
+        # When each misdirected or new sender was last told whom to report to.
+        self._introduced_at: dict[addresses.Address, units.Instant] = {}
 
     async def start(self) -> None:
         """Binds the UDP address of this daemon.
@@ -144,39 +134,105 @@
     def datagram_received(
         self, data: bytes, addr: tuple[str | typing.Any, int]
     ) -> None:
-        """Handles a report of another daemon."""
+        """Handles a report or a bundle of another daemon."""
         now = self._timers.now()
         try:
-            report = load_reports.decode_report(
+            message = load_reports.decode_datagram(
                 data, self._view.server_by_number, now
             )
+            if isinstance(message, load_reports.LoadReport):
+                source = addresses.Address(str(addr[0]), addr[1])
+                self._on_direct_report(message, data, source, now)
+            else:
+                self._on_bundle(message, now)
         except wire.DECODE_ERRORS as error:
             self._log.emit(
                 events.Event.PEER_MESSAGE_REJECTED,
                 peer=str(addr[0]),
                 reason=repr(error),
             )
-            return
+
+    def _on_direct_report(
+        self,
+        report: load_reports.LoadReport,
+        encoded: bytes,
+        source: addresses.Address,
+        now: units.Instant,
+    ) -> None:
         if report.incarnation == self._incarnation:
             return
-        if report.relay_in_zone:
-            self._forward_in_zone(report)
-        address = report.sender_address or addresses.Address(
-            str(addr[0]), addr[1]
+        sender = report.sender_address or source
+        status = self._apply(sender, report, now, direct=True)
+        if status is peer_table.ReportStatus.STALE:
+            return
+        zone = report.availability_zone
+        self._bundles.on_direct_report(sender, zone, encoded, status)
+        if (
+            status is peer_table.ReportStatus.NEW_SENDER
+            or self._topology.is_misdirected(zone)
+        ):
+            self._introduce(sender, zone, now)
+
+    def _on_bundle(
+        self, bundle: load_reports.ReportBundle, now: units.Instant
+    ) -> None:
+        self._topology.on_bundle(
+            bundle.aggregator,
+            bundle.availability_zone,
+            bundle.member_count,
+            now,
         )
-        if address not in self._peers.live_peers:
-            # A newly started daemon has no load information yet.
-            self._on_change(urgent=True)
-        accepted = self._peers.on_report(
-            address,
+        for address in bundle.live_daemons:
+            incarnation = self._peers.on_alive(address, now)
+            if incarnation is not None:
+                self._load_tracker.on_alive(incarnation, now)
+        self._bundles.on_live_daemons(
+            bundle.live_daemons, bundle.availability_zone
+        )
+        for encoded in bundle.reports:
+            report = load_reports.decode_report(
+                encoded, self._view.server_by_number, now
+            )
+            sender = report.sender_address
+            if sender is None or report.incarnation == self._incarnation:
+                continue
+            status = self._apply(sender, report, now, direct=False)
+            if status is not peer_table.ReportStatus.STALE:
+                self._bundles.on_bundled_report(
+                    sender,
+                    report.availability_zone,
+                    encoded,
+                    status,
+                    bundle.availability_zone,
+                )
+
+    def _apply(
+        self,
+        sender: addresses.Address,
+        report: load_reports.LoadReport,
+        now: units.Instant,
+        *,
+        direct: bool,
+    ) -> peer_table.ReportStatus:
+        """Applies the state of another daemon unless it is outdated."""
+        candidates_before = self._peers.candidate_count
+        status = self._peers.on_report(
+            sender,
             report.incarnation,
             report.sequence,
             report.peer_addresses,
             report.availability_zone,
             now,
+            direct=direct,
+            watches_store=report.watches_store,
+            bandwidth_mbps=report.bandwidth_mbps,
         )
-        if not accepted:
-            return
+        if self._peers.candidate_count > candidates_before:
+            self._schedule_report(units.after(now, _URGENT_REPORT_DELAY))
+        if direct and status is peer_table.ReportStatus.REPEATED:
+            self._load_tracker.on_alive(report.incarnation, now)
+        if status in _WITHOUT_NEWS:
+            return status
         self._load_tracker.on_report(report.incarnation, report.open_tasks, now)
         self._crashes.on_peer_counts(report.crash_suspects, now)
         self._slowdowns.on_report(report.slow_engines, now)
@@ -187,11 +243,34 @@
                 events.Event.BACKEND_SERVER_EXCLUDED,
                 server=server,
                 reason="reported unreachable by a peer",
-                peer=str(address),
+                peer=str(sender),
                 seconds=round(exclusion_time, 3),
             )
-        self._versions.on_report(address, report)
+        self._versions.on_report(sender, report)
         self._retry_budget.set_daemon_count(self._peers.fleet_size)
+        return status
+
+    def _introduce(
+        self,
+        sender: addresses.Address,
+        zone: ids.AvailabilityZoneId,
+        now: units.Instant,
+    ) -> None:
+        """Sends a report that names the daemons which `sender` has to know."""
+        introduced_at = self._introduced_at.get(sender)
+        if (
+            introduced_at is not None
+            and now - introduced_at < _INTRODUCTION_INTERVAL
+        ):
+            return
+        self._introduced_at = {
+            address: at
+            for address, at in self._introduced_at.items()
+            if now - at < _INTRODUCTION_INTERVAL
+        }
+        self._introduced_at[sender] = now
+        report = self._build_report(self._topology.introductions(zone), now)
+        self._send(load_reports.encode_report(report, now), (sender,))
 
     def error_received(self, exc: Exception) -> None:
         """Ignores ICMP errors of peers that do not listen.
@@ -199,68 +278,97 @@
         A stopped daemon is detected by its missing reports.
         """
 
-    async def run(self) -> None:
-        """Sends periodic reports until cancelled."""
+    def start_reports(self) -> None:
+        """Sends reports from now on."""
         self._load_tracker.subscribe(self._on_change)
-        loop = asyncio.get_running_loop()
-        while True:
-            delay = self._last_sent_at + _REPORT_INTERVAL - loop.time()
-            if delay > 0:
-                await asyncio.sleep(delay)
-            else:
-                self._send_report()
+        self._view.subscribe(self._on_view_change)
+        self._bundles.start(self._send)
+        self._send_report()
+
+    def _on_view_change(self) -> None:
+        """Tells the daemons that don't watch the store of a change."""
+        if self._store_role.is_watching and self._topology.own_zone_is_large:
+            self._on_change(urgent=True)
 
     def _on_change(self, urgent: bool) -> None:
-        """Schedules a report after a change of the local tasks."""
-        loop = asyncio.get_running_loop()
-        when = loop.time() + (_URGENT_REPORT_DELAY if urgent else _REPORT_DELAY)
-        if self._pending_report is not None:
-            if self._pending_report.when() <= when:
+        """Schedules a report after a change of the local state."""
+        self._has_changed = True
+        delay = _URGENT_REPORT_DELAY if urgent else _REPORT_DELAY
+        self._schedule_report(units.after(self._timers.now(), delay))
+
+    def _schedule_report(self, when: units.Instant) -> None:
+        """Schedules a report at `when` unless an earlier one is pending."""
+        if self._next_report is not None:
+            if self._next_report_at <= when:
                 return
-            self._pending_report.cancel()
-        self._pending_report = loop.call_at(when, self._send_report)
+            self._next_report.cancel()
+        self._next_report_at = when
+        self._next_report = self._timers.schedule_at(when, self._send_report)
 
     def _send_report(self) -> None:
         now = self._timers.now()
-        self._pending_report = None
-        self._last_sent_at = asyncio.get_running_loop().time()
+        self._next_report = None
         self._load_tracker.expire(now)
-        targets = self._peers.report_targets(now)
+        targets = self._topology.report_targets(now)
         self._log_peer_changes()
-        self._sequence += 1
-        report = load_reports.LoadReport(
+        self._reports_sent += 1
+        advertised = (
+            ()
+            if self._topology.own_zone_is_large
+            else self._peers.addresses_for_report(self._reports_sent, now)
+        )
+        status = peer_table.ReportStatus.REPEATED
+        if self._update_sequence(now):
+            status = peer_table.ReportStatus.KNOWN_SENDER
+        encoded = load_reports.encode_report(
+            self._build_report(advertised, now), now
+        )
+        self._bundles.on_direct_report(
+            self._address, self._zone, encoded, status
+        )
+        self._send(encoded, targets)
+        self._schedule_report(units.after(now, _REPORT_INTERVAL))
+
+    def _update_sequence(self, now: units.Instant) -> bool:
+        """Counts the state as new if it has changed; returns whether it has."""
+        state = (
+            self._view.version,
+            self._view.last_server_change,
+            self._store_role.is_watching_successfully,
+            self._crashes.local_counts(now),
+            self._slowdowns.local_slowdowns(now),
+            tuple(server for server, _ in self._unreachable_to_report(now)),
+        )
+        has_changed = self._has_changed or state != self._reported_state
+        self._has_changed = False
+        self._reported_state = state
+        self._sequence += has_changed
+        return has_changed
+
+    def _build_report(
+        self, advertised: tuple[addresses.Address, ...], now: units.Instant
+    ) -> load_reports.LoadReport:
+        return load_reports.LoadReport(
             self._incarnation,
             self._address,
             self._zone,
             self._sequence,
             self._view.version,
-            self._view.directory.revision,
+            self._view.last_server_change,
             self._load_tracker.local_tasks,
             self._crashes.local_counts(now),
             self._slowdowns.local_slowdowns(now),
             self._unreachable_to_report(now),
-            self._peers.addresses_for_report(self._sequence, now),
+            advertised,
+            self._store_role.is_watching_successfully,
+            self._bandwidth_mbps,
         )
-        self._send_to(targets.direct, report, now)
-        if targets.relays:
-            relayed = dataclasses.replace(report, relay_in_zone=True)
-            self._send_to(targets.relays, relayed, now)
 
-    def _forward_in_zone(self, report: load_reports.LoadReport) -> None:
-        """Relays a report of another zone to the daemons in this zone."""
-        now = self._timers.now()
-        forwarded = dataclasses.replace(report, relay_in_zone=False)
-        self._send_to(self._peers.same_zone_peers, forwarded, now)
-
-    def _send_to(
-        self,
-        targets: tuple[addresses.Address, ...],
-        report: load_reports.LoadReport,
-        now: units.Instant,
+    def _send(
+        self, datagram: bytes, targets: Iterable[addresses.Address]
     ) -> None:
-        if self._transport is None or not targets:
+        if self._transport is None:
             return
-        datagram = load_reports.encode_report(report, now)
         for target in targets:
             self._transport.sendto(datagram, (target.host, target.port))
 
@@ -278,11 +386,21 @@
 
     def _log_peer_changes(self) -> None:
         live_peers = frozenset(self._peers.live_peers)
-        for address in live_peers ^ self._logged_peers:
-            self._log.emit(
-                events.Event.MEMBER_CHANGED,
-                peer=str(address),
-                state="alive" if address in live_peers else "silent",
-                members=self._peers.fleet_size,
-            )
+        appeared = live_peers - self._logged_peers
+        disappeared = self._logged_peers - live_peers
         self._logged_peers = live_peers
+        if not appeared and not disappeared:
+            return
+        self._log.emit(
+            events.Event.MEMBER_CHANGED,
+            alive=_to_names(appeared),
+            silent=_to_names(disappeared),
+            appeared=len(appeared),
+            disappeared=len(disappeared),
+            members=self._peers.fleet_size,
+        )
+
+
+def _to_names(found: Iterable[addresses.Address]) -> list[str]:
+    """Returns the first addresses, for a log line of bounded length."""
+    return sorted(map(str, found))[:_MAX_LOGGED_ADDRESSES]
--- a/packages/forwarding/src/lavendershed/forwarding/requests.py
+++ b/packages/forwarding/src/lavendershed/forwarding/requests.py
@@ -125,3 +125,17 @@
 
     head: client.RequestHead
     body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineStatus:
+    """State that an engine reports on request.
+
+    Attributes:
+        slowdown: Ratio of its actual to its nominal latency; 1 if it is not
+            slow.
+        keep_alive_timeout: Time until it closes the idle connection.
+    """
+
+    slowdown: float
+    keep_alive_timeout: units.Seconds | None
--- a/packages/forwarding/src/lavendershed/forwarding/state_exchange.py
+++ b/packages/forwarding/src/lavendershed/forwarding/state_exchange.py
@@ -1,7 +1,7 @@
 """Exchange of store objects between daemons.
 
-A daemon that can't reach the store fetches the configuration and the server
-list from a peer that has newer ones.
+A daemon that doesn't watch the store, or can't reach it, fetches the
+configuration and changes of the server list from a peer that has newer ones.
 """
 
 from __future__ import annotations
@@ -12,12 +12,12 @@
 import result
 
 from lavendershed.core import addresses
+from lavendershed.core import ids
 from lavendershed.core import timers
 from lavendershed.core import units
 from lavendershed.forwarding import deployment_view
-from lavendershed.forwarding import load_reporting
-from lavendershed.forwarding import store_watcher
-from lavendershed.membership import peer_table
+from lavendershed.forwarding import peer_versions
+from lavendershed.forwarding import store_watch_role
 from lavendershed.peer import frames
 from lavendershed.peer import load_reports
 from lavendershed.peer import wire
@@ -26,19 +26,32 @@
 from lavendershed.transport import streams
 
 _MAX_STATE = units.Bytes(16_000_000)
-_EXCHANGE_TIMEOUT = units.Seconds(1.0)
+_EXCHANGE_TIMEOUT = units.Seconds(1.5)
 _CHECK_INTERVAL = units.Seconds(0.2)
 # Updates from the store arrive within milliseconds; a daemon whose state is
 # still stale after this time asks a peer.
 _MAX_STALENESS = units.Seconds(0.3)
-_REQUEST = b"state"
+# Daemons that don't watch the store are told of changes by reports.
+_MAX_STALENESS_WITHOUT_WATCH = units.Seconds(0.0)
+# A daemon of another zone is asked after this time without a newer peer in the
+# own zone, since bytes between zones are billed.
+_MAX_STALENESS_IN_ZONE = units.Seconds(0.6)
+# A daemon that lacks known changes for this long asks the store, since changes
+# have to take effect within two seconds.
+_MAX_STALENESS_WITHOUT_STORE = units.Seconds(0.9)
+_STORE_WATCH_TIME = units.Seconds(3.0)
 
 
 class StateServer:
-    """Sends all known store objects to each daemon that requests them."""
+    """Sends newer store objects to each daemon that requests them."""
 
-    def __init__(self, view: deployment_view.DeploymentView) -> None:
+    def __init__(
+        self,
+        view: deployment_view.DeploymentView,
+        timer_service: timers.TimerService,
+    ) -> None:
         self._view = view
+        self._timers = timer_service
         self._server: asyncio.Server | None = None
 
     async def start(self, address: addresses.Address) -> None:
@@ -64,11 +77,13 @@
         try:
             async with asyncio.timeout(_EXCHANGE_TIMEOUT):
                 request = await frames.read_frame(reader, frames.MAX_CALL_BYTES)
-                if request == _REQUEST:
-                    state = load_reports.encode_state(self._view.state)
-                    writer.write(frames.encode_frame(state))
+                known = load_reports.decode_state_request(request or b"")
+                if known is not None:
+                    state = self._view.state_since(*known, self._timers.now())
+                    encoded = load_reports.encode_state(state)
+                    writer.write(frames.encode_frame(encoded))
                     await writer.drain()
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError, *wire.DECODE_ERRORS):
             # The peer disconnected or hangs; it retries here or with a peer.
             writer.transport.abort()
         finally:
@@ -77,15 +92,24 @@
 
 async def fetch_state(
     address: addresses.Address,
+    version: ids.Epoch,
+    revision: ids.ObjectVersion,
 ) -> result.Result[load_reports.PeerState, str]:
-    """Returns the store objects known to the daemon at `address`."""
+    """Returns the newer store objects of the daemon at `address`.
+
+    Args:
+        address: Address of the daemon.
+        version: Version of the own configuration.
+        revision: Revision of the own server list.
+    """
     opened = await streams.open_streams(address, _EXCHANGE_TIMEOUT)
     if isinstance(opened, result.Err):
         return result.Err(opened.err_value.detail)
     reader, writer = opened.ok_value
     try:
         async with asyncio.timeout(_EXCHANGE_TIMEOUT):
-            writer.write(frames.encode_frame(_REQUEST))
+            request = load_reports.encode_state_request(version, revision)
+            writer.write(frames.encode_frame(request))
             encoded_state = await frames.read_frame(reader, _MAX_STATE)
         if encoded_state is None:
             return result.Err("state response truncated")
@@ -101,17 +125,15 @@
 
     def __init__(
         self,
-        peers: peer_table.PeerTable,
-        versions: load_reporting.PeerVersions,
+        versions: peer_versions.PeerVersions,
         view: deployment_view.DeploymentView,
-        store_availability: store_watcher.StoreAvailability,
+        store_role: store_watch_role.StoreWatchRole,
         timer_service: timers.TimerService,
         event_log: log.EventLog,
     ) -> None:
-        self._peers = peers
         self._versions = versions
         self._view = view
-        self._store_availability = store_availability
+        self._store_role = store_role
         self._timers = timer_service
         self._log = event_log
         self._stale_since: units.Instant | None = None
@@ -122,30 +144,50 @@
             await asyncio.sleep(_CHECK_INTERVAL)
             now = self._timers.now()
             self._view.expire(now)
-            address = self._newer_peer()
-            if address is None:
+            if self._newer_peer(in_zone=False) is None:
                 self._stale_since = None
                 continue
             if self._stale_since is None:
                 self._stale_since = now
-            if now - self._stale_since >= _MAX_STALENESS:
-                await self._fetch_from(address)
-                self._stale_since = None
+            await self._catch_up(units.elapsed(self._stale_since, now))
 
-    def _newer_peer(self) -> addresses.Address | None:
-        version, peer = self._versions.configuration
+    async def _catch_up(self, staleness: units.Seconds) -> None:
+        """Fetches newer objects, or has them fetched from the store."""
+        if staleness < self._max_staleness:
+            return
+        if staleness >= _MAX_STALENESS_WITHOUT_STORE:
+            self._store_role.require(_STORE_WATCH_TIME)
+        address = self._newer_peer(in_zone=True)
+        if address is None and staleness >= _MAX_STALENESS_IN_ZONE:
+            address = self._newer_peer(in_zone=False)
+        if address is not None:
+            await self._fetch_from(address)
+
+    @property
+    def _max_staleness(self) -> units.Seconds:
+        if self._store_role.is_watching:
+            return _MAX_STALENESS
+        return _MAX_STALENESS_WITHOUT_WATCH
+
+    def _newer_peer(self, *, in_zone: bool) -> addresses.Address | None:
+        """Returns a peer with newer objects than this daemon, if any."""
+        newest = self._versions.newest(in_zone=in_zone)
+        version, peer = newest.configuration
         if version > self._view.version:
             return peer
         # Revisions also grow with changes of other objects, so that a higher
-        # one matters only if this daemon can't reach the store.
-        if not self._store_availability.unavailable:
+        # one matters only if this daemon doesn't see all changes itself.
+        if not self._store_role.needs_peers:
             return None
-        revision, peer = self._versions.servers
+        revision, peer = newest.servers
         return peer if revision > self._view.directory.revision else None
 
     async def _fetch_from(self, address: addresses.Address) -> None:
-        fetched = await fetch_state(address)
+        fetched = await fetch_state(
+            address, self._view.version, self._view.directory.revision
+        )
         if isinstance(fetched, result.Err):
+            self._versions.on_unreachable(address)
             self._log.emit(
                 events.Event.PEER_STATE_FAILED,
                 peer=str(address),
@@ -153,18 +195,27 @@
             )
             return
         state = fetched.ok_value
-        for stored in state.configuration:
-            self._view.on_configuration(stored)
+        previous = self._view.version
+        previous_revision = self._view.directory.revision
         if (
-            not self._view.directory.is_initialised
-            or self._store_availability.unavailable
+            self._store_role.needs_peers
+            or not self._view.directory.is_initialised
         ):
-            self._view.on_server_listing(
-                state.servers, state.server_revision, self._timers.now()
-            )
+            self._view.on_peer_state(state, self._timers.now())
+        else:
+            for stored in state.configuration:
+                self._view.on_configuration(stored)
+        if (self._view.version, self._view.directory.revision) > (
+            previous,
+            previous_revision,
+        ):
+            # A newer change that arrives meanwhile is no sign of an outage.
+            self._stale_since = None
         self._log.emit(
             events.Event.PEER_STATE_TAKEN,
             peer=str(address),
             version=self._view.version,
+            previous=previous,
             revision=self._view.directory.revision,
+            servers=len(state.servers) + len(state.removed_servers),
         )
--- /dev/null
+++ b/packages/forwarding/src/lavendershed/forwarding/store_availability.py
@@ -0,0 +1,38 @@
+"""Reachability of the store."""
+
+from __future__ import annotations
+
+from lavendershed.core import units
+from lavendershed.forwarding import codecs
+
+
+class StoreAvailability:
+    """Tracks whether the store is reachable from this daemon."""
+
+    def __init__(self) -> None:
+        self._failing_since: dict[codecs.ObjectKind, units.Instant] = {}
+
+    @property
+    def unavailable(self) -> bool:
+        """Whether the latest call for any object kind has failed."""
+        return bool(self._failing_since)
+
+    def on_failure(self, kind: codecs.ObjectKind, now: units.Instant) -> bool:
+        """Records a failed call; returns whether it is the first in a row."""
+        if kind in self._failing_since:
+            return False
+        self._failing_since[kind] = now
+        return True
+
+    def on_success(
+        self, kind: codecs.ObjectKind, now: units.Instant
+    ) -> units.Seconds | None:
+        """Records a success; returns the length of the outage that it ends."""
+        failing_since = self._failing_since.pop(kind, None)
+        return (
+            None if failing_since is None else units.elapsed(failing_since, now)
+        )
+
+    def forget(self, kind: codecs.ObjectKind) -> None:
+        """Ends the record of an outage that is no longer observed."""
+        self._failing_since.pop(kind, None)
--- a/packages/forwarding/src/lavendershed/forwarding/store_watcher.py
+++ b/packages/forwarding/src/lavendershed/forwarding/store_watcher.py
@@ -13,6 +13,8 @@
 from lavendershed.core import units
 from lavendershed.forwarding import codecs
 from lavendershed.forwarding import deployment_view
+from lavendershed.forwarding import store_availability
+from lavendershed.forwarding import store_watch_role
 from lavendershed.telemetry import events
 from lavendershed.telemetry import log
 
@@ -31,39 +33,13 @@
 _BACKOFF_LIMITS = backoff.BackoffLimits(
     initial_delay=units.Seconds(0.2), max_delay=units.Seconds(0.8)
 )
+# A daemon that has to start watching notices it within this time.
+_ROLE_CHECK_INTERVAL = units.Seconds(0.2)
 # Entries expire after three missed heartbeats of 1.2 s; a shorter gap, such as
 # an interrupted watch, is not treated as an outage.
 _MIN_OUTAGE = units.Seconds(1.0)
 
 
-class StoreAvailability:
-    """Tracks whether the store is reachable from this daemon."""
-
-    def __init__(self) -> None:
-        self._failing_since: dict[codecs.ObjectKind, units.Instant] = {}
-
-    @property
-    def unavailable(self) -> bool:
-        """Whether the latest call for any object kind has failed."""
-        return bool(self._failing_since)
-
-    def on_failure(self, kind: codecs.ObjectKind, now: units.Instant) -> bool:
-        """Records a failed call; returns whether it is the first in a row."""
-        if kind in self._failing_since:
-            return False
-        self._failing_since[kind] = now
-        return True
-
-    def on_success(
-        self, kind: codecs.ObjectKind, now: units.Instant
-    ) -> units.Seconds | None:
-        """Records a success; returns the length of the outage that it ends."""
-        failing_since = self._failing_since.pop(kind, None)
-        return (
-            None if failing_since is None else units.elapsed(failing_since, now)
-        )
-
-
 class ObjectWatcher:
     """Lists one kind of objects and then watches it for changes."""
 
@@ -72,7 +48,8 @@
         kind: codecs.ObjectKind,
         source: codecs.ObjectSource,
         view: deployment_view.DeploymentView,
-        availability: StoreAvailability,
+        availability: store_availability.StoreAvailability,
+        role: store_watch_role.StoreWatchRole,
         timer_service: timers.TimerService,
         event_log: log.EventLog,
         generator: random.Random,
@@ -81,6 +58,7 @@
         self._source = source
         self._view = view
         self._availability = availability
+        self._role = role
         self._timers = timer_service
         self._log = event_log
         self._backoff = backoff.Backoff(generator, _BACKOFF_LIMITS)
@@ -88,8 +66,17 @@
         self._last_call_failed = False
 
     async def run(self) -> None:
-        """Watches the objects until cancelled."""
+        """Watches the objects while the role requires it, until cancelled.
+
+        The first listing is independent of the role: a daemon that starts
+        knows no peers.
+        """
         while True:
+            if self._revision is not None and not self._role.is_watching:
+                # The last error says nothing about the store any more.
+                self._availability.forget(self._kind)
+                await asyncio.sleep(_ROLE_CHECK_INTERVAL)
+                continue
             error = await (
                 self._list() if self._revision is None else self._watch()
             )
@@ -117,12 +104,13 @@
 
     async def _watch(self) -> codecs.SourceError | None:
         assert self._revision is not None
+        revision = max(self._revision, self._view.revision(self._kind))
         timeout = (
             _RECOVERY_WATCH_TIMEOUT
             if self._last_call_failed
             else _WATCH_TIMEOUT
         )
-        watched = await self._source.watch(self._revision, timeout)
+        watched = await self._source.watch(revision, timeout)
         if isinstance(watched, result.Err):
             return watched.err_value
         changed, removed, revision = watched.ok_value
@@ -130,7 +118,7 @@
         if self._kind is codecs.ObjectKind.CONFIGURATION:
             for stored in changed:
                 self._view.on_configuration(stored)
-        else:
+        elif changed or removed:
             self._view.on_server_events(
                 changed, removed, revision, self._timers.now()
             )
--- a/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import result
 
 from lavendershed.core import addresses
@@ -18,6 +20,7 @@
 from lavendershed.routing import latency_model
 from lavendershed.routing import load_tracker
 from lavendershed.routing import placements
+from lavendershed.transport import client
 from lavendershed.transport import errors
 
 # The first event times out after this multiple of its predicted time plus this
@@ -33,6 +36,11 @@
 # this minimum: engines recompute the prefill of a request that they preempted.
 _STALL_FACTOR = 3.0
 _MIN_STALL_TIMEOUT = units.Seconds(1.0)
+# A prompt of a longer prefill is worth the queries of its engines if the first
+# token is later than this multiple of the prediction plus the margin.
+_MIN_INSPECTED_PREFILL_MS = 300.0
+_OVERDUE_PREDICTION_FACTOR = 1.3
+_OVERDUE_MARGIN = units.Seconds(0.15)
 # Load reports identify a request by 31 bits of its fingerprint.
 _REQUEST_NUMBER_MASK = 0x7FFF_FFFF
 _MAX_FAILED_RESPONSE_BODY = units.Bytes(1_000_000)
@@ -72,25 +80,40 @@
         # with the same memory.
         task_ids = self._register_tasks()
         reservation: reservations.Reservation | None = None
+        started = True
         try:
             if placement.shares:
                 reserved = await self._context.reservations.reserve(
                     placement.shares
                 )
                 if isinstance(reserved, result.Err):
+                    started = False
                     return attempts.AttemptResult(
                         forwarding_states.AttemptOutcome.NO_MEMORY,
                         "engines could not reserve memory",
                         tuple(engine.id for engine in reserved.err_value),
                     )
                 reservation = reserved.ok_value
-            return await self._connect_and_exchange(reservation, task_ids)
+            attempt_result = await self._connect_and_exchange(
+                reservation, task_ids
+            )
+            started = (
+                attempt_result.outcome not in attempts.OUTCOMES_NOT_STARTED
+            )
+            return attempt_result
         finally:
             if reservation is not None:
                 reservation.release()
-            now = self._context.timers.now()
-            for task_id in task_ids:
-                self._context.load_tracker.cancel(task_id, now)
+            self._end_tasks(task_ids, started)
+
+    def _end_tasks(self, task_ids: list[int], started: bool) -> None:
+        tracker = self._context.load_tracker
+        now = self._context.timers.now()
+        for task_id in task_ids:
+            if started:
+                tracker.cancel(task_id, now)
+            else:
+                tracker.remove(task_id)
 
     def _register_tasks(self) -> list[int]:
         """Registers the tasks; the first id is that of the decode engine."""
@@ -189,22 +212,29 @@
                 else requests.LOWEST_PRIORITY
             ),
         )
-        timeout = self._first_event_timeout()
+        due_at = units.after(context.timers.now(), self._first_event_timeout())
         sent = await connection.send(
             context.backend_codec.encode(request),
             self._admitted_request.request.body,
-            timeout,
+            self._time_until(due_at),
         )
         if isinstance(sent, result.Err):
             return self._on_transport_error(engine, lease, sent.err_value), None
-        head = await connection.read_head(timeout)
+        head = await self._read_head(connection, due_at)
+        if head is None:
+            return attempts.AttemptResult(
+                forwarding_states.AttemptOutcome.SLOW_ENGINE,
+                "a slow engine delays the prefill",
+            ), None
         if isinstance(head, result.Err):
             return self._on_transport_error(engine, lease, head.err_value), None
         response = context.backend_codec.decode(
             head.ok_value, self._admitted_request.request
         )
         if response.kind is requests.ResponseKind.SUCCESS:
-            attempt_result = await self._relay(lease, response, task_ids)
+            attempt_result = await self._relay(
+                lease, response, task_ids, due_at
+            )
             complete = (
                 attempt_result.outcome
                 is forwarding_states.AttemptOutcome.COMPLETE
@@ -213,27 +243,88 @@
                 attempt_result,
                 response.keep_alive_timeout if complete else None,
             )
-        body = await connection.read_body(timeout, _MAX_FAILED_RESPONSE_BODY)
+        body = await connection.read_body(
+            self._time_until(due_at), _MAX_FAILED_RESPONSE_BODY
+        )
         if isinstance(body, result.Err):
             return self._on_transport_error(engine, lease, body.err_value), None
         return self._on_error_response(
             engine, response, body.ok_value
         ), response.keep_alive_timeout
 
+    async def _read_head(
+        self, connection: client.ClientConnection, due_at: units.Instant
+    ) -> result.Result[client.ResponseHead, errors.TransportError] | None:
+        """Reads the response head; None if other engines would be faster.
+
+        The head comes with the first token. If that of a long prompt is
+        overdue, its engines are asked whether they are slow.
+        """
+        if (
+            self._placement.prefill_ms < _MIN_INSPECTED_PREFILL_MS
+            or not self._attempts.may_try_another_engine
+        ):
+            return await connection.read_head(self._time_until(due_at))
+        context = self._context
+        sent_at = context.timers.now()
+        reading = asyncio.get_running_loop().create_task(
+            connection.read_head(self._time_until(due_at))
+        )
+        try:
+            await asyncio.wait((reading,), timeout=self._overdue_time)
+            if not reading.done():
+                placement = self._placement
+                await context.inspector.inspect(
+                    (placement.decode_engine, *placement.prefill_helpers),
+                    self._admitted_request.request.id,
+                )
+                elapsed = units.elapsed(sent_at, context.timers.now())
+                if not reading.done() and self._is_worth_restarting(elapsed):
+                    return None
+            return await reading
+        finally:
+            reading.cancel()
+
+    @property
+    def _overdue_time(self) -> units.Seconds:
+        """Time after which the first token is later than predictions err."""
+        return units.Seconds(
+            self._placement.ttft_ms / 1_000 * _OVERDUE_PREDICTION_FACTOR
+            + _OVERDUE_MARGIN
+        )
+
+    def _is_worth_restarting(self, elapsed: units.Seconds) -> bool:
+        """Returns whether a new prefill would end well before this one."""
+        now = self._context.timers.now()
+        placement = self._placement
+        slowdowns = self._context.choosers.slowdowns
+        worst_slowdown = max(
+            slowdowns.factor(engine.id, now)
+            for engine in (placement.decode_engine, *placement.prefill_helpers)
+        )
+        remaining_ms = (
+            placement.shard_prefill_ms * worst_slowdown - elapsed * 1_000
+        )
+        restarted_ms = placement.ttft_ms * _OVERDUE_PREDICTION_FACTOR
+        return remaining_ms > restarted_ms
+
     async def _relay(
         self,
         lease: connections.ConnectionLease,
         response: requests.BackendResponseHead,
         task_ids: list[int],
+        due_at: units.Instant,
     ) -> attempts.AttemptResult:
-        """Relays complete events until the stream ends."""
+        """Relays complete events until the stream ends.
+
+        The engine has stalled if no complete event arrives until `due_at`, or
+        later within the stall timeout. Bytes without an event are no progress.
+        """
         engine = self._placement.decode_engine
         splitter = event_splitter.EventSplitter()
-        timeout = self._first_event_timeout()
+        comments: tuple[event_splitter.Event, ...] = ()
         while True:
-            chunk = await lease.connection.read_chunk(
-                units.Seconds(min(timeout, max(0.0, self._attempts.time_left)))
-            )
+            chunk = await lease.connection.read_chunk(self._time_until(due_at))
             if isinstance(chunk, result.Err):
                 return self._on_transport_error(engine, lease, chunk.err_value)
             if not chunk.ok_value:
@@ -245,17 +336,32 @@
                 self._context.health.on_success(engine.id, engine.incarnation)
                 # A resumed caller that has all events gets an empty stream.
                 self._delivery.start(response)
+                await self._delivery.forward_comments(comments)
                 return attempts.AttemptResult(
                     forwarding_states.AttemptOutcome.COMPLETE
                 )
             events = splitter.feed(chunk.ok_value)
-            if not events:
+            if splitter.is_oversized:
+                return attempts.AttemptResult(
+                    forwarding_states.AttemptOutcome.INVALID_RESPONSE,
+                    f"event exceeds {event_splitter.MAX_EVENT_BYTES} bytes",
+                )
+            events = (*comments, *events)
+            comments = ()
+            if all(event.is_comment for event in events):
+                # Kept until an event follows, because a head that has been
+                # sent can't be taken back if the engine fails.
+                comments = events
                 continue
             in_order = self._delivery.in_order_prefix(events)
             if in_order:
                 self._context.load_tracker.on_first_token(task_ids)
                 await self._delivery.forward(engine, response, in_order)
-                timeout = self._stall_timeout()
+                # Set after the caller has taken the events: a slow caller does
+                # not make an engine late.
+                due_at = units.after(
+                    self._context.timers.now(), self._stall_timeout()
+                )
             if len(in_order) < len(events):
                 context_module.record_failed_response(
                     self._context,
@@ -268,6 +374,11 @@
                     "event ids are not consecutive",
                 )
 
+    def _time_until(self, due_at: units.Instant) -> units.Seconds:
+        """Returns the time until `due_at` or the deadline of the request."""
+        left = units.elapsed(self._context.timers.now(), due_at)
+        return units.Seconds(max(0.0, min(left, self._attempts.time_left)))
+
     def _first_event_timeout(self) -> units.Seconds:
         predicted_s = (
             self._placement.ttft_ms / 1_000 * _FIRST_EVENT_PREDICTION_FACTOR
--- a/packages/forwarding/src/lavendershed/forwarding/stream_delivery.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_delivery.py
@@ -87,6 +87,13 @@
         self.start(response)
         await self._responder.write(b"".join(event.raw for event in events))
 
+    async def forward_comments(
+        self, comments: tuple[event_splitter.Event, ...]
+    ) -> None:
+        """Sends comments that no event follows."""
+        if comments:
+            await self._responder.write(b"".join(c.raw for c in comments))
+
     def _record_event_time(self, engine: server_directory.ServerEntry) -> None:
         now = self._context.timers.now()
         if self._first_event_at is None:
--- /dev/null
+++ b/packages/forwarding/tests/test_deployment_view.py
@@ -0,0 +1,204 @@
+"""Tests the state that daemons take from each other instead of the store."""
+
+from __future__ import annotations
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+import result
+
+from lavendershed.core import addresses
+from lavendershed.core import forwarding_states
+from lavendershed.core import ids
+from lavendershed.core import units
+from lavendershed.forwarding import codecs
+from lavendershed.forwarding import deployment_view
+from lavendershed.membership import server_directory
+from lavendershed.peer import load_reports
+from lavendershed.peer import wire
+from lavendershed.reliability import server_health
+from lavendershed.telemetry import log
+
+NOW = units.Instant(100.0)
+NAMES = ("i-1", "i-2", "i-3", "i-4")
+
+
+class FakeDecoder(codecs.ObjectDecoder):
+    """Decodes server objects whose content is the state of the server."""
+
+    def decode_configuration(self, stored):
+        return result.Err("no configuration")
+
+    def decode_server(self, stored):
+        return result.Ok(
+            server_directory.ServerEntry(
+                ids.BackendServerId(stored.name),
+                ids.Incarnation(1),
+                ids.ServiceId("s"),
+                addresses.Address("10.0.0.1", 80),
+                ids.AvailabilityZoneId("z"),
+                forwarding_states.ServerState(stored.spec.decode()),
+            )
+        )
+
+
+def stored(name, revision, state=forwarding_states.ServerState.READY):
+    """Returns the object of a server."""
+    return load_reports.StoredObject(
+        name, ids.ObjectVersion(revision), state.value.encode()
+    )
+
+
+def new_view():
+    """Returns the view of a daemon that has just started."""
+    return deployment_view.DeploymentView(
+        FakeDecoder(), server_health.ServerHealth(), log.MemoryEventLog()
+    )
+
+
+def listed(*names, revision=10):
+    """Returns a view after a listing."""
+    view = new_view()
+    view.on_server_listing(
+        tuple(stored(name, revision) for name in names), revision, NOW
+    )
+    return view
+
+
+def servers(view):
+    """Returns the ids of the known servers."""
+    return {entry.id for entry in view.directory.entries}
+
+
+def take_state(target, source, now=NOW):
+    """Sends what `target` lacks from `source`, encoded as between daemons."""
+    state = source.state_since(target.version, target.directory.revision, now)
+    decoded = load_reports.decode_state(load_reports.encode_state(state))
+    target.on_peer_state(decoded, now)
+    return decoded
+
+
+class PeerStateTest(unittest.TestCase):
+    """Guards against daemons that miss or revert changes taken from peers."""
+
+    def test_only_changes_are_sent_to_a_peer_that_has_the_rest(self):
+        """Guards against the whole list for each change to each daemon."""
+        watcher, member = listed(*NAMES), listed(*NAMES)
+        watcher.on_server_events((stored("i-9", 12),), ("i-1",), 12, NOW)
+        state = take_state(member, watcher)
+        self.assertTrue(state.partial)
+        self.assertEqual([o.name for o in state.servers], ["i-9"])
+        self.assertEqual(servers(member), servers(watcher))
+
+    def test_a_new_daemon_gets_the_whole_list(self):
+        watcher, member = listed(*NAMES), new_view()
+        self.assertFalse(take_state(member, watcher).partial)
+        self.assertEqual(servers(member), set(NAMES))
+
+    def test_older_state_changes_nothing(self):
+        """Guards against a server that had left and is used again."""
+        old, member = listed(*NAMES), listed(*NAMES)
+        member.on_server_events((), ("i-1",), 12, NOW)
+        take_state(member, old)
+        self.assertNotIn("i-1", servers(member))
+        restarted = new_view()
+        take_state(restarted, member)
+        take_state(restarted, old)
+        self.assertNotIn("i-1", servers(restarted))
+
+    def test_lapsed_servers_are_kept_by_members_too(self):
+        """Guards against a member that drops servers after a store outage."""
+        watcher, member = listed(*NAMES), listed(*NAMES)
+        watcher.on_store_recovered(NOW)
+        watcher.on_server_events((), ("i-1",), 12, NOW)
+        take_state(member, watcher)
+        self.assertIn("i-1", servers(member))
+        member.expire(units.after(NOW, server_directory.MISSING_ENTRY_GRACE))
+        self.assertNotIn("i-1", servers(member))
+
+    def test_a_removal_long_after_an_outage_is_final(self):
+        watcher, member = listed(*NAMES), listed(*NAMES)
+        watcher.on_store_recovered(NOW)
+        later = units.Instant(NOW + 5.0)
+        watcher.on_server_events((), ("i-1",), 12, later)
+        take_state(member, watcher, later)
+        self.assertNotIn("i-1", servers(member))
+
+    def test_a_listing_is_not_reported_as_a_change(self):
+        """Guards against a fetch by all daemons after each restart of one."""
+        view = new_view()
+        view.on_server_listing((stored("i-1", 7),), 30, NOW)
+        self.assertEqual(view.last_server_change, 7)
+
+    @hypothesis.settings(derandomize=True, deadline=None)
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(NAMES),
+                strategies.booleans(),
+                strategies.booleans(),
+            ),
+            max_size=100,
+        )
+    )
+    def test_members_follow_any_sequence_of_changes(self, steps):
+        """Guards against members that differ after missed changes.
+
+        A member fetches after some of the changes only, also after more than
+        the watcher remembers.
+        """
+        watcher, member = listed(*NAMES), listed(*NAMES)
+        for revision, (name, present, fetches) in enumerate(steps, 11):
+            if present:
+                watcher.on_server_events(
+                    (stored(name, revision),), (), revision, NOW
+                )
+            else:
+                watcher.on_server_events((), (name,), revision, NOW)
+            if fetches:
+                take_state(member, watcher)
+                self.assertEqual(servers(member), servers(watcher))
+        take_state(member, watcher)
+        self.assertEqual(servers(member), servers(watcher))
+
+    def test_a_large_object_is_sent_compressed(self):
+        """Guards against changes that fill the links of small VMs.
+
+        Two watchers send a configuration to all daemons of their zone.
+        """
+        spec = b'{"path_prefix": "/a/", "kind": "safe"},' * 2_000
+        sent = load_reports.PeerState(
+            ids.ObjectVersion(3),
+            (load_reports.StoredObject("main", ids.ObjectVersion(3), spec),),
+            ids.ObjectVersion(4),
+            (),
+        )
+        encoded = load_reports.encode_state(sent)
+        self.assertLess(len(encoded), len(spec) / 5)
+        self.assertEqual(load_reports.decode_state(encoded), sent)
+
+    def test_a_damaged_or_endless_object_is_rejected(self):
+        """Guards against memory that a compressed message may fill."""
+        too_large = bytes(load_reports.MAX_OBJECT_BYTES + 1)
+        encoded = load_reports.encode_state(
+            load_reports.PeerState(
+                ids.ObjectVersion(3),
+                (
+                    load_reports.StoredObject(
+                        "main", ids.ObjectVersion(3), too_large
+                    ),
+                ),
+                ids.ObjectVersion(4),
+                (),
+            )
+        )
+        with self.assertRaises(ValueError):
+            load_reports.decode_state(encoded)
+        damaged = encoded[:60] + bytes(20) + encoded[80:]
+        with self.assertRaises(wire.DECODE_ERRORS):
+            load_reports.decode_state(damaged)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/membership/src/lavendershed/membership/peer_table.py
+++ b/packages/membership/src/lavendershed/membership/peer_table.py
@@ -4,6 +4,9 @@
 
 from collections.abc import Iterable
 import dataclasses
+import enum
+import functools
+import math
 import zlib
 
 from lavendershed.core import addresses
@@ -22,44 +25,58 @@
 _ADDRESS_REPORT_INTERVAL = 8
 # A report has to fit into a datagram; larger fleets are advertised in rotation.
 MAX_ADDRESSES_PER_REPORT = 24
-# Other availability zones with more daemons than this get reports through one
-# relay, since cross-zone traffic is billed. In smaller zones a failed relay
-# would lose too large a share of the reports.
-_MAX_DIRECT_PER_ZONE = 4
+# Addresses whose rank is cached; above the largest fleet.
+_RANK_CACHE_SIZE = 2_048
+# Seeds that don't respond get reports at this interval.
+_SEED_INTERVAL = units.Seconds(0.9)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReportTargets:
-    """Recipients of a report.
+class ReportStatus(enum.Enum):
+    """What a report says about its sender."""
+
+    STALE = "stale"
+    REPEATED = "repeated"
+    KNOWN_SENDER = "known_sender"
+    NEW_SENDER = "new_sender"
+
+
+@dataclasses.dataclass(slots=True)
+class _Peer:
+    """The latest report of a daemon.
 
     Attributes:
-        direct: Daemons to which the sender sends it.
-        relays: One daemon of each other large availability zone, which
-            forwards it within its zone.
+        zone: Its availability zone.
+        incarnation: Its incarnation.
+        sequence: Sequence number of the report.
+        alive_at: When it was last known to be alive.
+        heard_at: When its last report arrived that no aggregator passed on.
+        watches_store: Whether it watches the store successfully.
+        bandwidth_mbps: Bandwidth of its VM.
     """
 
-    direct: tuple[addresses.Address, ...]
-    relays: tuple[addresses.Address, ...]
+    zone: ids.AvailabilityZoneId
+    incarnation: ids.Incarnation
+    sequence: int
+    alive_at: units.Instant
+    heard_at: units.Instant
+    watches_store: bool
+    bandwidth_mbps: int
 
 
 class PeerTable:
     """Addresses of the other daemons and the time of their last report."""
 
-    def __init__(
-        self, own_address: addresses.Address, zone: ids.AvailabilityZoneId
-    ) -> None:
+    def __init__(self, own_address: addresses.Address) -> None:
         self._own_address = own_address
-        self._own_zone = zone
         self._seeds: tuple[addresses.Address, ...] = ()
-        self._last_report_at: dict[addresses.Address, units.Instant] = {}
-        self._latest_reports: dict[
-            addresses.Address, tuple[ids.Incarnation, int]
+        self._peers: dict[addresses.Address, _Peer] = {}
+        # Live daemons of each zone in the order of their ranks.
+        self._members_by_zone: dict[
+            ids.AvailabilityZoneId, tuple[addresses.Address, ...]
         ] = {}
         self._candidates: dict[addresses.Address, units.Instant] = {}
-        self._zone_by_peer: dict[addresses.Address, ids.AvailabilityZoneId] = {}
-        # Rotates the relays; each daemon starts at another one.
-        self._relay_rotation = zlib.crc32(str(own_address).encode())
         self._last_discovery_at: units.Instant | None = None
+        self._last_seed_report_at = units.Instant(-math.inf)
         # Index in `live_peers` of the next address to advertise.
         self._next_address_index = 0
 
@@ -71,55 +88,62 @@
     @property
     def live_peers(self) -> tuple[addresses.Address, ...]:
         """Daemons that reported within `PEER_TIMEOUT`."""
-        return tuple(self._last_report_at)
+        return tuple(self._peers)
 
     @property
     def fleet_size(self) -> int:
         """Number of live daemons known to this one, itself included."""
-        return len(self._last_report_at) + 1
+        return len(self._peers) + 1
+
+    @property
+    def zones(self) -> tuple[ids.AvailabilityZoneId, ...]:
+        """Availability zones of the live peers."""
+        return tuple(self._members_by_zone)
+
+    @property
+    def candidate_count(self) -> int:
+        """Number of advertised addresses that have not reported."""
+        return len(self._candidates)
 
     def set_seeds(self, seeds: Iterable[addresses.Address]) -> None:
         """Replaces the configured addresses."""
         self._seeds = tuple(seed for seed in seeds if seed != self._own_address)
 
-    @property
-    def same_zone_peers(self) -> tuple[addresses.Address, ...]:
-        """Live daemons of this daemon's availability zone."""
-        return tuple(
-            a
-            for a in self._last_report_at
-            if self._zone_by_peer[a] == self._own_zone
-        )
+    def zone_members(
+        self, zone: ids.AvailabilityZoneId
+    ) -> tuple[addresses.Address, ...]:
+        """Returns the live peers of a zone, the highest-ranked first."""
+        return self._members_by_zone.get(zone, ())
 
-    def report_targets(self, now: units.Instant) -> ReportTargets:
-        """Returns the recipients: live peers, candidates and seeds."""
-        self._expire(now)
-        self._relay_rotation += 1
-        peers_by_zone: dict[
-            ids.AvailabilityZoneId, list[addresses.Address]
-        ] = {}
-        for address in self._last_report_at:
-            peers_by_zone.setdefault(self._zone_by_peer[address], []).append(
-                address
-            )
-        relayed_zones = {
-            zone: members
-            for zone, members in peers_by_zone.items()
-            if zone != self._own_zone and len(members) > _MAX_DIRECT_PER_ZONE
-        }
-        known = (*self._last_report_at, *self._candidates, *self._seeds)
-        return ReportTargets(
-            tuple(
-                address
-                for address in dict.fromkeys(known)
-                if self._zone_by_peer.get(address) not in relayed_zones
-            ),
-            tuple(
-                members[self._relay_rotation % len(members)]
-                for members in relayed_zones.values()
-            ),
+    def store_watchers(
+        self, zone: ids.AvailabilityZoneId, alive_since: units.Instant
+    ) -> int:
+        """Returns how many peers of a zone watch the store successfully.
+
+        Args:
+            zone: The zone.
+            alive_since: Peers not known to be alive since are not counted.
+        """
+        return sum(
+            self._peers[address].watches_store
+            and self._peers[address].alive_at >= alive_since
+            for address in self.zone_members(zone)
         )
 
+    def unconfirmed_addresses(
+        self, now: units.Instant
+    ) -> tuple[addresses.Address, ...]:
+        """Returns the addresses that get reports until a daemon responds.
+
+        These are advertised addresses and, at intervals, silent seeds.
+        """
+        self.expire(now)
+        silent_seeds = [s for s in self._seeds if s not in self._peers]
+        if silent_seeds and now - self._last_seed_report_at >= _SEED_INTERVAL:
+            self._last_seed_report_at = now
+            return (*self._candidates, *silent_seeds)
+        return tuple(self._candidates)
+
     def addresses_for_report(
         self, sequence: int, now: units.Instant
     ) -> tuple[addresses.Address, ...]:
@@ -128,11 +152,15 @@
             self._last_discovery_at is not None
             and now - self._last_discovery_at < _DISCOVERY_PERIOD
         )
-        if not self._last_report_at or not (
-            discovering or sequence % _ADDRESS_REPORT_INTERVAL == 1
-        ):
+        if discovering or sequence % _ADDRESS_REPORT_INTERVAL == 1:
+            return self.next_addresses()
+        return ()
+
+    def next_addresses(self) -> tuple[addresses.Address, ...]:
+        """Returns the next live peers in rotation."""
+        known = tuple(self._peers)
+        if not known:
             return ()
-        known = tuple(self._last_report_at)
         start = self._next_address_index % len(known)
         self._next_address_index = start + MAX_ADDRESSES_PER_REPORT
         return (*known[start:], *known[:start])[:MAX_ADDRESSES_PER_REPORT]
@@ -145,35 +173,144 @@
         advertised: Iterable[addresses.Address],
         zone: ids.AvailabilityZoneId,
         now: units.Instant,
-    ) -> bool:
-        """Processes a report; returns False for a duplicate or stale one."""
-        known_incarnation, last_sequence = self._latest_reports.get(
-            address, (incarnation, -1)
+        *,
+        direct: bool = True,
+        watches_store: bool = False,
+        bandwidth_mbps: int = 0,
+    ) -> ReportStatus:
+        """Processes a report and returns what it says about its sender.
+
+        Args:
+            address: Address of the sender.
+            incarnation: Its incarnation.
+            sequence: Sequence number of the report.
+            advertised: Addresses of other daemons.
+            zone: Availability zone of the sender.
+            now: Current time.
+            direct: Whether the report came from its sender. An aggregator also
+                repeats reports of daemons that have stopped meanwhile.
+            watches_store: Whether the sender watches the store successfully.
+            bandwidth_mbps: Bandwidth of its VM.
+        """
+        known = self._peers.get(address)
+        same_process = known is not None and known.incarnation == incarnation
+        if known is not None and same_process and sequence <= known.sequence:
+            if sequence < known.sequence:
+                return ReportStatus.STALE
+            if direct:
+                known.alive_at = known.heard_at = now
+            self._add_candidates(advertised, now)
+            return ReportStatus.REPEATED
+        self._peers[address] = _Peer(
+            zone,
+            incarnation,
+            sequence,
+            alive_at=now,
+            heard_at=now if direct else units.Instant(-math.inf),
+            watches_store=watches_store,
+            bandwidth_mbps=bandwidth_mbps,
+        )
+        ranked_as = (
+            None if known is None else (known.zone, known.bandwidth_mbps)
         )
-        if known_incarnation == incarnation and sequence <= last_sequence:
-            return False
-        self._latest_reports[address] = (incarnation, sequence)
-        if address not in self._last_report_at:
+        if ranked_as != (zone, bandwidth_mbps):
+            if known is not None:
+                self._remove_member(address, known.zone)
+            members = (*self.zone_members(zone), address)
+            self._members_by_zone[zone] = tuple(
+                sorted(members, key=self._rank_key)
+            )
+        if known is None:
             self._last_discovery_at = now
-        self._last_report_at[address] = now
-        self._zone_by_peer[address] = zone
         self._candidates.pop(address, None)
-        expires_at = units.after(now, _CANDIDATE_TIMEOUT)
-        for other in advertised:
-            if other != self._own_address and other not in self._last_report_at:
-                self._candidates.setdefault(other, expires_at)
-        return True
+        self._add_candidates(advertised, now)
+        return (
+            ReportStatus.KNOWN_SENDER
+            if same_process
+            else ReportStatus.NEW_SENDER
+        )
 
-    def _expire(self, now: units.Instant) -> None:
-        for address in [
-            a
-            for a, at in self._last_report_at.items()
-            if now - at > PEER_TIMEOUT
-        ]:
-            del self._last_report_at[address]
-            del self._latest_reports[address]
-            del self._zone_by_peer[address]
+    def on_alive(
+        self, address: addresses.Address, now: units.Instant
+    ) -> ids.Incarnation | None:
+        """Records that a daemon is alive whose report has not changed.
+
+        Returns:
+            Its incarnation, or None if the daemon is unknown.
+        """
+        peer = self._peers.get(address)
+        if peer is None:
+            return None
+        peer.alive_at = now
+        return peer.incarnation
+
+    def heard_since(
+        self, zone: ids.AvailabilityZoneId, instant: units.Instant
+    ) -> tuple[addresses.Address, ...]:
+        """Returns the members of a zone that have reported here since."""
+        return tuple(
+            address
+            for address in self.zone_members(zone)
+            if self._peers[address].heard_at >= instant
+        )
+
+    def expire(self, now: units.Instant) -> None:
+        """Removes peers and candidates that have been silent for too long."""
+        silent = [
+            address
+            for address, peer in self._peers.items()
+            if now - peer.alive_at > PEER_TIMEOUT
+        ]
+        for address in silent:
+            self._remove_member(address, self._peers.pop(address).zone)
         for address in [
             a for a, until in self._candidates.items() if until < now
         ]:
             del self._candidates[address]
+
+    def _add_candidates(
+        self, advertised: Iterable[addresses.Address], now: units.Instant
+    ) -> None:
+        expires_at = units.after(now, _CANDIDATE_TIMEOUT)
+        for address in advertised:
+            if address != self._own_address and address not in self._peers:
+                self._candidates.setdefault(address, expires_at)
+
+    def _rank_key(self, address: addresses.Address) -> tuple[int, int, str]:
+        return rank_key(address, self._peers[address].bandwidth_mbps)
+
+    def rank_before(
+        self,
+        zone: ids.AvailabilityZoneId,
+        address: addresses.Address,
+        bandwidth_mbps: int,
+    ) -> int:
+        """Returns how many live members of a zone rank before a daemon."""
+        key = rank_key(address, bandwidth_mbps)
+        return sum(self._rank_key(a) < key for a in self.zone_members(zone))
+
+    def _remove_member(
+        self, address: addresses.Address, zone: ids.AvailabilityZoneId
+    ) -> None:
+        members = tuple(a for a in self.zone_members(zone) if a != address)
+        if members:
+            self._members_by_zone[zone] = members
+        else:
+            del self._members_by_zone[zone]
+
+
+def rank_key(
+    address: addresses.Address, bandwidth_mbps: int
+) -> tuple[int, int, str]:
+    """Returns a sort key that gives all daemons the same order of ranks.
+
+    VMs with more bandwidth come first, since aggregators send the reports of a
+    zone to all its members.
+    """
+    return -bandwidth_mbps, *_hash_address(address)
+
+
+@functools.lru_cache(_RANK_CACHE_SIZE)
+def _hash_address(address: addresses.Address) -> tuple[int, str]:
+    name = str(address)
+    return zlib.crc32(name.encode()), name
--- a/packages/peer/idl/messages.thrift
+++ b/packages/peer/idl/messages.thrift
@@ -102,6 +102,8 @@
 // Open tasks of one daemon at the engines, and the versions of its state.
 struct LoadReport {
   1: optional i64 incarnation
+  // Grows with each change of what the report states; a repeated report has
+  // the same number.
   2: optional i32 sequence
   3: optional i64 configuration_version
   4: optional i64 server_revision
@@ -119,14 +121,25 @@
   // Address of the sender, encoded as in `peers`, and its availability zone.
   10: optional i64 sender
   11: optional string zone
-  // Whether the receiver forwards the report inside its availability zone.
-  12: optional bool relayed
+  // Former relay flag: 12: optional bool relayed
+  // Whether the sender watches the store successfully.
+  13: optional bool watching
+  // A bundle has only these two, `sender` and `zone`: encoded reports of other
+  // daemons, and how many daemons of its zone the sender knows.
+  14: optional list<binary> bundled
+  15: optional i32 members
+  // Daemons of the sender's zone that are alive, encoded as in `peers`.
+  16: optional list<i64> alive
+  // Bandwidth of the sender's VM in Mbit/s.
+  17: optional i32 bandwidth
 }
 
 struct StoredObject {
   1: optional string name
   2: optional i64 revision
+  // One of these: the content, or its zlib compression if it is large.
   3: optional binary spec
+  4: optional binary compressed_spec
 }
 
 struct StateRequest {
@@ -139,4 +152,10 @@
   2: optional list<StoredObject> configuration
   3: optional i64 server_revision
   4: optional list<StoredObject> servers
+  // Set if `servers` has only the changes since the requested revision; then
+  // these servers were removed.
+  5: optional bool partial
+  6: optional list<string> removed
+  // Time for which missing servers may be an effect of a store outage.
+  7: optional i32 grace_ms
 }
--- a/packages/peer/src/lavendershed/peer/gen/messages/ttypes.py
+++ b/packages/peer/src/lavendershed/peer/gen/messages/ttypes.py
@@ -1491,7 +1491,11 @@
      - unreachable
      - sender
      - zone
-     - relayed
+     - watching
+     - bundled
+     - members
+     - alive
+     - bandwidth
 
     """
 
@@ -1507,11 +1511,15 @@
         'unreachable',
         'sender',
         'zone',
-        'relayed',
+        'watching',
+        'bundled',
+        'members',
+        'alive',
+        'bandwidth',
     )
 
 
-    def __init__(self, incarnation=None, sequence=None, configuration_version=None, server_revision=None, works=None, suspects=None, peers=None, slow=None, unreachable=None, sender=None, zone=None, relayed=None,):
+    def __init__(self, incarnation=None, sequence=None, configuration_version=None, server_revision=None, works=None, suspects=None, peers=None, slow=None, unreachable=None, sender=None, zone=None, watching=None, bundled=None, members=None, alive=None, bandwidth=None,):
         self.incarnation = incarnation
         self.sequence = sequence
         self.configuration_version = configuration_version
@@ -1523,7 +1531,11 @@
         self.unreachable = unreachable
         self.sender = sender
         self.zone = zone
-        self.relayed = relayed
+        self.watching = watching
+        self.bundled = bundled
+        self.members = members
+        self.alive = alive
+        self.bandwidth = bandwidth
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1614,9 +1626,39 @@
                     self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
-            elif fid == 12:
+            elif fid == 13:
                 if ftype == TType.BOOL:
-                    self.relayed = iprot.readBool()
+                    self.watching = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.LIST:
+                    self.bundled = []
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = iprot.readBinary()
+                        self.bundled.append(_elem77)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.I32:
+                    self.members = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.LIST:
+                    self.alive = []
+                    (_etype81, _size78) = iprot.readListBegin()
+                    for _i82 in range(_size78):
+                        _elem83 = iprot.readI64()
+                        self.alive.append(_elem83)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.I32:
+                    self.bandwidth = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1648,36 +1690,36 @@
         if self.works is not None:
             oprot.writeFieldBegin('works', TType.LIST, 5)
             oprot.writeListBegin(TType.I32, len(self.works))
-            for iter72 in self.works:
-                oprot.writeI32(iter72)
+            for iter84 in self.works:
+                oprot.writeI32(iter84)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 6)
             oprot.writeListBegin(TType.I64, len(self.suspects))
-            for iter73 in self.suspects:
-                oprot.writeI64(iter73)
+            for iter85 in self.suspects:
+                oprot.writeI64(iter85)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.peers is not None:
             oprot.writeFieldBegin('peers', TType.LIST, 7)
             oprot.writeListBegin(TType.I64, len(self.peers))
-            for iter74 in self.peers:
-                oprot.writeI64(iter74)
+            for iter86 in self.peers:
+                oprot.writeI64(iter86)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.slow is not None:
             oprot.writeFieldBegin('slow', TType.LIST, 8)
             oprot.writeListBegin(TType.I32, len(self.slow))
-            for iter75 in self.slow:
-                oprot.writeI32(iter75)
+            for iter87 in self.slow:
+                oprot.writeI32(iter87)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.unreachable is not None:
             oprot.writeFieldBegin('unreachable', TType.LIST, 9)
             oprot.writeListBegin(TType.I32, len(self.unreachable))
-            for iter76 in self.unreachable:
-                oprot.writeI32(iter76)
+            for iter88 in self.unreachable:
+                oprot.writeI32(iter88)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sender is not None:
@@ -1688,9 +1730,31 @@
             oprot.writeFieldBegin('zone', TType.STRING, 11)
             oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
             oprot.writeFieldEnd()
-        if self.relayed is not None:
-            oprot.writeFieldBegin('relayed', TType.BOOL, 12)
-            oprot.writeBool(self.relayed)
+        if self.watching is not None:
+            oprot.writeFieldBegin('watching', TType.BOOL, 13)
+            oprot.writeBool(self.watching)
+            oprot.writeFieldEnd()
+        if self.bundled is not None:
+            oprot.writeFieldBegin('bundled', TType.LIST, 14)
+            oprot.writeListBegin(TType.STRING, len(self.bundled))
+            for iter89 in self.bundled:
+                oprot.writeBinary(iter89)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.members is not None:
+            oprot.writeFieldBegin('members', TType.I32, 15)
+            oprot.writeI32(self.members)
+            oprot.writeFieldEnd()
+        if self.alive is not None:
+            oprot.writeFieldBegin('alive', TType.LIST, 16)
+            oprot.writeListBegin(TType.I64, len(self.alive))
+            for iter90 in self.alive:
+                oprot.writeI64(iter90)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.bandwidth is not None:
+            oprot.writeFieldBegin('bandwidth', TType.I32, 17)
+            oprot.writeI32(self.bandwidth)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1723,6 +1787,7 @@
      - name
      - revision
      - spec
+     - compressed_spec
 
     """
 
@@ -1730,13 +1795,15 @@
         'name',
         'revision',
         'spec',
+        'compressed_spec',
     )
 
 
-    def __init__(self, name=None, revision=None, spec=None,):
+    def __init__(self, name=None, revision=None, spec=None, compressed_spec=None,):
         self.name = name
         self.revision = revision
         self.spec = spec
+        self.compressed_spec = compressed_spec
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1762,6 +1829,11 @@
                     self.spec = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.compressed_spec = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1784,6 +1856,10 @@
             oprot.writeFieldBegin('spec', TType.STRING, 3)
             oprot.writeBinary(self.spec)
             oprot.writeFieldEnd()
+        if self.compressed_spec is not None:
+            oprot.writeFieldBegin('compressed_spec', TType.STRING, 4)
+            oprot.writeBinary(self.compressed_spec)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1896,6 +1972,9 @@
      - configuration
      - server_revision
      - servers
+     - partial
+     - removed
+     - grace_ms
 
     """
 
@@ -1904,14 +1983,20 @@
         'configuration',
         'server_revision',
         'servers',
+        'partial',
+        'removed',
+        'grace_ms',
     )
 
 
-    def __init__(self, configuration_revision=None, configuration=None, server_revision=None, servers=None,):
+    def __init__(self, configuration_revision=None, configuration=None, server_revision=None, servers=None, partial=None, removed=None, grace_ms=None,):
         self.configuration_revision = configuration_revision
         self.configuration = configuration
         self.server_revision = server_revision
         self.servers = servers
+        self.partial = partial
+        self.removed = removed
+        self.grace_ms = grace_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1930,11 +2015,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.configuration = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = StoredObject()
-                        _elem82.read(iprot)
-                        self.configuration.append(_elem82)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = StoredObject()
+                        _elem96.read(iprot)
+                        self.configuration.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1946,14 +2031,34 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.servers = []
-                    (_etype86, _size83) = iprot.readListBegin()
-                    for _i87 in range(_size83):
-                        _elem88 = StoredObject()
-                        _elem88.read(iprot)
-                        self.servers.append(_elem88)
+                    (_etype100, _size97) = iprot.readListBegin()
+                    for _i101 in range(_size97):
+                        _elem102 = StoredObject()
+                        _elem102.read(iprot)
+                        self.servers.append(_elem102)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.partial = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.removed = []
+                    (_etype106, _size103) = iprot.readListBegin()
+                    for _i107 in range(_size103):
+                        _elem108 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.removed.append(_elem108)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.grace_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1971,8 +2076,8 @@
         if self.configuration is not None:
             oprot.writeFieldBegin('configuration', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.configuration))
-            for iter89 in self.configuration:
-                iter89.write(oprot)
+            for iter109 in self.configuration:
+                iter109.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.server_revision is not None:
@@ -1982,10 +2087,25 @@
         if self.servers is not None:
             oprot.writeFieldBegin('servers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.servers))
-            for iter90 in self.servers:
-                iter90.write(oprot)
+            for iter110 in self.servers:
+                iter110.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.partial is not None:
+            oprot.writeFieldBegin('partial', TType.BOOL, 5)
+            oprot.writeBool(self.partial)
+            oprot.writeFieldEnd()
+        if self.removed is not None:
+            oprot.writeFieldBegin('removed', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRING, len(self.removed))
+            for iter111 in self.removed:
+                oprot.writeString(iter111.encode('utf-8') if sys.version_info[0] == 2 else iter111)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.grace_ms is not None:
+            oprot.writeFieldBegin('grace_ms', TType.I32, 7)
+            oprot.writeI32(self.grace_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2130,7 +2250,12 @@
     (9, TType.LIST, 'unreachable', (TType.I32, None, False), None, ),  # 9
     (10, TType.I64, 'sender', None, None, ),  # 10
     (11, TType.STRING, 'zone', 'UTF8', None, ),  # 11
-    (12, TType.BOOL, 'relayed', None, None, ),  # 12
+    None,  # 12
+    (13, TType.BOOL, 'watching', None, None, ),  # 13
+    (14, TType.LIST, 'bundled', (TType.STRING, 'BINARY', False), None, ),  # 14
+    (15, TType.I32, 'members', None, None, ),  # 15
+    (16, TType.LIST, 'alive', (TType.I64, None, False), None, ),  # 16
+    (17, TType.I32, 'bandwidth', None, None, ),  # 17
 )
 all_structs.append(StoredObject)
 StoredObject.thrift_spec = (
@@ -2138,6 +2263,7 @@
     (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
     (2, TType.I64, 'revision', None, None, ),  # 2
     (3, TType.STRING, 'spec', 'BINARY', None, ),  # 3
+    (4, TType.STRING, 'compressed_spec', 'BINARY', None, ),  # 4
 )
 all_structs.append(StateRequest)
 StateRequest.thrift_spec = (
@@ -2152,6 +2278,9 @@
     (2, TType.LIST, 'configuration', (TType.STRUCT, [StoredObject, None], False), None, ),  # 2
     (3, TType.I64, 'server_revision', None, None, ),  # 3
     (4, TType.LIST, 'servers', (TType.STRUCT, [StoredObject, None], False), None, ),  # 4
+    (5, TType.BOOL, 'partial', None, None, ),  # 5
+    (6, TType.LIST, 'removed', (TType.STRING, 'UTF8', False), None, ),  # 6
+    (7, TType.I32, 'grace_ms', None, None, ),  # 7
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/peer/src/lavendershed/peer/load_reports.py
+++ b/packages/peer/src/lavendershed/peer/load_reports.py
@@ -9,6 +9,7 @@
 import functools
 import ipaddress
 import itertools
+import zlib
 
 import xxhash
 
@@ -35,13 +36,24 @@
 _PORT_RANGE = 65_536
 # Converted addresses are cached, because every report contains its sender's.
 _ADDRESS_CACHE_SIZE = 2_048
-# A report must fit into one datagram of 1,400 bytes. A task takes up to 25
-# bytes; a daemon of the largest deployment has about 40 open requests.
+# A datagram of this size is not fragmented. A task takes up to 25 bytes; a
+# daemon of the largest deployment has about 40 open requests.
+MAX_DATAGRAM = units.Bytes(1_400)
 _MAX_TASKS = 40
+# Encoding of a bundle besides its reports, and of the length of a report.
+_BUNDLE_OVERHEAD = units.Bytes(60)
+_LENGTH_OVERHEAD = units.Bytes(3)
+_ADDRESS_BYTES = units.Bytes(8)
 _MAX_SUSPECTS = 8
 _MAX_SLOW_ENGINES = 8
 _SLOWDOWN_SCALE = 10
 _MAX_UNREACHABLE_SERVERS = 8
+_STATE_REQUEST_PREFIX = b"state"
+# Smaller objects, such as server entries, are sent as they are.
+_MIN_COMPRESSED = units.Bytes(4_096)
+_COMPRESSION_LEVEL = 1
+_COMPRESSION_CACHE_SIZE = 4
+MAX_OBJECT_BYTES = units.Bytes(16_000_000)
 
 ServerLookup = Callable[[int], ids.BackendServerId | None]
 
@@ -55,7 +67,8 @@
         sender_address: Address of the sending daemon; None if a daemon of an
             older version sent the report. The datagram may come from a relay.
         availability_zone: Availability zone of the sending daemon.
-        sequence: Sequence number; a higher one is newer.
+        sequence: Sequence number; a higher one is newer, the same one repeats
+            the report.
         configuration_epoch: Epoch of the sender's configuration.
         server_revision: Revision of the sender's list of backend servers.
         open_tasks: Unfinished tasks of the sender.
@@ -64,8 +77,8 @@
         slow_engines: Slow engines, each with its slowdown factor.
         unreachable_servers: Servers that the sender can't reach.
         peer_addresses: Addresses of the daemons that the sender knows.
-        relay_in_zone: Whether the receiver forwards the report to the daemons
-            of its availability zone.
+        watches_store: Whether the sender watches the store successfully.
+        bandwidth_mbps: Bandwidth of the sender's VM in Mbit/s.
     """
 
     incarnation: ids.Incarnation
@@ -79,7 +92,28 @@
     slow_engines: tuple[engine_slowdown.Slowdown, ...]
     unreachable_servers: tuple[server_health.UnreachableServer, ...]
     peer_addresses: tuple[addresses.Address, ...]
-    relay_in_zone: bool = False
+    watches_store: bool = False
+    bandwidth_mbps: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportBundle:
+    """Reports that an aggregator distributes.
+
+    Attributes:
+        aggregator: Address of the aggregator.
+        availability_zone: Its availability zone.
+        member_count: Number of daemons of that zone that it knows.
+        reports: Encoded reports.
+        live_daemons: Daemons that are alive, whose reports may be omitted
+            because they have not changed.
+    """
+
+    aggregator: addresses.Address
+    availability_zone: ids.AvailabilityZoneId
+    member_count: int
+    reports: tuple[bytes, ...]
+    live_daemons: tuple[addresses.Address, ...] = ()
 
 
 def hash_server_id(server: ids.BackendServerId) -> int:
@@ -114,31 +148,89 @@
             if report.sender_address is None
             else _encode_address(report.sender_address),
             zone=report.availability_zone,
-            relayed=report.relay_in_zone or None,
+            watching=report.watches_store or None,
+            bandwidth=report.bandwidth_mbps or None,
             sequence=report.sequence,
             configuration_version=report.configuration_epoch,
             server_revision=report.server_revision,
-            works=list(task_fields),
-            suspects=list(suspects),
-            slow=list(slow_engines),
-            unreachable=list(unreachable_servers),
+            works=list(task_fields) or None,
+            suspects=list(suspects) or None,
+            slow=list(slow_engines) or None,
+            unreachable=list(unreachable_servers) or None,
             peers=[
                 _encode_address(a)
                 for a in report.peer_addresses[
                     : peer_table.MAX_ADDRESSES_PER_REPORT
                 ]
-            ],
+            ]
+            or None,
         )
     )
 
 
-def decode_report(
+def encode_bundles(bundle: ReportBundle) -> list[bytes]:
+    """Returns a bundle as one or more datagrams; one if it is empty."""
+    items: list[tuple[int, bytes | int]] = [
+        (len(report) + _LENGTH_OVERHEAD, report) for report in bundle.reports
+    ]
+    items += [
+        (_ADDRESS_BYTES, _encode_address(address))
+        for address in bundle.live_daemons
+    ]
+    groups: list[list[bytes | int]] = [[]]
+    size = int(_BUNDLE_OVERHEAD)
+    for item_size, item in items:
+        if groups[-1] and size + item_size > MAX_DATAGRAM:
+            groups.append([])
+            size = int(_BUNDLE_OVERHEAD)
+        groups[-1].append(item)
+        size += item_size
+    return [
+        wire.encode(
+            ttypes.LoadReport(
+                sender=_encode_address(bundle.aggregator),
+                zone=bundle.availability_zone,
+                members=bundle.member_count,
+                bundled=[item for item in group if isinstance(item, bytes)],
+                alive=[item for item in group if isinstance(item, int)] or None,
+            )
+        )
+        for group in groups
+    ]
+
+
+def decode_datagram(
     datagram: bytes, find_server: ServerLookup, now: units.Instant
-) -> LoadReport:
-    """Returns the report of a datagram.
+) -> LoadReport | ReportBundle:
+    """Returns the report or the bundle of a datagram.
 
     Args:
         datagram: Bytes as received.
+        find_server: As for `decode_report`.
+        now: Current time.
+
+    Raises:
+        Exception: One of `wire.DECODE_ERRORS`.
+    """
+    message = wire.decode(ttypes.LoadReport, datagram)
+    if message.bundled is None or message.sender is None:
+        return _to_report(message, find_server, now)
+    return ReportBundle(
+        _decode_address(message.sender),
+        ids.AvailabilityZoneId(message.zone or ""),
+        message.members or 0,
+        tuple(message.bundled),
+        tuple(_decode_address(number) for number in message.alive or ()),
+    )
+
+
+def decode_report(
+    encoded: bytes, find_server: ServerLookup, now: units.Instant
+) -> LoadReport:
+    """Returns an encoded report.
+
+    Args:
+        encoded: Bytes of a datagram, or of one report of a bundle.
         find_server: Returns the server with this hash; work at unknown servers
             is skipped.
         now: Current time.
@@ -146,7 +238,12 @@
     Raises:
         Exception: One of `wire.DECODE_ERRORS`.
     """
-    message = wire.decode(ttypes.LoadReport, datagram)
+    return _to_report(wire.decode(ttypes.LoadReport, encoded), find_server, now)
+
+
+def _to_report(
+    message: ttypes.LoadReport, find_server: ServerLookup, now: units.Instant
+) -> LoadReport:
     task_fields = message.works or []
     suspects = message.suspects or []
     open_tasks = (
@@ -180,7 +277,8 @@
             )
         ),
         tuple(_decode_address(number) for number in message.peers or []),
-        bool(message.relayed),
+        bool(message.watching),
+        message.bandwidth or 0,
     )
 
 
@@ -285,12 +383,59 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerState:
-    """Contents of the store as a daemon knows them."""
+    """Contents of the store as a daemon knows them.
+
+    Attributes:
+        configuration_revision: Store revision of its configuration.
+        configuration: The configuration, if the receiver lacks it.
+        server_revision: Store revision of its list of backend servers.
+        servers: All servers, or the changed ones of a partial state.
+        partial: Whether only changes of the server list are included.
+        removed_servers: Names of the servers that a partial state removes.
+        grace: Time for which missing servers may be an effect of an outage of
+            the store.
+    """
 
     configuration_revision: ids.ObjectVersion
     configuration: tuple[StoredObject, ...]
     server_revision: ids.ObjectVersion
     servers: tuple[StoredObject, ...]
+    partial: bool = False
+    removed_servers: tuple[str, ...] = ()
+    grace: units.Seconds = units.Seconds(0.0)
+
+
+def encode_state_request(
+    version: ids.Epoch, revision: ids.ObjectVersion
+) -> bytes:
+    """Returns a request for what is newer than the given state."""
+    return _STATE_REQUEST_PREFIX + wire.encode(
+        ttypes.StateRequest(
+            configuration_version=version, server_revision=revision
+        )
+    )
+
+
+def decode_state_request(
+    request: bytes,
+) -> tuple[ids.Epoch, ids.ObjectVersion] | None:
+    """Returns the version and revision of a request; None if it is another.
+
+    Daemons of older versions send the prefix only and get the whole state.
+
+    Raises:
+        Exception: One of `wire.DECODE_ERRORS`.
+    """
+    if not request.startswith(_STATE_REQUEST_PREFIX):
+        return None
+    encoded = request[len(_STATE_REQUEST_PREFIX) :]
+    if not encoded:
+        return ids.Epoch(0), ids.ObjectVersion(0)
+    message = wire.decode(ttypes.StateRequest, encoded)
+    return (
+        ids.Epoch(message.configuration_version or 0),
+        ids.ObjectVersion(message.server_revision or 0),
+    )
 
 
 def encode_state(state: PeerState) -> bytes:
@@ -301,6 +446,9 @@
             configuration=_objects_to_thrift(state.configuration),
             server_revision=state.server_revision,
             servers=_objects_to_thrift(state.servers),
+            partial=state.partial or None,
+            removed=list(state.removed_servers) or None,
+            grace_ms=round(state.grace * 1_000) or None,
         )
     )
 
@@ -317,6 +465,9 @@
         _objects_from_thrift(message.configuration),
         ids.ObjectVersion(message.server_revision or 0),
         _objects_from_thrift(message.servers),
+        bool(message.partial),
+        tuple(message.removed or ()),
+        units.Seconds((message.grace_ms or 0) / 1_000),
     )
 
 
@@ -324,17 +475,52 @@
     objects: Iterable[StoredObject],
 ) -> list[ttypes.StoredObject]:
     return [
-        ttypes.StoredObject(name=o.name, revision=o.revision, spec=o.spec)
+        ttypes.StoredObject(
+            name=o.name,
+            revision=o.revision,
+            spec=o.spec if len(o.spec) < _MIN_COMPRESSED else None,
+            compressed_spec=_compress(o.spec)
+            if len(o.spec) >= _MIN_COMPRESSED
+            else None,
+        )
         for o in objects
     ]
 
 
+# A configuration goes to all daemons of a zone within a second.
+@functools.lru_cache(_COMPRESSION_CACHE_SIZE)
+def _compress(spec: bytes) -> bytes:
+    return zlib.compress(spec, _COMPRESSION_LEVEL)
+
+
+def _decompress(compressed: bytes) -> bytes:
+    """Returns the content.
+
+    Raises:
+        ValueError: It is damaged, incomplete or too large.
+    """
+    decompressor = zlib.decompressobj()
+    try:
+        spec = decompressor.decompress(compressed, MAX_OBJECT_BYTES)
+    except zlib.error as error:
+        raise ValueError(f"damaged object: {error}") from error
+    if not decompressor.eof:
+        raise ValueError(
+            f"object is incomplete or exceeds {MAX_OBJECT_BYTES} bytes"
+        )
+    return spec
+
+
 def _objects_from_thrift(
     objects: list[ttypes.StoredObject] | None,
 ) -> tuple[StoredObject, ...]:
     return tuple(
         StoredObject(
-            o.name or "", ids.ObjectVersion(o.revision or 0), o.spec or b""
+            o.name or "",
+            ids.ObjectVersion(o.revision or 0),
+            o.spec or b""
+            if o.compressed_spec is None
+            else _decompress(o.compressed_spec),
         )
         for o in objects or []
     )
--- a/packages/platform/src/lavendershed/platform/engines.py
+++ b/packages/platform/src/lavendershed/platform/engines.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import orjson
+import result
 
 from lavendershed.core import addresses
 from lavendershed.core import ids
 from lavendershed.core import units
 from lavendershed.forwarding import codecs
 from lavendershed.forwarding import requests
+from lavendershed.platform import fields
 from lavendershed.platform import header_names
 from lavendershed.transport import client
 
+_OK_STATUS = 200
 _WRONG_SERVER_STATUS = 421
 # These statuses imply that a request has not run. Without the not-executed
 # header, the engine may still have run it.
@@ -67,15 +70,15 @@
         self, head: client.ResponseHead, caller_request: requests.CallerRequest
     ) -> requests.BackendResponseHead:
         """Classifies the head of a response to `caller_request`."""
-        fields = dict(head.headers)
-        faulty_server = fields.get(header_names.FAULTY_SERVER)
+        response_fields = dict(head.headers)
+        faulty_server = response_fields.get(header_names.FAULTY_SERVER)
         parsed = (
             addresses.parse(faulty_server)
             if faulty_server is not None
             else None
         )
         return requests.BackendResponseHead(
-            _response_kind(head, fields, caller_request),
+            _response_kind(head, response_fields, caller_request),
             head.status,
             tuple(
                 (name, value)
@@ -83,7 +86,7 @@
                 if name not in header_names.HOP_BY_HOP
                 and name != "content-length"
             ),
-            _idle_timeout(fields),
+            _idle_timeout(response_fields),
             parsed.ok() if parsed is not None else None,
         )
 
@@ -121,6 +124,32 @@
         )
         return outcome, _idle_timeout(dict(head.headers))
 
+    def encode_status_query(
+        self, server: ids.BackendServerId
+    ) -> client.RequestHead:
+        """Returns a query for an engine's report."""
+        return client.RequestHead(
+            "GET", "/report", ((header_names.EXPECTED_SERVER, server),)
+        )
+
+    def decode_status(
+        self, head: client.ResponseHead, body: bytes
+    ) -> result.Result[requests.EngineStatus, str]:
+        """Returns the state in an engine's report."""
+        if head.status != _OK_STATUS:
+            return result.Err(f"status {head.status}")
+        try:
+            report = fields.as_table(orjson.loads(body), "report")
+            # The ratio of the actual to the nominal step time, not a rate.
+            slowdown = fields.number(report, "pace", 1.0)
+        except (fields.FieldError, orjson.JSONDecodeError) as error:
+            return result.Err(f"invalid report: {error}")
+        return result.Ok(
+            requests.EngineStatus(
+                max(1.0, slowdown), _idle_timeout(dict(head.headers))
+            )
+        )
+
 
 def _encode_order(
     server: ids.BackendServerId, body: dict[str, str | int | bool]
@@ -138,15 +167,15 @@
 
 def _response_kind(
     head: client.ResponseHead,
-    fields: dict[str, str],
+    response_fields: dict[str, str],
     caller: requests.CallerRequest,
 ) -> requests.ResponseKind:
     if head.status == _WRONG_SERVER_STATUS:
         return requests.ResponseKind.WRONG_SERVER
-    echoed_id = fields.get(header_names.REQUEST_ID)
+    echoed_id = response_fields.get(header_names.REQUEST_ID)
     if echoed_id is not None and echoed_id != caller.id:
         return requests.ResponseKind.OTHER_REQUEST
-    if header_names.NOT_RUN in fields:
+    if header_names.NOT_RUN in response_fields:
         return requests.ResponseKind.NOT_RUN
     if not 200 <= head.status < 300:
         if head.status in _NOT_RUN_STATUSES:
@@ -154,17 +183,17 @@
         return requests.ResponseKind.FAILURE
     if (
         echoed_id is None
-        or header_names.SIGNATURE not in fields
-        or "content-encoding" in fields
+        or header_names.SIGNATURE not in response_fields
+        or "content-encoding" in response_fields
     ):
         return requests.ResponseKind.INVALID
     return requests.ResponseKind.SUCCESS
 
 
-def _idle_timeout(fields: dict[str, str]) -> units.Seconds | None:
-    if "close" in fields.get("connection", "").lower():
+def _idle_timeout(response_fields: dict[str, str]) -> units.Seconds | None:
+    if "close" in response_fields.get("connection", "").lower():
         return None
-    for part in fields.get("keep-alive", "").split(","):
+    for part in response_fields.get("keep-alive", "").split(","):
         name, _, value = part.strip().partition("=")
         if name == "timeout" and value.isdigit():
             return units.Seconds(float(value))
--- a/packages/platform/src/lavendershed/platform/factory.py
+++ b/packages/platform/src/lavendershed/platform/factory.py
@@ -7,18 +7,24 @@
 
 from lavendershed.core import ids
 from lavendershed.core import timers
+from lavendershed.forwarding import bundle_distribution
 from lavendershed.forwarding import codecs
 from lavendershed.forwarding import components
 from lavendershed.forwarding import connections
 from lavendershed.forwarding import context
 from lavendershed.forwarding import deployment_view
 from lavendershed.forwarding import engine_choosers
+from lavendershed.forwarding import engine_inspection
 from lavendershed.forwarding import gateway
 from lavendershed.forwarding import load_reporting
+from lavendershed.forwarding import peer_versions
 from lavendershed.forwarding import reservations
 from lavendershed.forwarding import state_exchange
+from lavendershed.forwarding import store_availability
+from lavendershed.forwarding import store_watch_role
 from lavendershed.forwarding import store_watcher
 from lavendershed.membership import peer_table
+from lavendershed.membership import report_topology
 from lavendershed.platform import callers
 from lavendershed.platform import engines
 from lavendershed.platform import objects
@@ -84,18 +90,39 @@
         reservations.ReservationClient(
             server_connections, backend_codec, event_log
         ),
+        engine_inspection.EngineInspector(
+            server_connections,
+            backend_codec,
+            slowdowns,
+            timer_service,
+            event_log,
+        ),
         health,
         timer_service,
         event_log,
         request_instruments.RequestInstruments(platform_settings.vm),
         platform_settings.zone,
     )
-    store_connection = store_watcher.StoreAvailability()
-    peers = peer_table.PeerTable(
-        platform_settings.peer_address, platform_settings.zone
-    )
+    availability = store_availability.StoreAvailability()
+    peers = peer_table.PeerTable(platform_settings.peer_address)
     peers.set_seeds(platform_settings.seeds)
-    peer_versions = load_reporting.PeerVersions()
+    topology = report_topology.ReportTopology(
+        peers,
+        platform_settings.peer_address,
+        platform_settings.zone,
+        platform_settings.bandwidth_mbps,
+    )
+    store_role = store_watch_role.StoreWatchRole(
+        platform_settings.zone, peers, topology, availability, timer_service
+    )
+    bundles = bundle_distribution.BundleDistributor(
+        platform_settings.peer_address,
+        platform_settings.zone,
+        peers,
+        topology,
+        timer_service,
+    )
+    versions = peer_versions.PeerVersions(platform_settings.zone)
     daemon_components = components.Components(
         forwarding_context,
         gateway.Gateway(forwarding_context, generator),
@@ -106,7 +133,8 @@
                     platform_settings.store_address, name, timer_service
                 ),
                 view,
-                store_connection,
+                availability,
+                store_role,
                 timer_service,
                 event_log,
                 generator,
@@ -117,8 +145,12 @@
             incarnation,
             platform_settings.peer_address,
             platform_settings.zone,
+            platform_settings.bandwidth_mbps,
             peers,
-            peer_versions,
+            topology,
+            bundles,
+            store_role,
+            versions,
             view,
             tracker,
             crashes,
@@ -128,14 +160,9 @@
             timer_service,
             event_log,
         ),
-        state_exchange.StateServer(view),
+        state_exchange.StateServer(view, timer_service),
         state_exchange.StateFetcher(
-            peers,
-            peer_versions,
-            view,
-            store_connection,
-            timer_service,
-            event_log,
+            versions, view, store_role, timer_service, event_log
         ),
     )
     return PlatformComponents(daemon_components, peers, budget)
--- a/packages/platform/src/lavendershed/platform/settings.py
+++ b/packages/platform/src/lavendershed/platform/settings.py
@@ -29,6 +29,7 @@
         store_address: Address of the platform's object store.
         grace_period: Time from SIGTERM to SIGKILL.
         retry_budget: Limits on the retries of all daemons together.
+        bandwidth_mbps: Bandwidth of the VM; 0 if it is not stated.
     """
 
     vm: ids.VmId
@@ -40,6 +41,7 @@
     store_address: addresses.Address
     grace_period: units.Seconds
     retry_budget: fleet_retry_budget.FleetBudgetLimits
+    bandwidth_mbps: int = 0
 
 
 def load(path: pathlib.Path) -> result.Result[PlatformSettings, str]:
@@ -55,6 +57,7 @@
     listen = fields.as_table(body.get("listen"), "listen")
     bounds = fields.as_table(body.get("bounds"), "bounds")
     store = fields.as_table(body.get("provider"), "provider")
+    vm_limits = fields.as_table(body.get("limits", {}), "limits")
     ports = fields.array(body, "internal_ports")
     if not ports or not isinstance(ports[0], int):
         raise fields.FieldError("internal_ports", "contains no port")
@@ -77,6 +80,7 @@
             fields.number(bounds, "budget_slack"),
             units.Seconds(fields.number(bounds, "budget_window_s")),
         ),
+        int(fields.number(vm_limits, "link_mbps", 0.0)),
     )
 
 
--- a/packages/routing/src/lavendershed/routing/engine_slowdown.py
+++ b/packages/routing/src/lavendershed/routing/engine_slowdown.py
@@ -32,6 +32,16 @@
         self._reported: dict[
             ids.BackendServerId, tuple[float, units.Instant]
         ] = {}
+        # Factors that engines stated themselves, with their expiry.
+        self._stated: dict[
+            ids.BackendServerId, tuple[float, units.Instant]
+        ] = {}
+
+    def on_stated_slowdown(
+        self, server: ids.BackendServerId, factor: float, now: units.Instant
+    ) -> None:
+        """Records the slowdown factor that an engine states; 1 is none."""
+        self._stated[server] = (factor, units.after(now, _SAMPLE_LIFETIME))
 
     def on_inter_token_latency(
         self,
@@ -63,7 +73,7 @@
         """Returns the slow engines observed by this daemon."""
         found = (
             (server, self._local_factor(server, now))
-            for server in self._latency_ratios
+            for server in self._latency_ratios.keys() | self._stated.keys()
         )
         return tuple((s, factor) for s, factor in found if factor > 1.0)
 
@@ -76,6 +86,20 @@
 
     def _local_factor(
         self, server: ids.BackendServerId, now: units.Instant
+    ) -> float:
+        return max(
+            self._observed_factor(server, now),
+            self._stated_factor(server, now),
+        )
+
+    def _stated_factor(
+        self, server: ids.BackendServerId, now: units.Instant
+    ) -> float:
+        factor, until = self._stated.get(server, (1.0, now))
+        return factor if until > now and factor >= _MIN_SLOWDOWN else 1.0
+
+    def _observed_factor(
+        self, server: ids.BackendServerId, now: units.Instant
     ) -> float:
         ratios = self._latency_ratios.get(server, ())
         if (
--- a/packages/routing/src/lavendershed/routing/load_tracker.py
+++ b/packages/routing/src/lavendershed/routing/load_tracker.py
@@ -227,6 +227,12 @@
         for task in tasks:
             self._tasks_by_engine.setdefault(task.server, []).append(task)
 
+    def on_alive(self, daemon: ids.Incarnation, now: units.Instant) -> None:
+        """Keeps the tasks of a daemon that reports no change."""
+        report = self._peer_reports.get(daemon)
+        if report is not None:
+            self._peer_reports[daemon] = (now, report[1])
+
     def expire(self, now: units.Instant) -> None:
         """Removes cancelled tasks that have ended, and expired daemons.
 
--- a/packages/routing/src/lavendershed/routing/placements.py
+++ b/packages/routing/src/lavendershed/routing/placements.py
@@ -68,6 +68,11 @@
     urgent: bool
     shares: tuple[memory_shares.MemoryShare, ...] = ()
 
+    @property
+    def prefill_ms(self) -> float:
+        """Prefill time of the whole prompt on one engine."""
+        return self.shard_prefill_ms * (1 + len(self.prefill_helpers))
+
 
 class EngineChooser(abc.ABC):
     """Policy that selects engines for requests to one service."""
--- a/packages/routing/tests/test_engine_slowdown.py
+++ b/packages/routing/tests/test_engine_slowdown.py
@@ -52,6 +52,16 @@
         self.observe(250.0, now=4.0)
         self.assertEqual(self.factor(now=4.0), 1.0)
 
+    def test_a_stated_slowdown_counts_and_is_reported(self):
+        self.slowdowns.on_stated_slowdown(ENGINE, 5.0, at(0.0))
+        self.assertEqual(self.factor(now=1.0), 5.0)
+        self.assertEqual(
+            self.slowdowns.local_slowdowns(at(1.0)), ((ENGINE, 5.0),)
+        )
+        self.assertEqual(self.factor(now=4.0), 1.0)
+        self.slowdowns.on_stated_slowdown(ENGINE, 1.1, at(5.0))
+        self.assertEqual(self.factor(now=5.0), 1.0)
+
     def test_reports_of_peers_count_and_expire(self):
         self.slowdowns.on_report([(ENGINE, 3.0)], at(0.0))
         self.assertEqual(self.factor(now=1.0), 3.0)
--- a/packages/standin/src/lavendershed/standin/platform_engine.py
+++ b/packages/standin/src/lavendershed/standin/platform_engine.py
@@ -5,6 +5,7 @@
 import asyncio
 import dataclasses
 import enum
+import itertools
 from typing import Any
 
 import orjson
@@ -15,6 +16,8 @@
 from lavendershed.transport import handlers
 from lavendershed.transport import server
 
+_DRIP_INTERVAL_S = 0.05
+
 
 class EngineFault(enum.Enum):
     """Fault that is injected into subsequent requests."""
@@ -33,6 +36,12 @@
     PARTIAL_EVENT = "partial_event"
     EVENT_ID_GAP = "gap"
     UNMARKED_REFUSAL = "unsaid_refusal"
+    # Endless comments instead of the next event.
+    COMMENTS_IN_STREAM = "comments_in_stream"
+    # Single bytes of a body that does not end.
+    ENDLESS_BODY = "endless_body"
+    # An event that does not end.
+    ENDLESS_EVENT = "endless_event"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,8 +87,16 @@
         self.received_requests: list[ReceivedRequest] = []
         self.orders: list[dict[str, Any]] = []
         self.event_interval_s = 0.005
-        # Prefill helper that is unreachable; requests that name it are refused.
-        self.unreachable_helper: address_module.Address | None = None
+        # Prefill helpers that are unreachable; requests that name one of them
+        # are refused.
+        self.unreachable_helpers: frozenset[address_module.Address] = (
+            frozenset()
+        )
+        # Prefill time of the engines that a request names, itself included.
+        self.prefill_seconds: dict[address_module.Address, float] = {}
+        # Ratio of the actual to the nominal latency that it reports.
+        self.slowdown = 1.0
+        self.status_queries = 0
         self.memory_tokens = 315_000
         # Whether all events of a stream are sent in one write.
         self.coalesces_events = False
@@ -136,15 +153,21 @@
         if request.path == "/order":
             await self._handle_order(orjson.loads(request.body), responder)
             return
+        if request.path == "/report":
+            self.status_queries += 1
+            await responder.respond(200, orjson.dumps({"pace": self.slowdown}))
+            return
         fault = self.fault
         expected = headers.get("expect-instance")
         misdirected = expected is not None and expected != self._id
-        helper_unreachable = self.unreachable_helper is not None and (
-            str(self.unreachable_helper) in headers.get("helpers", "")
+        named_helpers = headers.get("helpers", "")
+        helper_unreachable = next(
+            (h for h in self.unreachable_helpers if str(h) in named_helpers),
+            None,
         )
         refused = (
             misdirected
-            or helper_unreachable
+            or helper_unreachable is not None
             or fault in (EngineFault.SHED, EngineFault.WRONG_SERVER)
         )
         self.received_requests.append(
@@ -159,8 +182,8 @@
         if misdirected or fault is EngineFault.WRONG_SERVER:
             await responder.respond(421, b"", (("instance-id", self._id),))
             return
-        if helper_unreachable:
-            at_server_header = ("at-server", str(self.unreachable_helper))
+        if helper_unreachable is not None:
+            at_server_header = ("at-server", str(helper_unreachable))
             await responder.respond(
                 503, b"", (("not-executed", "1"), at_server_header)
             )
@@ -201,12 +224,30 @@
         if fault is EngineFault.ERROR:
             await responder.respond(500, b"error", response_headers)
             return
+        if fault is EngineFault.ENDLESS_BODY:
+            responder.start(200, response_headers)
+            await self._drip(responder, b"x")
+            return
         if "token-count" in headers:
             await self._stream(headers, responder, response_headers, fault)
             return
         body = b"answer of " + self._id.encode() + b" to " + request.body
         await responder.respond(200, body, response_headers)
 
+    async def _drip(self, responder: handlers.Responder, data: bytes) -> None:
+        """Sends `data` again and again until the caller closes."""
+        for _ in itertools.count():
+            if not await responder.write(data):
+                return
+            await asyncio.sleep(_DRIP_INTERVAL_S)
+
+    async def _write_without_end(self, responder: handlers.Responder) -> None:
+        """Sends an event that never ends as fast as the caller reads."""
+        for _ in itertools.count():
+            if not await responder.write(b"data: " + bytes(10_000)):
+                return
+            await asyncio.sleep(0)
+
     def _response_headers(
         self, headers: dict[str, str], fault: EngineFault
     ) -> tuple[tuple[str, str], ...]:
@@ -240,6 +281,17 @@
             await asyncio.sleep(
                 self._model.prefill_ms(prompt_tokens, engine_count) / 1_000
             )
+        named = {str(self.address), *headers.get("helpers", "").split(",")}
+        await asyncio.sleep(
+            max(
+                (
+                    seconds
+                    for address, seconds in self.prefill_seconds.items()
+                    if str(address) in named
+                ),
+                default=0.0,
+            )
+        )
         responder.start(
             200, (*response_headers, ("content-type", "text/event-stream"))
         )
@@ -261,6 +313,12 @@
                 if fault is EngineFault.HANG_IN_STREAM:
                     await responder.disconnected.wait()
                     return
+                if fault is EngineFault.COMMENTS_IN_STREAM:
+                    await self._drip(responder, b": alive\n\n")
+                    return
+                if fault is EngineFault.ENDLESS_EVENT:
+                    await self._write_without_end(responder)
+                    return
                 if fault is EngineFault.PARTIAL_EVENT:
                     await responder.write(event[:7])
                     break
--- a/packages/transport/src/lavendershed/transport/client.py
+++ b/packages/transport/src/lavendershed/transport/client.py
@@ -16,6 +16,8 @@
 from lavendershed.transport import streams
 
 _READ_SIZE_BYTES = 65_536
+# A server that sends more interim responses (1xx) never answers.
+_MAX_INTERIM_RESPONSES = 16
 # Methods whose requests have no body unless they state its length.
 _METHODS_WITHOUT_BODY = frozenset({"GET", "HEAD", "DELETE"})
 
@@ -133,9 +135,13 @@
     async def read_head(
         self, timeout: units.Seconds
     ) -> result.Result[ResponseHead, errors.TransportError]:
-        """Reads the status line and headers; `timeout` limits each read."""
-        while True:
-            event = await self._next_event(timeout)
+        """Reads the status line and headers within `timeout` seconds."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout
+        for _ in range(_MAX_INTERIM_RESPONSES):
+            event = await self._next_event(
+                units.Seconds(deadline - loop.time())
+            )
             if isinstance(event, result.Err):
                 return event
             if isinstance(event.ok_value, h11.Response):
@@ -154,11 +160,15 @@
                     errors.TransportErrorKind.CONNECTION_LOST,
                     "connection closed before the response head",
                 )
+        return self._transport_error(
+            errors.TransportErrorKind.PROTOCOL,
+            f"{_MAX_INTERIM_RESPONSES} interim responses without a final one",
+        )
 
     async def read_chunk(
         self, timeout: units.Seconds
     ) -> result.Result[bytes, errors.TransportError]:
-        """Returns the body bytes available after one read; empty at the end."""
+        """Returns body bytes within `timeout` seconds; empty at the end."""
         if self._protocol.their_state is not h11.SEND_BODY:
             # The end of the body arrived with the previous chunk.
             return result.Ok(b"")
@@ -185,11 +195,18 @@
     async def read_body(
         self, timeout: units.Seconds, limit: units.Bytes
     ) -> result.Result[bytes, errors.TransportError]:
-        """Reads the rest of the body, at most `limit` bytes."""
+        """Reads the rest of the body, at most `limit` bytes.
+
+        Args:
+            timeout: Limit for the whole body, however it arrives.
+            limit: Maximum size of the body.
+        """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout
         chunks: list[bytes] = []
         size = 0
         while self._protocol.their_state is h11.SEND_BODY:
-            chunk = await self.read_chunk(timeout)
+            chunk = await self.read_chunk(units.Seconds(deadline - loop.time()))
             if isinstance(chunk, result.Err):
                 return chunk
             size += len(chunk.ok_value)
@@ -204,10 +221,20 @@
     async def _next_event(
         self, timeout: units.Seconds
     ) -> result.Result[h11.Event, errors.TransportError]:
+        """Returns the next event within `timeout` seconds.
+
+        The limit holds for the event and not for each read, because a server
+        may send single bytes of it without end.
+        """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout
         while True:
             if self._needs_data:
+                remaining = deadline - loop.time()
+                if remaining <= 0:
+                    return self._idle_timeout_error(timeout)
                 self._needs_data = False
-                received = await self._receive(timeout)
+                received = await self._receive(units.Seconds(remaining))
                 if isinstance(received, result.Err):
                     return received
                 self._protocol.receive_data(received.ok_value)
@@ -262,7 +289,7 @@
     ) -> result.Err[errors.TransportError]:
         return self._transport_error(
             errors.TransportErrorKind.IDLE_TIMEOUT,
-            f"no progress for {timeout:.3f} s",
+            f"no complete message part within {timeout:.3f} s",
         )
 
     def _transport_error(
--- a/packages/transport/src/lavendershed/transport/pool.py
+++ b/packages/transport/src/lavendershed/transport/pool.py
@@ -16,6 +16,10 @@
 DEFAULT_MAX_BODY_BYTES = units.Bytes(4_000_000)
 
 
+# A large body arrives in many reads, each of which may be slow.
+_BODY_TIMEOUT_FACTOR = 5.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PoolLimits:
     """Limits of one pool.
@@ -111,8 +115,9 @@
             body: Complete request body.
             new_connection: Whether to use a new connection, which is closed
                 after this exchange.
-            timeout: Limit for each wait without progress; the idle timeout of
-                the pool if None.
+            timeout: Limit for sending the request and for the response head;
+                the idle timeout of the pool if None. The response body may
+                take a multiple of it.
             send_before: Time from which the request is no longer sent.
             max_body: Maximum size of the response body.
         """
@@ -158,7 +163,9 @@
         response_head = await connection.read_head(timeout)
         if isinstance(response_head, result.Err):
             return response_head
-        response_body = await connection.read_body(timeout, max_body)
+        response_body = await connection.read_body(
+            units.Seconds(timeout * _BODY_TIMEOUT_FACTOR), max_body
+        )
         if isinstance(response_body, result.Err):
             return response_body
         return result.Ok(
