Spread requests over engines by the placements that no report contains yet

Change: the decode engine is drawn from as many of the best engines as twice the rate of reported requests times the delay of reports, within a bounded loss.

The test fails on the parent: eleven daemons take the same engine.

--- a/packages/forwarding/src/lavendershed/forwarding/load_reporting.py
+++ b/packages/forwarding/src/lavendershed/forwarding/load_reporting.py
@@ -309,6 +309,7 @@
         now = self._timers.now()
         self._next_report = None
         self._load_tracker.expire(now)
+        self._load_tracker.set_report_delay(self._topology.report_delay)
         targets = self._topology.report_targets(now)
         self._log_peer_changes()
         self._reports_sent += 1
--- a/packages/membership/src/lavendershed/membership/report_topology.py
+++ b/packages/membership/src/lavendershed/membership/report_topology.py
@@ -20,6 +20,9 @@
 # Members of a larger zone, the own one included, exchange reports through its
 # aggregator. In smaller zones direct reports are as cheap and arrive sooner.
 MAX_DIRECT_PER_ZONE = 4
+# A change waits 10 ms at its daemon, and 25 ms at the aggregator of each zone.
+_DIRECT_REPORT_DELAY = units.Seconds(0.015)
+_AGGREGATED_REPORT_DELAY = units.Seconds(0.07)
 # The acting aggregator sends at least one bundle in this time to its standbys.
 KEEPALIVE_INTERVAL = units.Seconds(0.1)
 # Daemons of a zone that get the reports of its members: the acting aggregator
@@ -77,6 +80,15 @@
         """Whether the reports of the own zone are aggregated."""
         return self._is_large(self._own_zone)
 
+    @property
+    def report_delay(self) -> units.Seconds:
+        """Typical time until daemons know of a change elsewhere."""
+        return (
+            _AGGREGATED_REPORT_DELAY
+            if self.own_zone_is_large
+            else _DIRECT_REPORT_DELAY
+        )
+
     @property
     def member_count(self) -> int:
         """Number of known daemons of the own zone, this one included."""
--- a/packages/routing/src/lavendershed/routing/engine_choice.py
+++ b/packages/routing/src/lavendershed/routing/engine_choice.py
@@ -6,6 +6,8 @@
 from collections.abc import Iterator
 from collections.abc import Sequence
 import dataclasses
+import math
+import operator
 import random
 
 from lavendershed.core import ids
@@ -32,6 +34,9 @@
 _LONG_PREFILL_MS = 1_000.0
 # Maximum share of the time to the deadline that the first token may take.
 _MAX_DEADLINE_SHARE = 0.9
+# Requests that no report contains yet are spread over this multiple of engines,
+# so that few of them meet at one engine.
+_ENGINES_PER_UNSEEN_REQUEST = 2.0
 _SHARD_COUNTS = (1, 2, 3, 4, 6, 8, 12, 16)
 
 
@@ -250,7 +255,7 @@
         ]
         if not scored:
             return None
-        best = self._pick_among_best(scored)
+        best = self._pick_among_best(scored, now)
         others = [
             prefill_engine
             for prefill_engine in prefill_engines
@@ -321,13 +326,33 @@
         )
 
     def _pick_among_best(
-        self, scored: Sequence[tuple[float, _PrefillEngine]]
+        self,
+        scored: Sequence[tuple[float, _PrefillEngine]],
+        now: units.Instant,
     ) -> _PrefillEngine:
-        """Returns a random engine of those within the tie margin."""
-        limit = min(loss for loss, _ in scored) + self._weights.tie_margin
-        return self._random.choice(
-            [prefill for loss, prefill in scored if loss <= limit]
+        """Returns a random engine of those that are about equally good.
+
+        Daemons that decide before they know of each other's placements would
+        all take the best engine. So the choice is among as many of the best
+        engines as there are placements that no report contains yet (load
+        balancing with old information, Mitzenmacher 1997).
+        """
+        by_loss = sorted(scored, key=operator.itemgetter(0))
+        lowest = by_loss[0][0]
+        spread = math.ceil(
+            _ENGINES_PER_UNSEEN_REQUEST
+            * self._load_tracker.unseen_requests(now)
         )
+        candidates = [
+            prefill
+            for position, (loss, prefill) in enumerate(by_loss)
+            if loss <= lowest + self._weights.tie_margin
+            or (
+                position < spread
+                and loss <= lowest + self._weights.spread_margin
+            )
+        ]
+        return self._random.choice(candidates)
 
     def _ttft_ms(
         self,
--- a/packages/routing/src/lavendershed/routing/load_tracker.py
+++ b/packages/routing/src/lavendershed/routing/load_tracker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
@@ -60,6 +61,12 @@
 # iteration of an engine with some decoding requests.
 _OVERDUE_WAIT_MS = 25.0
 
+# Time over which the rate of new requests is measured.
+_ARRIVAL_PERIOD = units.Seconds(1.0)
+# Bounds the memory and the time to count; the largest fleet places 250 requests
+# per second.
+_MAX_ARRIVALS = 1_000
+
 # Called with whether the change is urgent.
 ChangeListener = Callable[[bool], object]
 
@@ -134,6 +141,11 @@
         ] = {}
         self._tasks_by_engine: dict[ids.BackendServerId, list[EngineTask]] = {}
         self._cancelled: set[int] = set()
+        # Times at which requests of all daemons were placed or reported.
+        self._arrivals: collections.deque[units.Instant] = collections.deque(
+            maxlen=_MAX_ARRIVALS
+        )
+        self._report_delay = units.Seconds(0.0)
         self._listeners: list[ChangeListener] = []
 
     @property
@@ -141,6 +153,19 @@
         """Tasks placed by this daemon."""
         return tuple(self._local_tasks.values())
 
+    def set_report_delay(self, delay: units.Seconds) -> None:
+        """Sets the time after which daemons know of a placement elsewhere."""
+        self._report_delay = delay
+
+    def unseen_requests(self, now: units.Instant) -> float:
+        """Returns how many placed requests no report contains yet, on average.
+
+        It is the rate of new requests times the delay of their reports.
+        """
+        while self._arrivals and now - self._arrivals[0] > _ARRIVAL_PERIOD:
+            self._arrivals.popleft()
+        return len(self._arrivals) / _ARRIVAL_PERIOD * self._report_delay
+
     def age(self, now: units.Instant) -> units.Seconds:
         """Returns the age of the oldest peer report; 0 without any."""
         return units.Seconds(
@@ -222,6 +247,10 @@
         now: units.Instant,
     ) -> None:
         """Replaces the tasks of another daemon."""
+        _, known_tasks = self._peer_reports.get(daemon, (now, ()))
+        known_requests = {task.request for task in known_tasks}
+        new_requests = {task.request for task in tasks} - known_requests
+        self._arrivals.extend(itertools.repeat(now, len(new_requests)))
         self._remove_peer(daemon)
         self._peer_reports[daemon] = (now, tasks)
         for task in tasks:
--- a/packages/routing/src/lavendershed/routing/loss_weights.py
+++ b/packages/routing/src/lavendershed/routing/loss_weights.py
@@ -42,6 +42,9 @@
             within the delay of the load reports would all choose the same
             one. It corresponds to 10 ms, and is less than a short answer
             loses by crossing availability zones.
+        spread_margin: Difference in loss up to which requests are spread over
+            more engines because of placements that are not known yet. It
+            allows an idle engine instead of one that decodes already.
         max_shards: Maximum number of engines that prefill one prompt, the
             decode engine included; a limit of the engines' protocol.
     """
@@ -58,6 +61,7 @@
     cross_zone_byte: float = 2.9e-6
     min_parallel_prefill_ms: float = 50.0
     tie_margin: float = 0.01
+    spread_margin: float = 0.35
     max_shards: int = 16
 
 
--- a/packages/routing/tests/test_engine_choice.py
+++ b/packages/routing/tests/test_engine_choice.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import random
 import unittest
 
@@ -61,6 +62,52 @@
         self.assertEqual(placement.decode_engine.id, "e3")
         self.assertEqual(placement.prefill_helpers, ())
 
+    def place_with_old_load(self, daemons, report_delay):
+        """Returns the requests at the busiest engine.
+
+        Each daemon places one request before it knows of the others'. Earlier
+        requests of a second have shown the rate of arrivals.
+        """
+        profile = latency_model.LatencyModel(engine_fixture.PROFILE)
+        engines = [engine_fixture.engine(f"e{n}") for n in range(100)]
+        taken = collections.Counter()
+        for seed in range(daemons):
+            tracker = load_tracker.LoadTracker()
+            tracker.set_report_delay(units.Seconds(report_delay))
+            for number in range(150):
+                tracker.on_report(
+                    ids.Incarnation(number),
+                    (engine_fixture.task("e3", request=number),),
+                    units.Instant(NOW - 0.5),
+                )
+                tracker.on_report(ids.Incarnation(number), (), NOW)
+            tracker.on_report(
+                ids.Incarnation(999), (engine_fixture.task("e3"),), NOW
+            )
+            chooser = engine_choice.PredictedLossChooser(
+                profile,
+                tracker,
+                engine_slowdown.EngineSlowdowns(),
+                random.Random(seed),
+            )
+            placement = chooser.choose(
+                engine_fixture.demand(2_000), engines, NO_ENGINES, NOW
+            )
+            taken[placement.decode_engine.id] += 1
+        return max(taken.values())
+
+    def test_daemons_with_old_load_spread_their_requests(self):
+        """Guards against daemons that all take the same engine.
+
+        Nine of 195 daemons sent short prompts to one engine with five batch
+        slots within 0.1 s, while reports took 0.07 s.
+        """
+        self.assertLessEqual(self.place_with_old_load(11, 0.07), 3)
+
+    def test_daemons_with_fresh_load_share_engines(self):
+        """Guards against engines that decode for few requests each."""
+        self.assertEqual(self.place_with_old_load(11, 0.0), 11)
+
     def test_a_short_prompt_avoids_an_engine_that_prefills_a_long_one(self):
         self.add_decoding("e3", 2)
         self.add_prefill("e3", 900.0)
