Let requests wait for the first configuration of a new daemon

Daemons that did not reach the store asked a peer after 0.3 to 1.2 s only.

Change: a request waits up to 1.5 s, at most three tenths of its time, and is told to return after 0.5 s otherwise. A daemon without a configuration asks the first peer that has one at once.

--- a/packages/forwarding/src/lavendershed/forwarding/deployment_view.py
+++ b/packages/forwarding/src/lavendershed/forwarding/deployment_view.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 
 from lavendershed.core import ids
@@ -44,6 +45,7 @@
         self._changes = server_changes.ServerChanges()
         self._last_server_change = ids.ObjectVersion(0)
         self._listeners: list[ChangeListener] = []
+        self._completion_waiters: set[asyncio.Future[None]] = set()
 
     def subscribe(self, listener: ChangeListener) -> None:
         """Calls `listener` after each new configuration or server list."""
@@ -69,6 +71,22 @@
         """Whether a configuration and a server list are known."""
         return self._table is not None and self._directory.is_initialised
 
+    async def wait_complete(self, timeout: units.Seconds) -> bool:
+        """Waits until a configuration and a server list are known.
+
+        Returns:
+            Whether they are known within `timeout` seconds.
+        """
+        if self.complete:
+            return True
+        completed = asyncio.get_running_loop().create_future()
+        self._completion_waiters.add(completed)
+        try:
+            await asyncio.wait((completed,), timeout=max(0.0, timeout))
+        finally:
+            self._completion_waiters.discard(completed)
+        return self.complete
+
     @property
     def last_server_change(self) -> ids.ObjectVersion:
         """Revision of the newest known change of the server list.
@@ -230,6 +248,10 @@
     def _notify_listeners(self) -> None:
         for listener in self._listeners:
             listener()
+        if self.complete:
+            for waiter in self._completion_waiters:
+                if not waiter.done():
+                    waiter.set_result(None)
 
     def _retain_until(self, now: units.Instant) -> units.Instant | None:
         return self._grace_ends_at if now < self._grace_ends_at else None
--- a/packages/forwarding/src/lavendershed/forwarding/gateway.py
+++ b/packages/forwarding/src/lavendershed/forwarding/gateway.py
@@ -22,9 +22,15 @@
 from lavendershed.telemetry import events
 from lavendershed.transport import handlers
 
-# A daemon without a configuration was started during an outage of the store,
-# which lasts for seconds. Callers wait at most a third of their remaining time.
-_NOT_READY_RETRY_AFTER = units.Seconds(3.0)
+# A daemon that has just started gets its configuration from the store or a peer
+# within this time, unless it reaches neither. Requests wait for it: callers
+# that were told to return would be late, and after a failure of all daemons
+# they would meet others that have just started.
+_MAX_READINESS_WAIT = units.Seconds(1.5)
+# Share of the caller's time that a request may wait, so that another daemon can
+# still serve it.
+_READINESS_WAIT_SHARE = 0.3
+_NOT_READY_RETRY_AFTER = units.Seconds(0.5)
 _NO_SERVICE_RETRY_AFTER = units.Seconds(1.0)
 # A stopping daemon admits a request only if its response can complete in time.
 # Nearly all streams of the target workloads end within this time. With a grace
@@ -64,12 +70,38 @@
             await self._reject(None, decoded.err_value, responder)
             return
         caller_request = decoded.ok_value
+        await self._wait_until_ready(caller_request, responder)
         admission = self._admit(caller_request, received_at)
         if isinstance(admission, result.Err):
             await self._reject(caller_request, admission.err_value, responder)
             return
         await self._execute(admission.ok_value, responder)
 
+    async def _wait_until_ready(
+        self,
+        caller_request: requests.CallerRequest,
+        responder: handlers.Responder,
+    ) -> None:
+        """Waits for the first configuration, as long as the caller does."""
+        view = self._context.view
+        if view.complete:
+            return
+        timeout = _MAX_READINESS_WAIT
+        if caller_request.timeout is not None:
+            timeout = min(
+                timeout,
+                units.Seconds(caller_request.timeout * _READINESS_WAIT_SHARE),
+            )
+        waiting = asyncio.get_running_loop().create_task(
+            view.wait_complete(timeout)
+        )
+        responder.on_disconnect(waiting.cancel)
+        try:
+            await asyncio.wait((waiting,))
+        finally:
+            responder.on_disconnect(None)
+            waiting.cancel()
+
     def rejection_body(self, status: int, detail: str) -> bytes:
         """Returns the response body for a request that is not handled."""
         return detail.encode()
--- a/packages/forwarding/src/lavendershed/forwarding/state_exchange.py
+++ b/packages/forwarding/src/lavendershed/forwarding/state_exchange.py
@@ -28,6 +28,8 @@
 _MAX_STATE = units.Bytes(16_000_000)
 _EXCHANGE_TIMEOUT = units.Seconds(1.5)
 _CHECK_INTERVAL = units.Seconds(0.2)
+# Requests wait for the first configuration of a daemon that has just started.
+_FIRST_CHECK_INTERVAL = units.Seconds(0.05)
 # Updates from the store arrive within milliseconds; a daemon whose state is
 # still stale after this time asks a peer.
 _MAX_STALENESS = units.Seconds(0.3)
@@ -141,7 +143,11 @@
     async def run(self) -> None:
         """Compares versions and fetches newer objects until cancelled."""
         while True:
-            await asyncio.sleep(_CHECK_INTERVAL)
+            await asyncio.sleep(
+                _CHECK_INTERVAL
+                if self._view.complete
+                else _FIRST_CHECK_INTERVAL
+            )
             now = self._timers.now()
             self._view.expire(now)
             if self._newer_peer(in_zone=False) is None:
@@ -158,14 +164,16 @@
         if staleness >= _MAX_STALENESS_WITHOUT_STORE:
             self._store_role.require(_STORE_WATCH_TIME)
         address = self._newer_peer(in_zone=True)
-        if address is None and staleness >= _MAX_STALENESS_IN_ZONE:
+        if address is None and (
+            staleness >= _MAX_STALENESS_IN_ZONE or not self._view.complete
+        ):
             address = self._newer_peer(in_zone=False)
         if address is not None:
             await self._fetch_from(address)
 
     @property
     def _max_staleness(self) -> units.Seconds:
-        if self._store_role.is_watching:
+        if self._store_role.is_watching and self._view.complete:
             return _MAX_STALENESS
         return _MAX_STALENESS_WITHOUT_WATCH
 
--- a/tests/test_platform_rules.py
+++ b/tests/test_platform_rules.py
@@ -598,10 +598,45 @@
         self.store.fault = platform_store.StoreFault.SILENT
         other = await self.start_daemon(ready=False)
         await asyncio.sleep(0.1)
-        response = await self.request("/safe/x", address=other.caller_address)
+        response = await self.request(
+            "/safe/x", address=other.caller_address, deadline_ms="900"
+        )
         self.assertEqual(response.head.status, 503)
+        self.assertLess(float(response.head.header("retry-after")), 1.0)
         self.assertFalse(other.daemon.ready)
 
+    async def test_requests_wait_for_the_first_configuration(self):
+        """Guards against refusals after a restart of all daemons.
+
+        Daemons are reached by callers some tenths of a second before they have
+        a configuration. Callers that were sent away for 3 s came back late.
+        """
+        self.store.fault = platform_store.StoreFault.SILENT
+        other = await self.start_daemon(ready=False)
+        await asyncio.sleep(0.1)
+        task = self.loop.create_task(
+            self.request(
+                "/safe/x", address=other.caller_address, deadline_ms="5000"
+            )
+        )
+        await asyncio.sleep(0.2)
+        self.assertFalse(task.done())
+        other.parts.components.context.view.on_peer_state(
+            self.daemon.parts.components.context.view.state_since(
+                0, 0, self.timers.now()
+            ),
+            self.timers.now(),
+        )
+        self.assertEqual((await task).head.status, 200)
+
+    async def test_a_new_daemon_is_ready_soon_without_the_store(self):
+        """Guards against daemons that wait before they ask a peer."""
+        self.store.fault = platform_store.StoreFault.SILENT
+        started = self.loop.time()
+        other = await self.start_daemon(seeds=(self.daemon.peer_address,))
+        self.assertTrue(other.daemon.ready)
+        self.assertLess(self.loop.time() - started, 0.3)
+
 
 class SlowEngineTest(platform_case.PlatformCase):
     """Fails if one slow engine delays a prompt that others could prefill."""
