Order waiting requests by value and schedule the returns of rejected callers

Cause: a prompt that no engine could take polled every 0.2 s until its target latency, so that free capacity went to whichever poll came next, prompts that no fleet can serve were held, and all rejected callers were told 2 s.

Change: a library of decisions, admission: waiting requests in the order of what they are still worth per engine time, less for organisations with much of the recent engine time, bounded in number and bytes; rejection at once of what can't end in time; times of return spread at the rate that can be served, not before the backlog is done, never past the deadline. Ends of tasks on any daemon wake the waiting requests in order.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -15,6 +15,7 @@
 INSTALLED = TARGET / "requirements.txt"
 # Libraries used on the platform; the others serve only the router's own API.
 LIBRARIES = (
+    "admission",
     "core",
     "forwarding",
     "membership",
--- a/packages/forwarding/src/lavendershed/forwarding/attempts.py
+++ b/packages/forwarding/src/lavendershed/forwarding/attempts.py
@@ -17,9 +17,6 @@
 # Retry-After of a request that was not run: a backend server that was at
 # capacity is likely to accept requests again after this time.
 _RETRY_AFTER = units.Seconds(0.5)
-# Retry-After when no engine had enough KV memory: about the time in which an
-# engine prefills a long prompt and generates its response.
-_NO_CAPACITY_RETRY_AFTER = units.Seconds(2.0)
 # An attempt with less time left than this can't succeed on any server.
 MIN_ATTEMPT_TIME = units.Seconds(0.03)
 
@@ -240,18 +237,23 @@
         )
 
     def build_failure(
-        self, reason: states.FailureReason, detail: str
+        self,
+        reason: states.FailureReason,
+        detail: str,
+        retry_after: units.Seconds | None = _RETRY_AFTER,
     ) -> outcomes.RequestFailure:
-        """Returns a failure with the execution state of all attempts."""
+        """Returns a failure with the execution state of all attempts.
+
+        Args:
+            reason: Why the request fails.
+            detail: Cause, for the caller and for logs.
+            retry_after: When the caller may return if the request has not run;
+                None if no return can be served.
+        """
         execution_state = self.execution
-        retry_after: units.Seconds | None = None
-        if execution_state is states.Execution.NOT_RUN:
-            no_capacity = reason is states.FailureReason.NO_BACKEND_SERVER
-            retry_after = (
-                _NO_CAPACITY_RETRY_AFTER if no_capacity else _RETRY_AFTER
-            )
+        not_run = execution_state is states.Execution.NOT_RUN
         return outcomes.RequestFailure(
-            reason, execution_state, detail, retry_after
+            reason, execution_state, detail, retry_after if not_run else None
         )
 
     def _backend_server_failure(self, detail: str) -> outcomes.RequestFailure:
--- a/packages/forwarding/src/lavendershed/forwarding/context.py
+++ b/packages/forwarding/src/lavendershed/forwarding/context.py
@@ -9,6 +9,7 @@
 
 import result
 
+from lavendershed.admission import return_schedule
 from lavendershed.core import ids
 from lavendershed.core import outcomes
 from lavendershed.core import timers
@@ -20,6 +21,7 @@
 from lavendershed.forwarding import engine_inspection
 from lavendershed.forwarding import requests
 from lavendershed.forwarding import reservations
+from lavendershed.forwarding import waiting_room
 from lavendershed.membership import server_directory
 from lavendershed.reliability import crash_counts
 from lavendershed.reliability import fleet_retry_budget
@@ -48,6 +50,8 @@
     choosers: engine_choosers.EngineChoosers
     plain_service_balancer: server_choice.LeastOutstanding
     load_tracker: load_tracker.LoadTracker
+    waiting_room: waiting_room.WaitingRoom
+    return_schedule: return_schedule.ReturnSchedule
     retry_budget: fleet_retry_budget.FleetRetryBudget
     crashes: crash_counts.CrashCounts
     reservations: reservations.ReservationClient
--- a/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-import asyncio
-
+from lavendershed.admission import return_schedule
+from lavendershed.admission import waiting_request
 from lavendershed.core import forwarding_states
 from lavendershed.core import outcomes
 from lavendershed.core import states
@@ -12,6 +12,9 @@
 from lavendershed.forwarding import request_execution
 from lavendershed.forwarding import stream_attempt
 from lavendershed.forwarding import stream_delivery
+from lavendershed.forwarding import waiting_room
+from lavendershed.membership import server_directory
+from lavendershed.routing import engine_choice
 from lavendershed.routing import latency_model
 from lavendershed.routing import placements
 from lavendershed.telemetry import events
@@ -23,9 +26,6 @@
 )
 # Target inter-token latency of a route that states none.
 _DEFAULT_INTER_TOKEN_LATENCY = units.Seconds(0.5)
-# A request for which no engine has memory is retried at this interval, and
-# fails after its target latency: any long request that ends frees memory.
-_MEMORY_RETRY_INTERVAL = units.Seconds(0.2)
 
 
 class StreamExecution(request_execution.RequestExecution):
@@ -57,22 +57,11 @@
             placement = (
                 None if failure is not None else self._select_placement()
             )
-            if (
-                placement is None
-                and failure is None
-                and self._may_wait_for_memory()
-            ):
-                await asyncio.sleep(_MEMORY_RETRY_INTERVAL)
-                continue
             if placement is None:
-                await self._finish_failed(
-                    failure
-                    or self._attempts.build_failure(
-                        states.FailureReason.NO_BACKEND_SERVER,
-                        f"service {self._admitted_request.service.id} "
-                        "has no capacity",
-                    )
-                )
+                failure = failure or await self._wait_for_capacity()
+                if failure is None:
+                    continue
+                await self._finish_failed(failure)
                 return
             attempt = stream_attempt.StreamAttempt(
                 self._context,
@@ -98,27 +87,95 @@
                 attempt_result.outcome
                 is forwarding_states.AttemptOutcome.NO_MEMORY
             ):
-                if not self._may_wait_for_memory():
-                    await self._finish_failed(
-                        self._attempts.build_failure(
-                            states.FailureReason.NO_BACKEND_SERVER,
-                            attempt_result.detail,
-                        )
-                    )
+                failure = await self._wait_for_capacity()
+                if failure is not None:
+                    await self._finish_failed(failure)
                     return
-                await asyncio.sleep(_MEMORY_RETRY_INTERVAL)
 
-    def _may_wait_for_memory(self) -> bool:
-        """Returns whether memory may become free within the target latency."""
-        elapsed = (
-            self._context.timers.now() - self._admitted_request.received_at
-        )
-        servers = self._context.view.directory.servers_accepting_work(
-            self._admitted_request.service.id
+    async def _wait_for_capacity(self) -> outcomes.RequestFailure | None:
+        """Waits until engines may have capacity for the request.
+
+        Returns:
+            Why the request has to end, or None if it may look for engines
+            again.
+        """
+        context = self._context
+        service = self._admitted_request.service
+        chooser = context.choosers.chooser(service)
+        candidates = context.view.directory.servers_accepting_work(service.id)
+        if chooser is None or not candidates:
+            return self._attempts.build_failure(
+                states.FailureReason.NO_BACKEND_SERVER,
+                f"service {service.id} has no engine",
+            )
+        waiting = self._waiting_request(chooser, len(candidates))
+        now = context.timers.now()
+        if not chooser.fits(self._size, len(candidates)):
+            return self._reject(
+                chooser, candidates, "too large for its engines"
+            )
+        if not waiting.can_meet_deadline(now):
+            return self._reject(chooser, candidates, "can't end in time")
+        if now >= waiting.due_at:
+            return self._reject(
+                chooser, candidates, "found no capacity in time"
+            )
+        outcome = await context.waiting_room.wait(service.id, waiting)
+        if outcome is waiting_room.WaitOutcome.DROPPED:
+            return self._reject(chooser, candidates, "waits behind too many")
+        return None
+
+    def _waiting_request(
+        self, chooser: engine_choice.PredictedLossChooser, engine_count: int
+    ) -> waiting_request.WaitingRequest:
+        admitted_request = self._admitted_request
+        return waiting_request.WaitingRequest(
+            admitted_request.request.id,
+            admitted_request.organisation,
+            chooser.utility(self._size),
+            chooser.engine_time(self._size),
+            chooser.shortest_time(self._size, engine_count),
+            admitted_request.received_at,
+            units.after(
+                admitted_request.received_at,
+                admitted_request.route.target_latency,
+            ),
+            admitted_request.deadline,
+            units.Bytes(len(admitted_request.request.body)),
         )
-        return (
-            bool(servers)
-            and elapsed < self._admitted_request.route.target_latency
+
+    def _reject(
+        self,
+        chooser: engine_choice.PredictedLossChooser,
+        candidates: tuple[server_directory.ServerEntry, ...],
+        cause: str,
+    ) -> outcomes.RequestFailure:
+        """Returns a rejection with the time at which a return can be served."""
+        context = self._context
+        service = self._admitted_request.service
+        now = context.timers.now()
+        waiting_time = context.waiting_room.backlog(service.id)
+        retry_after = None
+        if chooser.fits(self._size, len(candidates)):
+            retry_after = context.return_schedule.issue(
+                chooser.engine_time(self._size),
+                return_schedule.Capacity(
+                    len(candidates),
+                    context.retry_budget.daemon_count,
+                    units.Seconds(
+                        chooser.backlog(candidates, now)
+                        + waiting_time / len(candidates)
+                    ),
+                ),
+                self._attempts.time_left,
+                now,
+            )
+        if retry_after is not None:
+            context.instruments.record_return(service.id, retry_after)
+        return self._attempts.build_failure(
+            states.FailureReason.NO_BACKEND_SERVER,
+            f"prompt of {self._size.prompt_tokens} tokens {cause}",
+            retry_after,
         )
 
     def _select_placement(self) -> placements.Placement | None:
@@ -160,6 +217,10 @@
         if placement is None and without_memory:
             placement = chooser.choose(demand, candidates, avoided, now)
         if placement is not None:
+            context.waiting_room.on_placed(
+                self._admitted_request.organisation,
+                chooser.engine_time(self._size),
+            )
             self._predicted_ms = placement.ttft_ms
             context.log.emit(
                 events.Event.REQUEST_DISPATCHED,
--- a/packages/platform/src/lavendershed/platform/factory.py
+++ b/packages/platform/src/lavendershed/platform/factory.py
@@ -5,6 +5,7 @@
 import dataclasses
 import random
 
+from lavendershed.admission import return_schedule
 from lavendershed.core import ids
 from lavendershed.core import timers
 from lavendershed.forwarding import bundle_distribution
@@ -23,6 +24,7 @@
 from lavendershed.forwarding import store_availability
 from lavendershed.forwarding import store_watch_role
 from lavendershed.forwarding import store_watcher
+from lavendershed.forwarding import waiting_room
 from lavendershed.membership import peer_table
 from lavendershed.membership import report_topology
 from lavendershed.platform import callers
@@ -77,6 +79,7 @@
     budget = fleet_retry_budget.FleetRetryBudget(platform_settings.retry_budget)
     server_connections = connections.BackendConnectionPool(timer_service)
     backend_codec = engines.PlatformBackendCodec()
+    instruments = request_instruments.RequestInstruments(platform_settings.vm)
     forwarding_context = context.ForwardingContext(
         view,
         callers.PlatformCallerCodec(),
@@ -85,6 +88,10 @@
         engine_choosers.EngineChoosers(tracker, slowdowns, generator),
         server_choice.LeastOutstanding(platform_settings.zone, generator),
         tracker,
+        waiting_room.WaitingRoom(
+            tracker, timer_service, event_log, instruments
+        ),
+        return_schedule.ReturnSchedule(),
         budget,
         crashes,
         reservations.ReservationClient(
@@ -100,7 +107,7 @@
         health,
         timer_service,
         event_log,
-        request_instruments.RequestInstruments(platform_settings.vm),
+        instruments,
         platform_settings.zone,
     )
     availability = store_availability.StoreAvailability()
--- a/packages/reliability/src/lavendershed/reliability/fleet_retry_budget.py
+++ b/packages/reliability/src/lavendershed/reliability/fleet_retry_budget.py
@@ -41,6 +41,11 @@
             collections.defaultdict(collections.deque)
         )
 
+    @property
+    def daemon_count(self) -> int:
+        """Number of daemons that share the budget, at most so far."""
+        return self._max_daemon_count
+
     def set_limits(self, limits: FleetBudgetLimits) -> None:
         """Replaces the limits and keeps the counts."""
         self._limits = limits
--- a/packages/routing/src/lavendershed/routing/engine_choice.py
+++ b/packages/routing/src/lavendershed/routing/engine_choice.py
@@ -116,6 +116,44 @@
         """Returns the utility of a request that meets its latency targets."""
         return self._losses.utility(size)
 
+    def engine_time(self, size: latency_model.RequestSize) -> units.Seconds:
+        """Returns the prefill time of a prompt on one engine."""
+        prefill_ms = self._latency_model.prefill_ms(size.prompt_tokens)
+        return units.Seconds(prefill_ms / 1_000)
+
+    def shortest_time(
+        self, size: latency_model.RequestSize, engine_count: int
+    ) -> units.Seconds:
+        """Returns the time to first token on that many idle engines."""
+        shards = max(1, min(engine_count, self._weights.max_shards))
+        prefill_ms = self._latency_model.prefill_ms(size.prompt_tokens, shards)
+        iteration_ms = self._latency_model.iteration_ms(1, size.prompt_tokens)
+        return units.Seconds((prefill_ms + iteration_ms) / 1_000)
+
+    def fits(self, size: latency_model.RequestSize, engine_count: int) -> bool:
+        """Returns whether the KV cache of that many engines suffices."""
+        kv_capacity = self._latency_model.profile.kv_capacity
+        return (
+            memory_shares.min_holders(size.kv_tokens, kv_capacity)
+            <= engine_count
+        )
+
+    def backlog(
+        self,
+        candidates: Sequence[server_directory.ServerEntry],
+        now: units.Instant,
+    ) -> units.Seconds:
+        """Returns the mean time until the engines have prefilled what waits."""
+        if not candidates:
+            return units.Seconds(0.0)
+        backlogs_ms = (
+            self._load_tracker.load(entry.id).prefill_backlog_ms(
+                now, self._latency_model.iteration_ms(1, 0)
+            )
+            for entry in candidates
+        )
+        return units.Seconds(sum(backlogs_ms) / len(candidates) / 1_000)
+
     def choose(
         self,
         demand: placements.Demand,
--- a/packages/routing/src/lavendershed/routing/load_tracker.py
+++ b/packages/routing/src/lavendershed/routing/load_tracker.py
@@ -147,6 +147,7 @@
         )
         self._report_delay = units.Seconds(0.0)
         self._listeners: list[ChangeListener] = []
+        self._capacity_listeners: list[Callable[[], object]] = []
 
     @property
     def local_tasks(self) -> tuple[EngineTask, ...]:
@@ -183,6 +184,10 @@
         """
         self._listeners.append(listener)
 
+    def subscribe_capacity(self, listener: Callable[[], object]) -> None:
+        """Calls `listener` when tasks of any daemon progress or end."""
+        self._capacity_listeners.append(listener)
+
     def add(self, task: EngineTask) -> int:
         """Adds a local task and returns its id."""
         task_id = next(self._task_ids)
@@ -255,6 +260,8 @@
         self._peer_reports[daemon] = (now, tasks)
         for task in tasks:
             self._tasks_by_engine.setdefault(task.server, []).append(task)
+        if known_tasks:
+            self._notify_capacity_listeners()
 
     def on_alive(self, daemon: ids.Incarnation, now: units.Instant) -> None:
         """Keeps the tasks of a daemon that reports no change."""
@@ -287,7 +294,13 @@
         """Returns the current load of an engine."""
         return EngineLoad(self._tasks_by_engine.get(server, ()))
 
+    def _notify_capacity_listeners(self) -> None:
+        for listener in self._capacity_listeners:
+            listener()
+
     def _notify_listeners(self, *, urgent: bool) -> None:
+        if not urgent:
+            self._notify_capacity_listeners()
         for listener in self._listeners:
             listener(urgent)
 
--- a/packages/telemetry/src/lavendershed/telemetry/request_instruments.py
+++ b/packages/telemetry/src/lavendershed/telemetry/request_instruments.py
@@ -45,6 +45,14 @@
             unit="s",
             explicit_bucket_boundaries_advisory=_LATENCY_BUCKETS_S,
         )
+        self._waiting_requests = meter.create_gauge(
+            "lavendershed.waiting_requests"
+        )
+        self._issued_returns = meter.create_histogram(
+            "lavendershed.retry_after",
+            unit="s",
+            explicit_bucket_boundaries_advisory=_LATENCY_BUCKETS_S,
+        )
         self._configuration_version = meter.create_gauge(
             "lavendershed.configuration_version"
         )
@@ -81,6 +89,16 @@
         """Records the duration of a request, by kind and outcome."""
         self._duration.record(seconds, {"kind": kind, "outcome": outcome})
 
+    def set_waiting_requests(self, service: ids.ServiceId, count: int) -> None:
+        """Sets the number of requests that wait for capacity."""
+        self._waiting_requests.set(count, {"service": service})
+
+    def record_return(
+        self, service: ids.ServiceId, retry_after: units.Seconds
+    ) -> None:
+        """Records the time after which a rejected caller may return."""
+        self._issued_returns.record(retry_after, {"service": service})
+
     def set_configuration_version(self, version: ids.Epoch) -> None:
         """Sets the version of the active configuration."""
         self._configuration_version.set(version)
--- a/tests/test_boundaries.py
+++ b/tests/test_boundaries.py
@@ -12,6 +12,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PACKAGES = ROOT / "packages"
 DECISION_LIBRARIES = (
+    "admission",
     "core",
     "configuration",
     "routing",
