Restart a prefill only if other engines are predicted to be faster

Change: the choice is asked for the restarted prefill first, without the current engine and with all known load; it has to take at most 0.7 of the remaining time.

--- a/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 import result
 
 from lavendershed.core import addresses
 from lavendershed.core import forwarding_states
+from lavendershed.core import ids
 from lavendershed.core import units
 from lavendershed.forwarding import attempts
 from lavendershed.forwarding import connections
@@ -41,10 +43,16 @@
 _MIN_INSPECTED_PREFILL_MS = 300.0
 _OVERDUE_PREDICTION_FACTOR = 1.3
 _OVERDUE_MARGIN = units.Seconds(0.15)
+# A prefill is restarted if that takes at most this share of the remaining time.
+_MAX_RESTART_SHARE = 0.7
 # Load reports identify a request by 31 bits of its fingerprint.
 _REQUEST_NUMBER_MASK = 0x7FFF_FFFF
 _MAX_FAILED_RESPONSE_BODY = units.Bytes(1_000_000)
 
+# Returns the predicted time to first token, in milliseconds, if another engine
+# than this one got the request; None if there is none.
+RestartPrediction = Callable[[ids.BackendServerId], float | None]
+
 
 class StreamAttempt:
     """Sends a request to engines and relays the response."""
@@ -58,6 +66,7 @@
         placement: placements.Placement,
         size: latency_model.RequestSize,
         target_inter_token_latency: units.Seconds,
+        predict_restart: RestartPrediction,
     ) -> None:
         self._context = context
         self._admitted_request = admitted_request
@@ -66,6 +75,7 @@
         self._placement = placement
         self._size = size
         self._target_inter_token_latency = target_inter_token_latency
+        self._predict_restart = predict_restart
         self._failed_response: requests.BackendResponse | None = None
 
     @property
@@ -305,8 +315,13 @@
         remaining_ms = (
             placement.shard_prefill_ms * worst_slowdown - elapsed * 1_000
         )
-        restarted_ms = placement.ttft_ms * _OVERDUE_PREDICTION_FACTOR
-        return remaining_ms > restarted_ms
+        if worst_slowdown <= 1.0 or remaining_ms <= 0:
+            return False
+        restart_ms = self._predict_restart(placement.decode_engine.id)
+        return (
+            restart_ms is not None
+            and restart_ms < remaining_ms * _MAX_RESTART_SHARE
+        )
 
     async def _relay(
         self,
--- a/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
@@ -5,6 +5,7 @@
 from lavendershed.admission import return_schedule
 from lavendershed.admission import waiting_request
 from lavendershed.core import forwarding_states
+from lavendershed.core import ids
 from lavendershed.core import outcomes
 from lavendershed.core import states
 from lavendershed.core import units
@@ -71,6 +72,7 @@
                 placement,
                 self._size,
                 self._target_inter_token_latency,
+                self._predict_restart_ms,
             )
             attempt_result = await attempt.run()
             self._failed_response = (
@@ -102,7 +104,7 @@
         context = self._context
         service = self._admitted_request.service
         chooser = context.choosers.chooser(service)
-        candidates = context.view.directory.servers_accepting_work(service.id)
+        candidates = self._candidates
         if chooser is None or not candidates:
             return self._attempts.build_failure(
                 states.FailureReason.NO_BACKEND_SERVER,
@@ -179,16 +181,71 @@
         )
 
     def _select_placement(self) -> placements.Placement | None:
+        """Returns the engines for the next attempt, and logs them."""
         context = self._context
-        candidates = context.view.directory.servers_accepting_work(
+        candidates = self._candidates
+        placement = self._choose_engines(
+            self._attempts.failed_servers, self._attempts.servers_without_memory
+        )
+        if placement is None and self._attempts.servers_without_memory:
+            placement = self._choose_engines(self._attempts.failed_servers)
+        if placement is None:
+            return None
+        now = context.timers.now()
+        context.waiting_room.on_placed(
+            self._admitted_request.organisation,
+            units.Seconds(placement.prefill_ms / 1_000),
+        )
+        self._predicted_ms = placement.ttft_ms
+        context.log.emit(
+            events.Event.REQUEST_DISPATCHED,
+            request=self._admitted_request.request.id,
+            route=self._admitted_request.route.name,
+            server=placement.decode_engine.id,
+            helpers=[engine.id for engine in placement.prefill_helpers],
+            prompt=self._size.prompt_tokens,
+            answer=self._size.max_output_tokens,
+            predicted_ms=round(placement.ttft_ms, 1),
+            loss=round(placement.loss, 3),
+            urgent=placement.urgent,
+            candidates=len(candidates),
+            avoided=len(
+                context_module.avoided_servers(
+                    context, candidates, self._attempts.failed_servers
+                )
+            ),
+            attempt=self._attempts.count + 1,
+            version=context.view.version,
+            servers=context.view.directory.revision,
+            load_age_ms=round(context.load_tracker.age(now) * 1_000),
+        )
+        return placement
+
+    def _predict_restart_ms(self, current: ids.BackendServerId) -> float | None:
+        """Returns the predicted time to first token without an engine."""
+        placement = self._choose_engines(
+            self._attempts.failed_servers | {current}
+        )
+        return None if placement is None else placement.ttft_ms
+
+    @property
+    def _candidates(self) -> tuple[server_directory.ServerEntry, ...]:
+        return self._context.view.directory.servers_accepting_work(
             self._admitted_request.service.id
         )
+
+    def _choose_engines(
+        self,
+        failed_servers: frozenset[ids.BackendServerId],
+        without_memory: frozenset[ids.BackendServerId] = frozenset(),
+    ) -> placements.Placement | None:
+        context = self._context
         chooser = context.choosers.chooser(self._admitted_request.service)
         if chooser is None:
             return None
-        now = context.timers.now()
+        candidates = self._candidates
         avoided = context_module.avoided_servers(
-            context, candidates, self._attempts.failed_servers
+            context, candidates, failed_servers
         )
         target = self._admitted_request.route.target_latency
         if self._responder.started:
@@ -210,37 +267,9 @@
             if self._attempts.new_servers_exhausted
             else frozenset(),
         )
-        without_memory = self._attempts.servers_without_memory
-        placement = chooser.choose(
-            demand, candidates, avoided | without_memory, now
+        return chooser.choose(
+            demand, candidates, avoided | without_memory, context.timers.now()
         )
-        if placement is None and without_memory:
-            placement = chooser.choose(demand, candidates, avoided, now)
-        if placement is not None:
-            context.waiting_room.on_placed(
-                self._admitted_request.organisation,
-                chooser.engine_time(self._size),
-            )
-            self._predicted_ms = placement.ttft_ms
-            context.log.emit(
-                events.Event.REQUEST_DISPATCHED,
-                request=self._admitted_request.request.id,
-                route=self._admitted_request.route.name,
-                server=placement.decode_engine.id,
-                helpers=[engine.id for engine in placement.prefill_helpers],
-                prompt=self._size.prompt_tokens,
-                answer=self._size.max_output_tokens,
-                predicted_ms=round(placement.ttft_ms, 1),
-                loss=round(placement.loss, 3),
-                urgent=placement.urgent,
-                candidates=len(candidates),
-                avoided=len(avoided),
-                attempt=self._attempts.count + 1,
-                version=context.view.version,
-                servers=context.view.directory.revision,
-                load_age_ms=round(context.load_tracker.age(now) * 1_000),
-            )
-        return placement
 
     async def _complete(self, placement: placements.Placement) -> None:
         context = self._context
