Close connections after a response to another request

Change: a response with another request's id, or an invalid one, ends its connection; responses to reservation and status calls may not carry the id of a caller's request. test_a_copy_does_not_confirm_a_reservation fails on the parent; the two other tests guard what held already.

--- a/packages/forwarding/src/lavendershed/forwarding/requests.py
+++ b/packages/forwarding/src/lavendershed/forwarding/requests.py
@@ -59,6 +59,12 @@
     INVALID = "invalid"
 
 
+# After these responses it is unknown which request the next bytes belong to.
+_KINDS_THAT_END_A_CONNECTION = frozenset(
+    {ResponseKind.OTHER_REQUEST, ResponseKind.INVALID}
+)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class BackendResponseHead:
     """Status and headers of a backend server's response.
@@ -77,6 +83,16 @@
     keep_alive_timeout: units.Seconds | None = None
     faulty_server: addresses.Address | None = None
 
+    @property
+    def reuse_period(self) -> units.Seconds | None:
+        """Time for which the connection may be reused; None if it may not.
+
+        The response that was due may follow one to another request.
+        """
+        if self.kind in _KINDS_THAT_END_A_CONNECTION:
+            return None
+        return self.keep_alive_timeout
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BackendResponse:
--- a/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
@@ -251,7 +251,7 @@
             )
             return (
                 attempt_result,
-                response.keep_alive_timeout if complete else None,
+                response.reuse_period if complete else None,
             )
         body = await connection.read_body(
             self._time_until(due_at), _MAX_FAILED_RESPONSE_BODY
@@ -260,7 +260,7 @@
             return self._on_transport_error(engine, lease, body.err_value), None
         return self._on_error_response(
             engine, response, body.ok_value
-        ), response.keep_alive_timeout
+        ), response.reuse_period
 
     async def _read_head(
         self, connection: client.ClientConnection, due_at: units.Instant
--- a/packages/forwarding/src/lavendershed/forwarding/unary_execution.py
+++ b/packages/forwarding/src/lavendershed/forwarding/unary_execution.py
@@ -116,7 +116,7 @@
                 context.connections.release(
                     server.address,
                     lease.connection,
-                    response.ok_value.head.keep_alive_timeout,
+                    response.ok_value.head.reuse_period,
                 )
             return self._classify(server, lease, response)
         finally:
--- a/packages/platform/src/lavendershed/platform/engines.py
+++ b/packages/platform/src/lavendershed/platform/engines.py
@@ -119,6 +119,8 @@
         self, head: client.ResponseHead
     ) -> tuple[requests.ReservationStatus, units.Seconds | None]:
         """Returns the reservation result and the connection's idle timeout."""
+        if _answers_request(head):
+            return requests.ReservationStatus.UNKNOWN, None
         outcome = _RESERVATION_RESULTS.get(
             head.status, requests.ReservationStatus.UNKNOWN
         )
@@ -136,6 +138,8 @@
         self, head: client.ResponseHead, body: bytes
     ) -> result.Result[requests.EngineStatus, str]:
         """Returns the state in an engine's report."""
+        if _answers_request(head):
+            return result.Err("response to another request")
         if head.status != _OK_STATUS:
             return result.Err(f"status {head.status}")
         try:
@@ -151,6 +155,14 @@
         )
 
 
+def _answers_request(head: client.ResponseHead) -> bool:
+    """Returns whether a response to a call belongs to a caller's request.
+
+    A server may send a second copy of a response late.
+    """
+    return head.header(header_names.REQUEST_ID) is not None
+
+
 def _encode_order(
     server: ids.BackendServerId, body: dict[str, str | int | bool]
 ) -> requests.EncodedReservationCall:
--- /dev/null
+++ b/tests/test_platform_connections.py
@@ -0,0 +1,144 @@
+"""Tests connections on which a server sends bytes that belong to no request."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+import platform_case
+
+from lavendershed.transport import address as address_module
+from lavendershed.transport import client
+
+SERVICE = platform_case.PLAIN_SERVICE
+# The next request is sent before the response that is still due.
+RESPONSE_DELAY_S = 0.1
+
+
+def respond(request_id, body=b"whole answer"):
+    """Returns the response of a server to a request."""
+    return (
+        b"HTTP/1.1 200 OK\r\n"
+        b"content-length: %d\r\n"
+        b"keep-alive: timeout=5\r\n"
+        b"attempt-id: %s\r\n"
+        b"engine-seal: seal-%s\r\n\r\n%s"
+        % (len(body), request_id, request_id, body)
+    )
+
+
+class CopyingServer:
+    """Sends a second copy of each response when the next request arrives.
+
+    The copy comes before the response to that request.
+    """
+
+    def __init__(self):
+        self.id = "copying"
+        self.connections = 0
+        self.requests = []
+        self._server = None
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = address_module.Address(host, port)
+
+    def close(self):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        copy = b""
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                fields = dict(
+                    line.lower().split(b": ", 1)
+                    for line in head.split(b"\r\n")[1:]
+                    if b": " in line
+                )
+                await reader.readexactly(int(fields.get(b"content-length", 0)))
+                request_id = fields.get(b"attempt-id", b"")
+                self.requests.append(request_id.decode())
+                response = respond(request_id)
+                writer.write(copy)
+                await writer.drain()
+                await asyncio.sleep(RESPONSE_DELAY_S)
+                writer.write(response)
+                copy = response
+        except (asyncio.IncompleteReadError, OSError):
+            # The daemon has closed the connection.
+            return
+        finally:
+            writer.close()
+
+
+class LateCopyTest(platform_case.PlatformCase):
+    """Guards against answers that reach the caller of another request.
+
+    A server sends a second copy of an answer, late, on a connection that is in
+    use again. The answer to the request in between then arrives where the next
+    caller expects its own.
+    """
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.server = CopyingServer()
+        await self.server.start()
+        self.addCleanup(self.server.close)
+
+    async def use_only(self, *servers):
+        """Leaves only these servers in the plain service."""
+        for server in self.plain_servers:
+            self.store.delete("servers", server.id)
+        for server in servers:
+            self.register_server(server, SERVICE)
+        directory = self.daemon.parts.components.context.view.directory
+        await self.wait_until(
+            lambda: (
+                {e.id for e in directory.servers_accepting_work(SERVICE)}
+                == {s.id for s in servers}
+            )
+        )
+
+    async def test_each_caller_gets_its_own_answer(self):
+        await self.use_only(self.server)
+        for number in range(6):
+            response = await self.request(
+                "/safe/a", attempt_id=f"own-{number}", deadline_ms="900"
+            )
+            if response.head.status == 200:
+                self.assertEqual(
+                    response.head.header("engine-seal"), f"seal-own-{number}"
+                )
+
+    async def test_a_connection_is_not_used_after_a_foreign_answer(self):
+        """The answer that was due is still to come on that connection."""
+        await self.use_only(self.server)
+        statuses = [
+            (
+                await self.request(
+                    "/safe/a", attempt_id=f"own-{n}", deadline_ms="900"
+                )
+            ).head.status
+            for n in range(6)
+        ]
+        # Every second request meets the copy of the one before it.
+        self.assertGreaterEqual(statuses.count(200), 3)
+        self.assertGreaterEqual(self.server.connections, 3)
+
+    async def test_a_copy_does_not_confirm_a_reservation(self):
+        """Guards against memory that is taken for reserved."""
+        codec = self.daemon.parts.components.context.backend_codec
+        head = client.ResponseHead(
+            200, (("attempt-id", "of-a-request"), ("keep-alive", "timeout=5"))
+        )
+        status, keep_alive_timeout = codec.decode_reservation_status(head)
+        self.assertEqual(status.value, "unknown")
+        self.assertIsNone(keep_alive_timeout)
+        self.assertTrue(codec.decode_status(head, b"{}").is_err())
+
+
+if __name__ == "__main__":
+    unittest.main()
