Let daemons of a new deployment take the store's contents from a peer

Change: at the first start of a deployment, each daemon waits up to 4 s, drawn at random, for a peer's state before it lists the objects itself.

--- a/packages/forwarding/src/lavendershed/forwarding/store_watcher.py
+++ b/packages/forwarding/src/lavendershed/forwarding/store_watcher.py
@@ -53,6 +53,7 @@
         timer_service: timers.TimerService,
         event_log: log.EventLog,
         generator: random.Random,
+        first_call_delay: units.Seconds,
     ) -> None:
         self._kind = kind
         self._source = source
@@ -61,6 +62,7 @@
         self._role = role
         self._timers = timer_service
         self._log = event_log
+        self._first_call_delay = first_call_delay
         self._backoff = backoff.Backoff(generator, _BACKOFF_LIMITS)
         self._revision: ids.ObjectVersion | None = None
         self._last_call_failed = False
@@ -69,8 +71,10 @@
         """Watches the objects while the role requires it, until cancelled.
 
         The first listing is independent of the role: a daemon that starts
-        knows no peers.
+        knows no peers. It is left out if a peer has sent all objects before.
         """
+        if await self._view.wait_complete(self._first_call_delay):
+            self._revision = self._view.revision(self._kind)
         while True:
             if self._revision is not None and not self._role.is_watching:
                 # The last error says nothing about the store any more.
--- a/packages/platform/src/lavendershed/platform/factory.py
+++ b/packages/platform/src/lavendershed/platform/factory.py
@@ -8,6 +8,7 @@
 from lavendershed.admission import return_schedule
 from lavendershed.core import ids
 from lavendershed.core import timers
+from lavendershed.core import units
 from lavendershed.forwarding import bundle_distribution
 from lavendershed.forwarding import codecs
 from lavendershed.forwarding import components
@@ -41,6 +42,9 @@
 from lavendershed.telemetry import log
 from lavendershed.telemetry import request_instruments
 
+# Daemons of a new deployment read the store one after the other within this
+# time, and most of them take its contents from a peer. Callers come later.
+_FIRST_START_SPREAD = units.Seconds(4.0)
 _PLATFORM_KINDS = {
     codecs.ObjectKind.CONFIGURATION: "config",
     codecs.ObjectKind.SERVERS: "servers",
@@ -130,6 +134,11 @@
         timer_service,
     )
     versions = peer_versions.PeerVersions(platform_settings.zone)
+    first_call_delay = units.Seconds(
+        generator.uniform(0.0, _FIRST_START_SPREAD)
+        if platform_settings.first_start
+        else 0.0
+    )
     daemon_components = components.Components(
         forwarding_context,
         gateway.Gateway(forwarding_context, generator),
@@ -145,6 +154,7 @@
                 timer_service,
                 event_log,
                 generator,
+                first_call_delay,
             )
             for kind, name in _PLATFORM_KINDS.items()
         ),
--- a/packages/platform/src/lavendershed/platform/settings.py
+++ b/packages/platform/src/lavendershed/platform/settings.py
@@ -30,6 +30,7 @@
         grace_period: Time from SIGTERM to SIGKILL.
         retry_budget: Limits on the retries of all daemons together.
         bandwidth_mbps: Bandwidth of the VM; 0 if it is not stated.
+        first_start: Whether the whole deployment starts for the first time.
     """
 
     vm: ids.VmId
@@ -42,6 +43,7 @@
     grace_period: units.Seconds
     retry_budget: fleet_retry_budget.FleetBudgetLimits
     bandwidth_mbps: int = 0
+    first_start: bool = False
 
 
 def load(path: pathlib.Path) -> result.Result[PlatformSettings, str]:
@@ -81,6 +83,7 @@
             units.Seconds(fields.number(bounds, "budget_window_s")),
         ),
         int(fields.number(vm_limits, "link_mbps", 0.0)),
+        fields.boolean(body, "bootstrap"),
     )
 
 
--- a/packages/platform/tests/test_settings.py
+++ b/packages/platform/tests/test_settings.py
@@ -26,6 +26,11 @@
 [provider]
 address = "10.200.1.7:8223"
 """
+OPTIONAL = """
+bootstrap = true
+[limits]
+link_mbps = 20.0
+"""
 
 
 class SettingsTest(unittest.TestCase):
@@ -45,6 +50,15 @@
         self.assertEqual(loaded.grace_period, 8.0)
         self.assertEqual(loaded.retry_budget.slack, 106)
 
+    def test_optional_fields_have_defaults(self):
+        loaded = self.load(FILE).unwrap()
+        self.assertEqual(loaded.bandwidth_mbps, 0)
+        self.assertFalse(loaded.first_start)
+        top_level, _, tables = FILE.partition("[listen]")
+        loaded = self.load(top_level + OPTIONAL + "[listen]" + tables).unwrap()
+        self.assertEqual(loaded.bandwidth_mbps, 20)
+        self.assertTrue(loaded.first_start)
+
     def test_errors_name_the_field(self):
         for field, line in (
             ("frontend", 'frontend = "edge:8227"'),
