Send waiting requests to another daemon when a daemon stops

Change: waiting requests whose response has not begun end at once, not run, with a Retry-After of 0.05 s. The new test fails without the call in set_stop_deadline.

--- a/packages/forwarding/src/lavendershed/forwarding/gateway.py
+++ b/packages/forwarding/src/lavendershed/forwarding/gateway.py
@@ -17,6 +17,7 @@
 from lavendershed.forwarding import requests
 from lavendershed.forwarding import stream_execution
 from lavendershed.forwarding import unary_execution
+from lavendershed.forwarding import waiting_room
 from lavendershed.routes import model
 from lavendershed.routes import table
 from lavendershed.telemetry import events
@@ -38,8 +39,6 @@
 # platform no longer sends new connections.
 _STREAM_COMPLETION_TIME = units.Seconds(4.7)
 _CALL_COMPLETION_TIME = units.Seconds(1.0)
-# Another daemon can accept the request immediately.
-_STOPPING_RETRY_AFTER = units.Seconds(0.05)
 # The quarantine of a crash-inducing request lasts for minutes.
 _QUARANTINE_RETRY_AFTER = units.Seconds(60.0)
 
@@ -59,6 +58,7 @@
     def set_stop_deadline(self, deadline: units.Instant) -> None:
         """Admits only requests that can complete before `deadline`."""
         self._stop_deadline = deadline
+        self._context.waiting_room.stop()
 
     async def handle(
         self, request: handlers.ServerRequest, responder: handlers.Responder
@@ -140,7 +140,7 @@
                 outcomes.not_run(
                     states.FailureReason.STOPPING,
                     "daemon is shutting down; retry on another daemon",
-                    _STOPPING_RETRY_AFTER,
+                    waiting_room.STOPPING_RETRY_AFTER,
                 )
             )
         service_id = table.pick_weighted_service(route, self._random)
--- a/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
@@ -122,7 +122,15 @@
             return self._reject(
                 chooser, candidates, "found no capacity in time"
             )
-        outcome = await context.waiting_room.wait(service.id, waiting)
+        outcome = await context.waiting_room.wait(
+            service.id, waiting, committed=self._responder.started
+        )
+        if outcome is waiting_room.WaitOutcome.STOPPING:
+            return self._attempts.build_failure(
+                states.FailureReason.STOPPING,
+                "daemon is shutting down; retry on another daemon",
+                waiting_room.STOPPING_RETRY_AFTER,
+            )
         if outcome is waiting_room.WaitOutcome.DROPPED:
             return self._reject(chooser, candidates, "waits behind too many")
         return None
--- a/packages/forwarding/src/lavendershed/forwarding/waiting_room.py
+++ b/packages/forwarding/src/lavendershed/forwarding/waiting_room.py
@@ -17,6 +17,8 @@
 from lavendershed.telemetry import log
 from lavendershed.telemetry import request_instruments
 
+# Another daemon can accept the request immediately.
+STOPPING_RETRY_AFTER = units.Seconds(0.05)
 # Ends of tasks within this time wake the waiting requests once, since each of
 # them looks at all engines.
 _WAKE_DELAY = units.Seconds(0.02)
@@ -29,6 +31,7 @@
 
     CAPACITY_CHANGED = "capacity_changed"
     DROPPED = "dropped"
+    STOPPING = "stopping"
 
 
 class WaitingRoom:
@@ -48,6 +51,9 @@
         self._queues: dict[ids.ServiceId, waiting_queue.WaitingQueue] = {}
         self._waiters: dict[ids.RequestId, asyncio.Future[WaitOutcome]] = {}
         self._wake_timer: timers.Timer | None = None
+        self._stopping = False
+        # Requests whose response has begun; no other daemon can end them.
+        self._committed: set[ids.RequestId] = set()
         tracker.subscribe_capacity(self._on_capacity)
 
     def on_placed(
@@ -63,10 +69,32 @@
         queue = self._queues.get(service)
         return queue.engine_time if queue is not None else units.Seconds(0.0)
 
+    def stop(self) -> None:
+        """Ends the waiting of requests that another daemon can serve.
+
+        A daemon that stops would cut off those that wait until its end.
+        """
+        self._stopping = True
+        for request in tuple(self._waiters):
+            if request not in self._committed:
+                self._finish(request, WaitOutcome.STOPPING)
+
     async def wait(
-        self, service: ids.ServiceId, request: waiting_request.WaitingRequest
+        self,
+        service: ids.ServiceId,
+        request: waiting_request.WaitingRequest,
+        *,
+        committed: bool,
     ) -> WaitOutcome:
-        """Waits until capacity may have changed for this request."""
+        """Waits until capacity may have changed for this request.
+
+        Args:
+            service: The service that it is for.
+            request: The request.
+            committed: Whether its response has begun.
+        """
+        if self._stopping and not committed:
+            return WaitOutcome.STOPPING
         now = self._timers.now()
         queue = self._queues.setdefault(
             service,
@@ -74,6 +102,8 @@
         )
         waiter = asyncio.get_running_loop().create_future()
         self._waiters[request.id] = waiter
+        if committed:
+            self._committed.add(request.id)
         for dropped in queue.add(request, now):
             self._finish(dropped, WaitOutcome.DROPPED)
         self._instruments.set_waiting_requests(service, queue.length)
@@ -90,6 +120,7 @@
         finally:
             queue.remove(request.id)
             self._waiters.pop(request.id, None)
+            self._committed.discard(request.id)
             self._instruments.set_waiting_requests(service, queue.length)
         return (
             waiter.result() if waiter.done() else WaitOutcome.CAPACITY_CHANGED
--- a/tests/test_platform_rules.py
+++ b/tests/test_platform_rules.py
@@ -567,6 +567,38 @@
         self.assertTrue(late_response.head.header("retry-after"))
         self.assertEqual(self.executed_requests(), [])
 
+    async def test_waiting_requests_are_sent_to_another_daemon(self):
+        """Guards against requests that wait until the process ends.
+
+        They had been accepted, and were cut off without an answer.
+        """
+        patient_route = platform_case.route(
+            "/patient/",
+            "streaming",
+            platform_case.MODEL_SERVICE,
+            resumable=True,
+            target_latency_ms=8_000,
+            timeout_ms=9_000,
+        )
+        self.store.put(
+            "config", "main", platform_case.configuration(2, patient_route)
+        )
+        view = self.daemon.parts.components.context.view
+        await self.wait_until(lambda: view.version == 2)
+        for engine in self.engines:
+            engine.memory_tokens = 1_000
+        task = self.loop.create_task(
+            self.request(
+                "/patient/x", token_count="400000,100", deadline_ms="9000"
+            )
+        )
+        await self.wait_until(lambda: self.engines[0].orders)
+        await asyncio.sleep(0.1)
+        self.daemon.stop.set()
+        response = await asyncio.wait_for(task, 1.0)
+        self.assertEqual(response.head.status, 503)
+        self.assertLess(float(response.head.header("retry-after")), 0.2)
+
     async def test_idle_connections_close_before_the_process_ends(self):
         other = await self.start_daemon(grace_period=8.0)
         connection = await self.connect(other.caller_address)
