Introduce new daemons to aggregators only

Cause: a seed answered each new daemon with 24 addresses, and each of these got reports: 7 MB between the zones of 195 daemons in the first seconds (virtual network).

Change: in large zones a seed names the aggregator of the zone with its standbys, and two daemons of each other zone.

--- a/packages/membership/src/lavendershed/membership/report_topology.py
+++ b/packages/membership/src/lavendershed/membership/report_topology.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 
 from lavendershed.core import addresses
 from lavendershed.core import ids
@@ -179,8 +180,28 @@
     def introductions(
         self, zone: ids.AvailabilityZoneId
     ) -> tuple[addresses.Address, ...]:
-        """Returns the addresses that a new daemon of a zone has to know."""
-        known = (*self.aggregators(zone), *self._peers.next_addresses())
+        """Returns the addresses that a new daemon of a zone has to know.
+
+        In a large zone these are the aggregator and its standbys, and those
+        that reach the other zones; their bundles name all others.
+        """
+        if not self._is_large(zone):
+            known = (*self._ranked(zone), *self._peers.next_addresses())
+        else:
+            others = (self._own_zone, *self._peers.zones)
+            entry_points = [
+                self._ranked(other)[:_REPORT_RECIPIENTS]
+                for other in others
+                if other != zone
+            ]
+            # The first of each zone come before the second of any.
+            in_turn = itertools.chain.from_iterable(
+                itertools.zip_longest(*entry_points)
+            )
+            known = (
+                *self._ranked(zone)[: _STANDBYS + 1],
+                *(address for address in in_turn if address is not None),
+            )
         return tuple(dict.fromkeys(known))[
             : peer_table.MAX_ADDRESSES_PER_REPORT
         ]
