Keep members, load and small zones known over lost datagrams

Change: small zones are stated too, repeated reports restore expired tasks, one lost heartbeat is allowed, and four standbys greet a new daemon.

--- a/packages/forwarding/src/lavendershed/forwarding/bundle_distribution.py
+++ b/packages/forwarding/src/lavendershed/forwarding/bundle_distribution.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import itertools
 
 from lavendershed.core import addresses
 from lavendershed.core import ids
@@ -19,11 +20,13 @@
 # Reports that don't change are not distributed; the aggregator states at this
 # interval who is alive.
 _LIVE_DAEMONS_INTERVAL = units.Seconds(1.0)
-# Daemons report at least once per second, and their peers wait for several
-# intervals before they take a daemon for dead.
-_ALIVE_PERIOD = units.Seconds(1.5)
+# Daemons report at least once per second; one report may be lost.
+_ALIVE_PERIOD = units.Seconds(2.2)
+# Daemons that send all reports to one that has just started. It is more than
+# one, since an aggregator that was restarted too has few reports.
+_GREETING_RANKS = 4
 # All reports are repeated within this many intervals.
-_REPETITION_ROUNDS = 3
+_REPETITION_ROUNDS = 2
 
 # A daemon that becomes a standby notices it within this time.
 _ROLE_CHECK_INTERVAL = units.Seconds(0.5)
@@ -79,13 +82,13 @@
             return
         self._aggregation.add(sender, zone, encoded)
         now = self._timers.now()
-        if not self._topology.is_acting(now):
-            return
-        self._schedule_bundle(now)
+        if self._topology.is_acting(now):
+            self._schedule_bundle(now)
         if (
             status is peer_table.ReportStatus.NEW_SENDER
             and zone == self._zone
             and sender != self._address
+            and self._topology.own_rank < _GREETING_RANKS
         ):
             # A daemon that has just started has no load information yet.
             reports = self._aggregation.all_reports(
@@ -155,13 +158,17 @@
 
     def _send_live_daemons(self, now: units.Instant) -> None:
         """Sends who is alive, and repeats part of the reports."""
+        alive_since = units.Instant(now - _ALIVE_PERIOD)
         in_zone = (
             self._address,
-            *self._peers.heard_since(
-                self._zone, units.Instant(now - _ALIVE_PERIOD)
-            ),
+            *self._peers.heard_since(self._zone, alive_since),
+        )
+        # Small zones have no aggregator; their daemons report here directly.
+        in_small_zones = itertools.chain.from_iterable(
+            self._peers.heard_since(zone, alive_since)
+            for zone in self._topology.small_zones
         )
-        alive = (*in_zone, *self._live_elsewhere)
+        alive = (*in_zone, *in_small_zones, *self._live_elsewhere)
         self._live_elsewhere.clear()
         targets = self._topology.bundle_targets(now)
         self._distribute((), targets.other_zones, in_zone)
--- a/packages/forwarding/src/lavendershed/forwarding/load_reporting.py
+++ b/packages/forwarding/src/lavendershed/forwarding/load_reporting.py
@@ -42,9 +42,6 @@
 # A daemon is told at most once in this time which daemons it should report to.
 _INTRODUCTION_INTERVAL = units.Seconds(0.5)
 _MAX_LOGGED_ADDRESSES = 8
-_WITHOUT_NEWS = frozenset(
-    {peer_table.ReportStatus.STALE, peer_table.ReportStatus.REPEATED}
-)
 
 
 class LoadReporter(asyncio.DatagramProtocol):
@@ -229,9 +226,12 @@
         )
         if self._peers.candidate_count > candidates_before:
             self._schedule_report(units.after(now, _URGENT_REPORT_DELAY))
-        if direct and status is peer_table.ReportStatus.REPEATED:
-            self._load_tracker.on_alive(report.incarnation, now)
-        if status in _WITHOUT_NEWS:
+        if status is peer_table.ReportStatus.STALE:
+            return status
+        if (
+            status is peer_table.ReportStatus.REPEATED
+            and self._load_tracker.on_alive(report.incarnation, now)
+        ):
             return status
         self._load_tracker.on_report(report.incarnation, report.open_tasks, now)
         self._crashes.on_peer_counts(report.crash_suspects, now)
--- a/packages/membership/src/lavendershed/membership/report_topology.py
+++ b/packages/membership/src/lavendershed/membership/report_topology.py
@@ -81,6 +81,11 @@
         """Whether the reports of the own zone are aggregated."""
         return self._is_large(self._own_zone)
 
+    @property
+    def small_zones(self) -> tuple[ids.AvailabilityZoneId, ...]:
+        """Zones of other daemons that report directly."""
+        return tuple(z for z in self._peers.zones if not self._is_large(z))
+
     @property
     def report_delay(self) -> units.Seconds:
         """Typical time until daemons know of a change elsewhere."""
--- a/packages/routing/src/lavendershed/routing/load_tracker.py
+++ b/packages/routing/src/lavendershed/routing/load_tracker.py
@@ -263,11 +263,17 @@
         if known_tasks:
             self._notify_capacity_listeners()
 
-    def on_alive(self, daemon: ids.Incarnation, now: units.Instant) -> None:
-        """Keeps the tasks of a daemon that reports no change."""
+    def on_alive(self, daemon: ids.Incarnation, now: units.Instant) -> bool:
+        """Keeps the tasks of a daemon that reports no change.
+
+        Returns:
+            Whether its tasks are known; they may have expired meanwhile.
+        """
         report = self._peer_reports.get(daemon)
-        if report is not None:
-            self._peer_reports[daemon] = (now, report[1])
+        if report is None:
+            return False
+        self._peer_reports[daemon] = (now, report[1])
+        return True
 
     def expire(self, now: units.Instant) -> None:
         """Removes cancelled tasks that have ended, and expired daemons.
