Split the exchanged state from load reports and the prefill watch from attempts

peer.load_reports held two kinds of messages and forwarding.stream_attempt two decisions. No behaviour changes.

--- a/packages/forwarding/src/lavendershed/forwarding/codecs.py
+++ b/packages/forwarding/src/lavendershed/forwarding/codecs.py
@@ -12,7 +12,7 @@
 from lavendershed.core import units
 from lavendershed.forwarding import requests
 from lavendershed.membership import server_directory
-from lavendershed.peer import load_reports
+from lavendershed.peer import peer_state
 from lavendershed.routes import model
 from lavendershed.transport import client
 from lavendershed.transport import handlers
@@ -94,13 +94,13 @@
 
     @abc.abstractmethod
     def decode_configuration(
-        self, stored: load_reports.StoredObject
+        self, stored: peer_state.StoredObject
     ) -> result.Result[model.RoutingConfiguration, str]:
         """Returns a configuration, or which field is invalid."""
 
     @abc.abstractmethod
     def decode_server(
-        self, stored: load_reports.StoredObject
+        self, stored: peer_state.StoredObject
     ) -> result.Result[server_directory.ServerEntry, str]:
         """Returns a server entry, or which field is invalid."""
 
@@ -121,7 +121,7 @@
     async def list(
         self,
     ) -> result.Result[
-        tuple[tuple[load_reports.StoredObject, ...], ids.ObjectVersion],
+        tuple[tuple[peer_state.StoredObject, ...], ids.ObjectVersion],
         SourceError,
     ]:
         """Returns all objects and the revision of the listing."""
@@ -131,7 +131,7 @@
         self, revision: ids.ObjectVersion, timeout: units.Seconds
     ) -> result.Result[
         tuple[
-            tuple[load_reports.StoredObject, ...],
+            tuple[peer_state.StoredObject, ...],
             tuple[str, ...],
             ids.ObjectVersion,
         ],
--- a/packages/forwarding/src/lavendershed/forwarding/context.py
+++ b/packages/forwarding/src/lavendershed/forwarding/context.py
@@ -2,12 +2,7 @@
 
 from __future__ import annotations
 
-import asyncio
-from collections.abc import Awaitable
 import dataclasses
-from typing import TypeVar
-
-import result
 
 from lavendershed.admission import return_schedule
 from lavendershed.core import ids
@@ -34,8 +29,6 @@
 from lavendershed.telemetry import request_instruments
 from lavendershed.transport import handlers
 
-T = TypeVar("T")
-
 Failure = outcomes.RequestFailure
 
 
@@ -188,14 +181,3 @@
     """Sends the error response of a failed request."""
     status, headers, body = context.caller_codec.encode_failure(failure)
     await responder.respond(status, body, headers)
-
-
-async def with_timeout(
-    operation: Awaitable[T], timeout: units.Seconds
-) -> result.Result[T, None]:
-    """Awaits an operation for at most `timeout` seconds."""
-    try:
-        async with asyncio.timeout(timeout):
-            return result.Ok(await operation)
-    except TimeoutError:
-        return result.Err(None)
--- a/packages/forwarding/src/lavendershed/forwarding/deployment_view.py
+++ b/packages/forwarding/src/lavendershed/forwarding/deployment_view.py
@@ -11,6 +11,7 @@
 from lavendershed.forwarding import server_changes
 from lavendershed.membership import server_directory
 from lavendershed.peer import load_reports
+from lavendershed.peer import peer_state
 from lavendershed.reliability import server_health
 from lavendershed.routes import model
 from lavendershed.routes import table
@@ -37,9 +38,9 @@
         self._health = health
         self._log = event_log
         self._table: table.RouteTable | None = None
-        self._stored_configuration: load_reports.StoredObject | None = None
+        self._stored_configuration: peer_state.StoredObject | None = None
         self._directory = server_directory.ServerDirectory()
-        self._stored_servers: dict[str, load_reports.StoredObject] = {}
+        self._stored_servers: dict[str, peer_state.StoredObject] = {}
         self._server_ids_by_number: dict[int, ids.BackendServerId] = {}
         self._grace_ends_at = units.Instant(0.0)
         self._changes = server_changes.ServerChanges()
@@ -108,7 +109,7 @@
         version: ids.Epoch,
         revision: ids.ObjectVersion,
         now: units.Instant,
-    ) -> load_reports.PeerState:
+    ) -> peer_state.PeerState:
         """Returns what a peer lacks that has this version and revision.
 
         Args:
@@ -119,7 +120,7 @@
         stored = self._stored_configuration
         changes = self._changes.since(revision)
         names = self._stored_servers if changes is None else changes.changed
-        return load_reports.PeerState(
+        return peer_state.PeerState(
             stored.revision if stored else ids.ObjectVersion(0),
             (stored,) if stored and self.version > version else (),
             self._directory.revision,
@@ -130,7 +131,7 @@
         )
 
     def on_peer_state(
-        self, state: load_reports.PeerState, now: units.Instant
+        self, state: peer_state.PeerState, now: units.Instant
     ) -> None:
         """Applies what a peer has sent; older state is ignored."""
         for stored in state.configuration:
@@ -153,7 +154,7 @@
         """Returns the server that a number in a load report refers to."""
         return self._server_ids_by_number.get(number)
 
-    def on_configuration(self, stored: load_reports.StoredObject) -> None:
+    def on_configuration(self, stored: peer_state.StoredObject) -> None:
         """Applies a configuration if it is newer than the active one."""
         decoded = self._decoder.decode_configuration(stored)
         if decoded.is_err():
@@ -188,7 +189,7 @@
 
     def on_server_listing(
         self,
-        stored: tuple[load_reports.StoredObject, ...],
+        stored: tuple[peer_state.StoredObject, ...],
         revision: ids.ObjectVersion,
         now: units.Instant,
     ) -> None:
@@ -209,7 +210,7 @@
 
     def on_server_events(
         self,
-        changed: tuple[load_reports.StoredObject, ...],
+        changed: tuple[peer_state.StoredObject, ...],
         removed: tuple[str, ...],
         revision: ids.ObjectVersion,
         now: units.Instant,
@@ -257,7 +258,7 @@
         return self._grace_ends_at if now < self._grace_ends_at else None
 
     def _decode_servers(
-        self, stored: tuple[load_reports.StoredObject, ...]
+        self, stored: tuple[peer_state.StoredObject, ...]
     ) -> list[server_directory.ServerEntry]:
         entries = []
         for item in stored:
--- a/packages/forwarding/src/lavendershed/forwarding/state_exchange.py
+++ b/packages/forwarding/src/lavendershed/forwarding/state_exchange.py
@@ -19,7 +19,7 @@
 from lavendershed.forwarding import peer_versions
 from lavendershed.forwarding import store_watch_role
 from lavendershed.peer import frames
-from lavendershed.peer import load_reports
+from lavendershed.peer import peer_state
 from lavendershed.peer import wire
 from lavendershed.telemetry import events
 from lavendershed.telemetry import log
@@ -79,10 +79,10 @@
         try:
             async with asyncio.timeout(_EXCHANGE_TIMEOUT):
                 request = await frames.read_frame(reader, frames.MAX_CALL_BYTES)
-                known = load_reports.decode_state_request(request or b"")
+                known = peer_state.decode_state_request(request or b"")
                 if known is not None:
                     state = self._view.state_since(*known, self._timers.now())
-                    encoded = load_reports.encode_state(state)
+                    encoded = peer_state.encode_state(state)
                     writer.write(frames.encode_frame(encoded))
                     await writer.drain()
         except (OSError, TimeoutError, *wire.DECODE_ERRORS):
@@ -96,7 +96,7 @@
     address: addresses.Address,
     version: ids.Epoch,
     revision: ids.ObjectVersion,
-) -> result.Result[load_reports.PeerState, str]:
+) -> result.Result[peer_state.PeerState, str]:
     """Returns the newer store objects of the daemon at `address`.
 
     Args:
@@ -110,12 +110,12 @@
     reader, writer = opened.ok_value
     try:
         async with asyncio.timeout(_EXCHANGE_TIMEOUT):
-            request = load_reports.encode_state_request(version, revision)
+            request = peer_state.encode_state_request(version, revision)
             writer.write(frames.encode_frame(request))
             encoded_state = await frames.read_frame(reader, _MAX_STATE)
         if encoded_state is None:
             return result.Err("state response truncated")
-        return result.Ok(load_reports.decode_state(encoded_state))
+        return result.Ok(peer_state.decode_state(encoded_state))
     except (OSError, TimeoutError, *wire.DECODE_ERRORS) as error:
         return result.Err(repr(error))
     finally:
--- a/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
@@ -2,19 +2,16 @@
 
 from __future__ import annotations
 
-import asyncio
-from collections.abc import Callable
-
 import result
 
 from lavendershed.core import addresses
 from lavendershed.core import forwarding_states
-from lavendershed.core import ids
 from lavendershed.core import units
 from lavendershed.forwarding import attempts
 from lavendershed.forwarding import connections
 from lavendershed.forwarding import context as context_module
 from lavendershed.forwarding import event_splitter
+from lavendershed.forwarding import prefill_watch
 from lavendershed.forwarding import requests
 from lavendershed.forwarding import reservations
 from lavendershed.forwarding import stream_delivery
@@ -38,21 +35,10 @@
 # this minimum: engines recompute the prefill of a request that they preempted.
 _STALL_FACTOR = 3.0
 _MIN_STALL_TIMEOUT = units.Seconds(1.0)
-# A prompt of a longer prefill is worth the queries of its engines if the first
-# token is later than this multiple of the prediction plus the margin.
-_MIN_INSPECTED_PREFILL_MS = 300.0
-_OVERDUE_PREDICTION_FACTOR = 1.3
-_OVERDUE_MARGIN = units.Seconds(0.15)
-# A prefill is restarted if that takes at most this share of the remaining time.
-_MAX_RESTART_SHARE = 0.7
 # Load reports identify a request by 31 bits of its fingerprint.
 _REQUEST_NUMBER_MASK = 0x7FFF_FFFF
 _MAX_FAILED_RESPONSE_BODY = units.Bytes(1_000_000)
 
-# Returns the predicted time to first token, in milliseconds, if another engine
-# than this one got the request; None if there is none.
-RestartPrediction = Callable[[ids.BackendServerId], float | None]
-
 
 class StreamAttempt:
     """Sends a request to engines and relays the response."""
@@ -66,7 +52,7 @@
         placement: placements.Placement,
         size: latency_model.RequestSize,
         target_inter_token_latency: units.Seconds,
-        predict_restart: RestartPrediction,
+        predict_restart: prefill_watch.RestartPrediction,
     ) -> None:
         self._context = context
         self._admitted_request = admitted_request
@@ -75,7 +61,9 @@
         self._placement = placement
         self._size = size
         self._target_inter_token_latency = target_inter_token_latency
-        self._predict_restart = predict_restart
+        self._prefill_watch = prefill_watch.PrefillWatch(
+            context, admitted_request.request.id, placement, predict_restart
+        )
         self._failed_response: requests.BackendResponse | None = None
 
     @property
@@ -267,61 +255,12 @@
     ) -> result.Result[client.ResponseHead, errors.TransportError] | None:
         """Reads the response head; None if other engines would be faster.
 
-        The head comes with the first token. If that of a long prompt is
-        overdue, its engines are asked whether they are slow.
+        The head comes with the first token.
         """
-        if (
-            self._placement.prefill_ms < _MIN_INSPECTED_PREFILL_MS
-            or not self._attempts.may_try_another_engine
-        ):
-            return await connection.read_head(self._time_until(due_at))
-        context = self._context
-        sent_at = context.timers.now()
-        reading = asyncio.get_running_loop().create_task(
-            connection.read_head(self._time_until(due_at))
-        )
-        try:
-            await asyncio.wait((reading,), timeout=self._overdue_time)
-            if not reading.done():
-                placement = self._placement
-                await context.inspector.inspect(
-                    (placement.decode_engine, *placement.prefill_helpers),
-                    self._admitted_request.request.id,
-                )
-                elapsed = units.elapsed(sent_at, context.timers.now())
-                if not reading.done() and self._is_worth_restarting(elapsed):
-                    return None
+        reading = connection.read_head(self._time_until(due_at))
+        if not self._attempts.may_try_another_engine:
             return await reading
-        finally:
-            reading.cancel()
-
-    @property
-    def _overdue_time(self) -> units.Seconds:
-        """Time after which the first token is later than predictions err."""
-        return units.Seconds(
-            self._placement.ttft_ms / 1_000 * _OVERDUE_PREDICTION_FACTOR
-            + _OVERDUE_MARGIN
-        )
-
-    def _is_worth_restarting(self, elapsed: units.Seconds) -> bool:
-        """Returns whether a new prefill would end well before this one."""
-        now = self._context.timers.now()
-        placement = self._placement
-        slowdowns = self._context.choosers.slowdowns
-        worst_slowdown = max(
-            slowdowns.factor(engine.id, now)
-            for engine in (placement.decode_engine, *placement.prefill_helpers)
-        )
-        remaining_ms = (
-            placement.shard_prefill_ms * worst_slowdown - elapsed * 1_000
-        )
-        if worst_slowdown <= 1.0 or remaining_ms <= 0:
-            return False
-        restart_ms = self._predict_restart(placement.decode_engine.id)
-        return (
-            restart_ms is not None
-            and restart_ms < remaining_ms * _MAX_RESTART_SHARE
-        )
+        return await self._prefill_watch.watch(reading)
 
     async def _relay(
         self,
--- a/packages/forwarding/tests/test_deployment_view.py
+++ b/packages/forwarding/tests/test_deployment_view.py
@@ -15,7 +15,7 @@
 from lavendershed.forwarding import codecs
 from lavendershed.forwarding import deployment_view
 from lavendershed.membership import server_directory
-from lavendershed.peer import load_reports
+from lavendershed.peer import peer_state
 from lavendershed.peer import wire
 from lavendershed.reliability import server_health
 from lavendershed.telemetry import log
@@ -45,7 +45,7 @@
 
 def stored(name, revision, state=forwarding_states.ServerState.READY):
     """Returns the object of a server."""
-    return load_reports.StoredObject(
+    return peer_state.StoredObject(
         name, ids.ObjectVersion(revision), state.value.encode()
     )
 
@@ -74,7 +74,7 @@
 def take_state(target, source, now=NOW):
     """Sends what `target` lacks from `source`, encoded as between daemons."""
     state = source.state_since(target.version, target.directory.revision, now)
-    decoded = load_reports.decode_state(load_reports.encode_state(state))
+    decoded = peer_state.decode_state(peer_state.encode_state(state))
     target.on_peer_state(decoded, now)
     return decoded
 
@@ -168,24 +168,24 @@
         Two watchers send a configuration to all daemons of their zone.
         """
         spec = b'{"path_prefix": "/a/", "kind": "safe"},' * 2_000
-        sent = load_reports.PeerState(
+        sent = peer_state.PeerState(
             ids.ObjectVersion(3),
-            (load_reports.StoredObject("main", ids.ObjectVersion(3), spec),),
+            (peer_state.StoredObject("main", ids.ObjectVersion(3), spec),),
             ids.ObjectVersion(4),
             (),
         )
-        encoded = load_reports.encode_state(sent)
+        encoded = peer_state.encode_state(sent)
         self.assertLess(len(encoded), len(spec) / 5)
-        self.assertEqual(load_reports.decode_state(encoded), sent)
+        self.assertEqual(peer_state.decode_state(encoded), sent)
 
     def test_a_damaged_or_endless_object_is_rejected(self):
         """Guards against memory that a compressed message may fill."""
-        too_large = bytes(load_reports.MAX_OBJECT_BYTES + 1)
-        encoded = load_reports.encode_state(
-            load_reports.PeerState(
+        too_large = bytes(peer_state.MAX_OBJECT_BYTES + 1)
+        encoded = peer_state.encode_state(
+            peer_state.PeerState(
                 ids.ObjectVersion(3),
                 (
-                    load_reports.StoredObject(
+                    peer_state.StoredObject(
                         "main", ids.ObjectVersion(3), too_large
                     ),
                 ),
@@ -194,10 +194,10 @@
             )
         )
         with self.assertRaises(ValueError):
-            load_reports.decode_state(encoded)
+            peer_state.decode_state(encoded)
         damaged = encoded[:60] + bytes(20) + encoded[80:]
         with self.assertRaises(wire.DECODE_ERRORS):
-            load_reports.decode_state(damaged)
+            peer_state.decode_state(damaged)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/packages/peer/src/lavendershed/peer/peer_state.py
@@ -0,0 +1,180 @@
+"""Thrift encoding of the store objects that daemons exchange."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+import dataclasses
+import functools
+import zlib
+
+from lavendershed.core import ids
+from lavendershed.core import units
+from lavendershed.peer import wire
+from lavendershed.peer.gen.messages import ttypes
+
+_STATE_REQUEST_PREFIX = b"state"
+# Smaller objects, such as server entries, are sent as they are.
+_MIN_COMPRESSED = units.Bytes(4_096)
+_COMPRESSION_LEVEL = 1
+_COMPRESSION_CACHE_SIZE = 4
+MAX_OBJECT_BYTES = units.Bytes(16_000_000)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredObject:
+    """One object of the store in encoded form.
+
+    Attributes:
+        name: Name of the object.
+        revision: Store revision of its last change.
+        spec: Encoded content.
+    """
+
+    name: str
+    revision: ids.ObjectVersion
+    spec: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerState:
+    """Contents of the store as a daemon knows them.
+
+    Attributes:
+        configuration_revision: Store revision of its configuration.
+        configuration: The configuration, if the receiver lacks it.
+        server_revision: Store revision of its list of backend servers.
+        servers: All servers, or the changed ones of a partial state.
+        partial: Whether only changes of the server list are included.
+        removed_servers: Names of the servers that a partial state removes.
+        grace: Time for which missing servers may be an effect of an outage of
+            the store.
+    """
+
+    configuration_revision: ids.ObjectVersion
+    configuration: tuple[StoredObject, ...]
+    server_revision: ids.ObjectVersion
+    servers: tuple[StoredObject, ...]
+    partial: bool = False
+    removed_servers: tuple[str, ...] = ()
+    grace: units.Seconds = units.Seconds(0.0)
+
+
+def encode_state_request(
+    version: ids.Epoch, revision: ids.ObjectVersion
+) -> bytes:
+    """Returns a request for what is newer than the given state."""
+    return _STATE_REQUEST_PREFIX + wire.encode(
+        ttypes.StateRequest(
+            configuration_version=version, server_revision=revision
+        )
+    )
+
+
+def decode_state_request(
+    request: bytes,
+) -> tuple[ids.Epoch, ids.ObjectVersion] | None:
+    """Returns the version and revision of a request; None if it is another.
+
+    Daemons of older versions send the prefix only and get the whole state.
+
+    Raises:
+        Exception: One of `wire.DECODE_ERRORS`.
+    """
+    if not request.startswith(_STATE_REQUEST_PREFIX):
+        return None
+    encoded = request[len(_STATE_REQUEST_PREFIX) :]
+    if not encoded:
+        return ids.Epoch(0), ids.ObjectVersion(0)
+    message = wire.decode(ttypes.StateRequest, encoded)
+    return (
+        ids.Epoch(message.configuration_version or 0),
+        ids.ObjectVersion(message.server_revision or 0),
+    )
+
+
+def encode_state(state: PeerState) -> bytes:
+    """Returns the thrift encoding of the state."""
+    return wire.encode(
+        ttypes.StateReply(
+            configuration_revision=state.configuration_revision,
+            configuration=_objects_to_thrift(state.configuration),
+            server_revision=state.server_revision,
+            servers=_objects_to_thrift(state.servers),
+            partial=state.partial or None,
+            removed=list(state.removed_servers) or None,
+            grace_ms=round(state.grace * 1_000) or None,
+        )
+    )
+
+
+def decode_state(data: bytes) -> PeerState:
+    """Returns the state that `data` encodes.
+
+    Raises:
+        Exception: One of `wire.DECODE_ERRORS`.
+    """
+    message = wire.decode(ttypes.StateReply, data)
+    return PeerState(
+        ids.ObjectVersion(message.configuration_revision or 0),
+        _objects_from_thrift(message.configuration),
+        ids.ObjectVersion(message.server_revision or 0),
+        _objects_from_thrift(message.servers),
+        bool(message.partial),
+        tuple(message.removed or ()),
+        units.Seconds((message.grace_ms or 0) / 1_000),
+    )
+
+
+def _objects_to_thrift(
+    objects: Iterable[StoredObject],
+) -> list[ttypes.StoredObject]:
+    return [
+        ttypes.StoredObject(
+            name=o.name,
+            revision=o.revision,
+            spec=o.spec if len(o.spec) < _MIN_COMPRESSED else None,
+            compressed_spec=_compress(o.spec)
+            if len(o.spec) >= _MIN_COMPRESSED
+            else None,
+        )
+        for o in objects
+    ]
+
+
+# A configuration goes to all daemons of a zone within a second.
+@functools.lru_cache(_COMPRESSION_CACHE_SIZE)
+def _compress(spec: bytes) -> bytes:
+    return zlib.compress(spec, _COMPRESSION_LEVEL)
+
+
+def _decompress(compressed: bytes) -> bytes:
+    """Returns the content.
+
+    Raises:
+        ValueError: It is damaged, incomplete or too large.
+    """
+    decompressor = zlib.decompressobj()
+    try:
+        spec = decompressor.decompress(compressed, MAX_OBJECT_BYTES)
+    except zlib.error as error:
+        raise ValueError(f"damaged object: {error}") from error
+    if not decompressor.eof:
+        raise ValueError(
+            f"object is incomplete or exceeds {MAX_OBJECT_BYTES} bytes"
+        )
+    return spec
+
+
+def _objects_from_thrift(
+    objects: list[ttypes.StoredObject] | None,
+) -> tuple[StoredObject, ...]:
+    return tuple(
+        StoredObject(
+            o.name or "",
+            ids.ObjectVersion(o.revision or 0),
+            o.spec or b""
+            if o.compressed_spec is None
+            else _decompress(o.compressed_spec),
+        )
+        for o in objects or []
+    )
--- a/packages/peer/tests/test_load_reports.py
+++ b/packages/peer/tests/test_load_reports.py
@@ -13,6 +13,7 @@
 from lavendershed.core import ids
 from lavendershed.core import units
 from lavendershed.peer import load_reports
+from lavendershed.peer import peer_state
 from lavendershed.peer import wire
 from lavendershed.routing import load_tracker
 
@@ -111,14 +112,14 @@
     """Fails if decoded store state differs from the encoded one."""
 
     def test_decoded_objects_equal_the_encoded_ones(self):
-        stored = load_reports.StoredObject(
+        stored = peer_state.StoredObject(
             "main", ids.ObjectVersion(5), b'{"version":1}'
         )
-        state = load_reports.PeerState(
+        state = peer_state.PeerState(
             ids.ObjectVersion(5), (stored,), ids.ObjectVersion(6), ()
         )
-        encoded = load_reports.encode_state(state)
-        self.assertEqual(load_reports.decode_state(encoded), state)
+        encoded = peer_state.encode_state(state)
+        self.assertEqual(peer_state.decode_state(encoded), state)
 
 
 if __name__ == "__main__":
--- a/packages/platform/src/lavendershed/platform/objects.py
+++ b/packages/platform/src/lavendershed/platform/objects.py
@@ -11,7 +11,7 @@
 from lavendershed.core import units
 from lavendershed.forwarding import codecs
 from lavendershed.membership import server_directory
-from lavendershed.peer import load_reports
+from lavendershed.peer import peer_state
 from lavendershed.platform import fields
 from lavendershed.routes import engine_profile
 from lavendershed.routes import model
@@ -23,7 +23,7 @@
     """Decodes configurations of operators and entries of engines."""
 
     def decode_configuration(
-        self, stored: load_reports.StoredObject
+        self, stored: peer_state.StoredObject
     ) -> result.Result[model.RoutingConfiguration, str]:
         """Returns a configuration, or an error that names the invalid field."""
         try:
@@ -33,7 +33,7 @@
             return result.Err(str(error))
 
     def decode_server(
-        self, stored: load_reports.StoredObject
+        self, stored: peer_state.StoredObject
     ) -> result.Result[server_directory.ServerEntry, str]:
         """Returns a server entry, or an error that names the invalid field."""
         try:
--- a/packages/platform/src/lavendershed/platform/store.py
+++ b/packages/platform/src/lavendershed/platform/store.py
@@ -12,7 +12,7 @@
 from lavendershed.core import timers
 from lavendershed.core import units
 from lavendershed.forwarding import codecs
-from lavendershed.peer import load_reports
+from lavendershed.peer import peer_state
 from lavendershed.platform import fields
 from lavendershed.transport import client
 from lavendershed.transport import pool
@@ -43,11 +43,11 @@
     async def list(
         self,
     ) -> result.Result[
-        tuple[tuple[load_reports.StoredObject, ...], ids.ObjectVersion],
+        tuple[tuple[peer_state.StoredObject, ...], ids.ObjectVersion],
         codecs.SourceError,
     ]:
         """Lists all objects, with the revision of the first page."""
-        objects: list[load_reports.StoredObject] = []
+        objects: list[peer_state.StoredObject] = []
         revision: ids.ObjectVersion | None = None
         query: dict[str, str] = {}
         while True:
@@ -74,7 +74,7 @@
         self, revision: ids.ObjectVersion, timeout: units.Seconds
     ) -> result.Result[
         tuple[
-            tuple[load_reports.StoredObject, ...],
+            tuple[peer_state.StoredObject, ...],
             tuple[str, ...],
             ids.ObjectVersion,
         ],
@@ -88,7 +88,7 @@
         if isinstance(response, result.Err):
             return response
         body = response.ok_value
-        latest: dict[str, load_reports.StoredObject | None] = {}
+        latest: dict[str, peer_state.StoredObject | None] = {}
         try:
             for item in fields.array(body, "events"):
                 event = fields.as_table(item, "events")
@@ -132,7 +132,7 @@
             return result.Err(codecs.SourceError.MALFORMED)
 
 
-def _decode_object(item: fields.JsonValue) -> load_reports.StoredObject:
+def _decode_object(item: fields.JsonValue) -> peer_state.StoredObject:
     """Returns an object with its content as JSON bytes.
 
     Raises:
@@ -141,7 +141,7 @@
     metadata = fields.as_table(
         fields.as_table(item, "object").get("metadata"), "metadata"
     )
-    return load_reports.StoredObject(
+    return peer_state.StoredObject(
         fields.string(metadata, "name"),
         ids.ObjectVersion(fields.integer(metadata, "revision", 0)),
         orjson.dumps(item.get("spec")),
