Listen for callers before the daemon is loaded

Cause: after a failure of all daemons, callers tried twice within the 0.4 s of processor time that a start takes, were refused both times and gave up.

Connections wait in the backlog.

--- a/packages/forwarding/src/lavendershed/forwarding/daemon.py
+++ b/packages/forwarding/src/lavendershed/forwarding/daemon.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import socket
 from typing import Any
 
 from lavendershed.core import addresses
@@ -45,10 +46,12 @@
         daemon_components: components.Components,
         endpoints: Endpoints,
         grace_period: units.Seconds,
+        caller_listener: socket.socket | None = None,
     ) -> None:
         self._components = daemon_components
         self._endpoints = endpoints
         self._grace_period = grace_period
+        self._caller_listener = caller_listener
         self._stopping = False
         self._ready_logged = False
         self._caller_server = server.HttpServer(
@@ -83,7 +86,9 @@
         await self._components.load_reporter.start()
         self._components.load_reporter.start_reports()
         await self._components.state_server.start(self._endpoints.peers)
-        await self._caller_server.start(self._endpoints.callers)
+        await self._caller_server.start(
+            self._endpoints.callers, self._caller_listener
+        )
         await self._health_server.start(self._endpoints.health)
         log.emit(
             events.Event.DAEMON_STARTED,
--- a/packages/platform/src/lavendershed/platform/main.py
+++ b/packages/platform/src/lavendershed/platform/main.py
@@ -7,6 +7,7 @@
 import pathlib
 import random
 import signal
+import socket
 import sys
 
 import result
@@ -15,13 +16,13 @@
 from lavendershed.core import timers
 from lavendershed.core import units
 from lavendershed.forwarding import daemon
+from lavendershed.platform import early_listener
 from lavendershed.platform import factory
 from lavendershed.platform import settings
 from lavendershed.telemetry import buffered_log
 from lavendershed.telemetry import events
 from lavendershed.transport import boot_timers
 
-SETTINGS_VARIABLE = "LAVENDERSHED_CONFIG"
 # The file is also read periodically, because it may change without a SIGHUP.
 _SETTINGS_INTERVAL = units.Seconds(2.0)
 # EX_CONFIG and EX_SOFTWARE of sysexits.h.
@@ -66,9 +67,13 @@
         )
 
 
-def main() -> int:
-    """Runs until SIGTERM; returns the exit status."""
-    path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ""))
+def main(caller_listener: socket.socket | None = None) -> int:
+    """Runs until SIGTERM; returns the exit status.
+
+    Args:
+        caller_listener: A socket that listens for callers already, if any.
+    """
+    path = pathlib.Path(os.environ.get(early_listener.SETTINGS_VARIABLE, ""))
     loaded = settings.load(path)
     event_log = buffered_log.BufferedEventLog(sys.stdout.fileno())
     if isinstance(loaded, result.Err):
@@ -78,7 +83,9 @@
     # Not uvloop: it reports a reset that arrives together with data as a clean
     # EOF, so that a truncated response without a length would look complete.
     with asyncio.Runner() as runner:
-        invariant_error = runner.run(_run(path, loaded.ok_value, event_log))
+        invariant_error = runner.run(
+            _run(path, loaded.ok_value, event_log, caller_listener)
+        )
     if invariant_error is not None:
         event_log.emit(
             events.Event.INVARIANT_BROKEN, error=repr(invariant_error)
@@ -91,6 +98,7 @@
     path: pathlib.Path,
     platform_settings: settings.PlatformSettings,
     event_log: buffered_log.BufferedEventLog,
+    caller_listener: socket.socket | None,
 ) -> Exception | None:
     loop = asyncio.get_running_loop()
     timer_service: timers.TimerService = boot_timers.BootTimerService(loop)
@@ -117,6 +125,7 @@
             platform_settings.peer_address,
         ),
         platform_settings.grace_period,
+        caller_listener,
     )
     return await forwarding_daemon.run(stop)
 
--- a/packages/transport/src/lavendershed/transport/server.py
+++ b/packages/transport/src/lavendershed/transport/server.py
@@ -345,19 +345,30 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         return address_module.Address(host, port)
 
-    async def start(self, address: address_module.Address) -> None:
+    async def start(
+        self,
+        address: address_module.Address,
+        listener: socket.socket | None = None,
+    ) -> None:
         """Binds the address and starts to accept connections.
 
+        Args:
+            address: The address to bind.
+            listener: A socket that listens at this address already, if any.
+
         Raises:
             OSError: The address can't be bound.
         """
         loop = asyncio.get_running_loop()
-        # If given a host, uvloop starts resolver threads even for a numeric
-        # address.
-        family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
-        listener = socket.create_server(
-            (address.host, address.port), family=family, backlog=_BACKLOG
-        )
+        if listener is None:
+            # If given a host, uvloop starts resolver threads even for a numeric
+            # address.
+            ipv6 = ":" in address.host
+            listener = socket.create_server(
+                (address.host, address.port),
+                family=socket.AF_INET6 if ipv6 else socket.AF_INET,
+                backlog=_BACKLOG,
+            )
         listener.setblocking(False)
         self._server = await loop.create_server(
             lambda: _ServerConnection(self), sock=listener, backlog=_BACKLOG
