--- a/packages/standin/src/lavendershed/standin/deployment.py
+++ b/packages/standin/src/lavendershed/standin/deployment.py
@@ -15,6 +15,7 @@
 from lavendershed.standin import fleet as fleet_module
 from lavendershed.standin import history
 from lavendershed.standin import load_client
+from lavendershed.standin import loopback
 from lavendershed.transport import address as address_module
 
 BEARER_TOKEN = "press-token"
@@ -60,7 +61,8 @@
         # fault proxy in between.
         self._advertised_addresses: dict[str, address_module.Address] = {}
         self._peer_addresses = [
-            fleet_module.free_address() for _ in range(options.routers)
+            loopback.own_network().free_address()
+            for _ in range(options.routers)
         ]
         self.presets: list[dict[str, Any]] = [
             {"name": "ordinary"},
--- a/packages/standin/src/lavendershed/standin/fleet.py
+++ b/packages/standin/src/lavendershed/standin/fleet.py
@@ -6,26 +6,20 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
-import itertools
 import os
 import pathlib
 import signal
-import socket
 import sys
 
 import result
 
 from lavendershed.core import units
+from lavendershed.standin import loopback
 from lavendershed.transport import address as address_module
 from lavendershed.transport import client
 
 _START_TIMEOUT = units.Seconds(15.0)
 _POLL_INTERVAL = units.Seconds(0.05)
-_HOST = "127.0.0.1"
-_FIRST_PORT = 10_000
-_PORT_BLOCKS = 110
-_PORTS_PER_BLOCK = 200
-_port_offsets = itertools.count()
 _WORKSPACE_COMMAND = (
     sys.executable,
     "-c",
@@ -33,34 +27,6 @@
 )
 
 
-def free_address() -> address_module.Address:
-    """Returns a loopback address whose port is free for TCP and UDP.
-
-    Ports are taken from below the kernel's ephemeral range, and each process
-    of a test run has its own block. Otherwise another process or an outgoing
-    connection could take a free port before it is bound.
-    """
-    block = os.getpid() % _PORT_BLOCKS
-    for _ in range(_PORTS_PER_BLOCK):
-        offset = next(_port_offsets) % _PORTS_PER_BLOCK
-        address = address_module.Address(
-            _HOST, _FIRST_PORT + block * _PORTS_PER_BLOCK + offset
-        )
-        if _is_free(address):
-            return address
-    raise RuntimeError("no free port in this process's port block")
-
-
-def _is_free(address: address_module.Address) -> bool:
-    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-        with socket.socket(socket.AF_INET, kind) as probe:
-            try:
-                probe.bind((address.host, address.port))
-            except OSError:
-                return False
-    return True
-
-
 @dataclasses.dataclass(slots=True)
 class Member:
     """A started process."""
@@ -108,7 +74,7 @@
         address: address_module.Address | None = None,
     ) -> Member:
         """Starts a stand-in; `kind` is its command, such as `model-engine`."""
-        listen_address = address or free_address()
+        listen_address = address or loopback.own_network().free_address()
         return await self._start(
             name,
             listen_address,
@@ -136,7 +102,7 @@
         environment: Mapping[str, str] | None = None,
     ) -> Member:
         """Starts a router with VM id `name`."""
-        listen_address = address or free_address()
+        listen_address = address or loopback.own_network().free_address()
         return await self._start(
             name,
             listen_address,
--- a/packages/standin/src/lavendershed/standin/soak_daemon.py
+++ b/packages/standin/src/lavendershed/standin/soak_daemon.py
@@ -9,6 +9,7 @@
 import sys
 
 from lavendershed.core import units
+from lavendershed.standin import loopback
 from lavendershed.transport import address as address_module
 
 # Time that a daemon has for open requests after SIGTERM.
@@ -21,7 +22,7 @@
     def __init__(
         self, number: int, first_port: int, directory: pathlib.Path
     ) -> None:
-        self._host = f"127.0.{number // 200}.{10 + number % 200}"
+        self._host = loopback.own_network().host(number)
         self._first_port = first_port
         self._directory = directory
         self._process: asyncio.subprocess.Process | None = None
--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -4,18 +4,17 @@
 
 import asyncio
 import random
-import socket
 import unittest
 
 import result
 
-from lavendershed.core import addresses
 from lavendershed.core import ids
 from lavendershed.core import units
 from lavendershed.forwarding import daemon
 from lavendershed.platform import factory
 from lavendershed.platform import settings
 from lavendershed.reliability import fleet_retry_budget
+from lavendershed.standin import loopback
 from lavendershed.standin import platform_engine
 from lavendershed.standin import platform_store
 from lavendershed.telemetry import log
@@ -95,13 +94,6 @@
     }
 
 
-def free_address():
-    """Returns a loopback address with an unused port."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return addresses.Address(*sock.getsockname())
-
-
 class PlatformCase(unittest.IsolatedAsyncioTestCase):
     """Starts a store, two engines of each service and one daemon."""
 
@@ -231,9 +223,9 @@
     """One daemon on the event loop of the test."""
 
     def __init__(self, case, seeds, grace_period, store_address):
-        self.caller_address = free_address()
-        self.ready_address = free_address()
-        self.peer_address = free_address()
+        self.caller_address = loopback.own_network().free_address()
+        self.ready_address = loopback.own_network().free_address()
+        self.peer_address = loopback.own_network().free_address()
         self.log = log.MemoryEventLog()
         self.stop = asyncio.Event()
         self.settings = settings.PlatformSettings(
--- a/tests/test_peer_process.py
+++ b/tests/test_peer_process.py
@@ -13,6 +13,7 @@
 from lavendershed.standin import deployment
 from lavendershed.standin import fleet
 from lavendershed.standin import load_client
+from lavendershed.standin import loopback
 from lavendershed.transport import client
 
 SETTLE_TIME_S = "1.0"
@@ -98,9 +99,9 @@
         keys = arguments[arguments.index("--peer-keys") + 1]
         await self.fleet.start_router(
             "vm-4",
-            fleet.free_address(),
+            loopback.own_network().free_address(),
             "--peer-listen",
-            str(fleet.free_address()),
+            str(loopback.own_network().free_address()),
             "--peers",
             peer,
             "--peer-keys",
