--- /dev/null
+++ b/packages/platform/src/lavendershed/platform/entry.py
@@ -0,0 +1,21 @@
+"""Entry point of a daemon process on the external platform."""
+
+from __future__ import annotations
+
+import sys
+
+from lavendershed.platform import early_listener
+
+
+def run() -> int:
+    """Runs a daemon until SIGTERM; returns the exit status."""
+    # Before the import of the daemon, during which callers may connect.
+    listener = early_listener.open_listener()
+
+    from lavendershed.platform import main
+
+    return main.main(listener)
+
+
+if __name__ == "__main__":
+    sys.exit(run())
--- a/packages/platform/src/lavendershed/platform/main.py
+++ b/packages/platform/src/lavendershed/platform/main.py
@@ -128,7 +128,3 @@
         caller_listener,
     )
     return await forwarding_daemon.run(stop)
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- a/packages/platform/tests/test_early_listener.py
+++ b/packages/platform/tests/test_early_listener.py
@@ -56,7 +56,7 @@
     def test_no_module_of_the_daemon_is_loaded_for_it(self):
         """Guards against imports that delay the socket."""
         program = (
-            "import sys; import lavendershed.platform.early_listener; "
+            "import sys; import lavendershed.platform.entry; "
             "print(*sys.modules)"
         )
         loaded = subprocess.run(
--- a/packages/standin/src/lavendershed/standin/soak_daemon.py
+++ b/packages/standin/src/lavendershed/standin/soak_daemon.py
@@ -54,7 +54,7 @@
         self._process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            "lavendershed.platform.main",
+            "lavendershed.platform.entry",
             env={**os.environ, "LAVENDERSHED_CONFIG": str(path)},
             stdout=self._log,
             stderr=self._log,
