Keep the exit status of child processes that are signalled as they end

Process.send_signal polls the child first and collects the status of one that has just ended; asyncio then reports 255.

Change: soak and fleet send signals with os.kill.

--- a/packages/standin/src/lavendershed/standin/fleet.py
+++ b/packages/standin/src/lavendershed/standin/fleet.py
@@ -15,6 +15,7 @@
 
 from lavendershed.core import units
 from lavendershed.standin import loopback
+from lavendershed.standin import signals
 from lavendershed.transport import address as address_module
 from lavendershed.transport import client
 
@@ -38,8 +39,7 @@
 
     def signal(self, signal_number: signal.Signals) -> None:
         """Sends a signal to the process if it is running."""
-        if self.process.returncode is None:
-            self.process.send_signal(signal_number)
+        signals.send_signal(self.process, signal_number)
 
 
 class Fleet:
--- a/packages/standin/src/lavendershed/standin/soak_daemon.py
+++ b/packages/standin/src/lavendershed/standin/soak_daemon.py
@@ -10,6 +10,7 @@
 
 from lavendershed.core import units
 from lavendershed.standin import loopback
+from lavendershed.standin import signals
 from lavendershed.transport import address as address_module
 
 # Time that a daemon has for open requests after SIGTERM.
@@ -65,14 +66,14 @@
         if self._process is not None and self.running:
             now = asyncio.get_running_loop().time()
             self._sent_signals.append((now, signal_number))
-            self._process.send_signal(signal_number)
+            signals.send_signal(self._process, signal_number)
 
     def was_signalled(
-        self, signals: tuple[signal.Signals, ...], since: float, until: float
+        self, expected: tuple[signal.Signals, ...], since: float, until: float
     ) -> bool:
-        """Returns whether one of `signals` was sent in a time range."""
+        """Returns whether one of `expected` was sent in a time range."""
         return any(
-            since <= sent_at <= until and signal_number in signals
+            since <= sent_at <= until and signal_number in expected
             for sent_at, signal_number in self._sent_signals
         )
 
