Log how old the configuration is that decides a request

Cause: a watch that has gone silent logged nothing, and a log line showed the version that decided but not when it was last known to be the newest, so that a late configuration could not be told from a late change.

Change: `membership.freshness` holds when objects were last confirmed by the store. The metrics show the age by kind, and the version, which was defined and never set.

--- a/packages/forwarding/src/lavendershed/forwarding/codecs.py
+++ b/packages/forwarding/src/lavendershed/forwarding/codecs.py
@@ -110,6 +110,7 @@
 
     HISTORY_GONE = "history_gone"
     UNAVAILABLE = "unavailable"
+    TIMED_OUT = "timed_out"
     REFUSED = "refused"
     MALFORMED = "malformed"
 
--- a/packages/forwarding/src/lavendershed/forwarding/context.py
+++ b/packages/forwarding/src/lavendershed/forwarding/context.py
@@ -55,6 +55,13 @@
     instruments: request_instruments.RequestInstruments
     zone: ids.AvailabilityZoneId
 
+    @property
+    def version_age_ms(self) -> int | None:
+        """Time since the configuration was confirmed to be the newest."""
+        return self.view.age_ms(
+            codecs.ObjectKind.CONFIGURATION, self.timers.now()
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AdmittedRequest:
--- a/packages/forwarding/src/lavendershed/forwarding/daemon.py
+++ b/packages/forwarding/src/lavendershed/forwarding/daemon.py
@@ -9,6 +9,7 @@
 
 from lavendershed.core import addresses
 from lavendershed.core import units
+from lavendershed.forwarding import codecs
 from lavendershed.forwarding import components
 from lavendershed.forwarding import health_endpoint
 from lavendershed.telemetry import events
@@ -135,6 +136,7 @@
         while True:
             await asyncio.sleep(_MAINTENANCE_INTERVAL)
             context.connections.expire()
+            self._update_metrics()
             if self.ready and not self._ready_logged:
                 self._ready_logged = True
                 context.log.emit(
@@ -154,6 +156,15 @@
                 )
             )
 
+    def _update_metrics(self) -> None:
+        context = self._components.context
+        now = context.timers.now()
+        context.instruments.set_configuration_version(context.view.version)
+        for kind in codecs.ObjectKind:
+            age = context.view.freshness_of(kind).age(now)
+            if age is not None:
+                context.instruments.set_object_age(kind.value, age)
+
     async def _drain(self) -> None:
         """Completes open and new requests until the grace period ends."""
         context = self._components.context
--- a/packages/forwarding/src/lavendershed/forwarding/deployment_view.py
+++ b/packages/forwarding/src/lavendershed/forwarding/deployment_view.py
@@ -9,6 +9,7 @@
 from lavendershed.core import units
 from lavendershed.forwarding import codecs
 from lavendershed.forwarding import server_changes
+from lavendershed.membership import freshness
 from lavendershed.membership import server_directory
 from lavendershed.peer import load_reports
 from lavendershed.peer import peer_state
@@ -45,6 +46,9 @@
         self._grace_ends_at = units.Instant(0.0)
         self._changes = server_changes.ServerChanges()
         self._last_server_change = ids.ObjectVersion(0)
+        self._freshness = {
+            kind: freshness.Freshness() for kind in codecs.ObjectKind
+        }
         self._listeners: list[ChangeListener] = []
         self._completion_waiters: set[asyncio.Future[None]] = set()
 
@@ -104,6 +108,15 @@
         stored = self._stored_configuration
         return stored.revision if stored else ids.ObjectVersion(0)
 
+    def freshness_of(self, kind: codecs.ObjectKind) -> freshness.Freshness:
+        """Returns when the objects were last known to be the newest."""
+        return self._freshness[kind]
+
+    def age_ms(self, kind: codecs.ObjectKind, now: units.Instant) -> int | None:
+        """Returns the age of the known objects for logs, in milliseconds."""
+        age = self._freshness[kind].age(now)
+        return None if age is None else round(age * 1_000)
+
     def state_since(
         self,
         version: ids.Epoch,
--- a/packages/forwarding/src/lavendershed/forwarding/gateway.py
+++ b/packages/forwarding/src/lavendershed/forwarding/gateway.py
@@ -226,6 +226,7 @@
             reason=failure.reason.value,
             detail=failure.detail,
             version=self._context.view.version,
+            version_age_ms=self._context.version_age_ms,
             retry_after_s=failure.retry_after,
         )
         await context_module.respond_failure(self._context, responder, failure)
--- a/packages/forwarding/src/lavendershed/forwarding/state_exchange.py
+++ b/packages/forwarding/src/lavendershed/forwarding/state_exchange.py
@@ -191,6 +191,7 @@
         return peer if revision > self._view.directory.revision else None
 
     async def _fetch_from(self, address: addresses.Address) -> None:
+        newest_known = self._versions.newest(in_zone=False).configuration[0]
         fetched = await fetch_state(
             address, self._view.version, self._view.directory.revision
         )
@@ -200,6 +201,8 @@
                 events.Event.PEER_STATE_FAILED,
                 peer=str(address),
                 reason=fetched.err_value,
+                version=self._view.version,
+                newest_known=newest_known,
             )
             return
         state = fetched.ok_value
@@ -224,6 +227,7 @@
             peer=str(address),
             version=self._view.version,
             previous=previous,
+            newest_known=newest_known,
             revision=self._view.directory.revision,
             servers=len(state.servers) + len(state.removed_servers),
         )
--- a/packages/forwarding/src/lavendershed/forwarding/store_watcher.py
+++ b/packages/forwarding/src/lavendershed/forwarding/store_watcher.py
@@ -133,6 +133,7 @@
 
     def _on_success(self) -> None:
         now = self._timers.now()
+        self._view.freshness_of(self._kind).confirm(now)
         outage = self._availability.on_success(self._kind, now)
         if outage is None:
             return
@@ -160,4 +161,5 @@
                 kind=self._kind.value,
                 reason=error.value,
                 revision=self._revision,
+                age_ms=self._view.age_ms(self._kind, now),
             )
--- a/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
@@ -224,6 +224,7 @@
             ),
             attempt=self._attempts.count + 1,
             version=context.view.version,
+            version_age_ms=context.version_age_ms,
             servers=context.view.directory.revision,
             load_age_ms=round(context.load_tracker.age(now) * 1_000),
         )
--- a/packages/forwarding/src/lavendershed/forwarding/unary_execution.py
+++ b/packages/forwarding/src/lavendershed/forwarding/unary_execution.py
@@ -71,6 +71,7 @@
                 avoided=len(avoided),
                 attempt=self._attempts.count + 1,
                 version=context.view.version,
+                version_age_ms=context.version_age_ms,
                 servers=context.view.directory.revision,
             )
         return server
--- a/packages/forwarding/tests/test_store_watcher.py
+++ b/packages/forwarding/tests/test_store_watcher.py
@@ -13,6 +13,7 @@
 from lavendershed.forwarding import codecs
 from lavendershed.forwarding import store_availability
 from lavendershed.forwarding import store_watcher
+from lavendershed.membership import freshness
 from lavendershed.telemetry import log
 from lavendershed.transport import event_loop_timers
 
@@ -40,6 +41,10 @@
     def __init__(self):
         self.complete = False
         self.listings = 0
+        self.freshness = freshness.Freshness()
+
+    def freshness_of(self, kind):
+        return self.freshness
 
     async def wait_complete(self, timeout):
         await asyncio.sleep(min(timeout, 0.05))
--- a/packages/platform/src/lavendershed/platform/store.py
+++ b/packages/platform/src/lavendershed/platform/store.py
@@ -15,6 +15,7 @@
 from lavendershed.peer import peer_state
 from lavendershed.platform import fields
 from lavendershed.transport import client
+from lavendershed.transport import errors
 from lavendershed.transport import pool
 
 # The store responds in 4 ms, or in 250 ms when it is slow.
@@ -22,6 +23,10 @@
 _GONE_STATUS = 410
 _REFUSED_STATUSES = frozenset({429, 503})
 _MAX_RESPONSE = units.Bytes(8_000_000)
+_ERRORS = {
+    errors.TransportErrorKind.IDLE_TIMEOUT: codecs.SourceError.TIMED_OUT,
+    errors.TransportErrorKind.PROTOCOL: codecs.SourceError.MALFORMED,
+}
 
 
 class PlatformObjectSource(codecs.ObjectSource):
@@ -118,7 +123,8 @@
             max_body=_MAX_RESPONSE,
         )
         if isinstance(exchanged, result.Err):
-            return result.Err(codecs.SourceError.UNAVAILABLE)
+            kind = exchanged.err_value.kind
+            return result.Err(_ERRORS.get(kind, codecs.SourceError.UNAVAILABLE))
         response = exchanged.ok_value
         if response.head.status == _GONE_STATUS:
             return result.Err(codecs.SourceError.HISTORY_GONE)
--- a/packages/telemetry/src/lavendershed/telemetry/request_instruments.py
+++ b/packages/telemetry/src/lavendershed/telemetry/request_instruments.py
@@ -56,6 +56,9 @@
         self._configuration_version = meter.create_gauge(
             "lavendershed.configuration_version"
         )
+        self._object_age = meter.create_gauge(
+            "lavendershed.store_objects_age", unit="s"
+        )
 
     def exposition(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
@@ -102,3 +105,7 @@
     def set_configuration_version(self, version: ids.Epoch) -> None:
         """Sets the version of the active configuration."""
         self._configuration_version.set(version)
+
+    def set_object_age(self, kind: str, age: units.Seconds) -> None:
+        """Sets the time since objects were confirmed to be the newest."""
+        self._object_age.set(age, {"kind": kind})
