--- a/packages/standin/src/lavendershed/standin/fault_proxy.py
+++ b/packages/standin/src/lavendershed/standin/fault_proxy.py
@@ -12,6 +12,7 @@
 from lavendershed.transport import streams
 
 _READ_BYTES = 65_536
+_END_OF_HEAD = b"\r\n\r\n"
 _CONNECT_TIMEOUT = units.Seconds(1.0)
 
 
@@ -21,13 +22,15 @@
     FORWARD forwards them. BLACKHOLE drops them and keeps the connection open,
     as a middlebox does that has lost the connection's state. DROP_RESPONSES
     forwards the client's bytes and drops the server's; DROP_REQUESTS does the
-    opposite.
+    opposite. FORWARD_HEADS forwards the head of the next response and then
+    drops all bytes.
     """
 
     FORWARD = "forward"
     BLACKHOLE = "silent"
     DROP_RESPONSES = "lose_answers"
     DROP_REQUESTS = "lose_requests"
+    FORWARD_HEADS = "heads_only"
 
 
 class _Relay:
@@ -56,6 +59,7 @@
         self._refuses_connections = False
         self._delay = units.Seconds(0.0)
         self._accepted_connections = 0
+        self._truncated_responses = 0
 
     @property
     def address(self) -> address_module.Address:
@@ -69,6 +73,11 @@
         """Number of accepted connections."""
         return self._accepted_connections
 
+    @property
+    def truncated_responses(self) -> int:
+        """Number of responses that stopped after their head."""
+        return self._truncated_responses
+
     async def start(self) -> None:
         """Starts listening on a free loopback port."""
         self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
@@ -163,6 +172,14 @@
                     drop_behaviour,
                 ):
                     continue
+                if (
+                    is_response
+                    and relay.behaviour is RelayBehaviour.FORWARD_HEADS
+                ):
+                    relay.behaviour = RelayBehaviour.BLACKHOLE
+                    self._truncated_responses += 1
+                    head, separator, _ = data.partition(_END_OF_HEAD)
+                    data = head + separator
                 writer.write(data)
                 await writer.drain()
             if relay.behaviour is RelayBehaviour.FORWARD:
