Ask the store for changes when nothing confirms that there are none

Callers saw: a request was handled by an older configuration than one that the store had acknowledged more than two seconds before.

Cause: a daemon learned of changes by their arrival only, and took silence for "nothing has changed". A watch waits 9 s and its call ends after 10.5 s, or after 52.5 s if the response stops after its head; peers help only if one of them has the change. When the connections of all daemons fall silent, nothing ends the silence in time but TCP keep-alive, after 2 to 3 s.

Change: the age of what a daemon knows is bounded. Load reports carry the ages of the sender's objects, so that one call serves the fleet; ages in bundles are not used, since aggregators repeat reports. Reports carry 23 addresses instead of 24, so that a full one still fits into a datagram.

--- a/packages/forwarding/src/lavendershed/forwarding/codecs.py
+++ b/packages/forwarding/src/lavendershed/forwarding/codecs.py
@@ -115,6 +115,12 @@
     MALFORMED = "malformed"
 
 
+# Changed objects, names of removed ones, and the revision to resume from.
+Changes = tuple[
+    tuple[peer_state.StoredObject, ...], tuple[str, ...], ids.ObjectVersion
+]
+
+
 class ObjectSource(abc.ABC):
     """One object collection of the store."""
 
@@ -130,17 +136,19 @@
     @abc.abstractmethod
     async def watch(
         self, revision: ids.ObjectVersion, timeout: units.Seconds
-    ) -> result.Result[
-        tuple[
-            tuple[peer_state.StoredObject, ...],
-            tuple[str, ...],
-            ids.ObjectVersion,
-        ],
-        SourceError,
-    ]:
+    ) -> result.Result[Changes, SourceError]:
         """Waits for changes after `revision`.
 
         Returns:
             Changed objects, names of removed objects, and the revision to
             resume from; no objects if nothing changed within `timeout`.
         """
+
+    @abc.abstractmethod
+    async def changes_since(
+        self, revision: ids.ObjectVersion
+    ) -> result.Result[Changes, SourceError]:
+        """Returns the changes after `revision` at once, like `watch`.
+
+        Uses a new connection, because an open one may have gone silent.
+        """
--- a/packages/forwarding/src/lavendershed/forwarding/deployment_view.py
+++ b/packages/forwarding/src/lavendershed/forwarding/deployment_view.py
@@ -49,13 +49,21 @@
         self._freshness = {
             kind: freshness.Freshness() for kind in codecs.ObjectKind
         }
+        # Revision up to which no change of the servers is missing; that of the
+        # directory is the revision of its last change.
+        self._servers_known = ids.ObjectVersion(0)
         self._listeners: list[ChangeListener] = []
+        self._check_listeners: list[ChangeListener] = []
         self._completion_waiters: set[asyncio.Future[None]] = set()
 
     def subscribe(self, listener: ChangeListener) -> None:
         """Calls `listener` after each new configuration or server list."""
         self._listeners.append(listener)
 
+    def subscribe_to_checks(self, listener: ChangeListener) -> None:
+        """Calls `listener` after each check of the store without a change."""
+        self._check_listeners.append(listener)
+
     @property
     def table(self) -> table.RouteTable | None:
         """Active route table; None before the first configuration."""
@@ -108,6 +116,62 @@
         stored = self._stored_configuration
         return stored.revision if stored else ids.ObjectVersion(0)
 
+    @property
+    def servers_known(self) -> ids.ObjectVersion:
+        """Revision up to which all changes of the servers are known."""
+        return max(self._servers_known, self._directory.revision)
+
+    def on_store_confirmed(
+        self,
+        kind: codecs.ObjectKind,
+        revision: ids.ObjectVersion,
+        at: units.Instant,
+    ) -> None:
+        """Records that the store had no newer objects at `at`.
+
+        Args:
+            kind: Kind of the objects.
+            revision: Revision of the store; all changes up to it are applied.
+            at: Time of the confirmation.
+        """
+        if kind is codecs.ObjectKind.SERVERS:
+            self._servers_known = max(self._servers_known, revision)
+        self._freshness[kind].confirm(at)
+
+    def on_store_checked(
+        self,
+        kind: codecs.ObjectKind,
+        revision: ids.ObjectVersion,
+        at: units.Instant,
+    ) -> None:
+        """Like `on_store_confirmed`, and tells the other daemons."""
+        self.on_store_confirmed(kind, revision, at)
+        for listener in self._check_listeners:
+            listener()
+
+    def on_peer_confirmed(
+        self, report: load_reports.LoadReport, now: units.Instant
+    ) -> None:
+        """Records what the report of a peer says about the newest objects.
+
+        A peer that knew the newest objects a moment ago confirms those of this
+        daemon, unless they are older.
+        """
+        if (
+            report.configuration_age is not None
+            and report.configuration_epoch <= self.version
+        ):
+            self._freshness[codecs.ObjectKind.CONFIGURATION].confirm(
+                units.Instant(now - report.configuration_age)
+            )
+        if (
+            report.servers_age is not None
+            and report.servers_known <= self.servers_known
+        ):
+            self._freshness[codecs.ObjectKind.SERVERS].confirm(
+                units.Instant(now - report.servers_age)
+            )
+
     def freshness_of(self, kind: codecs.ObjectKind) -> freshness.Freshness:
         """Returns when the objects were last known to be the newest."""
         return self._freshness[kind]
--- a/packages/forwarding/src/lavendershed/forwarding/load_reporting.py
+++ b/packages/forwarding/src/lavendershed/forwarding/load_reporting.py
@@ -13,6 +13,7 @@
 from lavendershed.core import timers
 from lavendershed.core import units
 from lavendershed.forwarding import bundle_distribution
+from lavendershed.forwarding import codecs
 from lavendershed.forwarding import deployment_view
 from lavendershed.forwarding import peer_versions
 from lavendershed.forwarding import store_watch_role
@@ -162,6 +163,8 @@
         status = self._apply(sender, report, now, direct=True)
         if status is peer_table.ReportStatus.STALE:
             return
+        # Aggregators repeat reports, whose ages are then out of date.
+        self._view.on_peer_confirmed(report, now)
         zone = report.availability_zone
         self._bundles.on_direct_report(sender, zone, encoded, status)
         if (
@@ -282,6 +285,7 @@
         """Sends reports from now on."""
         self._load_tracker.subscribe(self._on_change)
         self._view.subscribe(self._on_view_change)
+        self._view.subscribe_to_checks(self._on_store_checked)
         self._bundles.start(self._send)
         self._send_report()
 
@@ -290,6 +294,12 @@
         if self._store_role.is_watching and self._topology.own_zone_is_large:
             self._on_change(urgent=True)
 
+    def _on_store_checked(self) -> None:
+        """Spares the other daemons a check; the state has not changed."""
+        self._schedule_report(
+            units.after(self._timers.now(), _URGENT_REPORT_DELAY)
+        )
+
     def _on_change(self, urgent: bool) -> None:
         """Schedules a report after a change of the local state."""
         self._has_changed = True
@@ -363,6 +373,9 @@
             advertised,
             self._store_role.is_watching_successfully,
             self._bandwidth_mbps,
+            self._view.freshness_of(codecs.ObjectKind.CONFIGURATION).age(now),
+            self._view.freshness_of(codecs.ObjectKind.SERVERS).age(now),
+            self._view.servers_known,
         )
 
     def _send(
--- a/packages/forwarding/src/lavendershed/forwarding/store_watcher.py
+++ b/packages/forwarding/src/lavendershed/forwarding/store_watcher.py
@@ -38,6 +38,16 @@
 # Entries expire after three missed heartbeats of 1.2 s; a shorter gap, such as
 # an interrupted watch, is not treated as an outage.
 _MIN_OUTAGE = units.Seconds(1.0)
+# A watch without changes may have gone silent. If neither the store nor a peer
+# has confirmed for this long that there are none, the daemon asks the store on
+# a new connection, since changes have to take effect within two seconds.
+_MAX_UNCONFIRMED = units.Seconds(1.0)
+# Daemons ask at different times; the report of the first spares the others the
+# call, so that the calls do not grow with the fleet.
+_CHECK_SPREAD = units.Seconds(0.3)
+
+
+_Watched = result.Result[codecs.Changes, codecs.SourceError]
 
 
 class ObjectWatcher:
@@ -63,6 +73,7 @@
         self._timers = timer_service
         self._log = event_log
         self._first_call_delay = first_call_delay
+        self._random = generator
         self._backoff = backoff.Backoff(generator, _BACKOFF_LIMITS)
         self._revision: ids.ObjectVersion | None = None
         self._last_call_failed = False
@@ -97,7 +108,7 @@
         if isinstance(listed, result.Err):
             return listed.err_value
         objects, revision = listed.ok_value
-        self._on_success()
+        self._on_success(revision)
         if self._kind is codecs.ObjectKind.CONFIGURATION:
             for stored in objects:
                 self._view.on_configuration(stored)
@@ -114,11 +125,17 @@
             if self._last_call_failed
             else _WATCH_TIMEOUT
         )
-        watched = await self._source.watch(revision, timeout)
+        watching = asyncio.get_running_loop().create_task(
+            self._source.watch(revision, timeout)
+        )
+        try:
+            watched = await self._wait_for_changes(watching, revision)
+        finally:
+            watching.cancel()
         if isinstance(watched, result.Err):
             return watched.err_value
         changed, removed, revision = watched.ok_value
-        self._on_success()
+        self._on_success(revision)
         if self._kind is codecs.ObjectKind.CONFIGURATION:
             for stored in changed:
                 self._view.on_configuration(stored)
@@ -131,9 +148,54 @@
             await asyncio.sleep(_BATCH_DELAY)
         return None
 
-    def _on_success(self) -> None:
+    async def _wait_for_changes(
+        self,
+        watching: asyncio.Task[_Watched],
+        revision: ids.ObjectVersion,
+    ) -> _Watched:
+        """Returns the result of a watch, or of a check that overtakes it."""
+        started_at = self._timers.now()
+        while True:
+            max_age = units.Seconds(
+                _MAX_UNCONFIRMED + self._random.uniform(0.0, _CHECK_SPREAD)
+            )
+            await asyncio.wait((watching,), timeout=self._time_until(max_age))
+            if watching.done():
+                return watching.result()
+            if not self._role.is_watching:
+                # The watch that is open ends by itself.
+                return await watching
+            if self._time_until(max_age) > 0:
+                continue
+            checked_at = self._timers.now()
+            checked = await self._source.changes_since(revision)
+            if watching.done():
+                return watching.result()
+            if isinstance(checked, result.Err):
+                return checked
+            changed, removed, checked_revision = checked.ok_value
+            if changed or removed:
+                self._log.emit(
+                    events.Event.STORE_WATCH_SILENT,
+                    kind=self._kind.value,
+                    revision=revision,
+                    found_revision=checked_revision,
+                    watching_s=round(checked_at - started_at, 3),
+                    age_ms=self._view.age_ms(self._kind, checked_at),
+                )
+                return checked
+            self._view.on_store_checked(
+                self._kind, checked_revision, checked_at
+            )
+
+    def _time_until(self, max_age: units.Seconds) -> units.Seconds:
+        """Returns the time until the known objects reach `max_age`."""
+        age = self._view.freshness_of(self._kind).age(self._timers.now())
+        return units.Seconds(max(0.0, max_age - (age or 0.0)))
+
+    def _on_success(self, revision: ids.ObjectVersion) -> None:
         now = self._timers.now()
-        self._view.freshness_of(self._kind).confirm(now)
+        self._view.on_store_confirmed(self._kind, revision, now)
         outage = self._availability.on_success(self._kind, now)
         if outage is None:
             return
--- a/packages/forwarding/tests/test_deployment_view.py
+++ b/packages/forwarding/tests/test_deployment_view.py
@@ -15,9 +15,11 @@
 from lavendershed.forwarding import codecs
 from lavendershed.forwarding import deployment_view
 from lavendershed.membership import server_directory
+from lavendershed.peer import load_reports
 from lavendershed.peer import peer_state
 from lavendershed.peer import wire
 from lavendershed.reliability import server_health
+from lavendershed.routes import model
 from lavendershed.telemetry import log
 
 NOW = units.Instant(100.0)
@@ -25,10 +27,18 @@
 
 
 class FakeDecoder(codecs.ObjectDecoder):
-    """Decodes server objects whose content is the state of the server."""
+    """Decodes server objects whose content is the state of the server.
+
+    The content of a configuration is its version.
+    """
 
     def decode_configuration(self, stored):
-        return result.Err("no configuration")
+        limits = model.CallerLimits(0, 0, units.Seconds(1), units.Seconds(1))
+        return result.Ok(
+            model.RoutingConfiguration(
+                ids.Epoch(int(stored.spec)), (), (), None, limits
+            )
+        )
 
     def decode_server(self, stored):
         return result.Ok(
@@ -200,5 +210,72 @@
             peer_state.decode_state(damaged)
 
 
+def confirmation(version=5, servers_known=10, age=0.5):
+    """Returns the report of a peer that knew the newest objects."""
+    return load_reports.LoadReport(
+        ids.Incarnation(1),
+        None,
+        ids.AvailabilityZoneId("z"),
+        1,
+        ids.Epoch(version),
+        ids.ObjectVersion(0),
+        (),
+        (),
+        (),
+        (),
+        (),
+        configuration_age=age,
+        servers_age=age,
+        servers_known=ids.ObjectVersion(servers_known),
+    )
+
+
+class PeerConfirmationTest(unittest.TestCase):
+    """Guards against daemons that confirm each other's outdated state."""
+
+    def setUp(self):
+        self.view = listed(*NAMES, revision=10)
+        self.view.on_configuration(
+            peer_state.StoredObject("main", ids.ObjectVersion(9), b"5")
+        )
+
+    def ages(self):
+        return tuple(
+            self.view.freshness_of(kind).age(NOW) for kind in codecs.ObjectKind
+        )
+
+    def test_a_peer_confirms_objects_that_are_not_older(self):
+        for version, known in ((5, 10), (4, 8)):
+            with self.subTest(version=version, known=known):
+                self.setUp()
+                self.view.on_peer_confirmed(confirmation(version, known), NOW)
+                self.assertEqual(self.ages(), (0.5, 0.5))
+
+    def test_a_peer_with_newer_objects_confirms_nothing(self):
+        self.view.on_peer_confirmed(confirmation(6, 11), NOW)
+        self.assertEqual(self.ages(), (None, None))
+
+    def test_a_peer_that_has_listed_a_removal_confirms_nothing(self):
+        """Its remaining objects are all known here, the removal is not."""
+        peer = listed("i-1", revision=10)
+        peer.on_server_listing((stored("i-1", 10),), ids.ObjectVersion(12), NOW)
+        self.assertEqual(peer.last_server_change, 10)
+        self.view.on_peer_confirmed(confirmation(5, peer.servers_known), NOW)
+        self.assertEqual(self.ages(), (0.5, None))
+
+    def test_a_check_extends_what_is_known(self):
+        """Other objects of the store raise its revision, too."""
+        self.view.on_store_checked(
+            codecs.ObjectKind.SERVERS, ids.ObjectVersion(30), NOW
+        )
+        self.view.on_peer_confirmed(confirmation(5, 30, age=0.0), NOW)
+        self.assertEqual(self.ages(), (0.0, 0.0))
+
+    def test_a_peer_that_knows_no_age_confirms_nothing(self):
+        """Daemons of an older build do not send it."""
+        self.view.on_peer_confirmed(confirmation(age=None), NOW)
+        self.assertEqual(self.ages(), (None, None))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/forwarding/tests/test_load_reporting.py
+++ b/packages/forwarding/tests/test_load_reporting.py
@@ -16,6 +16,7 @@
 from lavendershed.forwarding import peer_versions
 from lavendershed.forwarding import store_availability
 from lavendershed.forwarding import store_watch_role
+from lavendershed.membership import freshness
 from lavendershed.membership import peer_table
 from lavendershed.membership import report_topology
 from lavendershed.peer import load_reports
@@ -93,6 +94,9 @@
         self.address = address(number)
         self.zone = ids.AvailabilityZoneId(zone)
         self.stopped = False
+        self.freshness = freshness.Freshness()
+        self.confirmations = []
+        self.check_listeners = []
         self.peers = peer_table.PeerTable(self.address)
         self.peers.set_seeds(seeds)
         self.topology = report_topology.ReportTopology(
@@ -114,6 +118,12 @@
             directory=types.SimpleNamespace(entries=()),
             server_by_number=lambda number: ENGINE,
             subscribe=lambda listener: None,
+            subscribe_to_checks=self.check_listeners.append,
+            freshness_of=lambda kind: self.freshness,
+            servers_known=ids.ObjectVersion(1),
+            on_peer_confirmed=lambda report, now: self.confirmations.append(
+                report
+            ),
         )
         self.reporter = load_reporting.LoadReporter(
             ids.Incarnation(incarnation),
@@ -347,6 +357,40 @@
         self.assertLessEqual(max(found), 8)
         self.assertEqual(found[-1], 2)
 
+    def test_a_check_of_the_store_is_reported_at_once(self):
+        """Guards against checks by every daemon of the fleet each second."""
+        network = self.fleet((3,))
+        first, second, third = network.daemons.values()
+        network.advance(0.5)
+        second.confirmations.clear()
+        third.confirmations.clear()
+        first.freshness.confirm(network.timers.now())
+        for listener in first.check_listeners:
+            listener()
+        network.advance(0.02)
+        for peer in (second, third):
+            (report,) = peer.confirmations
+            self.assertLess(report.configuration_age, 0.02)
+            self.assertLess(report.servers_age, 0.02)
+
+    def test_ages_in_repeated_bundles_confirm_nothing(self):
+        """An aggregator repeats reports whose ages are out of date."""
+        network = self.fleet((6,))
+        for daemon in network.daemons.values():
+            daemon.freshness.confirm(network.timers.now())
+        network.advance(5.0)
+        members = [
+            daemon
+            for daemon in network.daemons.values()
+            if not daemon.topology.is_standby
+        ]
+        for member in members:
+            member.confirmations.clear()
+        network.advance(5.0)
+        self.assertTrue(members)
+        for member in members:
+            self.assertEqual(member.confirmations, [])
+
     def test_report_is_attributed_to_its_sender(self):
         """Guards against bundled reports attributed to the aggregator."""
         network = self.fleet((6,))
--- a/packages/forwarding/tests/test_store_watcher.py
+++ b/packages/forwarding/tests/test_store_watcher.py
@@ -14,16 +14,19 @@
 from lavendershed.forwarding import store_availability
 from lavendershed.forwarding import store_watcher
 from lavendershed.membership import freshness
+from lavendershed.telemetry import events
 from lavendershed.telemetry import log
 from lavendershed.transport import event_loop_timers
 
 
 class FakeSource(codecs.ObjectSource):
-    """Counts the calls and never reports a change."""
+    """Counts the calls; its watches never report a change."""
 
     def __init__(self):
         self.lists = 0
         self.watched_from = []
+        self.checked_from = []
+        self.check_result = None
 
     async def list(self):
         self.lists += 1
@@ -34,6 +37,10 @@
         await asyncio.sleep(timeout)
         return result.Ok(((), (), revision))
 
+    async def changes_since(self, revision):
+        self.checked_from.append(revision)
+        return self.check_result or result.Ok(((), (), revision))
+
 
 class FakeView:
     """A view that a peer may complete."""
@@ -42,6 +49,7 @@
         self.complete = False
         self.listings = 0
         self.freshness = freshness.Freshness()
+        self.removed = []
 
     def freshness_of(self, kind):
         return self.freshness
@@ -53,9 +61,20 @@
     def revision(self, kind):
         return ids.ObjectVersion(40 if self.complete else 0)
 
+    def age_ms(self, kind, now):
+        return round(self.freshness.age(now) * 1_000)
+
+    def on_store_confirmed(self, kind, revision, at):
+        self.freshness.confirm(at)
+
+    on_store_checked = on_store_confirmed
+
     def on_server_listing(self, objects, revision, now):
         self.listings += 1
 
+    def on_server_events(self, changed, removed, revision, now):
+        self.removed += removed
+
 
 class FakeRole:
     """A role that the test sets."""
@@ -63,14 +82,15 @@
     is_watching = True
 
 
-class ObjectWatcherTest(unittest.IsolatedAsyncioTestCase):
-    """Guards against calls to the store that grow with the fleet."""
+class WatcherCase(unittest.IsolatedAsyncioTestCase):
+    """Runs a watcher for a short time."""
 
     async def asyncSetUp(self):
         self.source, self.view, self.role = FakeSource(), FakeView(), FakeRole()
 
-    async def watch(self, first_call_delay=0.0):
+    async def watch(self, first_call_delay=0.0, seconds=0.1):
         loop = asyncio.get_running_loop()
+        self.log = log.MemoryEventLog()
         watcher = store_watcher.ObjectWatcher(
             codecs.ObjectKind.SERVERS,
             self.source,
@@ -78,15 +98,19 @@
             store_availability.StoreAvailability(),
             self.role,
             event_loop_timers.EventLoopTimerService(loop),
-            log.MemoryEventLog(),
+            self.log,
             random.Random(1),
             units.Seconds(first_call_delay),
         )
         task = loop.create_task(watcher.run())
-        await asyncio.sleep(0.1)
+        await asyncio.sleep(seconds)
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
 
+
+class ObjectWatcherTest(WatcherCase):
+    """Guards against calls to the store that grow with the fleet."""
+
     async def test_a_daemon_lists_and_then_watches(self):
         await self.watch()
         self.assertEqual(self.source.lists, 1)
@@ -109,5 +133,53 @@
         self.assertEqual(self.source.watched_from, [40])
 
 
+class SilentWatchTest(WatcherCase):
+    """Guards against changes that a watch hides by its silence."""
+
+    # Longer than the greatest age without a check, and shorter than two.
+    SECONDS = 1.6
+
+    async def test_a_check_finds_what_a_silent_watch_hides(self):
+        removal = ((), ("i-1",), ids.ObjectVersion(60))
+        self.source.check_result = result.Ok(removal)
+        await self.watch(seconds=self.SECONDS)
+        self.assertEqual(self.source.checked_from, [50])
+        self.assertEqual(self.view.removed, ["i-1"])
+        self.assertEqual(self.source.watched_from, [50, 60])
+        ((event, fields),) = self.log.records
+        self.assertIs(event, events.Event.STORE_WATCH_SILENT)
+        self.assertGreaterEqual(fields["age_ms"], 1_000)
+
+    async def test_a_watch_goes_on_if_nothing_has_changed(self):
+        await self.watch(seconds=self.SECONDS)
+        self.assertEqual(self.source.checked_from, [50])
+        self.assertEqual(self.source.watched_from, [50])
+
+    async def test_a_failed_check_replaces_the_watch(self):
+        self.source.check_result = result.Err(codecs.SourceError.TIMED_OUT)
+        await self.watch(seconds=self.SECONDS)
+        self.assertGreaterEqual(len(self.source.watched_from), 2)
+
+    async def test_confirmations_of_peers_replace_checks(self):
+        """Guards against calls to the store that grow with the fleet."""
+        loop = asyncio.get_running_loop()
+
+        async def confirm():
+            while True:
+                self.view.freshness.confirm(units.Instant(loop.time()))
+                await asyncio.sleep(0.4)
+
+        peers = loop.create_task(confirm())
+        await self.watch(seconds=self.SECONDS)
+        peers.cancel()
+        self.assertEqual(self.source.checked_from, [])
+
+    async def test_a_daemon_that_loses_the_role_does_not_check(self):
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.5, setattr, self.role, "is_watching", False)
+        await self.watch(seconds=self.SECONDS)
+        self.assertEqual(self.source.checked_from, [])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/membership/src/lavendershed/membership/peer_table.py
+++ b/packages/membership/src/lavendershed/membership/peer_table.py
@@ -24,7 +24,7 @@
 # Otherwise one in this many reports carries addresses.
 _ADDRESS_REPORT_INTERVAL = 8
 # A report has to fit into a datagram; larger fleets are advertised in rotation.
-MAX_ADDRESSES_PER_REPORT = 24
+MAX_ADDRESSES_PER_REPORT = 23
 # Addresses whose rank is cached; above the largest fleet.
 _RANK_CACHE_SIZE = 2_048
 # Seeds that don't respond get reports at this interval.
--- a/packages/peer/idl/messages.thrift
+++ b/packages/peer/idl/messages.thrift
@@ -132,6 +132,11 @@
   16: optional list<i64> alive
   // Bandwidth of the sender's VM in Mbit/s.
   17: optional i32 bandwidth
+  // Milliseconds since the sender's configuration, and its server list, were
+  // known to be the newest, and the revision up to which it knows the latter.
+  18: optional i32 configuration_age
+  19: optional i32 servers_age
+  20: optional i64 servers_known
 }
 
 struct StoredObject {
--- a/packages/peer/src/lavendershed/peer/gen/messages/ttypes.py
+++ b/packages/peer/src/lavendershed/peer/gen/messages/ttypes.py
@@ -1496,6 +1496,9 @@
      - members
      - alive
      - bandwidth
+     - configuration_age
+     - servers_age
+     - servers_known
 
     """
 
@@ -1516,10 +1519,13 @@
         'members',
         'alive',
         'bandwidth',
+        'configuration_age',
+        'servers_age',
+        'servers_known',
     )
 
 
-    def __init__(self, incarnation=None, sequence=None, configuration_version=None, server_revision=None, works=None, suspects=None, peers=None, slow=None, unreachable=None, sender=None, zone=None, watching=None, bundled=None, members=None, alive=None, bandwidth=None,):
+    def __init__(self, incarnation=None, sequence=None, configuration_version=None, server_revision=None, works=None, suspects=None, peers=None, slow=None, unreachable=None, sender=None, zone=None, watching=None, bundled=None, members=None, alive=None, bandwidth=None, configuration_age=None, servers_age=None, servers_known=None,):
         self.incarnation = incarnation
         self.sequence = sequence
         self.configuration_version = configuration_version
@@ -1536,6 +1542,9 @@
         self.members = members
         self.alive = alive
         self.bandwidth = bandwidth
+        self.configuration_age = configuration_age
+        self.servers_age = servers_age
+        self.servers_known = servers_known
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1661,6 +1670,21 @@
                     self.bandwidth = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.I32:
+                    self.configuration_age = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.I32:
+                    self.servers_age = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.I64:
+                    self.servers_known = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1756,6 +1780,18 @@
             oprot.writeFieldBegin('bandwidth', TType.I32, 17)
             oprot.writeI32(self.bandwidth)
             oprot.writeFieldEnd()
+        if self.configuration_age is not None:
+            oprot.writeFieldBegin('configuration_age', TType.I32, 18)
+            oprot.writeI32(self.configuration_age)
+            oprot.writeFieldEnd()
+        if self.servers_age is not None:
+            oprot.writeFieldBegin('servers_age', TType.I32, 19)
+            oprot.writeI32(self.servers_age)
+            oprot.writeFieldEnd()
+        if self.servers_known is not None:
+            oprot.writeFieldBegin('servers_known', TType.I64, 20)
+            oprot.writeI64(self.servers_known)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2256,6 +2292,9 @@
     (15, TType.I32, 'members', None, None, ),  # 15
     (16, TType.LIST, 'alive', (TType.I64, None, False), None, ),  # 16
     (17, TType.I32, 'bandwidth', None, None, ),  # 17
+    (18, TType.I32, 'configuration_age', None, None, ),  # 18
+    (19, TType.I32, 'servers_age', None, None, ),  # 19
+    (20, TType.I64, 'servers_known', None, None, ),  # 20
 )
 all_structs.append(StoredObject)
 StoredObject.thrift_spec = (
--- a/packages/peer/src/lavendershed/peer/load_reports.py
+++ b/packages/peer/src/lavendershed/peer/load_reports.py
@@ -46,6 +46,8 @@
 _MAX_SLOW_ENGINES = 8
 _SLOWDOWN_SCALE = 10
 _MAX_UNREACHABLE_SERVERS = 8
+# Ages are encoded as 32-bit integers; an older copy confirms nothing anyway.
+_MAX_AGE_MS = 3_600_000
 
 ServerLookup = Callable[[int], ids.BackendServerId | None]
 
@@ -71,6 +73,11 @@
         peer_addresses: Addresses of the daemons that the sender knows.
         watches_store: Whether the sender watches the store successfully.
         bandwidth_mbps: Bandwidth of the sender's VM in Mbit/s.
+        configuration_age: Time since the sender's configuration was known to
+            be the newest; None if it never was.
+        servers_age: The same for its list of backend servers.
+        servers_known: Revision up to which the sender knows all servers; its
+            last change, `server_revision`, may be older.
     """
 
     incarnation: ids.Incarnation
@@ -86,6 +93,9 @@
     peer_addresses: tuple[addresses.Address, ...]
     watches_store: bool = False
     bandwidth_mbps: int = 0
+    configuration_age: units.Seconds | None = None
+    servers_age: units.Seconds | None = None
+    servers_known: ids.ObjectVersion = ids.ObjectVersion(0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -142,6 +152,9 @@
             zone=report.availability_zone,
             watching=report.watches_store or None,
             bandwidth=report.bandwidth_mbps or None,
+            configuration_age=_to_milliseconds(report.configuration_age),
+            servers_age=_to_milliseconds(report.servers_age),
+            servers_known=report.servers_known or None,
             sequence=report.sequence,
             configuration_version=report.configuration_epoch,
             server_revision=report.server_revision,
@@ -271,6 +284,9 @@
         tuple(_decode_address(number) for number in message.peers or []),
         bool(message.watching),
         message.bandwidth or 0,
+        _to_seconds(message.configuration_age),
+        _to_seconds(message.servers_age),
+        ids.ObjectVersion(message.servers_known or 0),
     )
 
 
@@ -339,6 +355,14 @@
     )
 
 
+def _to_milliseconds(age: units.Seconds | None) -> int | None:
+    return None if age is None else min(round(age * 1_000), _MAX_AGE_MS)
+
+
+def _to_seconds(age_ms: int | None) -> units.Seconds | None:
+    return None if age_ms is None else units.Seconds(age_ms / 1_000)
+
+
 def _to_int64(fingerprint: int) -> int:
     return fingerprint - (1 << 64) if fingerprint >= 1 << 63 else fingerprint
 
--- a/packages/peer/tests/test_load_reports.py
+++ b/packages/peer/tests/test_load_reports.py
@@ -57,6 +57,9 @@
         ((SERVER, units.Seconds(1.25)),),
         tuple(peers),
         watches_store=True,
+        configuration_age=units.Seconds(0.25),
+        servers_age=units.Seconds(1.5),
+        servers_known=ids.ObjectVersion(123_456_789),
     )
 
 
--- a/packages/platform/src/lavendershed/platform/store.py
+++ b/packages/platform/src/lavendershed/platform/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import urllib.parse
 
 import orjson
@@ -20,6 +21,10 @@
 
 # The store responds in 4 ms, or in 250 ms when it is slow.
 _CALL_TIMEOUT = units.Seconds(1.5)
+# A check has to leave time for a second one within the two seconds in which a
+# change has to take effect.
+_CHECK_TIMEOUT = units.Seconds(0.6)
+_CHECK_WAIT_MS = 1
 _GONE_STATUS = 410
 _REFUSED_STATUSES = frozenset({429, 503})
 _MAX_RESPONSE = units.Bytes(8_000_000)
@@ -44,6 +49,11 @@
             timer_service,
             pool.PoolLimits(connect_timeout=_CALL_TIMEOUT, max_idle=1),
         )
+        self._check_pool = pool.ConnectionPool(
+            address,
+            timer_service,
+            pool.PoolLimits(connect_timeout=_CHECK_TIMEOUT, max_idle=0),
+        )
 
     async def list(
         self,
@@ -77,47 +87,40 @@
 
     async def watch(
         self, revision: ids.ObjectVersion, timeout: units.Seconds
-    ) -> result.Result[
-        tuple[
-            tuple[peer_state.StoredObject, ...],
-            tuple[str, ...],
-            ids.ObjectVersion,
-        ],
-        codecs.SourceError,
-    ]:
+    ) -> result.Result[codecs.Changes, codecs.SourceError]:
         """Long-polls for changes after `revision`."""
         response = await self._get(
             {"watch": str(revision), "wait_ms": str(int(timeout * 1_000))},
             units.Seconds(timeout + _CALL_TIMEOUT),
         )
-        if isinstance(response, result.Err):
-            return response
-        body = response.ok_value
-        latest: dict[str, peer_state.StoredObject | None] = {}
+        return response.and_then(_decode_changes)
+
+    async def changes_since(
+        self, revision: ids.ObjectVersion
+    ) -> result.Result[codecs.Changes, codecs.SourceError]:
+        """Asks for changes after `revision` on a new connection."""
         try:
-            for item in fields.array(body, "events"):
-                event = fields.as_table(item, "events")
-                stored = _decode_object(event.get("object"))
-                deleted = fields.boolean(event, "deleted")
-                latest[stored.name] = None if deleted else stored
-            revision_seen = ids.ObjectVersion(fields.integer(body, "as_of"))
-        except fields.FieldError:
-            return result.Err(codecs.SourceError.MALFORMED)
-        return result.Ok(
-            (
-                tuple(o for o in latest.values() if o is not None),
-                tuple(name for name, o in latest.items() if o is None),
-                revision_seen,
-            )
-        )
+            # Also ends a response that stops after its head.
+            async with asyncio.timeout(_CHECK_TIMEOUT):
+                response = await self._get(
+                    {"watch": str(revision), "wait_ms": str(_CHECK_WAIT_MS)},
+                    _CHECK_TIMEOUT,
+                    self._check_pool,
+                )
+        except TimeoutError:
+            return result.Err(codecs.SourceError.TIMED_OUT)
+        return response.and_then(_decode_changes)
 
     async def _get(
-        self, query: dict[str, str], timeout: units.Seconds
+        self,
+        query: dict[str, str],
+        timeout: units.Seconds,
+        connections: pool.ConnectionPool | None = None,
     ) -> result.Result[dict[str, fields.JsonValue], codecs.SourceError]:
         target = self._path
         if query:
             target += "?" + urllib.parse.urlencode(query)
-        exchanged = await self._pool.exchange(
+        exchanged = await (connections or self._pool).exchange(
             client.RequestHead("GET", target),
             timeout=timeout,
             max_body=_MAX_RESPONSE,
@@ -138,6 +141,29 @@
             return result.Err(codecs.SourceError.MALFORMED)
 
 
+def _decode_changes(
+    body: dict[str, fields.JsonValue],
+) -> result.Result[codecs.Changes, codecs.SourceError]:
+    """Returns the changed objects, removed names and revision of a watch."""
+    latest: dict[str, peer_state.StoredObject | None] = {}
+    try:
+        for item in fields.array(body, "events"):
+            event = fields.as_table(item, "events")
+            stored = _decode_object(event.get("object"))
+            deleted = fields.boolean(event, "deleted")
+            latest[stored.name] = None if deleted else stored
+        revision_seen = ids.ObjectVersion(fields.integer(body, "as_of"))
+    except fields.FieldError:
+        return result.Err(codecs.SourceError.MALFORMED)
+    return result.Ok(
+        (
+            tuple(o for o in latest.values() if o is not None),
+            tuple(name for name, o in latest.items() if o is None),
+            revision_seen,
+        )
+    )
+
+
 def _decode_object(item: fields.JsonValue) -> peer_state.StoredObject:
     """Returns an object with its content as JSON bytes.
 
