List the objects of the store if their history can't be read

Callers would see: a daemon that returns from an outage stays on its old configuration for good, as long as no peer has a newer one.

Cause: after an error the watch asked for all changes since the same revision again. If these exceed the size of a response that a daemon reads (8 MB), or one of them can't be decoded, each call fails like the one before. 24 versions with 3,000 routes each are enough.

Change: such a response is reported as malformed, and the next call lists the objects instead of their history. Only the newest state matters.

--- a/packages/forwarding/src/lavendershed/forwarding/store_watcher.py
+++ b/packages/forwarding/src/lavendershed/forwarding/store_watcher.py
@@ -225,3 +225,6 @@
                 revision=self._revision,
                 age_ms=self._view.age_ms(self._kind, now),
             )
+        if error is codecs.SourceError.MALFORMED:
+            # The same history would be as unreadable, or as large, again.
+            self._revision = None
--- a/tests/test_configuration_delivery.py
+++ b/tests/test_configuration_delivery.py
@@ -17,6 +17,10 @@
 # Time from the acknowledgement of a change until it is in force everywhere.
 APPLY_TIME = units.Seconds(2.0)
 DAEMONS = 3
+# Each of these versions is nearly as large as an object may be, so that all of
+# them exceed what a daemon reads as one response.
+LARGE_VERSIONS = 24
+LARGE_ROUTES = 3_000
 
 
 class ConfigurationDeliveryTest(platform_case.PlatformCase):
@@ -83,6 +87,23 @@
         )
         await self.wait_for_version(2)
 
+    async def test_a_history_that_exceeds_a_response_is_not_asked_for_again(
+        self,
+    ):
+        """All daemons return from an outage in which much has changed."""
+        self.proxy.set_refuse_connections(True)
+        self.proxy.reset_connections()
+        routes = [
+            platform_case.route(f"/{number}/", "safe", "ledger")
+            for number in range(LARGE_ROUTES)
+        ]
+        for version in range(2, LARGE_VERSIONS + 2):
+            self.store.put(
+                "config", "main", platform_case.configuration(version, *routes)
+            )
+        self.proxy.set_refuse_connections(False)
+        await self.wait_for_version(LARGE_VERSIONS + 1)
+
     async def test_a_request_logs_the_age_of_its_configuration(self):
         """Without it, a late change can't be told from a silent store."""
         await self.request("/safe/x", address=self.fleet[0].caller_address)
