Put only the active configuration in force

Callers would see: routes and keys of an object that no operator has put in force, if the store holds another configuration beside the active one.

Cause: each object of the kind was taken for the active configuration, and the one with the highest version won.

Change: the decoder rejects objects with another name, which covers the store and peers, and event 302 names the object.

Result: test_another_object_of_the_kind_is_not_in_force failed before and passes; 7 tests of ConfigurationTest and 21 of the platform library pass.

--- a/packages/platform/src/lavendershed/platform/objects.py
+++ b/packages/platform/src/lavendershed/platform/objects.py
@@ -17,6 +17,8 @@
 from lavendershed.routes import model
 
 _MS_PER_SECOND = 1_000.0
+# Operators may store others of the same kind, such as drafts.
+_ACTIVE_CONFIGURATION = "main"
 
 
 class PlatformObjectDecoder(codecs.ObjectDecoder):
@@ -26,6 +28,8 @@
         self, stored: peer_state.StoredObject
     ) -> result.Result[model.RoutingConfiguration, str]:
         """Returns a configuration, or an error that names the invalid field."""
+        if stored.name != _ACTIVE_CONFIGURATION:
+            return result.Err(f"{stored.name}: is not the active one")
         try:
             body = fields.as_table(orjson.loads(stored.spec), "configuration")
             return result.Ok(_decode_configuration(body))
--- a/tests/test_platform_rules.py
+++ b/tests/test_platform_rules.py
@@ -459,6 +459,14 @@
         self.assertIn("kind", self.daemon.events(rejected)[0]["reason"])
         self.assertEqual((await self.request("/safe/x")).head.status, 200)
 
+    async def test_another_object_of_the_kind_is_not_in_force(self):
+        """Guards against a draft that replaces the active configuration."""
+        self.store.put("config", "draft", platform_case.configuration(99))
+        self.store.put("config", "main", platform_case.configuration(3))
+        await self.wait_until(lambda: self._version() >= 3)
+        await asyncio.sleep(0.1)
+        self.assertEqual(self._version(), 3)
+
     async def test_state_is_read_again_when_the_watch_history_is_compacted(
         self,
     ):
