Take versions from repeated load reports of peers

Callers would see: a daemon that the store refuses stays on an old configuration although a peer has a newer one.

Cause: a peer whose state could not be fetched once is forgotten "until it reports again", but a report that repeats the former one was left out. A peer whose state doesn't change repeats its report for good.

Change: the versions are taken from repeated reports, too.

Result: test_an_unchanged_report_brings_back_the_version_of_a_peer failed before ((0, None) instead of version 5) and passes; 38 tests of forwarding pass.

--- a/packages/forwarding/src/lavendershed/forwarding/load_reporting.py
+++ b/packages/forwarding/src/lavendershed/forwarding/load_reporting.py
@@ -231,6 +231,8 @@
             self._schedule_report(units.after(now, _URGENT_REPORT_DELAY))
         if status is peer_table.ReportStatus.STALE:
             return status
+        # Also from a repeated report: its sender may have been unreachable.
+        self._versions.on_report(sender, report)
         if (
             status is peer_table.ReportStatus.REPEATED
             and self._load_tracker.on_alive(report.incarnation, now)
@@ -249,7 +251,6 @@
                 peer=str(sender),
                 seconds=round(exclusion_time, 3),
             )
-        self._versions.on_report(sender, report)
         self._retry_budget.set_daemon_count(self._peers.fleet_size)
         return status
 
--- a/packages/forwarding/tests/test_load_reporting.py
+++ b/packages/forwarding/tests/test_load_reporting.py
@@ -357,6 +357,26 @@
         self.assertLessEqual(max(found), 8)
         self.assertEqual(found[-1], 2)
 
+    def test_an_unchanged_report_brings_back_the_version_of_a_peer(self):
+        """Guards against a newer version that a daemon never asks for again.
+
+        A peer that could not be reached once goes on to repeat its report.
+        """
+        network = self.fleet((2,))
+        daemon, peer = network.daemons.values()
+        peer.view.version = ids.Epoch(5)
+        network.advance(1.5)
+        self.assertEqual(
+            daemon.versions.newest(in_zone=True).configuration,
+            (5, peer.address),
+        )
+        daemon.versions.on_unreachable(peer.address)
+        network.advance(1.5)
+        self.assertEqual(
+            daemon.versions.newest(in_zone=True).configuration,
+            (5, peer.address),
+        )
+
     def test_a_check_of_the_store_is_reported_at_once(self):
         """Guards against checks by every daemon of the fleet each second."""
         network = self.fleet((3,))
