Log the shared parts of a prompt whose engine ended

Cause: when a connection to an engine breaks, the log names the request and the engine, but neither what the prompt shares with others nor whether the answer had begun, so that a part that crashes engines can't be found.

--- a/packages/core/src/lavendershed/core/ids.py
+++ b/packages/core/src/lavendershed/core/ids.py
@@ -29,6 +29,8 @@
 IdempotencyKey = NewType("IdempotencyKey", str)
 # Hash of a request's content, which is the same when the request is resent.
 Fingerprint = NewType("Fingerprint", int)
+# 63-bit hash of a part that prompts share, such as a document.
+PromptPartId = NewType("PromptPartId", int)
 ChangeId = NewType("ChangeId", str)
 ChunkHash = NewType("ChunkHash", str)
 OrderId = NewType("OrderId", str)
--- a/packages/forwarding/src/lavendershed/forwarding/attempts.py
+++ b/packages/forwarding/src/lavendershed/forwarding/attempts.py
@@ -13,6 +13,7 @@
 from lavendershed.membership import server_directory
 from lavendershed.reliability import execution
 from lavendershed.telemetry import events
+from lavendershed.telemetry import log
 
 # Retry-After of a request that was not run: a backend server that was at
 # capacity is likely to accept requests again after this time.
@@ -72,12 +73,14 @@
         servers_without_memory: Engines that could not reserve memory.
         helper_failed: Whether the server refused because a prefill helper
             failed, so that it may be retried with other helpers.
+        answer_begun: Whether the attempt had brought an event.
     """
 
     outcome: forwarding_states.AttemptOutcome
     detail: str = ""
     servers_without_memory: tuple[ids.BackendServerId, ...] = ()
     helper_failed: bool = False
+    answer_begun: bool = False
 
 
 class AttemptTracker:
@@ -183,8 +186,21 @@
             detail=attempt_result.detail,
             attempt=self.count,
             execution=self.execution.value,
+            **self._crash_fields(attempt_result),
         )
 
+    def _crash_fields(
+        self, attempt_result: AttemptResult
+    ) -> dict[str, log.LogValue]:
+        """Returns what a lost attempt says about the cause of a crash."""
+        if attempt_result.outcome is not forwarding_states.AttemptOutcome.LOST:
+            return {}
+        parts = self._admitted_request.request.prompt_parts
+        return {
+            "answer_begun": attempt_result.answer_begun,
+            "parts": [f"{part:x}" for part in sorted(parts)],
+        }
+
     def check_next_attempt(self) -> outcomes.RequestFailure | None:
         """Returns why no further attempt is allowed, or None if one is.
 
--- a/packages/forwarding/src/lavendershed/forwarding/requests.py
+++ b/packages/forwarding/src/lavendershed/forwarding/requests.py
@@ -33,6 +33,7 @@
         timeout: Time that the caller waits for the response, if stated.
         request_size: Prompt and output tokens, if stated.
         last_event_id: Event id after which to resume a stream, if any.
+        prompt_parts: Parts of the prompt that other prompts may share.
     """
 
     id: ids.RequestId
@@ -46,6 +47,7 @@
     timeout: units.Seconds | None
     request_size: latency_model.RequestSize | None
     last_event_id: int | None
+    prompt_parts: frozenset[ids.PromptPartId] = frozenset()
 
 
 class ResponseKind(enum.Enum):
--- a/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
@@ -65,6 +65,7 @@
             context, admitted_request.request.id, placement, predict_restart
         )
         self._failed_response: requests.BackendResponse | None = None
+        self._answer_begun = False
 
     @property
     def failed_response(self) -> requests.BackendResponse | None:
@@ -309,6 +310,7 @@
                 continue
             in_order = self._delivery.in_order_prefix(events)
             if in_order:
+                self._answer_begun = True
                 self._context.load_tracker.on_first_token(task_ids)
                 await self._delivery.forward(engine, response, in_order)
                 # Set after the caller has taken the events: a slow caller does
@@ -375,7 +377,9 @@
             context.crashes.on_crash(self._admitted_request.fingerprint, now)
             self._exclude_server(engine, error.kind.value)
         return attempts.AttemptResult(
-            forwarding_states.AttemptOutcome.LOST, error.detail
+            forwarding_states.AttemptOutcome.LOST,
+            error.detail,
+            answer_begun=self._answer_begun,
         )
 
     def _on_error_response(
--- a/packages/platform/src/lavendershed/platform/callers.py
+++ b/packages/platform/src/lavendershed/platform/callers.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import functools
+
 import result
+import xxhash
 
 from lavendershed.core import ids
 from lavendershed.core import outcomes
@@ -26,6 +29,8 @@
 _NOT_RUN_STATUS = 503
 _TIMEOUT_STATUS = 504
 _FAILURE_STATUS = 502
+# Parts that are not the last are few and come again and again.
+_PART_CACHE_SIZE = 4_096
 
 
 class PlatformCallerCodec(codecs.CallerCodec):
@@ -62,6 +67,7 @@
                 units.Seconds(int(timeout_ms) / 1_000) if timeout_ms else None,
                 size.ok_value,
                 int(last_event_id) if last_event_id is not None else None,
+                _parse_shared_parts(fields.get(header_names.PROMPT_PARTS, "")),
             )
         )
 
@@ -120,6 +126,19 @@
     )
 
 
+def _parse_shared_parts(text: str) -> frozenset[ids.PromptPartId]:
+    """Returns the hashes of all parts of a prompt but the last."""
+    return frozenset(
+        _hash_part(part.partition(":")[0].strip())
+        for part in text.split(",")[:-1]
+    )
+
+
+@functools.lru_cache(_PART_CACHE_SIZE)
+def _hash_part(part: str) -> ids.PromptPartId:
+    return ids.PromptPartId(xxhash.xxh3_64_intdigest(part.encode()) >> 1)
+
+
 def _invalid_header(header: str) -> result.Err[outcomes.RequestFailure]:
     return result.Err(
         outcomes.not_run(
--- a/packages/platform/src/lavendershed/platform/header_names.py
+++ b/packages/platform/src/lavendershed/platform/header_names.py
@@ -14,6 +14,9 @@
 TOKEN_COUNT = "token-count"
 # The client's estimate of the output tokens; accurate only at the median.
 EXPECTED_OUTPUT_TOKENS = "length-hint"
+# Parts of the prompt in order, each as ID:TOKENS, separated by commas. The last
+# one belongs to the request or to its session.
+PROMPT_PARTS = "prefix-hash"
 LAST_EVENT_ID = "last-event-id"
 # Signature of the engine that executed the request.
 SIGNATURE = "engine-seal"
