--- a/packages/standin/src/lavendershed/standin/platform_engine.py
+++ b/packages/standin/src/lavendershed/standin/platform_engine.py
@@ -74,9 +74,8 @@
         events_per_stream: int = 3,
     ) -> None:
         self._id = server_id
-        self._server = server.HttpServer(
-            self, timer_service, server.ServerLimits()
-        )
+        self._server = self._new_server(timer_service)
+        self._address: address_module.Address | None = None
         self._model = model
         self._events_per_stream = events_per_stream
         self._timers = timer_service
@@ -98,13 +97,19 @@
         self.slowdown = 1.0
         self.status_queries = 0
         self.memory_tokens = 315_000
+        # Parts of prompts on which no answer can begin: the engine crashes and
+        # is back after some time.
+        self.deadly_parts: frozenset[str] = frozenset()
+        self.restart_seconds = 0.3
+        self.crashes = 0
+        self._restart: asyncio.Task[None] | None = None
         # Whether all events of a stream are sent in one write.
         self.coalesces_events = False
 
     @property
     def address(self) -> address_module.Address:
         """Listen address."""
-        return self._server.address
+        return self._address or self._server.address
 
     @property
     def id(self) -> str:
@@ -139,7 +144,28 @@
 
     def close(self) -> None:
         """Closes the listener and all connections."""
+        if self._restart is not None:
+            self._restart.cancel()
+        self._server.close()
+
+    def crash(self) -> None:
+        """Closes all connections, and listens again after some time."""
+        self.crashes += 1
+        self._address = self._server.address
         self._server.close()
+        self._restart = asyncio.get_running_loop().create_task(
+            self._listen_again(self._address)
+        )
+
+    async def _listen_again(self, address: address_module.Address) -> None:
+        await asyncio.sleep(self.restart_seconds)
+        self._server = self._new_server(self._timers)
+        await self._server.start(address)
+
+    def _new_server(
+        self, timer_service: timers.TimerService
+    ) -> server.HttpServer:
+        return server.HttpServer(self, timer_service, server.ServerLimits())
 
     def rejection_body(self, status: int, detail: str) -> bytes:
         """Returns the response body for a request rejected by the server."""
@@ -292,6 +318,9 @@
                 default=0.0,
             )
         )
+        if self._is_deadly(headers):
+            self.crash()
+            return
         responder.start(
             200, (*response_headers, ("content-type", "text/event-stream"))
         )
@@ -328,6 +357,12 @@
                 batch = b""
         await responder.finish()
 
+    def _is_deadly(self, headers: dict[str, str]) -> bool:
+        parts = headers.get("prefix-hash", "").split(",")[:-1]
+        return any(
+            part.partition(":")[0] in self.deadly_parts for part in parts
+        )
+
     async def _handle_order(
         self, order: dict[str, Any], responder: handlers.Responder
     ) -> None:
