Find the parts of prompts that crash engines, and refuse them

Callers saw: requests of all kinds were cut, because requests that share a part of their prompts crashed one engine after the other.

Cause: crashes were counted by a hash of the whole request, so that requests that share a part, no two alike, never met; and a daemon counted what it had seen itself.

Change: reliability.crash_attribution combines the crashes that all daemons see. Suspect are the parts of requests that were waiting for their answer when an engine ended; a part is cleared by an answer that begins on it. A part that was in three crashes with different causes, while other answers began, is quarantined for 120 s, on all daemons within the time of a load report. Parts that were in the same crashes are refused only together until one is cleared. A quarantine that ends returns after one more crash, for twice the time. Retries and waiting requests are checked, too; refusals say that nothing has run.

--- a/packages/forwarding/src/lavendershed/forwarding/attempts.py
+++ b/packages/forwarding/src/lavendershed/forwarding/attempts.py
@@ -206,6 +206,16 @@
 
         Charges a retry to the retry budget.
         """
+        now = self._context.timers.now()
+        remaining = self._context.crash_attribution.quarantine_remaining(
+            self._admitted_request.request.prompt_parts, now
+        )
+        if remaining is not None:
+            return self.build_failure(
+                states.FailureReason.QUARANTINED,
+                "backend servers crashed on a part of this prompt",
+                remaining,
+            )
         if self.time_left < MIN_ATTEMPT_TIME:
             return self.build_failure(
                 states.FailureReason.DEADLINE_EXCEEDED,
@@ -227,7 +237,6 @@
             return self._backend_server_failure(
                 f"attempt limit reached: {last_result.detail}"
             )
-        now = self._context.timers.now()
         crashes = self._context.crashes
         if crashes.is_refused(self._admitted_request.fingerprint, now):
             return self.build_failure(
--- a/packages/forwarding/src/lavendershed/forwarding/context.py
+++ b/packages/forwarding/src/lavendershed/forwarding/context.py
@@ -18,6 +18,7 @@
 from lavendershed.forwarding import reservations
 from lavendershed.forwarding import waiting_room
 from lavendershed.membership import server_directory
+from lavendershed.reliability import crash_attribution
 from lavendershed.reliability import crash_counts
 from lavendershed.reliability import fleet_retry_budget
 from lavendershed.reliability import server_health
@@ -47,6 +48,7 @@
     return_schedule: return_schedule.ReturnSchedule
     retry_budget: fleet_retry_budget.FleetRetryBudget
     crashes: crash_counts.CrashCounts
+    crash_attribution: crash_attribution.CrashAttribution
     reservations: reservations.ReservationClient
     inspector: engine_inspection.EngineInspector
     health: server_health.ServerHealth
--- a/packages/forwarding/src/lavendershed/forwarding/gateway.py
+++ b/packages/forwarding/src/lavendershed/forwarding/gateway.py
@@ -165,6 +165,17 @@
                     _QUARANTINE_RETRY_AFTER,
                 )
             )
+        remaining = self._context.crash_attribution.quarantine_remaining(
+            caller_request.prompt_parts, received_at
+        )
+        if remaining is not None:
+            return result.Err(
+                outcomes.not_run(
+                    states.FailureReason.QUARANTINED,
+                    "backend servers crashed on a part of this prompt",
+                    remaining,
+                )
+            )
         timeout = route.timeout
         if caller_request.timeout is not None:
             timeout = min(timeout, caller_request.timeout)
--- a/packages/forwarding/src/lavendershed/forwarding/load_reporting.py
+++ b/packages/forwarding/src/lavendershed/forwarding/load_reporting.py
@@ -21,6 +21,7 @@
 from lavendershed.membership import report_topology
 from lavendershed.peer import load_reports
 from lavendershed.peer import wire
+from lavendershed.reliability import crash_attribution
 from lavendershed.reliability import crash_counts
 from lavendershed.reliability import fleet_retry_budget
 from lavendershed.reliability import server_health
@@ -43,6 +44,12 @@
 # A daemon is told at most once in this time which daemons it should report to.
 _INTRODUCTION_INTERVAL = units.Seconds(0.5)
 _MAX_LOGGED_ADDRESSES = 8
+_DECISION_EVENTS = {
+    crash_attribution.Verdict.QUARANTINED: (
+        events.Event.PROMPT_PARTS_QUARANTINED
+    ),
+    crash_attribution.Verdict.RELEASED: events.Event.PROMPT_PARTS_RELEASED,
+}
 
 
 class LoadReporter(asyncio.DatagramProtocol):
@@ -65,6 +72,7 @@
         view: deployment_view.DeploymentView,
         tracker: load_tracker.LoadTracker,
         crashes: crash_counts.CrashCounts,
+        attribution: crash_attribution.CrashAttribution,
         slowdowns: engine_slowdown.EngineSlowdowns,
         health: server_health.ServerHealth,
         retry_budget: fleet_retry_budget.FleetRetryBudget,
@@ -83,6 +91,7 @@
         self._view = view
         self._load_tracker = tracker
         self._crashes = crashes
+        self._crash_attribution = attribution
         self._slowdowns = slowdowns
         self._health = health
         self._retry_budget = retry_budget
@@ -240,6 +249,7 @@
             return status
         self._load_tracker.on_report(report.incarnation, report.open_tasks, now)
         self._crashes.on_peer_counts(report.crash_suspects, now)
+        self._crash_attribution.on_peer_evidence(report.crash_evidence, now)
         self._slowdowns.on_report(report.slow_engines, now)
         for server, exclusion_time in self._health.on_peer_report(
             report.unreachable_servers, now
@@ -287,6 +297,7 @@
         self._load_tracker.subscribe(self._on_change)
         self._view.subscribe(self._on_view_change)
         self._view.subscribe_to_checks(self._on_store_checked)
+        self._crash_attribution.subscribe(self._on_crash_news)
         self._bundles.start(self._send)
         self._send_report()
 
@@ -301,6 +312,23 @@
             units.after(self._timers.now(), _URGENT_REPORT_DELAY)
         )
 
+    def _on_crash_news(
+        self, decision: crash_attribution.Decision | None
+    ) -> None:
+        """Tells the other daemons of evidence and decisions, and logs these."""
+        self._on_change(urgent=True)
+        if decision is None:
+            return
+        self._log.emit(
+            _DECISION_EVENTS[decision.verdict],
+            parts=[f"{part:x}" for part in sorted(decision.parts)],
+            crashes=decision.crashes,
+            answers=decision.answers,
+            seconds=round(decision.seconds, 3),
+            duration_s=round(decision.duration, 3),
+            from_peer=decision.from_peer,
+        )
+
     def _on_change(self, urgent: bool) -> None:
         """Schedules a report after a change of the local state."""
         self._has_changed = True
@@ -348,6 +376,7 @@
             self._view.last_server_change,
             self._store_role.is_watching_successfully,
             self._crashes.local_counts(now),
+            self._crash_attribution.report_state(now),
             self._slowdowns.local_slowdowns(now),
             tuple(server for server, _ in self._unreachable_to_report(now)),
         )
@@ -377,6 +406,7 @@
             self._view.freshness_of(codecs.ObjectKind.CONFIGURATION).age(now),
             self._view.freshness_of(codecs.ObjectKind.SERVERS).age(now),
             self._view.servers_known,
+            self._crash_attribution.evidence(now),
         )
 
     def _send(
--- a/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
@@ -16,6 +16,7 @@
 from lavendershed.forwarding import reservations
 from lavendershed.forwarding import stream_delivery
 from lavendershed.membership import server_directory
+from lavendershed.peer import load_reports
 from lavendershed.routing import latency_model
 from lavendershed.routing import load_tracker
 from lavendershed.routing import placements
@@ -310,7 +311,7 @@
                 continue
             in_order = self._delivery.in_order_prefix(events)
             if in_order:
-                self._answer_begun = True
+                self._on_answer_begun()
                 self._context.load_tracker.on_first_token(task_ids)
                 await self._delivery.forward(engine, response, in_order)
                 # Set after the caller has taken the events: a slow caller does
@@ -330,6 +331,15 @@
                     "event ids are not consecutive",
                 )
 
+    def _on_answer_begun(self) -> None:
+        if self._answer_begun:
+            return
+        self._answer_begun = True
+        self._context.crash_attribution.on_answer_begun(
+            self._admitted_request.request.prompt_parts,
+            self._context.timers.now(),
+        )
+
     def _time_until(self, due_at: units.Instant) -> units.Seconds:
         """Returns the time until `due_at` or the deadline of the request."""
         left = units.elapsed(self._context.timers.now(), due_at)
@@ -372,6 +382,15 @@
             return attempts.AttemptResult(
                 forwarding_states.AttemptOutcome.STALLED, error.detail
             )
+        if (
+            error.kind is errors.TransportErrorKind.CONNECTION_LOST
+            and not self._answer_begun
+        ):
+            context.crash_attribution.on_crash(
+                load_reports.hash_server_id(engine.id),
+                self._admitted_request.request.prompt_parts,
+                context.timers.now(),
+            )
         if not lease.reused or self._delivery.started:
             now = context.timers.now()
             context.crashes.on_crash(self._admitted_request.fingerprint, now)
--- a/packages/forwarding/tests/test_load_reporting.py
+++ b/packages/forwarding/tests/test_load_reporting.py
@@ -20,6 +20,7 @@
 from lavendershed.membership import peer_table
 from lavendershed.membership import report_topology
 from lavendershed.peer import load_reports
+from lavendershed.reliability import crash_attribution
 from lavendershed.reliability import crash_counts
 from lavendershed.reliability import fleet_retry_budget
 from lavendershed.reliability import server_health
@@ -97,6 +98,7 @@
         self.freshness = freshness.Freshness()
         self.confirmations = []
         self.check_listeners = []
+        self.attribution = crash_attribution.CrashAttribution()
         self.peers = peer_table.PeerTable(self.address)
         self.peers.set_seeds(seeds)
         self.topology = report_topology.ReportTopology(
@@ -144,6 +146,7 @@
             self.view,
             self.tracker,
             crash_counts.CrashCounts(),
+            self.attribution,
             engine_slowdown.EngineSlowdowns(),
             server_health.ServerHealth(),
             fleet_retry_budget.FleetRetryBudget(
--- a/packages/peer/src/lavendershed/peer/gen/messages/ttypes.py
+++ b/packages/peer/src/lavendershed/peer/gen/messages/ttypes.py
@@ -1499,6 +1499,9 @@
      - configuration_age
      - servers_age
      - servers_known
+     - crashes
+     - begun
+     - quarantines
 
     """
 
@@ -1522,10 +1525,13 @@
         'configuration_age',
         'servers_age',
         'servers_known',
+        'crashes',
+        'begun',
+        'quarantines',
     )
 
 
-    def __init__(self, incarnation=None, sequence=None, configuration_version=None, server_revision=None, works=None, suspects=None, peers=None, slow=None, unreachable=None, sender=None, zone=None, watching=None, bundled=None, members=None, alive=None, bandwidth=None, configuration_age=None, servers_age=None, servers_known=None,):
+    def __init__(self, incarnation=None, sequence=None, configuration_version=None, server_revision=None, works=None, suspects=None, peers=None, slow=None, unreachable=None, sender=None, zone=None, watching=None, bundled=None, members=None, alive=None, bandwidth=None, configuration_age=None, servers_age=None, servers_known=None, crashes=None, begun=None, quarantines=None,):
         self.incarnation = incarnation
         self.sequence = sequence
         self.configuration_version = configuration_version
@@ -1545,6 +1551,9 @@
         self.configuration_age = configuration_age
         self.servers_age = servers_age
         self.servers_known = servers_known
+        self.crashes = crashes
+        self.begun = begun
+        self.quarantines = quarantines
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1685,6 +1694,36 @@
                     self.servers_known = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.LIST:
+                    self.crashes = []
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = iprot.readI64()
+                        self.crashes.append(_elem89)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.LIST:
+                    self.begun = []
+                    (_etype93, _size90) = iprot.readListBegin()
+                    for _i94 in range(_size90):
+                        _elem95 = iprot.readI64()
+                        self.begun.append(_elem95)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 23:
+                if ftype == TType.LIST:
+                    self.quarantines = []
+                    (_etype99, _size96) = iprot.readListBegin()
+                    for _i100 in range(_size96):
+                        _elem101 = iprot.readI64()
+                        self.quarantines.append(_elem101)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1714,36 +1753,36 @@
         if self.works is not None:
             oprot.writeFieldBegin('works', TType.LIST, 5)
             oprot.writeListBegin(TType.I32, len(self.works))
-            for iter84 in self.works:
-                oprot.writeI32(iter84)
+            for iter102 in self.works:
+                oprot.writeI32(iter102)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 6)
             oprot.writeListBegin(TType.I64, len(self.suspects))
-            for iter85 in self.suspects:
-                oprot.writeI64(iter85)
+            for iter103 in self.suspects:
+                oprot.writeI64(iter103)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.peers is not None:
             oprot.writeFieldBegin('peers', TType.LIST, 7)
             oprot.writeListBegin(TType.I64, len(self.peers))
-            for iter86 in self.peers:
-                oprot.writeI64(iter86)
+            for iter104 in self.peers:
+                oprot.writeI64(iter104)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.slow is not None:
             oprot.writeFieldBegin('slow', TType.LIST, 8)
             oprot.writeListBegin(TType.I32, len(self.slow))
-            for iter87 in self.slow:
-                oprot.writeI32(iter87)
+            for iter105 in self.slow:
+                oprot.writeI32(iter105)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.unreachable is not None:
             oprot.writeFieldBegin('unreachable', TType.LIST, 9)
             oprot.writeListBegin(TType.I32, len(self.unreachable))
-            for iter88 in self.unreachable:
-                oprot.writeI32(iter88)
+            for iter106 in self.unreachable:
+                oprot.writeI32(iter106)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sender is not None:
@@ -1761,8 +1800,8 @@
         if self.bundled is not None:
             oprot.writeFieldBegin('bundled', TType.LIST, 14)
             oprot.writeListBegin(TType.STRING, len(self.bundled))
-            for iter89 in self.bundled:
-                oprot.writeBinary(iter89)
+            for iter107 in self.bundled:
+                oprot.writeBinary(iter107)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.members is not None:
@@ -1772,8 +1811,8 @@
         if self.alive is not None:
             oprot.writeFieldBegin('alive', TType.LIST, 16)
             oprot.writeListBegin(TType.I64, len(self.alive))
-            for iter90 in self.alive:
-                oprot.writeI64(iter90)
+            for iter108 in self.alive:
+                oprot.writeI64(iter108)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.bandwidth is not None:
@@ -1792,6 +1831,27 @@
             oprot.writeFieldBegin('servers_known', TType.I64, 20)
             oprot.writeI64(self.servers_known)
             oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.LIST, 21)
+            oprot.writeListBegin(TType.I64, len(self.crashes))
+            for iter109 in self.crashes:
+                oprot.writeI64(iter109)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.begun is not None:
+            oprot.writeFieldBegin('begun', TType.LIST, 22)
+            oprot.writeListBegin(TType.I64, len(self.begun))
+            for iter110 in self.begun:
+                oprot.writeI64(iter110)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.quarantines is not None:
+            oprot.writeFieldBegin('quarantines', TType.LIST, 23)
+            oprot.writeListBegin(TType.I64, len(self.quarantines))
+            for iter111 in self.quarantines:
+                oprot.writeI64(iter111)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2051,11 +2111,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.configuration = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = StoredObject()
-                        _elem96.read(iprot)
-                        self.configuration.append(_elem96)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = StoredObject()
+                        _elem117.read(iprot)
+                        self.configuration.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2067,11 +2127,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.servers = []
-                    (_etype100, _size97) = iprot.readListBegin()
-                    for _i101 in range(_size97):
-                        _elem102 = StoredObject()
-                        _elem102.read(iprot)
-                        self.servers.append(_elem102)
+                    (_etype121, _size118) = iprot.readListBegin()
+                    for _i122 in range(_size118):
+                        _elem123 = StoredObject()
+                        _elem123.read(iprot)
+                        self.servers.append(_elem123)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2083,10 +2143,10 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.removed = []
-                    (_etype106, _size103) = iprot.readListBegin()
-                    for _i107 in range(_size103):
-                        _elem108 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.removed.append(_elem108)
+                    (_etype127, _size124) = iprot.readListBegin()
+                    for _i128 in range(_size124):
+                        _elem129 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.removed.append(_elem129)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2112,8 +2172,8 @@
         if self.configuration is not None:
             oprot.writeFieldBegin('configuration', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.configuration))
-            for iter109 in self.configuration:
-                iter109.write(oprot)
+            for iter130 in self.configuration:
+                iter130.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.server_revision is not None:
@@ -2123,8 +2183,8 @@
         if self.servers is not None:
             oprot.writeFieldBegin('servers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.servers))
-            for iter110 in self.servers:
-                iter110.write(oprot)
+            for iter131 in self.servers:
+                iter131.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.partial is not None:
@@ -2134,8 +2194,8 @@
         if self.removed is not None:
             oprot.writeFieldBegin('removed', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.removed))
-            for iter111 in self.removed:
-                oprot.writeString(iter111.encode('utf-8') if sys.version_info[0] == 2 else iter111)
+            for iter132 in self.removed:
+                oprot.writeString(iter132.encode('utf-8') if sys.version_info[0] == 2 else iter132)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.grace_ms is not None:
@@ -2295,6 +2355,9 @@
     (18, TType.I32, 'configuration_age', None, None, ),  # 18
     (19, TType.I32, 'servers_age', None, None, ),  # 19
     (20, TType.I64, 'servers_known', None, None, ),  # 20
+    (21, TType.LIST, 'crashes', (TType.I64, None, False), None, ),  # 21
+    (22, TType.LIST, 'begun', (TType.I64, None, False), None, ),  # 22
+    (23, TType.LIST, 'quarantines', (TType.I64, None, False), None, ),  # 23
 )
 all_structs.append(StoredObject)
 StoredObject.thrift_spec = (
--- a/packages/peer/src/lavendershed/peer/load_reports.py
+++ b/packages/peer/src/lavendershed/peer/load_reports.py
@@ -8,6 +8,7 @@
 import functools
 import ipaddress
 import itertools
+import math
 
 import xxhash
 
@@ -16,8 +17,10 @@
 from lavendershed.core import ids
 from lavendershed.core import units
 from lavendershed.membership import peer_table
+from lavendershed.peer import crash_evidence
 from lavendershed.peer import wire
 from lavendershed.peer.gen.messages import ttypes
+from lavendershed.reliability import crash_attribution
 from lavendershed.reliability import server_health
 from lavendershed.routing import engine_slowdown
 from lavendershed.routing import load_tracker
@@ -38,6 +41,7 @@
 # daemon of the largest deployment has about 40 open requests.
 MAX_DATAGRAM = units.Bytes(1_400)
 _MAX_TASKS = 40
+_BYTES_PER_TASK = 25
 # Encoding of a bundle besides its reports, and of the length of a report.
 _BUNDLE_OVERHEAD = units.Bytes(60)
 _LENGTH_OVERHEAD = units.Bytes(3)
@@ -78,6 +82,8 @@
         servers_age: The same for its list of backend servers.
         servers_known: Revision up to which the sender knows all servers; its
             last change, `server_revision`, may be older.
+        crash_evidence: What the sender knows of parts of prompts that crash
+            engines.
     """
 
     incarnation: ids.Incarnation
@@ -96,6 +102,7 @@
     configuration_age: units.Seconds | None = None
     servers_age: units.Seconds | None = None
     servers_known: ids.ObjectVersion = ids.ObjectVersion(0)
+    crash_evidence: crash_attribution.Evidence = crash_attribution.Evidence()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -126,8 +133,13 @@
 
 def encode_report(report: LoadReport, now: units.Instant) -> bytes:
     """Returns a report as a datagram; times are encoded relative to `now`."""
+    evidence = crash_evidence.encode(report.crash_evidence)
+    # Evidence is rare, and more urgent than the last tasks of a full report.
+    max_tasks = _MAX_TASKS - math.ceil(
+        crash_evidence.encoded_size(evidence) / _BYTES_PER_TASK
+    )
     task_fields = itertools.chain.from_iterable(
-        _encode_task(task, now) for task in report.open_tasks[:_MAX_TASKS]
+        _encode_task(task, now) for task in report.open_tasks[:max_tasks]
     )
     suspects = itertools.chain.from_iterable(
         (_to_int64(fingerprint), count)
@@ -155,6 +167,9 @@
             configuration_age=_to_milliseconds(report.configuration_age),
             servers_age=_to_milliseconds(report.servers_age),
             servers_known=report.servers_known or None,
+            crashes=evidence.crashes or None,
+            begun=evidence.begun or None,
+            quarantines=evidence.quarantines or None,
             sequence=report.sequence,
             configuration_version=report.configuration_epoch,
             server_revision=report.server_revision,
@@ -287,6 +302,13 @@
         _to_seconds(message.configuration_age),
         _to_seconds(message.servers_age),
         ids.ObjectVersion(message.servers_known or 0),
+        crash_evidence.decode(
+            crash_evidence.EncodedEvidence(
+                message.crashes or [],
+                message.begun or [],
+                message.quarantines or [],
+            )
+        ),
     )
 
 
--- a/packages/peer/tests/test_load_reports.py
+++ b/packages/peer/tests/test_load_reports.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import dataclasses
 import unittest
 
 import hypothesis
@@ -15,6 +16,7 @@
 from lavendershed.peer import load_reports
 from lavendershed.peer import peer_state
 from lavendershed.peer import wire
+from lavendershed.reliability import crash_attribution
 from lavendershed.routing import load_tracker
 
 NOW = units.Instant(1_000.0)
@@ -42,7 +44,27 @@
     return load_tracker.EngineTask(**fields)
 
 
-def report(tasks=(), suspects=(), peers=()):
+def evidence(crashes):
+    """Returns evidence on `crashes` crashes of engines."""
+    largest = (1 << 63) - 1
+    return crash_attribution.Evidence(
+        tuple(
+            crash_attribution.Crash(
+                (1 << 31) - 1 - number,
+                units.Seconds(4.5),
+                frozenset(largest - part for part in range(3)),
+            )
+            for number in range(crashes)
+        ),
+        ((ids.PromptPartId(largest), units.Seconds(0.25)),),
+        ((frozenset({largest, 7}), units.Seconds(119.5)),),
+    )
+
+
+NO_EVIDENCE = crash_attribution.Evidence()
+
+
+def report(tasks=(), suspects=(), peers=(), evidence=NO_EVIDENCE):
     """Returns a report."""
     return load_reports.LoadReport(
         ids.Incarnation(1 << 61),
@@ -60,6 +82,7 @@
         configuration_age=units.Seconds(0.25),
         servers_age=units.Seconds(1.5),
         servers_known=ids.ObjectVersion(123_456_789),
+        crash_evidence=evidence,
     )
 
 
@@ -83,9 +106,18 @@
             [task(), task(phase=forwarding_states.InferencePhase.DECODE)],
             [(ids.Fingerprint((1 << 64) - 3), 2)],
             [addresses.Address("10.1.2.3", 7_340)],
+            evidence(1),
         )
         self.assertEqual(self.encode_and_decode(sent), sent)
 
+    def test_the_newest_crashes_and_all_quarantines_are_sent(self):
+        received = self.encode_and_decode(report(evidence=evidence(50)))
+        crashes = received.crash_evidence.crashes
+        self.assertIn(evidence(50).crashes[-1], crashes)
+        self.assertEqual(
+            received.crash_evidence.quarantines, evidence(50).quarantines
+        )
+
     def test_times_are_relative_to_the_clock_of_the_receiver(self):
         received = self.encode_and_decode(
             report([task()]), later=100.0
@@ -102,8 +134,13 @@
             [(ids.Fingerprint((1 << 63) + n), 2) for n in range(50)],
             [addresses.Address("10.255.255.1", n) for n in range(900)],
         )
-        datagram = load_reports.encode_report(sent, NOW)
-        self.assertLessEqual(len(datagram), MAX_DATAGRAM)
+        for crashes in (0, 1, 4, 50):
+            with self.subTest(crashes=crashes):
+                full = dataclasses.replace(
+                    sent, crash_evidence=evidence(crashes)
+                )
+                datagram = load_reports.encode_report(full, NOW)
+                self.assertLessEqual(len(datagram), MAX_DATAGRAM)
 
     @hypothesis.given(strategies.binary(max_size=200))
     def test_malformed_bytes_raise_decode_errors_only(self, data):
--- a/packages/platform/src/lavendershed/platform/factory.py
+++ b/packages/platform/src/lavendershed/platform/factory.py
@@ -33,6 +33,7 @@
 from lavendershed.platform import objects
 from lavendershed.platform import settings
 from lavendershed.platform import store
+from lavendershed.reliability import crash_attribution
 from lavendershed.reliability import crash_counts
 from lavendershed.reliability import fleet_retry_budget
 from lavendershed.reliability import server_health
@@ -80,6 +81,7 @@
     tracker = load_tracker.LoadTracker()
     slowdowns = engine_slowdown.EngineSlowdowns()
     crashes = crash_counts.CrashCounts()
+    attribution = crash_attribution.CrashAttribution()
     budget = fleet_retry_budget.FleetRetryBudget(platform_settings.retry_budget)
     server_connections = connections.BackendConnectionPool(timer_service)
     backend_codec = engines.PlatformBackendCodec()
@@ -98,6 +100,7 @@
         return_schedule.ReturnSchedule(),
         budget,
         crashes,
+        attribution,
         reservations.ReservationClient(
             server_connections, backend_codec, event_log
         ),
@@ -171,6 +174,7 @@
             view,
             tracker,
             crashes,
+            attribution,
             slowdowns,
             health,
             budget,
--- /dev/null
+++ b/packages/reliability/src/lavendershed/reliability/crash_attribution.py
@@ -0,0 +1,523 @@
+"""Attribution of engine crashes to parts that prompts share.
+
+A part of a prompt may crash each engine that begins to write an answer on it.
+The requests that were waiting for their answer when an engine ended are all
+suspect, and so are all their parts. Later crashes and answers tell the cause
+from the parts that were there by chance: the cause was in each of its crashes,
+and no answer on it has begun since.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable
+from collections.abc import Iterator
+import dataclasses
+import enum
+import itertools
+import math
+from typing import TypeVar
+
+from lavendershed.core import ids
+from lavendershed.core import units
+
+Parts = frozenset[ids.PromptPartId]
+
+# Crashes of a part before it is held responsible; two may be a coincidence.
+MIN_CRASHES = 3
+# Engines that end within this time have a common cause that is no request, such
+# as their VM.
+_COMMON_CAUSE_PERIOD = units.Seconds(0.1)
+# Daemons report a crash of an engine at slightly different times.
+_SAME_CRASH_PERIOD = units.Seconds(1.0)
+# Other daemons need this time to tell that answers on a part have begun.
+_SETTLING_TIME = units.Seconds(0.3)
+# Probability that a sound part had no answer in all of its crashes.
+_MAX_CHANCE = 0.02
+# Evidence about rare requests has to last until the third one.
+_EVIDENCE_LIFETIME = units.Seconds(120.0)
+# First quarantine of a set of parts, and the limit of its doubling.
+QUARANTINE_TIME = units.Seconds(120.0)
+_MAX_QUARANTINE_TIME = units.Seconds(960.0)
+# Evidence is reported for this long, several times to each daemon.
+_REPORT_PERIOD = units.Seconds(5.0)
+_MAX_CRASHES = 128
+_MAX_PARTS_PER_CRASH = 32
+_MAX_BEGUN_PARTS = 4_096
+_MAX_OUTCOMES = 256
+_MAX_QUARANTINES = 64
+_MAX_FORMER_QUARANTINES = 256
+
+
+class Verdict(enum.Enum):
+    """What a decision says about a set of parts."""
+
+    QUARANTINED = "quarantined"
+    RELEASED = "released"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Decision:
+    """A decision about parts that prompts share, with its grounds.
+
+    Attributes:
+        verdict: What was decided.
+        parts: Parts that can't be told apart; requests with all of them are
+            refused.
+        crashes: Crashes of engines that were counted.
+        answers: Answers of other requests that began here since the first one.
+        seconds: Time from the first crash to the decision.
+        duration: Time for which requests are refused.
+        from_peer: Whether another daemon has decided.
+    """
+
+    verdict: Verdict
+    parts: Parts
+    crashes: int = 0
+    answers: int = 0
+    seconds: units.Seconds = units.Seconds(0.0)
+    duration: units.Seconds = units.Seconds(0.0)
+    from_peer: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Crash:
+    """An engine that ended before the answers of requests had begun.
+
+    Attributes:
+        engine: Hash of the engine's id.
+        age: Time since the crash.
+        parts: Shared parts of these requests.
+    """
+
+    engine: int
+    age: units.Seconds
+    parts: Parts
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Evidence:
+    """What a daemon tells the others.
+
+    Attributes:
+        crashes: Crashes that it has observed itself.
+        begun: Suspected parts on which answers have begun at it, with the time
+            since then.
+        quarantines: Sets of parts in quarantine, with the remaining time.
+    """
+
+    crashes: tuple[Crash, ...] = ()
+    begun: tuple[tuple[ids.PromptPartId, units.Seconds], ...] = ()
+    quarantines: tuple[tuple[Parts, units.Seconds], ...] = ()
+
+
+@dataclasses.dataclass(slots=True)
+class _ObservedCrash:
+    engine: int
+    at: units.Instant
+    parts: Parts
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Quarantine:
+    since: units.Instant
+    expires_at: units.Instant
+
+
+# Called with a decision, or with None if there is other news to tell.
+Listener = Callable[[Decision | None], object]
+_Key = TypeVar("_Key")
+_Value = TypeVar("_Value")
+
+
+class CrashAttribution:
+    """Finds the parts of prompts that crash engines, and quarantines them.
+
+    Evidence of all daemons is combined. Parts that were in the same crashes
+    can't be told apart; then only requests with all of them are refused, until
+    an answer on one of them, or a crash without it, clears it.
+    """
+
+    def __init__(self) -> None:
+        self._crashes: list[_ObservedCrash] = []
+        self._own_crashes: list[_ObservedCrash] = []
+        # Time of the last answer that began on a part, oldest entry first; at
+        # any daemon, and at this one.
+        self._begun: dict[ids.PromptPartId, units.Instant] = {}
+        self._begun_here: dict[ids.PromptPartId, units.Instant] = {}
+        # Outcomes of requests at this daemon.
+        self._answers: collections.deque[units.Instant] = collections.deque(
+            maxlen=_MAX_OUTCOMES
+        )
+        self._losses: collections.deque[tuple[units.Instant, Parts]] = (
+            collections.deque(maxlen=_MAX_OUTCOMES)
+        )
+        self._quarantines: dict[Parts, _Quarantine] = {}
+        # Number of former quarantines, oldest entry first.
+        self._former: dict[Parts, int] = {}
+        # Parts that an answer has cleared during or after a quarantine.
+        self._released: dict[ids.PromptPartId, units.Instant] = {}
+        self._listeners: list[Listener] = []
+        # Whether parts have enough crashes and no verdict yet.
+        self._undecided = False
+
+    def subscribe(self, listener: Listener) -> None:
+        """Calls `listener` with decisions, and with None for other news."""
+        self._listeners.append(listener)
+
+    def quarantine_remaining(
+        self, parts: Parts, now: units.Instant
+    ) -> units.Seconds | None:
+        """Returns for how long a request with `parts` is refused, or None."""
+        remaining = [
+            units.elapsed(now, quarantine.expires_at)
+            for quarantined, quarantine in self._quarantines.items()
+            if quarantined <= parts and quarantine.expires_at > now
+        ]
+        return max(remaining, default=None)
+
+    def on_answer_begun(self, parts: Parts, now: units.Instant) -> None:
+        """Records that an engine has begun to write an answer."""
+        self._answers.append(now)
+        cleared = any(self._is_suspected(part) for part in parts)
+        for part in parts:
+            _insert_bounded(self._begun_here, part, now, _MAX_BEGUN_PARTS)
+            self._record_begun(part, now)
+        if cleared:
+            self._notify(None)
+        if self._undecided:
+            self._decide(now)
+
+    def on_crash(self, engine: int, parts: Parts, now: units.Instant) -> None:
+        """Records that an engine ended before it had begun an answer.
+
+        Args:
+            engine: Hash of the engine's id.
+            parts: Shared parts of the prompt.
+            now: Current time.
+        """
+        self._losses.append((now, parts))
+        if not parts:
+            return
+        for crashes in (self._own_crashes, self._crashes):
+            _merge_crash(crashes, _ObservedCrash(engine, now, parts))
+        self._notify(None)
+        self._decide(now)
+
+    def on_peer_evidence(self, evidence: Evidence, now: units.Instant) -> None:
+        """Adds what another daemon has told."""
+        for crash in evidence.crashes:
+            at = units.Instant(now - crash.age)
+            _merge_crash(
+                self._crashes, _ObservedCrash(crash.engine, at, crash.parts)
+            )
+        for part, age in evidence.begun:
+            self._record_begun(part, units.Instant(now - age))
+        for parts, remaining in evidence.quarantines:
+            self._adopt(parts, remaining, now)
+        if evidence.crashes or self._undecided:
+            self._decide(now)
+
+    def evidence(self, now: units.Instant) -> Evidence:
+        """Returns what to tell the other daemons."""
+        self._expire(now)
+        reports = (
+            Crash(
+                crash.engine,
+                units.elapsed(crash.at, now),
+                frozenset(
+                    p for p in crash.parts if not self._begun_after(p, crash.at)
+                ),
+            )
+            for crash in self._recent_crashes(now)
+        )
+        return Evidence(
+            tuple(report for report in reports if report.parts),
+            tuple(
+                (part, units.elapsed(self._begun_here[part], now))
+                for part in sorted(self._cleared_here(now))
+            ),
+            tuple(
+                (parts, units.elapsed(now, quarantine.expires_at))
+                for parts, quarantine in self._quarantines.items()
+            ),
+        )
+
+    def report_state(self, now: units.Instant) -> object:
+        """Returns a value that changes when there is news to tell."""
+        return (
+            tuple((c.engine, c.parts) for c in self._recent_crashes(now)),
+            self._cleared_here(now),
+            frozenset(self._quarantines),
+        )
+
+    def _decide(self, now: units.Instant) -> None:
+        """Quarantines the best explanations of the known crashes."""
+        self._expire(now)
+        self._undecided = False
+        while (decision := self._next_quarantine(now)) is not None:
+            self._quarantine(decision.parts, decision.duration, now)
+            self._notify(decision)
+
+    def _next_quarantine(self, now: units.Instant) -> Decision | None:
+        crashes_of = self._unexplained_crashes()
+        known = frozenset().union(*self._former)
+        candidates = [
+            part
+            for part, indices in crashes_of.items()
+            if len(indices) >= MIN_CRASHES or part in known
+        ]
+        # The part with most crashes is the best explanation.
+        for part in sorted(candidates, key=lambda p: (-len(crashes_of[p]), p)):
+            indices = crashes_of[part]
+            # Parts that crash engines again after their quarantine need no
+            # further proof.
+            former = self._former_quarantine(indices, part, crashes_of)
+            inseparable = former or frozenset(
+                other for other, its in crashes_of.items() if indices <= its
+            )
+            if self._is_quarantined(inseparable):
+                continue
+            times = sorted(self._crashes[index].at for index in indices)
+            count = _count_causes(times)
+            answers = sum(at > times[0] for at in self._answers)
+            if former is None:
+                if count < MIN_CRASHES:
+                    continue
+                self._undecided = True
+                if (
+                    now - times[0] < _SETTLING_TIME
+                    or self._chance(part, times[0], answers, count)
+                    > _MAX_CHANCE
+                ):
+                    continue
+            return Decision(
+                Verdict.QUARANTINED,
+                inseparable,
+                count,
+                answers,
+                units.elapsed(times[0], now),
+                units.Seconds(
+                    min(
+                        QUARANTINE_TIME * 2 ** self._former.get(inseparable, 0),
+                        _MAX_QUARANTINE_TIME,
+                    )
+                ),
+            )
+        return None
+
+    def _former_quarantine(
+        self,
+        indices: set[int],
+        part: ids.PromptPartId,
+        crashes_of: dict[ids.PromptPartId, set[int]],
+    ) -> Parts | None:
+        """Returns a former quarantine that would explain these crashes."""
+        return next(
+            (
+                former
+                for former in self._former
+                if part in former
+                and all(
+                    indices <= crashes_of.get(other, set()) for other in former
+                )
+            ),
+            None,
+        )
+
+    def _unexplained_crashes(self) -> dict[ids.PromptPartId, set[int]]:
+        """Returns the crashes of each part since its last answer, by index.
+
+        A crash that other parts are in quarantine for is no evidence.
+        """
+        crashes_of: dict[ids.PromptPartId, set[int]] = {}
+        for index, crash in enumerate(self._crashes):
+            causes = [q for q in self._quarantines if q <= crash.parts]
+            for part in crash.parts:
+                if any(part not in cause for cause in causes):
+                    continue
+                if not self._begun_after(part, crash.at):
+                    crashes_of.setdefault(part, set()).add(index)
+        return crashes_of
+
+    def _chance(
+        self,
+        part: ids.PromptPartId,
+        since: units.Instant,
+        answers: int,
+        crashes: int,
+    ) -> float:
+        """Returns how likely a sound part was in all of its crashes.
+
+        Without any answer of another request the engines may be at fault.
+        """
+        if not answers:
+            return 1.0
+        others = sum(
+            at >= since and part not in parts for at, parts in self._losses
+        )
+        return ((others + 1) / (others + answers + 2)) ** crashes
+
+    def _is_suspected(self, part: ids.PromptPartId) -> bool:
+        """Returns whether a part was in a crash since its last answer."""
+        return any(
+            part in crash.parts and not self._begun_after(part, crash.at)
+            for crash in self._crashes
+        )
+
+    def _is_quarantined(self, parts: Parts) -> bool:
+        return any(quarantined <= parts for quarantined in self._quarantines)
+
+    def _begun_after(
+        self, part: ids.PromptPartId, instant: units.Instant
+    ) -> bool:
+        return self._begun.get(part, -math.inf) > instant
+
+    def _record_begun(self, part: ids.PromptPartId, at: units.Instant) -> None:
+        """Clears a part of the crashes before `at`."""
+        if self._begun_after(part, at):
+            return
+        _insert_bounded(self._begun, part, at, _MAX_BEGUN_PARTS)
+        for former in [former for former in self._former if part in former]:
+            del self._former[former]
+            _insert_bounded(self._released, part, at, _MAX_QUARANTINES)
+        for parts, quarantine in tuple(self._quarantines.items()):
+            if part not in parts or at <= quarantine.since:
+                continue
+            del self._quarantines[parts]
+            _insert_bounded(self._released, part, at, _MAX_QUARANTINES)
+            rest = parts - {part}
+            if rest and not self._is_quarantined(rest):
+                self._quarantines[rest] = quarantine
+            self._notify(Decision(Verdict.RELEASED, frozenset({part})))
+
+    def _adopt(
+        self, parts: Parts, remaining: units.Seconds, now: units.Instant
+    ) -> None:
+        """Takes a quarantine over from another daemon."""
+        cleared = any(
+            now - self._begun.get(part, -math.inf) < _REPORT_PERIOD
+            for part in parts
+        )
+        if (
+            not parts
+            or cleared
+            or remaining <= 0.0
+            or self._is_quarantined(parts)
+        ):
+            return
+        duration = units.Seconds(min(remaining, _MAX_QUARANTINE_TIME))
+        self._quarantine(parts, duration, now)
+        self._notify(
+            Decision(
+                Verdict.QUARANTINED, parts, duration=duration, from_peer=True
+            )
+        )
+
+    def _quarantine(
+        self, parts: Parts, duration: units.Seconds, now: units.Instant
+    ) -> None:
+        for quarantined in tuple(self._quarantines):
+            if parts < quarantined:
+                del self._quarantines[quarantined]
+        _insert_bounded(
+            self._quarantines,
+            parts,
+            _Quarantine(now, units.after(now, duration)),
+            _MAX_QUARANTINES,
+        )
+        _insert_bounded(
+            self._former,
+            parts,
+            self._former.get(parts, 0) + 1,
+            _MAX_FORMER_QUARANTINES,
+        )
+
+    def _recent_crashes(self, now: units.Instant) -> Iterator[_ObservedCrash]:
+        """Yields the own crashes that are still told to others."""
+        return (c for c in self._own_crashes if now - c.at <= _REPORT_PERIOD)
+
+    def _cleared_here(self, now: units.Instant) -> Parts:
+        """Returns the suspected parts on which an answer has begun here."""
+        suspected = itertools.chain(
+            itertools.chain.from_iterable(
+                ((part, crash.at) for part in crash.parts)
+                for crash in self._crashes
+                if now - crash.at <= _REPORT_PERIOD
+            ),
+            (
+                (part, math.nextafter(at, -math.inf))
+                for part, at in self._released.items()
+                if now - at <= _REPORT_PERIOD
+            ),
+        )
+        return frozenset(
+            part
+            for part, at in suspected
+            if self._begun_here.get(part, -math.inf) > at
+        )
+
+    def _expire(self, now: units.Instant) -> None:
+        """Drops what is too old, and the oldest of what is too much."""
+        for crashes in (self._crashes, self._own_crashes):
+            crashes[:] = [
+                crash
+                for crash in crashes
+                if now - crash.at < _EVIDENCE_LIFETIME
+            ][-_MAX_CRASHES:]
+        for parts, quarantine in tuple(self._quarantines.items()):
+            if quarantine.expires_at <= now:
+                del self._quarantines[parts]
+                # Crashes before the quarantine count no more.
+                for crash in self._crashes:
+                    crash.parts -= parts
+
+    def _notify(self, decision: Decision | None) -> None:
+        for listener in self._listeners:
+            listener(decision)
+
+
+def _merge_crash(
+    crashes: list[_ObservedCrash], observed: _ObservedCrash
+) -> None:
+    """Adds a crash, or its parts to the same crash of the engine."""
+    same = next(
+        (
+            crash
+            for crash in reversed(crashes)
+            if crash.engine == observed.engine
+            and abs(crash.at - observed.at) < _SAME_CRASH_PERIOD
+        ),
+        None,
+    )
+    if same is None:
+        parts = itertools.islice(observed.parts, _MAX_PARTS_PER_CRASH)
+        observed.parts = frozenset(parts)
+        crashes.append(observed)
+        return
+    parts = itertools.islice(
+        (*same.parts, *observed.parts - same.parts), _MAX_PARTS_PER_CRASH
+    )
+    same.parts = frozenset(parts)
+
+
+def _count_causes(times: list[units.Instant]) -> int:
+    """Returns the number of crashes that can have different causes.
+
+    Args:
+        times: Times of the crashes, the first one first.
+    """
+    causes: list[units.Instant] = []
+    for at in times:
+        if not causes or at - causes[-1] > _COMMON_CAUSE_PERIOD:
+            causes.append(at)
+    return len(causes)
+
+
+def _insert_bounded(
+    table: dict[_Key, _Value], key: _Key, value: _Value, limit: int
+) -> None:
+    table.pop(key, None)
+    table[key] = value
+    if len(table) > limit:
+        del table[next(iter(table))]
