Don't suspect a request because its answer was interrupted once

Callers saw: a sound request was refused for a minute, because two engines had ended while they wrote its answer.

Cause: each broken connection counted against every request in flight.

Change: the first crash in the middle of an answer is not counted. Requests that crash engines in their answers are refused after three crashes instead of two.

--- a/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
@@ -393,7 +393,11 @@
             )
         if not lease.reused or self._delivery.started:
             now = context.timers.now()
-            context.crashes.on_crash(self._admitted_request.fingerprint, now)
+            context.crashes.on_crash(
+                self._admitted_request.fingerprint,
+                now,
+                answer_begun=self._answer_begun,
+            )
             self._exclude_server(engine, error.kind.value)
         return attempts.AttemptResult(
             forwarding_states.AttemptOutcome.LOST,
--- a/packages/reliability/src/lavendershed/reliability/crash_counts.py
+++ b/packages/reliability/src/lavendershed/reliability/crash_counts.py
@@ -22,9 +22,30 @@
         # Crash count and expiry time by fingerprint, oldest entry first.
         self._local: dict[ids.Fingerprint, tuple[int, units.Instant]] = {}
         self._remote: dict[ids.Fingerprint, tuple[int, units.Instant]] = {}
+        # Requests whose answers a crash has interrupted once.
+        self._interrupted: dict[ids.Fingerprint, tuple[int, units.Instant]] = {}
 
-    def on_crash(self, fingerprint: ids.Fingerprint, now: units.Instant) -> int:
-        """Counts an engine crash; returns the new count."""
+    def on_crash(
+        self,
+        fingerprint: ids.Fingerprint,
+        now: units.Instant,
+        *,
+        answer_begun: bool = False,
+    ) -> int:
+        """Counts an engine crash; returns the new count.
+
+        The first crash in the middle of an answer is not counted: another
+        request that waited at the engine is the more likely cause.
+
+        Args:
+            fingerprint: The request that was in flight.
+            now: Current time.
+            answer_begun: Whether the attempt had brought a part of the answer.
+        """
+        _, expires_at = self._interrupted.get(fingerprint, (0, now))
+        if answer_begun and expires_at <= now:
+            self._insert_bounded(self._interrupted, fingerprint, 0, now)
+            return self.count(fingerprint, now)
         count = self.count(fingerprint, now) + 1
         self._insert_bounded(self._local, fingerprint, count, now)
         return count
@@ -32,6 +53,7 @@
     def on_success(self, fingerprint: ids.Fingerprint) -> None:
         """Removes the local count of a request that completed."""
         self._local.pop(fingerprint, None)
+        self._interrupted.pop(fingerprint, None)
 
     def on_peer_counts(
         self,
--- a/packages/reliability/tests/test_crash_counts.py
+++ b/packages/reliability/tests/test_crash_counts.py
@@ -45,6 +45,26 @@
         self.assertFalse(self.counts.is_refused(REQUEST, later))
         self.assertEqual(self.counts.local_counts(later), ())
 
+    def test_a_request_that_was_cut_twice_is_not_refused(self):
+        """Guards against refusals of requests beside one that crashes engines.
+
+        Their answers had begun when the engines ended.
+        """
+        self.counts.on_crash(REQUEST, at(0), answer_begun=True)
+        self.counts.on_crash(REQUEST, at(1), answer_begun=True)
+        self.assertFalse(self.counts.is_refused(REQUEST, at(1)))
+
+    def test_a_request_that_crashes_engines_in_its_answer_is_refused(self):
+        for second in range(3):
+            self.counts.on_crash(REQUEST, at(second), answer_begun=True)
+        self.assertTrue(self.counts.is_refused(REQUEST, at(3)))
+
+    def test_an_interruption_is_forgotten(self):
+        self.counts.on_crash(REQUEST, at(0), answer_begun=True)
+        later = at(crash_counts.COUNT_LIFETIME + 1)
+        self.counts.on_crash(REQUEST, later, answer_begun=True)
+        self.assertEqual(self.counts.count(REQUEST, later), 0)
+
     def test_peer_counts_are_not_reported_back(self):
         self.counts.on_peer_counts([(REQUEST, 2)], at(0))
         self.assertEqual(self.counts.local_counts(at(0)), ())
