Count the crash of an engine once, however late it is reported

Callers would see: sound requests refused in large zones after one crash of an engine. No run has shown it; it was found while reading.

Cause: reports of one crash were told apart by the engine's id and a second of time. An aggregator repeats a report seconds later with the age of the first time, so that one crash became several.

Change: the key is the incarnation of the engine, which ends only once, and the earliest time counts.

Result: test_a_repeated_report_is_not_another_crash failed before and passes, with the 21 other tests of the attribution and the process tests.

--- a/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
@@ -387,7 +387,7 @@
             and not self._answer_begun
         ):
             context.crash_attribution.on_crash(
-                load_reports.hash_server_id(engine.id),
+                load_reports.hash_incarnation(engine.id, engine.incarnation),
                 self._admitted_request.request.prompt_parts,
                 context.timers.now(),
             )
--- a/packages/peer/idl/messages.thrift
+++ b/packages/peer/idl/messages.thrift
@@ -137,8 +137,8 @@
   18: optional i32 configuration_age
   19: optional i32 servers_age
   20: optional i64 servers_known
-  // Evidence on parts of prompts that crash engines: groups of the engine's hash,
-  // the age of the crash in milliseconds, the number of parts, and the parts.
+  // Evidence on parts of prompts that crash engines: groups of a hash of
+  // the engine's incarnation, the age of the crash in milliseconds, the number of parts, and the parts.
   21: optional list<i64> crashes
   // Pairs of a part and the milliseconds since an answer on it began.
   22: optional list<i64> begun
--- a/packages/peer/src/lavendershed/peer/load_reports.py
+++ b/packages/peer/src/lavendershed/peer/load_reports.py
@@ -131,6 +131,13 @@
     return number - (1 << 32) if number >= 1 << 31 else number
 
 
+def hash_incarnation(
+    server: ids.BackendServerId, incarnation: ids.Incarnation
+) -> int:
+    """Returns the 32-bit hash of one incarnation of a server in reports."""
+    return xxhash.xxh32_intdigest(f"{server} {incarnation}".encode())
+
+
 def encode_report(report: LoadReport, now: units.Instant) -> bytes:
     """Returns a report as a datagram; times are encoded relative to `now`."""
     evidence = crash_evidence.encode(report.crash_evidence)
--- a/packages/reliability/src/lavendershed/reliability/crash_attribution.py
+++ b/packages/reliability/src/lavendershed/reliability/crash_attribution.py
@@ -28,8 +28,6 @@
 # Engines that end within this time have a common cause that is no request, such
 # as their VM.
 _COMMON_CAUSE_PERIOD = units.Seconds(0.1)
-# Daemons report a crash of an engine at slightly different times.
-_SAME_CRASH_PERIOD = units.Seconds(1.0)
 # Other daemons need this time to tell that answers on a part have begun.
 _SETTLING_TIME = units.Seconds(0.3)
 # Probability that a sound part had no answer in all of its crashes.
@@ -85,7 +83,7 @@
     """An engine that ended before the answers of requests had begun.
 
     Attributes:
-        engine: Hash of the engine's id.
+        engine: Hash of the engine's incarnation, which ends only once.
         age: Time since the crash.
         parts: Shared parts of these requests.
     """
@@ -192,7 +190,7 @@
         """Records that an engine ended before it had begun an answer.
 
         Args:
-            engine: Hash of the engine's id.
+            engine: Hash of the engine's incarnation.
             parts: Shared parts of the prompt.
             now: Current time.
         """
@@ -480,13 +478,16 @@
 def _merge_crash(
     crashes: list[_ObservedCrash], observed: _ObservedCrash
 ) -> None:
-    """Adds a crash, or its parts to the same crash of the engine."""
+    """Adds a crash, or its parts to the known crash of the incarnation.
+
+    A report that an aggregator repeats states an age that is too small, so that
+    the earliest time counts.
+    """
     same = next(
         (
             crash
             for crash in reversed(crashes)
             if crash.engine == observed.engine
-            and abs(crash.at - observed.at) < _SAME_CRASH_PERIOD
         ),
         None,
     )
@@ -495,6 +496,7 @@
         observed.parts = frozenset(parts)
         crashes.append(observed)
         return
+    same.at = min(same.at, observed.at)
     parts = itertools.islice(
         (*same.parts, *observed.parts - same.parts), _MAX_PARTS_PER_CRASH
     )
--- a/packages/reliability/tests/crash_fleet_simulation.py
+++ b/packages/reliability/tests/crash_fleet_simulation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 import random
 
 from lavendershed.core import ids
@@ -40,6 +41,7 @@
         self.random_crash_rate = random_crashes
         self.waiting = {engine: [] for engine in range(ENGINES)}
         self.down_until = dict.fromkeys(range(ENGINES), 0.0)
+        self.incarnations = itertools.count()
         self.crash_times = []
         self.deadly_sent_at = []
         self.sound_refused = 0
@@ -136,8 +138,9 @@
             return
         self.down_until[engine] = now + RESTART_S
         lost, self.waiting[engine] = self.waiting[engine], []
+        incarnation = next(self.incarnations)
         for request, index in lost:
-            self.daemons[index].on_crash(engine, request.parts, now)
+            self.daemons[index].on_crash(incarnation, request.parts, now)
         for request, index in lost:
             self.send(request, index)
 
--- a/packages/reliability/tests/test_crash_attribution.py
+++ b/packages/reliability/tests/test_crash_attribution.py
@@ -171,6 +171,21 @@
             self.fleet.answer(FIRST)
         self.assert_served(DEADLY)
 
+    def test_a_repeated_report_is_not_another_crash(self):
+        """Guards against reports that an aggregator sends again later.
+
+        The age that they state is that of the first time.
+        """
+        self.fleet.crash((DEADLY,))
+        old = self.fleet.daemons[0].evidence(self.fleet.now)
+        for _ in range(5):
+            self.fleet.wait(1.5)
+            self.fleet.answer(FIRST, daemon=0)
+            self.fleet.answer(FIRST, daemon=1)
+            self.fleet.daemons[1].on_peer_evidence(old, self.fleet.now)
+            self.fleet.exchange()
+        self.assert_served(DEADLY)
+
     def test_an_answer_that_was_under_way_clears_a_part(self):
         self.fleet.crash_repeatedly(SUBJECT)
         self.assert_refused(SUBJECT)
