Don't take a stream without any event for a whole answer

Callers saw: an empty answer with status 200, if an engine whose streams have neither a length nor chunks ended before its first event.

Cause: the end of such a stream is that of its connection. Without an incomplete event it was taken for complete, also if nothing had come.

Change: a stream that ends without an event, or inside one, is broken off and goes on at another engine, unless the caller had all events before. If no answer had begun, the end counts as a crash on the parts of the prompt.

--- a/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
@@ -285,10 +285,13 @@
                 return self._on_transport_error(engine, lease, chunk.err_value)
             if not chunk.ok_value:
                 if splitter.has_partial_event:
-                    return attempts.AttemptResult(
-                        forwarding_states.AttemptOutcome.INVALID_RESPONSE,
-                        "stream ended with an incomplete event",
+                    return self._on_broken_off(
+                        "stream ended with an incomplete event"
                     )
+                # A stream without a length ends with its connection, also if
+                # the engine has crashed.
+                if self._delivery.last_event_id is None:
+                    return self._on_broken_off("stream ended without an event")
                 self._context.health.on_success(engine.id, engine.incarnation)
                 # A resumed caller that has all events gets an empty stream.
                 self._delivery.start(response)
@@ -369,6 +372,24 @@
             max(_MIN_STALL_TIMEOUT, expected_gap * _STALL_FACTOR)
         )
 
+    def _on_broken_off(self, detail: str) -> attempts.AttemptResult:
+        """Handles a stream that ended in order, but not after an event."""
+        self._record_crash_before_answer()
+        return attempts.AttemptResult(
+            forwarding_states.AttemptOutcome.INVALID_RESPONSE, detail
+        )
+
+    def _record_crash_before_answer(self) -> None:
+        """Records an engine that may have ended because of this request."""
+        if self._answer_begun:
+            return
+        engine = self._placement.decode_engine
+        self._context.crash_attribution.on_crash(
+            load_reports.hash_incarnation(engine.id, engine.incarnation),
+            self._admitted_request.request.prompt_parts,
+            self._context.timers.now(),
+        )
+
     def _on_transport_error(
         self,
         engine: server_directory.ServerEntry,
@@ -382,15 +403,8 @@
             return attempts.AttemptResult(
                 forwarding_states.AttemptOutcome.STALLED, error.detail
             )
-        if (
-            error.kind is errors.TransportErrorKind.CONNECTION_LOST
-            and not self._answer_begun
-        ):
-            context.crash_attribution.on_crash(
-                load_reports.hash_incarnation(engine.id, engine.incarnation),
-                self._admitted_request.request.prompt_parts,
-                context.timers.now(),
-            )
+        if error.kind is errors.TransportErrorKind.CONNECTION_LOST:
+            self._record_crash_before_answer()
         if not lease.reused or self._delivery.started:
             now = context.timers.now()
             context.crashes.on_crash(
