--- a/packages/forwarding/src/lavendershed/forwarding/daemon.py
+++ b/packages/forwarding/src/lavendershed/forwarding/daemon.py
@@ -160,6 +160,9 @@
         context = self._components.context
         now = context.timers.now()
         context.instruments.set_configuration_version(context.view.version)
+        context.instruments.set_quarantines(
+            context.crash_attribution.quarantine_count(now)
+        )
         for kind in codecs.ObjectKind:
             age = context.view.freshness_of(kind).age(now)
             if age is not None:
--- a/packages/reliability/src/lavendershed/reliability/crash_attribution.py
+++ b/packages/reliability/src/lavendershed/reliability/crash_attribution.py
@@ -174,6 +174,10 @@
         ]
         return max(remaining, default=None)
 
+    def quarantine_count(self, now: units.Instant) -> int:
+        """Returns the number of sets of parts in quarantine."""
+        return sum(q.expires_at > now for q in self._quarantines.values())
+
     def on_answer_begun(self, parts: Parts, now: units.Instant) -> None:
         """Records that an engine has begun to write an answer."""
         self._answers.append(now)
--- a/packages/telemetry/src/lavendershed/telemetry/request_instruments.py
+++ b/packages/telemetry/src/lavendershed/telemetry/request_instruments.py
@@ -56,6 +56,9 @@
         self._configuration_version = meter.create_gauge(
             "lavendershed.configuration_version"
         )
+        self._quarantines = meter.create_gauge(
+            "lavendershed.prompt_part_quarantines"
+        )
         self._object_age = meter.create_gauge(
             "lavendershed.store_objects_age", unit="s"
         )
@@ -109,3 +112,7 @@
     def set_object_age(self, kind: str, age: units.Seconds) -> None:
         """Sets the time since objects were confirmed to be the newest."""
         self._object_age.set(age, {"kind": kind})
+
+    def set_quarantines(self, count: int) -> None:
+        """Sets the number of sets of prompt parts in quarantine."""
+        self._quarantines.set(count)
