Compare times in the ledger test without a rounded difference

Cause: LedgerMachineTest failed in each run of the whole library since the tests of crash attribution are loaded beside it, not alone: hypothesis draws numbers from the constants of the loaded modules. A release at 4.0 s was repeated at 4.1 s, after the delay of 0.1 s; the check subtracted the times, and 4.1 - 4.0 is 0.0999... in floating point. The ledger was right.

Change: the check adds the delay to the earlier time, as the ledger does. It is as strict: no tolerance.

--- a/packages/reliability/tests/test_memory_ledger.py
+++ b/packages/reliability/tests/test_memory_ledger.py
@@ -86,7 +86,10 @@
         now = self.clock.now()
         for command in commands:
             before = self.last_release.get(command.key)
-            assert before is None or now - before >= LIMITS.base_retry_delay
+            # Differences of instants are rounded: 4.1 - 4.0 is below 0.1.
+            assert before is None or now >= units.after(
+                before, LIMITS.base_retry_delay
+            )
             self.last_release[command.key] = now
             if arrives:
                 self.held[command.key.engine].discard(command.key)
