Check what a daemon has taken from a peer at its start, too

Callers would see: a daemon that has just started stays behind for up to 9 s if its first watch is silent and no peer is ahead.

Cause: a daemon that takes the store's contents from a peer has no confirmation of its own, and an unknown age was taken for none at all.

Change: until the first confirmation the age counts from the start of the watch.

Result: test_state_of_a_peer_is_checked_too failed before (no check) and passes with the 8 other tests of the watcher.

--- a/packages/forwarding/src/lavendershed/forwarding/store_watcher.py
+++ b/packages/forwarding/src/lavendershed/forwarding/store_watcher.py
@@ -159,13 +159,15 @@
             max_age = units.Seconds(
                 _MAX_UNCONFIRMED + self._random.uniform(0.0, _CHECK_SPREAD)
             )
-            await asyncio.wait((watching,), timeout=self._time_until(max_age))
+            await asyncio.wait(
+                (watching,), timeout=self._time_until(max_age, started_at)
+            )
             if watching.done():
                 return watching.result()
             if not self._role.is_watching:
                 # The watch that is open ends by itself.
                 return await watching
-            if self._time_until(max_age) > 0:
+            if self._time_until(max_age, started_at) > 0:
                 continue
             checked_at = self._timers.now()
             checked = await self._source.changes_since(revision)
@@ -188,10 +190,18 @@
                 self._kind, checked_revision, checked_at
             )
 
-    def _time_until(self, max_age: units.Seconds) -> units.Seconds:
-        """Returns the time until the known objects reach `max_age`."""
-        age = self._view.freshness_of(self._kind).age(self._timers.now())
-        return units.Seconds(max(0.0, max_age - (age or 0.0)))
+    def _time_until(
+        self, max_age: units.Seconds, started_at: units.Instant
+    ) -> units.Seconds:
+        """Returns the time until the known objects reach `max_age`.
+
+        Objects that came from a peer count as of the start of the watch.
+        """
+        now = self._timers.now()
+        age = self._view.freshness_of(self._kind).age(now)
+        if age is None:
+            age = units.elapsed(started_at, now)
+        return units.Seconds(max(0.0, max_age - age))
 
     def _on_success(self, revision: ids.ObjectVersion) -> None:
         now = self._timers.now()
--- a/packages/forwarding/tests/test_store_watcher.py
+++ b/packages/forwarding/tests/test_store_watcher.py
@@ -155,6 +155,12 @@
         self.assertEqual(self.source.checked_from, [50])
         self.assertEqual(self.source.watched_from, [50])
 
+    async def test_state_of_a_peer_is_checked_too(self):
+        """A daemon that has just started has asked the store nothing yet."""
+        self.view.complete = True
+        await self.watch(first_call_delay=4.0, seconds=self.SECONDS)
+        self.assertEqual(self.source.checked_from, [40])
+
     async def test_a_failed_check_replaces_the_watch(self):
         self.source.check_result = result.Err(codecs.SourceError.TIMED_OUT)
         await self.watch(seconds=self.SECONDS)
