End the quarantine of a part on all daemons alike

Callers would see: requests with a part refused for longer than stated, and more crashes than one after the end of a quarantine.

Cause, both about its end: a daemon whose quarantine had ended took it over again from one whose clock was milliseconds behind, which also counted as another quarantine; and the first crash afterwards was dropped with the old evidence, if no report had been sent in between.

Change: what ends within a second is not taken over, and old evidence is dropped before new evidence is added.

Result: test_daemons_do_not_prolong_a_quarantine_for_each_other failed without either change and passes; 79 tests of the library pass.

--- a/packages/reliability/src/lavendershed/reliability/crash_attribution.py
+++ b/packages/reliability/src/lavendershed/reliability/crash_attribution.py
@@ -37,6 +37,9 @@
 # First quarantine of a set of parts, and the limit of its doubling.
 QUARANTINE_TIME = units.Seconds(120.0)
 _MAX_QUARANTINE_TIME = units.Seconds(960.0)
+# Daemons that end a quarantine at different times would prolong it for each
+# other.
+_MIN_ADOPTED_TIME = units.Seconds(1.0)
 # Evidence is reported for this long, several times to each daemon.
 _REPORT_PERIOD = units.Seconds(5.0)
 _MAX_CRASHES = 128
@@ -198,6 +201,7 @@
             parts: Shared parts of the prompt.
             now: Current time.
         """
+        self._expire(now)
         self._losses.append((now, parts))
         if not parts:
             return
@@ -208,6 +212,7 @@
 
     def on_peer_evidence(self, evidence: Evidence, now: units.Instant) -> None:
         """Adds what another daemon has told."""
+        self._expire(now)
         for crash in evidence.crashes:
             at = units.Instant(now - crash.age)
             _merge_crash(
@@ -404,7 +409,7 @@
         if (
             not parts
             or cleared
-            or remaining <= 0.0
+            or remaining < _MIN_ADOPTED_TIME
             or self._is_quarantined(parts)
         ):
             return
--- a/packages/reliability/tests/test_crash_attribution.py
+++ b/packages/reliability/tests/test_crash_attribution.py
@@ -206,6 +206,22 @@
         self.fleet.wait(crash_attribution.QUARANTINE_TIME + SECOND)
         self.assert_refused(DEADLY)
 
+    def test_daemons_do_not_prolong_a_quarantine_for_each_other(self):
+        """Their quarantines end at slightly different times."""
+        self.fleet.crash_repeatedly(DEADLY, count=3)
+        first, second = self.fleet.daemons
+        ends_in = first.quarantine_remaining(parts(DEADLY), self.fleet.now)
+        self.fleet.wait(ends_in - 0.3)
+        late_report = second.evidence(self.fleet.now)
+        self.fleet.wait(0.4)
+        first.on_peer_evidence(late_report, self.fleet.now)
+        self.assertFalse(self.fleet.refused(DEADLY, daemon=0))
+        self.fleet.crash((DEADLY,))
+        remaining = first.quarantine_remaining(parts(DEADLY), self.fleet.now)
+        self.assertAlmostEqual(
+            remaining, 2 * crash_attribution.QUARANTINE_TIME, delta=1.0
+        )
+
     def test_a_part_that_has_become_sound_is_forgotten(self):
         self.fleet.crash_repeatedly(DEADLY)
         self.fleet.wait(crash_attribution.QUARANTINE_TIME)
