Bound the quarantines of one decision

Cause: if more sets of parts than the limit of 64 were proved at once, the oldest quarantine was dropped for the newest, and the decision would have started again with it.

Change: a decision ends at the limit. The proof of a part has a method of its own.

--- a/packages/reliability/src/lavendershed/reliability/crash_attribution.py
+++ b/packages/reliability/src/lavendershed/reliability/crash_attribution.py
@@ -262,7 +262,10 @@
         """Quarantines the best explanations of the known crashes."""
         self._expire(now)
         self._undecided = False
-        while (decision := self._next_quarantine(now)) is not None:
+        while len(self._quarantines) < _MAX_QUARANTINES:
+            decision = self._next_quarantine(now)
+            if decision is None:
+                return
             self._quarantine(decision.parts, decision.duration, now)
             self._notify(decision)
 
@@ -288,16 +291,10 @@
             times = sorted(self._crashes[index].at for index in indices)
             count = _count_causes(times)
             answers = sum(at > times[0] for at in self._answers)
-            if former is None:
-                if count < MIN_CRASHES:
-                    continue
-                self._undecided = True
-                if (
-                    now - times[0] < _SETTLING_TIME
-                    or self._chance(part, times[0], answers, count)
-                    > _MAX_CHANCE
-                ):
-                    continue
+            if former is None and not self._is_proved(
+                part, times[0], count, answers, now
+            ):
+                continue
             return Decision(
                 Verdict.QUARANTINED,
                 inseparable,
@@ -313,6 +310,24 @@
             )
         return None
 
+    def _is_proved(
+        self,
+        part: ids.PromptPartId,
+        since: units.Instant,
+        crashes: int,
+        answers: int,
+        now: units.Instant,
+    ) -> bool:
+        """Returns whether the crashes since `since` prove a part's fault."""
+        if crashes < MIN_CRASHES:
+            return False
+        # More answers or time may prove it without another crash.
+        self._undecided = True
+        return (
+            now - since >= _SETTLING_TIME
+            and self._chance(part, since, answers, crashes) <= _MAX_CHANCE
+        )
+
     def _former_quarantine(
         self,
         indices: set[int],
--- a/packages/reliability/tests/test_crash_attribution.py
+++ b/packages/reliability/tests/test_crash_attribution.py
@@ -256,6 +256,29 @@
         self.assertGreater(decision.answers, 0)
         self.assertAlmostEqual(decision.seconds, 0.4, delta=0.25)
 
+    def test_many_suspects_end_in_a_bounded_number_of_quarantines(self):
+        """Guards against a decision that never ends."""
+        daemon = self.fleet.daemons[0]
+        for _ in range(4):
+            for number in range(30):
+                request = parts(*range(number * 8, number * 8 + 8))
+                daemon.on_crash(
+                    next(self.fleet.engines), request, self.fleet.now
+                )
+            self.fleet.wait(0.2)
+            for part in range(-200, 0):
+                daemon.on_answer_begun(parts(part), self.fleet.now)
+            # One part of each set appears in a crash of its own.
+            for number in range(30):
+                for member in range(8):
+                    daemon.on_crash(
+                        next(self.fleet.engines),
+                        parts(number * 8 + member),
+                        self.fleet.now,
+                    )
+            self.fleet.wait(0.2)
+        self.assertLessEqual(daemon.quarantine_count(self.fleet.now), 64)
+
     def test_memory_is_bounded(self):
         """Each prompt has parts of its own, and all engines crash."""
         daemon = self.fleet.daemons[0]
