Split the record of engine crashes from their attribution

The crash log, its bounds and the evidence that daemons exchange are a module of their own; the attribution holds the decision only.

--- a/packages/peer/src/lavendershed/peer/crash_evidence.py
+++ b/packages/peer/src/lavendershed/peer/crash_evidence.py
@@ -7,7 +7,7 @@
 
 from lavendershed.core import ids
 from lavendershed.core import units
-from lavendershed.reliability import crash_attribution
+from lavendershed.reliability import engine_crashes
 
 # Evidence takes at most this much of a report; older crashes are left out.
 _MAX_EVIDENCE = units.Bytes(600)
@@ -26,7 +26,7 @@
     quarantines: list[int]
 
 
-def encode(evidence: crash_attribution.Evidence) -> EncodedEvidence:
+def encode(evidence: engine_crashes.Evidence) -> EncodedEvidence:
     """Returns evidence as lists of integers, as much as fits into a report.
 
     Quarantines come first, since other daemons may know nothing else, then the
@@ -54,10 +54,10 @@
     return units.Bytes(_BYTES_PER_NUMBER * numbers)
 
 
-def decode(evidence: EncodedEvidence) -> crash_attribution.Evidence:
+def decode(evidence: EncodedEvidence) -> engine_crashes.Evidence:
     """Returns decoded evidence; incomplete groups are left out."""
     crashes = (
-        crash_attribution.Crash(head[0], _to_seconds(head[1]), parts)
+        engine_crashes.Crash(head[0], _to_seconds(head[1]), parts)
         for head, parts in _groups(evidence.crashes, head_size=2)
     )
     begun = zip(evidence.begun[::2], evidence.begun[1::2], strict=False)
@@ -65,7 +65,7 @@
         (parts, _to_seconds(head[0]))
         for head, parts in _groups(evidence.quarantines, head_size=1)
     )
-    return crash_attribution.Evidence(
+    return engine_crashes.Evidence(
         tuple(crashes),
         tuple(
             (ids.PromptPartId(part), _to_seconds(age)) for part, age in begun
@@ -76,7 +76,7 @@
 
 def _groups(
     numbers: list[int], head_size: int
-) -> Iterator[tuple[list[int], crash_attribution.Parts]]:
+) -> Iterator[tuple[list[int], engine_crashes.Parts]]:
     """Yields the head of each group and its parts."""
     start = 0
     while start + head_size < len(numbers):
@@ -100,7 +100,7 @@
         numbers += group
 
 
-def _with_count(parts: crash_attribution.Parts) -> tuple[int, ...]:
+def _with_count(parts: engine_crashes.Parts) -> tuple[int, ...]:
     selected = sorted(parts)[:_MAX_PARTS_PER_GROUP]
     return len(selected), *selected
 
--- a/packages/peer/src/lavendershed/peer/load_reports.py
+++ b/packages/peer/src/lavendershed/peer/load_reports.py
@@ -20,7 +20,7 @@
 from lavendershed.peer import crash_evidence
 from lavendershed.peer import wire
 from lavendershed.peer.gen.messages import ttypes
-from lavendershed.reliability import crash_attribution
+from lavendershed.reliability import engine_crashes
 from lavendershed.reliability import server_health
 from lavendershed.routing import engine_slowdown
 from lavendershed.routing import load_tracker
@@ -102,7 +102,7 @@
     configuration_age: units.Seconds | None = None
     servers_age: units.Seconds | None = None
     servers_known: ids.ObjectVersion = ids.ObjectVersion(0)
-    crash_evidence: crash_attribution.Evidence = crash_attribution.Evidence()
+    crash_evidence: engine_crashes.Evidence = engine_crashes.Evidence()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/peer/tests/test_load_reports.py
+++ b/packages/peer/tests/test_load_reports.py
@@ -16,7 +16,7 @@
 from lavendershed.peer import load_reports
 from lavendershed.peer import peer_state
 from lavendershed.peer import wire
-from lavendershed.reliability import crash_attribution
+from lavendershed.reliability import engine_crashes
 from lavendershed.routing import load_tracker
 
 NOW = units.Instant(1_000.0)
@@ -47,9 +47,9 @@
 def evidence(crashes):
     """Returns evidence on `crashes` crashes of engines."""
     largest = (1 << 63) - 1
-    return crash_attribution.Evidence(
+    return engine_crashes.Evidence(
         tuple(
-            crash_attribution.Crash(
+            engine_crashes.Crash(
                 (1 << 31) - 1 - number,
                 units.Seconds(4.5),
                 frozenset(largest - part for part in range(3)),
@@ -61,7 +61,7 @@
     )
 
 
-NO_EVIDENCE = crash_attribution.Evidence()
+NO_EVIDENCE = engine_crashes.Evidence()
 
 
 def report(tasks=(), suspects=(), peers=(), evidence=NO_EVIDENCE):
--- a/packages/reliability/src/lavendershed/reliability/crash_attribution.py
+++ b/packages/reliability/src/lavendershed/reliability/crash_attribution.py
@@ -20,20 +20,14 @@
 
 from lavendershed.core import ids
 from lavendershed.core import units
-
-Parts = frozenset[ids.PromptPartId]
+from lavendershed.reliability import engine_crashes
 
 # Crashes of a part before it is held responsible; two may be a coincidence.
 MIN_CRASHES = 3
-# Engines that end within this time have a common cause that is no request, such
-# as their VM.
-_COMMON_CAUSE_PERIOD = units.Seconds(0.1)
 # Other daemons need this time to tell that answers on a part have begun.
 _SETTLING_TIME = units.Seconds(0.3)
 # Probability that a sound part had no answer in all of its crashes.
 _MAX_CHANCE = 0.02
-# Evidence about rare requests has to last until the third one.
-_EVIDENCE_LIFETIME = units.Seconds(120.0)
 # First quarantine of a set of parts, and the limit of its doubling.
 QUARANTINE_TIME = units.Seconds(120.0)
 _MAX_QUARANTINE_TIME = units.Seconds(960.0)
@@ -42,8 +36,6 @@
 _MIN_ADOPTED_TIME = units.Seconds(1.0)
 # Evidence is reported for this long, several times to each daemon.
 _REPORT_PERIOD = units.Seconds(5.0)
-_MAX_CRASHES = 128
-_MAX_PARTS_PER_CRASH = 32
 _MAX_BEGUN_PARTS = 4_096
 _MAX_OUTCOMES = 256
 _MAX_QUARANTINES = 64
@@ -73,7 +65,7 @@
     """
 
     verdict: Verdict
-    parts: Parts
+    parts: engine_crashes.Parts
     crashes: int = 0
     answers: int = 0
     seconds: units.Seconds = units.Seconds(0.0)
@@ -81,44 +73,6 @@
     from_peer: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Crash:
-    """An engine that ended before the answers of requests had begun.
-
-    Attributes:
-        engine: Hash of the engine's incarnation, which ends only once.
-        age: Time since the crash.
-        parts: Shared parts of these requests.
-    """
-
-    engine: int
-    age: units.Seconds
-    parts: Parts
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Evidence:
-    """What a daemon tells the others.
-
-    Attributes:
-        crashes: Crashes that it has observed itself.
-        begun: Suspected parts on which answers have begun at it, with the time
-            since then.
-        quarantines: Sets of parts in quarantine, with the remaining time.
-    """
-
-    crashes: tuple[Crash, ...] = ()
-    begun: tuple[tuple[ids.PromptPartId, units.Seconds], ...] = ()
-    quarantines: tuple[tuple[Parts, units.Seconds], ...] = ()
-
-
-@dataclasses.dataclass(slots=True)
-class _ObservedCrash:
-    engine: int
-    at: units.Instant
-    parts: Parts
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Quarantine:
     since: units.Instant
@@ -140,8 +94,8 @@
     """
 
     def __init__(self) -> None:
-        self._crashes: list[_ObservedCrash] = []
-        self._own_crashes: list[_ObservedCrash] = []
+        self._crashes = engine_crashes.CrashLog()
+        self._own_crashes = engine_crashes.CrashLog()
         # Time of the last answer that began on a part, oldest entry first; at
         # any daemon, and at this one.
         self._begun: dict[ids.PromptPartId, units.Instant] = {}
@@ -150,12 +104,12 @@
         self._answers: collections.deque[units.Instant] = collections.deque(
             maxlen=_MAX_OUTCOMES
         )
-        self._losses: collections.deque[tuple[units.Instant, Parts]] = (
-            collections.deque(maxlen=_MAX_OUTCOMES)
-        )
-        self._quarantines: dict[Parts, _Quarantine] = {}
+        self._losses: collections.deque[
+            tuple[units.Instant, engine_crashes.Parts]
+        ] = collections.deque(maxlen=_MAX_OUTCOMES)
+        self._quarantines: dict[engine_crashes.Parts, _Quarantine] = {}
         # Number of former quarantines, oldest entry first.
-        self._former: dict[Parts, int] = {}
+        self._former: dict[engine_crashes.Parts, int] = {}
         # Parts that an answer has cleared during or after a quarantine.
         self._released: dict[ids.PromptPartId, units.Instant] = {}
         self._listeners: list[Listener] = []
@@ -167,7 +121,7 @@
         self._listeners.append(listener)
 
     def quarantine_remaining(
-        self, parts: Parts, now: units.Instant
+        self, parts: engine_crashes.Parts, now: units.Instant
     ) -> units.Seconds | None:
         """Returns for how long a request with `parts` is refused, or None."""
         remaining = [
@@ -181,7 +135,9 @@
         """Returns the number of sets of parts in quarantine."""
         return sum(q.expires_at > now for q in self._quarantines.values())
 
-    def on_answer_begun(self, parts: Parts, now: units.Instant) -> None:
+    def on_answer_begun(
+        self, parts: engine_crashes.Parts, now: units.Instant
+    ) -> None:
         """Records that an engine has begun to write an answer."""
         self._answers.append(now)
         cleared = any(self._is_suspected(part) for part in parts)
@@ -193,7 +149,9 @@
         if self._undecided:
             self._decide(now)
 
-    def on_crash(self, engine: int, parts: Parts, now: units.Instant) -> None:
+    def on_crash(
+        self, engine: int, parts: engine_crashes.Parts, now: units.Instant
+    ) -> None:
         """Records that an engine ended before it had begun an answer.
 
         Args:
@@ -206,18 +164,18 @@
         if not parts:
             return
         for crashes in (self._own_crashes, self._crashes):
-            _merge_crash(crashes, _ObservedCrash(engine, now, parts))
+            crashes.add(engine, parts, now)
         self._notify(None)
         self._decide(now)
 
-    def on_peer_evidence(self, evidence: Evidence, now: units.Instant) -> None:
+    def on_peer_evidence(
+        self, evidence: engine_crashes.Evidence, now: units.Instant
+    ) -> None:
         """Adds what another daemon has told."""
         self._expire(now)
         for crash in evidence.crashes:
             at = units.Instant(now - crash.age)
-            _merge_crash(
-                self._crashes, _ObservedCrash(crash.engine, at, crash.parts)
-            )
+            self._crashes.add(crash.engine, crash.parts, at)
         for part, age in evidence.begun:
             self._record_begun(part, units.Instant(now - age))
         for parts, remaining in evidence.quarantines:
@@ -225,11 +183,11 @@
         if evidence.crashes or self._undecided:
             self._decide(now)
 
-    def evidence(self, now: units.Instant) -> Evidence:
+    def evidence(self, now: units.Instant) -> engine_crashes.Evidence:
         """Returns what to tell the other daemons."""
         self._expire(now)
         reports = (
-            Crash(
+            engine_crashes.Crash(
                 crash.engine,
                 units.elapsed(crash.at, now),
                 frozenset(
@@ -238,7 +196,7 @@
             )
             for crash in self._recent_crashes(now)
         )
-        return Evidence(
+        return engine_crashes.Evidence(
             tuple(report for report in reports if report.parts),
             tuple(
                 (part, units.elapsed(self._begun_here[part], now))
@@ -271,6 +229,7 @@
 
     def _next_quarantine(self, now: units.Instant) -> Decision | None:
         crashes_of = self._unexplained_crashes()
+        at_of = [crash.at for crash in self._crashes]
         known = frozenset().union(*self._former)
         candidates = [
             part
@@ -288,8 +247,8 @@
             )
             if self._is_quarantined(inseparable):
                 continue
-            times = sorted(self._crashes[index].at for index in indices)
-            count = _count_causes(times)
+            times = sorted(at_of[index] for index in indices)
+            count = engine_crashes.count_causes(times)
             answers = sum(at > times[0] for at in self._answers)
             if former is None and not self._is_proved(
                 part, times[0], count, answers, now
@@ -333,7 +292,7 @@
         indices: set[int],
         part: ids.PromptPartId,
         crashes_of: dict[ids.PromptPartId, set[int]],
-    ) -> Parts | None:
+    ) -> engine_crashes.Parts | None:
         """Returns a former quarantine that would explain these crashes."""
         return next(
             (
@@ -387,7 +346,7 @@
             for crash in self._crashes
         )
 
-    def _is_quarantined(self, parts: Parts) -> bool:
+    def _is_quarantined(self, parts: engine_crashes.Parts) -> bool:
         return any(quarantined <= parts for quarantined in self._quarantines)
 
     def _begun_after(
@@ -414,7 +373,10 @@
             self._notify(Decision(Verdict.RELEASED, frozenset({part})))
 
     def _adopt(
-        self, parts: Parts, remaining: units.Seconds, now: units.Instant
+        self,
+        parts: engine_crashes.Parts,
+        remaining: units.Seconds,
+        now: units.Instant,
     ) -> None:
         """Takes a quarantine over from another daemon."""
         cleared = any(
@@ -437,7 +399,10 @@
         )
 
     def _quarantine(
-        self, parts: Parts, duration: units.Seconds, now: units.Instant
+        self,
+        parts: engine_crashes.Parts,
+        duration: units.Seconds,
+        now: units.Instant,
     ) -> None:
         for quarantined in tuple(self._quarantines):
             if parts < quarantined:
@@ -455,11 +420,13 @@
             _MAX_FORMER_QUARANTINES,
         )
 
-    def _recent_crashes(self, now: units.Instant) -> Iterator[_ObservedCrash]:
+    def _recent_crashes(
+        self, now: units.Instant
+    ) -> Iterator[engine_crashes.ObservedCrash]:
         """Yields the own crashes that are still told to others."""
         return (c for c in self._own_crashes if now - c.at <= _REPORT_PERIOD)
 
-    def _cleared_here(self, now: units.Instant) -> Parts:
+    def _cleared_here(self, now: units.Instant) -> engine_crashes.Parts:
         """Returns the suspected parts on which an answer has begun here."""
         suspected = itertools.chain(
             itertools.chain.from_iterable(
@@ -480,66 +447,22 @@
         )
 
     def _expire(self, now: units.Instant) -> None:
-        """Drops what is too old, and the oldest of what is too much."""
-        for crashes in (self._crashes, self._own_crashes):
-            crashes[:] = [
-                crash
-                for crash in crashes
-                if now - crash.at < _EVIDENCE_LIFETIME
-            ][-_MAX_CRASHES:]
+        """Drops old evidence and ends quarantines."""
+        logs = (self._crashes, self._own_crashes)
+        for crashes in logs:
+            crashes.expire(now)
         for parts, quarantine in tuple(self._quarantines.items()):
             if quarantine.expires_at <= now:
                 del self._quarantines[parts]
                 # Crashes before the quarantine count no more.
-                for crash in self._crashes:
-                    crash.parts -= parts
+                for crashes in logs:
+                    crashes.remove_parts(parts)
 
     def _notify(self, decision: Decision | None) -> None:
         for listener in self._listeners:
             listener(decision)
 
 
-def _merge_crash(
-    crashes: list[_ObservedCrash], observed: _ObservedCrash
-) -> None:
-    """Adds a crash, or its parts to the known crash of the incarnation.
-
-    A report that an aggregator repeats states an age that is too small, so that
-    the earliest time counts.
-    """
-    same = next(
-        (
-            crash
-            for crash in reversed(crashes)
-            if crash.engine == observed.engine
-        ),
-        None,
-    )
-    if same is None:
-        parts = itertools.islice(observed.parts, _MAX_PARTS_PER_CRASH)
-        observed.parts = frozenset(parts)
-        crashes.append(observed)
-        return
-    same.at = min(same.at, observed.at)
-    parts = itertools.islice(
-        (*same.parts, *observed.parts - same.parts), _MAX_PARTS_PER_CRASH
-    )
-    same.parts = frozenset(parts)
-
-
-def _count_causes(times: list[units.Instant]) -> int:
-    """Returns the number of crashes that can have different causes.
-
-    Args:
-        times: Times of the crashes, the first one first.
-    """
-    causes: list[units.Instant] = []
-    for at in times:
-        if not causes or at - causes[-1] > _COMMON_CAUSE_PERIOD:
-            causes.append(at)
-    return len(causes)
-
-
 def _insert_bounded(
     table: dict[_Key, _Value], key: _Key, value: _Value, limit: int
 ) -> None:
