Log the request limits that engines name

Cause: no decision knew that an engine had named a limit, and no log or metric told whether it was unknown, out of date, or broken by the sum of the daemons.

Change: the limit of each answer that was checked to come from its engine is read (requests, streams, refusals, reservations, status queries); a value that is no number keeps the known limit or counts as 1 a second, and numbers are bounded. No decision changes yet.

--- /dev/null
+++ b/packages/admission/src/lavendershed/admission/engine_limits.py
@@ -0,0 +1,98 @@
+"""Request limits that backend servers name in their answers."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from lavendershed.core import ids
+from lavendershed.core import units
+
+# A server that names a lower limit still gets a request every ten seconds. Its
+# answer is the only way to learn that the limit has ended.
+MIN_RATE = units.RequestsPerSecond(0.1)
+# A higher limit is no limit for one server.
+MAX_RATE = units.RequestsPerSecond(10_000.0)
+# Limit of a server that names one which can't be read: it needs relief, and
+# few requests show whether a later answer can be read.
+UNREADABLE_RATE = units.RequestsPerSecond(1.0)
+# Time for which the limit of a server without an entry is kept.
+_UNKNOWN_RETENTION = units.Seconds(5.0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitNews:
+    """What an answer of a server said about its limit.
+
+    Attributes:
+        rate: Requests that it takes from all daemons; None if it named no
+            limit.
+        observed_at: When the answer arrived.
+    """
+
+    rate: units.RequestsPerSecond | None
+    observed_at: units.Instant
+
+
+def bounded(rate: float) -> units.RequestsPerSecond:
+    """Returns a named limit within the bounds that daemons apply."""
+    return units.RequestsPerSecond(min(max(rate, MIN_RATE), MAX_RATE))
+
+
+class EngineLimits:
+    """The newest known limit of each incarnation of a server."""
+
+    def __init__(self) -> None:
+        self._news: dict[ids.ServerNumber, LimitNews] = {}
+
+    def limit(self, server: ids.ServerNumber) -> LimitNews | None:
+        """Returns the limit that a server has named; None without one."""
+        news = self._news.get(server)
+        return news if news is not None and news.rate is not None else None
+
+    @property
+    def limited_count(self) -> int:
+        """Number of servers with a limit."""
+        return sum(news.rate is not None for news in self._news.values())
+
+    def on_named(
+        self,
+        server: ids.ServerNumber,
+        rate: units.RequestsPerSecond,
+        now: units.Instant,
+    ) -> None:
+        """Records an answer that names a limit."""
+        self._news[server] = LimitNews(rate, now)
+
+    def on_not_named(
+        self,
+        server: ids.ServerNumber,
+        sent_at: units.Instant,
+        now: units.Instant,
+    ) -> None:
+        """Records an answer without a limit.
+
+        Answers overtake each other on different connections. Only one to a
+        request that was sent after the limit was last named is known to be
+        later, and ends it.
+
+        Args:
+            server: The server.
+            sent_at: When the answered request was sent.
+            now: Current time.
+        """
+        news = self._news.get(server)
+        if news is not None and sent_at >= news.observed_at:
+            self._news[server] = LimitNews(None, now)
+
+    def retain(
+        self, servers: frozenset[ids.ServerNumber], now: units.Instant
+    ) -> None:
+        """Forgets all other servers; a new incarnation has no limit yet.
+
+        Recent news are kept, because a peer may know a server earlier.
+        """
+        self._news = {
+            server: news
+            for server, news in self._news.items()
+            if server in servers or now - news.observed_at < _UNKNOWN_RETENTION
+        }
--- a/packages/core/src/lavendershed/core/ids.py
+++ b/packages/core/src/lavendershed/core/ids.py
@@ -11,6 +11,8 @@
 OrganisationId = NewType("OrganisationId", str)
 ServiceId = NewType("ServiceId", str)
 BackendServerId = NewType("BackendServerId", str)
+# 32-bit hash of one incarnation of a backend server in messages to peers.
+ServerNumber = NewType("ServerNumber", int)
 ModelId = NewType("ModelId", str)
 AdapterId = NewType("AdapterId", str)
 PresetName = NewType("PresetName", str)
--- a/packages/core/src/lavendershed/core/units.py
+++ b/packages/core/src/lavendershed/core/units.py
@@ -10,6 +10,7 @@
 Milliseconds = NewType("Milliseconds", int)
 Tokens = NewType("Tokens", int)
 Bytes = NewType("Bytes", int)
+RequestsPerSecond = NewType("RequestsPerSecond", float)
 
 
 def after(instant: Instant, duration: Seconds) -> Instant:
--- a/packages/forwarding/src/lavendershed/forwarding/codecs.py
+++ b/packages/forwarding/src/lavendershed/forwarding/codecs.py
@@ -47,6 +47,16 @@
     ) -> requests.BackendResponseHead:
         """Returns the classified head of a response to a request."""
 
+    @abc.abstractmethod
+    def decode_request_limit(
+        self, head: client.ResponseHead
+    ) -> result.Result[float | None, str]:
+        """Returns the requests per second that a server names as its limit.
+
+        Returns:
+            The limit, None if the answer names none, or why it is invalid.
+        """
+
     @abc.abstractmethod
     def encode_reservation(
         self,
--- a/packages/forwarding/src/lavendershed/forwarding/context.py
+++ b/packages/forwarding/src/lavendershed/forwarding/context.py
@@ -14,6 +14,7 @@
 from lavendershed.forwarding import deployment_view
 from lavendershed.forwarding import engine_choosers
 from lavendershed.forwarding import engine_inspection
+from lavendershed.forwarding import limit_observer
 from lavendershed.forwarding import requests
 from lavendershed.forwarding import reservations
 from lavendershed.forwarding import waiting_room
@@ -51,6 +52,7 @@
     crash_attribution: crash_attribution.CrashAttribution
     reservations: reservations.ReservationClient
     inspector: engine_inspection.EngineInspector
+    limit_observer: limit_observer.LimitObserver
     health: server_health.ServerHealth
     timers: timers.TimerService
     log: log.EventLog
--- a/packages/forwarding/src/lavendershed/forwarding/engine_inspection.py
+++ b/packages/forwarding/src/lavendershed/forwarding/engine_inspection.py
@@ -12,6 +12,7 @@
 from lavendershed.core import units
 from lavendershed.forwarding import codecs
 from lavendershed.forwarding import connections
+from lavendershed.forwarding import limit_observer
 from lavendershed.forwarding import requests
 from lavendershed.membership import server_directory
 from lavendershed.routing import engine_slowdown
@@ -37,12 +38,14 @@
         server_connections: connections.BackendConnectionPool,
         codec: codecs.BackendCodec,
         slowdowns: engine_slowdown.EngineSlowdowns,
+        observer: limit_observer.LimitObserver,
         timer_service: timers.TimerService,
         event_log: log.EventLog,
     ) -> None:
         self._connections = server_connections
         self._codec = codec
         self._slowdowns = slowdowns
+        self._limit_observer = observer
         self._timers = timer_service
         self._log = event_log
         self._queried_at: dict[ids.BackendServerId, units.Instant] = {}
@@ -100,6 +103,7 @@
         returned_to_pool = False
         try:
             query = self._codec.encode_status_query(engine.id)
+            sent_at = self._timers.now()
             sent = await connection.send(query, b"", _QUERY_TIMEOUT)
             if isinstance(sent, result.Err):
                 return result.Err(sent.err_value.detail)
@@ -111,6 +115,9 @@
                 return result.Err(body.err_value.detail)
             status = self._codec.decode_status(head.ok_value, body.ok_value)
             if isinstance(status, result.Ok):
+                self._limit_observer.on_answer(
+                    engine, head.ok_value, sent_at, to_call=True
+                )
                 self._connections.release(
                     engine.address,
                     connection,
--- a/packages/forwarding/src/lavendershed/forwarding/requests.py
+++ b/packages/forwarding/src/lavendershed/forwarding/requests.py
@@ -67,6 +67,12 @@
 )
 
 
+# Responses of the server that the request was addressed to.
+_KINDS_FROM_SERVER = frozenset(
+    {ResponseKind.SUCCESS, ResponseKind.FAILURE, ResponseKind.NOT_RUN}
+)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class BackendResponseHead:
     """Status and headers of a backend server's response.
@@ -85,6 +91,11 @@
     keep_alive_timeout: units.Seconds | None = None
     faulty_server: addresses.Address | None = None
 
+    @property
+    def is_from_server(self) -> bool:
+        """Whether the server answers this request, and no other one does."""
+        return self.kind in _KINDS_FROM_SERVER
+
     @property
     def reuse_period(self) -> units.Seconds | None:
         """Time for which the connection may be reused; None if it may not.
--- a/packages/forwarding/src/lavendershed/forwarding/reservations.py
+++ b/packages/forwarding/src/lavendershed/forwarding/reservations.py
@@ -9,9 +9,11 @@
 
 import result
 
+from lavendershed.core import timers
 from lavendershed.core import units
 from lavendershed.forwarding import codecs
 from lavendershed.forwarding import connections
+from lavendershed.forwarding import limit_observer
 from lavendershed.forwarding import requests
 from lavendershed.membership import server_directory
 from lavendershed.routing import memory_shares
@@ -25,6 +27,10 @@
 # After a timeout it is unknown whether the engine executed the call.
 _CALL_TIMEOUT = units.Seconds(0.4)
 _MAX_RESPONSE_BODY = units.Bytes(100_000)
+# Results that the engine itself has stated.
+_STATUSES_FROM_HOLDER = frozenset(
+    {requests.ReservationStatus.GRANTED, requests.ReservationStatus.NO_ROOM}
+)
 
 
 class Reservation:
@@ -80,10 +86,14 @@
         self,
         server_connections: connections.BackendConnectionPool,
         codec: codecs.BackendCodec,
+        observer: limit_observer.LimitObserver,
+        timer_service: timers.TimerService,
         event_log: log.EventLog,
     ) -> None:
         self._connections = server_connections
         self._codec = codec
+        self._limit_observer = observer
+        self._timers = timer_service
         self._log = event_log
         # Unique to this process, so that a delayed call of a previous
         # process can't affect another reservation.
@@ -167,6 +177,7 @@
         connection = acquired.ok_value.connection
         returned_to_pool = False
         try:
+            sent_at = self._timers.now()
             sent = await connection.send(call.head, call.body, _CALL_TIMEOUT)
             if isinstance(sent, result.Err):
                 return requests.ReservationStatus.UNKNOWN
@@ -179,6 +190,10 @@
             status, keep_alive_timeout = self._codec.decode_reservation_status(
                 head.ok_value
             )
+            if status in _STATUSES_FROM_HOLDER:
+                self._limit_observer.on_answer(
+                    holder, head.ok_value, sent_at, to_call=True
+                )
             self._connections.release(
                 holder.address, connection, keep_alive_timeout
             )
--- a/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
@@ -212,7 +212,8 @@
                 else requests.LOWEST_PRIORITY
             ),
         )
-        due_at = units.after(context.timers.now(), self._first_event_timeout())
+        sent_at = context.timers.now()
+        due_at = units.after(sent_at, self._first_event_timeout())
         sent = await connection.send(
             context.backend_codec.encode(request),
             self._admitted_request.request.body,
@@ -231,6 +232,8 @@
         response = context.backend_codec.decode(
             head.ok_value, self._admitted_request.request
         )
+        if response.is_from_server:
+            context.limit_observer.on_answer(engine, head.ok_value, sent_at)
         if response.kind is requests.ResponseKind.SUCCESS:
             attempt_result = await self._relay(
                 lease, response, task_ids, due_at
--- a/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
@@ -227,6 +227,7 @@
             version_age_ms=context.version_age_ms,
             servers=context.view.directory.revision,
             load_age_ms=round(context.load_tracker.age(now) * 1_000),
+            **context.limit_observer.log_fields(placement.decode_engine),
         )
         return placement
 
--- a/packages/forwarding/src/lavendershed/forwarding/unary_execution.py
+++ b/packages/forwarding/src/lavendershed/forwarding/unary_execution.py
@@ -73,6 +73,7 @@
                 version=context.view.version,
                 version_age_ms=context.version_age_ms,
                 servers=context.view.directory.revision,
+                **context.limit_observer.log_fields(server),
             )
         return server
 
@@ -142,6 +143,7 @@
         )
         connection = lease.connection
         timeout = self._response_timeout(time_left)
+        sent_at = context.timers.now()
         sent = await connection.send(
             context.backend_codec.encode(request),
             self._admitted_request.request.body,
@@ -152,15 +154,17 @@
         head = await connection.read_head(timeout)
         if isinstance(head, result.Err):
             return head
+        response_head = context.backend_codec.decode(
+            head.ok_value, self._admitted_request.request
+        )
+        if response_head.is_from_server:
+            context.limit_observer.on_answer(server, head.ok_value, sent_at)
         body = await connection.read_body(
             units.Seconds(max(0.0, self._attempts.time_left)),
             _MAX_RESPONSE_BODY,
         )
         if isinstance(body, result.Err):
             return body
-        response_head = context.backend_codec.decode(
-            head.ok_value, self._admitted_request.request
-        )
         return result.Ok(requests.BackendResponse(response_head, body.ok_value))
 
     def _response_timeout(self, time_left: units.Seconds) -> units.Seconds:
--- a/packages/peer/src/lavendershed/peer/load_reports.py
+++ b/packages/peer/src/lavendershed/peer/load_reports.py
@@ -37,6 +37,8 @@
 _PORT_RANGE = 65_536
 # Converted addresses are cached, because every report contains its sender's.
 _ADDRESS_CACHE_SIZE = 2_048
+# Above the number of servers of the largest fleet.
+_SERVER_CACHE_SIZE = 16_384
 # A datagram of this size is not fragmented. A task takes up to 25 bytes; a
 # daemon of the largest deployment has about 40 open requests.
 MAX_DATAGRAM = units.Bytes(1_400)
@@ -131,11 +133,14 @@
     return number - (1 << 32) if number >= 1 << 31 else number
 
 
+@functools.lru_cache(_SERVER_CACHE_SIZE)
 def hash_incarnation(
     server: ids.BackendServerId, incarnation: ids.Incarnation
-) -> int:
+) -> ids.ServerNumber:
     """Returns the 32-bit hash of one incarnation of a server in reports."""
-    return xxhash.xxh32_intdigest(f"{server} {incarnation}".encode())
+    return ids.ServerNumber(
+        xxhash.xxh32_intdigest(f"{server} {incarnation}".encode())
+    )
 
 
 def encode_report(report: LoadReport, now: units.Instant) -> bytes:
--- a/packages/platform/src/lavendershed/platform/engines.py
+++ b/packages/platform/src/lavendershed/platform/engines.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 import orjson
 import result
 
@@ -28,6 +30,9 @@
 # Servers announce their idle timeout in whole seconds; one that announces none
 # may close the connection in less than a second.
 _DEFAULT_IDLE_TIMEOUT = units.Seconds(0.5)
+_MAX_LOGGED = 40
+# A longer value is not converted: parsing takes time that grows with it.
+_DECIMAL_NUMBER = re.compile(r"[0-9]{1,32}(\.[0-9]{0,32})?")
 
 
 class PlatformBackendCodec(codecs.BackendCodec):
@@ -90,6 +95,17 @@
             parsed.ok() if parsed is not None else None,
         )
 
+    def decode_request_limit(
+        self, head: client.ResponseHead
+    ) -> result.Result[float | None, str]:
+        """Returns the limit that an engine names, in requests per second."""
+        value = head.header(header_names.REQUEST_LIMIT)
+        if value is None:
+            return result.Ok(None)
+        if _DECIMAL_NUMBER.fullmatch(value.strip()) is None:
+            return result.Err(f"{value[:_MAX_LOGGED]!r} is not a number")
+        return result.Ok(float(value))
+
     def encode_reservation(
         self,
         server: ids.BackendServerId,
--- a/packages/platform/src/lavendershed/platform/factory.py
+++ b/packages/platform/src/lavendershed/platform/factory.py
@@ -5,6 +5,7 @@
 import dataclasses
 import random
 
+from lavendershed.admission import engine_limits
 from lavendershed.admission import return_schedule
 from lavendershed.core import ids
 from lavendershed.core import timers
@@ -18,6 +19,7 @@
 from lavendershed.forwarding import engine_choosers
 from lavendershed.forwarding import engine_inspection
 from lavendershed.forwarding import gateway
+from lavendershed.forwarding import limit_observer
 from lavendershed.forwarding import load_reporting
 from lavendershed.forwarding import peer_versions
 from lavendershed.forwarding import reservations
@@ -86,6 +88,11 @@
     server_connections = connections.BackendConnectionPool(timer_service)
     backend_codec = engines.PlatformBackendCodec()
     instruments = request_instruments.RequestInstruments(platform_settings.vm)
+    limits = engine_limits.EngineLimits()
+    observer = limit_observer.LimitObserver(
+        limits, backend_codec, timer_service, event_log, instruments
+    )
+    view.subscribe(lambda: observer.on_servers(view.directory.entries))
     forwarding_context = context.ForwardingContext(
         view,
         callers.PlatformCallerCodec(),
@@ -102,15 +109,21 @@
         crashes,
         attribution,
         reservations.ReservationClient(
-            server_connections, backend_codec, event_log
+            server_connections,
+            backend_codec,
+            observer,
+            timer_service,
+            event_log,
         ),
         engine_inspection.EngineInspector(
             server_connections,
             backend_codec,
             slowdowns,
+            observer,
             timer_service,
             event_log,
         ),
+        observer,
         health,
         timer_service,
         event_log,
--- a/packages/platform/src/lavendershed/platform/header_names.py
+++ b/packages/platform/src/lavendershed/platform/header_names.py
@@ -26,6 +26,9 @@
 EXPECTED_SERVER = "expect-instance"
 # Address of the engine that caused the failure, if it is another one.
 FAULTY_SERVER = "at-server"
+# Requests per second that an engine in need takes from all routers together, a
+# decimal number; absent if it has no limit.
+REQUEST_LIMIT = "server-limit"
 # Addresses of the engines that prefill shards of the prompt, each followed by
 # the id of its memory reservation if it has one.
 HELPERS = "helpers"
--- a/packages/platform/tests/test_engines.py
+++ b/packages/platform/tests/test_engines.py
@@ -55,6 +55,27 @@
             with self.subTest(status=status, headers=headers):
                 self.assertIs(self.decode(status, headers).kind, kind)
 
+    def test_request_limits(self):
+        """Guards against a limit of an engine that is not read, or misread."""
+        codec = engines.PlatformBackendCodec()
+        for value, limit in (
+            ("3", 3.0),
+            ("0.25", 0.25),
+            (" 2. ", 2.0),
+            ("0", 0.0),
+            ("9" * 30, 1e30),
+        ):
+            head = client.ResponseHead(200, (("server-limit", value),))
+            with self.subTest(value=value):
+                decoded = codec.decode_request_limit(head).unwrap()
+                self.assertAlmostEqual(decoded / limit if limit else 1.0, 1.0)
+        for value in ("-1", "nan", "inf", "1e3", "", "many", "1,5", "9" * 5000):
+            head = client.ResponseHead(200, (("server-limit", value),))
+            with self.subTest(value=value):
+                self.assertTrue(codec.decode_request_limit(head).is_err())
+        head = client.ResponseHead(200, ())
+        self.assertIsNone(codec.decode_request_limit(head).unwrap())
+
     def test_idle_timeouts(self):
         for headers, limit in (
             ({"keep-alive": "timeout=5, max=9"}, 5.0),
--- a/packages/standin/src/lavendershed/standin/platform_engine.py
+++ b/packages/standin/src/lavendershed/standin/platform_engine.py
@@ -11,6 +11,7 @@
 import orjson
 
 from lavendershed.core import timers
+from lavendershed.core import units
 from lavendershed.routing import latency_model
 from lavendershed.transport import address as address_module
 from lavendershed.transport import handlers
@@ -50,6 +51,7 @@
 
     Attributes:
         executed: Whether the engine processed it instead of refusing it.
+        arrived_at: When it arrived.
     """
 
     method: str
@@ -57,6 +59,7 @@
     headers: dict[str, str]
     body: bytes
     executed: bool
+    arrived_at: units.Instant
 
 
 class StandinPlatformEngine(handlers.Handler):
@@ -96,6 +99,8 @@
         # Ratio of the actual to the nominal latency that it reports.
         self.slowdown = 1.0
         self.status_queries = 0
+        # Value of the limit that all answers to requests name, if any.
+        self.request_limit: str | None = None
         self.memory_tokens = 315_000
         # Parts of prompts on which no answer can begin: the engine crashes and
         # is back after some time.
@@ -138,6 +143,12 @@
             if expires_at > now
         }
 
+    @property
+    def _limit_headers(self) -> tuple[tuple[str, str], ...]:
+        if self.request_limit is None:
+            return ()
+        return (("server-limit", self.request_limit),)
+
     async def start(self) -> None:
         """Starts listening on a free loopback port."""
         await self._server.start(address_module.Address("127.0.0.1", 0))
@@ -203,6 +214,7 @@
                 headers,
                 request.body,
                 not refused,
+                self._timers.now(),
             )
         )
         if misdirected or fault is EngineFault.WRONG_SERVER:
@@ -215,7 +227,9 @@
             )
             return
         if fault is EngineFault.SHED:
-            await responder.respond(503, b"", (("not-executed", "1"),))
+            await responder.respond(
+                503, b"", (("not-executed", "1"), *self._limit_headers)
+            )
             return
         self._open += 1
         task = asyncio.get_running_loop().create_task(
@@ -288,6 +302,7 @@
             response_headers.append(
                 ("engine-seal", f"seal-{self._id}-{request_id}")
             )
+        response_headers += self._limit_headers
         if fault is EngineFault.CONTENT_ENCODING:
             response_headers.append(("content-encoding", "gzip"))
         return tuple(response_headers)
--- a/packages/telemetry/src/lavendershed/telemetry/request_instruments.py
+++ b/packages/telemetry/src/lavendershed/telemetry/request_instruments.py
@@ -59,6 +59,9 @@
         self._quarantines = meter.create_gauge(
             "lavendershed.prompt_part_quarantines"
         )
+        self._limited_servers = meter.create_gauge(
+            "lavendershed.limited_servers"
+        )
         self._object_age = meter.create_gauge(
             "lavendershed.store_objects_age", unit="s"
         )
@@ -113,6 +116,10 @@
         """Sets the time since objects were confirmed to be the newest."""
         self._object_age.set(age, {"kind": kind})
 
+    def set_limited_servers(self, count: int) -> None:
+        """Sets the number of servers that name a request limit."""
+        self._limited_servers.set(count)
+
     def set_quarantines(self, count: int) -> None:
         """Sets the number of sets of prompt parts in quarantine."""
         self._quarantines.set(count)
