Add a failing test of engines with a request limit

Guards against: engines that get more requests from all daemons together than they have named. Three daemons, two engines that name 1 a second and one that names nothing, 20 requests a second.

--- a/tests/test_engine_limits.py
+++ b/tests/test_engine_limits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 
 import platform_case
@@ -10,6 +11,13 @@
 
 DAEMONS = 3
 LIMIT = 1.0
+# Window in which the requests of all daemons at an engine are counted, and how
+# many an engine may get in it at most.
+WINDOW_S = 4.0
+MAX_IN_WINDOW = 1.5 * LIMIT * WINDOW_S + 5
+# Time in which all daemons have to know of a limit.
+LEARNING_S = 3.0
+REQUEST_INTERVAL_S = 0.05
 
 
 def entry_count(daemon):
@@ -37,6 +45,55 @@
             )
         )
 
+    async def send_requests(self, seconds, daemons=None):
+        """Sends streams to daemons in turn; returns the responses."""
+        daemons = daemons or self.fleet
+        ends_at = self.timers.now() + seconds
+        tasks = []
+        while self.timers.now() < ends_at:
+            address = daemons[len(tasks) % len(daemons)].caller_address
+            tasks.append(
+                self.loop.create_task(
+                    self.request(
+                        "/stream/x",
+                        b"prompt",
+                        address,
+                        token_count="1000,100",
+                        model="m",
+                    )
+                )
+            )
+            await asyncio.sleep(REQUEST_INTERVAL_S)
+        return await asyncio.gather(*tasks)
+
+    def most_in_window(self, engine, since):
+        """Returns the most requests that an engine got in a window."""
+        times = [
+            request.arrived_at
+            for request in engine.received_requests
+            if request.arrived_at >= since
+        ]
+        return max(
+            (
+                sum(start <= at < start + WINDOW_S for at in times)
+                for start in times
+            ),
+            default=0,
+        )
+
+    async def test_a_limited_engine_gets_no_more_than_its_limit(self):
+        """All daemons together have to keep to it, and nobody is refused."""
+        limited = self.engines[:2]
+        for engine in limited:
+            engine.request_limit = str(LIMIT)
+        since = self.timers.now() + LEARNING_S
+        responses = await self.send_requests(LEARNING_S + WINDOW_S + 1.0)
+        for engine in limited:
+            self.assertLessEqual(
+                self.most_in_window(engine, since), MAX_IN_WINDOW
+            )
+        self.assertEqual({r.head.status for r in responses}, {200})
+
     async def test_a_decision_logs_the_limit_and_its_age(self):
         """Without it, an unknown limit can't be told from a broken one."""
         for engine in self.engines:
