Keep to the request limits of engines over all daemons

Cause: no decision used the limit.

Change: one daemon issues the permits of an engine, found by rendezvous hashing over the live daemons, from a token bucket that starts empty. Daemons learn of a limit with the load reports and ask before each request; an engine that denies is left out of the choice until the stated time. A standby issues a quarter while the issuer is silent, a daemon issues nothing in its first 2 s, and each side of a partition only its share. Requests that find only denied engines wait until they would be late, then get the time at which a permit is due.

--- a/packages/admission/src/lavendershed/admission/engine_limits.py
+++ b/packages/admission/src/lavendershed/admission/engine_limits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import dataclasses
 
 from lavendershed.core import ids
@@ -15,6 +16,9 @@
 # Limit of a server that names one which can't be read: it needs relief, and
 # few requests show whether a later answer can be read.
 UNREADABLE_RATE = units.RequestsPerSecond(1.0)
+# Time for which the end of a limit is remembered and reported, so that older
+# news of other daemons don't bring it back.
+_END_RETENTION = units.Seconds(10.0)
 # Time for which the limit of a server without an entry is kept.
 _UNKNOWN_RETENTION = units.Seconds(5.0)
 
@@ -39,10 +43,31 @@
 
 
 class EngineLimits:
-    """The newest known limit of each incarnation of a server."""
+    """The newest known limit of each incarnation of a server.
+
+    News of this daemon and of others are ordered by the time of the answer.
+    """
 
     def __init__(self) -> None:
         self._news: dict[ids.ServerNumber, LimitNews] = {}
+        # What answers to this daemon said, which it reports to the others.
+        self._local_news: dict[ids.ServerNumber, LimitNews] = {}
+        self._listeners: list[Callable[[], object]] = []
+
+    @property
+    def local_news(self) -> tuple[tuple[ids.ServerNumber, LimitNews], ...]:
+        """What this daemon has to report, the newest news first."""
+        return tuple(
+            sorted(
+                self._local_news.items(),
+                key=lambda item: item[1].observed_at,
+                reverse=True,
+            )
+        )
+
+    def subscribe(self, listener: Callable[[], object]) -> None:
+        """Calls `listener` after each change that this daemon observes."""
+        self._listeners.append(listener)
 
     def limit(self, server: ids.ServerNumber) -> LimitNews | None:
         """Returns the limit that a server has named; None without one."""
@@ -61,7 +86,7 @@
         now: units.Instant,
     ) -> None:
         """Records an answer that names a limit."""
-        self._news[server] = LimitNews(rate, now)
+        self._on_local_news(server, LimitNews(rate, now))
 
     def on_not_named(
         self,
@@ -80,9 +105,26 @@
             sent_at: When the answered request was sent.
             now: Current time.
         """
-        news = self._news.get(server)
+        news = self.limit(server)
         if news is not None and sent_at >= news.observed_at:
-            self._news[server] = LimitNews(None, now)
+            self._on_local_news(server, LimitNews(None, now))
+
+    def on_peer_news(self, server: ids.ServerNumber, news: LimitNews) -> None:
+        """Records what an answer to another daemon said, unless it is older."""
+        known = self._news.get(server)
+        if known is not None and known.observed_at >= news.observed_at:
+            return
+        if known is None and news.rate is None:
+            return
+        self._news[server] = news
+        local = self._local_news.get(server)
+        if local is not None and local.rate != news.rate:
+            del self._local_news[server]
+
+    def expire(self, now: units.Instant) -> None:
+        """Forgets limits that ended some time ago."""
+        self._news = _without_old_ends(self._news, now)
+        self._local_news = _without_old_ends(self._local_news, now)
 
     def retain(
         self, servers: frozenset[ids.ServerNumber], now: units.Instant
@@ -96,3 +138,25 @@
             for server, news in self._news.items()
             if server in servers or now - news.observed_at < _UNKNOWN_RETENTION
         }
+        self._local_news = {
+            server: news
+            for server, news in self._local_news.items()
+            if server in self._news
+        }
+
+    def _on_local_news(self, server: ids.ServerNumber, news: LimitNews) -> None:
+        known = self._news.get(server)
+        self._news[server] = self._local_news[server] = news
+        if known is None or known.rate != news.rate:
+            for listener in self._listeners:
+                listener()
+
+
+def _without_old_ends(
+    news_by_server: dict[ids.ServerNumber, LimitNews], now: units.Instant
+) -> dict[ids.ServerNumber, LimitNews]:
+    return {
+        server: news
+        for server, news in news_by_server.items()
+        if news.rate is not None or now - news.observed_at < _END_RETENTION
+    }
--- /dev/null
+++ b/packages/admission/src/lavendershed/admission/permit_allocator.py
@@ -0,0 +1,105 @@
+"""Allocation of the requests that limited backend servers take.
+
+Each limited server has one daemon that issues its permits, so that the sum over
+all daemons keeps to the limit without any of them knowing what the others send.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+from lavendershed.core import ids
+from lavendershed.core import units
+
+# Permits that were not used are kept for this time.
+_BURST_PERIOD = units.Seconds(0.25)
+# Share of the limit that a standby issues while the issuer is silent, which may
+# be alive and issue the whole limit at the same time.
+STANDBY_SHARE = 0.25
+# Applicants are told to come back one after the other, but not later than this:
+# those before them may have gone elsewhere.
+_MAX_WAIT = units.Seconds(2.0)
+# An idle bucket is as full as a new one may become in this time, at least.
+_IDLE_PERIOD = units.Seconds(30.0)
+# A bucket is a few dozen bytes; a daemon issues for a few servers at a time.
+_MAX_BUCKETS = 4_096
+
+
+@dataclasses.dataclass(slots=True)
+class _Bucket:
+    """Token bucket of one server.
+
+    Attributes:
+        tokens: Permits that can be issued now; may be a fraction.
+        updated_at: When `tokens` was computed.
+        next_return_at: When the next applicant may come back.
+    """
+
+    tokens: float
+    updated_at: units.Instant
+    next_return_at: units.Instant
+
+
+class PermitAllocator:
+    """Token buckets of the servers that this daemon issues permits for.
+
+    A bucket starts empty: another daemon may have issued permits just before.
+    """
+
+    def __init__(self) -> None:
+        self._buckets: dict[tuple[ids.ServerNumber, bool], _Bucket] = {}
+
+    def request(
+        self,
+        server: ids.ServerNumber,
+        rate: units.RequestsPerSecond,
+        now: units.Instant,
+        *,
+        as_standby: bool,
+    ) -> units.Seconds:
+        """Issues a permit for one request, or tells when to come back.
+
+        In any period of T seconds at most `rate` times T permits are issued,
+        and one or a quarter of a second's worth more.
+
+        Args:
+            server: The server.
+            rate: Requests per second that this daemon may issue for it.
+            now: Current time.
+            as_standby: Whether this daemon stands in for a silent issuer. The
+                permits of both roles are counted apart.
+
+        Returns:
+            0 if the permit is issued, else the time to wait.
+        """
+        if as_standby:
+            rate = units.RequestsPerSecond(rate * STANDBY_SHARE)
+        key = (server, as_standby)
+        bucket = self._buckets.get(key)
+        if bucket is None:
+            self._discard_idle(now)
+            bucket = _Bucket(0.0, now, now)
+            self._buckets[key] = bucket
+        bucket.tokens = min(
+            bucket.tokens + (now - bucket.updated_at) * rate,
+            max(1.0, rate * _BURST_PERIOD),
+        )
+        bucket.updated_at = now
+        if bucket.tokens >= 1.0:
+            bucket.tokens -= 1.0
+            return units.Seconds(0.0)
+        next_token_at = now + (1.0 - bucket.tokens) / rate
+        return_at = min(
+            max(bucket.next_return_at, next_token_at), now + _MAX_WAIT
+        )
+        bucket.next_return_at = units.Instant(return_at + 1.0 / rate)
+        return units.Seconds(return_at - now)
+
+    def _discard_idle(self, now: units.Instant) -> None:
+        if len(self._buckets) < _MAX_BUCKETS:
+            return
+        self._buckets = {
+            key: bucket
+            for key, bucket in self._buckets.items()
+            if now - bucket.updated_at < _IDLE_PERIOD
+        }
--- a/packages/forwarding/src/lavendershed/forwarding/context.py
+++ b/packages/forwarding/src/lavendershed/forwarding/context.py
@@ -15,6 +15,7 @@
 from lavendershed.forwarding import engine_choosers
 from lavendershed.forwarding import engine_inspection
 from lavendershed.forwarding import limit_observer
+from lavendershed.forwarding import permits
 from lavendershed.forwarding import requests
 from lavendershed.forwarding import reservations
 from lavendershed.forwarding import waiting_room
@@ -53,6 +54,7 @@
     reservations: reservations.ReservationClient
     inspector: engine_inspection.EngineInspector
     limit_observer: limit_observer.LimitObserver
+    permits: permits.PermitClient
     health: server_health.ServerHealth
     timers: timers.TimerService
     log: log.EventLog
--- a/packages/forwarding/src/lavendershed/forwarding/load_reporting.py
+++ b/packages/forwarding/src/lavendershed/forwarding/load_reporting.py
@@ -8,6 +8,7 @@
 import socket
 import typing
 
+from lavendershed.admission import engine_limits
 from lavendershed.core import addresses
 from lavendershed.core import ids
 from lavendershed.core import timers
@@ -16,10 +17,13 @@
 from lavendershed.forwarding import codecs
 from lavendershed.forwarding import deployment_view
 from lavendershed.forwarding import peer_versions
+from lavendershed.forwarding import permits
 from lavendershed.forwarding import store_watch_role
 from lavendershed.membership import peer_table
 from lavendershed.membership import report_topology
+from lavendershed.membership import visible_fleet
 from lavendershed.peer import load_reports
+from lavendershed.peer import permit_messages
 from lavendershed.peer import wire
 from lavendershed.reliability import crash_attribution
 from lavendershed.reliability import crash_counts
@@ -44,6 +48,9 @@
 # A daemon is told at most once in this time which daemons it should report to.
 _INTRODUCTION_INTERVAL = units.Seconds(0.5)
 _MAX_LOGGED_ADDRESSES = 8
+# Peers that are silent for longer may be on the other side of a partition; two
+# reports may be lost.
+_MAX_SILENCE = units.Seconds(2.5)
 _DECISION_EVENTS = {
     crash_attribution.Verdict.QUARANTINED: (
         events.Event.PROMPT_PARTS_QUARANTINED
@@ -74,6 +81,9 @@
         crashes: crash_counts.CrashCounts,
         attribution: crash_attribution.CrashAttribution,
         slowdowns: engine_slowdown.EngineSlowdowns,
+        limits: engine_limits.EngineLimits,
+        permit_client: permits.PermitClient,
+        fleet: visible_fleet.VisibleFleet,
         health: server_health.ServerHealth,
         retry_budget: fleet_retry_budget.FleetRetryBudget,
         timer_service: timers.TimerService,
@@ -93,6 +103,9 @@
         self._crashes = crashes
         self._crash_attribution = attribution
         self._slowdowns = slowdowns
+        self._limits = limits
+        self._permits = permit_client
+        self._fleet = fleet
         self._health = health
         self._retry_budget = retry_budget
         self._timers = timer_service
@@ -143,12 +156,15 @@
     ) -> None:
         """Handles a report or a bundle of another daemon."""
         now = self._timers.now()
+        source = addresses.Address(str(addr[0]), addr[1])
         try:
+            if permit_messages.is_permit_message(data):
+                self._permits.on_datagram(data, source, now)
+                return
             message = load_reports.decode_datagram(
                 data, self._view.server_by_number, now
             )
             if isinstance(message, load_reports.LoadReport):
-                source = addresses.Address(str(addr[0]), addr[1])
                 self._on_direct_report(message, data, source, now)
             else:
                 self._on_bundle(message, now)
@@ -251,6 +267,8 @@
         self._crashes.on_peer_counts(report.crash_suspects, now)
         self._crash_attribution.on_peer_evidence(report.crash_evidence, now)
         self._slowdowns.on_report(report.slow_engines, now)
+        for number, news in report.limits:
+            self._limits.on_peer_news(number, news)
         for server, exclusion_time in self._health.on_peer_report(
             report.unreachable_servers, now
         ):
@@ -298,6 +316,8 @@
         self._view.subscribe(self._on_view_change)
         self._view.subscribe_to_checks(self._on_store_checked)
         self._crash_attribution.subscribe(self._on_crash_news)
+        self._limits.subscribe(lambda: self._on_change(urgent=True))
+        self._permits.start(self._send)
         self._bundles.start(self._send)
         self._send_report()
 
@@ -349,7 +369,10 @@
         self._next_report = None
         self._load_tracker.expire(now)
         self._load_tracker.set_report_delay(self._topology.report_delay)
+        self._limits.expire(now)
         targets = self._topology.report_targets(now)
+        alive_since = units.Instant(now - _MAX_SILENCE)
+        self._fleet.observe(1 + self._peers.alive_count(alive_since), now)
         self._log_peer_changes()
         self._reports_sent += 1
         advertised = (
@@ -379,6 +402,9 @@
             self._crash_attribution.report_state(now),
             self._slowdowns.local_slowdowns(now),
             tuple(server for server, _ in self._unreachable_to_report(now)),
+            frozenset(
+                (server, news.rate) for server, news in self._limits.local_news
+            ),
         )
         has_changed = self._has_changed or state != self._reported_state
         self._has_changed = False
@@ -407,6 +433,7 @@
             self._view.freshness_of(codecs.ObjectKind.SERVERS).age(now),
             self._view.servers_known,
             self._crash_attribution.evidence(now),
+            self._limits.local_news,
         )
 
     def _send(
--- a/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 from lavendershed.admission import return_schedule
 from lavendershed.admission import waiting_request
 from lavendershed.core import forwarding_states
@@ -27,6 +29,11 @@
 )
 # Target inter-token latency of a route that states none.
 _DEFAULT_INTER_TOKEN_LATENCY = units.Seconds(0.5)
+# Engines that deny a permit are left out of the next choice. Each of them costs
+# a message to another daemon and some milliseconds, so that after the first
+# number only engines without a limit are chosen as long as there are any.
+_MAX_DENIALS_BEFORE_UNLIMITED = 3
+_MAX_DENIALS = 12
 
 
 class StreamExecution(request_execution.RequestExecution):
@@ -56,7 +63,7 @@
         while True:
             failure = self._attempts.check_next_attempt()
             placement = (
-                None if failure is not None else self._select_placement()
+                None if failure is not None else await self._select_placement()
             )
             if placement is None:
                 failure = failure or await self._wait_for_capacity()
@@ -122,8 +129,16 @@
             return self._reject(
                 chooser, candidates, "found no capacity in time"
             )
+        permit_wait = context.permits.wait_time(candidates)
+        if units.after(now, permit_wait) >= waiting.due_at:
+            return self._reject(
+                chooser, candidates, "exceeds the limits of its engines"
+            )
         outcome = await context.waiting_room.wait(
-            service.id, waiting, committed=self._responder.started
+            service.id,
+            waiting,
+            committed=self._responder.started,
+            recheck_after=permit_wait,
         )
         if outcome is waiting_room.WaitOutcome.STOPPING:
             return self._attempts.build_failure(
@@ -173,8 +188,11 @@
                     len(candidates),
                     context.retry_budget.daemon_count,
                     units.Seconds(
-                        chooser.backlog(candidates, now)
-                        + waiting_time / len(candidates)
+                        max(
+                            chooser.backlog(candidates, now)
+                            + waiting_time / len(candidates),
+                            context.permits.wait_time(candidates),
+                        )
                     ),
                 ),
                 self._attempts.time_left,
@@ -188,17 +206,42 @@
             retry_after,
         )
 
-    def _select_placement(self) -> placements.Placement | None:
+    async def _select_placement(self) -> placements.Placement | None:
         """Returns the engines for the next attempt, and logs them."""
-        context = self._context
-        candidates = self._candidates
+        for denials in range(_MAX_DENIALS):
+            placement = None
+            if denials >= _MAX_DENIALS_BEFORE_UNLIMITED:
+                placement = self._choose_placement(unlimited_only=True)
+            placement = placement or self._choose_placement()
+            if placement is None:
+                return None
+            denied = await self._context.permits.acquire(
+                (placement.decode_engine, *placement.prefill_helpers)
+            )
+            permitted = placement.without(denied)
+            if permitted is not None:
+                self._on_placed(permitted)
+                return permitted
+        return None
+
+    def _choose_placement(
+        self, *, unlimited_only: bool = False
+    ) -> placements.Placement | None:
+        without_memory = self._attempts.servers_without_memory
         placement = self._choose_engines(
-            self._attempts.failed_servers, self._attempts.servers_without_memory
+            self._attempts.failed_servers,
+            without_memory,
+            unlimited_only=unlimited_only,
         )
-        if placement is None and self._attempts.servers_without_memory:
-            placement = self._choose_engines(self._attempts.failed_servers)
-        if placement is None:
-            return None
+        if placement is None and without_memory:
+            placement = self._choose_engines(
+                self._attempts.failed_servers, unlimited_only=unlimited_only
+            )
+        return placement
+
+    def _on_placed(self, placement: placements.Placement) -> None:
+        context = self._context
+        candidates = self._candidates
         now = context.timers.now()
         context.waiting_room.on_placed(
             self._admitted_request.organisation,
@@ -228,8 +271,8 @@
             servers=context.view.directory.revision,
             load_age_ms=round(context.load_tracker.age(now) * 1_000),
             **context.limit_observer.log_fields(placement.decode_engine),
+            **context.permits.log_fields(placement.decode_engine),
         )
-        return placement
 
     def _predict_restart_ms(self, current: ids.BackendServerId) -> float | None:
         """Returns the predicted time to first token without an engine."""
@@ -248,12 +291,21 @@
         self,
         failed_servers: frozenset[ids.BackendServerId],
         without_memory: frozenset[ids.BackendServerId] = frozenset(),
+        *,
+        unlimited_only: bool = False,
     ) -> placements.Placement | None:
         context = self._context
         chooser = context.choosers.chooser(self._admitted_request.service)
         if chooser is None:
             return None
-        candidates = self._candidates
+        candidates = context.permits.available_servers(self._candidates)
+        limited = frozenset(
+            engine.id
+            for engine in candidates
+            if context.permits.is_limited(engine)
+        )
+        if unlimited_only:
+            candidates = tuple(e for e in candidates if e.id not in limited)
         avoided = context_module.avoided_servers(
             context, candidates, failed_servers
         )
@@ -276,10 +328,19 @@
             self._attempts.retryable_servers
             if self._attempts.new_servers_exhausted
             else frozenset(),
+            limited,
         )
-        return chooser.choose(
-            demand, candidates, avoided | without_memory, context.timers.now()
+        now = context.timers.now()
+        placement = chooser.choose(
+            demand, candidates, avoided | without_memory, now
         )
+        if placement is None and demand.excluded_helpers:
+            # A prompt may need the memory of more engines than have no limit.
+            demand = dataclasses.replace(demand, excluded_helpers=frozenset())
+            placement = chooser.choose(
+                demand, candidates, avoided | without_memory, now
+            )
+        return placement
 
     async def _complete(self, placement: placements.Placement) -> None:
         context = self._context
--- a/packages/forwarding/src/lavendershed/forwarding/unary_execution.py
+++ b/packages/forwarding/src/lavendershed/forwarding/unary_execution.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import result
 
 from lavendershed.core import forwarding_states
+from lavendershed.core import outcomes
 from lavendershed.core import states
 from lavendershed.core import units
 from lavendershed.forwarding import attempts
@@ -31,19 +34,14 @@
         """Executes the request and sends the response."""
         while True:
             failure = self._attempts.check_next_attempt()
-            server = None if failure is not None else self._select_server()
+            server = (
+                None if failure is not None else await self._select_server()
+            )
             if server is None:
                 if self._failed_response is not None:
                     await self._respond(self._failed_response)
                     return
-                await self._fail(
-                    failure
-                    or self._attempts.build_failure(
-                        states.FailureReason.NO_BACKEND_SERVER,
-                        f"service {self._admitted_request.service.id} "
-                        "has no server",
-                    )
-                )
+                await self._fail(failure or self._no_server_failure())
                 return
             response = await self._attempt(server)
             if isinstance(response, result.Ok):
@@ -51,31 +49,77 @@
                 return
             self._attempts.record(server, response.err_value)
 
-    def _select_server(self) -> server_directory.ServerEntry | None:
-        context = self._context
-        candidates = context.view.directory.servers_accepting_work(
+    @property
+    def _candidates(self) -> tuple[server_directory.ServerEntry, ...]:
+        return self._context.view.directory.servers_accepting_work(
             self._admitted_request.service.id
         )
+
+    def _no_server_failure(self) -> outcomes.RequestFailure:
+        service = self._admitted_request.service.id
+        wait = self._context.permits.wait_time(self._candidates)
+        if not wait:
+            return self._attempts.build_failure(
+                states.FailureReason.NO_BACKEND_SERVER,
+                f"service {service} has no server",
+            )
+        return self._attempts.build_failure(
+            states.FailureReason.NO_BACKEND_SERVER,
+            f"all servers of service {service} are at their request limits",
+            wait,
+        )
+
+    async def _select_server(self) -> server_directory.ServerEntry | None:
+        """Returns the server for the next attempt.
+
+        Waits for a limited server as long as the request is not late for it.
+        """
+        permits = self._context.permits
+        due_at = units.after(
+            self._admitted_request.received_at,
+            self._admitted_request.route.target_latency,
+        )
+        while True:
+            server = self._choose_server()
+            if server is not None and not await permits.acquire((server,)):
+                self._log_dispatch(server)
+                return server
+            wait = permits.wait_time(self._candidates)
+            if server is None and not wait:
+                return None
+            if units.after(self._context.timers.now(), wait) >= due_at:
+                return None
+            await asyncio.sleep(wait)
+
+    def _choose_server(self) -> server_directory.ServerEntry | None:
+        context = self._context
+        candidates = context.permits.available_servers(self._candidates)
         avoided = context_module.avoided_servers(
             context, candidates, self._attempts.failed_servers
         )
-        server = context.plain_service_balancer.choose(candidates, avoided)
-        if server is not None:
-            context.log.emit(
-                events.Event.REQUEST_DISPATCHED,
-                request=self._admitted_request.request.id,
-                route=self._admitted_request.route.name,
-                server=server.id,
-                zone=server.availability_zone,
-                candidates=len(candidates),
-                avoided=len(avoided),
-                attempt=self._attempts.count + 1,
-                version=context.view.version,
-                version_age_ms=context.version_age_ms,
-                servers=context.view.directory.revision,
-                **context.limit_observer.log_fields(server),
-            )
-        return server
+        return context.plain_service_balancer.choose(candidates, avoided)
+
+    def _log_dispatch(self, server: server_directory.ServerEntry) -> None:
+        context = self._context
+        candidates = self._candidates
+        avoided = context_module.avoided_servers(
+            context, candidates, self._attempts.failed_servers
+        )
+        context.log.emit(
+            events.Event.REQUEST_DISPATCHED,
+            request=self._admitted_request.request.id,
+            route=self._admitted_request.route.name,
+            server=server.id,
+            zone=server.availability_zone,
+            candidates=len(candidates),
+            avoided=len(avoided),
+            attempt=self._attempts.count + 1,
+            version=context.view.version,
+            version_age_ms=context.version_age_ms,
+            servers=context.view.directory.revision,
+            **context.limit_observer.log_fields(server),
+            **context.permits.log_fields(server),
+        )
 
     async def _attempt(
         self, server: server_directory.ServerEntry
--- a/packages/forwarding/src/lavendershed/forwarding/waiting_room.py
+++ b/packages/forwarding/src/lavendershed/forwarding/waiting_room.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import enum
+import math
 
 from lavendershed.admission import organisation_usage
 from lavendershed.admission import waiting_order
@@ -85,6 +86,7 @@
         request: waiting_request.WaitingRequest,
         *,
         committed: bool,
+        recheck_after: units.Seconds | None = None,
     ) -> WaitOutcome:
         """Waits until capacity may have changed for this request.
 
@@ -92,6 +94,7 @@
             service: The service that it is for.
             request: The request.
             committed: Whether its response has begun.
+            recheck_after: Time until a server is available again, if none is.
         """
         if self._stopping and not committed:
             return WaitOutcome.STOPPING
@@ -116,7 +119,10 @@
             engine_ms=round(request.engine_time * 1_000),
         )
         try:
-            await asyncio.wait((waiter,), timeout=_RECHECK_INTERVAL)
+            await asyncio.wait(
+                (waiter,),
+                timeout=min(recheck_after or math.inf, _RECHECK_INTERVAL),
+            )
         finally:
             queue.remove(request.id)
             self._waiters.pop(request.id, None)
--- a/packages/forwarding/tests/test_load_reporting.py
+++ b/packages/forwarding/tests/test_load_reporting.py
@@ -6,6 +6,7 @@
 import types
 import unittest
 
+from lavendershed.admission import engine_limits
 from lavendershed.core import addresses
 from lavendershed.core import forwarding_states
 from lavendershed.core import ids
@@ -14,11 +15,14 @@
 from lavendershed.forwarding import bundle_distribution
 from lavendershed.forwarding import load_reporting
 from lavendershed.forwarding import peer_versions
+from lavendershed.forwarding import permits
 from lavendershed.forwarding import store_availability
 from lavendershed.forwarding import store_watch_role
 from lavendershed.membership import freshness
 from lavendershed.membership import peer_table
+from lavendershed.membership import permit_issuers
 from lavendershed.membership import report_topology
+from lavendershed.membership import visible_fleet
 from lavendershed.peer import load_reports
 from lavendershed.reliability import crash_attribution
 from lavendershed.reliability import crash_counts
@@ -27,6 +31,7 @@
 from lavendershed.routing import engine_slowdown
 from lavendershed.routing import load_tracker
 from lavendershed.telemetry import log
+from lavendershed.telemetry import request_instruments
 
 ENGINE = ids.BackendServerId("i-1")
 LINK_DELAY = units.Seconds(0.001)
@@ -114,6 +119,16 @@
             self.availability,
             network.timers,
         )
+        self.limits = engine_limits.EngineLimits()
+        self.permits = permits.PermitClient(
+            self.address,
+            self.limits,
+            permit_issuers.PermitIssuers(self.address, self.peers),
+            visible_fleet.VisibleFleet(),
+            network.timers,
+            log.MemoryEventLog(),
+            request_instruments.RequestInstruments(ids.VmId("vm")),
+        )
         self.view = types.SimpleNamespace(
             version=ids.Epoch(1),
             last_server_change=ids.ObjectVersion(1),
@@ -148,6 +163,9 @@
             crash_counts.CrashCounts(),
             self.attribution,
             engine_slowdown.EngineSlowdowns(),
+            self.limits,
+            self.permits,
+            visible_fleet.VisibleFleet(),
             server_health.ServerHealth(),
             fleet_retry_budget.FleetRetryBudget(
                 fleet_retry_budget.FleetBudgetLimits(
--- a/packages/membership/src/lavendershed/membership/peer_table.py
+++ b/packages/membership/src/lavendershed/membership/peer_table.py
@@ -95,6 +95,10 @@
         """Number of live daemons known to this one, itself included."""
         return len(self._peers) + 1
 
+    def alive_count(self, since: units.Instant) -> int:
+        """Returns how many peers are known to have been alive since."""
+        return sum(peer.alive_at >= since for peer in self._peers.values())
+
     @property
     def zones(self) -> tuple[ids.AvailabilityZoneId, ...]:
         """Availability zones of the live peers."""
--- a/packages/peer/idl/messages.thrift
+++ b/packages/peer/idl/messages.thrift
@@ -144,6 +144,24 @@
   22: optional list<i64> begun
   // Groups of the remaining milliseconds, the number of parts, and the parts.
   23: optional list<i64> quarantines
+  // Groups of a hash of a server's incarnation, the limit that it named in
+  // thousandths of a request per second, 0 if it names none any more, and the
+  // age of the answer in milliseconds.
+  24: optional list<i64> limits
+}
+
+// Asks for a permit for one request to a limited server, or replies.
+struct PermitMessage {
+  1: optional i64 call
+  // Hash of the server's incarnation, and its limit as the sender knows it,
+  // encoded as in a load report. Set in calls only.
+  2: optional i64 server
+  3: optional i64 limit
+  4: optional i64 limit_age
+  5: optional bool standby
+  // Set in replies only: milliseconds to wait, 0 if the permit is issued. A
+  // reply without it declines the call.
+  6: optional i32 wait
 }
 
 struct StoredObject {
--- a/packages/peer/src/lavendershed/peer/gen/messages/ttypes.py
+++ b/packages/peer/src/lavendershed/peer/gen/messages/ttypes.py
@@ -1502,6 +1502,7 @@
      - crashes
      - begun
      - quarantines
+     - limits
 
     """
 
@@ -1528,10 +1529,11 @@
         'crashes',
         'begun',
         'quarantines',
+        'limits',
     )
 
 
-    def __init__(self, incarnation=None, sequence=None, configuration_version=None, server_revision=None, works=None, suspects=None, peers=None, slow=None, unreachable=None, sender=None, zone=None, watching=None, bundled=None, members=None, alive=None, bandwidth=None, configuration_age=None, servers_age=None, servers_known=None, crashes=None, begun=None, quarantines=None,):
+    def __init__(self, incarnation=None, sequence=None, configuration_version=None, server_revision=None, works=None, suspects=None, peers=None, slow=None, unreachable=None, sender=None, zone=None, watching=None, bundled=None, members=None, alive=None, bandwidth=None, configuration_age=None, servers_age=None, servers_known=None, crashes=None, begun=None, quarantines=None, limits=None,):
         self.incarnation = incarnation
         self.sequence = sequence
         self.configuration_version = configuration_version
@@ -1554,6 +1556,7 @@
         self.crashes = crashes
         self.begun = begun
         self.quarantines = quarantines
+        self.limits = limits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1724,6 +1727,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 24:
+                if ftype == TType.LIST:
+                    self.limits = []
+                    (_etype105, _size102) = iprot.readListBegin()
+                    for _i106 in range(_size102):
+                        _elem107 = iprot.readI64()
+                        self.limits.append(_elem107)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1753,36 +1766,36 @@
         if self.works is not None:
             oprot.writeFieldBegin('works', TType.LIST, 5)
             oprot.writeListBegin(TType.I32, len(self.works))
-            for iter102 in self.works:
-                oprot.writeI32(iter102)
+            for iter108 in self.works:
+                oprot.writeI32(iter108)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 6)
             oprot.writeListBegin(TType.I64, len(self.suspects))
-            for iter103 in self.suspects:
-                oprot.writeI64(iter103)
+            for iter109 in self.suspects:
+                oprot.writeI64(iter109)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.peers is not None:
             oprot.writeFieldBegin('peers', TType.LIST, 7)
             oprot.writeListBegin(TType.I64, len(self.peers))
-            for iter104 in self.peers:
-                oprot.writeI64(iter104)
+            for iter110 in self.peers:
+                oprot.writeI64(iter110)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.slow is not None:
             oprot.writeFieldBegin('slow', TType.LIST, 8)
             oprot.writeListBegin(TType.I32, len(self.slow))
-            for iter105 in self.slow:
-                oprot.writeI32(iter105)
+            for iter111 in self.slow:
+                oprot.writeI32(iter111)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.unreachable is not None:
             oprot.writeFieldBegin('unreachable', TType.LIST, 9)
             oprot.writeListBegin(TType.I32, len(self.unreachable))
-            for iter106 in self.unreachable:
-                oprot.writeI32(iter106)
+            for iter112 in self.unreachable:
+                oprot.writeI32(iter112)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sender is not None:
@@ -1800,8 +1813,8 @@
         if self.bundled is not None:
             oprot.writeFieldBegin('bundled', TType.LIST, 14)
             oprot.writeListBegin(TType.STRING, len(self.bundled))
-            for iter107 in self.bundled:
-                oprot.writeBinary(iter107)
+            for iter113 in self.bundled:
+                oprot.writeBinary(iter113)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.members is not None:
@@ -1811,8 +1824,8 @@
         if self.alive is not None:
             oprot.writeFieldBegin('alive', TType.LIST, 16)
             oprot.writeListBegin(TType.I64, len(self.alive))
-            for iter108 in self.alive:
-                oprot.writeI64(iter108)
+            for iter114 in self.alive:
+                oprot.writeI64(iter114)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.bandwidth is not None:
@@ -1834,22 +1847,29 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 21)
             oprot.writeListBegin(TType.I64, len(self.crashes))
-            for iter109 in self.crashes:
-                oprot.writeI64(iter109)
+            for iter115 in self.crashes:
+                oprot.writeI64(iter115)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.begun is not None:
             oprot.writeFieldBegin('begun', TType.LIST, 22)
             oprot.writeListBegin(TType.I64, len(self.begun))
-            for iter110 in self.begun:
-                oprot.writeI64(iter110)
+            for iter116 in self.begun:
+                oprot.writeI64(iter116)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.quarantines is not None:
             oprot.writeFieldBegin('quarantines', TType.LIST, 23)
             oprot.writeListBegin(TType.I64, len(self.quarantines))
-            for iter111 in self.quarantines:
-                oprot.writeI64(iter111)
+            for iter117 in self.quarantines:
+                oprot.writeI64(iter117)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.LIST, 24)
+            oprot.writeListBegin(TType.I64, len(self.limits))
+            for iter118 in self.limits:
+                oprot.writeI64(iter118)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1877,6 +1897,134 @@
         return not (self == other)
 
 
+class PermitMessage(object):
+    """
+    Attributes:
+     - call
+     - server
+     - limit
+     - limit_age
+     - standby
+     - wait
+
+    """
+
+    __slots__ = (
+        'call',
+        'server',
+        'limit',
+        'limit_age',
+        'standby',
+        'wait',
+    )
+
+
+    def __init__(self, call=None, server=None, limit=None, limit_age=None, standby=None, wait=None,):
+        self.call = call
+        self.server = server
+        self.limit = limit
+        self.limit_age = limit_age
+        self.standby = standby
+        self.wait = wait
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.call = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.server = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.limit = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.limit_age = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.standby = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.wait = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PermitMessage')
+        if self.call is not None:
+            oprot.writeFieldBegin('call', TType.I64, 1)
+            oprot.writeI64(self.call)
+            oprot.writeFieldEnd()
+        if self.server is not None:
+            oprot.writeFieldBegin('server', TType.I64, 2)
+            oprot.writeI64(self.server)
+            oprot.writeFieldEnd()
+        if self.limit is not None:
+            oprot.writeFieldBegin('limit', TType.I64, 3)
+            oprot.writeI64(self.limit)
+            oprot.writeFieldEnd()
+        if self.limit_age is not None:
+            oprot.writeFieldBegin('limit_age', TType.I64, 4)
+            oprot.writeI64(self.limit_age)
+            oprot.writeFieldEnd()
+        if self.standby is not None:
+            oprot.writeFieldBegin('standby', TType.BOOL, 5)
+            oprot.writeBool(self.standby)
+            oprot.writeFieldEnd()
+        if self.wait is not None:
+            oprot.writeFieldBegin('wait', TType.I32, 6)
+            oprot.writeI32(self.wait)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class StoredObject(object):
     """
     Attributes:
@@ -2111,11 +2259,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.configuration = []
-                    (_etype115, _size112) = iprot.readListBegin()
-                    for _i116 in range(_size112):
-                        _elem117 = StoredObject()
-                        _elem117.read(iprot)
-                        self.configuration.append(_elem117)
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = StoredObject()
+                        _elem124.read(iprot)
+                        self.configuration.append(_elem124)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2127,11 +2275,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.servers = []
-                    (_etype121, _size118) = iprot.readListBegin()
-                    for _i122 in range(_size118):
-                        _elem123 = StoredObject()
-                        _elem123.read(iprot)
-                        self.servers.append(_elem123)
+                    (_etype128, _size125) = iprot.readListBegin()
+                    for _i129 in range(_size125):
+                        _elem130 = StoredObject()
+                        _elem130.read(iprot)
+                        self.servers.append(_elem130)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2143,10 +2291,10 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.removed = []
-                    (_etype127, _size124) = iprot.readListBegin()
-                    for _i128 in range(_size124):
-                        _elem129 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.removed.append(_elem129)
+                    (_etype134, _size131) = iprot.readListBegin()
+                    for _i135 in range(_size131):
+                        _elem136 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.removed.append(_elem136)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2172,8 +2320,8 @@
         if self.configuration is not None:
             oprot.writeFieldBegin('configuration', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.configuration))
-            for iter130 in self.configuration:
-                iter130.write(oprot)
+            for iter137 in self.configuration:
+                iter137.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.server_revision is not None:
@@ -2183,8 +2331,8 @@
         if self.servers is not None:
             oprot.writeFieldBegin('servers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.servers))
-            for iter131 in self.servers:
-                iter131.write(oprot)
+            for iter138 in self.servers:
+                iter138.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.partial is not None:
@@ -2194,8 +2342,8 @@
         if self.removed is not None:
             oprot.writeFieldBegin('removed', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.removed))
-            for iter132 in self.removed:
-                oprot.writeString(iter132.encode('utf-8') if sys.version_info[0] == 2 else iter132)
+            for iter139 in self.removed:
+                oprot.writeString(iter139.encode('utf-8') if sys.version_info[0] == 2 else iter139)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.grace_ms is not None:
@@ -2358,6 +2506,17 @@
     (21, TType.LIST, 'crashes', (TType.I64, None, False), None, ),  # 21
     (22, TType.LIST, 'begun', (TType.I64, None, False), None, ),  # 22
     (23, TType.LIST, 'quarantines', (TType.I64, None, False), None, ),  # 23
+    (24, TType.LIST, 'limits', (TType.I64, None, False), None, ),  # 24
+)
+all_structs.append(PermitMessage)
+PermitMessage.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'call', None, None, ),  # 1
+    (2, TType.I64, 'server', None, None, ),  # 2
+    (3, TType.I64, 'limit', None, None, ),  # 3
+    (4, TType.I64, 'limit_age', None, None, ),  # 4
+    (5, TType.BOOL, 'standby', None, None, ),  # 5
+    (6, TType.I32, 'wait', None, None, ),  # 6
 )
 all_structs.append(StoredObject)
 StoredObject.thrift_spec = (
--- a/packages/peer/src/lavendershed/peer/load_reports.py
+++ b/packages/peer/src/lavendershed/peer/load_reports.py
@@ -12,12 +12,14 @@
 
 import xxhash
 
+from lavendershed.admission import engine_limits
 from lavendershed.core import addresses
 from lavendershed.core import forwarding_states
 from lavendershed.core import ids
 from lavendershed.core import units
 from lavendershed.membership import peer_table
 from lavendershed.peer import crash_evidence
+from lavendershed.peer import permit_messages
 from lavendershed.peer import wire
 from lavendershed.peer.gen.messages import ttypes
 from lavendershed.reliability import engine_crashes
@@ -52,6 +54,9 @@
 _MAX_SLOW_ENGINES = 8
 _SLOWDOWN_SCALE = 10
 _MAX_UNREACHABLE_SERVERS = 8
+_MAX_LIMITS = 24
+_FIELDS_PER_LIMIT = 3
+_BYTES_PER_LIMIT = 13
 # Ages are encoded as 32-bit integers; an older copy confirms nothing anyway.
 _MAX_AGE_MS = 3_600_000
 
@@ -86,6 +91,7 @@
             last change, `server_revision`, may be older.
         crash_evidence: What the sender knows of parts of prompts that crash
             engines.
+        limits: What answers to the sender said about limits of servers.
     """
 
     incarnation: ids.Incarnation
@@ -105,6 +111,7 @@
     servers_age: units.Seconds | None = None
     servers_known: ids.ObjectVersion = ids.ObjectVersion(0)
     crash_evidence: engine_crashes.Evidence = engine_crashes.Evidence()
+    limits: tuple[tuple[ids.ServerNumber, engine_limits.LimitNews], ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -146,9 +153,19 @@
 def encode_report(report: LoadReport, now: units.Instant) -> bytes:
     """Returns a report as a datagram; times are encoded relative to `now`."""
     evidence = crash_evidence.encode(report.crash_evidence)
-    # Evidence is rare, and more urgent than the last tasks of a full report.
+    limits = report.limits[:_MAX_LIMITS]
+    # These are rare, and more urgent than the last tasks of a full report.
     max_tasks = _MAX_TASKS - math.ceil(
-        crash_evidence.encoded_size(evidence) / _BYTES_PER_TASK
+        (crash_evidence.encoded_size(evidence) + len(limits) * _BYTES_PER_LIMIT)
+        / _BYTES_PER_TASK
+    )
+    limit_fields = itertools.chain.from_iterable(
+        (
+            server,
+            permit_messages.encode_rate(news.rate),
+            permit_messages.encode_age(units.elapsed(news.observed_at, now)),
+        )
+        for server, news in limits
     )
     task_fields = itertools.chain.from_iterable(
         _encode_task(task, now) for task in report.open_tasks[:max_tasks]
@@ -182,6 +199,7 @@
             crashes=evidence.crashes or None,
             begun=evidence.begun or None,
             quarantines=evidence.quarantines or None,
+            limits=list(limit_fields) or None,
             sequence=report.sequence,
             configuration_version=report.configuration_epoch,
             server_revision=report.server_revision,
@@ -321,9 +339,28 @@
                 message.quarantines or [],
             )
         ),
+        tuple(_decode_limits(message.limits or [], now)),
     )
 
 
+def _decode_limits(
+    numbers: list[int], now: units.Instant
+) -> Iterator[tuple[ids.ServerNumber, engine_limits.LimitNews]]:
+    starts = range(0, len(numbers) - _FIELDS_PER_LIMIT + 1, _FIELDS_PER_LIMIT)
+    for start in starts:
+        server, encoded_rate, age_ms = numbers[
+            start : start + _FIELDS_PER_LIMIT
+        ]
+        age = permit_messages.decode_age(age_ms)
+        yield (
+            ids.ServerNumber(server),
+            engine_limits.LimitNews(
+                permit_messages.decode_rate(encoded_rate),
+                units.Instant(now - age),
+            ),
+        )
+
+
 def _known_servers(
     numbers: list[int] | None, find_server: ServerLookup
 ) -> Iterator[tuple[ids.BackendServerId, int]]:
--- a/packages/platform/src/lavendershed/platform/factory.py
+++ b/packages/platform/src/lavendershed/platform/factory.py
@@ -22,6 +22,7 @@
 from lavendershed.forwarding import limit_observer
 from lavendershed.forwarding import load_reporting
 from lavendershed.forwarding import peer_versions
+from lavendershed.forwarding import permits
 from lavendershed.forwarding import reservations
 from lavendershed.forwarding import state_exchange
 from lavendershed.forwarding import store_availability
@@ -29,7 +30,9 @@
 from lavendershed.forwarding import store_watcher
 from lavendershed.forwarding import waiting_room
 from lavendershed.membership import peer_table
+from lavendershed.membership import permit_issuers
 from lavendershed.membership import report_topology
+from lavendershed.membership import visible_fleet
 from lavendershed.platform import callers
 from lavendershed.platform import engines
 from lavendershed.platform import objects
@@ -92,6 +95,18 @@
     observer = limit_observer.LimitObserver(
         limits, backend_codec, timer_service, event_log, instruments
     )
+    peers = peer_table.PeerTable(platform_settings.peer_address)
+    peers.set_seeds(platform_settings.seeds)
+    fleet = visible_fleet.VisibleFleet()
+    permit_client = permits.PermitClient(
+        platform_settings.peer_address,
+        limits,
+        permit_issuers.PermitIssuers(platform_settings.peer_address, peers),
+        fleet,
+        timer_service,
+        event_log,
+        instruments,
+    )
     view.subscribe(lambda: observer.on_servers(view.directory.entries))
     forwarding_context = context.ForwardingContext(
         view,
@@ -124,6 +139,7 @@
             event_log,
         ),
         observer,
+        permit_client,
         health,
         timer_service,
         event_log,
@@ -131,8 +147,6 @@
         platform_settings.zone,
     )
     availability = store_availability.StoreAvailability()
-    peers = peer_table.PeerTable(platform_settings.peer_address)
-    peers.set_seeds(platform_settings.seeds)
     topology = report_topology.ReportTopology(
         peers,
         platform_settings.peer_address,
@@ -189,6 +203,9 @@
             crashes,
             attribution,
             slowdowns,
+            limits,
+            permit_client,
+            fleet,
             health,
             budget,
             timer_service,
--- a/packages/routing/src/lavendershed/routing/engine_choice.py
+++ b/packages/routing/src/lavendershed/routing/engine_choice.py
@@ -298,6 +298,7 @@
             prefill_engine
             for prefill_engine in prefill_engines
             if prefill_engine is not best
+            and prefill_engine.engine.entry.id not in demand.excluded_helpers
         ]
         if shard_ms >= _BLOCKING_SHARD_MS:
             max_newly_blocked = (
--- a/packages/routing/src/lavendershed/routing/placements.py
+++ b/packages/routing/src/lavendershed/routing/placements.py
@@ -25,6 +25,7 @@
         zone: Availability zone of the daemon that places the request.
         body_size: Bytes to send to the engine.
         allowed_engines: Engines that may decode the request; any if empty.
+        excluded_helpers: Engines that may not prefill for another one.
     """
 
     size: latency_model.RequestSize
@@ -34,6 +35,7 @@
     zone: ids.AvailabilityZoneId
     body_size: units.Bytes
     allowed_engines: frozenset[ids.BackendServerId] = frozenset()
+    excluded_helpers: frozenset[ids.BackendServerId] = frozenset()
 
     def allows_engine(self, server: ids.BackendServerId) -> bool:
         """Returns whether an engine may decode the request."""
@@ -73,6 +75,35 @@
         """Prefill time of the whole prompt on one engine."""
         return self.shard_prefill_ms * (1 + len(self.prefill_helpers))
 
+    def without(
+        self, engines: frozenset[ids.BackendServerId]
+    ) -> Placement | None:
+        """Returns the placement without helpers that are not available.
+
+        The others take over their shards. None if the engine that decodes or
+        a holder of memory is not available, or most of the helpers aren't.
+        """
+        if not engines:
+            return self
+        helpers = tuple(
+            helper
+            for helper in self.prefill_helpers
+            if helper.id not in engines
+        )
+        if (
+            self.shares
+            or self.decode_engine.id in engines
+            or len(helpers) < len(self.prefill_helpers) / 2
+        ):
+            return None
+        shard_prefill_ms = self.prefill_ms / (1 + len(helpers))
+        return dataclasses.replace(
+            self,
+            prefill_helpers=helpers,
+            shard_prefill_ms=shard_prefill_ms,
+            ttft_ms=self.ttft_ms + shard_prefill_ms - self.shard_prefill_ms,
+        )
+
 
 class EngineChooser(abc.ABC):
     """Policy that selects engines for requests to one service."""
--- a/packages/telemetry/src/lavendershed/telemetry/request_instruments.py
+++ b/packages/telemetry/src/lavendershed/telemetry/request_instruments.py
@@ -62,6 +62,7 @@
         self._limited_servers = meter.create_gauge(
             "lavendershed.limited_servers"
         )
+        self._permits = meter.create_counter("lavendershed.permits")
         self._object_age = meter.create_gauge(
             "lavendershed.store_objects_age", unit="s"
         )
@@ -116,6 +117,10 @@
         """Sets the time since objects were confirmed to be the newest."""
         self._object_age.set(age, {"kind": kind})
 
+    def count_permit(self, outcome: str) -> None:
+        """Counts a request for a permit, by outcome."""
+        self._permits.add(1, {"outcome": outcome})
+
     def set_limited_servers(self, count: int) -> None:
         """Sets the number of servers that name a request limit."""
         self._limited_servers.set(count)
--- a/tests/test_engine_limits.py
+++ b/tests/test_engine_limits.py
@@ -18,6 +18,7 @@
 # Time in which all daemons have to know of a limit.
 LEARNING_S = 3.0
 REQUEST_INTERVAL_S = 0.05
+SETTLING_S = 2.0
 
 
 def entry_count(daemon):
@@ -97,10 +98,12 @@
     async def test_a_decision_logs_the_limit_and_its_age(self):
         """Without it, an unknown limit can't be told from a broken one."""
         for engine in self.engines:
-            engine.request_limit = str(LIMIT)
+            engine.request_limit = "50"
+        # A daemon issues no permits in its first seconds.
+        await asyncio.sleep(SETTLING_S)
         await self.stream()
         named = self.daemon.events(events.Event.ENGINE_LIMIT_NAMED)
-        self.assertEqual([fields["limit"] for fields in named], [LIMIT])
+        self.assertEqual([fields["limit"] for fields in named], [50.0])
         for engine in self.engines:
             engine.request_limit = None
             if engine.id != named[0]["server"]:
@@ -110,10 +113,10 @@
         )
         await self.stream()
         dispatched = self.daemon.events(events.Event.REQUEST_DISPATCHED)[-1]
-        self.assertEqual(dispatched["limit"], LIMIT)
+        self.assertEqual(dispatched["limit"], 50.0)
         self.assertGreaterEqual(dispatched["limit_age_ms"], 0)
         ended = self.daemon.events(events.Event.ENGINE_LIMIT_ENDED)
-        self.assertEqual([fields["previous"] for fields in ended], [LIMIT])
+        self.assertEqual([fields["previous"] for fields in ended], [50.0])
 
 
 if __name__ == "__main__":
