Log the era and the revision of what is read from the store

Cause: after the store came back from a copy, no log told which of its histories an answer belonged to; event 703 showed the revision that was asked from only.

Change: the era in the answers of the store is read into a revision of era and number. Event 705 for listings and watches with changes, the era in events 701 and 703, gauges of both. Orders of revisions are as before. The stand-in store can be copied and restored.

One check of the watcher test now passes over event 705 among the logged events; it compares the others as before.

--- a/packages/core/src/lavendershed/core/ids.py
+++ b/packages/core/src/lavendershed/core/ids.py
@@ -28,6 +28,8 @@
 FencingNumber = NewType("FencingNumber", int)
 ObjectKey = NewType("ObjectKey", str)
 ObjectVersion = NewType("ObjectVersion", int)
+# Rises when the store comes back from a copy and gives out revisions again.
+StoreEra = NewType("StoreEra", int)
 IdempotencyKey = NewType("IdempotencyKey", str)
 # Hash of a request's content, which is the same when the request is resent.
 Fingerprint = NewType("Fingerprint", int)
--- a/packages/forwarding/src/lavendershed/forwarding/codecs.py
+++ b/packages/forwarding/src/lavendershed/forwarding/codecs.py
@@ -9,6 +9,7 @@
 
 from lavendershed.core import ids
 from lavendershed.core import outcomes
+from lavendershed.core import store_revisions
 from lavendershed.core import units
 from lavendershed.forwarding import requests
 from lavendershed.membership import server_directory
@@ -127,7 +128,9 @@
 
 # Changed objects, names of removed ones, and the revision to resume from.
 Changes = tuple[
-    tuple[peer_state.StoredObject, ...], tuple[str, ...], ids.ObjectVersion
+    tuple[peer_state.StoredObject, ...],
+    tuple[str, ...],
+    store_revisions.StoreRevision,
 ]
 
 
@@ -138,14 +141,16 @@
     async def list(
         self,
     ) -> result.Result[
-        tuple[tuple[peer_state.StoredObject, ...], ids.ObjectVersion],
+        tuple[
+            tuple[peer_state.StoredObject, ...], store_revisions.StoreRevision
+        ],
         SourceError,
     ]:
         """Returns all objects and the revision of the listing."""
 
     @abc.abstractmethod
     async def watch(
-        self, revision: ids.ObjectVersion, timeout: units.Seconds
+        self, revision: store_revisions.StoreRevision, timeout: units.Seconds
     ) -> result.Result[Changes, SourceError]:
         """Waits for changes after `revision`.
 
@@ -156,7 +161,7 @@
 
     @abc.abstractmethod
     async def changes_since(
-        self, revision: ids.ObjectVersion
+        self, revision: store_revisions.StoreRevision
     ) -> result.Result[Changes, SourceError]:
         """Returns the changes after `revision` at once, like `watch`.
 
--- a/packages/forwarding/src/lavendershed/forwarding/daemon.py
+++ b/packages/forwarding/src/lavendershed/forwarding/daemon.py
@@ -167,6 +167,9 @@
             age = context.view.freshness_of(kind).age(now)
             if age is not None:
                 context.instruments.set_object_age(kind.value, age)
+            revision = self._components.availability.last_read(kind)
+            if revision is not None:
+                context.instruments.set_store_revision(kind.value, revision)
 
     async def _drain(self) -> None:
         """Completes open and new requests until the grace period ends."""
--- a/packages/forwarding/src/lavendershed/forwarding/store_availability.py
+++ b/packages/forwarding/src/lavendershed/forwarding/store_availability.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from lavendershed.core import store_revisions
 from lavendershed.core import units
 from lavendershed.forwarding import codecs
 
@@ -11,6 +12,9 @@
 
     def __init__(self) -> None:
         self._failing_since: dict[codecs.ObjectKind, units.Instant] = {}
+        self._last_read: dict[
+            codecs.ObjectKind, store_revisions.StoreRevision
+        ] = {}
 
     @property
     def unavailable(self) -> bool:
@@ -33,6 +37,18 @@
             None if failing_since is None else units.elapsed(failing_since, now)
         )
 
+    def on_read(
+        self, kind: codecs.ObjectKind, revision: store_revisions.StoreRevision
+    ) -> None:
+        """Records the revision that the latest answer of the store states."""
+        self._last_read[kind] = revision
+
+    def last_read(
+        self, kind: codecs.ObjectKind
+    ) -> store_revisions.StoreRevision | None:
+        """Returns the revision of the latest answer; None before the first."""
+        return self._last_read.get(kind)
+
     def forget(self, kind: codecs.ObjectKind) -> None:
         """Ends the record of an outage that is no longer observed."""
         self._failing_since.pop(kind, None)
--- a/packages/forwarding/src/lavendershed/forwarding/store_watcher.py
+++ b/packages/forwarding/src/lavendershed/forwarding/store_watcher.py
@@ -9,6 +9,7 @@
 
 from lavendershed.core import backoff
 from lavendershed.core import ids
+from lavendershed.core import store_revisions
 from lavendershed.core import timers
 from lavendershed.core import units
 from lavendershed.forwarding import codecs
@@ -75,7 +76,7 @@
         self._first_call_delay = first_call_delay
         self._random = generator
         self._backoff = backoff.Backoff(generator, _BACKOFF_LIMITS)
-        self._revision: ids.ObjectVersion | None = None
+        self._revision: store_revisions.StoreRevision | None = None
         self._last_call_failed = False
 
     async def run(self) -> None:
@@ -85,7 +86,9 @@
         knows no peers. It is left out if a peer has sent all objects before.
         """
         if await self._view.wait_complete(self._first_call_delay):
-            self._revision = self._view.revision(self._kind)
+            self._revision = store_revisions.StoreRevision(
+                ids.StoreEra(0), self._view.revision(self._kind)
+            )
         while True:
             if self._revision is not None and not self._role.is_watching:
                 # The last error says nothing about the store any more.
@@ -109,17 +112,23 @@
             return listed.err_value
         objects, revision = listed.ok_value
         self._on_success(revision)
+        self._log_read(revision, None, len(objects))
         if self._kind is codecs.ObjectKind.CONFIGURATION:
             for stored in objects:
                 self._view.on_configuration(stored)
         else:
-            self._view.on_server_listing(objects, revision, self._timers.now())
+            self._view.on_server_listing(
+                objects, revision.number, self._timers.now()
+            )
         self._revision = revision
         return None
 
     async def _watch(self) -> codecs.SourceError | None:
         assert self._revision is not None
-        revision = max(self._revision, self._view.revision(self._kind))
+        revision = store_revisions.StoreRevision(
+            self._revision.era,
+            max(self._revision.number, self._view.revision(self._kind)),
+        )
         timeout = (
             _RECOVERY_WATCH_TIMEOUT
             if self._last_call_failed
@@ -134,14 +143,17 @@
             watching.cancel()
         if isinstance(watched, result.Err):
             return watched.err_value
+        asked_from = revision
         changed, removed, revision = watched.ok_value
         self._on_success(revision)
+        if changed or removed or revision.era != asked_from.era:
+            self._log_read(revision, asked_from, len(changed) + len(removed))
         if self._kind is codecs.ObjectKind.CONFIGURATION:
             for stored in changed:
                 self._view.on_configuration(stored)
         elif changed or removed:
             self._view.on_server_events(
-                changed, removed, revision, self._timers.now()
+                changed, removed, revision.number, self._timers.now()
             )
         self._revision = revision
         if changed or removed:
@@ -151,7 +163,7 @@
     async def _wait_for_changes(
         self,
         watching: asyncio.Task[_Watched],
-        revision: ids.ObjectVersion,
+        revision: store_revisions.StoreRevision,
     ) -> _Watched:
         """Returns the result of a watch, or of a check that overtakes it."""
         started_at = self._timers.now()
@@ -180,14 +192,14 @@
                 self._log.emit(
                     events.Event.STORE_WATCH_SILENT,
                     kind=self._kind.value,
-                    revision=revision,
-                    found_revision=checked_revision,
+                    revision=revision.number,
+                    found_revision=checked_revision.number,
                     watching_s=round(checked_at - started_at, 3),
                     age_ms=self._view.age_ms(self._kind, checked_at),
                 )
                 return checked
             self._view.on_store_checked(
-                self._kind, checked_revision, checked_at
+                self._kind, checked_revision.number, checked_at
             )
 
     def _time_until(
@@ -203,9 +215,27 @@
             age = units.elapsed(started_at, now)
         return units.Seconds(max(0.0, max_age - age))
 
-    def _on_success(self, revision: ids.ObjectVersion) -> None:
+    def _log_read(
+        self,
+        revision: store_revisions.StoreRevision,
+        asked_from: store_revisions.StoreRevision | None,
+        objects: int,
+    ) -> None:
+        """Logs what a listing, or a watch with changes, has returned."""
+        self._log.emit(
+            events.Event.STORE_READ,
+            kind=self._kind.value,
+            era=revision.era,
+            revision=revision.number,
+            asked_era=None if asked_from is None else asked_from.era,
+            asked_revision=None if asked_from is None else asked_from.number,
+            objects=objects,
+        )
+
+    def _on_success(self, revision: store_revisions.StoreRevision) -> None:
         now = self._timers.now()
-        self._view.on_store_confirmed(self._kind, revision, now)
+        self._view.on_store_confirmed(self._kind, revision.number, now)
+        self._availability.on_read(self._kind, revision)
         outage = self._availability.on_success(self._kind, now)
         if outage is None:
             return
@@ -223,7 +253,7 @@
             self._log.emit(
                 events.Event.STORE_HISTORY_GONE,
                 kind=self._kind.value,
-                revision=self._revision,
+                **_log_fields(self._revision),
             )
             self._revision = None
             return
@@ -232,9 +262,17 @@
                 events.Event.STORE_CALL_FAILED,
                 kind=self._kind.value,
                 reason=error.value,
-                revision=self._revision,
+                **_log_fields(self._revision),
                 age_ms=self._view.age_ms(self._kind, now),
             )
         if error is codecs.SourceError.MALFORMED:
             # The same history would be as unreadable, or as large, again.
             self._revision = None
+
+
+def _log_fields(
+    revision: store_revisions.StoreRevision | None,
+) -> dict[str, log.LogValue]:
+    if revision is None:
+        return {"era": None, "revision": None}
+    return {"era": revision.era, "revision": revision.number}
--- a/packages/forwarding/tests/test_store_watcher.py
+++ b/packages/forwarding/tests/test_store_watcher.py
@@ -9,6 +9,7 @@
 import result
 
 from lavendershed.core import ids
+from lavendershed.core import store_revisions
 from lavendershed.core import units
 from lavendershed.forwarding import codecs
 from lavendershed.forwarding import store_availability
@@ -18,6 +19,14 @@
 from lavendershed.telemetry import log
 from lavendershed.transport import event_loop_timers
 
+ERA = ids.StoreEra(1)
+UNKNOWN_ERA = ids.StoreEra(0)
+
+
+def at(number, era=ERA):
+    """Returns a revision of the store."""
+    return store_revisions.StoreRevision(era, ids.ObjectVersion(number))
+
 
 class FakeSource(codecs.ObjectSource):
     """Counts the calls; its watches never report a change."""
@@ -30,7 +39,7 @@
 
     async def list(self):
         self.lists += 1
-        return result.Ok(((), ids.ObjectVersion(50)))
+        return result.Ok(((), at(50)))
 
     async def watch(self, revision, timeout):
         self.watched_from.append(revision)
@@ -114,7 +123,7 @@
     async def test_a_daemon_lists_and_then_watches(self):
         await self.watch()
         self.assertEqual(self.source.lists, 1)
-        self.assertEqual(self.source.watched_from, [50])
+        self.assertEqual(self.source.watched_from, [at(50)])
 
     async def test_a_daemon_without_the_role_lists_only(self):
         self.role.is_watching = False
@@ -130,7 +139,7 @@
         self.view.complete = True
         await self.watch(first_call_delay=4.0)
         self.assertEqual(self.source.lists, 0)
-        self.assertEqual(self.source.watched_from, [40])
+        self.assertEqual(self.source.watched_from, [at(40, UNKNOWN_ERA)])
 
 
 class SilentWatchTest(WatcherCase):
@@ -140,26 +149,30 @@
     SECONDS = 1.6
 
     async def test_a_check_finds_what_a_silent_watch_hides(self):
-        removal = ((), ("i-1",), ids.ObjectVersion(60))
+        removal = ((), ("i-1",), at(60))
         self.source.check_result = result.Ok(removal)
         await self.watch(seconds=self.SECONDS)
-        self.assertEqual(self.source.checked_from, [50])
+        self.assertEqual(self.source.checked_from, [at(50)])
         self.assertEqual(self.view.removed, ["i-1"])
-        self.assertEqual(self.source.watched_from, [50, 60])
-        ((event, fields),) = self.log.records
+        self.assertEqual(self.source.watched_from, [at(50), at(60)])
+        ((event, fields),) = [
+            record
+            for record in self.log.records
+            if record[0] is not events.Event.STORE_READ
+        ]
         self.assertIs(event, events.Event.STORE_WATCH_SILENT)
         self.assertGreaterEqual(fields["age_ms"], 1_000)
 
     async def test_a_watch_goes_on_if_nothing_has_changed(self):
         await self.watch(seconds=self.SECONDS)
-        self.assertEqual(self.source.checked_from, [50])
-        self.assertEqual(self.source.watched_from, [50])
+        self.assertEqual(self.source.checked_from, [at(50)])
+        self.assertEqual(self.source.watched_from, [at(50)])
 
     async def test_state_of_a_peer_is_checked_too(self):
         """A daemon that has just started has asked the store nothing yet."""
         self.view.complete = True
         await self.watch(first_call_delay=4.0, seconds=self.SECONDS)
-        self.assertEqual(self.source.checked_from, [40])
+        self.assertEqual(self.source.checked_from, [at(40, UNKNOWN_ERA)])
 
     async def test_a_failed_check_replaces_the_watch(self):
         self.source.check_result = result.Err(codecs.SourceError.TIMED_OUT)
--- a/packages/platform/src/lavendershed/platform/factory.py
+++ b/packages/platform/src/lavendershed/platform/factory.py
@@ -188,6 +188,7 @@
             )
             for kind, name in _PLATFORM_KINDS.items()
         ),
+        availability,
         load_reporting.LoadReporter(
             incarnation,
             platform_settings.peer_address,
--- a/packages/platform/src/lavendershed/platform/header_names.py
+++ b/packages/platform/src/lavendershed/platform/header_names.py
@@ -34,6 +34,8 @@
 HELPERS = "helpers"
 # Priority from 0 to 9; 0 is the highest.
 PRIORITY = "request-priority"
+# Era of the store, a whole number in all its answers.
+STORE_ERA = "store-era"
 
 HOP_BY_HOP = frozenset(
     {
--- a/packages/platform/src/lavendershed/platform/store.py
+++ b/packages/platform/src/lavendershed/platform/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import urllib.parse
 
 import orjson
@@ -10,11 +11,13 @@
 
 from lavendershed.core import addresses
 from lavendershed.core import ids
+from lavendershed.core import store_revisions
 from lavendershed.core import timers
 from lavendershed.core import units
 from lavendershed.forwarding import codecs
 from lavendershed.peer import peer_state
 from lavendershed.platform import fields
+from lavendershed.platform import header_names
 from lavendershed.transport import client
 from lavendershed.transport import errors
 from lavendershed.transport import pool
@@ -27,6 +30,8 @@
 _CHECK_WAIT_MS = 1
 _GONE_STATUS = 410
 _REFUSED_STATUSES = frozenset({429, 503})
+# Eras count the returns of the store from a copy.
+_MAX_ERA_DIGITS = 18
 _MAX_RESPONSE = units.Bytes(8_000_000)
 _ERRORS = {
     errors.TransportErrorKind.IDLE_TIMEOUT: codecs.SourceError.TIMED_OUT,
@@ -34,6 +39,25 @@
 }
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answer:
+    """Body of an answer of the store, with the era that it belongs to."""
+
+    era: ids.StoreEra
+    body: dict[str, fields.JsonValue]
+
+    @property
+    def revision(self) -> store_revisions.StoreRevision:
+        """Revision of the store that the answer reflects.
+
+        Raises:
+            FieldError: It is missing or of another type.
+        """
+        return store_revisions.StoreRevision(
+            self.era, ids.ObjectVersion(fields.integer(self.body, "as_of"))
+        )
+
+
 class PlatformObjectSource(codecs.ObjectSource):
     """Reads and watches the objects of one kind."""
 
@@ -58,25 +82,28 @@
     async def list(
         self,
     ) -> result.Result[
-        tuple[tuple[peer_state.StoredObject, ...], ids.ObjectVersion],
+        tuple[
+            tuple[peer_state.StoredObject, ...], store_revisions.StoreRevision
+        ],
         codecs.SourceError,
     ]:
         """Lists all objects, with the revision of the first page."""
         objects: list[peer_state.StoredObject] = []
-        revision: ids.ObjectVersion | None = None
+        revision: store_revisions.StoreRevision | None = None
         query: dict[str, str] = {}
         while True:
             response = await self._get(query, _CALL_TIMEOUT)
             if isinstance(response, result.Err):
                 return response
-            body = response.ok_value
+            answer = response.ok_value
+            body = answer.body
             try:
                 page = [
                     _decode_object(item) for item in fields.array(body, "items")
                 ]
                 # The watch repeats changes made between the pages.
                 if revision is None:
-                    revision = ids.ObjectVersion(fields.integer(body, "as_of"))
+                    revision = answer.revision
                 more = fields.boolean(body, "has_more")
             except fields.FieldError:
                 return result.Err(codecs.SourceError.MALFORMED)
@@ -86,24 +113,30 @@
             query = {"after": page[-1].name}
 
     async def watch(
-        self, revision: ids.ObjectVersion, timeout: units.Seconds
+        self, revision: store_revisions.StoreRevision, timeout: units.Seconds
     ) -> result.Result[codecs.Changes, codecs.SourceError]:
         """Long-polls for changes after `revision`."""
         response = await self._get(
-            {"watch": str(revision), "wait_ms": str(int(timeout * 1_000))},
+            {
+                "watch": str(revision.number),
+                "wait_ms": str(int(timeout * 1_000)),
+            },
             units.Seconds(timeout + _CALL_TIMEOUT),
         )
         return response.and_then(_decode_changes)
 
     async def changes_since(
-        self, revision: ids.ObjectVersion
+        self, revision: store_revisions.StoreRevision
     ) -> result.Result[codecs.Changes, codecs.SourceError]:
         """Asks for changes after `revision` on a new connection."""
         try:
             # Also ends a response that stops after its head.
             async with asyncio.timeout(_CHECK_TIMEOUT):
                 response = await self._get(
-                    {"watch": str(revision), "wait_ms": str(_CHECK_WAIT_MS)},
+                    {
+                        "watch": str(revision.number),
+                        "wait_ms": str(_CHECK_WAIT_MS),
+                    },
                     _CHECK_TIMEOUT,
                     self._check_pool,
                 )
@@ -116,7 +149,7 @@
         query: dict[str, str],
         timeout: units.Seconds,
         connections: pool.ConnectionPool | None = None,
-    ) -> result.Result[dict[str, fields.JsonValue], codecs.SourceError]:
+    ) -> result.Result[_Answer, codecs.SourceError]:
         target = self._path
         if query:
             target += "?" + urllib.parse.urlencode(query)
@@ -135,24 +168,40 @@
             return result.Err(codecs.SourceError.REFUSED)
         try:
             return result.Ok(
-                fields.as_table(orjson.loads(response.body), "body")
+                _Answer(
+                    _era(response.head),
+                    fields.as_table(orjson.loads(response.body), "body"),
+                )
             )
         except (fields.FieldError, orjson.JSONDecodeError):
             return result.Err(codecs.SourceError.MALFORMED)
 
 
+def _watch_query(
+    revision: store_revisions.StoreRevision, wait_ms: int
+) -> dict[str, str]:
+    return {"watch": str(revision.number), "wait_ms": str(wait_ms)}
+
+
+def _era(head: client.ResponseHead) -> ids.StoreEra:
+    """Returns the era of the store; 0 if it states none that can be read."""
+    value = head.header(header_names.STORE_ERA) or ""
+    readable = len(value) <= _MAX_ERA_DIGITS and value.isdecimal()
+    return ids.StoreEra(int(value) if readable else 0)
+
+
 def _decode_changes(
-    body: dict[str, fields.JsonValue],
+    answer: _Answer,
 ) -> result.Result[codecs.Changes, codecs.SourceError]:
     """Returns the changed objects, removed names and revision of a watch."""
     latest: dict[str, peer_state.StoredObject | None] = {}
     try:
-        for item in fields.array(body, "events"):
+        for item in fields.array(answer.body, "events"):
             event = fields.as_table(item, "events")
             stored = _decode_object(event.get("object"))
             deleted = fields.boolean(event, "deleted")
             latest[stored.name] = None if deleted else stored
-        revision_seen = ids.ObjectVersion(fields.integer(body, "as_of"))
+        revision_seen = answer.revision
     except fields.FieldError:
         return result.Err(codecs.SourceError.MALFORMED)
     return result.Ok(
--- a/packages/standin/src/lavendershed/standin/platform_store.py
+++ b/packages/standin/src/lavendershed/standin/platform_store.py
@@ -35,6 +35,14 @@
     stored_object: dict[str, Any]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """Contents of the store at one revision."""
+
+    revision: int
+    objects: dict[tuple[str, str], dict[str, Any]]
+
+
 class StandinPlatformStore(handlers.Handler):
     """Serves lists and watches; tests write through method calls."""
 
@@ -46,6 +54,7 @@
         self._changes: list[_Change] = []
         self._revision = 1
         self._oldest_revision = 1
+        self._era = 1
         self._changed = asyncio.Event()
         self._calls = 0
         self.fault = StoreFault.NONE
@@ -91,6 +100,17 @@
         self._oldest_revision = self._revision + 1
         self._notify_watches()
 
+    def copy(self) -> StoreCopy:
+        """Returns a copy to restore later."""
+        return StoreCopy(self._revision, dict(self._objects))
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Comes back from a copy, without any history."""
+        self._era += 1
+        self._revision = copy.revision
+        self._objects = dict(copy.objects)
+        self.compact_history()
+
     def wake_watches(self) -> None:
         """Wakes waiting watches, which abort if a fault is set."""
         self._notify_watches()
@@ -107,7 +127,7 @@
             responder.abort()
             return
         if self.fault is StoreFault.BUSY:
-            await responder.respond(503, b"")
+            await responder.respond(503, b"", self._headers)
             return
         kind = request.path.removeprefix("/objects/")
         watch = request.parameter("watch")
@@ -148,7 +168,7 @@
         await self._wait_until(
             lambda: (
                 bool(self._changes_since(kind, revision))
-                or revision + 1 < self._oldest_revision
+                or self._history_is_gone(revision)
                 or self.fault is not StoreFault.NONE
             ),
             timeout_s,
@@ -156,8 +176,8 @@
         if self.fault is not StoreFault.NONE:
             responder.abort()
             return
-        if revision + 1 < self._oldest_revision:
-            await responder.respond(410, b"")
+        if self._history_is_gone(revision):
+            await responder.respond(410, b"", self._headers)
             return
         events = [
             {"object": change.stored_object, "deleted": change.deleted}
@@ -167,6 +187,13 @@
             responder, {"events": events, "as_of": self._revision}
         )
 
+    def _history_is_gone(self, revision: int) -> bool:
+        return not self._oldest_revision - 1 <= revision <= self._revision
+
+    @property
+    def _headers(self) -> tuple[tuple[str, str], ...]:
+        return (("store-era", str(self._era)),)
+
     def _changes_since(self, kind: str, revision: int) -> list[_Change]:
         return [
             change
@@ -187,7 +214,7 @@
     async def _respond_json(
         self, responder: handlers.Responder, body: dict[str, Any]
     ) -> None:
-        await responder.respond(200, orjson.dumps(body))
+        await responder.respond(200, orjson.dumps(body), self._headers)
 
     def _record_change(
         self, kind: str, stored_object: dict[str, Any], *, deleted: bool
--- a/packages/telemetry/src/lavendershed/telemetry/request_instruments.py
+++ b/packages/telemetry/src/lavendershed/telemetry/request_instruments.py
@@ -8,6 +8,7 @@
 import prometheus_client
 
 from lavendershed.core import ids
+from lavendershed.core import store_revisions
 from lavendershed.core import units
 
 # Include the latency targets of the workloads (0.3, 1.5 and 3 s) and their
@@ -62,6 +63,8 @@
         self._limited_servers = meter.create_gauge(
             "lavendershed.limited_servers"
         )
+        self._store_era = meter.create_gauge("lavendershed.store_era")
+        self._store_revision = meter.create_gauge("lavendershed.store_revision")
         self._permits = meter.create_counter("lavendershed.permits")
         self._object_age = meter.create_gauge(
             "lavendershed.store_objects_age", unit="s"
@@ -125,6 +128,13 @@
         """Sets the number of servers that name a request limit."""
         self._limited_servers.set(count)
 
+    def set_store_revision(
+        self, kind: str, revision: store_revisions.StoreRevision
+    ) -> None:
+        """Sets the revision of the store in its latest answer, by kind."""
+        self._store_era.set(revision.era, {"kind": kind})
+        self._store_revision.set(revision.number, {"kind": kind})
+
     def set_quarantines(self, count: int) -> None:
         """Sets the number of sets of prompt parts in quarantine."""
         self._quarantines.set(count)
