--- a/packages/standin/src/lavendershed/standin/platform_store.py
+++ b/packages/standin/src/lavendershed/standin/platform_store.py
@@ -64,6 +64,11 @@
         """Listen address."""
         return self._server.address
 
+    @property
+    def revision(self) -> int:
+        """Revision of the last change."""
+        return self._revision
+
     @property
     def calls(self) -> int:
         """Number of received calls."""
@@ -130,6 +135,9 @@
             await responder.respond(503, b"", self._headers)
             return
         kind = request.path.removeprefix("/objects/")
+        if kind == request.path:
+            await responder.respond(503, b"", self._headers)
+            return
         watch = request.parameter("watch")
         if watch is None:
             await self._respond_json(responder, self._list_page(kind, request))
