Let denied daemons come back for the next permit

Cause: each denied daemon got a time of its own, 1 / limit after the one before. Most of them had found another engine by then, so that nobody came for the permits in between, and a bucket kept one permit only.

Change: up to eight denied daemons a second may come back for the next permit, further ones one after the other, and a bucket keeps two permits. To stay within the bound, peers that are silent for 1.6 s instead of 2.5 s no longer count towards the share of the fleet that a daemon sees.

--- a/packages/admission/src/lavendershed/admission/permit_allocator.py
+++ b/packages/admission/src/lavendershed/admission/permit_allocator.py
@@ -11,14 +11,17 @@
 from lavendershed.core import ids
 from lavendershed.core import units
 
-# Permits that were not used are kept for this time.
+# Permits that were not used are kept for this time, and two in any case.
 _BURST_PERIOD = units.Seconds(0.25)
+_MIN_BURST = 2.0
 # Share of the limit that a standby issues while the issuer is silent, which may
 # be alive and issue the whole limit at the same time.
 STANDBY_SHARE = 0.25
-# Applicants are told to come back one after the other, but not later than this:
-# those before them may have gone elsewhere.
-_MAX_WAIT = units.Seconds(2.0)
+# As many applicants a second may come back for the next permit at once: most of
+# them go elsewhere. The others come back one after the other, so that calls to
+# an issuer don't grow with the fleet.
+_FREE_RETURNS_PER_SECOND = 8.0
+_MAX_WAIT = units.Seconds(10.0)
 # An idle bucket is as full as a new one may become in this time, at least.
 _IDLE_PERIOD = units.Seconds(30.0)
 # A bucket is a few dozen bytes; a daemon issues for a few servers at a time.
@@ -32,12 +35,12 @@
     Attributes:
         tokens: Permits that can be issued now; may be a fraction.
         updated_at: When `tokens` was computed.
-        next_return_at: When the next applicant may come back.
+        applicants: Recent applicants without a permit, decaying.
     """
 
     tokens: float
     updated_at: units.Instant
-    next_return_at: units.Instant
+    applicants: float = 0.0
 
 
 class PermitAllocator:
@@ -60,7 +63,7 @@
         """Issues a permit for one request, or tells when to come back.
 
         In any period of T seconds at most `rate` times T permits are issued,
-        and one or a quarter of a second's worth more.
+        and two or a quarter of a second's worth more.
 
         Args:
             server: The server.
@@ -78,22 +81,25 @@
         bucket = self._buckets.get(key)
         if bucket is None:
             self._discard_idle(now)
-            bucket = _Bucket(0.0, now, now)
+            bucket = _Bucket(0.0, now)
             self._buckets[key] = bucket
+        elapsed = units.elapsed(bucket.updated_at, now)
+        bucket.updated_at = now
         bucket.tokens = min(
-            bucket.tokens + (now - bucket.updated_at) * rate,
-            max(1.0, rate * _BURST_PERIOD),
+            bucket.tokens + elapsed * rate,
+            max(_MIN_BURST, rate * _BURST_PERIOD),
+        )
+        bucket.applicants = max(
+            0.0, bucket.applicants - elapsed * _FREE_RETURNS_PER_SECOND
         )
-        bucket.updated_at = now
         if bucket.tokens >= 1.0:
             bucket.tokens -= 1.0
             return units.Seconds(0.0)
-        next_token_at = now + (1.0 - bucket.tokens) / rate
-        return_at = min(
-            max(bucket.next_return_at, next_token_at), now + _MAX_WAIT
+        bucket.applicants += 1.0
+        queued = max(0.0, bucket.applicants - _FREE_RETURNS_PER_SECOND)
+        return units.Seconds(
+            min((1.0 - bucket.tokens + queued) / rate, _MAX_WAIT)
         )
-        bucket.next_return_at = units.Instant(return_at + 1.0 / rate)
-        return units.Seconds(return_at - now)
 
     def _discard_idle(self, now: units.Instant) -> None:
         if len(self._buckets) < _MAX_BUCKETS:
--- a/packages/forwarding/src/lavendershed/forwarding/load_reporting.py
+++ b/packages/forwarding/src/lavendershed/forwarding/load_reporting.py
@@ -48,9 +48,9 @@
 # A daemon is told at most once in this time which daemons it should report to.
 _INTRODUCTION_INTERVAL = units.Seconds(0.5)
 _MAX_LOGGED_ADDRESSES = 8
-# Peers that are silent for longer may be on the other side of a partition; two
-# reports may be lost.
-_MAX_SILENCE = units.Seconds(2.5)
+# Peers that are silent for longer may be on the other side of a partition. They
+# report each second; a lost report costs the limits of engines little.
+_MAX_SILENCE = units.Seconds(1.6)
 _DECISION_EVENTS = {
     crash_attribution.Verdict.QUARANTINED: (
         events.Event.PROMPT_PARTS_QUARANTINED
