Order what is read from the store by its era first

Callers would see: a change that is not in force in time, or a server that is used although it leaves, for as long as the revisions of a restored store are below those from before, or for good if they have overtaken.

Cause: revisions were taken for an order of all states, though the store begins again at a lower one when it comes back from a copy. A listing with a lower revision was ignored, the watch went on from the higher one, got "history gone" and listed again, without a delay; a watch from a revision that had been given out again was accepted and missed what was different.

Change: a revision is the era of the store and its number, in the view, the directory, the changes for peers, load reports and exchanged state. A newer era replaces a listing whatever its number, an older one never does; a watch whose answer is of another era lists again, and changes are applied within their era only. Entries that the copy lacks are kept as after an outage. Daemons of older builds count as of era 0.

Six tests of the view are new.

--- a/packages/core/src/lavendershed/core/store_revisions.py
+++ b/packages/core/src/lavendershed/core/store_revisions.py
@@ -28,3 +28,8 @@
 
 
 NONE = StoreRevision(ids.StoreEra(0), ids.ObjectVersion(0))
+
+
+def of(era: int | None, number: int | None) -> StoreRevision:
+    """Returns a revision of its parts; missing ones are 0."""
+    return StoreRevision(ids.StoreEra(era or 0), ids.ObjectVersion(number or 0))
--- a/packages/forwarding/src/lavendershed/forwarding/deployment_view.py
+++ b/packages/forwarding/src/lavendershed/forwarding/deployment_view.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from lavendershed.core import ids
+from lavendershed.core import store_revisions
 from lavendershed.core import units
 from lavendershed.forwarding import codecs
 from lavendershed.forwarding import server_changes
@@ -26,7 +27,8 @@
     """Configuration and backend servers of the newest known objects.
 
     Objects arrive from the store and from peers in any order; versions and
-    revisions ensure that an older object never replaces a newer one.
+    revisions ensure that an older object never replaces a newer one. Revisions
+    are ordered by the era of the store first.
     """
 
     def __init__(
@@ -45,13 +47,13 @@
         self._server_ids_by_number: dict[int, ids.BackendServerId] = {}
         self._grace_ends_at = units.Instant(0.0)
         self._changes = server_changes.ServerChanges()
-        self._last_server_change = ids.ObjectVersion(0)
+        self._last_server_change = store_revisions.NONE
         self._freshness = {
             kind: freshness.Freshness() for kind in codecs.ObjectKind
         }
         # Revision up to which no change of the servers is missing; that of the
         # directory is the revision of its last change.
-        self._servers_known = ids.ObjectVersion(0)
+        self._servers_known = store_revisions.NONE
         self._listeners: list[ChangeListener] = []
         self._check_listeners: list[ChangeListener] = []
         self._completion_waiters: set[asyncio.Future[None]] = set()
@@ -101,7 +103,7 @@
         return self.complete
 
     @property
-    def last_server_change(self) -> ids.ObjectVersion:
+    def last_server_change(self) -> store_revisions.StoreRevision:
         """Revision of the newest known change of the server list.
 
         The revision of a listing may be higher without any change; peers
@@ -109,22 +111,24 @@
         """
         return self._last_server_change
 
-    def revision(self, kind: codecs.ObjectKind) -> ids.ObjectVersion:
+    def revision(
+        self, kind: codecs.ObjectKind
+    ) -> store_revisions.StoreRevision:
         """Returns the store revision up to which the objects are known."""
         if kind is codecs.ObjectKind.SERVERS:
             return self._directory.revision
         stored = self._stored_configuration
-        return stored.revision if stored else ids.ObjectVersion(0)
+        return stored.revision if stored else store_revisions.NONE
 
     @property
-    def servers_known(self) -> ids.ObjectVersion:
+    def servers_known(self) -> store_revisions.StoreRevision:
         """Revision up to which all changes of the servers are known."""
         return max(self._servers_known, self._directory.revision)
 
     def on_store_confirmed(
         self,
         kind: codecs.ObjectKind,
-        revision: ids.ObjectVersion,
+        revision: store_revisions.StoreRevision,
         at: units.Instant,
     ) -> None:
         """Records that the store had no newer objects at `at`.
@@ -141,7 +145,7 @@
     def on_store_checked(
         self,
         kind: codecs.ObjectKind,
-        revision: ids.ObjectVersion,
+        revision: store_revisions.StoreRevision,
         at: units.Instant,
     ) -> None:
         """Like `on_store_confirmed`, and tells the other daemons."""
@@ -184,7 +188,7 @@
     def state_since(
         self,
         version: ids.Epoch,
-        revision: ids.ObjectVersion,
+        revision: store_revisions.StoreRevision,
         now: units.Instant,
     ) -> peer_state.PeerState:
         """Returns what a peer lacks that has this version and revision.
@@ -198,7 +202,7 @@
         changes = self._changes.since(revision)
         names = self._stored_servers if changes is None else changes.changed
         return peer_state.PeerState(
-            stored.revision if stored else ids.ObjectVersion(0),
+            stored.revision if stored else store_revisions.NONE,
             (stored,) if stored and self.version > version else (),
             self._directory.revision,
             tuple(self._stored_servers[name] for name in names),
@@ -237,7 +241,8 @@
         if decoded.is_err():
             self._log.emit(
                 events.Event.CONFIGURATION_REJECTED,
-                revision=stored.revision,
+                era=stored.revision.era,
+                revision=stored.revision.number,
                 reason=decoded.unwrap_err(),
                 version_in_force=self.version,
             )
@@ -252,7 +257,8 @@
             events.Event.CONFIGURATION_APPLIED,
             version=configuration.version,
             previous=previous,
-            revision=stored.revision,
+            era=stored.revision.era,
+            revision=stored.revision.number,
             routes=len(configuration.routes),
             organisations=len(configuration.organisations or ()),
         )
@@ -267,17 +273,30 @@
     def on_server_listing(
         self,
         stored: tuple[peer_state.StoredObject, ...],
-        revision: ids.ObjectVersion,
+        revision: store_revisions.StoreRevision,
         now: units.Instant,
     ) -> None:
-        """Applies a full listing of the backend servers."""
+        """Applies a full listing of the backend servers.
+
+        One of a new era may lack what was written since the copy that the store
+        came back from; its writers write it again, as after an outage.
+        """
         if revision < self._directory.revision:
             return
+        if (
+            self._directory.is_initialised
+            and revision.era > self._directory.revision.era
+        ):
+            self.on_store_recovered(now)
         entries = self._decode_servers(stored)
         self._stored_servers = {o.name: o for o in stored}
         self._changes.on_listing(revision)
         self._last_server_change = max(
-            (self._last_server_change, *(o.revision for o in stored))
+            (
+                self._last_server_change,
+                store_revisions.of(revision.era, 0),
+                *(o.revision for o in stored),
+            )
         )
         change = self._directory.on_listing(
             entries, revision, self._retain_until(now)
@@ -289,11 +308,15 @@
         self,
         changed: tuple[peer_state.StoredObject, ...],
         removed: tuple[str, ...],
-        revision: ids.ObjectVersion,
+        revision: store_revisions.StoreRevision,
         now: units.Instant,
     ) -> None:
-        """Applies changes to the list of backend servers."""
-        if revision < self._directory.revision:
+        """Applies changes to the list of backend servers.
+
+        Changes of a newer era need a listing of that era first.
+        """
+        known = self._directory.revision
+        if revision < known or revision.era != known.era:
             return
         self._stored_servers.update((o.name, o) for o in changed)
         for name in removed:
@@ -346,7 +369,8 @@
             self._log.emit(
                 events.Event.SERVER_ENTRY_REJECTED,
                 server=item.name,
-                revision=item.revision,
+                era=item.revision.era,
+                revision=item.revision.number,
                 reason=decoded.unwrap_err(),
             )
         return entries
@@ -366,13 +390,15 @@
                 service=entry.service,
                 address=str(entry.address),
                 born=entry.incarnation,
-                revision=self._directory.revision,
+                era=self._directory.revision.era,
+                revision=self._directory.revision.number,
             )
         for entry in change.draining:
             self._log.emit(
                 events.Event.BACKEND_SERVER_LEAVING,
                 server=entry.id,
-                revision=self._directory.revision,
+                era=self._directory.revision.era,
+                revision=self._directory.revision.number,
             )
         for entry in change.removed:
             self._health.remove(entry.id, entry.incarnation)
@@ -380,5 +406,6 @@
                 events.Event.BACKEND_SERVER_DOWN,
                 server=entry.id,
                 reason="entry_removed",
-                revision=self._directory.revision,
+                era=self._directory.revision.era,
+                revision=self._directory.revision.number,
             )
--- a/packages/forwarding/src/lavendershed/forwarding/peer_versions.py
+++ b/packages/forwarding/src/lavendershed/forwarding/peer_versions.py
@@ -6,6 +6,7 @@
 
 from lavendershed.core import addresses
 from lavendershed.core import ids
+from lavendershed.core import store_revisions
 from lavendershed.peer import load_reports
 
 
@@ -22,8 +23,8 @@
         ids.Epoch(0),
         None,
     )
-    servers: tuple[ids.ObjectVersion, addresses.Address | None] = (
-        ids.ObjectVersion(0),
+    servers: tuple[store_revisions.StoreRevision, addresses.Address | None] = (
+        store_revisions.NONE,
         None,
     )
 
--- a/packages/forwarding/src/lavendershed/forwarding/server_changes.py
+++ b/packages/forwarding/src/lavendershed/forwarding/server_changes.py
@@ -5,7 +5,7 @@
 import collections
 import dataclasses
 
-from lavendershed.core import ids
+from lavendershed.core import store_revisions
 
 # A peer that lacks more updates gets the whole list.
 _MAX_UPDATES = 64
@@ -25,18 +25,18 @@
     def __init__(self) -> None:
         # Each update with its revision, and the revision before all of them.
         self._updates: collections.deque[
-            tuple[ids.ObjectVersion, ChangedNames]
+            tuple[store_revisions.StoreRevision, ChangedNames]
         ] = collections.deque()
-        self._complete_since: ids.ObjectVersion | None = None
+        self._complete_since: store_revisions.StoreRevision | None = None
 
-    def on_listing(self, revision: ids.ObjectVersion) -> None:
+    def on_listing(self, revision: store_revisions.StoreRevision) -> None:
         """Forgets all updates, because a listing doesn't say what changed."""
         self._updates.clear()
         self._complete_since = revision
 
     def on_events(
         self,
-        revision: ids.ObjectVersion,
+        revision: store_revisions.StoreRevision,
         changed: tuple[str, ...],
         removed: tuple[str, ...],
     ) -> None:
@@ -45,7 +45,9 @@
         if len(self._updates) > _MAX_UPDATES:
             self._complete_since, _ = self._updates.popleft()
 
-    def since(self, revision: ids.ObjectVersion) -> ChangedNames | None:
+    def since(
+        self, revision: store_revisions.StoreRevision
+    ) -> ChangedNames | None:
         """Returns the changes after `revision`; None if they are unknown."""
         if self._complete_since is None or revision < self._complete_since:
             return None
--- a/packages/forwarding/src/lavendershed/forwarding/state_exchange.py
+++ b/packages/forwarding/src/lavendershed/forwarding/state_exchange.py
@@ -13,6 +13,7 @@
 
 from lavendershed.core import addresses
 from lavendershed.core import ids
+from lavendershed.core import store_revisions
 from lavendershed.core import timers
 from lavendershed.core import units
 from lavendershed.forwarding import deployment_view
@@ -95,7 +96,7 @@
 async def fetch_state(
     address: addresses.Address,
     version: ids.Epoch,
-    revision: ids.ObjectVersion,
+    revision: store_revisions.StoreRevision,
 ) -> result.Result[peer_state.PeerState, str]:
     """Returns the newer store objects of the daemon at `address`.
 
@@ -228,6 +229,7 @@
             version=self._view.version,
             previous=previous,
             newest_known=newest_known,
-            revision=self._view.directory.revision,
+            era=self._view.directory.revision.era,
+            revision=self._view.directory.revision.number,
             servers=len(state.servers) + len(state.removed_servers),
         )
--- a/packages/forwarding/src/lavendershed/forwarding/store_watcher.py
+++ b/packages/forwarding/src/lavendershed/forwarding/store_watcher.py
@@ -8,7 +8,6 @@
 import result
 
 from lavendershed.core import backoff
-from lavendershed.core import ids
 from lavendershed.core import store_revisions
 from lavendershed.core import timers
 from lavendershed.core import units
@@ -86,9 +85,7 @@
         knows no peers. It is left out if a peer has sent all objects before.
         """
         if await self._view.wait_complete(self._first_call_delay):
-            self._revision = store_revisions.StoreRevision(
-                ids.StoreEra(0), self._view.revision(self._kind)
-            )
+            self._revision = self._view.revision(self._kind)
         while True:
             if self._revision is not None and not self._role.is_watching:
                 # The last error says nothing about the store any more.
@@ -117,18 +114,13 @@
             for stored in objects:
                 self._view.on_configuration(stored)
         else:
-            self._view.on_server_listing(
-                objects, revision.number, self._timers.now()
-            )
+            self._view.on_server_listing(objects, revision, self._timers.now())
         self._revision = revision
         return None
 
     async def _watch(self) -> codecs.SourceError | None:
         assert self._revision is not None
-        revision = store_revisions.StoreRevision(
-            self._revision.era,
-            max(self._revision.number, self._view.revision(self._kind)),
-        )
+        revision = max(self._revision, self._view.revision(self._kind))
         timeout = (
             _RECOVERY_WATCH_TIMEOUT
             if self._last_call_failed
@@ -146,14 +138,14 @@
         asked_from = revision
         changed, removed, revision = watched.ok_value
         self._on_success(revision)
-        if changed or removed or revision.era != asked_from.era:
+        if changed or removed:
             self._log_read(revision, asked_from, len(changed) + len(removed))
         if self._kind is codecs.ObjectKind.CONFIGURATION:
             for stored in changed:
                 self._view.on_configuration(stored)
         elif changed or removed:
             self._view.on_server_events(
-                changed, removed, revision.number, self._timers.now()
+                changed, removed, revision, self._timers.now()
             )
         self._revision = revision
         if changed or removed:
@@ -199,7 +191,7 @@
                 )
                 return checked
             self._view.on_store_checked(
-                self._kind, checked_revision.number, checked_at
+                self._kind, checked_revision, checked_at
             )
 
     def _time_until(
@@ -234,7 +226,7 @@
 
     def _on_success(self, revision: store_revisions.StoreRevision) -> None:
         now = self._timers.now()
-        self._view.on_store_confirmed(self._kind, revision.number, now)
+        self._view.on_store_confirmed(self._kind, revision, now)
         self._availability.on_read(self._kind, revision)
         outage = self._availability.on_success(self._kind, now)
         if outage is None:
--- a/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
@@ -268,7 +268,7 @@
             attempt=self._attempts.count + 1,
             version=context.view.version,
             version_age_ms=context.version_age_ms,
-            servers=context.view.directory.revision,
+            servers=context.view.directory.revision.number,
             load_age_ms=round(context.load_tracker.age(now) * 1_000),
             **context.limit_observer.log_fields(placement.decode_engine),
             **context.permits.log_fields(placement.decode_engine),
--- a/packages/forwarding/src/lavendershed/forwarding/unary_execution.py
+++ b/packages/forwarding/src/lavendershed/forwarding/unary_execution.py
@@ -116,7 +116,7 @@
             attempt=self._attempts.count + 1,
             version=context.view.version,
             version_age_ms=context.version_age_ms,
-            servers=context.view.directory.revision,
+            servers=context.view.directory.revision.number,
             **context.limit_observer.log_fields(server),
             **context.permits.log_fields(server),
         )
--- a/packages/forwarding/tests/test_deployment_view.py
+++ b/packages/forwarding/tests/test_deployment_view.py
@@ -11,6 +11,7 @@
 from lavendershed.core import addresses
 from lavendershed.core import forwarding_states
 from lavendershed.core import ids
+from lavendershed.core import store_revisions
 from lavendershed.core import units
 from lavendershed.forwarding import codecs
 from lavendershed.forwarding import deployment_view
@@ -53,10 +54,15 @@
         )
 
 
-def stored(name, revision, state=forwarding_states.ServerState.READY):
+def at(number, era=1):
+    """Returns a revision of the store."""
+    return store_revisions.of(era, number)
+
+
+def stored(name, revision, state=forwarding_states.ServerState.READY, era=1):
     """Returns the object of a server."""
     return peer_state.StoredObject(
-        name, ids.ObjectVersion(revision), state.value.encode()
+        name, at(revision, era), state.value.encode()
     )
 
 
@@ -71,7 +77,7 @@
     """Returns a view after a listing."""
     view = new_view()
     view.on_server_listing(
-        tuple(stored(name, revision) for name in names), revision, NOW
+        tuple(stored(name, revision) for name in names), at(revision), NOW
     )
     return view
 
@@ -95,7 +101,7 @@
     def test_only_changes_are_sent_to_a_peer_that_has_the_rest(self):
         """Guards against the whole list for each change to each daemon."""
         watcher, member = listed(*NAMES), listed(*NAMES)
-        watcher.on_server_events((stored("i-9", 12),), ("i-1",), 12, NOW)
+        watcher.on_server_events((stored("i-9", 12),), ("i-1",), at(12), NOW)
         state = take_state(member, watcher)
         self.assertTrue(state.partial)
         self.assertEqual([o.name for o in state.servers], ["i-9"])
@@ -109,7 +115,7 @@
     def test_older_state_changes_nothing(self):
         """Guards against a server that had left and is used again."""
         old, member = listed(*NAMES), listed(*NAMES)
-        member.on_server_events((), ("i-1",), 12, NOW)
+        member.on_server_events((), ("i-1",), at(12), NOW)
         take_state(member, old)
         self.assertNotIn("i-1", servers(member))
         restarted = new_view()
@@ -121,7 +127,7 @@
         """Guards against a member that drops servers after a store outage."""
         watcher, member = listed(*NAMES), listed(*NAMES)
         watcher.on_store_recovered(NOW)
-        watcher.on_server_events((), ("i-1",), 12, NOW)
+        watcher.on_server_events((), ("i-1",), at(12), NOW)
         take_state(member, watcher)
         self.assertIn("i-1", servers(member))
         member.expire(units.after(NOW, server_directory.MISSING_ENTRY_GRACE))
@@ -131,15 +137,15 @@
         watcher, member = listed(*NAMES), listed(*NAMES)
         watcher.on_store_recovered(NOW)
         later = units.Instant(NOW + 5.0)
-        watcher.on_server_events((), ("i-1",), 12, later)
+        watcher.on_server_events((), ("i-1",), at(12), later)
         take_state(member, watcher, later)
         self.assertNotIn("i-1", servers(member))
 
     def test_a_listing_is_not_reported_as_a_change(self):
         """Guards against a fetch by all daemons after each restart of one."""
         view = new_view()
-        view.on_server_listing((stored("i-1", 7),), 30, NOW)
-        self.assertEqual(view.last_server_change, 7)
+        view.on_server_listing((stored("i-1", 7),), at(30), NOW)
+        self.assertEqual(view.last_server_change, at(7))
 
     @hypothesis.settings(derandomize=True, deadline=None)
     @hypothesis.given(
@@ -162,10 +168,10 @@
         for revision, (name, present, fetches) in enumerate(steps, 11):
             if present:
                 watcher.on_server_events(
-                    (stored(name, revision),), (), revision, NOW
+                    (stored(name, revision),), (), at(revision), NOW
                 )
             else:
-                watcher.on_server_events((), (name,), revision, NOW)
+                watcher.on_server_events((), (name,), at(revision), NOW)
             if fetches:
                 take_state(member, watcher)
                 self.assertEqual(servers(member), servers(watcher))
@@ -179,9 +185,9 @@
         """
         spec = b'{"path_prefix": "/a/", "kind": "safe"},' * 2_000
         sent = peer_state.PeerState(
-            ids.ObjectVersion(3),
-            (peer_state.StoredObject("main", ids.ObjectVersion(3), spec),),
-            ids.ObjectVersion(4),
+            at(3),
+            (peer_state.StoredObject("main", at(3), spec),),
+            at(4),
             (),
         )
         encoded = peer_state.encode_state(sent)
@@ -193,13 +199,9 @@
         too_large = bytes(peer_state.MAX_OBJECT_BYTES + 1)
         encoded = peer_state.encode_state(
             peer_state.PeerState(
-                ids.ObjectVersion(3),
-                (
-                    peer_state.StoredObject(
-                        "main", ids.ObjectVersion(3), too_large
-                    ),
-                ),
-                ids.ObjectVersion(4),
+                at(3),
+                (peer_state.StoredObject("main", at(3), too_large),),
+                at(4),
                 (),
             )
         )
@@ -218,7 +220,7 @@
         ids.AvailabilityZoneId("z"),
         1,
         ids.Epoch(version),
-        ids.ObjectVersion(0),
+        at(0),
         (),
         (),
         (),
@@ -226,18 +228,67 @@
         (),
         configuration_age=age,
         servers_age=age,
-        servers_known=ids.ObjectVersion(servers_known),
+        servers_known=at(servers_known),
     )
 
 
+class EraTest(unittest.TestCase):
+    """Guards against revisions that are compared across a restore."""
+
+    def setUp(self):
+        self.view = listed("i-1", "i-2", revision=90)
+
+    def restore(self, *names, revision=20):
+        self.view.on_server_listing(
+            tuple(stored(name, revision, era=2) for name in names),
+            at(revision, era=2),
+            NOW,
+        )
+        self.view.expire(units.Instant(NOW + 60.0))
+
+    def test_a_listing_of_a_new_era_replaces_one_of_a_higher_revision(self):
+        self.restore("i-1")
+        self.assertEqual(servers(self.view), {"i-1"})
+        self.assertEqual(self.view.directory.revision, at(20, era=2))
+
+    def test_a_listing_of_an_older_era_changes_nothing(self):
+        """A call from before the restore is answered late."""
+        self.restore("i-1")
+        self.view.on_server_listing((stored("i-9", 95),), at(95), NOW)
+        self.assertEqual(servers(self.view), {"i-1"})
+
+    def test_changes_of_another_era_are_not_mixed_into_a_listing(self):
+        self.view.on_server_events((), ("i-1",), at(91, era=2), NOW)
+        self.assertEqual(servers(self.view), {"i-1", "i-2"})
+        self.restore("i-1")
+        self.view.on_server_events((stored("i-9", 92),), (), at(92), NOW)
+        self.assertEqual(servers(self.view), {"i-1"})
+
+    def test_a_peer_of_the_old_era_gets_the_whole_list(self):
+        """Its revision is higher than all of the new era."""
+        old = listed("i-1", "i-2", revision=90)
+        self.restore("i-1")
+        self.assertFalse(take_state(old, self.view).partial)
+        self.assertEqual(old.directory.revision, at(20, era=2))
+
+    def test_the_state_of_a_peer_of_the_old_era_changes_nothing(self):
+        old = listed("i-1", "i-2", revision=90)
+        self.restore("i-1")
+        take_state(self.view, old)
+        self.assertEqual(servers(self.view), {"i-1"})
+
+    def test_a_restore_without_servers_is_reported_as_a_change(self):
+        before = self.view.last_server_change
+        self.restore()
+        self.assertGreater(self.view.last_server_change, before)
+
+
 class PeerConfirmationTest(unittest.TestCase):
     """Guards against daemons that confirm each other's outdated state."""
 
     def setUp(self):
         self.view = listed(*NAMES, revision=10)
-        self.view.on_configuration(
-            peer_state.StoredObject("main", ids.ObjectVersion(9), b"5")
-        )
+        self.view.on_configuration(peer_state.StoredObject("main", at(9), b"5"))
 
     def ages(self):
         return tuple(
@@ -258,16 +309,16 @@
     def test_a_peer_that_has_listed_a_removal_confirms_nothing(self):
         """Its remaining objects are all known here, the removal is not."""
         peer = listed("i-1", revision=10)
-        peer.on_server_listing((stored("i-1", 10),), ids.ObjectVersion(12), NOW)
-        self.assertEqual(peer.last_server_change, 10)
-        self.view.on_peer_confirmed(confirmation(5, peer.servers_known), NOW)
+        peer.on_server_listing((stored("i-1", 10),), at(12), NOW)
+        self.assertEqual(peer.last_server_change, at(10))
+        self.view.on_peer_confirmed(
+            confirmation(5, peer.servers_known.number), NOW
+        )
         self.assertEqual(self.ages(), (0.5, None))
 
     def test_a_check_extends_what_is_known(self):
         """Other objects of the store raise its revision, too."""
-        self.view.on_store_checked(
-            codecs.ObjectKind.SERVERS, ids.ObjectVersion(30), NOW
-        )
+        self.view.on_store_checked(codecs.ObjectKind.SERVERS, at(30), NOW)
         self.view.on_peer_confirmed(confirmation(5, 30, age=0.0), NOW)
         self.assertEqual(self.ages(), (0.0, 0.0))
 
--- a/packages/forwarding/tests/test_load_reporting.py
+++ b/packages/forwarding/tests/test_load_reporting.py
@@ -10,6 +10,7 @@
 from lavendershed.core import addresses
 from lavendershed.core import forwarding_states
 from lavendershed.core import ids
+from lavendershed.core import store_revisions
 from lavendershed.core import timers
 from lavendershed.core import units
 from lavendershed.forwarding import bundle_distribution
@@ -131,13 +132,13 @@
         )
         self.view = types.SimpleNamespace(
             version=ids.Epoch(1),
-            last_server_change=ids.ObjectVersion(1),
+            last_server_change=store_revisions.of(1, 1),
             directory=types.SimpleNamespace(entries=()),
             server_by_number=lambda number: ENGINE,
             subscribe=lambda listener: None,
             subscribe_to_checks=self.check_listeners.append,
             freshness_of=lambda kind: self.freshness,
-            servers_known=ids.ObjectVersion(1),
+            servers_known=store_revisions.of(1, 1),
             on_peer_confirmed=lambda report, now: self.confirmations.append(
                 report
             ),
@@ -442,7 +443,7 @@
             ids.AvailabilityZoneId("z9"),
             1,
             ids.Epoch(1),
-            ids.ObjectVersion(1),
+            store_revisions.of(1, 1),
             (),
             (),
             (),
--- a/packages/forwarding/tests/test_store_watcher.py
+++ b/packages/forwarding/tests/test_store_watcher.py
@@ -8,7 +8,6 @@
 
 import result
 
-from lavendershed.core import ids
 from lavendershed.core import store_revisions
 from lavendershed.core import units
 from lavendershed.forwarding import codecs
@@ -19,13 +18,12 @@
 from lavendershed.telemetry import log
 from lavendershed.transport import event_loop_timers
 
-ERA = ids.StoreEra(1)
-UNKNOWN_ERA = ids.StoreEra(0)
+ERA = 1
 
 
 def at(number, era=ERA):
     """Returns a revision of the store."""
-    return store_revisions.StoreRevision(era, ids.ObjectVersion(number))
+    return store_revisions.of(era, number)
 
 
 class FakeSource(codecs.ObjectSource):
@@ -68,7 +66,7 @@
         return self.complete
 
     def revision(self, kind):
-        return ids.ObjectVersion(40 if self.complete else 0)
+        return at(40) if self.complete else store_revisions.NONE
 
     def age_ms(self, kind, now):
         return round(self.freshness.age(now) * 1_000)
@@ -139,7 +137,7 @@
         self.view.complete = True
         await self.watch(first_call_delay=4.0)
         self.assertEqual(self.source.lists, 0)
-        self.assertEqual(self.source.watched_from, [at(40, UNKNOWN_ERA)])
+        self.assertEqual(self.source.watched_from, [at(40)])
 
 
 class SilentWatchTest(WatcherCase):
@@ -172,7 +170,7 @@
         """A daemon that has just started has asked the store nothing yet."""
         self.view.complete = True
         await self.watch(first_call_delay=4.0, seconds=self.SECONDS)
-        self.assertEqual(self.source.checked_from, [at(40, UNKNOWN_ERA)])
+        self.assertEqual(self.source.checked_from, [at(40)])
 
     async def test_a_failed_check_replaces_the_watch(self):
         self.source.check_result = result.Err(codecs.SourceError.TIMED_OUT)
--- a/packages/membership/src/lavendershed/membership/server_directory.py
+++ b/packages/membership/src/lavendershed/membership/server_directory.py
@@ -8,6 +8,7 @@
 from lavendershed.core import addresses
 from lavendershed.core import forwarding_states
 from lavendershed.core import ids
+from lavendershed.core import store_revisions
 from lavendershed.core import units
 
 # Servers renew registrations that expired during a store outage within about
@@ -59,19 +60,19 @@
 
     def __init__(self) -> None:
         self._entries: dict[ids.BackendServerId, ServerEntry] = {}
-        self._revision = ids.ObjectVersion(0)
+        self._revision = store_revisions.NONE
         self._by_service: dict[ids.ServiceId, tuple[ServerEntry, ...]] = {}
         self._retained_until: dict[ids.BackendServerId, units.Instant] = {}
 
     @property
-    def revision(self) -> ids.ObjectVersion:
+    def revision(self) -> store_revisions.StoreRevision:
         """Store revision of the entries; 0 before the first update."""
         return self._revision
 
     @property
     def is_initialised(self) -> bool:
         """Whether any update has been applied."""
-        return self._revision > 0
+        return self._revision > store_revisions.NONE
 
     @property
     def entries(self) -> tuple[ServerEntry, ...]:
@@ -91,7 +92,7 @@
     def on_listing(
         self,
         entries: Iterable[ServerEntry],
-        revision: ids.ObjectVersion,
+        revision: store_revisions.StoreRevision,
         retain_until: units.Instant | None = None,
     ) -> DirectoryChange:
         """Replaces all entries with a newer listing.
@@ -114,7 +115,7 @@
         self,
         changed: Iterable[ServerEntry],
         removed: Iterable[ids.BackendServerId],
-        revision: ids.ObjectVersion,
+        revision: store_revisions.StoreRevision,
         retain_until: units.Instant | None = None,
     ) -> DirectoryChange:
         """Applies changes up to `revision`; ignores older ones."""
@@ -166,7 +167,7 @@
     def _replace_entries(
         self,
         new_entries: dict[ids.BackendServerId, ServerEntry],
-        revision: ids.ObjectVersion,
+        revision: store_revisions.StoreRevision,
     ) -> DirectoryChange:
         old_entries = self._entries
         for server in [s for s in self._retained_until if s in new_entries]:
--- a/packages/peer/idl/messages.thrift
+++ b/packages/peer/idl/messages.thrift
@@ -148,6 +148,10 @@
   // thousandths of a request per second, 0 if it names none any more, and the
   // age of the answer in milliseconds.
   24: optional list<i64> limits
+  // Eras of `server_revision` and `servers_known`; revisions of a later era are
+  // newer.
+  25: optional i64 server_era
+  26: optional i64 servers_known_era
 }
 
 // Asks for a permit for one request to a limited server, or replies.
@@ -170,11 +174,14 @@
   // One of these: the content, or its zlib compression if it is large.
   3: optional binary spec
   4: optional binary compressed_spec
+  // Era of the store that `revision` belongs to.
+  5: optional i64 era
 }
 
 struct StateRequest {
   1: optional i64 configuration_version
   2: optional i64 server_revision
+  3: optional i64 server_era
 }
 
 struct StateReply {
@@ -188,4 +195,7 @@
   6: optional list<string> removed
   // Time for which missing servers may be an effect of a store outage.
   7: optional i32 grace_ms
+  // Eras of the store that the revisions belong to.
+  8: optional i64 configuration_era
+  9: optional i64 server_era
 }
--- a/packages/peer/src/lavendershed/peer/gen/messages/ttypes.py
+++ b/packages/peer/src/lavendershed/peer/gen/messages/ttypes.py
@@ -1503,6 +1503,8 @@
      - begun
      - quarantines
      - limits
+     - server_era
+     - servers_known_era
 
     """
 
@@ -1530,10 +1532,12 @@
         'begun',
         'quarantines',
         'limits',
+        'server_era',
+        'servers_known_era',
     )
 
 
-    def __init__(self, incarnation=None, sequence=None, configuration_version=None, server_revision=None, works=None, suspects=None, peers=None, slow=None, unreachable=None, sender=None, zone=None, watching=None, bundled=None, members=None, alive=None, bandwidth=None, configuration_age=None, servers_age=None, servers_known=None, crashes=None, begun=None, quarantines=None, limits=None,):
+    def __init__(self, incarnation=None, sequence=None, configuration_version=None, server_revision=None, works=None, suspects=None, peers=None, slow=None, unreachable=None, sender=None, zone=None, watching=None, bundled=None, members=None, alive=None, bandwidth=None, configuration_age=None, servers_age=None, servers_known=None, crashes=None, begun=None, quarantines=None, limits=None, server_era=None, servers_known_era=None,):
         self.incarnation = incarnation
         self.sequence = sequence
         self.configuration_version = configuration_version
@@ -1557,6 +1561,8 @@
         self.begun = begun
         self.quarantines = quarantines
         self.limits = limits
+        self.server_era = server_era
+        self.servers_known_era = servers_known_era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1737,6 +1743,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 25:
+                if ftype == TType.I64:
+                    self.server_era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 26:
+                if ftype == TType.I64:
+                    self.servers_known_era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1872,6 +1888,14 @@
                 oprot.writeI64(iter118)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.server_era is not None:
+            oprot.writeFieldBegin('server_era', TType.I64, 25)
+            oprot.writeI64(self.server_era)
+            oprot.writeFieldEnd()
+        if self.servers_known_era is not None:
+            oprot.writeFieldBegin('servers_known_era', TType.I64, 26)
+            oprot.writeI64(self.servers_known_era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2032,6 +2056,7 @@
      - revision
      - spec
      - compressed_spec
+     - era
 
     """
 
@@ -2040,14 +2065,16 @@
         'revision',
         'spec',
         'compressed_spec',
+        'era',
     )
 
 
-    def __init__(self, name=None, revision=None, spec=None, compressed_spec=None,):
+    def __init__(self, name=None, revision=None, spec=None, compressed_spec=None, era=None,):
         self.name = name
         self.revision = revision
         self.spec = spec
         self.compressed_spec = compressed_spec
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2078,6 +2105,11 @@
                     self.compressed_spec = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2104,6 +2136,10 @@
             oprot.writeFieldBegin('compressed_spec', TType.STRING, 4)
             oprot.writeBinary(self.compressed_spec)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 5)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2134,18 +2170,21 @@
     Attributes:
      - configuration_version
      - server_revision
+     - server_era
 
     """
 
     __slots__ = (
         'configuration_version',
         'server_revision',
+        'server_era',
     )
 
 
-    def __init__(self, configuration_version=None, server_revision=None,):
+    def __init__(self, configuration_version=None, server_revision=None, server_era=None,):
         self.configuration_version = configuration_version
         self.server_revision = server_revision
+        self.server_era = server_era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2166,6 +2205,11 @@
                     self.server_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.server_era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2184,6 +2228,10 @@
             oprot.writeFieldBegin('server_revision', TType.I64, 2)
             oprot.writeI64(self.server_revision)
             oprot.writeFieldEnd()
+        if self.server_era is not None:
+            oprot.writeFieldBegin('server_era', TType.I64, 3)
+            oprot.writeI64(self.server_era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2219,6 +2267,8 @@
      - partial
      - removed
      - grace_ms
+     - configuration_era
+     - server_era
 
     """
 
@@ -2230,10 +2280,12 @@
         'partial',
         'removed',
         'grace_ms',
+        'configuration_era',
+        'server_era',
     )
 
 
-    def __init__(self, configuration_revision=None, configuration=None, server_revision=None, servers=None, partial=None, removed=None, grace_ms=None,):
+    def __init__(self, configuration_revision=None, configuration=None, server_revision=None, servers=None, partial=None, removed=None, grace_ms=None, configuration_era=None, server_era=None,):
         self.configuration_revision = configuration_revision
         self.configuration = configuration
         self.server_revision = server_revision
@@ -2241,6 +2293,8 @@
         self.partial = partial
         self.removed = removed
         self.grace_ms = grace_ms
+        self.configuration_era = configuration_era
+        self.server_era = server_era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2303,6 +2357,16 @@
                     self.grace_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.configuration_era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.server_era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2350,6 +2414,14 @@
             oprot.writeFieldBegin('grace_ms', TType.I32, 7)
             oprot.writeI32(self.grace_ms)
             oprot.writeFieldEnd()
+        if self.configuration_era is not None:
+            oprot.writeFieldBegin('configuration_era', TType.I64, 8)
+            oprot.writeI64(self.configuration_era)
+            oprot.writeFieldEnd()
+        if self.server_era is not None:
+            oprot.writeFieldBegin('server_era', TType.I64, 9)
+            oprot.writeI64(self.server_era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2507,6 +2579,8 @@
     (22, TType.LIST, 'begun', (TType.I64, None, False), None, ),  # 22
     (23, TType.LIST, 'quarantines', (TType.I64, None, False), None, ),  # 23
     (24, TType.LIST, 'limits', (TType.I64, None, False), None, ),  # 24
+    (25, TType.I64, 'server_era', None, None, ),  # 25
+    (26, TType.I64, 'servers_known_era', None, None, ),  # 26
 )
 all_structs.append(PermitMessage)
 PermitMessage.thrift_spec = (
@@ -2525,12 +2599,14 @@
     (2, TType.I64, 'revision', None, None, ),  # 2
     (3, TType.STRING, 'spec', 'BINARY', None, ),  # 3
     (4, TType.STRING, 'compressed_spec', 'BINARY', None, ),  # 4
+    (5, TType.I64, 'era', None, None, ),  # 5
 )
 all_structs.append(StateRequest)
 StateRequest.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'configuration_version', None, None, ),  # 1
     (2, TType.I64, 'server_revision', None, None, ),  # 2
+    (3, TType.I64, 'server_era', None, None, ),  # 3
 )
 all_structs.append(StateReply)
 StateReply.thrift_spec = (
@@ -2542,6 +2618,8 @@
     (5, TType.BOOL, 'partial', None, None, ),  # 5
     (6, TType.LIST, 'removed', (TType.STRING, 'UTF8', False), None, ),  # 6
     (7, TType.I32, 'grace_ms', None, None, ),  # 7
+    (8, TType.I64, 'configuration_era', None, None, ),  # 8
+    (9, TType.I64, 'server_era', None, None, ),  # 9
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/peer/src/lavendershed/peer/load_reports.py
+++ b/packages/peer/src/lavendershed/peer/load_reports.py
@@ -16,6 +16,7 @@
 from lavendershed.core import addresses
 from lavendershed.core import forwarding_states
 from lavendershed.core import ids
+from lavendershed.core import store_revisions
 from lavendershed.core import units
 from lavendershed.membership import peer_table
 from lavendershed.peer import crash_evidence
@@ -99,7 +100,7 @@
     availability_zone: ids.AvailabilityZoneId
     sequence: int
     configuration_epoch: ids.Epoch
-    server_revision: ids.ObjectVersion
+    server_revision: store_revisions.StoreRevision
     open_tasks: tuple[load_tracker.EngineTask, ...]
     crash_suspects: tuple[tuple[ids.Fingerprint, int], ...]
     slow_engines: tuple[engine_slowdown.Slowdown, ...]
@@ -109,7 +110,7 @@
     bandwidth_mbps: int = 0
     configuration_age: units.Seconds | None = None
     servers_age: units.Seconds | None = None
-    servers_known: ids.ObjectVersion = ids.ObjectVersion(0)
+    servers_known: store_revisions.StoreRevision = store_revisions.NONE
     crash_evidence: engine_crashes.Evidence = engine_crashes.Evidence()
     limits: tuple[tuple[ids.ServerNumber, engine_limits.LimitNews], ...] = ()
 
@@ -195,14 +196,16 @@
             bandwidth=report.bandwidth_mbps or None,
             configuration_age=_to_milliseconds(report.configuration_age),
             servers_age=_to_milliseconds(report.servers_age),
-            servers_known=report.servers_known or None,
+            servers_known=report.servers_known.number or None,
+            servers_known_era=report.servers_known.era or None,
             crashes=evidence.crashes or None,
             begun=evidence.begun or None,
             quarantines=evidence.quarantines or None,
             limits=list(limit_fields) or None,
             sequence=report.sequence,
             configuration_version=report.configuration_epoch,
-            server_revision=report.server_revision,
+            server_revision=report.server_revision.number,
+            server_era=report.server_revision.era or None,
             works=list(task_fields) or None,
             suspects=list(suspects) or None,
             slow=list(slow_engines) or None,
@@ -310,7 +313,7 @@
         ids.AvailabilityZoneId(message.zone or ""),
         message.sequence or 0,
         ids.Epoch(message.configuration_version or 0),
-        ids.ObjectVersion(message.server_revision or 0),
+        store_revisions.of(message.server_era, message.server_revision),
         tuple(task for task in open_tasks if task is not None),
         tuple(
             (ids.Fingerprint(_to_uint64(suspects[i])), suspects[i + 1])
@@ -331,7 +334,7 @@
         message.bandwidth or 0,
         _to_seconds(message.configuration_age),
         _to_seconds(message.servers_age),
-        ids.ObjectVersion(message.servers_known or 0),
+        store_revisions.of(message.servers_known_era, message.servers_known),
         crash_evidence.decode(
             crash_evidence.EncodedEvidence(
                 message.crashes or [],
--- a/packages/peer/src/lavendershed/peer/peer_state.py
+++ b/packages/peer/src/lavendershed/peer/peer_state.py
@@ -8,6 +8,7 @@
 import zlib
 
 from lavendershed.core import ids
+from lavendershed.core import store_revisions
 from lavendershed.core import units
 from lavendershed.peer import wire
 from lavendershed.peer.gen.messages import ttypes
@@ -31,7 +32,7 @@
     """
 
     name: str
-    revision: ids.ObjectVersion
+    revision: store_revisions.StoreRevision
     spec: bytes
 
 
@@ -50,9 +51,9 @@
             the store.
     """
 
-    configuration_revision: ids.ObjectVersion
+    configuration_revision: store_revisions.StoreRevision
     configuration: tuple[StoredObject, ...]
-    server_revision: ids.ObjectVersion
+    server_revision: store_revisions.StoreRevision
     servers: tuple[StoredObject, ...]
     partial: bool = False
     removed_servers: tuple[str, ...] = ()
@@ -60,19 +61,21 @@
 
 
 def encode_state_request(
-    version: ids.Epoch, revision: ids.ObjectVersion
+    version: ids.Epoch, revision: store_revisions.StoreRevision
 ) -> bytes:
     """Returns a request for what is newer than the given state."""
     return _STATE_REQUEST_PREFIX + wire.encode(
         ttypes.StateRequest(
-            configuration_version=version, server_revision=revision
+            configuration_version=version,
+            server_revision=revision.number,
+            server_era=revision.era or None,
         )
     )
 
 
 def decode_state_request(
     request: bytes,
-) -> tuple[ids.Epoch, ids.ObjectVersion] | None:
+) -> tuple[ids.Epoch, store_revisions.StoreRevision] | None:
     """Returns the version and revision of a request; None if it is another.
 
     Daemons of older versions send the prefix only and get the whole state.
@@ -84,11 +87,11 @@
         return None
     encoded = request[len(_STATE_REQUEST_PREFIX) :]
     if not encoded:
-        return ids.Epoch(0), ids.ObjectVersion(0)
+        return ids.Epoch(0), store_revisions.NONE
     message = wire.decode(ttypes.StateRequest, encoded)
     return (
         ids.Epoch(message.configuration_version or 0),
-        ids.ObjectVersion(message.server_revision or 0),
+        store_revisions.of(message.server_era, message.server_revision),
     )
 
 
@@ -96,9 +99,11 @@
     """Returns the thrift encoding of the state."""
     return wire.encode(
         ttypes.StateReply(
-            configuration_revision=state.configuration_revision,
+            configuration_revision=state.configuration_revision.number,
+            configuration_era=state.configuration_revision.era or None,
             configuration=_objects_to_thrift(state.configuration),
-            server_revision=state.server_revision,
+            server_revision=state.server_revision.number,
+            server_era=state.server_revision.era or None,
             servers=_objects_to_thrift(state.servers),
             partial=state.partial or None,
             removed=list(state.removed_servers) or None,
@@ -115,9 +120,11 @@
     """
     message = wire.decode(ttypes.StateReply, data)
     return PeerState(
-        ids.ObjectVersion(message.configuration_revision or 0),
+        store_revisions.of(
+            message.configuration_era, message.configuration_revision
+        ),
         _objects_from_thrift(message.configuration),
-        ids.ObjectVersion(message.server_revision or 0),
+        store_revisions.of(message.server_era, message.server_revision),
         _objects_from_thrift(message.servers),
         bool(message.partial),
         tuple(message.removed or ()),
@@ -131,7 +138,8 @@
     return [
         ttypes.StoredObject(
             name=o.name,
-            revision=o.revision,
+            revision=o.revision.number,
+            era=o.revision.era or None,
             spec=o.spec if len(o.spec) < _MIN_COMPRESSED else None,
             compressed_spec=_compress(o.spec)
             if len(o.spec) >= _MIN_COMPRESSED
@@ -171,7 +179,7 @@
     return tuple(
         StoredObject(
             o.name or "",
-            ids.ObjectVersion(o.revision or 0),
+            store_revisions.of(o.era, o.revision),
             o.spec or b""
             if o.compressed_spec is None
             else _decompress(o.compressed_spec),
--- a/packages/peer/tests/test_load_reports.py
+++ b/packages/peer/tests/test_load_reports.py
@@ -12,6 +12,7 @@
 from lavendershed.core import addresses
 from lavendershed.core import forwarding_states
 from lavendershed.core import ids
+from lavendershed.core import store_revisions
 from lavendershed.core import units
 from lavendershed.peer import load_reports
 from lavendershed.peer import peer_state
@@ -72,7 +73,7 @@
         ids.AvailabilityZoneId("nbo"),
         7,
         ids.Epoch(12),
-        ids.ObjectVersion(99),
+        store_revisions.of(1, 99),
         tuple(tasks),
         tuple(suspects),
         ((SERVER, 2.5),),
@@ -81,7 +82,7 @@
         watches_store=True,
         configuration_age=units.Seconds(0.25),
         servers_age=units.Seconds(1.5),
-        servers_known=ids.ObjectVersion(123_456_789),
+        servers_known=store_revisions.of(1, 123_456_789),
         crash_evidence=evidence,
     )
 
@@ -153,10 +154,10 @@
 
     def test_decoded_objects_equal_the_encoded_ones(self):
         stored = peer_state.StoredObject(
-            "main", ids.ObjectVersion(5), b'{"version":1}'
+            "main", store_revisions.of(1, 5), b'{"version":1}'
         )
         state = peer_state.PeerState(
-            ids.ObjectVersion(5), (stored,), ids.ObjectVersion(6), ()
+            store_revisions.of(1, 5), (stored,), store_revisions.of(1, 6), ()
         )
         encoded = peer_state.encode_state(state)
         self.assertEqual(peer_state.decode_state(encoded), state)
--- a/packages/platform/src/lavendershed/platform/store.py
+++ b/packages/platform/src/lavendershed/platform/store.py
@@ -99,11 +99,15 @@
             body = answer.body
             try:
                 page = [
-                    _decode_object(item) for item in fields.array(body, "items")
+                    _decode_object(item, answer.era)
+                    for item in fields.array(body, "items")
                 ]
                 # The watch repeats changes made between the pages.
                 if revision is None:
                     revision = answer.revision
+                if answer.era != revision.era:
+                    # The store came back from a copy between two pages.
+                    return result.Err(codecs.SourceError.HISTORY_GONE)
                 more = fields.boolean(body, "has_more")
             except fields.FieldError:
                 return result.Err(codecs.SourceError.MALFORMED)
@@ -123,7 +127,9 @@
             },
             units.Seconds(timeout + _CALL_TIMEOUT),
         )
-        return response.and_then(_decode_changes)
+        return response.and_then(
+            lambda answer: _decode_changes(answer, revision.era)
+        )
 
     async def changes_since(
         self, revision: store_revisions.StoreRevision
@@ -142,7 +148,9 @@
                 )
         except TimeoutError:
             return result.Err(codecs.SourceError.TIMED_OUT)
-        return response.and_then(_decode_changes)
+        return response.and_then(
+            lambda answer: _decode_changes(answer, revision.era)
+        )
 
     async def _get(
         self,
@@ -191,14 +199,20 @@
 
 
 def _decode_changes(
-    answer: _Answer,
+    answer: _Answer, asked_era: ids.StoreEra
 ) -> result.Result[codecs.Changes, codecs.SourceError]:
-    """Returns the changed objects, removed names and revision of a watch."""
+    """Returns the changed objects, removed names and revision of a watch.
+
+    In another era the revision that was asked from stands for other contents,
+    so that changes may be missing from the answer.
+    """
+    if answer.era != asked_era:
+        return result.Err(codecs.SourceError.HISTORY_GONE)
     latest: dict[str, peer_state.StoredObject | None] = {}
     try:
         for item in fields.array(answer.body, "events"):
             event = fields.as_table(item, "events")
-            stored = _decode_object(event.get("object"))
+            stored = _decode_object(event.get("object"), answer.era)
             deleted = fields.boolean(event, "deleted")
             latest[stored.name] = None if deleted else stored
         revision_seen = answer.revision
@@ -213,7 +227,9 @@
     )
 
 
-def _decode_object(item: fields.JsonValue) -> peer_state.StoredObject:
+def _decode_object(
+    item: fields.JsonValue, era: ids.StoreEra
+) -> peer_state.StoredObject:
     """Returns an object with its content as JSON bytes.
 
     Raises:
@@ -224,6 +240,8 @@
     )
     return peer_state.StoredObject(
         fields.string(metadata, "name"),
-        ids.ObjectVersion(fields.integer(metadata, "revision", 0)),
+        store_revisions.StoreRevision(
+            era, ids.ObjectVersion(fields.integer(metadata, "revision", 0))
+        ),
         orjson.dumps(item.get("spec")),
     )
--- a/packages/platform/tests/test_objects.py
+++ b/packages/platform/tests/test_objects.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies
 import orjson
 
-from lavendershed.core import ids
+from lavendershed.core import store_revisions
 from lavendershed.peer import peer_state
 from lavendershed.platform import objects
 from lavendershed.routes import model
@@ -70,7 +70,7 @@
 def stored(body, name="main"):
     """Returns an object with an encoded body."""
     return peer_state.StoredObject(
-        name, ids.ObjectVersion(3), orjson.dumps(body)
+        name, store_revisions.of(1, 3), orjson.dumps(body)
     )
 
 
@@ -167,7 +167,7 @@
         self.decoder.decode_configuration(item)
 
     def test_bytes_that_are_not_json_return_an_error(self):
-        item = peer_state.StoredObject("i", ids.ObjectVersion(1), b"\xff{")
+        item = peer_state.StoredObject("i", store_revisions.of(1, 1), b"\xff{")
         self.assertTrue(self.decoder.decode_server(item).is_err())
         self.assertTrue(self.decoder.decode_configuration(item).is_err())
 
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -53,7 +53,9 @@
         for seq in range(count):
             self.register_server(self.plain_servers[0], "ledger", seq=seq + 2)
         revision = self.store.revision
-        await self.wait_until(lambda: self.view.directory.revision == revision)
+        await self.wait_until(
+            lambda: self.view.directory.revision.number == revision
+        )
 
     async def test_the_store_is_not_asked_in_a_loop(self):
         """The loop had no delay and ended when revisions had caught up."""
