Distrust entries of a copy whose servers had left

Callers would see: requests that fail or wait at a server that has left, up to the lapse of its entry; engines would get requests after they had said that they leave.

Cause: a copy of the store has entries again that were removed or set to draining since.

Change: the directory remembers the last entry of 1,024 removed servers. In the first listing of a new era, an entry of the same incarnation that is not newer than the known one takes no work; it is used when its server writes it again, or after 7 s, in which an entry without heartbeats lapses. A server that was leaving stays so. Such entries are not passed on to peers.

--- a/packages/forwarding/src/lavendershed/forwarding/deployment_view.py
+++ b/packages/forwarding/src/lavendershed/forwarding/deployment_view.py
@@ -201,11 +201,17 @@
         stored = self._stored_configuration
         changes = self._changes.since(revision)
         names = self._stored_servers if changes is None else changes.changed
+        # Only this daemon knows that the entry of the copy is out of date.
+        outdated = self._directory.outdated_servers
         return peer_state.PeerState(
             stored.revision if stored else store_revisions.NONE,
             (stored,) if stored and self.version > version else (),
             self._directory.revision,
-            tuple(self._stored_servers[name] for name in names),
+            tuple(
+                self._stored_servers[name]
+                for name in names
+                if name not in outdated
+            ),
             partial=changes is not None,
             removed_servers=() if changes is None else changes.removed,
             grace=units.Seconds(max(0.0, self._grace_ends_at - now)),
@@ -299,7 +305,10 @@
             )
         )
         change = self._directory.on_listing(
-            entries, revision, self._retain_until(now)
+            entries,
+            revision,
+            self._retain_until(now),
+            units.after(now, server_directory.COPIED_ENTRY_LAPSE),
         )
         self._on_directory_change(change)
         self._notify_listeners()
--- a/packages/membership/src/lavendershed/membership/server_directory.py
+++ b/packages/membership/src/lavendershed/membership/server_directory.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from collections.abc import Iterable
 import dataclasses
+import itertools
+import math
 
 from lavendershed.core import addresses
 from lavendershed.core import forwarding_states
@@ -14,6 +17,13 @@
 # Servers renew registrations that expired during a store outage within about
 # two seconds of its end; an entry that is still missing then is removed.
 MISSING_ENTRY_GRACE = units.Seconds(2.2)
+# A store that comes back from a copy has entries again that were removed since.
+# Without heartbeats they lapse: three missed ones of 1.2 s, once the servers
+# that are alive have reached the store again.
+COPIED_ENTRY_LAPSE = units.Seconds(7.0)
+_NEVER = units.Instant(math.inf)
+# Removed entries that are remembered, so that they are known in a copy.
+_MAX_REMOVED = 1_024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -27,6 +37,7 @@
         address: Listening address.
         availability_zone: Zone of its VM.
         state: Whether it accepts new requests.
+        revision: Store revision of the registration.
     """
 
     id: ids.BackendServerId
@@ -35,6 +46,7 @@
     address: addresses.Address
     availability_zone: ids.AvailabilityZoneId
     state: forwarding_states.ServerState
+    revision: store_revisions.StoreRevision = store_revisions.NONE
 
     @property
     def accepts_work(self) -> bool:
@@ -63,6 +75,13 @@
         self._revision = store_revisions.NONE
         self._by_service: dict[ids.ServiceId, tuple[ServerEntry, ...]] = {}
         self._retained_until: dict[ids.BackendServerId, units.Instant] = {}
+        # Last entries of servers that were removed, the oldest first.
+        self._removed: dict[ids.BackendServerId, ServerEntry] = {}
+        # Entries of a copy that were removed since: as listed, and when they
+        # are used after all. Never, if their servers were leaving.
+        self._outdated: dict[
+            ids.BackendServerId, tuple[ServerEntry, units.Instant]
+        ] = {}
 
     @property
     def revision(self) -> store_revisions.StoreRevision:
@@ -83,6 +102,11 @@
         """Returns the entry of a server."""
         return self._entries.get(server)
 
+    @property
+    def outdated_servers(self) -> frozenset[ids.BackendServerId]:
+        """Servers whose listed entry is older than what is known of them."""
+        return frozenset(self._outdated)
+
     def servers_accepting_work(
         self, service: ids.ServiceId
     ) -> tuple[ServerEntry, ...]:
@@ -94,19 +118,40 @@
         entries: Iterable[ServerEntry],
         revision: store_revisions.StoreRevision,
         retain_until: units.Instant | None = None,
+        copies_lapse_at: units.Instant = _NEVER,
     ) -> DirectoryChange:
         """Replaces all entries with a newer listing.
 
+        A listing of a new era comes from a copy of the store. What is known of
+        servers that were leaving or removed since holds against it, until they
+        write their entry again.
+
         Args:
             entries: All entries that could be read.
             revision: Revision of the listing; an older listing is ignored.
             retain_until: Set if entries may be missing because of a store
                 outage; missing servers that accepted requests are kept until
                 this time.
+            copies_lapse_at: When entries of a copy whose servers are gone have
+                lapsed.
         """
         if revision < self._revision:
             return DirectoryChange()
         new_entries = {entry.id: entry for entry in entries}
+        outdated, self._outdated = self._outdated, {}
+        if self.is_initialised and revision.era > self._revision.era:
+            for entry in new_entries.values():
+                self._check_copy(entry, copies_lapse_at)
+        else:
+            self._outdated = {
+                server: (entry, usable_at)
+                for server, (entry, usable_at) in outdated.items()
+                if new_entries.get(server) == entry
+            }
+        new_entries.update(
+            (server, _as_leaving(entry))
+            for server, (entry, _) in self._outdated.items()
+        )
         missing = [s for s in self._entries if s not in new_entries]
         self._retain_missing(missing, new_entries, retain_until)
         return self._replace_entries(new_entries, revision)
@@ -114,7 +159,7 @@
     def on_events(
         self,
         changed: Iterable[ServerEntry],
-        removed: Iterable[ids.BackendServerId],
+        removed: Collection[ids.BackendServerId],
         revision: store_revisions.StoreRevision,
         retain_until: units.Instant | None = None,
     ) -> DirectoryChange:
@@ -122,6 +167,9 @@
         if revision < self._revision:
             return DirectoryChange()
         new_entries = dict(self._entries)
+        changed = list(changed)
+        for server in (*(entry.id for entry in changed), *removed):
+            self._outdated.pop(server, None)
         removed_ids = [server for server in removed if server in new_entries]
         for server in removed_ids:
             del new_entries[server]
@@ -135,18 +183,45 @@
         return self._replace_entries(new_entries, revision)
 
     def expire(self, now: units.Instant) -> DirectoryChange:
-        """Removes missing entries whose grace period has ended."""
+        """Removes missing entries whose grace period has ended.
+
+        Entries of a copy that have not lapsed belong to servers that are alive.
+        """
         expired = [
             s for s, until in self._retained_until.items() if until <= now
         ]
-        if not expired:
+        confirmed = [s for s, (_, at) in self._outdated.items() if at <= now]
+        if not expired and not confirmed:
             return DirectoryChange()
         new_entries = dict(self._entries)
+        for server in confirmed:
+            new_entries[server], _ = self._outdated.pop(server)
         for server in expired:
             del self._retained_until[server]
             new_entries.pop(server, None)
         return self._replace_entries(new_entries, self._revision)
 
+    def _check_copy(self, entry: ServerEntry, lapse_at: units.Instant) -> None:
+        """Marks an entry of a copy as outdated if more is known of its server.
+
+        An entry with a higher revision was written again.
+        """
+        known = self._entries.get(entry.id)
+        if known is None or known.incarnation != entry.incarnation:
+            known = self._removed.get(entry.id)
+            usable_at = lapse_at
+        elif known.accepts_work:
+            return
+        else:
+            # A server that is leaving doesn't come back.
+            usable_at = _NEVER
+        if (
+            known is not None
+            and known.incarnation == entry.incarnation
+            and known.revision.number >= entry.revision.number
+        ):
+            self._outdated[entry.id] = entry, usable_at
+
     def _retain_missing(
         self,
         missing: Iterable[ids.BackendServerId],
@@ -173,6 +248,14 @@
         for server in [s for s in self._retained_until if s in new_entries]:
             if new_entries[server] is not old_entries.get(server):
                 del self._retained_until[server]
+        for server, entry in old_entries.items():
+            if server not in new_entries:
+                self._removed.pop(server, None)
+                self._removed[server] = entry
+        for server in itertools.islice(
+            tuple(self._removed), max(0, len(self._removed) - _MAX_REMOVED)
+        ):
+            del self._removed[server]
         self._entries = new_entries
         self._revision = revision
         services: dict[ids.ServiceId, list[ServerEntry]] = {}
@@ -200,3 +283,9 @@
                 )
             ),
         )
+
+
+def _as_leaving(entry: ServerEntry) -> ServerEntry:
+    return dataclasses.replace(
+        entry, state=forwarding_states.ServerState.DRAINING
+    )
--- a/packages/membership/tests/test_server_directory.py
+++ b/packages/membership/tests/test_server_directory.py
@@ -22,7 +22,7 @@
     return store_revisions.of(era, number)
 
 
-def entry(name, state=READY, incarnation=1):
+def entry(name, state=READY, incarnation=1, revision=0, era=1):
     """Returns an entry of a server."""
     return server_directory.ServerEntry(
         ids.BackendServerId(name),
@@ -31,6 +31,7 @@
         addresses.Address("10.0.0.1", 80),
         ids.AvailabilityZoneId("a"),
         state,
+        at(revision, era),
     )
 
 
@@ -114,5 +115,73 @@
         self.assertEqual(self.directory.entry("a"), moved)
 
 
+class CopiedEntryTest(unittest.TestCase):
+    """Guards against entries of a copy of the store that were removed since."""
+
+    LAPSE = units.Instant(7.0)
+
+    def setUp(self):
+        self.directory = server_directory.ServerDirectory()
+        self.directory.on_listing(
+            [entry("a", revision=5), entry("b", revision=6)], at(10)
+        )
+
+    def restore(self, *entries, revision=8, era=2):
+        self.directory.on_listing(
+            entries, at(revision, era), units.Instant(2.0), self.LAPSE
+        )
+
+    def usable(self):
+        return [e.id for e in self.directory.servers_accepting_work(SERVICE)]
+
+    def copies(self):
+        return entry("a", revision=5, era=2), entry("b", revision=6, era=2)
+
+    def test_a_removed_server_is_not_used_again(self):
+        self.directory.on_events([], ["a"], at(11))
+        self.restore(*self.copies())
+        self.assertEqual(self.usable(), ["b"])
+        self.assertEqual(self.directory.outdated_servers, {"a"})
+
+    def test_a_leaving_server_is_not_used_again(self):
+        """Its incarnation never becomes ready again."""
+        self.directory.on_events([entry("a", DRAINING, 1, 11)], [], at(11))
+        self.restore(*self.copies())
+        self.directory.expire(units.Instant(60.0))
+        self.assertEqual(self.usable(), ["b"])
+
+    def test_another_listing_of_the_era_does_not_bring_it_back(self):
+        self.directory.on_events([], ["a"], at(11))
+        self.restore(*self.copies())
+        self.restore(*self.copies(), revision=9)
+        self.assertEqual(self.usable(), ["b"])
+
+    def test_a_server_that_writes_its_entry_again_is_used(self):
+        self.directory.on_events([], ["a"], at(11))
+        self.restore(*self.copies())
+        again = entry("a", revision=12, era=2)
+        self.directory.on_events([again], [], at(12, era=2))
+        self.assertEqual(self.usable(), ["a", "b"])
+
+    def test_an_entry_that_does_not_lapse_belongs_to_a_server(self):
+        """It was removed while its server did not reach the store."""
+        self.directory.on_events([], ["a"], at(11))
+        self.restore(*self.copies())
+        self.directory.expire(units.Instant(self.LAPSE - 0.1))
+        self.assertEqual(self.usable(), ["b"])
+        self.directory.expire(self.LAPSE)
+        self.assertEqual(self.usable(), ["a", "b"])
+
+    def test_a_new_incarnation_is_used_at_once(self):
+        self.directory.on_events([], ["a"], at(11))
+        self.restore(entry("a", incarnation=2, revision=5, era=2))
+        self.assertIn("a", self.usable())
+
+    def test_removals_within_an_era_are_no_reason_for_doubt(self):
+        self.directory.on_events([], ["a"], at(11))
+        self.directory.on_listing([entry("a", revision=5)], at(12))
+        self.assertIn("a", self.usable())
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/platform/src/lavendershed/platform/objects.py
+++ b/packages/platform/src/lavendershed/platform/objects.py
@@ -42,13 +42,13 @@
         """Returns a server entry, or an error that names the invalid field."""
         try:
             body = fields.as_table(orjson.loads(stored.spec), "entry")
-            return result.Ok(_decode_server(stored.name, body))
+            return result.Ok(_decode_server(stored, body))
         except (fields.FieldError, orjson.JSONDecodeError) as error:
             return result.Err(str(error))
 
 
 def _decode_server(
-    name: str, body: dict[str, fields.JsonValue]
+    stored: peer_state.StoredObject, body: dict[str, fields.JsonValue]
 ) -> server_directory.ServerEntry:
     address = addresses.parse(fields.string(body, "address"))
     if isinstance(address, result.Err):
@@ -61,12 +61,13 @@
     # was not written by an engine.
     fields.integer(body, "seq", 0)
     return server_directory.ServerEntry(
-        ids.BackendServerId(name),
+        ids.BackendServerId(stored.name),
         ids.Incarnation(fields.integer(body, "born", 0)),
         ids.ServiceId(fields.string(body, "service")),
         address.ok_value,
         ids.AvailabilityZoneId(fields.string(body, "zone")),
         state,
+        stored.revision,
     )
 
 
