Start from the state of a peer if there is one

Callers would see: a key that had been withdrawn is accepted, or a new route is unknown, at a daemon that starts while the store has come back from a copy.

Cause: a daemon that starts listed the store at once and served its contents; it learned some tenths of a second later that its peers have a newer version.

Change: a daemon waits up to 0.3 s for the state of a peer before it reads the store, as daemons of a new deployment do for up to 4 s. It goes on from the peer's revision, so that a start makes no listing.

--- a/packages/platform/src/lavendershed/platform/factory.py
+++ b/packages/platform/src/lavendershed/platform/factory.py
@@ -51,6 +51,9 @@
 # Daemons of a new deployment read the store one after the other within this
 # time, and most of them take its contents from a peer. Callers come later.
 _FIRST_START_SPREAD = units.Seconds(4.0)
+# Otherwise a daemon reads the store if no peer sends its state in this time, as
+# peers may know more than a store that has come back from an older copy.
+_PEER_STATE_WAIT = units.Seconds(0.3)
 _PLATFORM_KINDS = {
     codecs.ObjectKind.CONFIGURATION: "config",
     codecs.ObjectKind.SERVERS: "servers",
@@ -167,7 +170,7 @@
     first_call_delay = units.Seconds(
         generator.uniform(0.0, _FIRST_START_SPREAD)
         if platform_settings.first_start
-        else 0.0
+        else _PEER_STATE_WAIT
     )
     daemon_components = components.Components(
         forwarding_context,
--- a/tests/test_platform_rules.py
+++ b/tests/test_platform_rules.py
@@ -10,6 +10,7 @@
 
 import platform_case
 
+from lavendershed.core import store_revisions
 from lavendershed.core import units
 from lavendershed.standin import fault_proxy
 from lavendershed.standin import platform_engine
@@ -663,7 +664,7 @@
         self.assertFalse(task.done())
         other.parts.components.context.view.on_peer_state(
             self.daemon.parts.components.context.view.state_since(
-                0, 0, self.timers.now()
+                0, store_revisions.NONE, self.timers.now()
             ),
             self.timers.now(),
         )
--- a/tools/measure_forwarding.py
+++ b/tools/measure_forwarding.py
@@ -13,6 +13,7 @@
 
 from lavendershed.core import addresses
 from lavendershed.core import ids
+from lavendershed.core import store_revisions
 from lavendershed.peer import load_reports
 from lavendershed.routing import engine_choice
 from lavendershed.routing import engine_slowdown
@@ -84,7 +85,7 @@
         engine_samples.ZONE,
         1_000,
         ids.Epoch(1_000),
-        ids.ObjectVersion(100_000),
+        store_revisions.of(1, 100_000),
         tasks,
         (),
         (),
