Delay the reads of a store whose history is gone again and again

Operators would see: the store called in a loop, up to some thousand times a second, if each watch is answered that its history is gone.

Cause: "history gone" was followed by a listing without any delay, since it is harmless after a compaction, and a successful listing reset the delay of errors.

Change: only the first one since the last successful watch is answered at once; each further one waits for the growing delay, which only a watch resets.

--- a/packages/forwarding/src/lavendershed/forwarding/store_watcher.py
+++ b/packages/forwarding/src/lavendershed/forwarding/store_watcher.py
@@ -77,6 +77,8 @@
         self._backoff = backoff.Backoff(generator, _BACKOFF_LIMITS)
         self._revision: store_revisions.StoreRevision | None = None
         self._last_call_failed = False
+        # Whether no watch has succeeded since the history was gone.
+        self._history_was_gone = False
 
     async def run(self) -> None:
         """Watches the objects while the role requires it, until cancelled.
@@ -92,16 +94,23 @@
                 self._availability.forget(self._kind)
                 await asyncio.sleep(_ROLE_CHECK_INTERVAL)
                 continue
-            error = await (
-                self._list() if self._revision is None else self._watch()
-            )
+            listing = self._revision is None
+            error = await (self._list() if listing else self._watch())
             self._last_call_failed = error is not None
             if error is None:
-                self._backoff.reset()
+                # A listing is no progress if its history is gone again.
+                if not listing:
+                    self._history_was_gone = False
+                    self._backoff.reset()
                 continue
             self._on_error(error)
-            if error is not codecs.SourceError.HISTORY_GONE:
-                await asyncio.sleep(self._backoff.next_delay())
+            if (
+                error is codecs.SourceError.HISTORY_GONE
+                and not self._history_was_gone
+            ):
+                self._history_was_gone = True
+                continue
+            await asyncio.sleep(self._backoff.next_delay())
 
     async def _list(self) -> codecs.SourceError | None:
         listed = await self._source.list()
--- a/packages/forwarding/tests/test_store_watcher.py
+++ b/packages/forwarding/tests/test_store_watcher.py
@@ -34,6 +34,8 @@
         self.watched_from = []
         self.checked_from = []
         self.check_result = None
+        self.watch_result = None
+        self.first_watch_result = None
 
     async def list(self):
         self.lists += 1
@@ -41,6 +43,10 @@
 
     async def watch(self, revision, timeout):
         self.watched_from.append(revision)
+        if self.first_watch_result and len(self.watched_from) == 1:
+            return self.first_watch_result
+        if self.watch_result:
+            return self.watch_result
         await asyncio.sleep(timeout)
         return result.Ok(((), (), revision))
 
@@ -140,6 +146,27 @@
         self.assertEqual(self.source.watched_from, [at(40)])
 
 
+class LostHistoryTest(WatcherCase):
+    """Guards against a store that is asked in a loop, whatever it answers."""
+
+    SECONDS = 2.0
+
+    async def test_a_history_that_is_always_gone_is_asked_for_ever_less(self):
+        """Each listing succeeds, and each watch finds its history gone."""
+        self.source.watch_result = result.Err(codecs.SourceError.HISTORY_GONE)
+        await self.watch(seconds=self.SECONDS)
+        self.assertLessEqual(len(self.source.watched_from), 8)
+        self.assertLessEqual(self.source.lists, 8)
+
+    async def test_a_history_that_is_gone_once_is_replaced_at_once(self):
+        """Changes have to take effect in time after a compaction, too."""
+        self.source.first_watch_result = result.Err(
+            codecs.SourceError.HISTORY_GONE
+        )
+        await self.watch(seconds=0.1)
+        self.assertEqual(self.source.lists, 2)
+
+
 class SilentWatchTest(WatcherCase):
     """Guards against changes that a watch hides by its silence."""
 
