--- a/packages/forwarding/tests/test_deployment_view.py
+++ b/packages/forwarding/tests/test_deployment_view.py
@@ -30,6 +30,7 @@
 class FakeDecoder(codecs.ObjectDecoder):
     """Decodes server objects whose content is the state of the server.
 
+    An incarnation other than 1 follows the state after a colon.
     The content of a configuration is its version.
     """
 
@@ -42,14 +43,16 @@
         )
 
     def decode_server(self, stored):
+        state, _, incarnation = stored.spec.decode().partition(":")
         return result.Ok(
             server_directory.ServerEntry(
                 ids.BackendServerId(stored.name),
-                ids.Incarnation(1),
+                ids.Incarnation(int(incarnation or 1)),
                 ids.ServiceId("s"),
                 addresses.Address("10.0.0.1", 80),
                 ids.AvailabilityZoneId("z"),
-                forwarding_states.ServerState(stored.spec.decode()),
+                forwarding_states.ServerState(state),
+                stored.revision,
             )
         )
 
