Read the sound entries beside an odd one in the server list

Operators of other systems saw machines that ended again and again, or stopped following the list, because another writer had left one odd entry.

Cause, three ways: an entry nested 255 deep or more can be decoded but not encoded again, and the TypeError ended the process; so did a port of thousands of digits, which int() refuses. An entry that the JSON parser refuses (1,024 levels, an infinite number, bytes that are not UTF-8) or without a usable name made the whole answer malformed, again at each try. A revision above 64 bits would have kept peers from getting the list.

Change: objects are decoded one by one. One without a usable name is logged and left out, one whose content can't be read or encoded counts as an entry that names no engine. If the parser refuses an answer, it is divided into its parts without parsing, and these are parsed one by one. Integers are limited to 64 bits, ports to five digits, and error messages show the first 40 characters of a value.

--- a/packages/core/src/lavendershed/core/addresses.py
+++ b/packages/core/src/lavendershed/core/addresses.py
@@ -8,6 +8,9 @@
 import result
 
 MAX_PORT = 65_535
+_MAX_PORT_DIGITS = 5
+# Longer text is shortened in error messages.
+_MAX_SHOWN = 40
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,15 +37,24 @@
     host, separator, port = text.rpartition(":")
     if not separator:
         return result.Err(
-            f"'{text}' has no port; use an address like 10.0.0.1:80"
+            f"'{text[:_MAX_SHOWN]}' has no port; "
+            "use an address like 10.0.0.1:80"
         )
     try:
         number = ipaddress.ip_address(host.strip("[]"))
     except ValueError:
         return result.Err(
-            f"'{host}' is not an IP address; host names are not resolved, "
-            "use an address like 10.0.0.1:80"
+            f"'{host[:_MAX_SHOWN]}' is not an IP address; "
+            "host names are not resolved, use an address like 10.0.0.1:80"
+        )
+    # The length is checked first, since `int` refuses thousands of digits.
+    if (
+        not port.isascii()
+        or not port.isdigit()
+        or len(port) > _MAX_PORT_DIGITS
+        or int(port) > MAX_PORT
+    ):
+        return result.Err(
+            f"'{port[:_MAX_SHOWN]}' is not a port number from 0 to {MAX_PORT}"
         )
-    if not port.isascii() or not port.isdigit() or int(port) > MAX_PORT:
-        return result.Err(f"'{port}' is not a port number from 0 to {MAX_PORT}")
     return result.Ok(Address(str(number), int(port)))
--- a/packages/platform/src/lavendershed/platform/factory.py
+++ b/packages/platform/src/lavendershed/platform/factory.py
@@ -179,7 +179,10 @@
             store_watcher.ObjectWatcher(
                 kind,
                 store.PlatformObjectSource(
-                    platform_settings.store_address, name, timer_service
+                    platform_settings.store_address,
+                    name,
+                    timer_service,
+                    event_log,
                 ),
                 view,
                 availability,
--- a/packages/platform/src/lavendershed/platform/fields.py
+++ b/packages/platform/src/lavendershed/platform/fields.py
@@ -6,6 +6,8 @@
 
 # A decoded value of any JSON type.
 JsonValue = Any
+# Integers are sent to peers as signed ones of 64 bits.
+_MAX_INTEGER = 2**63 - 1
 
 
 class FieldError(Exception):
@@ -65,6 +67,8 @@
         FieldError: It is missing without a default, or invalid.
     """
     value = number(body, name, default)
+    if value > _MAX_INTEGER:
+        raise FieldError(name, "is too large")
     if value != int(value):
         raise FieldError(name, "is not an integer")
     return int(value)
--- a/packages/platform/src/lavendershed/platform/store.py
+++ b/packages/platform/src/lavendershed/platform/store.py
@@ -18,6 +18,9 @@
 from lavendershed.peer import peer_state
 from lavendershed.platform import fields
 from lavendershed.platform import header_names
+from lavendershed.platform import json_slices
+from lavendershed.telemetry import events
+from lavendershed.telemetry import log
 from lavendershed.transport import client
 from lavendershed.transport import errors
 from lavendershed.transport import pool
@@ -30,6 +33,10 @@
 _CHECK_WAIT_MS = 1
 _GONE_STATUS = 410
 _REFUSED_STATUSES = frozenset({429, 503})
+# Objects of other writers may have any name.
+_MAX_NAME = 512
+_UNREADABLE_SPEC = b""
+_OBJECT_KEY = b'"object"'
 # Eras count the returns of the store from a copy.
 _MAX_ERA_DIGITS = 18
 _MAX_RESPONSE = units.Bytes(8_000_000)
@@ -66,7 +73,9 @@
         address: addresses.Address,
         kind: str,
         timer_service: timers.TimerService,
+        event_log: log.EventLog,
     ) -> None:
+        self._log = event_log
         self._path = f"/objects/{kind}"
         self._pool = pool.ConnectionPool(
             address,
@@ -98,10 +107,7 @@
             answer = response.ok_value
             body = answer.body
             try:
-                page = [
-                    _decode_object(item, answer.era)
-                    for item in fields.array(body, "items")
-                ]
+                page = self._decode_items(answer)
                 # The watch repeats changes made between the pages.
                 if revision is None:
                     revision = answer.revision
@@ -128,7 +134,7 @@
             units.Seconds(timeout + _CALL_TIMEOUT),
         )
         return response.and_then(
-            lambda answer: _decode_changes(answer, revision.era)
+            lambda answer: self._decode_changes(answer, revision.era)
         )
 
     async def changes_since(
@@ -149,7 +155,7 @@
         except TimeoutError:
             return result.Err(codecs.SourceError.TIMED_OUT)
         return response.and_then(
-            lambda answer: _decode_changes(answer, revision.era)
+            lambda answer: self._decode_changes(answer, revision.era)
         )
 
     async def _get(
@@ -176,14 +182,89 @@
             return result.Err(codecs.SourceError.REFUSED)
         try:
             return result.Ok(
-                _Answer(
-                    _era(response.head),
-                    fields.as_table(orjson.loads(response.body), "body"),
-                )
+                _Answer(_era(response.head), _parse(response.body))
             )
-        except (fields.FieldError, orjson.JSONDecodeError):
+        except (fields.FieldError, orjson.JSONDecodeError, ValueError):
             return result.Err(codecs.SourceError.MALFORMED)
 
+    def _decode_items(
+        self, answer: _Answer
+    ) -> tuple[peer_state.StoredObject, ...]:
+        """Returns the objects of a page, without those that have no name.
+
+        Raises:
+            FieldError: The answer has no items.
+        """
+        decoded = (
+            self._decode_object(item, answer.era)
+            for item in fields.array(answer.body, "items")
+        )
+        return tuple(stored for stored in decoded if stored is not None)
+
+    def _decode_changes(
+        self, answer: _Answer, asked_era: ids.StoreEra
+    ) -> result.Result[codecs.Changes, codecs.SourceError]:
+        """Returns the changed objects, removed names and revision of a watch.
+
+        In another era the revision that was asked from stands for other
+        contents, so that changes may be missing from the answer.
+        """
+        if answer.era != asked_era:
+            return result.Err(codecs.SourceError.HISTORY_GONE)
+        latest: dict[str, peer_state.StoredObject | None] = {}
+        try:
+            for item in fields.array(answer.body, "events"):
+                event = fields.as_table(item, "events")
+                stored = self._decode_object(event.get("object"), answer.era)
+                if stored is not None:
+                    deleted = fields.boolean(event, "deleted")
+                    latest[stored.name] = None if deleted else stored
+            revision = answer.revision
+        except fields.FieldError:
+            return result.Err(codecs.SourceError.MALFORMED)
+        return result.Ok(
+            (
+                tuple(o for o in latest.values() if o is not None),
+                tuple(name for name, o in latest.items() if o is None),
+                revision,
+            )
+        )
+
+    def _decode_object(
+        self, item: fields.JsonValue, era: ids.StoreEra
+    ) -> peer_state.StoredObject | None:
+        """Returns an object with its content as JSON bytes.
+
+        Other writers may leave odd objects. One with a name has no content if
+        it can't be read or encoded; one without a name is left out.
+        """
+        try:
+            metadata = fields.as_table(
+                fields.as_table(item, "object").get("metadata"), "metadata"
+            )
+            name = fields.string(metadata, "name")
+            if len(name) > _MAX_NAME:
+                raise fields.FieldError("name", "is too long")
+        except fields.FieldError as error:
+            self._log.emit(
+                events.Event.SERVER_ENTRY_REJECTED,
+                server=None,
+                era=era,
+                revision=None,
+                reason=str(error),
+            )
+            return None
+        try:
+            number = fields.integer(metadata, "revision", 0)
+            spec = orjson.dumps(item.get("spec"))
+        except (fields.FieldError, orjson.JSONEncodeError):
+            number, spec = 0, _UNREADABLE_SPEC
+        return peer_state.StoredObject(
+            name,
+            store_revisions.StoreRevision(era, ids.ObjectVersion(number)),
+            spec,
+        )
+
 
 def _watch_query(
     revision: store_revisions.StoreRevision, wait_ms: int
@@ -198,50 +279,38 @@
     return ids.StoreEra(int(value) if readable else 0)
 
 
-def _decode_changes(
-    answer: _Answer, asked_era: ids.StoreEra
-) -> result.Result[codecs.Changes, codecs.SourceError]:
-    """Returns the changed objects, removed names and revision of a watch.
+def _parse(body: bytes) -> dict[str, fields.JsonValue]:
+    """Returns the body of an answer; odd objects in it have no content.
 
-    In another era the revision that was asked from stands for other contents,
-    so that changes may be missing from the answer.
+    Raises:
+        FieldError: The body is not an object.
+        ValueError: It is no JSON, apart from the objects in it.
     """
-    if answer.era != asked_era:
-        return result.Err(codecs.SourceError.HISTORY_GONE)
-    latest: dict[str, peer_state.StoredObject | None] = {}
     try:
-        for item in fields.array(answer.body, "events"):
-            event = fields.as_table(item, "events")
-            stored = _decode_object(event.get("object"), answer.era)
-            deleted = fields.boolean(event, "deleted")
-            latest[stored.name] = None if deleted else stored
-        revision_seen = answer.revision
-    except fields.FieldError:
-        return result.Err(codecs.SourceError.MALFORMED)
-    return result.Ok(
-        (
-            tuple(o for o in latest.values() if o is not None),
-            tuple(name for name, o in latest.items() if o is None),
-            revision_seen,
+        return fields.as_table(orjson.loads(body), "body")
+    except orjson.JSONDecodeError:
+        slices = json_slices.members(body)
+    parsed: dict[str, fields.JsonValue] = {}
+    for key, value in slices.items():
+        parsed[orjson.loads(key)] = (
+            [_parse_part(part) for part in json_slices.elements(value)]
+            if value.startswith(b"[")
+            else orjson.loads(value)
         )
-    )
+    return parsed
 
 
-def _decode_object(
-    item: fields.JsonValue, era: ids.StoreEra
-) -> peer_state.StoredObject:
-    """Returns an object with its content as JSON bytes.
-
-    Raises:
-        FieldError: The name or revision is missing.
-    """
-    metadata = fields.as_table(
-        fields.as_table(item, "object").get("metadata"), "metadata"
-    )
-    return peer_state.StoredObject(
-        fields.string(metadata, "name"),
-        store_revisions.StoreRevision(
-            era, ids.ObjectVersion(fields.integer(metadata, "revision", 0))
-        ),
-        orjson.dumps(item.get("spec")),
-    )
+def _parse_part(part: bytes) -> fields.JsonValue:
+    """Returns an object or an event, without what can't be parsed in it."""
+    try:
+        return orjson.loads(part)
+    except orjson.JSONDecodeError:
+        slices = json_slices.members(part)
+    parsed: dict[str, fields.JsonValue] = {}
+    for key, value in slices.items():
+        try:
+            parsed[orjson.loads(key)] = orjson.loads(value)
+        except orjson.JSONDecodeError:
+            if key == _OBJECT_KEY:
+                parsed["object"] = _parse_part(value)
+    return parsed
--- a/packages/standin/src/lavendershed/standin/platform_store.py
+++ b/packages/standin/src/lavendershed/standin/platform_store.py
@@ -17,6 +17,9 @@
 
 _PAGE_SIZE = 500
 
+# An object, or the JSON bytes of an odd one.
+StoredJson = dict[str, Any] | orjson.Fragment
+
 
 class StoreFault(enum.Enum):
     """Fault that is injected into subsequent calls."""
@@ -32,7 +35,7 @@
     revision: int
     kind: str
     deleted: bool
-    stored_object: dict[str, Any]
+    stored_object: StoredJson
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,7 +43,7 @@
     """Contents of the store at one revision."""
 
     revision: int
-    objects: dict[tuple[str, str], dict[str, Any]]
+    objects: dict[tuple[str, str], StoredJson]
 
 
 class StandinPlatformStore(handlers.Handler):
@@ -50,7 +53,7 @@
         self._server = server.HttpServer(
             self, timer_service, server.ServerLimits()
         )
-        self._objects: dict[tuple[str, str], dict[str, Any]] = {}
+        self._objects: dict[tuple[str, str], StoredJson] = {}
         self._changes: list[_Change] = []
         self._revision = 1
         self._oldest_revision = 1
@@ -93,6 +96,13 @@
         self._record_change(kind, stored_object, deleted=False)
         return self._revision
 
+    def put_odd(self, kind: str, name: str, encoded: bytes) -> None:
+        """Writes an object that another writer has left, as its JSON bytes."""
+        self._revision += 1
+        stored_object = orjson.Fragment(encoded)
+        self._objects[(kind, name)] = stored_object
+        self._record_change(kind, stored_object, deleted=False)
+
     def delete(self, kind: str, name: str) -> None:
         """Deletes an object."""
         self._revision += 1
@@ -225,7 +235,7 @@
         await responder.respond(200, orjson.dumps(body), self._headers)
 
     def _record_change(
-        self, kind: str, stored_object: dict[str, Any], *, deleted: bool
+        self, kind: str, stored_object: StoredJson, *, deleted: bool
     ) -> None:
         self._changes.append(
             _Change(self._revision, kind, deleted, stored_object)
