Believe a refusal only if it names the request

Callers would be told "not run, try again" for a request that an engine is running, or it would run at a second engine, if a faulty engine writes an earlier refusal once more on a kept connection.

Cause: status 421 was taken for "another server has the address" before the echoed id was compared, and a refusal without an id counted for this request.

Change: both need the id of the request.

--- a/packages/platform/src/lavendershed/platform/engines.py
+++ b/packages/platform/src/lavendershed/platform/engines.py
@@ -198,15 +198,20 @@
     response_fields: dict[str, str],
     caller: requests.CallerRequest,
 ) -> requests.ResponseKind:
-    if head.status == _WRONG_SERVER_STATUS:
-        return requests.ResponseKind.WRONG_SERVER
+    # Engines echo the id in all answers. A refusal that was written again, or
+    # names no request, says nothing about this one.
     echoed_id = response_fields.get(header_names.REQUEST_ID)
     if echoed_id is not None and echoed_id != caller.id:
         return requests.ResponseKind.OTHER_REQUEST
-    if header_names.NOT_RUN in response_fields:
+    if head.status == _WRONG_SERVER_STATUS and echoed_id is not None:
+        return requests.ResponseKind.WRONG_SERVER
+    if header_names.NOT_RUN in response_fields and echoed_id is not None:
         return requests.ResponseKind.NOT_RUN
     if not 200 <= head.status < 300:
-        if head.status in _NOT_RUN_STATUSES:
+        if (
+            head.status in _NOT_RUN_STATUSES
+            or header_names.NOT_RUN in response_fields
+        ):
             return requests.ResponseKind.INVALID
         return requests.ResponseKind.FAILURE
     if (
--- a/packages/platform/tests/test_engines.py
+++ b/packages/platform/tests/test_engines.py
@@ -25,7 +25,8 @@
     None,
     None,
 )
-VALID_HEADERS = {"attempt-id": "r1", "engine-seal": "s"}
+OWN_ID = {"attempt-id": "r1"}
+VALID_HEADERS = {**OWN_ID, "engine-seal": "s"}
 
 
 class DecodeTest(unittest.TestCase):
@@ -42,12 +43,12 @@
             (200, {"engine-seal": "s"}, KIND.INVALID),
             (200, {**VALID_HEADERS, "content-encoding": "gzip"}, KIND.INVALID),
             (200, {**VALID_HEADERS, "attempt-id": "r2"}, KIND.OTHER_REQUEST),
-            (503, {"not-executed": "1"}, KIND.NOT_RUN),
-            (429, {"not-executed": "1"}, KIND.NOT_RUN),
+            (503, {**OWN_ID, "not-executed": "1"}, KIND.NOT_RUN),
+            (429, {**OWN_ID, "not-executed": "1"}, KIND.NOT_RUN),
             (503, {}, KIND.INVALID),
             (429, VALID_HEADERS, KIND.INVALID),
             (408, VALID_HEADERS, KIND.INVALID),
-            (421, {"instance-id": "i"}, KIND.WRONG_SERVER),
+            (421, OWN_ID, KIND.WRONG_SERVER),
             (500, VALID_HEADERS, KIND.FAILURE),
             (504, VALID_HEADERS, KIND.FAILURE),
             (404, VALID_HEADERS, KIND.FAILURE),
@@ -55,6 +56,25 @@
             with self.subTest(status=status, headers=headers):
                 self.assertIs(self.decode(status, headers).kind, kind)
 
+    def test_a_refusal_of_another_request_is_not_believed(self):
+        """Guards against a caller that is told "not run" while it runs.
+
+        A faulty server writes an earlier refusal once more on a connection that
+        is in use again, or one that names no request.
+        """
+        for status, headers in (
+            (421, {}),
+            (503, {"not-executed": "1"}),
+            (429, {"not-executed": "1"}),
+            (400, {"not-executed": "1"}),
+        ):
+            with self.subTest(status=status):
+                other = {**headers, "attempt-id": "r2"}
+                self.assertIs(
+                    self.decode(status, other).kind, KIND.OTHER_REQUEST
+                )
+                self.assertIs(self.decode(status, headers).kind, KIND.INVALID)
+
     def test_request_limits(self):
         """Guards against a limit of an engine that is not read, or misread."""
         codec = engines.PlatformBackendCodec()
@@ -89,7 +109,7 @@
 
     def test_faulty_server_is_decoded(self):
         response = self.decode(
-            503, {"not-executed": "1", "at-server": "10.0.0.3:80"}
+            503, {**OWN_ID, "not-executed": "1", "at-server": "10.0.0.3:80"}
         )
         self.assertEqual(
             response.faulty_server, addresses.Address("10.0.0.3", 80)
--- a/packages/standin/src/lavendershed/standin/platform_engine.py
+++ b/packages/standin/src/lavendershed/standin/platform_engine.py
@@ -217,18 +217,21 @@
                 self._timers.now(),
             )
         )
+        own_id = ("attempt-id", headers.get("attempt-id", ""))
         if misdirected or fault is EngineFault.WRONG_SERVER:
-            await responder.respond(421, b"", (("instance-id", self._id),))
+            await responder.respond(
+                421, b"", (own_id, ("instance-id", self._id))
+            )
             return
         if helper_unreachable is not None:
             at_server_header = ("at-server", str(helper_unreachable))
             await responder.respond(
-                503, b"", (("not-executed", "1"), at_server_header)
+                503, b"", (own_id, ("not-executed", "1"), at_server_header)
             )
             return
         if fault is EngineFault.SHED:
             await responder.respond(
-                503, b"", (("not-executed", "1"), *self._limit_headers)
+                503, b"", (own_id, ("not-executed", "1"), *self._limit_headers)
             )
             return
         self._open += 1
