Use a connection for one call to an engine only

A request could be sent to engines that hold no memory for it, and be cut off there, if a faulty engine sent a second copy of a grant late.

Cause: answers to reservations and status queries have no id, so that on a kept connection a copy of the last one is taken for the answer to the next call.

Change: the connection is closed after the call.

--- a/packages/forwarding/src/lavendershed/forwarding/codecs.py
+++ b/packages/forwarding/src/lavendershed/forwarding/codecs.py
@@ -77,8 +77,8 @@
     @abc.abstractmethod
     def decode_reservation_status(
         self, head: client.ResponseHead
-    ) -> tuple[requests.ReservationStatus, units.Seconds | None]:
-        """Returns the reservation status and the keep-alive timeout."""
+    ) -> requests.ReservationStatus:
+        """Returns the reservation status."""
 
     @abc.abstractmethod
     def encode_status_query(
--- a/packages/forwarding/src/lavendershed/forwarding/engine_inspection.py
+++ b/packages/forwarding/src/lavendershed/forwarding/engine_inspection.py
@@ -100,7 +100,6 @@
         if isinstance(acquired, result.Err):
             return result.Err(acquired.err_value.detail)
         connection = acquired.ok_value.connection
-        returned_to_pool = False
         try:
             query = self._codec.encode_status_query(engine.id)
             sent_at = self._timers.now()
@@ -118,13 +117,8 @@
                 self._limit_observer.on_answer(
                     engine, head.ok_value, sent_at, to_call=True
                 )
-                self._connections.release(
-                    engine.address,
-                    connection,
-                    status.ok_value.keep_alive_timeout,
-                )
-                returned_to_pool = True
             return status
         finally:
-            if not returned_to_pool:
-                connection.close()
+            # Answers to queries have no id, so that a late copy of this one
+            # would be taken for the answer to the next query.
+            connection.close()
--- a/packages/forwarding/src/lavendershed/forwarding/requests.py
+++ b/packages/forwarding/src/lavendershed/forwarding/requests.py
@@ -163,8 +163,6 @@
     Attributes:
         slowdown: Ratio of its actual to its nominal latency; 1 if it is not
             slow.
-        keep_alive_timeout: Time until it closes the idle connection.
     """
 
     slowdown: float
-    keep_alive_timeout: units.Seconds | None
--- a/packages/forwarding/src/lavendershed/forwarding/reservations.py
+++ b/packages/forwarding/src/lavendershed/forwarding/reservations.py
@@ -175,7 +175,6 @@
         if isinstance(acquired, result.Err):
             return requests.ReservationStatus.UNKNOWN
         connection = acquired.ok_value.connection
-        returned_to_pool = False
         try:
             sent_at = self._timers.now()
             sent = await connection.send(call.head, call.body, _CALL_TIMEOUT)
@@ -187,18 +186,13 @@
             body = await connection.read_body(_CALL_TIMEOUT, _MAX_RESPONSE_BODY)
             if isinstance(body, result.Err):
                 return requests.ReservationStatus.UNKNOWN
-            status, keep_alive_timeout = self._codec.decode_reservation_status(
-                head.ok_value
-            )
+            status = self._codec.decode_reservation_status(head.ok_value)
             if status in _STATUSES_FROM_HOLDER:
                 self._limit_observer.on_answer(
                     holder, head.ok_value, sent_at, to_call=True
                 )
-            self._connections.release(
-                holder.address, connection, keep_alive_timeout
-            )
-            returned_to_pool = True
             return status
         finally:
-            if not returned_to_pool:
-                connection.close()
+            # Answers to calls have no id, so that a late copy of this one would
+            # be taken for the answer to the next call.
+            connection.close()
--- a/packages/platform/src/lavendershed/platform/engines.py
+++ b/packages/platform/src/lavendershed/platform/engines.py
@@ -133,14 +133,13 @@
 
     def decode_reservation_status(
         self, head: client.ResponseHead
-    ) -> tuple[requests.ReservationStatus, units.Seconds | None]:
-        """Returns the reservation result and the connection's idle timeout."""
+    ) -> requests.ReservationStatus:
+        """Returns the reservation result."""
         if _answers_request(head):
-            return requests.ReservationStatus.UNKNOWN, None
-        outcome = _RESERVATION_RESULTS.get(
+            return requests.ReservationStatus.UNKNOWN
+        return _RESERVATION_RESULTS.get(
             head.status, requests.ReservationStatus.UNKNOWN
         )
-        return outcome, _idle_timeout(dict(head.headers))
 
     def encode_status_query(
         self, server: ids.BackendServerId
@@ -164,11 +163,7 @@
             slowdown = fields.number(report, "pace", 1.0)
         except (fields.FieldError, orjson.JSONDecodeError) as error:
             return result.Err(f"invalid report: {error}")
-        return result.Ok(
-            requests.EngineStatus(
-                max(1.0, slowdown), _idle_timeout(dict(head.headers))
-            )
-        )
+        return result.Ok(requests.EngineStatus(max(1.0, slowdown)))
 
 
 def _answers_request(head: client.ResponseHead) -> bool:
