Go on elsewhere after an empty answer without a length

Cause: an answer without any event was taken for a whole one if the caller had events already, since an engine that is asked for events after the last one has none to send. Without a length that can't be told from a crash.

Change: without an event of its own, an answer is complete only if it states its length or comes in chunks.

--- a/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
@@ -236,7 +236,11 @@
             context.limit_observer.on_answer(engine, head.ok_value, sent_at)
         if response.kind is requests.ResponseKind.SUCCESS:
             attempt_result = await self._relay(
-                lease, response, task_ids, due_at
+                lease,
+                response,
+                task_ids,
+                due_at,
+                delimited=head.ok_value.delimits_body,
             )
             complete = (
                 attempt_result.outcome
@@ -273,6 +277,8 @@
         response: requests.BackendResponseHead,
         task_ids: list[int],
         due_at: units.Instant,
+        *,
+        delimited: bool,
     ) -> attempts.AttemptResult:
         """Relays complete events until the stream ends.
 
@@ -292,8 +298,10 @@
                         "stream ended with an incomplete event"
                     )
                 # A stream without a length ends with its connection, also if
-                # the engine has crashed.
-                if self._delivery.last_event_id is None:
+                # the engine has crashed before its first event.
+                if self._delivery.last_event_id is None or not (
+                    delimited or self._answer_begun
+                ):
                     return self._on_broken_off("stream ended without an event")
                 self._context.health.on_success(engine.id, engine.incarnation)
                 # A resumed caller that has all events gets an empty stream.
--- a/packages/transport/src/lavendershed/transport/client.py
+++ b/packages/transport/src/lavendershed/transport/client.py
@@ -44,6 +44,14 @@
         """Returns the first header with this lower-case name."""
         return next((v for n, v in self.headers if n == name), None)
 
+    @property
+    def delimits_body(self) -> bool:
+        """Whether the end of the body differs from that of the connection."""
+        return (
+            self.header("content-length") is not None
+            or self.header("transfer-encoding") is not None
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Response:
