--- a/tools/measure_forwarding.py
+++ b/tools/measure_forwarding.py
@@ -7,14 +7,20 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import itertools
 import random
 import statistics
 import time
 
+from lavendershed.admission import permit_allocator
 from lavendershed.core import addresses
 from lavendershed.core import ids
 from lavendershed.core import store_revisions
+from lavendershed.core import units
+from lavendershed.membership import peer_table
+from lavendershed.membership import permit_issuers
 from lavendershed.peer import load_reports
+from lavendershed.peer import permit_messages
 from lavendershed.routing import engine_choice
 from lavendershed.routing import engine_slowdown
 from lavendershed.routing import latency_model
@@ -105,12 +111,68 @@
     )
 
 
+def measure_permits(daemon_count: int) -> None:
+    """Prints size and time of the messages for one permit."""
+    call = permit_messages.PermitCall(
+        1_000_000,
+        ids.ServerNumber(4_000_000_000),
+        units.RequestsPerSecond(1.25),
+        units.Seconds(0.5),
+        as_standby=False,
+    )
+    reply = permit_messages.PermitReply(1_000_000, units.Seconds(0.25))
+    encoded_call = permit_messages.encode_call(call)
+    encoded_reply = permit_messages.encode_reply(reply)
+    caller_us = microseconds(
+        lambda: (
+            permit_messages.encode_call(call),
+            permit_messages.decode(encoded_reply),
+        ),
+        500,
+    )
+    allocator = permit_allocator.PermitAllocator()
+    issuer_us = microseconds(
+        lambda: (
+            permit_messages.decode(encoded_call),
+            allocator.request(call.server, call.rate, _NOW, as_standby=False),
+            permit_messages.encode_reply(reply),
+        ),
+        500,
+    )
+    peers = peer_table.PeerTable(addresses.Address("10.0.0.1", 7_340))
+    for number in range(daemon_count - 1):
+        peers.on_report(
+            addresses.Address(f"10.{number // 250}.1.{number % 250}", 7_340),
+            ids.Incarnation(number),
+            1,
+            (),
+            engine_samples.ZONE,
+            _NOW,
+        )
+    issuers = permit_issuers.PermitIssuers(
+        addresses.Address("10.0.0.1", 7_340), peers
+    )
+    numbers = itertools.count()
+    first_us = microseconds(
+        lambda: issuers.issuers(ids.ServerNumber(next(numbers))), 50
+    )
+    known_us = microseconds(lambda: issuers.issuers(ids.ServerNumber(0)), 500)
+    print(
+        f"permit: call {len(encoded_call)} bytes, reply {len(encoded_reply)} "
+        f"bytes, caller {caller_us:.0f} us, issuer {issuer_us:.0f} us; "
+        f"issuer among {daemon_count} daemons: first {first_us:.0f} us, "
+        f"known {known_us:.0f} us"
+    )
+
+
 def main() -> None:
     """Prints all measurements."""
     for count in (20, 70, 1_000, 10_000):
         measure_choice(count)
     for task_count in (0, 5, 20, 40):
         measure_report(task_count)
+    for daemon_count in (8, 60, 195, 730):
+        measure_permits(daemon_count)
 
 
 if __name__ == "__main__":
