Share the servers of tests that send bytes of their own choice

Cause: four tests read requests and closed connections with copies of the same code.

Change: a base class; the servers hold only what they send.

--- a/tests/test_errors_in_streams.py
+++ b/tests/test_errors_in_streams.py
@@ -11,8 +11,7 @@
 import unittest
 
 import platform_case
-
-from lavendershed.transport import address as address_module
+import raw_server
 
 EVENTS = tuple(
     f"id: {number}\ndata: piece {number}\n\n".encode() for number in (1, 2, 3)
@@ -75,30 +74,15 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
-class ScriptedEngine:
+class ScriptedEngine(raw_server.RawServer):
     """Breaks off after two events; answers what follows with some bytes."""
 
     def __init__(self, name, deployment):
-        self.id = name
+        super().__init__(name)
         self._deployment = deployment
-        self._server = None
-
-    async def start(self):
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()
-        self.address = address_module.Address(host, port)
-
-    def close(self):
-        self._server.close()
-
-    async def _serve(self, reader, writer):
-        head = await reader.readuntil(b"\r\n\r\n")
-        fields = dict(
-            line.lower().split(b": ", 1)
-            for line in head.split(b"\r\n")[1:]
-            if b": " in line
-        )
-        await reader.readexactly(int(fields.get(b"content-length", 0)))
+
+    async def serve(self, reader, writer):
+        fields = await self.read_request(reader)
         identity = {b"id": fields[b"attempt-id"]}
         if b"last-event-id" not in fields:
             writer.write(CHUNKED % identity + chunk(EVENTS[0]))
@@ -114,7 +98,6 @@
             self._deployment.later_answer,
         )
         writer.write(answer.replace(b"%(id)s", fields[b"attempt-id"]))
-        writer.close()
 
 
 class ErrorInStreamTest(platform_case.PlatformCase):
--- a/tests/test_platform_connections.py
+++ b/tests/test_platform_connections.py
@@ -7,11 +7,11 @@
 import unittest
 
 import platform_case
+import raw_server
 
 from lavendershed.core import units
 from lavendershed.forwarding import requests
 from lavendershed.routing import memory_shares
-from lavendershed.transport import address as address_module
 from lavendershed.transport import client
 
 SERVICE = platform_case.PLAIN_SERVICE
@@ -31,51 +31,30 @@
     )
 
 
-class CopyingServer:
+class CopyingServer(raw_server.RawServer):
     """Sends a second copy of each response when the next request arrives.
 
     The copy comes before the response to that request.
     """
 
     def __init__(self):
-        self.id = "copying"
+        super().__init__("copying")
         self.connections = 0
         self.requests = []
-        self._server = None
 
-    async def start(self):
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()
-        self.address = address_module.Address(host, port)
-
-    def close(self):
-        self._server.close()
-
-    async def _serve(self, reader, writer):
+    async def serve(self, reader, writer):
         self.connections += 1
         copy = b""
-        try:
-            while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                fields = dict(
-                    line.lower().split(b": ", 1)
-                    for line in head.split(b"\r\n")[1:]
-                    if b": " in line
-                )
-                await reader.readexactly(int(fields.get(b"content-length", 0)))
-                request_id = fields.get(b"attempt-id", b"")
-                self.requests.append(request_id.decode())
-                response = respond(request_id)
-                writer.write(copy)
-                await writer.drain()
-                await asyncio.sleep(RESPONSE_DELAY_S)
-                writer.write(response)
-                copy = response
-        except (asyncio.IncompleteReadError, OSError):
-            # The daemon has closed the connection.
-            return
-        finally:
-            writer.close()
+        while True:
+            fields = await self.read_request(reader)
+            request_id = fields.get(b"attempt-id", b"")
+            self.requests.append(request_id.decode())
+            response = respond(request_id)
+            writer.write(copy)
+            await writer.drain()
+            await asyncio.sleep(RESPONSE_DELAY_S)
+            writer.write(response)
+            copy = response
 
 
 class LateCopyTest(platform_case.PlatformCase):
@@ -143,43 +122,28 @@
         self.assertTrue(codec.decode_status(head, b"{}").is_err())
 
 
-class OrderCopyServer:
+class OrderCopyServer(raw_server.RawServer):
     """Grants the first order on a connection and refuses the others.
 
     It sends a second copy of the grant where the next answer is expected.
     """
 
     def __init__(self):
+        super().__init__("order-copying")
         self.orders = 0
-        self._server = None
-
-    async def start(self):
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()
-        self.address = address_module.Address(host, port)
-
-    def close(self):
-        self._server.close()
 
-    async def _serve(self, reader, writer):
+    async def serve(self, reader, writer):
         grant = (
             b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n"
             b"keep-alive: timeout=5\r\n\r\n{}"
         )
         refusal = grant.replace(b"200 OK", b"409 Conflict")
         copy = b""
-        try:
-            while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                length = head.lower().split(b"content-length: ")[1]
-                await reader.readexactly(int(length.split(b"\r\n")[0]))
-                self.orders += 1
-                writer.write(copy + (grant if self.orders == 1 else refusal))
-                copy = grant
-        except (asyncio.IncompleteReadError, OSError):
-            return
-        finally:
-            writer.close()
+        while True:
+            await self.read_request(reader)
+            self.orders += 1
+            writer.write(copy + (grant if self.orders == 1 else refusal))
+            copy = grant
 
 
 class OrderCopyTest(platform_case.PlatformCase):
--- a/tests/test_unframed_streams.py
+++ b/tests/test_unframed_streams.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-import asyncio
 import unittest
 
 import platform_case
-
-from lavendershed.transport import address as address_module
+import raw_server
 
 EVENTS = tuple(
     f"id: {number}\ndata: piece {number}\n\n".encode() for number in (1, 2, 3)
@@ -16,31 +14,16 @@
 MAX_TRIES = 40
 
 
-class UnframedEngine:
+class UnframedEngine(raw_server.RawServer):
     """Sends the first bytes of a stream and closes the connection."""
 
     def __init__(self):
-        self.id = "unframed"
+        super().__init__("unframed")
         self.body = BODY
         self.requests = 0
-        self._server = None
-
-    async def start(self):
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()
-        self.address = address_module.Address(host, port)
-
-    def close(self):
-        self._server.close()
-
-    async def _serve(self, reader, writer):
-        head = await reader.readuntil(b"\r\n\r\n")
-        fields = dict(
-            line.lower().split(b": ", 1)
-            for line in head.split(b"\r\n")[1:]
-            if b": " in line
-        )
-        await reader.readexactly(int(fields[b"content-length"]))
+
+    async def serve(self, reader, writer):
+        fields = await self.read_request(reader)
         self.requests += 1
         request_id = fields[b"attempt-id"]
         writer.write(
@@ -48,7 +31,6 @@
             b"content-type: text/event-stream\r\n\r\n%s"
             % (request_id, request_id, self.body)
         )
-        writer.close()
 
 
 class UnframedStreamTest(platform_case.PlatformCase):
