Don't retry at an engine that failed because the others are limited

Cause: engines that deny a permit are left out of the choice. An engine that had just refused the request was then the only one left, is used if there are no others, and got the request four times within 6 ms.

Change: a request whose only available servers have failed it waits for the others, or is rejected with the time at which a permit is due.

Result: test_an_engine_that_refuses_is_not_asked_at_once_again got 4 requests where 1 is allowed, and passes.

--- a/packages/forwarding/src/lavendershed/forwarding/permits.py
+++ b/packages/forwarding/src/lavendershed/forwarding/permits.py
@@ -93,12 +93,41 @@
         now = self._timers.now()
         return tuple(s for s in servers if self.available_at(s) <= now)
 
+    def candidates(
+        self,
+        servers: tuple[server_directory.ServerEntry, ...],
+        failed: frozenset[ids.BackendServerId],
+    ) -> tuple[server_directory.ServerEntry, ...]:
+        """Returns the servers that one request may be sent to now.
+
+        If only servers that have failed it are left because the others have
+        no permit now, it has to wait for these.
+
+        Args:
+            servers: Servers that accept new requests.
+            failed: Servers that have failed the request.
+        """
+        available = self.available_servers(servers)
+        if len(available) < len(servers) and failed.issuperset(
+            server.id for server in available
+        ):
+            return ()
+        return available
+
     def wait_time(
-        self, servers: Iterable[server_directory.ServerEntry]
+        self,
+        servers: Iterable[server_directory.ServerEntry],
+        failed: frozenset[ids.BackendServerId] = frozenset(),
     ) -> units.Seconds:
-        """Returns the time until the first of some servers may be chosen."""
+        """Returns the time until the first of some servers may be chosen.
+
+        Args:
+            servers: The servers.
+            failed: Servers that count only if there are no others.
+        """
         now = self._timers.now()
-        earliest = min(map(self.available_at, servers), default=now)
+        others = [s for s in servers if s.id not in failed]
+        earliest = min(map(self.available_at, others or servers), default=now)
         return units.Seconds(max(0.0, earliest - now))
 
     def log_fields(
--- a/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
@@ -129,7 +129,9 @@
             return self._reject(
                 chooser, candidates, "found no capacity in time"
             )
-        permit_wait = context.permits.wait_time(candidates)
+        permit_wait = context.permits.wait_time(
+            candidates, self._attempts.failed_servers
+        )
         if units.after(now, permit_wait) >= waiting.due_at:
             return self._reject(
                 chooser, candidates, "exceeds the limits of its engines"
@@ -191,7 +193,9 @@
                         max(
                             chooser.backlog(candidates, now)
                             + waiting_time / len(candidates),
-                            context.permits.wait_time(candidates),
+                            context.permits.wait_time(
+                                candidates, self._attempts.failed_servers
+                            ),
                         )
                     ),
                 ),
@@ -298,7 +302,9 @@
         chooser = context.choosers.chooser(self._admitted_request.service)
         if chooser is None:
             return None
-        candidates = context.permits.available_servers(self._candidates)
+        candidates = context.permits.candidates(
+            self._candidates, failed_servers
+        )
         limited = frozenset(
             engine.id
             for engine in candidates
--- a/packages/forwarding/src/lavendershed/forwarding/unary_execution.py
+++ b/packages/forwarding/src/lavendershed/forwarding/unary_execution.py
@@ -57,7 +57,9 @@
 
     def _no_server_failure(self) -> outcomes.RequestFailure:
         service = self._admitted_request.service.id
-        wait = self._context.permits.wait_time(self._candidates)
+        wait = self._context.permits.wait_time(
+            self._candidates, self._attempts.failed_servers
+        )
         if not wait:
             return self._attempts.build_failure(
                 states.FailureReason.NO_BACKEND_SERVER,
@@ -84,7 +86,9 @@
             if server is not None and not await permits.acquire((server,)):
                 self._log_dispatch(server)
                 return server
-            wait = permits.wait_time(self._candidates)
+            wait = permits.wait_time(
+                self._candidates, self._attempts.failed_servers
+            )
             if server is None and not wait:
                 return None
             if units.after(self._context.timers.now(), wait) >= due_at:
@@ -93,7 +97,9 @@
 
     def _choose_server(self) -> server_directory.ServerEntry | None:
         context = self._context
-        candidates = context.permits.available_servers(self._candidates)
+        candidates = context.permits.candidates(
+            self._candidates, self._attempts.failed_servers
+        )
         avoided = context_module.avoided_servers(
             context, candidates, self._attempts.failed_servers
         )
--- a/tests/test_engine_limits.py
+++ b/tests/test_engine_limits.py
@@ -7,6 +7,7 @@
 
 import platform_case
 
+from lavendershed.standin import platform_engine
 from lavendershed.telemetry import events
 
 DAEMONS = 3
@@ -19,6 +20,7 @@
 LEARNING_S = 3.0
 REQUEST_INTERVAL_S = 0.05
 SETTLING_S = 2.0
+REFUSED_REQUESTS = 3
 
 
 def entry_count(daemon):
@@ -95,6 +97,32 @@
             )
         self.assertEqual({r.head.status for r in responses}, {200})
 
+    async def test_an_engine_that_refuses_is_not_asked_at_once_again(self):
+        """Guards against retries at the only engine without a limit.
+
+        Retries of all daemons are limited, and the engine is full already.
+        """
+        sound, *limited = self.engines
+        for engine in limited:
+            engine.request_limit = "0.1"
+        context = self.daemon.parts.components.context
+
+        def knows_limits():
+            return all(
+                context.limit_observer.limit(entry) is not None
+                for entry in context.view.directory.entries
+                if entry.id in {engine.id for engine in limited}
+            )
+
+        while not knows_limits():
+            await self.stream()
+        sound.fault = platform_engine.EngineFault.SHED
+        for _ in range(REFUSED_REQUESTS):
+            received = len(sound.received_requests)
+            response = await self.stream()
+            self.assertEqual(response.head.status, 503)
+            self.assertLessEqual(len(sound.received_requests) - received, 1)
+
     async def test_a_decision_logs_the_limit_and_its_age(self):
         """Without it, an unknown limit can't be told from a broken one."""
         for engine in self.engines:
