Add failing tests of a request that crashes engine after engine

Cause: each daemon excuses the first interrupted answer by itself, and losses under calls are not counted at all. Change: tests with eight daemons that report to each other, engines that register again after a crash, and sound traffic.

--- a/packages/standin/src/lavendershed/standin/platform_engine.py
+++ b/packages/standin/src/lavendershed/standin/platform_engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 import enum
 import itertools
@@ -107,6 +108,11 @@
         self.deadly_parts: frozenset[str] = frozenset()
         self.restart_seconds = 0.3
         self.crashes = 0
+        # Bodies of requests that crash the engine after one event of their
+        # stream, or instead of their answer if it is no stream.
+        self.deadly_bodies: frozenset[bytes] = frozenset()
+        # Called when the engine listens again after a crash.
+        self.on_restart: Callable[[], object] = lambda: None
         self._restart: asyncio.Task[None] | None = None
         # Whether all events of a stream are sent in one write.
         self.coalesces_events = False
@@ -172,6 +178,7 @@
         await asyncio.sleep(self.restart_seconds)
         self._server = self._new_server(self._timers)
         await self._server.start(address)
+        self.on_restart()
 
     def _new_server(
         self, timer_service: timers.TimerService
@@ -272,7 +279,16 @@
             await self._drip(responder, b"x")
             return
         if "token-count" in headers:
-            await self._stream(headers, responder, response_headers, fault)
+            await self._stream(
+                headers,
+                responder,
+                response_headers,
+                fault,
+                crashes=request.body in self.deadly_bodies,
+            )
+            return
+        if request.body in self.deadly_bodies:
+            self.crash()
             return
         body = b"answer of " + self._id.encode() + b" to " + request.body
         await responder.respond(200, body, response_headers)
@@ -316,6 +332,8 @@
         responder: handlers.Responder,
         response_headers: tuple[tuple[str, str], ...],
         fault: EngineFault,
+        *,
+        crashes: bool,
     ) -> None:
         prompt_tokens = int(headers["token-count"].partition(",")[0])
         if self._model is not None:
@@ -373,6 +391,11 @@
             if not self.coalesces_events or event_id >= self._events_per_stream:
                 await responder.write(batch)
                 batch = b""
+            if crashes:
+                # The caller reads the event before the connection is reset.
+                await asyncio.sleep(self.event_interval_s)
+                self.crash()
+                return
         await responder.finish()
 
     def _is_deadly(self, headers: dict[str, str]) -> bool:
--- /dev/null
+++ b/tests/test_request_crashes.py
@@ -0,0 +1,116 @@
+"""Tests that a request can't crash engine after engine."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+import platform_case
+
+DAEMONS = 8
+ENGINES = 12
+DEADLY = b"crashes its engine"
+# The engines that are known to have ended under a request before it is refused,
+# and the requests that may reach engines after that.
+MAX_CRASHES = 3 + 3
+
+
+class RequestCrashCase(platform_case.PlatformCase):
+    """Daemons that tell each other of crashes, and sound traffic at each."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        for number in range(len(self.engines), ENGINES):
+            self.engines.append(await self.add_engine(f"e-{number}"))
+        for servers, service in (
+            (self.engines, platform_case.MODEL_SERVICE),
+            (self.plain_servers, platform_case.PLAIN_SERVICE),
+        ):
+            for engine in servers:
+                engine.deadly_bodies = frozenset({DEADLY})
+                engine.on_restart = lambda e=engine, s=service: (
+                    self.register_server(e, s, born=1 + e.crashes)
+                )
+        # A stream that can't be resumed is sent to one engine at a time.
+        once = platform_case.route(
+            "/once/",
+            "streaming",
+            platform_case.MODEL_SERVICE,
+            resumable=False,
+            gap_target_ms=100,
+            timeout_ms=30_000,
+            target_latency_ms=600,
+        )
+        self.store.put("config", "main", platform_case.configuration(2, once))
+        self.fleet = [self.daemon]
+        for _ in range(DAEMONS - 1):
+            self.fleet.append(
+                await self.start_daemon(seeds=(self.daemon.peer_address,))
+            )
+        await self.wait_until(
+            lambda: all(
+                daemon.parts.peers.fleet_size == DAEMONS
+                for daemon in self.fleet
+            )
+        )
+
+    @property
+    def crashes(self):
+        return sum(e.crashes for e in (*self.engines, *self.plain_servers))
+
+    async def send(self, daemon, body, path="/once/x"):
+        size = {} if path == "/safe/x" else {"token_count": "1000,100"}
+        return await self.request(path, body, daemon.caller_address, **size)
+
+    async def crash_engines(self, path="/once/x", rounds=16):
+        """Sends the same request to one daemon after the other."""
+        for number in range(rounds):
+            daemon = self.fleet[number % DAEMONS]
+            await asyncio.gather(
+                self.send(daemon, DEADLY, path),
+                *(
+                    self.send(other, f"sound {number}".encode(), path)
+                    for other in self.fleet
+                    for _ in range(2)
+                ),
+            )
+            await asyncio.sleep(0.4)
+
+
+class RequestCrashTest(RequestCrashCase):
+    """Fails if the crashes of a request grow with the number of daemons."""
+
+    async def test_crashes_after_the_first_event_are_counted_together(self):
+        await self.crash_engines()
+        self.assertLessEqual(self.crashes, MAX_CRASHES)
+
+    async def test_sound_requests_are_served_afterwards(self):
+        await self.crash_engines()
+        self.assertGreaterEqual(self.crashes, 1)
+        for daemon in self.fleet:
+            response = await self.send(daemon, b"sound")
+            self.assertEqual(response.head.status, 200)
+
+
+class CallCrashTest(RequestCrashCase):
+    """Fails if crashes under calls to plain services are not counted."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        for number in range(2, 8):
+            server = await self.add_engine(
+                f"l-{number}", platform_case.PLAIN_SERVICE
+            )
+            server.deadly_bodies = frozenset({DEADLY})
+            server.on_restart = lambda s=server: self.register_server(
+                s, platform_case.PLAIN_SERVICE, born=1 + s.crashes
+            )
+            self.plain_servers.append(server)
+
+    async def test_a_call_that_crashes_servers_is_refused(self):
+        await self.crash_engines("/safe/x", rounds=10)
+        self.assertLessEqual(self.crashes, MAX_CRASHES)
+
+
+if __name__ == "__main__":
+    unittest.main()
