Log what the loss of an engine is taken for

Cause: the log had the outcome of an attempt only, so that crashes, silence, planned ends and failures of the own path could not be told apart. Change: event 223 and the metric engine_losses name the cause, the evidence, its age and whether the loss is counted as a crash under the request.

--- a/packages/forwarding/src/lavendershed/forwarding/context.py
+++ b/packages/forwarding/src/lavendershed/forwarding/context.py
@@ -22,6 +22,7 @@
 from lavendershed.membership import server_directory
 from lavendershed.reliability import crash_attribution
 from lavendershed.reliability import crash_counts
+from lavendershed.reliability import engine_losses
 from lavendershed.reliability import fleet_retry_budget
 from lavendershed.reliability import server_health
 from lavendershed.routes import model
@@ -51,6 +52,7 @@
     retry_budget: fleet_retry_budget.FleetRetryBudget
     crashes: crash_counts.CrashCounts
     crash_attribution: crash_attribution.CrashAttribution
+    engine_losses: engine_losses.EngineLosses
     reservations: reservations.ReservationClient
     inspector: engine_inspection.EngineInspector
     limit_observer: limit_observer.LimitObserver
--- a/packages/forwarding/src/lavendershed/forwarding/unary_execution.py
+++ b/packages/forwarding/src/lavendershed/forwarding/unary_execution.py
@@ -13,9 +13,11 @@
 from lavendershed.forwarding import attempts
 from lavendershed.forwarding import connections
 from lavendershed.forwarding import context as context_module
+from lavendershed.forwarding import loss_recording
 from lavendershed.forwarding import request_execution
 from lavendershed.forwarding import requests
 from lavendershed.membership import server_directory
+from lavendershed.reliability import engine_losses
 from lavendershed.telemetry import events
 from lavendershed.transport import errors
 
@@ -208,6 +210,7 @@
             head.ok_value, self._admitted_request.request
         )
         if response_head.is_from_server:
+            loss_recording.record_answer(context, server)
             context.limit_observer.on_answer(server, head.ok_value, sent_at)
         body = await connection.read_body(
             units.Seconds(max(0.0, self._attempts.time_left)),
@@ -243,7 +246,18 @@
         request_id = self._admitted_request.request.id
         if isinstance(response, result.Err):
             error = response.err_value
-            if error.kind is errors.TransportErrorKind.IDLE_TIMEOUT:
+            silent = error.kind is errors.TransportErrorKind.IDLE_TIMEOUT
+            loss_recording.record_loss(
+                context,
+                self._admitted_request,
+                server,
+                engine_losses.LossEvidence.NO_DATA
+                if silent
+                else engine_losses.LossEvidence.CONNECTION_LOST,
+                answer_begun=False,
+                counted=False,
+            )
+            if silent:
                 context_module.record_failed_response(
                     context, server, "silent", request_id
                 )
--- a/packages/platform/src/lavendershed/platform/factory.py
+++ b/packages/platform/src/lavendershed/platform/factory.py
@@ -40,6 +40,7 @@
 from lavendershed.platform import store
 from lavendershed.reliability import crash_attribution
 from lavendershed.reliability import crash_counts
+from lavendershed.reliability import engine_losses
 from lavendershed.reliability import fleet_retry_budget
 from lavendershed.reliability import server_health
 from lavendershed.routing import engine_slowdown
@@ -126,6 +127,7 @@
         budget,
         crashes,
         attribution,
+        engine_losses.EngineLosses(),
         reservations.ReservationClient(
             server_connections,
             backend_codec,
--- a/packages/telemetry/src/lavendershed/telemetry/request_instruments.py
+++ b/packages/telemetry/src/lavendershed/telemetry/request_instruments.py
@@ -36,6 +36,7 @@
         self._refusals = meter.create_counter("lavendershed.refusals")
         self._attempts = meter.create_counter("lavendershed.attempts")
         self._exclusions = meter.create_counter("lavendershed.exclusions")
+        self._engine_losses = meter.create_counter("lavendershed.engine_losses")
         self._time_to_first_event = meter.create_histogram(
             "lavendershed.time_to_first_event",
             unit="s",
@@ -90,6 +91,10 @@
         """Counts an exclusion of a server from routing, by reason."""
         self._exclusions.add(1, {"server": server, "reason": reason})
 
+    def count_engine_loss(self, cause: str, *, counted: bool) -> None:
+        """Counts the loss of an engine under a request, by cause."""
+        self._engine_losses.add(1, {"cause": cause, "counted": counted})
+
     def record_time_to_first_event(
         self, service: ids.ServiceId, seconds: units.Seconds
     ) -> None:
