--- a/packages/forwarding/src/lavendershed/forwarding/connections.py
+++ b/packages/forwarding/src/lavendershed/forwarding/connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import abc
 import dataclasses
 
 import result
@@ -41,11 +42,34 @@
     reused: bool
 
 
+class Connector(abc.ABC):
+    """Opens connections to backend servers."""
+
+    @abc.abstractmethod
+    async def connect(
+        self, address: addresses.Address, timeout: units.Seconds
+    ) -> result.Result[client.ClientConnection, errors.TransportError]:
+        """Opens a connection within `timeout` seconds."""
+
+
+class TcpConnector(Connector):
+    """Opens TCP connections."""
+
+    async def connect(
+        self, address: addresses.Address, timeout: units.Seconds
+    ) -> result.Result[client.ClientConnection, errors.TransportError]:
+        """Opens a connection within `timeout` seconds."""
+        return await client.connect(address, timeout)
+
+
 class BackendConnectionPool:
     """Pool of idle connections by server address."""
 
-    def __init__(self, timer_service: timers.TimerService) -> None:
+    def __init__(
+        self, timer_service: timers.TimerService, connector: Connector
+    ) -> None:
         self._timers = timer_service
+        self._connector = connector
         self._idle: dict[addresses.Address, list[_IdleConnection]] = {}
         self._opened_count = 0
 
@@ -77,7 +101,7 @@
                 return result.Ok(ConnectionLease(candidate.connection, True))
             candidate.connection.close()
         self._opened_count += 1
-        opened = await client.connect(address, timeout)
+        opened = await self._connector.connect(address, timeout)
         return opened.map(lambda connection: ConnectionLease(connection, False))
 
     def release(
--- a/packages/platform/src/lavendershed/platform/factory.py
+++ b/packages/platform/src/lavendershed/platform/factory.py
@@ -80,8 +80,18 @@
     timer_service: timers.TimerService,
     event_log: log.EventLog,
     generator: random.Random,
+    connector: connections.Connector | None = None,
 ) -> PlatformComponents:
-    """Builds and connects all components."""
+    """Builds and connects all components.
+
+    Args:
+        platform_settings: Settings of the process.
+        incarnation: Incarnation of the process.
+        timer_service: Clock and timers.
+        event_log: Log of events.
+        generator: Source of random numbers.
+        connector: Opens connections to backend servers; TCP by default.
+    """
     health = server_health.ServerHealth()
     view = deployment_view.DeploymentView(
         objects.PlatformObjectDecoder(), health, event_log
@@ -90,7 +100,9 @@
     slowdowns = engine_slowdown.EngineSlowdowns()
     attribution = crash_attribution.CrashAttribution()
     budget = fleet_retry_budget.FleetRetryBudget(platform_settings.retry_budget)
-    server_connections = connections.BackendConnectionPool(timer_service)
+    server_connections = connections.BackendConnectionPool(
+        timer_service, connector or connections.TcpConnector()
+    )
     backend_codec = engines.PlatformBackendCodec()
     instruments = request_instruments.RequestInstruments(platform_settings.vm)
     limits = engine_limits.EngineLimits()
--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -10,6 +10,7 @@
 
 from lavendershed.core import ids
 from lavendershed.core import units
+from lavendershed.forwarding import connections
 from lavendershed.forwarding import daemon
 from lavendershed.platform import factory
 from lavendershed.platform import settings
@@ -20,6 +21,7 @@
 from lavendershed.telemetry import log
 from lavendershed.transport import boot_timers
 from lavendershed.transport import client
+from lavendershed.transport import errors
 
 TIMEOUT = units.Seconds(5.0)
 HOST = "users.example"
@@ -219,6 +221,38 @@
         ]
 
 
+class Links(connections.Connector):
+    """Links of one daemon to the servers, which a test can cut.
+
+    Attributes:
+        hang: New connections are not established.
+        refuse: New connections are refused.
+        cut_addresses: Servers that a cut concerns; all if empty.
+    """
+
+    def __init__(self):
+        self.hang = False
+        self.refuse = False
+        self.cut_addresses = frozenset()
+        self.attempts = 0
+
+    @property
+    def is_cut(self):
+        return self.hang or self.refuse
+
+    async def connect(self, address, timeout):
+        self.attempts += 1
+        if not self.is_cut or (
+            self.cut_addresses and address not in self.cut_addresses
+        ):
+            return await client.connect(address, timeout)
+        kind = errors.TransportErrorKind.CONNECT_FAILED
+        if self.hang:
+            await asyncio.sleep(timeout)
+            kind = errors.TransportErrorKind.IDLE_TIMEOUT
+        return result.Err(errors.TransportError(kind, False, str(address)))
+
+
 class RunningDaemon:
     """One daemon on the event loop of the test."""
 
@@ -226,6 +260,9 @@
         self.caller_address = loopback.own_network().free_address()
         self.ready_address = loopback.own_network().free_address()
         self.peer_address = loopback.own_network().free_address()
+        # Requests that are relayed come at the next port.
+        loopback.own_network().free_address()
+        self.links = Links()
         self.log = log.MemoryEventLog()
         self.stop = asyncio.Event()
         self.settings = settings.PlatformSettings(
@@ -247,6 +284,7 @@
             case.timers,
             self.log,
             random.Random(1),
+            self.links,
         )
         self.daemon = daemon.ForwardingDaemon(
             self.parts.components,
