--- a/packages/reliability/tests/test_crash_attribution.py
+++ b/packages/reliability/tests/test_crash_attribution.py
@@ -265,7 +265,10 @@
             for number in range(30):
                 request = parts(*range(number * 8, number * 8 + 8))
                 daemon.on_crash(
-                    next(self.fleet.engines), request, self.fleet.now
+                    next(self.fleet.engines),
+                    request,
+                    self.fleet.now,
+                    self.fleet.now,
                 )
             self.fleet.wait(0.2)
             for part in range(-200, 0):
@@ -277,6 +280,7 @@
                         next(self.fleet.engines),
                         parts(number * 8 + member),
                         self.fleet.now,
+                        self.fleet.now,
                     )
             self.fleet.wait(0.2)
         self.assertLessEqual(daemon.quarantine_count(self.fleet.now), 64)
@@ -286,7 +290,7 @@
         daemon = self.fleet.daemons[0]
         for number in range(1_000):
             request = parts(*range(number * 50, number * 50 + 50))
-            daemon.on_crash(number, request, self.fleet.now)
+            daemon.on_crash(number, request, self.fleet.now, self.fleet.now)
             daemon.on_answer_begun(parts(-number), self.fleet.now)
             self.fleet.wait(0.01)
         evidence = daemon.evidence(self.fleet.now)
