--- a/packages/membership/src/lavendershed/membership/peer_table.py
+++ b/packages/membership/src/lavendershed/membership/peer_table.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from collections.abc import Iterator
 import dataclasses
 import enum
 import functools
@@ -52,6 +53,7 @@
         heard_at: When its last report arrived that no aggregator passed on.
         watches_store: Whether it watches the store successfully.
         bandwidth_mbps: Bandwidth of its VM.
+        cut_off: Whether it is cut off from all servers.
     """
 
     zone: ids.AvailabilityZoneId
@@ -61,6 +63,7 @@
     heard_at: units.Instant
     watches_store: bool
     bandwidth_mbps: int
+    cut_off: bool
 
 
 class PeerTable:
@@ -181,6 +184,7 @@
         direct: bool = True,
         watches_store: bool = False,
         bandwidth_mbps: int = 0,
+        cut_off: bool = False,
     ) -> ReportStatus:
         """Processes a report and returns what it says about its sender.
 
@@ -195,6 +199,7 @@
                 repeats reports of daemons that have stopped meanwhile.
             watches_store: Whether the sender watches the store successfully.
             bandwidth_mbps: Bandwidth of its VM.
+            cut_off: Whether the sender is cut off from all servers.
         """
         known = self._peers.get(address)
         same_process = known is not None and known.incarnation == incarnation
@@ -213,6 +218,7 @@
             heard_at=now if direct else units.Instant(-math.inf),
             watches_store=watches_store,
             bandwidth_mbps=bandwidth_mbps,
+            cut_off=cut_off,
         )
         ranked_as = (
             None if known is None else (known.zone, known.bandwidth_mbps)
@@ -258,6 +264,20 @@
             if self._peers[address].heard_at >= instant
         )
 
+    def reaching_peers(
+        self, alive_since: units.Instant
+    ) -> Iterator[
+        tuple[addresses.Address, ids.AvailabilityZoneId, ids.Incarnation]
+    ]:
+        """Yields the peers that are not cut off from the servers.
+
+        Args:
+            alive_since: Peers not known to be alive since are left out.
+        """
+        for address, peer in self._peers.items():
+            if not peer.cut_off and peer.alive_at >= alive_since:
+                yield address, peer.zone, peer.incarnation
+
     def expire(self, now: units.Instant) -> None:
         """Removes peers and candidates that have been silent for too long."""
         silent = [
--- a/packages/peer/idl/messages.thrift
+++ b/packages/peer/idl/messages.thrift
@@ -138,10 +138,11 @@
   18: optional i32 configuration_age
   19: optional i32 servers_age
   20: optional i64 servers_known
-  // Evidence on parts of prompts that crash engines: groups of a hash of
-  // the engine's incarnation, the age of the crash in milliseconds, the number of parts, and the parts.
+  // Evidence on requests and parts of prompts that crash engines: groups of a
+  // hash of the engine's incarnation, the age of the crash in milliseconds, the
+  // number of suspects, and these. Those of whole requests are negative.
   21: optional list<i64> crashes
-  // Pairs of a part and the milliseconds since an answer on it began.
+  // Pairs of a suspect and the milliseconds since an answer cleared it.
   22: optional list<i64> begun
   // Groups of the remaining milliseconds, the number of parts, and the parts.
   23: optional list<i64> quarantines
@@ -153,6 +154,40 @@
   // newer.
   25: optional i64 server_era
   26: optional i64 servers_known_era
+  // Whether the sender is cut off from all servers, so that it runs no requests
+  // of others.
+  27: optional bool cut_off
+}
+
+// A request that passed admission at one daemon and runs at another one.
+struct RelayedRequest {
+  1: optional string id
+  2: optional string method
+  3: optional string target
+  4: optional string host
+  // Names and values by turns.
+  5: optional list<string> headers
+  6: optional binary body
+  7: optional i32 prompt_tokens
+  8: optional i32 max_output_tokens
+  9: optional i32 expected_output_tokens
+  10: optional i64 last_event_id
+  11: optional list<i64> prompt_parts
+  // The route as the first daemon knows it.
+  12: optional string route
+  13: optional string kind
+  14: optional bool resumable
+  15: optional i32 timeout_ms
+  16: optional i32 target_latency_ms
+  17: optional i32 target_inter_token_latency_ms
+  18: optional i32 max_attempts
+  19: optional string service_id
+  20: optional string organisation
+  21: optional i32 priority
+  22: optional i64 fingerprint
+  // Time since the request was received, and until its deadline.
+  23: optional i32 elapsed_ms
+  24: optional i32 left_ms
 }
 
 // Asks for a permit for one request to a limited server, or replies.
--- a/packages/peer/src/lavendershed/peer/gen/messages/ttypes.py
+++ b/packages/peer/src/lavendershed/peer/gen/messages/ttypes.py
@@ -1505,6 +1505,7 @@
      - limits
      - server_era
      - servers_known_era
+     - cut_off
 
     """
 
@@ -1534,10 +1535,11 @@
         'limits',
         'server_era',
         'servers_known_era',
+        'cut_off',
     )
 
 
-    def __init__(self, incarnation=None, sequence=None, configuration_version=None, server_revision=None, works=None, suspects=None, peers=None, slow=None, unreachable=None, sender=None, zone=None, watching=None, bundled=None, members=None, alive=None, bandwidth=None, configuration_age=None, servers_age=None, servers_known=None, crashes=None, begun=None, quarantines=None, limits=None, server_era=None, servers_known_era=None,):
+    def __init__(self, incarnation=None, sequence=None, configuration_version=None, server_revision=None, works=None, suspects=None, peers=None, slow=None, unreachable=None, sender=None, zone=None, watching=None, bundled=None, members=None, alive=None, bandwidth=None, configuration_age=None, servers_age=None, servers_known=None, crashes=None, begun=None, quarantines=None, limits=None, server_era=None, servers_known_era=None, cut_off=None,):
         self.incarnation = incarnation
         self.sequence = sequence
         self.configuration_version = configuration_version
@@ -1563,6 +1565,7 @@
         self.limits = limits
         self.server_era = server_era
         self.servers_known_era = servers_known_era
+        self.cut_off = cut_off
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1753,6 +1756,11 @@
                     self.servers_known_era = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 27:
+                if ftype == TType.BOOL:
+                    self.cut_off = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1896,6 +1904,370 @@
             oprot.writeFieldBegin('servers_known_era', TType.I64, 26)
             oprot.writeI64(self.servers_known_era)
             oprot.writeFieldEnd()
+        if self.cut_off is not None:
+            oprot.writeFieldBegin('cut_off', TType.BOOL, 27)
+            oprot.writeBool(self.cut_off)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RelayedRequest(object):
+    """
+    Attributes:
+     - id
+     - method
+     - target
+     - host
+     - headers
+     - body
+     - prompt_tokens
+     - max_output_tokens
+     - expected_output_tokens
+     - last_event_id
+     - prompt_parts
+     - route
+     - kind
+     - resumable
+     - timeout_ms
+     - target_latency_ms
+     - target_inter_token_latency_ms
+     - max_attempts
+     - service_id
+     - organisation
+     - priority
+     - fingerprint
+     - elapsed_ms
+     - left_ms
+
+    """
+
+    __slots__ = (
+        'id',
+        'method',
+        'target',
+        'host',
+        'headers',
+        'body',
+        'prompt_tokens',
+        'max_output_tokens',
+        'expected_output_tokens',
+        'last_event_id',
+        'prompt_parts',
+        'route',
+        'kind',
+        'resumable',
+        'timeout_ms',
+        'target_latency_ms',
+        'target_inter_token_latency_ms',
+        'max_attempts',
+        'service_id',
+        'organisation',
+        'priority',
+        'fingerprint',
+        'elapsed_ms',
+        'left_ms',
+    )
+
+
+    def __init__(self, id=None, method=None, target=None, host=None, headers=None, body=None, prompt_tokens=None, max_output_tokens=None, expected_output_tokens=None, last_event_id=None, prompt_parts=None, route=None, kind=None, resumable=None, timeout_ms=None, target_latency_ms=None, target_inter_token_latency_ms=None, max_attempts=None, service_id=None, organisation=None, priority=None, fingerprint=None, elapsed_ms=None, left_ms=None,):
+        self.id = id
+        self.method = method
+        self.target = target
+        self.host = host
+        self.headers = headers
+        self.body = body
+        self.prompt_tokens = prompt_tokens
+        self.max_output_tokens = max_output_tokens
+        self.expected_output_tokens = expected_output_tokens
+        self.last_event_id = last_event_id
+        self.prompt_parts = prompt_parts
+        self.route = route
+        self.kind = kind
+        self.resumable = resumable
+        self.timeout_ms = timeout_ms
+        self.target_latency_ms = target_latency_ms
+        self.target_inter_token_latency_ms = target_inter_token_latency_ms
+        self.max_attempts = max_attempts
+        self.service_id = service_id
+        self.organisation = organisation
+        self.priority = priority
+        self.fingerprint = fingerprint
+        self.elapsed_ms = elapsed_ms
+        self.left_ms = left_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.method = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.headers = []
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.headers.append(_elem124)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.body = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.prompt_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.max_output_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.expected_output_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.last_event_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.LIST:
+                    self.prompt_parts = []
+                    (_etype128, _size125) = iprot.readListBegin()
+                    for _i129 in range(_size125):
+                        _elem130 = iprot.readI64()
+                        self.prompt_parts.append(_elem130)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRING:
+                    self.route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRING:
+                    self.kind = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.BOOL:
+                    self.resumable = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.I32:
+                    self.timeout_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.I32:
+                    self.target_latency_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.I32:
+                    self.target_inter_token_latency_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.I32:
+                    self.max_attempts = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.STRING:
+                    self.service_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.STRING:
+                    self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.I32:
+                    self.priority = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.I64:
+                    self.fingerprint = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 23:
+                if ftype == TType.I32:
+                    self.elapsed_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 24:
+                if ftype == TType.I32:
+                    self.left_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RelayedRequest')
+        if self.id is not None:
+            oprot.writeFieldBegin('id', TType.STRING, 1)
+            oprot.writeString(self.id.encode('utf-8') if sys.version_info[0] == 2 else self.id)
+            oprot.writeFieldEnd()
+        if self.method is not None:
+            oprot.writeFieldBegin('method', TType.STRING, 2)
+            oprot.writeString(self.method.encode('utf-8') if sys.version_info[0] == 2 else self.method)
+            oprot.writeFieldEnd()
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 3)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 4)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.headers is not None:
+            oprot.writeFieldBegin('headers', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRING, len(self.headers))
+            for iter131 in self.headers:
+                oprot.writeString(iter131.encode('utf-8') if sys.version_info[0] == 2 else iter131)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.body is not None:
+            oprot.writeFieldBegin('body', TType.STRING, 6)
+            oprot.writeBinary(self.body)
+            oprot.writeFieldEnd()
+        if self.prompt_tokens is not None:
+            oprot.writeFieldBegin('prompt_tokens', TType.I32, 7)
+            oprot.writeI32(self.prompt_tokens)
+            oprot.writeFieldEnd()
+        if self.max_output_tokens is not None:
+            oprot.writeFieldBegin('max_output_tokens', TType.I32, 8)
+            oprot.writeI32(self.max_output_tokens)
+            oprot.writeFieldEnd()
+        if self.expected_output_tokens is not None:
+            oprot.writeFieldBegin('expected_output_tokens', TType.I32, 9)
+            oprot.writeI32(self.expected_output_tokens)
+            oprot.writeFieldEnd()
+        if self.last_event_id is not None:
+            oprot.writeFieldBegin('last_event_id', TType.I64, 10)
+            oprot.writeI64(self.last_event_id)
+            oprot.writeFieldEnd()
+        if self.prompt_parts is not None:
+            oprot.writeFieldBegin('prompt_parts', TType.LIST, 11)
+            oprot.writeListBegin(TType.I64, len(self.prompt_parts))
+            for iter132 in self.prompt_parts:
+                oprot.writeI64(iter132)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.route is not None:
+            oprot.writeFieldBegin('route', TType.STRING, 12)
+            oprot.writeString(self.route.encode('utf-8') if sys.version_info[0] == 2 else self.route)
+            oprot.writeFieldEnd()
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.STRING, 13)
+            oprot.writeString(self.kind.encode('utf-8') if sys.version_info[0] == 2 else self.kind)
+            oprot.writeFieldEnd()
+        if self.resumable is not None:
+            oprot.writeFieldBegin('resumable', TType.BOOL, 14)
+            oprot.writeBool(self.resumable)
+            oprot.writeFieldEnd()
+        if self.timeout_ms is not None:
+            oprot.writeFieldBegin('timeout_ms', TType.I32, 15)
+            oprot.writeI32(self.timeout_ms)
+            oprot.writeFieldEnd()
+        if self.target_latency_ms is not None:
+            oprot.writeFieldBegin('target_latency_ms', TType.I32, 16)
+            oprot.writeI32(self.target_latency_ms)
+            oprot.writeFieldEnd()
+        if self.target_inter_token_latency_ms is not None:
+            oprot.writeFieldBegin('target_inter_token_latency_ms', TType.I32, 17)
+            oprot.writeI32(self.target_inter_token_latency_ms)
+            oprot.writeFieldEnd()
+        if self.max_attempts is not None:
+            oprot.writeFieldBegin('max_attempts', TType.I32, 18)
+            oprot.writeI32(self.max_attempts)
+            oprot.writeFieldEnd()
+        if self.service_id is not None:
+            oprot.writeFieldBegin('service_id', TType.STRING, 19)
+            oprot.writeString(self.service_id.encode('utf-8') if sys.version_info[0] == 2 else self.service_id)
+            oprot.writeFieldEnd()
+        if self.organisation is not None:
+            oprot.writeFieldBegin('organisation', TType.STRING, 20)
+            oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
+            oprot.writeFieldEnd()
+        if self.priority is not None:
+            oprot.writeFieldBegin('priority', TType.I32, 21)
+            oprot.writeI32(self.priority)
+            oprot.writeFieldEnd()
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.I64, 22)
+            oprot.writeI64(self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.elapsed_ms is not None:
+            oprot.writeFieldBegin('elapsed_ms', TType.I32, 23)
+            oprot.writeI32(self.elapsed_ms)
+            oprot.writeFieldEnd()
+        if self.left_ms is not None:
+            oprot.writeFieldBegin('left_ms', TType.I32, 24)
+            oprot.writeI32(self.left_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2313,11 +2685,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.configuration = []
-                    (_etype122, _size119) = iprot.readListBegin()
-                    for _i123 in range(_size119):
-                        _elem124 = StoredObject()
-                        _elem124.read(iprot)
-                        self.configuration.append(_elem124)
+                    (_etype136, _size133) = iprot.readListBegin()
+                    for _i137 in range(_size133):
+                        _elem138 = StoredObject()
+                        _elem138.read(iprot)
+                        self.configuration.append(_elem138)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2329,11 +2701,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.servers = []
-                    (_etype128, _size125) = iprot.readListBegin()
-                    for _i129 in range(_size125):
-                        _elem130 = StoredObject()
-                        _elem130.read(iprot)
-                        self.servers.append(_elem130)
+                    (_etype142, _size139) = iprot.readListBegin()
+                    for _i143 in range(_size139):
+                        _elem144 = StoredObject()
+                        _elem144.read(iprot)
+                        self.servers.append(_elem144)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2345,10 +2717,10 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.removed = []
-                    (_etype134, _size131) = iprot.readListBegin()
-                    for _i135 in range(_size131):
-                        _elem136 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.removed.append(_elem136)
+                    (_etype148, _size145) = iprot.readListBegin()
+                    for _i149 in range(_size145):
+                        _elem150 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.removed.append(_elem150)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2384,8 +2756,8 @@
         if self.configuration is not None:
             oprot.writeFieldBegin('configuration', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.configuration))
-            for iter137 in self.configuration:
-                iter137.write(oprot)
+            for iter151 in self.configuration:
+                iter151.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.server_revision is not None:
@@ -2395,8 +2767,8 @@
         if self.servers is not None:
             oprot.writeFieldBegin('servers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.servers))
-            for iter138 in self.servers:
-                iter138.write(oprot)
+            for iter152 in self.servers:
+                iter152.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.partial is not None:
@@ -2406,8 +2778,8 @@
         if self.removed is not None:
             oprot.writeFieldBegin('removed', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.removed))
-            for iter139 in self.removed:
-                oprot.writeString(iter139.encode('utf-8') if sys.version_info[0] == 2 else iter139)
+            for iter153 in self.removed:
+                oprot.writeString(iter153.encode('utf-8') if sys.version_info[0] == 2 else iter153)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.grace_ms is not None:
@@ -2581,6 +2953,35 @@
     (24, TType.LIST, 'limits', (TType.I64, None, False), None, ),  # 24
     (25, TType.I64, 'server_era', None, None, ),  # 25
     (26, TType.I64, 'servers_known_era', None, None, ),  # 26
+    (27, TType.BOOL, 'cut_off', None, None, ),  # 27
+)
+all_structs.append(RelayedRequest)
+RelayedRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'method', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'target', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'host', 'UTF8', None, ),  # 4
+    (5, TType.LIST, 'headers', (TType.STRING, 'UTF8', False), None, ),  # 5
+    (6, TType.STRING, 'body', 'BINARY', None, ),  # 6
+    (7, TType.I32, 'prompt_tokens', None, None, ),  # 7
+    (8, TType.I32, 'max_output_tokens', None, None, ),  # 8
+    (9, TType.I32, 'expected_output_tokens', None, None, ),  # 9
+    (10, TType.I64, 'last_event_id', None, None, ),  # 10
+    (11, TType.LIST, 'prompt_parts', (TType.I64, None, False), None, ),  # 11
+    (12, TType.STRING, 'route', 'UTF8', None, ),  # 12
+    (13, TType.STRING, 'kind', 'UTF8', None, ),  # 13
+    (14, TType.BOOL, 'resumable', None, None, ),  # 14
+    (15, TType.I32, 'timeout_ms', None, None, ),  # 15
+    (16, TType.I32, 'target_latency_ms', None, None, ),  # 16
+    (17, TType.I32, 'target_inter_token_latency_ms', None, None, ),  # 17
+    (18, TType.I32, 'max_attempts', None, None, ),  # 18
+    (19, TType.STRING, 'service_id', 'UTF8', None, ),  # 19
+    (20, TType.STRING, 'organisation', 'UTF8', None, ),  # 20
+    (21, TType.I32, 'priority', None, None, ),  # 21
+    (22, TType.I64, 'fingerprint', None, None, ),  # 22
+    (23, TType.I32, 'elapsed_ms', None, None, ),  # 23
+    (24, TType.I32, 'left_ms', None, None, ),  # 24
 )
 all_structs.append(PermitMessage)
 PermitMessage.thrift_spec = (
--- a/packages/peer/src/lavendershed/peer/load_reports.py
+++ b/packages/peer/src/lavendershed/peer/load_reports.py
@@ -90,6 +90,7 @@
         crash_evidence: What the sender knows of parts of prompts that crash
             engines.
         limits: What answers to the sender said about limits of servers.
+        cut_off: Whether the sender is cut off from all servers.
     """
 
     incarnation: ids.Incarnation
@@ -109,6 +110,7 @@
     servers_known: store_revisions.StoreRevision = store_revisions.NONE
     crash_evidence: engine_crashes.Evidence = engine_crashes.Evidence()
     limits: tuple[tuple[ids.ServerNumber, engine_limits.LimitNews], ...] = ()
+    cut_off: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -194,6 +196,7 @@
             begun=evidence.begun or None,
             quarantines=evidence.quarantines or None,
             limits=list(limit_fields) or None,
+            cut_off=report.cut_off or None,
             sequence=report.sequence,
             configuration_version=report.configuration_epoch,
             server_revision=report.server_revision.number,
@@ -329,6 +332,7 @@
             )
         ),
         tuple(_decode_limits(message.limits or [], now)),
+        bool(message.cut_off),
     )
 
 
--- a/packages/routing/src/lavendershed/routing/load_tracker.py
+++ b/packages/routing/src/lavendershed/routing/load_tracker.py
@@ -296,6 +296,11 @@
         for daemon in expired:
             self._remove_peer(daemon)
 
+    def request_count(self, daemon: ids.Incarnation) -> int:
+        """Returns how many requests another daemon has at engines."""
+        _, tasks = self._peer_reports.get(daemon, (0.0, ()))
+        return len({task.request for task in tasks})
+
     def load(self, server: ids.BackendServerId) -> EngineLoad:
         """Returns the current load of an engine."""
         return EngineLoad(self._tasks_by_engine.get(server, ()))
