Relay requests of a daemon that is cut off from the servers

Callers saw: at a daemon without links to the engines 4 to 7 of 100 first attempts were served while others served all, and each refusal took 1.2 s. Cause: each request found out by itself, in four attempts of 0.3 s, that the daemon reaches no engine, although peers do. Peers were told that the engines are unreachable, so that sound daemons avoided them as well. Change: while a daemon is cut off, a request runs at a peer as one more kind of attempt: at once, with the route, organisation and deadline decided here, never relayed again, in the order of the stream and with the leave of the caller. A peer refuses before it runs anything if it stops, is cut off or full. Without a peer the request is refused at once. A daemon that is not sure of its links tells nothing of engines out of reach.

--- a/packages/forwarding/src/lavendershed/forwarding/attempts.py
+++ b/packages/forwarding/src/lavendershed/forwarding/attempts.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 
+from lavendershed.core import addresses
 from lavendershed.core import forwarding_states
 from lavendershed.core import ids
 from lavendershed.core import outcomes
@@ -95,6 +97,7 @@
         self._admitted_request = admitted_request
         self._results: list[AttemptResult] = []
         self._failed_servers: set[ids.BackendServerId] = set()
+        self._failed_peers: set[addresses.Address] = set()
         # Servers that received the request; the route limits their number.
         self._delivered_to: set[ids.BackendServerId] = set()
         # All attempts but those that failed to reserve memory, or because of
@@ -109,6 +112,29 @@
         """Servers that failed this request."""
         return frozenset(self._failed_servers)
 
+    @property
+    def failed_peers(self) -> frozenset[addresses.Address]:
+        """Daemons that failed to run this request."""
+        return frozenset(self._failed_peers)
+
+    @property
+    def unsent_in_a_row(self) -> int:
+        """Number of last attempts that found no connection to a server."""
+        return sum(
+            1
+            for _ in itertools.takewhile(
+                lambda r: (
+                    r.outcome is forwarding_states.AttemptOutcome.NOT_SENT
+                ),
+                reversed(self._results),
+            )
+        )
+
+    @property
+    def remaining_servers(self) -> int:
+        """Further servers that may receive the request, at least one."""
+        return max(1, self._remaining_new_servers)
+
     @property
     def retryable_servers(self) -> frozenset[ids.BackendServerId]:
         """Servers that may receive the request again.
@@ -189,6 +215,27 @@
             **self._crash_fields(attempt_result),
         )
 
+    def record_relay(
+        self, peer: addresses.Address, attempt_result: AttemptResult
+    ) -> None:
+        """Records an attempt of a peer that returned no complete response."""
+        self._results.append(attempt_result)
+        self._counted_attempts += 1
+        self._failed_peers.add(peer)
+        if attempt_result.outcome in _OUTCOMES_AFTER_DELIVERY:
+            # The peer may have sent it to one server or more.
+            self._delivered_to.add(ids.BackendServerId(str(peer)))
+            self._failed_servers.add(ids.BackendServerId(str(peer)))
+        self._context.log.emit(
+            events.Event.ATTEMPT_FAILED,
+            request=self._admitted_request.request.id,
+            peer=str(peer),
+            reason=attempt_result.outcome.value,
+            detail=attempt_result.detail,
+            attempt=self.count,
+            execution=self.execution.value,
+        )
+
     def _crash_fields(
         self, attempt_result: AttemptResult
     ) -> dict[str, log.LogValue]:
--- a/packages/forwarding/src/lavendershed/forwarding/components.py
+++ b/packages/forwarding/src/lavendershed/forwarding/components.py
@@ -7,6 +7,7 @@
 from lavendershed.forwarding import context as context_module
 from lavendershed.forwarding import gateway
 from lavendershed.forwarding import load_reporting
+from lavendershed.forwarding import relay_handler
 from lavendershed.forwarding import state_exchange
 from lavendershed.forwarding import store_availability
 from lavendershed.forwarding import store_watcher
@@ -18,6 +19,7 @@
 
     context: context_module.ForwardingContext
     gateway: gateway.Gateway
+    relay_handler: relay_handler.RelayHandler
     watchers: tuple[store_watcher.ObjectWatcher, ...]
     availability: store_availability.StoreAvailability
     load_reporter: load_reporting.LoadReporter
--- a/packages/forwarding/src/lavendershed/forwarding/connections.py
+++ b/packages/forwarding/src/lavendershed/forwarding/connections.py
@@ -4,6 +4,7 @@
 
 import abc
 import dataclasses
+import enum
 
 import result
 
@@ -21,6 +22,8 @@
 # connections are reused only within this fraction of the timeout.
 _KEEP_ALIVE_TIMEOUT_FRACTION = 0.6
 _MAX_IDLE_PER_SERVER = 8
+# A probe is not repeated by TCP before it times out.
+_PROBE_TIMEOUT = units.Seconds(0.2)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,6 +55,26 @@
         """Opens a connection within `timeout` seconds."""
 
 
+class ConnectionListener(abc.ABC):
+    """Is told which servers accept connections."""
+
+    @abc.abstractmethod
+    def on_connected(self, address: addresses.Address) -> None:
+        """A server has accepted a connection."""
+
+    @abc.abstractmethod
+    def on_connect_failed(self, address: addresses.Address) -> None:
+        """A server has refused a connection or did not answer."""
+
+
+class ProbeResult(enum.Enum):
+    """What a server did with a new connection."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    TIMED_OUT = "timed_out"
+
+
 class TcpConnector(Connector):
     """Opens TCP connections."""
 
@@ -72,12 +95,27 @@
         self._connector = connector
         self._idle: dict[addresses.Address, list[_IdleConnection]] = {}
         self._opened_count = 0
+        self._listeners: list[ConnectionListener] = []
 
     @property
     def opened_count(self) -> int:
         """Number of connections opened so far."""
         return self._opened_count
 
+    def subscribe(self, listener: ConnectionListener) -> None:
+        """Tells `listener` the result of each new connection."""
+        self._listeners.append(listener)
+
+    async def probe(self, address: addresses.Address) -> ProbeResult:
+        """Opens a connection to a server and closes it again."""
+        opened = await self._open(address, _PROBE_TIMEOUT)
+        if isinstance(opened, result.Ok):
+            opened.ok_value.close()
+            return ProbeResult.ACCEPTED
+        if opened.err_value.kind is errors.TransportErrorKind.IDLE_TIMEOUT:
+            return ProbeResult.TIMED_OUT
+        return ProbeResult.REFUSED
+
     async def acquire(
         self,
         address: addresses.Address,
@@ -100,9 +138,20 @@
                 candidate.connection.start_next_exchange()
                 return result.Ok(ConnectionLease(candidate.connection, True))
             candidate.connection.close()
+        opened = await self._open(address, timeout)
+        return opened.map(lambda connection: ConnectionLease(connection, False))
+
+    async def _open(
+        self, address: addresses.Address, timeout: units.Seconds
+    ) -> result.Result[client.ClientConnection, errors.TransportError]:
         self._opened_count += 1
         opened = await self._connector.connect(address, timeout)
-        return opened.map(lambda connection: ConnectionLease(connection, False))
+        for listener in self._listeners:
+            if isinstance(opened, result.Ok):
+                listener.on_connected(address)
+            else:
+                listener.on_connect_failed(address)
+        return opened
 
     def release(
         self,
--- a/packages/forwarding/src/lavendershed/forwarding/context.py
+++ b/packages/forwarding/src/lavendershed/forwarding/context.py
@@ -17,6 +17,7 @@
 from lavendershed.forwarding import limit_observer
 from lavendershed.forwarding import loss_recording
 from lavendershed.forwarding import permits
+from lavendershed.forwarding import relay
 from lavendershed.forwarding import requests
 from lavendershed.forwarding import reservations
 from lavendershed.forwarding import waiting_room
@@ -53,6 +54,7 @@
     retry_budget: fleet_retry_budget.FleetRetryBudget
     crash_attribution: crash_attribution.CrashAttribution
     losses: loss_recording.LossRecorder
+    relay: relay.RelayClient
     reservations: reservations.ReservationClient
     inspector: engine_inspection.EngineInspector
     limit_observer: limit_observer.LimitObserver
@@ -84,6 +86,7 @@
         fingerprint: Identifies the request across retries of the caller.
         received_at: When it was received.
         deadline: When its response has to be complete.
+        relayed: Whether another daemon has passed it on.
     """
 
     request: requests.CallerRequest
@@ -94,6 +97,7 @@
     fingerprint: ids.Fingerprint
     received_at: units.Instant
     deadline: units.Instant
+    relayed: bool = False
 
     @property
     def crash_suspects(self) -> engine_crashes.Suspects:
--- a/packages/forwarding/src/lavendershed/forwarding/daemon.py
+++ b/packages/forwarding/src/lavendershed/forwarding/daemon.py
@@ -12,6 +12,7 @@
 from lavendershed.forwarding import codecs
 from lavendershed.forwarding import components
 from lavendershed.forwarding import health_endpoint
+from lavendershed.forwarding import relay
 from lavendershed.telemetry import events
 from lavendershed.transport import server
 
@@ -60,6 +61,11 @@
             daemon_components.context.timers,
             server.ServerLimits(),
         )
+        self._relay_server = server.HttpServer(
+            daemon_components.relay_handler,
+            daemon_components.context.timers,
+            server.ServerLimits(idle_timeout=relay.IDLE_TIMEOUT),
+        )
         self._health_server = server.HttpServer(
             health_endpoint.HealthEndpoint(
                 self, daemon_components.context.instruments
@@ -87,6 +93,9 @@
         await self._components.load_reporter.start()
         self._components.load_reporter.start_reports()
         await self._components.state_server.start(self._endpoints.peers)
+        await self._relay_server.start(
+            relay.relay_address(self._endpoints.peers)
+        )
         await self._caller_server.start(
             self._endpoints.callers, self._caller_listener
         )
@@ -110,6 +119,7 @@
             *tasks,
             stop_task,
             self._caller_server.handler_error,
+            self._relay_server.handler_error,
         }
         await asyncio.wait(awaited, return_when=asyncio.FIRST_COMPLETED)
         await self._drain()
@@ -127,8 +137,9 @@
             error = done_task.exception()
             if isinstance(error, Exception):
                 return error
-        if self._caller_server.handler_error.done():
-            return self._caller_server.handler_error.result()
+        for request_server in (self._caller_server, self._relay_server):
+            if request_server.handler_error.done():
+                return request_server.handler_error.result()
         return None
 
     async def _maintain(self) -> None:
@@ -136,6 +147,7 @@
         while True:
             await asyncio.sleep(_MAINTENANCE_INTERVAL)
             context.connections.expire()
+            context.relay.expire()
             self._update_metrics()
             if self.ready and not self._ready_logged:
                 self._ready_logged = True
@@ -176,7 +188,9 @@
         context = self._components.context
         started = context.timers.now()
         self._stopping = True
-        self._caller_server.disable_keep_alive()
+        request_servers = (self._caller_server, self._relay_server)
+        for request_server in request_servers:
+            request_server.disable_keep_alive()
         context.log.emit(
             events.Event.DAEMON_STOPPING,
             open_requests=self._caller_server.active_connections,
@@ -190,19 +204,23 @@
         while (now := context.timers.now()) < drain_deadline:
             if now >= deregistered_at:
                 # A request that crosses the close is not read, hence not run.
-                self._caller_server.close_idle_connections()
-                if not self._caller_server.active_connections:
+                for request_server in request_servers:
+                    request_server.close_idle_connections()
+                if not any(s.active_connections for s in request_servers):
                     break
             await asyncio.sleep(_DRAIN_POLL_INTERVAL)
         context.log.emit(
             events.Event.DAEMON_STOPPED,
             open_requests=self._caller_server.active_connections,
+            relayed_requests=self._relay_server.active_connections,
             seconds=round(context.timers.now() - started, 3),
         )
 
     def _close(self) -> None:
         self._caller_server.close()
+        self._relay_server.close()
         self._health_server.close()
         self._components.load_reporter.close()
         self._components.state_server.close()
         self._components.context.connections.close()
+        self._components.context.relay.close()
--- a/packages/forwarding/src/lavendershed/forwarding/gateway.py
+++ b/packages/forwarding/src/lavendershed/forwarding/gateway.py
@@ -184,6 +184,24 @@
             )
         )
 
+    def check_relayed(
+        self, admitted_request: context_module.AdmittedRequest
+    ) -> str | None:
+        """Returns why a request of a peer can't run here, or None if it can."""
+        if self._stops_before_completion(
+            admitted_request.route, self._context.timers.now()
+        ):
+            return "daemon is shutting down"
+        return None
+
+    async def execute_relayed(
+        self,
+        admitted_request: context_module.AdmittedRequest,
+        responder: handlers.Responder,
+    ) -> None:
+        """Executes a request that passed admission at a peer."""
+        await self._execute(admitted_request, responder)
+
     def _stops_before_completion(
         self, route: model.Route, received_at: units.Instant
     ) -> bool:
@@ -239,9 +257,11 @@
         responder: handlers.Responder,
     ) -> None:
         context = self._context
-        context.retry_budget.on_request(
-            admitted_request.service.id, admitted_request.received_at
-        )
+        if not admitted_request.relayed:
+            # The budget of all daemons counts each request once.
+            context.retry_budget.on_request(
+                admitted_request.service.id, admitted_request.received_at
+            )
         execution: request_execution.RequestExecution
         if admitted_request.route.kind is model.RequestKind.STREAMING:
             execution = stream_execution.StreamExecution(
--- a/packages/forwarding/src/lavendershed/forwarding/load_reporting.py
+++ b/packages/forwarding/src/lavendershed/forwarding/load_reporting.py
@@ -18,6 +18,7 @@
 from lavendershed.forwarding import deployment_view
 from lavendershed.forwarding import peer_versions
 from lavendershed.forwarding import permits
+from lavendershed.forwarding import reach_monitor
 from lavendershed.forwarding import store_watch_role
 from lavendershed.membership import peer_table
 from lavendershed.membership import report_topology
@@ -83,6 +84,7 @@
         permit_client: permits.PermitClient,
         fleet: visible_fleet.VisibleFleet,
         health: server_health.ServerHealth,
+        reach: reach_monitor.ReachMonitor,
         retry_budget: fleet_retry_budget.FleetRetryBudget,
         timer_service: timers.TimerService,
         event_log: log.EventLog,
@@ -104,6 +106,7 @@
         self._permits = permit_client
         self._fleet = fleet
         self._health = health
+        self._reach = reach
         self._retry_budget = retry_budget
         self._timers = timer_service
         self._log = event_log
@@ -248,6 +251,7 @@
             direct=direct,
             watches_store=report.watches_store,
             bandwidth_mbps=report.bandwidth_mbps,
+            cut_off=report.cut_off,
         )
         if self._peers.candidate_count > candidates_before:
             self._schedule_report(units.after(now, _URGENT_REPORT_DELAY))
@@ -312,6 +316,7 @@
         self._view.subscribe(self._on_view_change)
         self._view.subscribe_to_checks(self._on_store_checked)
         self._crash_attribution.subscribe(self._on_crash_news)
+        self._reach.subscribe(lambda: self._on_change(urgent=True))
         self._limits.subscribe(lambda: self._on_change(urgent=True))
         self._permits.start(self._send)
         self._bundles.start(self._send)
@@ -394,6 +399,7 @@
             self._view.version,
             self._view.last_server_change,
             self._store_role.is_watching_successfully,
+            self._reach.is_lost,
             self._crash_attribution.report_state(now),
             self._slowdowns.local_slowdowns(now),
             tuple(server for server, _ in self._unreachable_to_report(now)),
@@ -428,6 +434,7 @@
             self._view.servers_known,
             self._crash_attribution.evidence(now),
             self._limits.local_news,
+            self._reach.is_lost,
         )
 
     def _send(
@@ -444,8 +451,10 @@
         """Returns the unreachable servers to include in a report.
 
         A daemon that reaches few servers is probably partitioned itself and
-        reports none.
+        reports none. Neither does it while it finds out.
         """
+        if not self._reach.is_certain:
+            return ()
         unreachable = self._health.unreachable_servers(now)
         limit = len(self._view.directory.entries) * _MAX_UNREACHABLE_FRACTION
         return unreachable if len(unreachable) <= limit else ()
--- a/packages/forwarding/src/lavendershed/forwarding/loss_recording.py
+++ b/packages/forwarding/src/lavendershed/forwarding/loss_recording.py
@@ -8,7 +8,7 @@
 from lavendershed.core import ids
 from lavendershed.core import timers
 from lavendershed.core import units
-from lavendershed.forwarding import server_probes
+from lavendershed.forwarding import connections
 from lavendershed.membership import server_directory
 from lavendershed.peer import load_reports
 from lavendershed.reliability import crash_attribution
@@ -29,11 +29,13 @@
     def __init__(
         self,
         attribution: crash_attribution.CrashAttribution,
+        server_connections: connections.BackendConnectionPool,
         timer_service: timers.TimerService,
         event_log: log.EventLog,
         instruments: request_instruments.RequestInstruments,
     ) -> None:
         self._attribution = attribution
+        self._connections = server_connections
         self._losses = engine_losses.EngineLosses()
         self._timers = timer_service
         self._log = event_log
@@ -94,10 +96,10 @@
         """Asks whether a lost server still accepts connections."""
         number = _number(server)
         try:
-            answer = await server_probes.probe(server.address)
-            if answer is server_probes.ProbeResult.ACCEPTED:
+            answer = await self._connections.probe(server.address)
+            if answer is connections.ProbeResult.ACCEPTED:
                 self._losses.on_accepted(number)
-            elif answer is server_probes.ProbeResult.REFUSED:
+            elif answer is connections.ProbeResult.REFUSED:
                 self._losses.on_refused(number)
             self._judge()
         finally:
--- /dev/null
+++ b/packages/forwarding/src/lavendershed/forwarding/relayed_attempt.py
@@ -0,0 +1,255 @@
+"""One attempt of a request that another daemon runs."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import result
+
+from lavendershed.core import addresses
+from lavendershed.core import forwarding_states
+from lavendershed.core import units
+from lavendershed.forwarding import attempts
+from lavendershed.forwarding import context as context_module
+from lavendershed.forwarding import event_splitter
+from lavendershed.forwarding import relay
+from lavendershed.forwarding import relayed_requests
+from lavendershed.forwarding import requests
+from lavendershed.forwarding import stream_delivery
+from lavendershed.telemetry import events
+from lavendershed.transport import client
+from lavendershed.transport import errors
+
+# The peer bounds the time of each of its attempts. Only a peer that is frozen
+# or cut off exceeds these multiples of the targets, and these minima.
+_FIRST_EVENT_TARGET_FACTOR = 4.0
+_STALL_FACTOR = 6.0
+_MIN_TIMEOUT = units.Seconds(3.0)
+_DEFAULT_INTER_TOKEN_LATENCY = units.Seconds(0.5)
+_MAX_RESPONSE_BODY = units.Bytes(8_000_000)
+_CALL = client.RequestHead("POST", "/relayed-requests")
+# Set for the connection between the daemons only.
+_CONNECTION_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "keep-alive",
+        "transfer-encoding",
+        relay.RESULT_HEADER,
+    }
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayOutcome:
+    """How an attempt at a peer ended.
+
+    Attributes:
+        attempt: The outcome; complete if the peer has answered.
+        response: Response to forward as it is; None if the events of a stream
+            have been forwarded already.
+    """
+
+    attempt: attempts.AttemptResult
+    response: requests.BackendResponse | None = None
+
+
+class RelayedAttempt:
+    """Sends a request to a peer and forwards the response."""
+
+    def __init__(
+        self,
+        context: context_module.ForwardingContext,
+        admitted_request: context_module.AdmittedRequest,
+        attempt_tracker: attempts.AttemptTracker,
+        peer: addresses.Address,
+        delivery: stream_delivery.StreamDelivery | None = None,
+    ) -> None:
+        self._context = context
+        self._admitted_request = admitted_request
+        self._attempts = attempt_tracker
+        self._peer = peer
+        self._delivery = delivery
+
+    async def run(self) -> RelayOutcome:
+        """Sends the request once; returns the outcome."""
+        outcome = await self._connect_and_exchange()
+        context = self._context
+        context.instruments.count_relayed_request(outcome.attempt.outcome.value)
+        context.log.emit(
+            events.Event.REQUEST_RELAYED,
+            request=self._admitted_request.request.id,
+            peer=str(self._peer),
+            outcome=outcome.attempt.outcome.value,
+            detail=outcome.attempt.detail,
+            cut_off=context.relay.is_cut_off,
+        )
+        return outcome
+
+    async def _connect_and_exchange(self) -> RelayOutcome:
+        client_of_peers = self._context.relay
+        connected = await client_of_peers.connect(
+            self._peer,
+            new_connection=not self._admitted_request.route.idempotent,
+        )
+        if isinstance(connected, result.Err):
+            return _failed(
+                forwarding_states.AttemptOutcome.NOT_SENT,
+                connected.err_value.detail,
+            )
+        connection = connected.ok_value
+        reusable = False
+        try:
+            outcome = await self._exchange(connection)
+            reusable = (
+                outcome.attempt.outcome
+                is forwarding_states.AttemptOutcome.COMPLETE
+            )
+            return outcome
+        finally:
+            client_of_peers.disconnect(
+                self._peer, connection, reusable=reusable
+            )
+
+    async def _exchange(
+        self, connection: client.ClientConnection
+    ) -> RelayOutcome:
+        last_event_id = self._admitted_request.request.last_event_id
+        if self._delivery is not None:
+            last_event_id = self._delivery.last_event_id
+        body = relayed_requests.encode(
+            self._admitted_request,
+            last_event_id,
+            self._attempts.remaining_servers,
+            self._context.timers.now(),
+        )
+        sent = await connection.send(_CALL, body, self._time_left)
+        if isinstance(sent, result.Err):
+            return self._on_transport_error(sent.err_value)
+        head = await connection.read_head(self._head_timeout)
+        if isinstance(head, result.Err):
+            return self._on_transport_error(head.err_value)
+        relay_result = head.ok_value.header(relay.RESULT_HEADER)
+        if relay_result == relay.RelayResult.REFUSED.value:
+            # Another peer is asked; this one runs no request of others.
+            self._context.relay.on_failure(self._peer)
+            return _failed(
+                forwarding_states.AttemptOutcome.NOT_SENT,
+                f"{self._peer} runs no requests of other daemons",
+            )
+        response = _response_head(head.ok_value)
+        if (
+            relay_result == relay.RelayResult.STREAM.value
+            and self._delivery is not None
+        ):
+            return await self._forward_events(
+                connection, response, self._delivery
+            )
+        if relay_result != relay.RelayResult.WHOLE.value:
+            return _failed(
+                forwarding_states.AttemptOutcome.INVALID_RESPONSE,
+                f"{self._peer} did not name its result",
+            )
+        content = await connection.read_body(
+            self._time_left, _MAX_RESPONSE_BODY
+        )
+        if isinstance(content, result.Err):
+            return self._on_transport_error(content.err_value)
+        if self._delivery is not None and self._delivery.started:
+            # A response that has begun can't turn into a failure.
+            return _failed(
+                forwarding_states.AttemptOutcome.REFUSED,
+                f"{self._peer} could not resume the stream",
+            )
+        return RelayOutcome(
+            attempts.AttemptResult(forwarding_states.AttemptOutcome.COMPLETE),
+            requests.BackendResponse(response, content.ok_value),
+        )
+
+    async def _forward_events(
+        self,
+        connection: client.ClientConnection,
+        response: requests.BackendResponseHead,
+        delivery: stream_delivery.StreamDelivery,
+    ) -> RelayOutcome:
+        """Forwards complete events until the stream ends."""
+        splitter = event_splitter.EventSplitter()
+        while True:
+            chunk = await connection.read_chunk(self._stall_timeout)
+            if isinstance(chunk, result.Err):
+                return self._on_transport_error(chunk.err_value)
+            if not chunk.ok_value:
+                if splitter.has_partial_event:
+                    return _failed(
+                        forwarding_states.AttemptOutcome.INVALID_RESPONSE,
+                        "stream ended with an incomplete event",
+                    )
+                delivery.start(response)
+                return RelayOutcome(
+                    attempts.AttemptResult(
+                        forwarding_states.AttemptOutcome.COMPLETE
+                    )
+                )
+            relayed_events = splitter.feed(chunk.ok_value)
+            in_order = delivery.in_order_prefix(relayed_events)
+            if in_order:
+                await delivery.forward(None, response, in_order)
+            if splitter.is_oversized or len(in_order) < len(relayed_events):
+                return _failed(
+                    forwarding_states.AttemptOutcome.INVALID_RESPONSE,
+                    "events are not consecutive or too large",
+                )
+
+    @property
+    def _time_left(self) -> units.Seconds:
+        return units.Seconds(max(0.0, self._attempts.time_left))
+
+    @property
+    def _head_timeout(self) -> units.Seconds:
+        if self._delivery is None:
+            return self._time_left
+        target = self._admitted_request.route.target_latency
+        return units.Seconds(
+            min(
+                self._time_left,
+                max(_MIN_TIMEOUT, target * _FIRST_EVENT_TARGET_FACTOR),
+            )
+        )
+
+    @property
+    def _stall_timeout(self) -> units.Seconds:
+        gap = (
+            self._admitted_request.route.target_inter_token_latency
+            or _DEFAULT_INTER_TOKEN_LATENCY
+        )
+        return units.Seconds(
+            min(self._time_left, max(_MIN_TIMEOUT, gap * _STALL_FACTOR))
+        )
+
+    def _on_transport_error(self, error: errors.TransportError) -> RelayOutcome:
+        """Handles a peer that was lost; it may have run the request."""
+        if self._time_left > attempts.MIN_ATTEMPT_TIME:
+            self._context.relay.on_failure(self._peer)
+        if error.kind is errors.TransportErrorKind.IDLE_TIMEOUT:
+            return _failed(
+                forwarding_states.AttemptOutcome.STALLED, error.detail
+            )
+        return _failed(forwarding_states.AttemptOutcome.LOST, error.detail)
+
+
+def _failed(
+    outcome: forwarding_states.AttemptOutcome, detail: str
+) -> RelayOutcome:
+    return RelayOutcome(attempts.AttemptResult(outcome, detail))
+
+
+def _response_head(head: client.ResponseHead) -> requests.BackendResponseHead:
+    return requests.BackendResponseHead(
+        requests.ResponseKind.SUCCESS,
+        head.status,
+        tuple(
+            (name, value)
+            for name, value in head.headers
+            if name not in _CONNECTION_HEADERS
+        ),
+    )
--- a/packages/forwarding/src/lavendershed/forwarding/stream_delivery.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_delivery.py
@@ -75,11 +75,17 @@
 
     async def forward(
         self,
-        engine: server_directory.ServerEntry,
+        engine: server_directory.ServerEntry | None,
         response: requests.BackendResponseHead,
         events: tuple[event_splitter.Event, ...],
     ) -> None:
-        """Sends events to the caller and records the inter-token latency."""
+        """Sends events to the caller and records the inter-token latency.
+
+        Args:
+            engine: The engine that sent them; None if a peer relays them.
+            response: Head of the response.
+            events: Events in sequence.
+        """
         self._record_event_time(engine)
         event_ids = [e.event_id for e in events if e.event_id is not None]
         if event_ids:
@@ -94,7 +100,9 @@
         if comments:
             await self._responder.write(b"".join(c.raw for c in comments))
 
-    def _record_event_time(self, engine: server_directory.ServerEntry) -> None:
+    def _record_event_time(
+        self, engine: server_directory.ServerEntry | None
+    ) -> None:
         now = self._context.timers.now()
         if self._first_event_at is None:
             self._first_event_at = now
@@ -105,15 +113,24 @@
         else:
             gap = units.elapsed(self._last_event_at, now)
             self._longest_event_gap = max(self._longest_event_gap, gap)
-            choosers = self._context.choosers
-            predicted_ms = choosers.predicted_iteration_ms(
-                self._admitted_request.service, engine.id
-            )
-            choosers.slowdowns.on_inter_token_latency(
-                engine.id, gap * 1_000, predicted_ms, now
-            )
+            if engine is not None:
+                self._record_inter_token_latency(engine, gap, now)
         self._last_event_at = now
 
+    def _record_inter_token_latency(
+        self,
+        engine: server_directory.ServerEntry,
+        gap: units.Seconds,
+        now: units.Instant,
+    ) -> None:
+        choosers = self._context.choosers
+        predicted_ms = choosers.predicted_iteration_ms(
+            self._admitted_request.service, engine.id
+        )
+        choosers.slowdowns.on_inter_token_latency(
+            engine.id, gap * 1_000, predicted_ms, now
+        )
+
 
 def _allowed_next_ids(last_id: int | None) -> tuple[int, ...]:
     """Returns the ids that the next event may have."""
--- a/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
@@ -6,12 +6,14 @@
 
 from lavendershed.admission import return_schedule
 from lavendershed.admission import waiting_request
+from lavendershed.core import addresses
 from lavendershed.core import forwarding_states
 from lavendershed.core import ids
 from lavendershed.core import outcomes
 from lavendershed.core import states
 from lavendershed.core import units
 from lavendershed.forwarding import context as context_module
+from lavendershed.forwarding import relayed_attempt
 from lavendershed.forwarding import request_execution
 from lavendershed.forwarding import stream_attempt
 from lavendershed.forwarding import stream_delivery
@@ -62,6 +64,11 @@
         """Executes the request and streams the response."""
         while True:
             failure = self._attempts.check_next_attempt()
+            if failure is None and (peer := self._select_peer()) is not None:
+                if await self._relay(peer):
+                    return
+                continue
+            failure = failure or self._cut_off_failure()
             placement = (
                 None if failure is not None else await self._select_placement()
             )
@@ -101,6 +108,28 @@
                     await self._finish_failed(failure)
                     return
 
+    async def _relay(self, peer: addresses.Address) -> bool:
+        """Has a peer run the request; returns whether it is complete."""
+        outcome = await relayed_attempt.RelayedAttempt(
+            self._context,
+            self._admitted_request,
+            self._attempts,
+            peer,
+            self._delivery,
+        ).run()
+        if outcome.response is not None:
+            await self._responder.respond(
+                outcome.response.head.status,
+                outcome.response.body,
+                outcome.response.head.headers,
+            )
+            return True
+        if outcome.attempt.outcome is forwarding_states.AttemptOutcome.COMPLETE:
+            await self._responder.finish()
+            return True
+        self._attempts.record_relay(peer, outcome.attempt)
+        return False
+
     async def _wait_for_capacity(self) -> outcomes.RequestFailure | None:
         """Waits until engines may have capacity for the request.
 
--- a/packages/forwarding/src/lavendershed/forwarding/unary_execution.py
+++ b/packages/forwarding/src/lavendershed/forwarding/unary_execution.py
@@ -13,6 +13,7 @@
 from lavendershed.forwarding import attempts
 from lavendershed.forwarding import connections
 from lavendershed.forwarding import context as context_module
+from lavendershed.forwarding import relayed_attempt
 from lavendershed.forwarding import request_execution
 from lavendershed.forwarding import requests
 from lavendershed.membership import server_directory
@@ -35,6 +36,16 @@
         """Executes the request and sends the response."""
         while True:
             failure = self._attempts.check_next_attempt()
+            if failure is None and (peer := self._select_peer()) is not None:
+                outcome = await relayed_attempt.RelayedAttempt(
+                    self._context, self._admitted_request, self._attempts, peer
+                ).run()
+                if outcome.response is not None:
+                    await self._respond(outcome.response)
+                    return
+                self._attempts.record_relay(peer, outcome.attempt)
+                continue
+            failure = failure or self._cut_off_failure()
             server = (
                 None if failure is not None else await self._select_server()
             )
--- a/packages/forwarding/tests/test_load_reporting.py
+++ b/packages/forwarding/tests/test_load_reporting.py
@@ -166,6 +166,11 @@
             self.permits,
             visible_fleet.VisibleFleet(),
             server_health.ServerHealth(),
+            types.SimpleNamespace(
+                is_lost=False,
+                is_certain=True,
+                subscribe=lambda listener: None,
+            ),
             fleet_retry_budget.FleetRetryBudget(
                 fleet_retry_budget.FleetBudgetLimits(
                     0.2, 100.0, units.Seconds(10.0)
--- a/packages/platform/src/lavendershed/platform/factory.py
+++ b/packages/platform/src/lavendershed/platform/factory.py
@@ -24,6 +24,9 @@
 from lavendershed.forwarding import loss_recording
 from lavendershed.forwarding import peer_versions
 from lavendershed.forwarding import permits
+from lavendershed.forwarding import reach_monitor
+from lavendershed.forwarding import relay
+from lavendershed.forwarding import relay_handler
 from lavendershed.forwarding import reservations
 from lavendershed.forwarding import state_exchange
 from lavendershed.forwarding import store_availability
@@ -32,6 +35,7 @@
 from lavendershed.forwarding import waiting_room
 from lavendershed.membership import peer_table
 from lavendershed.membership import permit_issuers
+from lavendershed.membership import relay_peers
 from lavendershed.membership import report_topology
 from lavendershed.membership import visible_fleet
 from lavendershed.platform import callers
@@ -122,7 +126,31 @@
         instruments,
     )
     losses = loss_recording.LossRecorder(
-        attribution, timer_service, event_log, instruments
+        attribution,
+        server_connections,
+        timer_service,
+        event_log,
+        instruments,
+    )
+    reach = reach_monitor.ReachMonitor(
+        view,
+        server_connections,
+        timer_service,
+        event_log,
+        instruments,
+        generator,
+    )
+    server_connections.subscribe(reach)
+    relay_client = relay.RelayClient(
+        platform_settings.zone,
+        reach,
+        peers,
+        relay_peers.RelayPeers(platform_settings.zone, generator),
+        tracker,
+        connections.BackendConnectionPool(
+            timer_service, connections.TcpConnector()
+        ),
+        timer_service,
     )
     view.subscribe(lambda: losses.on_servers(view.directory.entries))
     view.subscribe(lambda: observer.on_servers(view.directory.entries))
@@ -141,6 +169,7 @@
         budget,
         attribution,
         losses,
+        relay_client,
         reservations.ReservationClient(
             server_connections,
             backend_codec,
@@ -187,9 +216,11 @@
         if platform_settings.first_start
         else _PEER_STATE_WAIT
     )
+    request_gateway = gateway.Gateway(forwarding_context, generator)
     daemon_components = components.Components(
         forwarding_context,
-        gateway.Gateway(forwarding_context, generator),
+        request_gateway,
+        relay_handler.RelayHandler(forwarding_context, request_gateway),
         tuple(
             store_watcher.ObjectWatcher(
                 kind,
@@ -228,6 +259,7 @@
             permit_client,
             fleet,
             health,
+            reach,
             budget,
             timer_service,
             event_log,
--- a/packages/telemetry/src/lavendershed/telemetry/request_instruments.py
+++ b/packages/telemetry/src/lavendershed/telemetry/request_instruments.py
@@ -37,6 +37,10 @@
         self._attempts = meter.create_counter("lavendershed.attempts")
         self._exclusions = meter.create_counter("lavendershed.exclusions")
         self._engine_losses = meter.create_counter("lavendershed.engine_losses")
+        self._relayed_requests = meter.create_counter(
+            "lavendershed.relayed_requests"
+        )
+        self._cut_off = meter.create_gauge("lavendershed.cut_off")
         self._time_to_first_event = meter.create_histogram(
             "lavendershed.time_to_first_event",
             unit="s",
@@ -95,6 +99,14 @@
         """Counts the loss of an engine under a request, by cause."""
         self._engine_losses.add(1, {"cause": cause, "counted": counted})
 
+    def count_relayed_request(self, outcome: str) -> None:
+        """Counts a request that was passed to a peer, by outcome."""
+        self._relayed_requests.add(1, {"outcome": outcome})
+
+    def set_cut_off(self, cut_off: bool) -> None:
+        """Sets whether this daemon is cut off from all servers."""
+        self._cut_off.set(int(cut_off))
+
     def record_time_to_first_event(
         self, service: ids.ServiceId, seconds: units.Seconds
     ) -> None:
