Count servers by address when a daemon may be cut off

Cause: two entries with one address counted as two servers, of which one can't be out of reach without the other, so that a small fleet was never taken for cut off. Change: distinct addresses count.

--- a/packages/forwarding/src/lavendershed/forwarding/reach_monitor.py
+++ b/packages/forwarding/src/lavendershed/forwarding/reach_monitor.py
@@ -64,10 +64,19 @@
 
     def on_connect_failed(self, address: addresses.Address) -> None:
         """A server has refused a connection or did not answer."""
-        known = len(self._view.directory.entries)
+        known = len(self._first_addresses())
         now = self._timers.now()
         self._apply(self._reach.on_connect_failed(address, known, now))
 
+    def _first_addresses(self) -> set[addresses.Address]:
+        """Returns as many distinct addresses as matter for the decision."""
+        found: set[addresses.Address] = set()
+        for entry in self._view.directory.entries:
+            found.add(entry.address)
+            if len(found) >= engine_reach.MIN_UNREACHABLE:
+                break
+        return found
+
     def _apply(self, change: engine_reach.ReachChange | None) -> None:
         if change is not None:
             self._instruments.set_cut_off(self.is_lost)
