Answer the requests that are open at the end of a planned stop

Cause: open connections were aborted 0.3 s before the end of the grace period, whether their requests had an answer or not.

--- a/packages/forwarding/src/lavendershed/forwarding/daemon.py
+++ b/packages/forwarding/src/lavendershed/forwarding/daemon.py
@@ -20,6 +20,8 @@
 # one per second; half a second covers a check in flight.
 _DEREGISTRATION_DELAY = units.Seconds(3.0)
 _DRAIN_POLL_INTERVAL = units.Seconds(0.05)
+# Requests without an answer get one this long before the end.
+_ANSWER_MARGIN = units.Seconds(0.2)
 # Connections still open this long before the end are aborted.
 _SHUTDOWN_MARGIN = units.Seconds(0.3)
 _MAINTENANCE_INTERVAL = units.Seconds(0.5)
@@ -201,7 +203,10 @@
         )
         deregistered_at = units.after(started, _DEREGISTRATION_DELAY)
         self._components.gateway.set_stop_deadline(drain_deadline)
+        answer_by = units.Instant(drain_deadline - _ANSWER_MARGIN)
         while (now := context.timers.now()) < drain_deadline:
+            if now >= answer_by:
+                self._components.gateway.end_unanswered_requests()
             if now >= deregistered_at:
                 # A request that crosses the close is not read, hence not run.
                 for request_server in request_servers:
--- a/packages/forwarding/src/lavendershed/forwarding/gateway.py
+++ b/packages/forwarding/src/lavendershed/forwarding/gateway.py
@@ -52,12 +52,22 @@
         self._context = context
         self._random = generator
         self._stop_deadline: units.Instant | None = None
+        # Executions that have not begun their response.
+        self._unanswered: dict[asyncio.Task[None], handlers.Responder] = {}
+        self._ended_by_stop: set[asyncio.Task[None]] = set()
 
     def set_stop_deadline(self, deadline: units.Instant) -> None:
         """Admits only requests that can complete before `deadline`."""
         self._stop_deadline = deadline
         self._context.waiting_room.stop()
 
+    def end_unanswered_requests(self) -> None:
+        """Ends the requests whose response has not begun, with a failure."""
+        for task, responder in tuple(self._unanswered.items()):
+            if not responder.started:
+                self._ended_by_stop.add(task)
+                task.cancel()
+
     async def handle(
         self, request: handlers.ServerRequest, responder: handlers.Responder
     ) -> None:
@@ -275,11 +285,30 @@
         # the work on the backend server immediately.
         task = asyncio.get_running_loop().create_task(execution.run())
         responder.on_disconnect(task.cancel)
+        self._unanswered[task] = responder
         try:
             await asyncio.wait((task,))
         finally:
             responder.on_disconnect(None)
             task.cancel()
+            del self._unanswered[task]
+        ended_by_stop = task in self._ended_by_stop
+        self._ended_by_stop.discard(task)
+        if (
+            task.cancelled()
+            and ended_by_stop
+            and not responder.disconnected.is_set()
+        ):
+            # It may be running at a server, which is told by the close of the
+            # connection.
+            failure = outcomes.RequestFailure(
+                states.FailureReason.STOPPING,
+                states.Execution.UNKNOWN,
+                "daemon shuts down before the answer is complete",
+            )
+            context_module.log_failure(context, admitted_request, failure)
+            await context_module.respond_failure(context, responder, failure)
+            return
         if task.cancelled():
             seconds = units.elapsed(
                 admitted_request.received_at, context.timers.now()
