--- a/packages/forwarding/src/lavendershed/forwarding/reach_monitor.py
+++ b/packages/forwarding/src/lavendershed/forwarding/reach_monitor.py
@@ -41,6 +41,7 @@
         self._instruments = instruments
         self._reach = engine_reach.EngineReach(generator)
         self._listeners: list[Callable[[], object]] = []
+        self._was_certain = True
         self._next_probe: timers.Timer | None = None
         self._probes: set[asyncio.Task[connections.ProbeResult]] = set()
 
@@ -55,7 +56,7 @@
         return self._reach.state is engine_reach.ReachState.REACHABLE
 
     def subscribe(self, listener: Callable[[], object]) -> None:
-        """Calls `listener` when the reach is lost or regained."""
+        """Calls `listener` when the reach is lost, regained or certain."""
         self._listeners.append(listener)
 
     def on_connected(self, address: addresses.Address) -> None:
@@ -78,6 +79,8 @@
         return found
 
     def _apply(self, change: engine_reach.ReachChange | None) -> None:
+        became_certain = self.is_certain and not self._was_certain
+        self._was_certain = self.is_certain
         if change is not None:
             self._instruments.set_cut_off(self.is_lost)
             self._log.emit(
@@ -88,6 +91,7 @@
             if self.is_lost:
                 # They may hang, and would be used when the link returns.
                 self._connections.close()
+        if change is not None or became_certain:
             for listener in self._listeners:
                 listener()
         self._schedule_probes()
--- a/packages/forwarding/src/lavendershed/forwarding/relay.py
+++ b/packages/forwarding/src/lavendershed/forwarding/relay.py
@@ -87,16 +87,15 @@
             return None
         now = self._timers.now()
         candidates = [
-            relay_peers.RelayPeer(
-                address, zone, self._load_tracker.request_count(incarnation)
-            )
-            for address, zone, incarnation in self._peers.reaching_peers(
+            relay_peers.RelayPeer(*peer)
+            for peer in self._peers.reaching_peers(
                 units.Instant(now - _MAX_SILENCE)
             )
         ]
         return self._choice.choose(
             candidates,
             len(self._peers.zone_members(self._zone)),
+            self._load_tracker.request_count,
             now,
             excluded=failed_peers,
         )
