Read the loads of two peers only to choose one

Cause: each relayed request counted the tasks of all peers. Change: loads are looked up for the two that are drawn; the tool that measures forwarding prints the cost of a relayed request.

--- a/packages/membership/src/lavendershed/membership/relay_peers.py
+++ b/packages/membership/src/lavendershed/membership/relay_peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
 import random
@@ -24,12 +25,16 @@
     Attributes:
         address: Its address.
         zone: Availability zone of its VM.
-        open_requests: Requests that it has at engines, as it has reported.
+        incarnation: Its incarnation.
     """
 
     address: addresses.Address
     zone: ids.AvailabilityZoneId
-    open_requests: int
+    incarnation: ids.Incarnation
+
+
+# Returns the requests that a daemon has at servers, as it has reported.
+OpenRequests = Callable[[ids.Incarnation], int]
 
 
 class RelayPeers:
@@ -57,6 +62,7 @@
         self,
         peers: Sequence[RelayPeer],
         zone_size: int,
+        open_requests: OpenRequests,
         now: units.Instant,
         *,
         excluded: frozenset[addresses.Address] = frozenset(),
@@ -66,6 +72,7 @@
         Args:
             peers: Daemons that reach the servers.
             zone_size: Number of live peers in the own zone.
+            open_requests: Returns the requests that a peer has at servers.
             now: Current time.
             excluded: Peers that have failed the request.
         """
@@ -74,11 +81,11 @@
             for address, until in self._excluded_until.items()
             if until > now
         }
+        unusable = excluded.union(self._excluded_until)
         usable = [
             peer
             for peer in peers
-            if peer.address not in self._excluded_until
-            and peer.address not in excluded
+            if not unusable or peer.address not in unusable
         ]
         near = [peer for peer in usable if peer.zone == self._zone]
         if near and len(near) >= zone_size * _MIN_ZONE_SHARE:
@@ -86,7 +93,13 @@
         if not usable:
             return None
         drawn = self._random.sample(usable, min(2, len(usable)))
-        return min(drawn, key=self._load).address
+        return min(
+            drawn,
+            key=lambda peer: (
+                open_requests(peer.incarnation)
+                + self._outstanding.get(peer.address, 0)
+            ),
+        ).address
 
     def started(self, address: addresses.Address) -> None:
         """Records that a peer runs a request."""
@@ -105,6 +118,3 @@
     ) -> None:
         """Leaves a peer out for some time."""
         self._excluded_until[address] = units.after(now, _EXCLUSION)
-
-    def _load(self, peer: RelayPeer) -> int:
-        return peer.open_requests + self._outstanding.get(peer.address, 0)
--- a/packages/membership/tests/test_relay_peers.py
+++ b/packages/membership/tests/test_relay_peers.py
@@ -16,12 +16,22 @@
 
 
 def peer(number, zone, open_requests=0):
-    """Returns a daemon that reaches the servers."""
+    """Returns a daemon that reaches the servers.
+
+    Its incarnation stands for the requests that it has reported.
+    """
     return relay_peers.RelayPeer(
-        addresses.Address(f"10.0.0.{number}", 80), zone, open_requests
+        addresses.Address(f"10.0.0.{number}", 80),
+        zone,
+        ids.Incarnation(open_requests),
     )
 
 
+def open_requests_of(incarnation):
+    """Returns the requests that a daemon has reported."""
+    return incarnation
+
+
 class RelayPeersTest(unittest.TestCase):
     """Guards against a whole zone's requests at one daemon."""
 
@@ -29,7 +39,9 @@
         self.choice = relay_peers.RelayPeers(OWN, random.Random(1))
 
     def choose(self, peers, zone_size=3, now=NOW, **excluded):
-        return self.choice.choose(peers, zone_size, now, **excluded)
+        return self.choice.choose(
+            peers, zone_size, open_requests_of, now, **excluded
+        )
 
     def test_peers_of_the_own_zone_come_first(self):
         near = [peer(1, OWN, 9), peer(2, OWN, 9)]
@@ -51,7 +63,7 @@
         for seed in range(40):
             choice = relay_peers.RelayPeers(OWN, random.Random(seed))
             for _ in range(40):
-                chosen = choice.choose(peers, 39, NOW)
+                chosen = choice.choose(peers, 39, open_requests_of, NOW)
                 choice.started(chosen)
                 counts[chosen] += 1
         self.assertLessEqual(max(counts.values()), 3 * 40 * 40 / 80)
--- a/tools/measure_forwarding.py
+++ b/tools/measure_forwarding.py
@@ -19,8 +19,11 @@
 from lavendershed.core import units
 from lavendershed.membership import peer_table
 from lavendershed.membership import permit_issuers
+from lavendershed.membership import relay_peers
 from lavendershed.peer import load_reports
 from lavendershed.peer import permit_messages
+from lavendershed.peer import relay_messages
+from lavendershed.routes import model
 from lavendershed.routing import engine_choice
 from lavendershed.routing import engine_slowdown
 from lavendershed.routing import latency_model
@@ -31,6 +34,8 @@
 _NOW = engine_samples.NOW
 # Streams in the decode phase on each engine.
 _STREAMS_PER_ENGINE = 3
+# A prompt of 5,000 tokens as text.
+_RELAYED_BODY = 20_000
 
 
 def microseconds(operation: Callable[[], object], repeat: int) -> float:
@@ -96,7 +101,6 @@
         (),
         (),
         (),
-        (),
     )
     datagram = load_reports.encode_report(report, _NOW)
     encode_us = microseconds(
@@ -111,6 +115,66 @@
     )
 
 
+def measure_relay(peer_count: int) -> None:
+    """Prints size and times of a request that is passed to a peer."""
+    request = relay_messages.RelayedRequest(
+        ids.RequestId("0123456789abcdef"),
+        "POST",
+        "/route/2f",
+        "users.example",
+        (("model", "m"), ("token-count", "5000,1600")) * 3,
+        bytes(_RELAYED_BODY),
+        latency_model.RequestSize(units.Tokens(5_000), units.Tokens(1_600)),
+        None,
+        frozenset({ids.PromptPartId(ids.CrashSuspectId(1 << 62))}),
+        model.Route(
+            "route",
+            "users.example",
+            "/route/",
+            model.RequestKind.STREAMING,
+            resumable=True,
+            public=False,
+            timeout=units.Seconds(10.0),
+            target_latency=units.Seconds(0.3),
+            target_inter_token_latency=units.Seconds(0.25),
+            priority=1,
+            services=(),
+            max_attempts=2,
+        ),
+        ids.ServiceId("model"),
+        ids.OrganisationId("organisation"),
+        1,
+        ids.Fingerprint(1 << 62),
+        units.Seconds(0.01),
+        units.Seconds(9.9),
+    )
+    encoded = relay_messages.encode(request)
+    encode_us = microseconds(lambda: relay_messages.encode(request), 500)
+    decode_us = microseconds(lambda: relay_messages.decode(encoded), 500)
+    peers = [
+        relay_peers.RelayPeer(
+            addresses.Address(f"10.0.{number // 250}.{number % 250}", 7_340),
+            ids.AvailabilityZoneId(f"zone-{number % 18}"),
+            ids.Incarnation(number),
+        )
+        for number in range(peer_count)
+    ]
+    choice = relay_peers.RelayPeers(
+        ids.AvailabilityZoneId("zone-18"), random.Random(1)
+    )
+    choice_us = microseconds(
+        lambda: choice.choose(
+            peers, peer_count // 18, lambda daemon: daemon % 7, _NOW
+        ),
+        100,
+    )
+    print(
+        f"relay, {peer_count} peers: {len(encoded) - _RELAYED_BODY} bytes "
+        f"beside the body, encode {encode_us:.0f} us, "
+        f"decode {decode_us:.0f} us, choice {choice_us:.0f} us"
+    )
+
+
 def measure_permits(daemon_count: int) -> None:
     """Prints size and time of the messages for one permit."""
     call = permit_messages.PermitCall(
@@ -173,6 +237,8 @@
         measure_report(task_count)
     for daemon_count in (8, 60, 195, 730):
         measure_permits(daemon_count)
+    for peer_count in (8, 60, 195, 730):
+        measure_relay(peer_count)
 
 
 if __name__ == "__main__":
