--- a/packages/standin/src/lavendershed/standin/platform_engine.py
+++ b/packages/standin/src/lavendershed/standin/platform_engine.py
@@ -81,7 +81,7 @@
         self._server = self._new_server(timer_service)
         self._address: address_module.Address | None = None
         self._model = model
-        self._events_per_stream = events_per_stream
+        self.events_per_stream = events_per_stream
         self._timers = timer_service
         # Reserved tokens and lease expiry by ticket.
         self._leases: dict[str, tuple[int, float]] = {}
@@ -362,15 +362,15 @@
         )
         first_event_id = int(headers.get("last-event-id", "0")) + 1
         batch = b""
-        for event_id in range(first_event_id, self._events_per_stream + 1):
+        for event_id in range(first_event_id, self.events_per_stream + 1):
             await asyncio.sleep(self.event_interval_s)
             if (
                 fault is EngineFault.EVENT_ID_GAP
-                and event_id == self._events_per_stream
+                and event_id == self.events_per_stream
             ):
                 event_id += 1
             event = f"id: {event_id}\ndata: piece {event_id}\n\n".encode()
-            if event_id == self._events_per_stream - 1:
+            if event_id == self.events_per_stream - 1:
                 if fault is EngineFault.RESET_IN_STREAM:
                     await responder.write(event[:7])
                     responder.abort()
@@ -388,7 +388,7 @@
                     await responder.write(event[:7])
                     break
             batch += event
-            if not self.coalesces_events or event_id >= self._events_per_stream:
+            if not self.coalesces_events or event_id >= self.events_per_stream:
                 await responder.write(batch)
                 batch = b""
             if crashes:
--- a/tests/test_request_crashes.py
+++ b/tests/test_request_crashes.py
@@ -8,6 +8,7 @@
 import platform_case
 
 from lavendershed.standin import platform_engine
+from lavendershed.telemetry import events
 
 Fault = platform_engine.EngineFault
 DAEMONS = 8
@@ -124,6 +125,24 @@
             response = await self.send(daemon, b"sound")
             self.assertEqual(response.head.status, 200)
 
+    async def test_an_engine_that_falls_silent_is_not_counted_as_ended(self):
+        """The stall timeout cuts its stream off; the engine lives on."""
+        self.set_fault(Fault.HANG_IN_STREAM)
+        task = self.loop.create_task(self.send(self.daemon, b"s", "/stream/x"))
+        await self.wait_until(self.executed_requests)
+        for engine in self.engines:
+            if not engine.executed_requests:
+                engine.fault = Fault.NONE
+        response = await task
+        self.assertEqual(response.head.status, 200)
+        self.assertEqual(response.body.count(b"id: "), 3)
+        await self.wait_until(
+            lambda: self.daemon.events(events.Event.ENGINE_LOST)
+        )
+        (lost,) = self.daemon.events(events.Event.ENGINE_LOST)
+        self.assertEqual(lost["evidence"], "engine_accepted")
+        self.assertFalse(lost["counted"])
+
 
 class CallCrashTest(RequestCrashCase):
     """Fails if crashes under calls to plain services are not counted."""
--- a/tools/measure_logging.py
+++ b/tools/measure_logging.py
@@ -19,6 +19,7 @@
 from lavendershed.core import addresses
 from lavendershed.core import ids
 from lavendershed.core import units
+from lavendershed.forwarding import connections
 from lavendershed.forwarding import daemon
 from lavendershed.platform import factory
 from lavendershed.platform import settings
@@ -70,28 +71,40 @@
     event_log: log.EventLog,
     store: addresses.Address,
     timer_service: boot_timers.BootTimerService,
+    seeds: tuple[addresses.Address, ...] = (),
+    connector: connections.Connector | None = None,
+    peer_address: addresses.Address | None = None,
 ) -> tuple[addresses.Address, asyncio.Task[Exception | None]]:
-    """Returns the caller address of a new daemon and its task."""
-    caller_address, ready_address, peer_address = (
-        free_address() for _ in range(3)
-    )
+    """Returns the caller address of a new daemon and its task.
+
+    Args:
+        event_log: Log of the daemon.
+        store: Address of the store.
+        timer_service: Clock and timers.
+        seeds: Addresses of peers, if any.
+        connector: Opens connections to the servers; TCP by default.
+        peer_address: Address for peers; any free one by default.
+    """
+    caller_address, ready_address = free_address(), free_address()
+    peer_address = peer_address or free_address()
     platform_settings = settings.PlatformSettings(
         ids.VmId("vm"),
         ids.AvailabilityZoneId("a"),
         caller_address,
         ready_address,
         peer_address,
-        (),
+        seeds,
         store,
         units.Seconds(1.0),
         fleet_retry_budget.FleetBudgetLimits(0.2, 100.0, units.Seconds(10.0)),
     )
     parts = factory.build(
         platform_settings,
-        ids.Incarnation(1),
+        ids.Incarnation(random.getrandbits(60)),
         timer_service,
         event_log,
         random.Random(1),
+        connector,
     )
     forwarding_daemon = daemon.ForwardingDaemon(
         parts.components,
