Ask another peer if a frozen one holds a relayed call

Cause: a relayed call that may be repeated waited for its peer until its deadline; only streams had a limit. Found by reading. Change: four times the target latency, at least a second, for calls that may be repeated.

--- a/packages/forwarding/src/lavendershed/forwarding/relayed_attempt.py
+++ b/packages/forwarding/src/lavendershed/forwarding/relayed_attempt.py
@@ -22,9 +22,10 @@
 
 # The peer bounds the time of each of its attempts. Only a peer that is frozen
 # or cut off exceeds these multiples of the targets, and these minima.
-_FIRST_EVENT_TARGET_FACTOR = 4.0
+_HEAD_TARGET_FACTOR = 4.0
 _STALL_FACTOR = 6.0
 _MIN_TIMEOUT = units.Seconds(3.0)
+_MIN_CALL_TIMEOUT = units.Seconds(1.0)
 _DEFAULT_INTER_TOKEN_LATENCY = units.Seconds(0.5)
 _MAX_RESPONSE_BODY = units.Bytes(8_000_000)
 _CALL = client.RequestHead("POST", "/relayed-requests")
@@ -206,14 +207,13 @@
 
     @property
     def _head_timeout(self) -> units.Seconds:
-        if self._delivery is None:
+        if not self._admitted_request.route.idempotent:
+            # The request can't be sent again, so that an answer is awaited.
             return self._time_left
+        minimum = _MIN_CALL_TIMEOUT if self._delivery is None else _MIN_TIMEOUT
         target = self._admitted_request.route.target_latency
         return units.Seconds(
-            min(
-                self._time_left,
-                max(_MIN_TIMEOUT, target * _FIRST_EVENT_TARGET_FACTOR),
-            )
+            min(self._time_left, max(minimum, target * _HEAD_TARGET_FACTOR))
         )
 
     @property
--- a/tests/test_cut_from_engines.py
+++ b/tests/test_cut_from_engines.py
@@ -263,6 +263,24 @@
         responses = await asyncio.gather(*tasks)
         self.assertEqual({r.head.status for r in responses}, {200})
 
+    async def test_a_frozen_peer_holds_no_repeatable_request(self):
+        async def handle(request, responder):
+            await responder.disconnected.wait()
+
+        for daemon in self.fleet[1:]:
+            handler = daemon.parts.components.relay_handler
+            handler.handle = handle
+        started = self.timers.now()
+        task = self.loop.create_task(
+            self.request("/safe/x", deadline_ms="20000")
+        )
+        await asyncio.sleep(0.5)
+        for daemon in self.fleet[1:]:
+            del daemon.parts.components.relay_handler.handle
+        response = await task
+        self.assertEqual(response.head.status, 200)
+        self.assertLess(self.timers.now() - started, 4.5)
+
     async def test_a_request_is_counted_once(self):
         before = self.counted_requests
         await self.request("/safe/x")
