Run a request that was in a crash at an idle engine

Callers saw: sound streams are cut together with a suspect that is sent again, since the choice prefers engines that decode already. Cause: the choice of engines didn't know of suspects. Change: busy engines are avoided for a request that was in a crash and has not been cleared. Measured: test_a_suspect_runs_at_an_idle_engine fails without the change (a sound stream breaks off) and passes with it.

--- a/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
@@ -344,6 +344,11 @@
         avoided = context_module.avoided_servers(
             context, candidates, failed_servers
         )
+        if context.crash_attribution.is_suspected(
+            self._admitted_request.crash_suspects
+        ):
+            # Another crash harms no other request at an idle engine.
+            avoided |= self._busy_engines(candidates)
         target = self._admitted_request.route.target_latency
         if self._responder.started:
             # The next event of a resumed stream is due within the target
@@ -377,6 +382,16 @@
             )
         return placement
 
+    def _busy_engines(
+        self, candidates: tuple[server_directory.ServerEntry, ...]
+    ) -> frozenset[ids.BackendServerId]:
+        tracker = self._context.load_tracker
+        return frozenset(
+            engine.id
+            for engine in candidates
+            if tracker.load(engine.id).requests
+        )
+
     async def _complete(self, placement: placements.Placement) -> None:
         context = self._context
         # Parts of the prompt are cleared by the first event already.
--- a/packages/reliability/src/lavendershed/reliability/crash_attribution.py
+++ b/packages/reliability/src/lavendershed/reliability/crash_attribution.py
@@ -138,6 +138,16 @@
         ]
         return max(remaining, default=None)
 
+    def is_suspected(self, suspects: engine_crashes.Suspects) -> bool:
+        """Returns whether a whole request among them was in a crash.
+
+        Parts of prompts don't count, since most of them are sound.
+        """
+        return any(
+            engine_crashes.is_request(suspect) and self._is_suspected(suspect)
+            for suspect in suspects
+        )
+
     def quarantine_count(self, now: units.Instant) -> int:
         """Returns the number of sets of parts in quarantine."""
         return sum(q.expires_at > now for q in self._quarantines.values())
--- a/packages/standin/src/lavendershed/standin/platform_engine.py
+++ b/packages/standin/src/lavendershed/standin/platform_engine.py
@@ -108,6 +108,8 @@
         self.deadly_parts: frozenset[str] = frozenset()
         self.restart_seconds = 0.3
         self.crashes = 0
+        # Requests in progress at each crash, the one that caused it included.
+        self.open_at_crashes: list[int] = []
         # Bodies of requests that crash the engine after one event of their
         # stream, or instead of their answer if it is no stream.
         self.deadly_bodies: frozenset[bytes] = frozenset()
@@ -168,6 +170,7 @@
     def crash(self) -> None:
         """Closes all connections, and listens again after some time."""
         self.crashes += 1
+        self.open_at_crashes.append(self._open)
         self._address = self._server.address
         self._server.close()
         self._restart = asyncio.get_running_loop().create_task(
--- a/tests/test_request_crashes.py
+++ b/tests/test_request_crashes.py
@@ -95,6 +95,25 @@
             response = await self.send(daemon, b"sound")
             self.assertEqual(response.head.status, 200)
 
+    async def test_a_suspect_runs_at_an_idle_engine(self):
+        """Guards against sound requests that are lost with the suspect."""
+        for engine in self.engines:
+            engine.event_interval_s = 0.2
+        await self.send(self.daemon, DEADLY)
+        for number in range(2):
+            sound = [
+                self.loop.create_task(self.send(daemon, f"{n}".encode()))
+                for n, daemon in enumerate(self.fleet * 2)
+            ]
+            await asyncio.sleep(0.3)
+            before = self.crashes
+            await self.send(self.fleet[number], DEADLY)
+            self.assertEqual(self.crashes, before + 1)
+            responses = await asyncio.gather(*sound)
+            self.assertEqual({r.head.status for r in responses}, {200})
+        open_at_crashes = [n for e in self.engines for n in e.open_at_crashes]
+        self.assertEqual(open_at_crashes, [1, 1, 1])
+
     async def test_other_and_new_daemons_refuse_it_without_crashes(self):
         await self.crash_engines(rounds=6)
         before = self.crashes
