Wait until the load is known in a test of suspects

Change: the test waits until the daemon knows of all streams, and checks that an engine is idle; streams last longer. Three tests share the start of a fleet.

--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -158,6 +158,20 @@
             await self.wait_until(lambda: running_daemon.daemon.ready)
         return running_daemon
 
+    async def start_fleet(self, size):
+        """Starts daemons beside the first one; returns all of them."""
+        fleet = [self.daemon]
+        for _ in range(size - 1):
+            fleet.append(
+                await self.start_daemon(seeds=(self.daemon.peer_address,))
+            )
+        await self.wait_until(
+            lambda: all(
+                daemon.parts.peers.fleet_size == size for daemon in fleet
+            )
+        )
+        return fleet
+
     async def wait_until(self, condition, limit=TIMEOUT):
         async with asyncio.timeout(limit):
             while not condition():
--- a/tests/test_cut_from_engines.py
+++ b/tests/test_cut_from_engines.py
@@ -27,17 +27,7 @@
         await super().asyncSetUp()
         for number in range(2, 6):
             self.engines.append(await self.add_engine(f"e-{number}"))
-        self.fleet = [self.daemon]
-        for _ in range(DAEMONS - 1):
-            self.fleet.append(
-                await self.start_daemon(seeds=(self.daemon.peer_address,))
-            )
-        await self.wait_until(
-            lambda: all(
-                daemon.parts.peers.fleet_size == DAEMONS
-                for daemon in self.fleet
-            )
-        )
+        self.fleet = await self.start_fleet(DAEMONS)
 
     async def send(self, path, number, daemon=None):
         size = {"token_count": "1000,100"} if path == "/stream/x" else {}
--- a/tests/test_prompt_part_crashes.py
+++ b/tests/test_prompt_part_crashes.py
@@ -28,17 +28,7 @@
         self.numbers = itertools.count()
         for number in range(len(self.engines), ENGINES):
             self.engines.append(await self.add_engine(f"e-{number}"))
-        self.fleet = [self.daemon]
-        for _ in range(DAEMONS - 1):
-            self.fleet.append(
-                await self.start_daemon(seeds=(self.daemon.peer_address,))
-            )
-        await self.wait_until(
-            lambda: all(
-                daemon.parts.peers.fleet_size == DAEMONS
-                for daemon in self.fleet
-            )
-        )
+        self.fleet = await self.start_fleet(DAEMONS)
         for engine in self.engines:
             engine.deadly_parts = frozenset({DEADLY_PART})
 
--- a/tests/test_request_crashes.py
+++ b/tests/test_request_crashes.py
@@ -46,17 +46,7 @@
             target_latency_ms=600,
         )
         self.store.put("config", "main", platform_case.configuration(2, once))
-        self.fleet = [self.daemon]
-        for _ in range(DAEMONS - 1):
-            self.fleet.append(
-                await self.start_daemon(seeds=(self.daemon.peer_address,))
-            )
-        await self.wait_until(
-            lambda: all(
-                daemon.parts.peers.fleet_size == DAEMONS
-                for daemon in self.fleet
-            )
-        )
+        self.fleet = await self.start_fleet(DAEMONS)
 
     @property
     def crashes(self):
@@ -98,14 +88,20 @@
     async def test_a_suspect_runs_at_an_idle_engine(self):
         """Guards against sound requests that are lost with the suspect."""
         for engine in self.engines:
-            engine.event_interval_s = 0.2
+            engine.event_interval_s = 0.6
         await self.send(self.daemon, DEADLY)
         for number in range(2):
             sound = [
                 self.loop.create_task(self.send(daemon, f"{n}".encode()))
                 for n, daemon in enumerate(self.fleet * 2)
             ]
-            await asyncio.sleep(0.3)
+            tracker = self.fleet[number].parts.components.context.load_tracker
+            await self.wait_until(
+                lambda t=tracker, count=len(sound): (
+                    sum(self.known_loads(t)) >= count
+                )
+            )
+            self.assertIn(0, self.known_loads(tracker))
             before = self.crashes
             await self.send(self.fleet[number], DEADLY)
             self.assertEqual(self.crashes, before + 1)
@@ -114,6 +110,9 @@
         open_at_crashes = [n for e in self.engines for n in e.open_at_crashes]
         self.assertEqual(open_at_crashes, [1, 1, 1])
 
+    def known_loads(self, tracker):
+        return [tracker.load(engine.id).requests for engine in self.engines]
+
     async def test_other_and_new_daemons_refuse_it_without_crashes(self):
         await self.crash_engines(rounds=6)
         before = self.crashes
