--- a/packages/reliability/src/lavendershed/reliability/engine_losses.py
+++ b/packages/reliability/src/lavendershed/reliability/engine_losses.py
@@ -100,7 +100,7 @@
 
     A loss is held until more is known. It counts if the list of servers says
     that the engine has ended, or if another engine has answered here since and
-    the lost one refuses connections, or is the only one that was lost.
+    the lost one refuses connections or is one of at most two lost together.
     """
 
     def __init__(self) -> None:
