Keep the bytes of header values in both directions

Header values were decoded as Latin-1 and then encoded as ASCII by h11, which raised UnicodeEncodeError in the handler.

Values are now encoded as Latin-1, too, which restores each byte. Names of organisations come from the store and are sent as UTF-8. A request that still can't be encoded is known not to have been sent, so that its caller gets 503; the server is not blamed.

--- a/packages/forwarding/src/lavendershed/forwarding/relayed_attempt.py
+++ b/packages/forwarding/src/lavendershed/forwarding/relayed_attempt.py
@@ -228,6 +228,10 @@
 
     def _on_transport_error(self, error: errors.TransportError) -> RelayOutcome:
         """Handles a peer that was lost; it may have run the request."""
+        if not error.sent:
+            return _failed(
+                forwarding_states.AttemptOutcome.NOT_SENT, error.detail
+            )
         if self._time_left > attempts.MIN_ATTEMPT_TIME:
             self._context.relay.on_failure(self._peer)
         if error.kind is errors.TransportErrorKind.IDLE_TIMEOUT:
--- a/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
@@ -407,6 +407,10 @@
         lease: connections.ConnectionLease,
         error: errors.TransportError,
     ) -> attempts.AttemptResult:
+        if not error.sent:
+            return attempts.AttemptResult(
+                forwarding_states.AttemptOutcome.NOT_SENT, error.detail
+            )
         if error.kind is errors.TransportErrorKind.IDLE_TIMEOUT:
             self._record_loss(engine_losses.LossEvidence.NO_DATA)
             if self._attempts.time_left > attempts.MIN_ATTEMPT_TIME:
--- a/packages/forwarding/src/lavendershed/forwarding/unary_execution.py
+++ b/packages/forwarding/src/lavendershed/forwarding/unary_execution.py
@@ -256,6 +256,10 @@
         request_id = self._admitted_request.request.id
         if isinstance(response, result.Err):
             error = response.err_value
+            if not error.sent:
+                return _failed_attempt(
+                    forwarding_states.AttemptOutcome.NOT_SENT, error.detail
+                )
             silent = error.kind is errors.TransportErrorKind.IDLE_TIMEOUT
             if error.kind is not errors.TransportErrorKind.PROTOCOL:
                 context_module.record_loss(
--- a/packages/platform/src/lavendershed/platform/engines.py
+++ b/packages/platform/src/lavendershed/platform/engines.py
@@ -50,7 +50,9 @@
             ),
         ]
         if request.organisation is not None:
-            headers.append((header_names.ORGANISATION, request.organisation))
+            headers.append(
+                (header_names.ORGANISATION, _as_header(request.organisation))
+            )
         if request.last_event_id is not None:
             headers.append(
                 (header_names.LAST_EVENT_ID, str(request.last_event_id))
@@ -166,6 +168,11 @@
         return result.Ok(requests.EngineStatus(max(1.0, slowdown)))
 
 
+def _as_header(text: str) -> str:
+    """Returns a text of the store as a header value, encoded as UTF-8."""
+    return text.encode().decode("latin-1")
+
+
 def _answers_request(head: client.ResponseHead) -> bool:
     """Returns whether a response to a call belongs to a caller's request.
 
--- a/packages/transport/src/lavendershed/transport/client.py
+++ b/packages/transport/src/lavendershed/transport/client.py
@@ -13,6 +13,7 @@
 from lavendershed.core import units
 from lavendershed.transport import address as address_module
 from lavendershed.transport import errors
+from lavendershed.transport import headers as header_fields
 from lavendershed.transport import streams
 
 _READ_SIZE_BYTES = 65_536
@@ -127,12 +128,14 @@
         try:
             data = self._protocol.send(
                 h11.Request(
-                    method=head.method, target=head.target, headers=headers
+                    method=head.method,
+                    target=head.target,
+                    headers=header_fields.encode(headers),
                 )
             )
             data += self._protocol.send(h11.Data(data=body)) if body else b""
             data += self._protocol.send(h11.EndOfMessage())
-        except h11.LocalProtocolError as error:
+        except (h11.LocalProtocolError, UnicodeEncodeError) as error:
             return self._transport_error(
                 errors.TransportErrorKind.PROTOCOL, str(error)
             )
@@ -157,10 +160,7 @@
                 return result.Ok(
                     ResponseHead(
                         response.status_code,
-                        tuple(
-                            (name.decode("latin-1"), value.decode("latin-1"))
-                            for name, value in response.headers
-                        ),
+                        header_fields.decode(response.headers),
                     )
                 )
             if not isinstance(event.ok_value, h11.InformationalResponse):
--- a/packages/transport/src/lavendershed/transport/handlers.py
+++ b/packages/transport/src/lavendershed/transport/handlers.py
@@ -15,6 +15,8 @@
 class ServerRequest:
     """A complete request; header names are in lower case.
 
+    Header values are decoded as Latin-1, see `headers.encode`.
+
     Attributes:
         method: Method as sent.
         path: Percent-decoded path.
--- a/packages/transport/src/lavendershed/transport/server.py
+++ b/packages/transport/src/lavendershed/transport/server.py
@@ -15,6 +15,7 @@
 from lavendershed.core import units
 from lavendershed.transport import address as address_module
 from lavendershed.transport import handlers
+from lavendershed.transport import headers as header_fields
 
 _BACKLOG = 1_024
 
@@ -118,7 +119,11 @@
         self._started = True
         if self._server.stopping:
             headers += (("connection", "close"),)
-        self._send(h11.Response(status_code=status, headers=list(headers)))
+        self._send(
+            h11.Response(
+                status_code=status, headers=header_fields.encode(headers)
+            )
+        )
 
     async def write(self, data: bytes) -> bool:
         if self._disconnected.is_set():
@@ -190,10 +195,7 @@
             self._request.method.decode("latin-1"),
             urllib.parse.unquote(path),
             query,
-            tuple(
-                (name.decode("latin-1"), value.decode("latin-1"))
-                for name, value in self._request.headers
-            ),
+            header_fields.decode(self._request.headers),
             bytes(self._body),
             target,
         )
