Send no body in response to HEAD

A HEAD request for an unknown route or without a key ended the daemon: h11 refuses a body in the response to HEAD, and the exception left the handler.

The server leaves the body out. test_a_failure_of_a_head_request_has_no_body fails on the parent commit.

--- a/packages/transport/src/lavendershed/transport/server.py
+++ b/packages/transport/src/lavendershed/transport/server.py
@@ -110,8 +110,9 @@
     async def respond(
         self, status: int, body: bytes, headers: handlers.Headers = ()
     ) -> None:
-        length = (("content-length", str(len(body))),)
-        self.start(status, headers + length)
+        if body or not self._is_head_request:
+            headers += (("content-length", str(len(body))),)
+        self.start(status, headers)
         await self.write(body)
         await self.finish()
 
@@ -128,7 +129,7 @@
     async def write(self, data: bytes) -> bool:
         if self._disconnected.is_set():
             return False
-        if data:
+        if data and not self._is_head_request:
             self._send(h11.Data(data=data))
         if not self._writable.is_set():
             await self._writable.wait()
@@ -148,6 +149,11 @@
         if self.idle and self._transport is not None:
             self._transport.close()
 
+    @property
+    def _is_head_request(self) -> bool:
+        """Whether the response must not have a body."""
+        return self._request is not None and self._request.method == b"HEAD"
+
     def _send(self, event: h11.Event) -> None:
         if self._disconnected.is_set() or self._transport is None:
             return
@@ -245,7 +251,8 @@
                 ("connection", "close"),
             ]
             self._send(h11.Response(status_code=status, headers=headers))
-            self._send(h11.Data(data=body))
+            if not self._is_head_request:
+                self._send(h11.Data(data=body))
             self._send(h11.EndOfMessage())
         self._transport.close()
 
--- a/tests/test_unusual_bytes.py
+++ b/tests/test_unusual_bytes.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 
 import platform_case
 import raw_server
+import result
+
+from lavendershed.transport import client
 
 # The highest bit of the letter i has turned.
 VALUE = "text/pla\xe9n"
@@ -18,12 +22,14 @@
 
     Attributes:
         header: Name and value, as bytes.
+        body: The body.
         fields: Headers of the last request, in lower case.
     """
 
     def __init__(self):
         super().__init__("unusual")
         self.header = (b"x-test", VALUE.encode("latin-1"))
+        self.body = BODY
         self.fields = {}
 
     async def serve(self, reader, writer):
@@ -33,7 +39,7 @@
             writer.write(
                 b"HTTP/1.1 200 OK\r\nattempt-id: %s\r\nengine-seal: s\r\n"
                 b"content-length: %d\r\n%s: %s\r\n\r\n%s"
-                % (request_id, len(BODY), *self.header, BODY)
+                % (request_id, len(self.body), *self.header, self.body)
             )
 
 
@@ -118,8 +124,24 @@
                 response = await self.send(path)
                 self.assertEqual(response.head.status, 503)
 
+    async def test_a_failure_of_a_head_request_has_no_body(self):
+        for path, key in (("/none/x", platform_case.KEY), ("/safe/x", None)):
+            with self.subTest(path=path):
+                connection = await self.connect()
+                headers = (("host", platform_case.HOST), ("x-api-key", key))
+                head = client.RequestHead(
+                    "HEAD", path, tuple(h for h in headers if h[1])
+                )
+                await connection.send(head, b"", platform_case.TIMEOUT)
+                response = await connection.read_head(platform_case.TIMEOUT)
+                self.assertIsInstance(response, result.Ok)
+                self.assertIn(response.ok_value.status, (401, 404))
+                connection.close()
+
     async def asyncTearDown(self):
-        self.assertFalse(self.daemon.task.done())
+        # A daemon that ends is not ready from the next turn of the loop on.
+        await asyncio.sleep(0.05)
+        self.assertTrue(self.daemon.daemon.ready)
         await super().asyncTearDown()
 
 
