Parse numbers from outside with one bounded function

core.decimals.parse accepts at most 18 ASCII digits and returns None otherwise; all headers and event ids use it. An event whose id is no number ends the attempt, as an event out of sequence does; before it was forwarded as one without an id. The slowdown that an engine states is limited to 1,000, since a larger one can't be encoded in load reports.

The four new tests of test_unusual_bytes fail on the parent commit.

--- a/packages/core/src/lavendershed/core/addresses.py
+++ b/packages/core/src/lavendershed/core/addresses.py
@@ -7,8 +7,9 @@
 
 import result
 
+from lavendershed.core import decimals
+
 MAX_PORT = 65_535
-_MAX_PORT_DIGITS = 5
 # Longer text is shortened in error messages.
 _MAX_SHOWN = 40
 
@@ -47,14 +48,9 @@
             f"'{host[:_MAX_SHOWN]}' is not an IP address; "
             "host names are not resolved, use an address like 10.0.0.1:80"
         )
-    # The length is checked first, since `int` refuses thousands of digits.
-    if (
-        not port.isascii()
-        or not port.isdigit()
-        or len(port) > _MAX_PORT_DIGITS
-        or int(port) > MAX_PORT
-    ):
+    port_number = decimals.parse(port)
+    if port_number is None or port_number > MAX_PORT:
         return result.Err(
             f"'{port[:_MAX_SHOWN]}' is not a port number from 0 to {MAX_PORT}"
         )
-    return result.Ok(Address(str(number), int(port)))
+    return result.Ok(Address(str(number), port_number))
--- a/packages/forwarding/src/lavendershed/forwarding/event_splitter.py
+++ b/packages/forwarding/src/lavendershed/forwarding/event_splitter.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 
+from lavendershed.core import decimals
 from lavendershed.core import units
 
 _SEPARATOR = b"\n\n"
@@ -20,10 +21,12 @@
     Attributes:
         raw: Its bytes, including the blank line that ends it.
         event_id: Its id; None if it is absent or not a number.
+        has_invalid_id: Whether it has an id that is not a number.
     """
 
     raw: bytes
     event_id: int | None
+    has_invalid_id: bool = False
 
     @property
     def is_comment(self) -> bool:
@@ -56,15 +59,12 @@
     def feed(self, data: bytes) -> tuple[Event, ...]:
         """Returns the events that `data` completes."""
         *complete, self._buffer = (self._buffer + data).split(_SEPARATOR)
-        return tuple(
-            Event(block + _SEPARATOR, _parse_event_id(block))
-            for block in complete
-        )
+        return tuple(map(_parse_event, complete))
 
 
-def _parse_event_id(block: bytes) -> int | None:
+def _parse_event(block: bytes) -> Event:
     for line in block.split(b"\n"):
         if line.startswith(_ID_FIELD):
-            value = line[len(_ID_FIELD) :].strip()
-            return int(value) if value.isdigit() else None
-    return None
+            event_id = decimals.parse(line[len(_ID_FIELD) :].strip())
+            return Event(block + _SEPARATOR, event_id, event_id is None)
+    return Event(block + _SEPARATOR, None)
--- a/packages/forwarding/src/lavendershed/forwarding/stream_delivery.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_delivery.py
@@ -66,6 +66,8 @@
         """Returns the events before the first one out of sequence."""
         last_id = self._last_event_id
         for position, event in enumerate(events):
+            if event.has_invalid_id:
+                return events[:position]
             if event.event_id is None:
                 continue
             if event.event_id not in _allowed_next_ids(last_id):
--- a/packages/httpd/src/lavendershed/httpd/request_decoder.py
+++ b/packages/httpd/src/lavendershed/httpd/request_decoder.py
@@ -9,6 +9,7 @@
 import result
 
 from lavendershed.core import deadlines
+from lavendershed.core import decimals
 from lavendershed.core import ids
 from lavendershed.core import outcomes
 from lavendershed.core import requests
@@ -19,6 +20,8 @@
 
 MAX_TOKENS_LIMIT = 1_000_000
 _MAX_IDEMPOTENCY_KEY_CHARACTERS = 255
+# Longer values are shortened in error messages.
+_MAX_SHOWN = 40
 _PRINTABLE_ASCII = re.compile(r"[\x21-\x7e]+")
 # Estimate for a request without a token count.
 _CHARACTERS_PER_TOKEN = 4
@@ -45,16 +48,13 @@
             deadlines.Deadline.from_timeout(now, limits.default_timeout)
         )
     max_timeout_ms = int(limits.max_timeout * 1000)
-    if not (
-        header.isascii()
-        and header.isdigit()
-        and 1 <= int(header) <= max_timeout_ms
-    ):
+    timeout_ms = decimals.parse(header)
+    if timeout_ms is None or not 1 <= timeout_ms <= max_timeout_ms:
         return bad_request(
-            f"header Request-Timeout-Ms: '{header}' is not a whole number "
-            f"from 1 to {max_timeout_ms}"
+            f"header Request-Timeout-Ms: '{header[:_MAX_SHOWN]}' is not a "
+            f"whole number from 1 to {max_timeout_ms}"
         )
-    timeout = units.Seconds(int(header) / 1000)
+    timeout = units.Seconds(timeout_ms / 1000)
     return result.Ok(deadlines.Deadline.from_timeout(now, timeout))
 
 
--- a/packages/objects/src/lavendershed/objects/http_store.py
+++ b/packages/objects/src/lavendershed/objects/http_store.py
@@ -11,6 +11,7 @@
 import pydantic
 import result
 
+from lavendershed.core import decimals
 from lavendershed.core import ids
 from lavendershed.core import object_store
 from lavendershed.core import units
@@ -291,9 +292,5 @@
 
 
 def _etag_version(response: client.Response) -> ids.ObjectVersion | None:
-    text = response.head.header("etag") or ""
-    # Versions of the store have far fewer digits. The limit rejects malformed
-    # headers that would exceed the limit of the integer parser.
-    if not text.isascii() or not text.isdigit() or len(text) > 20:
-        return None
-    return ids.ObjectVersion(int(text))
+    number = decimals.parse(response.head.header("etag") or "")
+    return None if number is None else ids.ObjectVersion(number)
--- a/packages/platform/src/lavendershed/platform/callers.py
+++ b/packages/platform/src/lavendershed/platform/callers.py
@@ -7,6 +7,7 @@
 import result
 import xxhash
 
+from lavendershed.core import decimals
 from lavendershed.core import ids
 from lavendershed.core import outcomes
 from lavendershed.core import states
@@ -42,18 +43,18 @@
         """Returns the request, or a failure that names the invalid header."""
         fields = dict(reversed(request.headers))
         path = request.target.partition("?")[0]
-        timeout_ms = fields.get(header_names.TIMEOUT_MS)
-        if timeout_ms is not None and not timeout_ms.isdigit():
-            return _invalid_header(header_names.TIMEOUT_MS)
+        timeout_ms = _parse_number(fields, header_names.TIMEOUT_MS)
+        if isinstance(timeout_ms, result.Err):
+            return timeout_ms
         size = _parse_token_count(
             fields.get(header_names.TOKEN_COUNT),
             fields.get(header_names.EXPECTED_OUTPUT_TOKENS),
         )
         if isinstance(size, result.Err):
             return size
-        last_event_id = fields.get(header_names.LAST_EVENT_ID)
-        if last_event_id is not None and not last_event_id.isdigit():
-            return _invalid_header(header_names.LAST_EVENT_ID)
+        last_event_id = _parse_number(fields, header_names.LAST_EVENT_ID)
+        if isinstance(last_event_id, result.Err):
+            return last_event_id
         return result.Ok(
             requests.CallerRequest(
                 ids.RequestId(fields.get(header_names.REQUEST_ID, "")),
@@ -64,9 +65,11 @@
                 _end_to_end_headers(request.headers),
                 request.body,
                 fields.get(header_names.API_KEY),
-                units.Seconds(int(timeout_ms) / 1_000) if timeout_ms else None,
+                None
+                if timeout_ms.ok_value is None
+                else units.Seconds(timeout_ms.ok_value / 1_000),
                 size.ok_value,
-                int(last_event_id) if last_event_id is not None else None,
+                last_event_id.ok_value,
                 _parse_shared_parts(fields.get(header_names.PROMPT_PARTS, "")),
             )
         )
@@ -107,21 +110,33 @@
     return tuple((n, v) for n, v in headers if n not in excluded)
 
 
+def _parse_number(
+    fields: dict[str, str], header: str
+) -> result.Result[int | None, outcomes.RequestFailure]:
+    """Returns the number in a header; None if the header is absent."""
+    text = fields.get(header)
+    if text is None:
+        return result.Ok(None)
+    number = decimals.parse(text)
+    return _invalid_header(header) if number is None else result.Ok(number)
+
+
 def _parse_token_count(
     text: str | None, expected: str | None
 ) -> result.Result[latency_model.RequestSize | None, outcomes.RequestFailure]:
     if text is None:
         return result.Ok(None)
-    prompt, _, max_output = text.partition(",")
-    if not prompt.strip().isdigit() or not max_output.strip().isdigit():
+    prompt_text, _, max_output_text = text.partition(",")
+    prompt = decimals.parse(prompt_text.strip())
+    max_output = decimals.parse(max_output_text.strip())
+    if prompt is None or max_output is None:
         return _invalid_header(header_names.TOKEN_COUNT)
+    expected_output = decimals.parse(expected or "")
     return result.Ok(
         latency_model.RequestSize(
-            units.Tokens(int(prompt)),
-            units.Tokens(int(max_output)),
-            units.Tokens(int(expected))
-            if expected is not None and expected.isdigit()
-            else None,
+            units.Tokens(prompt),
+            units.Tokens(max_output),
+            None if expected_output is None else units.Tokens(expected_output),
         )
     )
 
--- a/packages/platform/src/lavendershed/platform/engines.py
+++ b/packages/platform/src/lavendershed/platform/engines.py
@@ -8,6 +8,7 @@
 import result
 
 from lavendershed.core import addresses
+from lavendershed.core import decimals
 from lavendershed.core import ids
 from lavendershed.core import units
 from lavendershed.forwarding import codecs
@@ -31,6 +32,8 @@
 # may close the connection in less than a second.
 _DEFAULT_IDLE_TIMEOUT = units.Seconds(0.5)
 _MAX_LOGGED = 40
+# Load reports have no place for larger numbers.
+_MAX_SLOWDOWN = 1_000.0
 # A longer value is not converted: parsing takes time that grows with it.
 _DECIMAL_NUMBER = re.compile(r"[0-9]{1,32}(\.[0-9]{0,32})?")
 
@@ -165,7 +168,9 @@
             slowdown = fields.number(report, "pace", 1.0)
         except (fields.FieldError, orjson.JSONDecodeError) as error:
             return result.Err(f"invalid report: {error}")
-        return result.Ok(requests.EngineStatus(max(1.0, slowdown)))
+        return result.Ok(
+            requests.EngineStatus(min(max(1.0, slowdown), _MAX_SLOWDOWN))
+        )
 
 
 def _as_header(text: str) -> str:
@@ -230,6 +235,7 @@
         return None
     for part in response_fields.get("keep-alive", "").split(","):
         name, _, value = part.strip().partition("=")
-        if name == "timeout" and value.isdigit():
-            return units.Seconds(float(value))
+        seconds = decimals.parse(value)
+        if name == "timeout" and seconds is not None:
+            return units.Seconds(seconds)
     return _DEFAULT_IDLE_TIMEOUT
--- a/packages/platform/src/lavendershed/platform/store.py
+++ b/packages/platform/src/lavendershed/platform/store.py
@@ -10,6 +10,7 @@
 import result
 
 from lavendershed.core import addresses
+from lavendershed.core import decimals
 from lavendershed.core import ids
 from lavendershed.core import store_revisions
 from lavendershed.core import timers
@@ -37,8 +38,6 @@
 _MAX_NAME = 512
 _UNREADABLE_SPEC = b""
 _OBJECT_KEY = b'"object"'
-# Eras count the returns of the store from a copy.
-_MAX_ERA_DIGITS = 18
 _MAX_RESPONSE = units.Bytes(8_000_000)
 _ERRORS = {
     errors.TransportErrorKind.IDLE_TIMEOUT: codecs.SourceError.TIMED_OUT,
@@ -275,8 +274,7 @@
 def _era(head: client.ResponseHead) -> ids.StoreEra:
     """Returns the era of the store; 0 if it states none that can be read."""
     value = head.header(header_names.STORE_ERA) or ""
-    readable = len(value) <= _MAX_ERA_DIGITS and value.isdecimal()
-    return ids.StoreEra(int(value) if readable else 0)
+    return ids.StoreEra(decimals.parse(value) or 0)
 
 
 def _parse(body: bytes) -> dict[str, fields.JsonValue]:
--- a/tests/test_unusual_bytes.py
+++ b/tests/test_unusual_bytes.py
@@ -124,6 +124,36 @@
                 response = await self.send(path)
                 self.assertEqual(response.head.status, 503)
 
+    async def test_a_keep_alive_timeout_that_is_no_number_is_ignored(self):
+        for value in (b"timeout=\xb2", b"timeout=" + b"9" * 5_000):
+            self.server.header = (b"keep-alive", value)
+            for path in KINDS:
+                with self.subTest(value=value[:12], path=path):
+                    response = await self.send(path)
+                    self.assertEqual(response.head.status, 200)
+
+    async def test_numbers_of_callers_that_cannot_be_read_are_refused(self):
+        for name in ("deadline-ms", "last-event-id", "token-count"):
+            for value in ("\xb2", "9" * 5_000, "1,\xb2"):
+                with self.subTest(name=name, value=value[:8]):
+                    response = await self.send(
+                        "/stream/x", extra_headers={name: value}
+                    )
+                    self.assertEqual(response.head.status, 400)
+
+    async def test_an_output_estimate_that_cannot_be_read_is_ignored(self):
+        for value in ("\xb2", "9" * 5_000):
+            with self.subTest(value=value[:8]):
+                response = await self.send("/stream/x", length_hint=value)
+                self.assertEqual(response.head.status, 200)
+
+    async def test_event_ids_that_are_no_numbers_end_the_attempt(self):
+        for event_id in (b"9" * 5_000, b"\xb2", b"x"):
+            self.server.body = b"id: %s\ndata: x\n\n" % event_id
+            with self.subTest(event_id=event_id[:8]):
+                response = await self.send("/stream/x")
+                self.assertEqual(response.head.status, 502)
+
     async def test_a_failure_of_a_head_request_has_no_body(self):
         for path, key in (("/none/x", platform_case.KEY), ("/safe/x", None)):
             with self.subTest(path=path):
