Limit the exponent of repeated exclusions

After 1,024 exclusions of one server without a pause of 15 s, each further failure of it raised OverflowError, which ended the daemon: the exclusion was computed with 2**n before its upper bound was applied.

The exponent is limited. test_thousands_of_exclusions_in_a_row_stay_at_the_maximum fails without the change.

--- a/packages/reliability/src/lavendershed/reliability/server_health.py
+++ b/packages/reliability/src/lavendershed/reliability/server_health.py
@@ -8,6 +8,10 @@
 from lavendershed.core import ids
 from lavendershed.core import units
 
+# The result of a larger exponent is no float; the exclusion is at its upper
+# bound long before.
+_MAX_DOUBLINGS = 32
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HealthOptions:
@@ -175,7 +179,8 @@
             record.recent_exclusions = 0
         duration = units.Seconds(
             min(
-                self._options.initial_exclusion * 2**record.recent_exclusions,
+                self._options.initial_exclusion
+                * 2 ** min(record.recent_exclusions, _MAX_DOUBLINGS),
                 self._options.max_exclusion,
             )
         )
--- a/packages/reliability/tests/test_server_health.py
+++ b/packages/reliability/tests/test_server_health.py
@@ -97,6 +97,16 @@
         self.health.on_connection_failure(SERVER, INCARNATION, at(0))
         self.assertFalse(self.excluded(0, ids.Incarnation(2)))
 
+    def test_thousands_of_exclusions_in_a_row_stay_at_the_maximum(self):
+        """Guards against an exponent whose result is no float."""
+        now = 0.0
+        for _ in range(2_000):
+            exclusion = self.health.on_connection_failure(
+                SERVER, INCARNATION, at(now)
+            )
+            now += exclusion
+        self.assertEqual(exclusion, 8.0)
+
     def test_removed_servers_have_no_record(self):
         self.health.on_connection_failure(SERVER, INCARNATION, at(0))
         self.health.remove(SERVER, INCARNATION)
