Forget requests beyond the window of the retry budget

The time of each request of a service was kept until a retry there was asked for, so that the memory of a daemon without retries grew with its requests.

Times before the window are dropped with each request. With 100,000 requests at 100 a second, 1,001 are kept; test_requests_without_a_retry_are_forgotten_after_the_window fails without the change.

--- a/packages/reliability/src/lavendershed/reliability/fleet_retry_budget.py
+++ b/packages/reliability/src/lavendershed/reliability/fleet_retry_budget.py
@@ -60,7 +60,9 @@
 
     def on_request(self, service: ids.ServiceId, now: units.Instant) -> None:
         """Counts a request for a service."""
-        self._requests[service].append(now)
+        requests = self._requests[service]
+        requests.append(now)
+        _discard_before(requests, now - self._limits.window)
 
     def try_spend(self, service: ids.ServiceId, now: units.Instant) -> bool:
         """Counts one retry; returns False if the share is exhausted."""
--- a/packages/reliability/tests/test_fleet_retry_budget.py
+++ b/packages/reliability/tests/test_fleet_retry_budget.py
@@ -25,6 +25,13 @@
             fleet_retry_budget.FleetBudgetLimits(ratio, slack, WINDOW)
         )
 
+    def test_requests_without_a_retry_are_forgotten_after_the_window(self):
+        """Guards against memory that grows as long as nothing is retried."""
+        budget = self.budget()
+        for number in range(100_000):
+            budget.on_request(SERVICE, at(number / 100))
+        self.assertLessEqual(len(budget._requests[SERVICE]), 1_001)
+
     def spent(self, budget, now=0.0, tries=1_000):
         return sum(budget.try_spend(SERVICE, at(now)) for _ in range(tries))
 
