Let an unexpected exception end one request only

An exception now ends what raised it. During admission nothing has been sent, and the caller gets 503. During execution a server may have run the request: the caller gets 502, or an aborted connection once the response has begun; connections to servers are closed, and memory, places and tickets are given back by the clean-up that cancellation uses. Answers of the store and state of peers that raise are dropped and read again. Load reports are scheduled before one is encoded. Each exception is logged once (902) with a trace of bounded length and counted.

--- a/packages/cli/src/lavendershed/cli/commands/router.py
+++ b/packages/cli/src/lavendershed/cli/commands/router.py
@@ -18,6 +18,7 @@
 from lavendershed.daemon import options
 from lavendershed.telemetry import instruments
 from lavendershed.telemetry import log
+from lavendershed.telemetry import unexpected_errors
 from lavendershed.transport import event_loop_timers
 
 # EX_SOFTWARE of sysexits.h.
@@ -98,11 +99,17 @@
     stop = asyncio.Event()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop.set)
+    event_log = log.EliotEventLog(sys.stdout)
+    router_instruments = instruments.Instruments(router_options.vm)
+    errors = unexpected_errors.ErrorRecorder(
+        event_log, router_instruments.count_unexpected_error
+    )
+    loop.set_exception_handler(errors.on_loop_error)
     router_factory = factory.RouterFactory(
         router_options,
         event_loop_timers.EventLoopTimerService(loop),
-        log.EliotEventLog(sys.stdout),
-        instruments.Instruments(router_options.vm),
+        event_log,
+        router_instruments,
         random.Random(),
     )
     return await router_factory.build().run(stop)
--- a/packages/daemon/src/lavendershed/daemon/router.py
+++ b/packages/daemon/src/lavendershed/daemon/router.py
@@ -131,7 +131,6 @@
         stop_conditions: list[asyncio.Future[Any]] = [
             *tasks,
             asyncio.create_task(stop.wait()),
-            self._server.handler_error,
         ]
         await asyncio.wait(stop_conditions, return_when=asyncio.FIRST_COMPLETED)
         failure = self._first_invariant_error(tasks)
@@ -275,8 +274,6 @@
             for task in tasks
             if task.done() and isinstance(error := task.exception(), Exception)
         ]
-        if self._server.handler_error.done():
-            failures.append(self._server.handler_error.result())
         if not failures:
             return None
         self._log.emit(
--- a/packages/forwarding/src/lavendershed/forwarding/context.py
+++ b/packages/forwarding/src/lavendershed/forwarding/context.py
@@ -33,6 +33,7 @@
 from lavendershed.telemetry import events
 from lavendershed.telemetry import log
 from lavendershed.telemetry import request_instruments
+from lavendershed.telemetry import unexpected_errors
 from lavendershed.transport import handlers
 
 Failure = outcomes.RequestFailure
@@ -63,6 +64,7 @@
     timers: timers.TimerService
     log: log.EventLog
     instruments: request_instruments.RequestInstruments
+    errors: unexpected_errors.ErrorRecorder
     zone: ids.AvailabilityZoneId
 
     @property
--- a/packages/forwarding/src/lavendershed/forwarding/daemon.py
+++ b/packages/forwarding/src/lavendershed/forwarding/daemon.py
@@ -117,12 +117,7 @@
             )
         ]
         stop_task = loop.create_task(stop.wait())
-        awaited: set[asyncio.Future[Any]] = {
-            *tasks,
-            stop_task,
-            self._caller_server.handler_error,
-            self._relay_server.handler_error,
-        }
+        awaited: set[asyncio.Future[Any]] = {*tasks, stop_task}
         await asyncio.wait(awaited, return_when=asyncio.FIRST_COMPLETED)
         await self._drain()
         error = self._first_error(tasks)
@@ -133,16 +128,8 @@
         return error
 
     def _first_error(self, tasks: list[asyncio.Task[None]]) -> Exception | None:
-        done_tasks: list[asyncio.Future[None] | asyncio.Future[Exception]]
-        done_tasks = [task for task in tasks if task.done()]
-        for done_task in done_tasks:
-            error = done_task.exception()
-            if isinstance(error, Exception):
-                return error
-        for request_server in (self._caller_server, self._relay_server):
-            if request_server.handler_error.done():
-                return request_server.handler_error.result()
-        return None
+        errors = (task.exception() for task in tasks if task.done())
+        return next((e for e in errors if isinstance(e, Exception)), None)
 
     async def _maintain(self) -> None:
         context = self._components.context
--- a/packages/forwarding/src/lavendershed/forwarding/gateway.py
+++ b/packages/forwarding/src/lavendershed/forwarding/gateway.py
@@ -39,6 +39,7 @@
 # platform no longer sends new connections.
 _STREAM_COMPLETION_TIME = units.Seconds(4.7)
 _CALL_COMPLETION_TIME = units.Seconds(1.0)
+_INTERNAL_ERROR = "unexpected error in this daemon"
 
 
 class Gateway(handlers.Handler):
@@ -72,18 +73,37 @@
         self, request: handlers.ServerRequest, responder: handlers.Responder
     ) -> None:
         """Admits and executes one request, or responds with a failure."""
+        try:
+            admitted = await self._receive(request, responder)
+        except Exception as error:  # noqa: BLE001
+            self._context.errors.record("admission", error)
+            await context_module.respond_failure(
+                self._context,
+                responder,
+                outcomes.not_run(
+                    states.FailureReason.INTERNAL, _INTERNAL_ERROR
+                ),
+            )
+            return
+        if admitted is not None:
+            await self._execute(admitted, responder)
+
+    async def _receive(
+        self, request: handlers.ServerRequest, responder: handlers.Responder
+    ) -> context_module.AdmittedRequest | None:
+        """Returns the request if it is admitted, else responds."""
         received_at = self._context.timers.now()
         decoded = self._context.caller_codec.decode(request)
         if isinstance(decoded, result.Err):
             await self._reject(None, decoded.err_value, responder)
-            return
+            return None
         caller_request = decoded.ok_value
         await self._wait_until_ready(caller_request, responder)
         admission = self._admit(caller_request, received_at)
         if isinstance(admission, result.Err):
             await self._reject(caller_request, admission.err_value, responder)
-            return
-        await self._execute(admission.ok_value, responder)
+            return None
+        return admission.ok_value
 
     async def _wait_until_ready(
         self,
@@ -326,7 +346,28 @@
             return
         error = task.exception()
         if error is not None:
-            raise error
+            await self._end_faulty_request(error, admitted_request, responder)
+
+    async def _end_faulty_request(
+        self,
+        error: BaseException,
+        admitted_request: context_module.AdmittedRequest,
+        responder: handlers.Responder,
+    ) -> None:
+        """Ends a request whose execution raised; a server may have run it."""
+        context = self._context
+        context.errors.record("request", error, admitted_request.request.id)
+        failure = outcomes.RequestFailure(
+            states.FailureReason.INTERNAL,
+            states.Execution.UNKNOWN,
+            _INTERNAL_ERROR,
+        )
+        context_module.log_failure(context, admitted_request, failure)
+        if responder.started:
+            # Without its end the caller detects the truncation.
+            responder.abort()
+            return
+        await context_module.respond_failure(context, responder, failure)
 
 
 def _compute_fingerprint(
--- a/packages/forwarding/src/lavendershed/forwarding/load_reporting.py
+++ b/packages/forwarding/src/lavendershed/forwarding/load_reporting.py
@@ -368,6 +368,8 @@
     def _send_report(self) -> None:
         now = self._timers.now()
         self._next_report = None
+        # First, so that the reports go on if this one can't be encoded.
+        self._schedule_report(units.after(now, _REPORT_INTERVAL))
         self._load_tracker.expire(now)
         self._load_tracker.set_report_delay(self._topology.report_delay)
         self._limits.expire(now)
@@ -391,7 +393,6 @@
             self._address, self._zone, encoded, status
         )
         self._send(encoded, targets)
-        self._schedule_report(units.after(now, _REPORT_INTERVAL))
 
     def _update_sequence(self, now: units.Instant) -> bool:
         """Counts the state as new if it has changed; returns whether it has."""
--- a/packages/forwarding/src/lavendershed/forwarding/state_exchange.py
+++ b/packages/forwarding/src/lavendershed/forwarding/state_exchange.py
@@ -24,6 +24,7 @@
 from lavendershed.peer import wire
 from lavendershed.telemetry import events
 from lavendershed.telemetry import log
+from lavendershed.telemetry import unexpected_errors
 from lavendershed.transport import streams
 
 _MAX_STATE = units.Bytes(16_000_000)
@@ -133,12 +134,14 @@
         store_role: store_watch_role.StoreWatchRole,
         timer_service: timers.TimerService,
         event_log: log.EventLog,
+        errors: unexpected_errors.ErrorRecorder,
     ) -> None:
         self._versions = versions
         self._view = view
         self._store_role = store_role
         self._timers = timer_service
         self._log = event_log
+        self._errors = errors
         self._stale_since: units.Instant | None = None
 
     async def run(self) -> None:
@@ -149,14 +152,22 @@
                 if self._view.complete
                 else _FIRST_CHECK_INTERVAL
             )
-            now = self._timers.now()
-            self._view.expire(now)
-            if self._newer_peer(in_zone=False) is None:
-                self._stale_since = None
-                continue
-            if self._stale_since is None:
-                self._stale_since = now
-            await self._catch_up(units.elapsed(self._stale_since, now))
+            try:
+                await self._check()
+            except Exception as error:  # noqa: BLE001
+                # What one peer sends may end nothing but its own exchange.
+                self._errors.record("peer_state", error)
+
+    async def _check(self) -> None:
+        """Compares versions once."""
+        now = self._timers.now()
+        self._view.expire(now)
+        if self._newer_peer(in_zone=False) is None:
+            self._stale_since = None
+            return
+        if self._stale_since is None:
+            self._stale_since = now
+        await self._catch_up(units.elapsed(self._stale_since, now))
 
     async def _catch_up(self, staleness: units.Seconds) -> None:
         """Fetches newer objects, or has them fetched from the store."""
--- a/packages/forwarding/src/lavendershed/forwarding/store_watcher.py
+++ b/packages/forwarding/src/lavendershed/forwarding/store_watcher.py
@@ -17,6 +17,7 @@
 from lavendershed.forwarding import store_watch_role
 from lavendershed.telemetry import events
 from lavendershed.telemetry import log
+from lavendershed.telemetry import unexpected_errors
 
 # Each long poll is a billed call. TCP keep-alive probes detect a dead
 # connection, so that the timeout may exceed the time in which a change has to
@@ -62,6 +63,7 @@
         role: store_watch_role.StoreWatchRole,
         timer_service: timers.TimerService,
         event_log: log.EventLog,
+        errors: unexpected_errors.ErrorRecorder,
         generator: random.Random,
         first_call_delay: units.Seconds,
     ) -> None:
@@ -72,6 +74,7 @@
         self._role = role
         self._timers = timer_service
         self._log = event_log
+        self._errors = errors
         self._first_call_delay = first_call_delay
         self._random = generator
         self._backoff = backoff.Backoff(generator, _BACKOFF_LIMITS)
@@ -95,7 +98,7 @@
                 await asyncio.sleep(_ROLE_CHECK_INTERVAL)
                 continue
             listing = self._revision is None
-            error = await (self._list() if listing else self._watch())
+            error = await self._read(listing=listing)
             self._last_call_failed = error is not None
             if error is None:
                 # A listing is no progress if its history is gone again.
@@ -112,6 +115,18 @@
                 continue
             await asyncio.sleep(self._backoff.next_delay())
 
+    async def _read(self, *, listing: bool) -> codecs.SourceError | None:
+        """Lists the objects or watches for changes; returns the error.
+
+        An answer that raises is a bug of this daemon, but only that answer is
+        dropped: the objects are listed again after a delay.
+        """
+        try:
+            return await (self._list() if listing else self._watch())
+        except Exception as error:  # noqa: BLE001
+            self._errors.record(f"store_{self._kind.value}", error)
+            return codecs.SourceError.MALFORMED
+
     async def _list(self) -> codecs.SourceError | None:
         listed = await self._source.list()
         if isinstance(listed, result.Err):
--- a/packages/forwarding/tests/test_store_machine.py
+++ b/packages/forwarding/tests/test_store_machine.py
@@ -22,6 +22,7 @@
 from lavendershed.forwarding import store_watcher
 from lavendershed.peer import peer_state
 from lavendershed.telemetry import log
+from lavendershed.telemetry import unexpected_errors
 
 DAEMONS = 3
 SERVERS = codecs.ObjectKind.SERVERS
@@ -160,6 +161,7 @@
                 Role(),
                 clock,
                 log.MemoryEventLog(),
+                unexpected_errors.ErrorRecorder(log.MemoryEventLog(), print),
                 random.Random(1),
                 units.Seconds(0.0),
             )
--- a/packages/forwarding/tests/test_store_watcher.py
+++ b/packages/forwarding/tests/test_store_watcher.py
@@ -16,6 +16,7 @@
 from lavendershed.membership import freshness
 from lavendershed.telemetry import events
 from lavendershed.telemetry import log
+from lavendershed.telemetry import unexpected_errors
 from lavendershed.transport import event_loop_timers
 
 ERA = 1
@@ -104,6 +105,7 @@
     async def watch(self, first_call_delay=0.0, seconds=0.1):
         loop = asyncio.get_running_loop()
         self.log = log.MemoryEventLog()
+        self.errors = []
         watcher = store_watcher.ObjectWatcher(
             codecs.ObjectKind.SERVERS,
             self.source,
@@ -112,6 +114,7 @@
             self.role,
             event_loop_timers.EventLoopTimerService(loop),
             self.log,
+            unexpected_errors.ErrorRecorder(self.log, self.errors.append),
             random.Random(1),
             units.Seconds(first_call_delay),
         )
--- a/packages/platform/src/lavendershed/platform/factory.py
+++ b/packages/platform/src/lavendershed/platform/factory.py
@@ -51,6 +51,7 @@
 from lavendershed.routing import server_choice
 from lavendershed.telemetry import log
 from lavendershed.telemetry import request_instruments
+from lavendershed.telemetry import unexpected_errors
 
 # Daemons of a new deployment read the store one after the other within this
 # time, and most of them take its contents from a peer. Callers come later.
@@ -109,6 +110,9 @@
     )
     backend_codec = engines.PlatformBackendCodec()
     instruments = request_instruments.RequestInstruments(platform_settings.vm)
+    errors = unexpected_errors.ErrorRecorder(
+        event_log, instruments.count_unexpected_error
+    )
     limits = engine_limits.EngineLimits()
     observer = limit_observer.LimitObserver(
         limits, backend_codec, timer_service, event_log, instruments
@@ -191,6 +195,7 @@
         timer_service,
         event_log,
         instruments,
+        errors,
         platform_settings.zone,
     )
     availability = store_availability.StoreAvailability()
@@ -235,6 +240,7 @@
                 store_role,
                 timer_service,
                 event_log,
+                errors,
                 generator,
                 first_call_delay,
             )
@@ -266,7 +272,7 @@
         ),
         state_exchange.StateServer(view, timer_service),
         state_exchange.StateFetcher(
-            versions, view, store_role, timer_service, event_log
+            versions, view, store_role, timer_service, event_log, errors
         ),
     )
     return PlatformComponents(daemon_components, peers, budget)
--- a/packages/platform/src/lavendershed/platform/main.py
+++ b/packages/platform/src/lavendershed/platform/main.py
@@ -111,6 +111,9 @@
         event_log,
         random.Random(),
     )
+    loop.set_exception_handler(
+        components.components.context.errors.on_loop_error
+    )
     stop = asyncio.Event()
     reloader = SettingsReloader(path, platform_settings, components, event_log)
     for signal_number in (signal.SIGTERM, signal.SIGINT):
--- a/packages/telemetry/src/lavendershed/telemetry/events.py
+++ b/packages/telemetry/src/lavendershed/telemetry/events.py
@@ -87,3 +87,4 @@
     LOG_LINES_DROPPED = 808
 
     INVARIANT_BROKEN = 901
+    UNEXPECTED_ERROR = 902
--- a/packages/telemetry/src/lavendershed/telemetry/instruments.py
+++ b/packages/telemetry/src/lavendershed/telemetry/instruments.py
@@ -44,6 +44,9 @@
         self._bookings_unsettled = meter.create_gauge(
             "lavendershed.bookings_unsettled"
         )
+        self._unexpected_errors = meter.create_counter(
+            "lavendershed.unexpected_errors"
+        )
         self._store_calls = meter.create_counter("lavendershed.store_calls")
 
     def exposition(self) -> bytes:
@@ -96,6 +99,10 @@
         """Sets the number of bookings whose final state is not yet stored."""
         self._bookings_unsettled.set(count)
 
+    def count_unexpected_error(self, place: str) -> None:
+        """Counts an unexpected exception, by what it ended."""
+        self._unexpected_errors.add(1, {"place": place})
+
     def count_store_call(self, operation: str, outcome: str) -> None:
         """Counts a call to the object store by operation and outcome."""
         self._store_calls.add(1, {"operation": operation, "outcome": outcome})
--- a/packages/telemetry/src/lavendershed/telemetry/request_instruments.py
+++ b/packages/telemetry/src/lavendershed/telemetry/request_instruments.py
@@ -62,6 +62,9 @@
         self._configuration_version = meter.create_gauge(
             "lavendershed.configuration_version"
         )
+        self._unexpected_errors = meter.create_counter(
+            "lavendershed.unexpected_errors"
+        )
         self._quarantines = meter.create_gauge(
             "lavendershed.prompt_part_quarantines"
         )
@@ -152,6 +155,10 @@
         self._store_era.set(revision.era, {"kind": kind})
         self._store_revision.set(revision.number, {"kind": kind})
 
+    def count_unexpected_error(self, place: str) -> None:
+        """Counts an unexpected exception, by what it ended."""
+        self._unexpected_errors.add(1, {"place": place})
+
     def set_quarantines(self, count: int) -> None:
         """Sets the number of sets of prompt parts in quarantine."""
         self._quarantines.set(count)
--- a/packages/transport/src/lavendershed/transport/server.py
+++ b/packages/transport/src/lavendershed/transport/server.py
@@ -215,9 +215,16 @@
             await self._server.handler.handle(request, self)
         except Exception as error:  # noqa: BLE001
             # Handlers return failures as values, so that an exception is a bug.
-            # The caller gets an aborted connection and no wrong response.
+            # The caller gets an aborted connection and no wrong response; other
+            # requests are not affected.
             self.abort()
-            self._server.on_handler_error(error)
+            asyncio.get_running_loop().call_exception_handler(
+                {
+                    "message": "request handler failed",
+                    "exception": error,
+                    "place": "handler",
+                }
+            )
             return
         self._task = None
         self._request = None
@@ -306,7 +313,6 @@
         self._server: asyncio.Server | None = None
         self._connections: set[_ServerConnection] = set()
         self._stopping = False
-        self._handler_error: asyncio.Future[Exception] = asyncio.Future()
 
     @property
     def handler(self) -> handlers.Handler:
@@ -332,11 +338,6 @@
         """Number of connections with a request in progress."""
         return sum(not connection.idle for connection in self._connections)
 
-    @property
-    def handler_error(self) -> asyncio.Future[Exception]:
-        """Resolves with the first exception raised by a handler."""
-        return self._handler_error
-
     @property
     def stopping(self) -> bool:
         """Whether connections close after their current request."""
@@ -404,11 +405,6 @@
         for connection in tuple(self._connections):
             connection.abort()
 
-    def on_handler_error(self, error: Exception) -> None:
-        """Records the first exception raised by a handler."""
-        if not self._handler_error.done():
-            self._handler_error.set_result(error)
-
     def register(self, connection: _ServerConnection) -> None:
         """Registers a new connection."""
         self._connections.add(connection)
