Bound the work and the memory of comments in streams

The work grew with the square of the bytes, on the event loop.

At most 64 KB of comments are kept without an event; more end the attempt.

--- a/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
@@ -39,6 +39,8 @@
 # Load reports identify a request by 31 bits of its fingerprint.
 _REQUEST_NUMBER_MASK = 0x7FFF_FFFF
 _MAX_FAILED_RESPONSE_BODY = units.Bytes(1_000_000)
+# Servers send a few bytes each second to keep a connection open.
+_MAX_COMMENT_BYTES = units.Bytes(65_536)
 
 
 class StreamAttempt:
@@ -288,7 +290,8 @@
         """
         engine = self._placement.decode_engine
         splitter = event_splitter.EventSplitter()
-        comments: tuple[event_splitter.Event, ...] = ()
+        comments: list[event_splitter.Event] = []
+        comment_bytes = 0
         while True:
             chunk = await lease.connection.read_chunk(self._time_until(due_at))
             if isinstance(chunk, result.Err):
@@ -307,7 +310,7 @@
                 self._context.health.on_success(engine.id, engine.incarnation)
                 # A resumed caller that has all events gets an empty stream.
                 self._delivery.start(response)
-                await self._delivery.forward_comments(comments)
+                await self._delivery.forward_comments(tuple(comments))
                 return attempts.AttemptResult(
                     forwarding_states.AttemptOutcome.COMPLETE
                 )
@@ -318,13 +321,21 @@
                     forwarding_states.AttemptOutcome.INVALID_RESPONSE,
                     f"event exceeds {event_splitter.MAX_EVENT_BYTES} bytes",
                 )
-            events = (*comments, *events)
-            comments = ()
             if all(event.is_comment for event in events):
                 # Kept until an event follows, because a head that has been
                 # sent can't be taken back if the engine fails.
-                comments = events
+                comments += events
+                comment_bytes += sum(len(event.raw) for event in events)
+                if comment_bytes > _MAX_COMMENT_BYTES:
+                    return attempts.AttemptResult(
+                        forwarding_states.AttemptOutcome.INVALID_RESPONSE,
+                        f"over {_MAX_COMMENT_BYTES} bytes of comments without "
+                        "an event",
+                    )
                 continue
+            events = (*comments, *events)
+            comments.clear()
+            comment_bytes = 0
             in_order = self._delivery.in_order_prefix(events)
             if in_order:
                 self._on_answer_begun()
