Keep an overdue attempt until another one goes on

After the second attempt the stream ended. A move to a faster engine used one of the two attempts. Streams that may not be resumed ended with the first silence.

Silence now starts another attempt and ends none. The first attempt that brings the next event is kept, and the others are closed. The last one that is left ends by its own outcome, by the deadline or with its caller, for streams, calls, unsafe requests and requests that a peer runs; a move for speed keeps the slow attempt as well. Each attempt that is sent beyond the first is charged to the retry budget. No attempt starts beside an overdue one at an engine that is silent, too.

--- a/packages/core/src/lavendershed/core/forwarding_states.py
+++ b/packages/core/src/lavendershed/core/forwarding_states.py
@@ -30,5 +30,4 @@
     NO_MEMORY = "no_memory"
     LOST = "lost"
     STALLED = "stalled"
-    SLOW_ENGINE = "slow_engine"
     INVALID_RESPONSE = "invalid_answer"
--- a/packages/forwarding/src/lavendershed/forwarding/attempts.py
+++ b/packages/forwarding/src/lavendershed/forwarding/attempts.py
@@ -12,6 +12,7 @@
 from lavendershed.core import states
 from lavendershed.core import units
 from lavendershed.forwarding import context as context_module
+from lavendershed.forwarding import requests
 from lavendershed.membership import server_directory
 from lavendershed.reliability import execution
 from lavendershed.telemetry import events
@@ -41,7 +42,6 @@
     ),
     forwarding_states.AttemptOutcome.LOST: states.Execution.UNKNOWN,
     forwarding_states.AttemptOutcome.STALLED: states.Execution.UNKNOWN,
-    forwarding_states.AttemptOutcome.SLOW_ENGINE: states.Execution.UNKNOWN,
     forwarding_states.AttemptOutcome.INVALID_RESPONSE: states.Execution.UNKNOWN,
     forwarding_states.AttemptOutcome.COMPLETE: states.Execution.COMPLETED,
 }
@@ -76,6 +76,8 @@
         helper_failed: Whether the server refused because a prefill helper
             failed, so that it may be retried with other helpers.
         answer_begun: Whether the attempt had brought an event.
+        response: Complete response, to be forwarded as it is; None if there is
+            none, or if a stream has been forwarded already.
     """
 
     outcome: forwarding_states.AttemptOutcome
@@ -83,6 +85,7 @@
     servers_without_memory: tuple[ids.BackendServerId, ...] = ()
     helper_failed: bool = False
     answer_begun: bool = False
+    response: requests.BackendResponse | None = None
 
 
 class AttemptTracker:
@@ -100,12 +103,17 @@
         self._failed_peers: set[addresses.Address] = set()
         # Servers that received the request; the route limits their number.
         self._delivered_to: set[ids.BackendServerId] = set()
+        # Servers and peers that attempts run on now.
+        self._open_servers: set[ids.BackendServerId] = set()
+        self._open_peers: set[addresses.Address] = set()
         # All attempts but those that failed to reserve memory, or because of
         # a prefill helper.
         self._counted_attempts = 0
         self._helper_failures = 0
-        # The result whose retry has been charged to the retry budget.
-        self._budgeted_result: AttemptResult | None = None
+        # Attempts that were sent, or are being sent, to a server or a peer. All
+        # but the first are charged to the retry budget.
+        self._sent_attempts = 0
+        self._charged_attempts = 0
 
     @property
     def failed_servers(self) -> frozenset[ids.BackendServerId]:
@@ -113,9 +121,9 @@
         return frozenset(self._failed_servers)
 
     @property
-    def failed_peers(self) -> frozenset[addresses.Address]:
-        """Daemons that failed to run this request."""
-        return frozenset(self._failed_peers)
+    def used_peers(self) -> frozenset[addresses.Address]:
+        """Daemons that run this request, or failed to."""
+        return frozenset(self._failed_peers | self._open_peers)
 
     @property
     def unsent_in_a_row(self) -> int:
@@ -139,10 +147,18 @@
     def retryable_servers(self) -> frozenset[ids.BackendServerId]:
         """Servers that may receive the request again.
 
-        They refused it because a prefill helper failed. Once the route allows
-        no further server, only these may be retried.
+        They refused it because a prefill helper failed, or were silent while
+        another one went on. Once the route allows no further server, only these
+        may be retried.
         """
-        return frozenset(self._delivered_to - self._failed_servers)
+        return frozenset(
+            self._delivered_to - self._failed_servers - self._open_servers
+        )
+
+    @property
+    def open_servers(self) -> frozenset[ids.BackendServerId]:
+        """Servers that attempts run on now."""
+        return frozenset(self._open_servers)
 
     @property
     def new_servers_exhausted(self) -> bool:
@@ -152,7 +168,7 @@
     @property
     def _remaining_new_servers(self) -> int:
         return self._admitted_request.route.max_attempts - len(
-            self._delivered_to
+            self._delivered_to | self._open_servers
         )
 
     @property
@@ -181,13 +197,44 @@
             self._context.timers.now(), self._admitted_request.deadline
         )
 
+    def record_start(self, server: ids.BackendServerId) -> None:
+        """Records that an attempt runs on a server."""
+        self._open_servers.add(server)
+        self._sent_attempts += 1
+
+    def record_relay_start(self, peer: addresses.Address) -> None:
+        """Records that an attempt runs at a peer."""
+        self._open_peers.add(peer)
+        self.record_start(_peer_key(peer))
+
+    def record_relay_close(self, peer: addresses.Address) -> None:
+        """Records that an attempt at a peer was closed."""
+        self._open_peers.discard(peer)
+        # It is not known which servers the peer has sent it to.
+        self._failed_servers.add(_peer_key(peer))
+        self.record_close(_peer_key(peer))
+
+    def record_close(self, server: ids.BackendServerId) -> None:
+        """Records that an attempt was closed, because another one went on.
+
+        The server has not failed the request, and has received it.
+        """
+        self._open_servers.discard(server)
+        self._delivered_to.add(server)
+        self._context.log.emit(
+            events.Event.ATTEMPT_CLOSED,
+            request=self._admitted_request.request.id,
+            server=server,
+            attempt=self.count + 1,
+        )
+
     def record(
         self,
         server: server_directory.ServerEntry,
         attempt_result: AttemptResult,
     ) -> None:
         """Records an attempt that returned no complete response."""
-        self._results.append(attempt_result)
+        self._record_result(server.id, attempt_result)
         if (
             attempt_result.outcome
             is not forwarding_states.AttemptOutcome.NO_MEMORY
@@ -219,13 +266,14 @@
         self, peer: addresses.Address, attempt_result: AttemptResult
     ) -> None:
         """Records an attempt of a peer that returned no complete response."""
-        self._results.append(attempt_result)
+        self._open_peers.discard(peer)
+        self._record_result(_peer_key(peer), attempt_result)
         self._counted_attempts += 1
         self._failed_peers.add(peer)
         if attempt_result.outcome in _OUTCOMES_AFTER_DELIVERY:
             # The peer may have sent it to one server or more.
-            self._delivered_to.add(ids.BackendServerId(str(peer)))
-            self._failed_servers.add(ids.BackendServerId(str(peer)))
+            self._delivered_to.add(_peer_key(peer))
+            self._failed_servers.add(_peer_key(peer))
         self._context.log.emit(
             events.Event.ATTEMPT_FAILED,
             request=self._admitted_request.request.id,
@@ -236,6 +284,15 @@
             execution=self.execution.value,
         )
 
+    def _record_result(
+        self, server: ids.BackendServerId, attempt_result: AttemptResult
+    ) -> None:
+        self._open_servers.discard(server)
+        self._results.append(attempt_result)
+        if attempt_result.outcome in _OUTCOMES_BEFORE_SEND:
+            # It has added no load to a server.
+            self._sent_attempts -= 1
+
     def _crash_fields(
         self, attempt_result: AttemptResult
     ) -> dict[str, log.LogValue]:
@@ -251,7 +308,7 @@
     def check_next_attempt(self) -> outcomes.RequestFailure | None:
         """Returns why no further attempt is allowed, or None if one is.
 
-        Charges a retry to the retry budget.
+        Charges an attempt beyond the first one to the retry budget.
         """
         now = self._context.timers.now()
         remaining = self._context.crash_attribution.quarantine_remaining(
@@ -268,29 +325,33 @@
                 states.FailureReason.DEADLINE_EXCEEDED,
                 "no time left for another attempt",
             )
-        if not self._results or self._results[-1] is self._budgeted_result:
+        if not self._results and not self._open_servers:
             return None
-        last_result = self._results[-1]
+        detail = self._results[-1].detail if self._results else "silent"
         idempotent = self._admitted_request.route.idempotent
-        if not idempotent and self.execution is not states.Execution.NOT_RUN:
+        may_have_run = (
+            bool(self._open_servers)
+            or self.execution is not states.Execution.NOT_RUN
+        )
+        if not idempotent and may_have_run:
             return self._backend_server_failure(
-                f"not retried, the request may have run: {last_result.detail}"
+                f"not retried, the request may have run: {detail}"
             )
         if (
             (self._remaining_new_servers <= 0 and not self.retryable_servers)
-            or self._counted_attempts >= _MAX_COUNTED_ATTEMPTS
+            or self._counted_attempts + len(self._open_servers)
+            >= _MAX_COUNTED_ATTEMPTS
             or self._helper_failures >= _MAX_HELPER_FAILURES
         ):
             return self._backend_server_failure(
-                f"attempt limit reached: {last_result.detail}"
+                f"attempt limit reached: {detail}"
             )
-        # A request that was not sent adds no load to a server.
-        exempt_from_budget = last_result.outcome in _OUTCOMES_BEFORE_SEND
-        if not exempt_from_budget and not self._context.retry_budget.try_spend(
-            self._admitted_request.service.id, now
-        ):
-            return self._backend_server_failure("retry budget exhausted")
-        self._budgeted_result = last_result
+        if self._charged_attempts < self._sent_attempts:
+            if not self._context.retry_budget.try_spend(
+                self._admitted_request.service.id, now
+            ):
+                return self._backend_server_failure("retry budget exhausted")
+            self._charged_attempts += 1
         return None
 
     @property
@@ -298,8 +359,9 @@
         """Whether the route allows another engine besides the current one."""
         return (
             self._admitted_request.route.idempotent
-            and self._remaining_new_servers > 1
-            and self._counted_attempts + 1 < _MAX_COUNTED_ATTEMPTS
+            and self._remaining_new_servers > 0
+            and self._counted_attempts + len(self._open_servers)
+            < _MAX_COUNTED_ATTEMPTS
         )
 
     def build_failure(
@@ -326,3 +388,8 @@
         return self.build_failure(
             states.FailureReason.BACKEND_SERVER_FAILED, detail
         )
+
+
+def _peer_key(peer: addresses.Address) -> ids.BackendServerId:
+    """Returns what stands for the servers of a peer."""
+    return ids.BackendServerId(str(peer))
--- a/packages/forwarding/src/lavendershed/forwarding/context.py
+++ b/packages/forwarding/src/lavendershed/forwarding/context.py
@@ -27,6 +27,7 @@
 from lavendershed.reliability import engine_losses
 from lavendershed.reliability import fleet_retry_budget
 from lavendershed.reliability import server_health
+from lavendershed.reliability import silent_servers
 from lavendershed.routes import model
 from lavendershed.routing import load_tracker
 from lavendershed.routing import server_choice
@@ -55,6 +56,7 @@
     retry_budget: fleet_retry_budget.FleetRetryBudget
     crash_attribution: crash_attribution.CrashAttribution
     losses: loss_recording.LossRecorder
+    silences: silent_servers.SilentServers
     relay: relay.RelayClient
     reservations: reservations.ReservationClient
     inspector: engine_inspection.EngineInspector
@@ -204,15 +206,88 @@
 ) -> frozenset[ids.BackendServerId]:
     """Returns the servers to choose only if there are no others.
 
-    These are the excluded servers and those that failed the request.
+    These are the excluded and the silent servers and those that failed the
+    request.
     """
     now = context.timers.now()
+    silent = context.silences.avoided(_keys(candidates), now)
     excluded = {
         server.id
         for server in candidates
         if context.health.is_excluded(server.id, server.incarnation, now)
     }
-    return failed_servers | excluded
+    return failed_servers | excluded | silent
+
+
+def servers_beside(
+    context: ForwardingContext,
+    candidates: tuple[server_directory.ServerEntry, ...],
+    open_servers: frozenset[ids.BackendServerId],
+) -> tuple[server_directory.ServerEntry, ...]:
+    """Returns the servers for an attempt beside overdue ones.
+
+    A server that is silent, too, would not go on sooner.
+
+    Args:
+        context: Context of the request.
+        candidates: Servers that accept new requests.
+        open_servers: Servers that attempts of the request run on.
+    """
+    if not open_servers:
+        return candidates
+    silent = context.silences.silent(_keys(candidates), context.timers.now())
+    return tuple(
+        server
+        for server in candidates
+        if server.id not in open_servers and server.id not in silent
+    )
+
+
+def record_silence(
+    context: ForwardingContext,
+    admitted_request: AdmittedRequest,
+    server: server_directory.ServerEntry,
+    waited: units.Seconds,
+) -> None:
+    """Records that a server has sent nothing for longer than expected.
+
+    Args:
+        context: Context of the request.
+        admitted_request: The request that waits.
+        server: The server.
+        waited: Time without progress.
+    """
+    now = context.timers.now()
+    candidates = context.view.directory.servers_accepting_work(
+        admitted_request.service.id
+    )
+    key = (server.id, server.incarnation)
+    context.silences.on_silent(key, now)
+    if server.id in context.silences.avoided(_keys(candidates), now):
+        # Idle connections to a server that only this request misses may be as
+        # dead as the one that is silent; a new one shows whether it is.
+        context.connections.discard(server.address)
+    context.log.emit(
+        events.Event.ATTEMPT_OVERDUE,
+        request=admitted_request.request.id,
+        server=server.id,
+        waited_ms=round(waited * 1_000),
+        silent=len(context.silences.silent(_keys(candidates), now)),
+    )
+
+
+def record_answer(
+    context: ForwardingContext, server: server_directory.ServerEntry
+) -> None:
+    """Records that a server has sent a part of an answer."""
+    context.losses.on_answer(server)
+    context.silences.on_answer((server.id, server.incarnation))
+
+
+def _keys(
+    servers: tuple[server_directory.ServerEntry, ...],
+) -> tuple[silent_servers.ServerKey, ...]:
+    return tuple((server.id, server.incarnation) for server in servers)
 
 
 def log_failure(
--- a/packages/forwarding/src/lavendershed/forwarding/prefill_watch.py
+++ b/packages/forwarding/src/lavendershed/forwarding/prefill_watch.py
@@ -32,7 +32,7 @@
 
 
 class PrefillWatch:
-    """Decides whether a prefill is restarted on other engines."""
+    """Decides whether a prefill also starts on other engines."""
 
     def __init__(
         self,
@@ -47,12 +47,19 @@
         self._predict_restart = predict_restart
 
     async def watch(
-        self, reading: Coroutine[Any, Any, HeadResult]
-    ) -> HeadResult | None:
-        """Awaits the response head; returns None to restart the prefill.
+        self,
+        reading: Coroutine[Any, Any, HeadResult],
+        on_slow: Callable[[], object],
+    ) -> HeadResult:
+        """Awaits the response head.
 
         If the first token of a long prompt is overdue, its engines are asked
         whether they are slow.
+
+        Args:
+            reading: Reads the response head.
+            on_slow: Is called if a prefill on other engines would end well
+                before this one.
         """
         if self._placement.prefill_ms < _MIN_INSPECTED_PREFILL_MS:
             return await reading
@@ -67,7 +74,7 @@
                 now = self._context.timers.now()
                 elapsed = units.elapsed(sent_at, now)
                 if not task.done() and self._is_worth_restarting(elapsed, now):
-                    return None
+                    on_slow()
             return await task
         finally:
             task.cancel()
--- a/packages/forwarding/src/lavendershed/forwarding/relayed_attempt.py
+++ b/packages/forwarding/src/lavendershed/forwarding/relayed_attempt.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
-
 import result
 
 from lavendershed.core import addresses
@@ -12,6 +10,7 @@
 from lavendershed.forwarding import attempts
 from lavendershed.forwarding import context as context_module
 from lavendershed.forwarding import event_splitter
+from lavendershed.forwarding import parallel_attempts
 from lavendershed.forwarding import relay
 from lavendershed.forwarding import relayed_requests
 from lavendershed.forwarding import requests
@@ -20,8 +19,8 @@
 from lavendershed.transport import client
 from lavendershed.transport import errors
 
-# The peer bounds the time of each of its attempts. Only a peer that is frozen
-# or cut off exceeds these multiples of the targets, and these minima.
+# The peer starts further attempts itself. Only a peer that is frozen or cut off
+# exceeds these multiples of the targets, and these minima.
 _HEAD_TARGET_FACTOR = 4.0
 _STALL_FACTOR = 6.0
 _MIN_TIMEOUT = units.Seconds(3.0)
@@ -41,21 +40,7 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RelayOutcome:
-    """How an attempt at a peer ended.
-
-    Attributes:
-        attempt: The outcome; complete if the peer has answered.
-        response: Response to forward as it is; None if the events of a stream
-            have been forwarded already.
-    """
-
-    attempt: attempts.AttemptResult
-    response: requests.BackendResponse | None = None
-
-
-class RelayedAttempt:
+class RelayedAttempt(parallel_attempts.Attempt):
     """Sends a request to a peer and forwards the response."""
 
     def __init__(
@@ -66,28 +51,59 @@
         peer: addresses.Address,
         delivery: stream_delivery.StreamDelivery | None = None,
     ) -> None:
+        super().__init__(context.timers)
         self._context = context
         self._admitted_request = admitted_request
         self._attempts = attempt_tracker
         self._peer = peer
         self._delivery = delivery
+        # Counted before this attempt is one of those that run.
+        self._max_servers = attempt_tracker.remaining_servers
+        self._waits_since = context.timers.now()
+
+    def record_start(self, tracker: attempts.AttemptTracker) -> None:
+        """Records that this attempt runs."""
+        tracker.record_relay_start(self._peer)
+
+    def record_end(
+        self,
+        tracker: attempts.AttemptTracker,
+        attempt_result: attempts.AttemptResult,
+    ) -> None:
+        """Records that this attempt has brought no complete response."""
+        tracker.record_relay(self._peer, attempt_result)
+
+    def record_close(self, tracker: attempts.AttemptTracker) -> None:
+        """Records that this attempt was closed."""
+        tracker.record_relay_close(self._peer)
+
+    def _record_silence(self) -> None:
+        context = self._context
+        context.relay.on_failure(self._peer)
+        context.log.emit(
+            events.Event.ATTEMPT_OVERDUE,
+            request=self._admitted_request.request.id,
+            peer=str(self._peer),
+            waited_ms=round(
+                units.elapsed(self._waits_since, context.timers.now()) * 1_000
+            ),
+        )
 
-    async def run(self) -> RelayOutcome:
-        """Sends the request once; returns the outcome."""
+    async def _run(self) -> attempts.AttemptResult:
         outcome = await self._connect_and_exchange()
         context = self._context
-        context.instruments.count_relayed_request(outcome.attempt.outcome.value)
+        context.instruments.count_relayed_request(outcome.outcome.value)
         context.log.emit(
             events.Event.REQUEST_RELAYED,
             request=self._admitted_request.request.id,
             peer=str(self._peer),
-            outcome=outcome.attempt.outcome.value,
-            detail=outcome.attempt.detail,
+            outcome=outcome.outcome.value,
+            detail=outcome.detail,
             cut_off=context.relay.is_cut_off,
         )
         return outcome
 
-    async def _connect_and_exchange(self) -> RelayOutcome:
+    async def _connect_and_exchange(self) -> attempts.AttemptResult:
         client_of_peers = self._context.relay
         connected = await client_of_peers.connect(
             self._peer,
@@ -103,8 +119,7 @@
         try:
             outcome = await self._exchange(connection)
             reusable = (
-                outcome.attempt.outcome
-                is forwarding_states.AttemptOutcome.COMPLETE
+                outcome.outcome is forwarding_states.AttemptOutcome.COMPLETE
             )
             return outcome
         finally:
@@ -114,20 +129,22 @@
 
     async def _exchange(
         self, connection: client.ClientConnection
-    ) -> RelayOutcome:
+    ) -> attempts.AttemptResult:
         last_event_id = self._admitted_request.request.last_event_id
         if self._delivery is not None:
             last_event_id = self._delivery.last_event_id
         body = relayed_requests.encode(
             self._admitted_request,
             last_event_id,
-            self._attempts.remaining_servers,
+            self._max_servers,
             self._context.timers.now(),
         )
+        if self._may_be_repeated:
+            self._expect_within(self._head_timeout)
         sent = await connection.send(_CALL, body, self._time_left)
         if isinstance(sent, result.Err):
             return self._on_transport_error(sent.err_value)
-        head = await connection.read_head(self._head_timeout)
+        head = await connection.read_head(self._time_left)
         if isinstance(head, result.Err):
             return self._on_transport_error(head.err_value)
         relay_result = head.ok_value.header(relay.RESULT_HEADER)
@@ -162,9 +179,9 @@
                 forwarding_states.AttemptOutcome.REFUSED,
                 f"{self._peer} could not resume the stream",
             )
-        return RelayOutcome(
-            attempts.AttemptResult(forwarding_states.AttemptOutcome.COMPLETE),
-            requests.BackendResponse(response, content.ok_value),
+        return attempts.AttemptResult(
+            forwarding_states.AttemptOutcome.COMPLETE,
+            response=requests.BackendResponse(response, content.ok_value),
         )
 
     async def _forward_events(
@@ -172,11 +189,11 @@
         connection: client.ClientConnection,
         response: requests.BackendResponseHead,
         delivery: stream_delivery.StreamDelivery,
-    ) -> RelayOutcome:
+    ) -> attempts.AttemptResult:
         """Forwards complete events until the stream ends."""
         splitter = event_splitter.EventSplitter()
         while True:
-            chunk = await connection.read_chunk(self._stall_timeout)
+            chunk = await connection.read_chunk(self._time_left)
             if isinstance(chunk, result.Err):
                 return self._on_transport_error(chunk.err_value)
             if not chunk.ok_value:
@@ -186,15 +203,18 @@
                         "stream ended with an incomplete event",
                     )
                 delivery.start(response)
-                return RelayOutcome(
-                    attempts.AttemptResult(
-                        forwarding_states.AttemptOutcome.COMPLETE
-                    )
+                return attempts.AttemptResult(
+                    forwarding_states.AttemptOutcome.COMPLETE
                 )
             relayed_events = splitter.feed(chunk.ok_value)
             in_order = delivery.in_order_prefix(relayed_events)
             if in_order:
+                self._on_progress()
+                # A slow caller does not make a peer late.
+                self._progress.suspend()
                 await delivery.forward(None, response, in_order)
+                if self._may_be_repeated:
+                    self._expect_within(self._next_event_timeout)
             if splitter.is_oversized or len(in_order) < len(relayed_events):
                 return _failed(
                     forwarding_states.AttemptOutcome.INVALID_RESPONSE,
@@ -205,28 +225,32 @@
     def _time_left(self) -> units.Seconds:
         return units.Seconds(max(0.0, self._attempts.time_left))
 
+    @property
+    def _may_be_repeated(self) -> bool:
+        return self._admitted_request.route.idempotent
+
+    def _expect_within(self, timeout: units.Seconds) -> None:
+        """Expects the next part of the answer within `timeout` seconds."""
+        self._waits_since = self._context.timers.now()
+        self._progress.expect_by(units.after(self._waits_since, timeout))
+
     @property
     def _head_timeout(self) -> units.Seconds:
-        if not self._admitted_request.route.idempotent:
-            # The request can't be sent again, so that an answer is awaited.
-            return self._time_left
         minimum = _MIN_CALL_TIMEOUT if self._delivery is None else _MIN_TIMEOUT
         target = self._admitted_request.route.target_latency
-        return units.Seconds(
-            min(self._time_left, max(minimum, target * _HEAD_TARGET_FACTOR))
-        )
+        return units.Seconds(max(minimum, target * _HEAD_TARGET_FACTOR))
 
     @property
-    def _stall_timeout(self) -> units.Seconds:
+    def _next_event_timeout(self) -> units.Seconds:
         gap = (
             self._admitted_request.route.target_inter_token_latency
             or _DEFAULT_INTER_TOKEN_LATENCY
         )
-        return units.Seconds(
-            min(self._time_left, max(_MIN_TIMEOUT, gap * _STALL_FACTOR))
-        )
+        return units.Seconds(max(_MIN_TIMEOUT, gap * _STALL_FACTOR))
 
-    def _on_transport_error(self, error: errors.TransportError) -> RelayOutcome:
+    def _on_transport_error(
+        self, error: errors.TransportError
+    ) -> attempts.AttemptResult:
         """Handles a peer that was lost; it may have run the request."""
         if not error.sent:
             return _failed(
@@ -243,8 +267,8 @@
 
 def _failed(
     outcome: forwarding_states.AttemptOutcome, detail: str
-) -> RelayOutcome:
-    return RelayOutcome(attempts.AttemptResult(outcome, detail))
+) -> attempts.AttemptResult:
+    return attempts.AttemptResult(outcome, detail)
 
 
 def _response_head(head: client.ResponseHead) -> requests.BackendResponseHead:
--- a/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
@@ -11,6 +11,7 @@
 from lavendershed.forwarding import connections
 from lavendershed.forwarding import context as context_module
 from lavendershed.forwarding import event_splitter
+from lavendershed.forwarding import parallel_attempts
 from lavendershed.forwarding import prefill_watch
 from lavendershed.forwarding import requests
 from lavendershed.forwarding import reservations
@@ -23,19 +24,19 @@
 from lavendershed.transport import client
 from lavendershed.transport import errors
 
-# The first event times out after this multiple of its predicted time plus this
+# The first event is overdue after this multiple of its predicted time plus this
 # margin, or after a multiple of the target latency if that is later. Callers
-# time out after two seconds or four times the target.
+# leave after two seconds or four times the target.
 _FIRST_EVENT_PREDICTION_FACTOR = 1.5
 _FIRST_EVENT_MARGIN = units.Seconds(1.0)
 # Engines prefill chunks of other prompts first, so that a long prompt may need
 # this multiple of its target latency.
 _FIRST_EVENT_TARGET_FACTOR = 3.0
-# A running stream has stalled after this multiple of its target inter-token
+# The next event is overdue after this multiple of the target inter-token
 # latency or of the predicted iteration time if that is longer, but not before
 # this minimum: engines recompute the prefill of a request that they preempted.
 _STALL_FACTOR = 3.0
-_MIN_STALL_TIMEOUT = units.Seconds(1.0)
+_MIN_EVENT_TIMEOUT = units.Seconds(1.0)
 # Load reports identify a request by 31 bits of its fingerprint.
 _REQUEST_NUMBER_MASK = 0x7FFF_FFFF
 _MAX_FAILED_RESPONSE_BODY = units.Bytes(1_000_000)
@@ -43,7 +44,7 @@
 _MAX_COMMENT_BYTES = units.Bytes(65_536)
 
 
-class StreamAttempt:
+class StreamAttempt(parallel_attempts.Attempt):
     """Sends a request to engines and relays the response."""
 
     def __init__(
@@ -57,6 +58,7 @@
         target_inter_token_latency: units.Seconds,
         predict_restart: prefill_watch.RestartPrediction,
     ) -> None:
+        super().__init__(context.timers)
         self._context = context
         self._admitted_request = admitted_request
         self._delivery = delivery
@@ -67,16 +69,42 @@
         self._prefill_watch = prefill_watch.PrefillWatch(
             context, admitted_request.request.id, placement, predict_restart
         )
-        self._failed_response: requests.BackendResponse | None = None
         self._answer_begun = False
+        self._waits_since = context.timers.now()
+        self._loss_recorded = False
 
     @property
-    def failed_response(self) -> requests.BackendResponse | None:
-        """The error response of the engine, if it sent one."""
-        return self._failed_response
+    def engine(self) -> server_directory.ServerEntry:
+        """The engine that decodes the answer."""
+        return self._placement.decode_engine
 
-    async def run(self) -> attempts.AttemptResult:
-        """Sends the request once; returns the outcome."""
+    def record_start(self, tracker: attempts.AttemptTracker) -> None:
+        """Records that this attempt runs."""
+        tracker.record_start(self._placement.decode_engine.id)
+
+    def record_end(
+        self,
+        tracker: attempts.AttemptTracker,
+        attempt_result: attempts.AttemptResult,
+    ) -> None:
+        """Records that this attempt has brought no complete response."""
+        tracker.record(self._placement.decode_engine, attempt_result)
+
+    def record_close(self, tracker: attempts.AttemptTracker) -> None:
+        """Records that this attempt was closed."""
+        tracker.record_close(self._placement.decode_engine.id)
+
+    def _record_silence(self) -> None:
+        engine = self._placement.decode_engine
+        self._record_loss(engine_losses.LossEvidence.NO_DATA)
+        context_module.record_silence(
+            self._context,
+            self._admitted_request,
+            engine,
+            units.elapsed(self._waits_since, self._context.timers.now()),
+        )
+
+    async def _run(self) -> attempts.AttemptResult:
         placement = self._placement
         # Registered before the first await, so that no other request plans
         # with the same memory.
@@ -215,34 +243,28 @@
             ),
         )
         sent_at = context.timers.now()
-        due_at = units.after(sent_at, self._first_event_timeout())
+        self._expect_within(self._first_event_timeout())
         sent = await connection.send(
             context.backend_codec.encode(request),
             self._admitted_request.request.body,
-            self._time_until(due_at),
+            self._time_left,
         )
         if isinstance(sent, result.Err):
             return self._on_transport_error(engine, lease, sent.err_value), None
-        head = await self._read_head(connection, due_at)
-        if head is None:
-            return attempts.AttemptResult(
-                forwarding_states.AttemptOutcome.SLOW_ENGINE,
-                "a slow engine delays the prefill",
-            ), None
+        head = await self._read_head(connection)
         if isinstance(head, result.Err):
             return self._on_transport_error(engine, lease, head.err_value), None
         response = context.backend_codec.decode(
             head.ok_value, self._admitted_request.request
         )
         if response.is_from_server:
-            context.losses.on_answer(engine)
+            context_module.record_answer(context, engine)
             context.limit_observer.on_answer(engine, head.ok_value, sent_at)
         if response.kind is requests.ResponseKind.SUCCESS:
             attempt_result = await self._relay(
                 lease,
                 response,
                 task_ids,
-                due_at,
                 delimited=head.ok_value.delimits_body,
             )
             complete = (
@@ -254,7 +276,7 @@
                 response.reuse_period if complete else None,
             )
         body = await connection.read_body(
-            self._time_until(due_at), _MAX_FAILED_RESPONSE_BODY
+            self._time_left, _MAX_FAILED_RESPONSE_BODY
         )
         if isinstance(body, result.Err):
             return self._on_transport_error(engine, lease, body.err_value), None
@@ -263,37 +285,32 @@
         ), response.reuse_period
 
     async def _read_head(
-        self, connection: client.ClientConnection, due_at: units.Instant
-    ) -> result.Result[client.ResponseHead, errors.TransportError] | None:
-        """Reads the response head; None if other engines would be faster.
-
-        The head comes with the first token.
-        """
-        reading = connection.read_head(self._time_until(due_at))
+        self, connection: client.ClientConnection
+    ) -> result.Result[client.ResponseHead, errors.TransportError]:
+        """Reads the response head, which comes with the first token."""
+        reading = connection.read_head(self._time_left)
         if not self._attempts.may_try_another_engine:
             return await reading
-        return await self._prefill_watch.watch(reading)
+        return await self._prefill_watch.watch(reading, self._on_slow)
 
     async def _relay(
         self,
         lease: connections.ConnectionLease,
         response: requests.BackendResponseHead,
         task_ids: list[int],
-        due_at: units.Instant,
         *,
         delimited: bool,
     ) -> attempts.AttemptResult:
         """Relays complete events until the stream ends.
 
-        The engine has stalled if no complete event arrives until `due_at`, or
-        later within the stall timeout. Bytes without an event are no progress.
+        Bytes without the next event are no progress.
         """
         engine = self._placement.decode_engine
         splitter = event_splitter.EventSplitter()
         comments: list[event_splitter.Event] = []
         comment_bytes = 0
         while True:
-            chunk = await lease.connection.read_chunk(self._time_until(due_at))
+            chunk = await lease.connection.read_chunk(self._time_left)
             if isinstance(chunk, result.Err):
                 return self._on_transport_error(engine, lease, chunk.err_value)
             if not chunk.ok_value:
@@ -314,7 +331,7 @@
                 return attempts.AttemptResult(
                     forwarding_states.AttemptOutcome.COMPLETE
                 )
-            self._context.losses.on_answer(engine)
+            context_module.record_answer(self._context, engine)
             events = splitter.feed(chunk.ok_value)
             if splitter.is_oversized:
                 return attempts.AttemptResult(
@@ -338,14 +355,14 @@
             comment_bytes = 0
             in_order = self._delivery.in_order_prefix(events)
             if in_order:
+                self._on_progress()
                 self._on_answer_begun()
                 self._context.load_tracker.on_first_token(task_ids)
+                # A slow caller does not make an engine late.
+                self._progress.suspend()
                 await self._delivery.forward(engine, response, in_order)
-                # Set after the caller has taken the events: a slow caller does
-                # not make an engine late.
-                due_at = units.after(
-                    self._context.timers.now(), self._stall_timeout()
-                )
+                self._loss_recorded = False
+                self._expect_within(self._next_event_timeout())
             if len(in_order) < len(events):
                 context_module.record_failed_response(
                     self._context,
@@ -367,10 +384,15 @@
             self._context.timers.now(),
         )
 
-    def _time_until(self, due_at: units.Instant) -> units.Seconds:
-        """Returns the time until `due_at` or the deadline of the request."""
-        left = units.elapsed(self._context.timers.now(), due_at)
-        return units.Seconds(max(0.0, min(left, self._attempts.time_left)))
+    @property
+    def _time_left(self) -> units.Seconds:
+        """Time until the deadline of the request."""
+        return units.Seconds(max(0.0, self._attempts.time_left))
+
+    def _expect_within(self, timeout: units.Seconds) -> None:
+        """Expects the next event within `timeout` seconds."""
+        self._waits_since = self._context.timers.now()
+        self._progress.expect_by(units.after(self._waits_since, timeout))
 
     def _first_event_timeout(self) -> units.Seconds:
         predicted_s = (
@@ -378,22 +400,19 @@
         )
         target = self._admitted_request.route.target_latency
         return units.Seconds(
-            min(
-                max(
-                    predicted_s + _FIRST_EVENT_MARGIN,
-                    target * _FIRST_EVENT_TARGET_FACTOR,
-                ),
-                max(0.0, self._attempts.time_left),
+            max(
+                predicted_s + _FIRST_EVENT_MARGIN,
+                target * _FIRST_EVENT_TARGET_FACTOR,
             )
         )
 
-    def _stall_timeout(self) -> units.Seconds:
+    def _next_event_timeout(self) -> units.Seconds:
         expected_gap = max(
             self._target_inter_token_latency,
             self._placement.iteration_ms / 1_000,
         )
         return units.Seconds(
-            max(_MIN_STALL_TIMEOUT, expected_gap * _STALL_FACTOR)
+            max(_MIN_EVENT_TIMEOUT, expected_gap * _STALL_FACTOR)
         )
 
     def _on_broken_off(self, detail: str) -> attempts.AttemptResult:
@@ -404,6 +423,11 @@
         )
 
     def _record_loss(self, evidence: engine_losses.LossEvidence) -> None:
+        if evidence is engine_losses.LossEvidence.NO_DATA:
+            # Once for each silence.
+            if self._loss_recorded:
+                return
+            self._loss_recorded = True
         context_module.record_loss(
             self._context,
             self._admitted_request,
@@ -424,8 +448,6 @@
             )
         if error.kind is errors.TransportErrorKind.IDLE_TIMEOUT:
             self._record_loss(engine_losses.LossEvidence.NO_DATA)
-            if self._attempts.time_left > attempts.MIN_ATTEMPT_TIME:
-                self._exclude_server(engine, "silent")
             return attempts.AttemptResult(
                 forwarding_states.AttemptOutcome.STALLED, error.detail
             )
@@ -465,7 +487,6 @@
                     forwarding_states.AttemptOutcome.WRONG_SERVER, detail
                 )
             case requests.ResponseKind.FAILURE:
-                self._failed_response = requests.BackendResponse(response, body)
                 context_module.record_failed_response(
                     self._context,
                     engine,
@@ -473,7 +494,9 @@
                     self._admitted_request.request.id,
                 )
                 return attempts.AttemptResult(
-                    forwarding_states.AttemptOutcome.SERVER_FAILURE, detail
+                    forwarding_states.AttemptOutcome.SERVER_FAILURE,
+                    detail,
+                    response=requests.BackendResponse(response, body),
                 )
             case _:
                 context_module.record_failed_response(
--- a/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
@@ -12,7 +12,9 @@
 from lavendershed.core import outcomes
 from lavendershed.core import states
 from lavendershed.core import units
+from lavendershed.forwarding import attempts
 from lavendershed.forwarding import context as context_module
+from lavendershed.forwarding import parallel_attempts
 from lavendershed.forwarding import relayed_attempt
 from lavendershed.forwarding import request_execution
 from lavendershed.forwarding import stream_attempt
@@ -60,75 +62,53 @@
         )
         self._predicted_ms = 0.0
 
-    async def run(self) -> None:
-        """Executes the request and streams the response."""
-        while True:
-            failure = self._attempts.check_next_attempt()
-            if failure is None and (peer := self._select_peer()) is not None:
-                if await self._relay(peer):
-                    return
-                continue
-            failure = failure or self._cut_off_failure()
-            placement = (
-                None if failure is not None else await self._select_placement()
-            )
-            if placement is None:
-                failure = failure or await self._wait_for_capacity()
-                if failure is None:
-                    continue
-                await self._finish_failed(failure)
-                return
-            attempt = stream_attempt.StreamAttempt(
-                self._context,
-                self._admitted_request,
-                self._delivery,
-                self._attempts,
-                placement,
-                self._size,
-                self._target_inter_token_latency,
-                self._predict_restart_ms,
-            )
-            attempt_result = await attempt.run()
-            self._failed_response = (
-                attempt.failed_response or self._failed_response
+    async def _select_attempt(
+        self,
+    ) -> parallel_attempts.Attempt | outcomes.RequestFailure | None:
+        placement = await self._select_placement()
+        if placement is None:
+            if self._running.is_empty:
+                return await self._wait_for_capacity()
+            return self._attempts.build_failure(
+                states.FailureReason.NO_BACKEND_SERVER,
+                "no engine can take another attempt",
             )
-            if (
-                attempt_result.outcome
-                is forwarding_states.AttemptOutcome.COMPLETE
-            ):
-                await self._complete(placement)
-                return
-            self._attempts.record(placement.decode_engine, attempt_result)
-            if (
-                attempt_result.outcome
-                is forwarding_states.AttemptOutcome.NO_MEMORY
-            ):
-                failure = await self._wait_for_capacity()
-                if failure is not None:
-                    await self._finish_failed(failure)
-                    return
+        self._on_placed(placement)
+        return stream_attempt.StreamAttempt(
+            self._context,
+            self._admitted_request,
+            self._delivery,
+            self._attempts,
+            placement,
+            self._size,
+            self._target_inter_token_latency,
+            self._predict_restart_ms,
+        )
 
-    async def _relay(self, peer: addresses.Address) -> bool:
-        """Has a peer run the request; returns whether it is complete."""
-        outcome = await relayed_attempt.RelayedAttempt(
+    def _new_relayed_attempt(
+        self, peer: addresses.Address
+    ) -> parallel_attempts.Attempt:
+        return relayed_attempt.RelayedAttempt(
             self._context,
             self._admitted_request,
             self._attempts,
             peer,
             self._delivery,
-        ).run()
-        if outcome.response is not None:
-            await self._responder.respond(
-                outcome.response.head.status,
-                outcome.response.body,
-                outcome.response.head.headers,
-            )
-            return True
-        if outcome.attempt.outcome is forwarding_states.AttemptOutcome.COMPLETE:
-            await self._responder.finish()
-            return True
-        self._attempts.record_relay(peer, outcome.attempt)
-        return False
+        )
+
+    async def _on_attempt_failed(
+        self, attempt_result: attempts.AttemptResult
+    ) -> outcomes.RequestFailure | None:
+        if (
+            attempt_result.outcome
+            is not forwarding_states.AttemptOutcome.NO_MEMORY
+        ):
+            return None
+        return await self._wait_for_capacity()
+
+    @property
+    def _has_server_beside(self) -> bool:
+        return self._context.relay.is_cut_off or bool(self._candidates)
 
     async def _wait_for_capacity(self) -> outcomes.RequestFailure | None:
         """Waits until engines may have capacity for the request.
@@ -240,7 +220,7 @@
         )
 
     async def _select_placement(self) -> placements.Placement | None:
-        """Returns the engines for the next attempt, and logs them."""
+        """Returns the engines for the next attempt."""
         for denials in range(_MAX_DENIALS):
             placement = None
             if denials >= _MAX_DENIALS_BEFORE_UNLIMITED:
@@ -253,7 +233,6 @@
             )
             permitted = placement.without(denied)
             if permitted is not None:
-                self._on_placed(permitted)
                 return permitted
         return None
 
@@ -316,8 +295,12 @@
 
     @property
     def _candidates(self) -> tuple[server_directory.ServerEntry, ...]:
-        return self._context.view.directory.servers_accepting_work(
-            self._admitted_request.service.id
+        return context_module.servers_beside(
+            self._context,
+            self._context.view.directory.servers_accepting_work(
+                self._admitted_request.service.id
+            ),
+            self._attempts.open_servers,
         )
 
     def _choose_engines(
@@ -392,7 +375,24 @@
             if tracker.load(engine.id).requests
         )
 
-    async def _complete(self, placement: placements.Placement) -> None:
+    async def _complete(
+        self,
+        attempt: parallel_attempts.Attempt,
+        attempt_result: attempts.AttemptResult,
+    ) -> None:
+        if attempt_result.response is not None:
+            # The whole answer of a peer.
+            await self._responder.respond(
+                attempt_result.response.head.status,
+                attempt_result.response.body,
+                attempt_result.response.head.headers,
+            )
+            return
+        if isinstance(attempt, stream_attempt.StreamAttempt):
+            self._record_completion(attempt.engine)
+        await self._responder.finish()
+
+    def _record_completion(self, engine: server_directory.ServerEntry) -> None:
         context = self._context
         # Parts of the prompt are cleared by the first event already.
         context.crash_attribution.on_cleared(
@@ -409,7 +409,7 @@
         context.log.emit(
             events.Event.REQUEST_FINISHED,
             request=self._admitted_request.request.id,
-            server=placement.decode_engine.id,
+            server=engine.id,
             attempts=self._attempts.count + 1,
             first_ms=round((first_event_at - received_at) * 1_000)
             if first_event_at
@@ -418,7 +418,6 @@
             pause_ms=round(self._delivery.longest_event_gap * 1_000),
             seconds=round(seconds, 3),
         )
-        await self._responder.finish()
 
     async def _finish_failed(self, failure: outcomes.RequestFailure) -> None:
         if self._responder.started:
--- a/packages/platform/src/lavendershed/platform/factory.py
+++ b/packages/platform/src/lavendershed/platform/factory.py
@@ -46,6 +46,7 @@
 from lavendershed.reliability import crash_attribution
 from lavendershed.reliability import fleet_retry_budget
 from lavendershed.reliability import server_health
+from lavendershed.reliability import silent_servers
 from lavendershed.routing import engine_slowdown
 from lavendershed.routing import load_tracker
 from lavendershed.routing import server_choice
@@ -173,6 +174,7 @@
         budget,
         attribution,
         losses,
+        silent_servers.SilentServers(),
         relay_client,
         reservations.ReservationClient(
             server_connections,
--- a/packages/standin/src/lavendershed/standin/platform_engine.py
+++ b/packages/standin/src/lavendershed/standin/platform_engine.py
@@ -90,6 +90,8 @@
         self.received_requests: list[ReceivedRequest] = []
         self.orders: list[dict[str, Any]] = []
         self.event_interval_s = 0.005
+        # Time until which the engine sends nothing, though it is sound.
+        self.silent_until = units.Instant(0.0)
         # Prefill helpers that are unreachable; requests that name one of them
         # are refused.
         self.unreachable_helpers: frozenset[address_module.Address] = (
@@ -293,9 +295,13 @@
         if request.body in self.deadly_bodies:
             self.crash()
             return
+        await self._wait_while_silent()
         body = b"answer of " + self._id.encode() + b" to " + request.body
         await responder.respond(200, body, response_headers)
 
+    async def _wait_while_silent(self) -> None:
+        await asyncio.sleep(max(0.0, self.silent_until - self._timers.now()))
+
     async def _drip(self, responder: handlers.Responder, data: bytes) -> None:
         """Sends `data` again and again until the caller closes."""
         for _ in itertools.count():
@@ -367,6 +373,7 @@
         batch = b""
         for event_id in range(first_event_id, self.events_per_stream + 1):
             await asyncio.sleep(self.event_interval_s)
+            await self._wait_while_silent()
             if (
                 fault is EngineFault.EVENT_ID_GAP
                 and event_id == self.events_per_stream
--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -191,7 +191,14 @@
         ).unwrap()
 
     async def exchange(
-        self, connection, path, body=b"", key=KEY, extra_headers=(), **headers
+        self,
+        connection,
+        path,
+        body=b"",
+        key=KEY,
+        extra_headers=(),
+        patience=TIMEOUT,
+        **headers,
     ):
         header_fields = {
             "host": HOST,
@@ -204,11 +211,11 @@
             header_fields["x-api-key"] = key
         head = client.RequestHead("POST", path, tuple(header_fields.items()))
         (await connection.send(head, body, TIMEOUT)).unwrap()
-        response_head = await connection.read_head(TIMEOUT)
+        response_head = await connection.read_head(patience)
         if isinstance(response_head, result.Err):
             return response_head
         body_result = await connection.read_body(
-            TIMEOUT, units.Bytes(1_000_000)
+            patience, units.Bytes(1_000_000)
         )
         if isinstance(body_result, result.Err):
             return body_result
--- a/tests/test_cut_from_engines.py
+++ b/tests/test_cut_from_engines.py
@@ -204,6 +204,40 @@
         response = await self.stream()
         self.assertIsInstance(response, result.Err)
 
+    async def test_silent_engines_lose_no_answer_behind_a_peer(self):
+        """Guards against an end of the last attempt by a time limit."""
+        for delay in (0.0, 0.25):
+            for engine in self.engines:
+                engine.event_interval_s = 0.2
+            tasks = [
+                self.loop.create_task(
+                    self.request(
+                        path,
+                        b"body",
+                        deadline_ms="9000",
+                        patience=units.Seconds(9.0),
+                        **size,
+                    )
+                )
+                for path, size in (
+                    ("/stream/x", {"token_count": "1000,100"}),
+                    ("/safe/x", {}),
+                    ("/unsafe/x", {}),
+                )
+            ]
+            await asyncio.sleep(delay)
+            now = self.timers.now()
+            for server in self.engines:
+                server.silent_until = units.after(now, units.Seconds(6.0))
+            for server in self.plain_servers:
+                server.silent_until = units.after(now, units.Seconds(2.0))
+            responses = await asyncio.gather(*tasks)
+            with self.subTest(delay=delay):
+                self.assertEqual({r.head.status for r in responses}, {200})
+                self.assertEqual(responses[0].body.count(b"id: "), 3)
+        orders = [r for r in self.new_requests if r.target == "/unsafe/x"]
+        self.assertEqual(len(orders), 2)
+
     async def test_an_error_of_the_engine_is_forwarded(self):
         self.set_fault(Fault.ERROR)
         response = await self.request("/unsafe/x")
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -8,6 +8,7 @@
 import platform_case
 import result
 
+from lavendershed.core import units
 from lavendershed.standin import platform_engine
 
 Fault = platform_engine.EngineFault
@@ -38,6 +39,8 @@
                 path,
                 attempt_id=request_id,
                 deadline_ms="9000",
+                # The caller waits for longer than the daemon runs.
+                patience=units.Seconds(9.0),
                 **size,
             )
         except result.UnwrapError:
--- /dev/null
+++ b/tests/virtual_case.py
@@ -0,0 +1,342 @@
+"""Daemon on a virtual clock, with servers in memory instead of sockets."""
+
+from __future__ import annotations
+
+import abc
+import asyncio
+import random
+import selectors
+
+import orjson
+import platform_case
+import result
+
+from lavendershed.core import addresses
+from lavendershed.core import ids
+from lavendershed.core import store_revisions
+from lavendershed.core import units
+from lavendershed.forwarding import connections
+from lavendershed.peer import peer_state
+from lavendershed.platform import factory
+from lavendershed.platform import settings
+from lavendershed.reliability import fleet_retry_budget
+from lavendershed.telemetry import log
+from lavendershed.transport import client
+from lavendershed.transport import errors
+from lavendershed.transport import event_loop_timers
+from lavendershed.transport import handlers
+from lavendershed.transport import streams
+
+BUDGET = fleet_retry_budget.FleetBudgetLimits(0.2, 100.0, units.Seconds(10.0))
+_NOWHERE = addresses.Address("127.0.0.1", 9)
+
+
+class _VirtualSelector(selectors.SelectSelector):
+    """Moves the clock instead of waiting."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 1_000.0
+        # Turns of the loop in which something was ready.
+        self.turns = 0
+
+    def select(self, timeout=None):
+        if timeout is None:
+            raise RuntimeError("everything waits without a time limit")
+        self.now += max(0.0, timeout)
+        self.turns += 1
+        return []
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Event loop whose clock moves to the next timer at once."""
+
+    def __init__(self):
+        self.selector = _VirtualSelector()
+        super().__init__(self.selector)
+
+    def time(self):
+        """Returns the virtual time."""
+        return self.selector.now
+
+
+def run(main):
+    """Runs a coroutine on a virtual clock."""
+    loop = VirtualLoop()
+    try:
+        return loop.run_until_complete(main)
+    finally:
+        for task in asyncio.all_tasks(loop):
+            task.cancel()
+        loop.run_until_complete(asyncio.sleep(0))
+        loop.close()
+
+
+class _Flow:
+    """Transport that a reader pauses when its buffer is full."""
+
+    def __init__(self):
+        self.flowing = asyncio.Event()
+        self.flowing.set()
+        self.closed = False
+        self.on_abort = lambda: None
+
+    def pause_reading(self):
+        self.flowing.clear()
+
+    def resume_reading(self):
+        self.flowing.set()
+
+    def is_closing(self):
+        return self.closed
+
+    def abort(self):
+        if not self.closed:
+            self.closed = True
+            self.on_abort()
+
+
+class MemoryWriter:
+    """Writes to the reader at the other end."""
+
+    def __init__(self, reader, flow, own):
+        self._reader = reader
+        self._flow = flow
+        self.transport = own
+
+    def write(self, data):
+        if self._flow.closed or self.transport.closed:
+            return
+        self._reader.feed_data(data)
+
+    async def drain(self):
+        if self._flow.closed or self.transport.closed:
+            raise ConnectionResetError("connection is closed")
+        await self._flow.flowing.wait()
+
+    def is_closing(self):
+        return self.transport.closed
+
+    def close(self):
+        """Ends the connection after what was written."""
+        if not self.transport.closed:
+            self.transport.closed = True
+            self._reader.feed_eof()
+
+    def reset(self):
+        """Ends the connection at once."""
+        if not self.transport.closed:
+            self.transport.closed = True
+            self._reader.set_exception(ConnectionResetError("reset"))
+
+
+def _pipe():
+    """Returns two connected pairs of a reader and a writer."""
+    readers = [streams.BufferedReader() for _ in range(2)]
+    flows = [_Flow(), _Flow()]
+    for reader, flow in zip(readers, flows, strict=True):
+        reader.set_transport(flow)
+    # An end that is aborted resets the other one.
+    for end in range(2):
+        flows[end].on_abort = lambda r=readers[1 - end], f=flows[1 - end]: (
+            f.flowing.set(),
+            r.set_exception(ConnectionResetError("reset")),
+        )
+    return [
+        (
+            readers[end],
+            MemoryWriter(readers[1 - end], flows[1 - end], flows[end]),
+        )
+        for end in range(2)
+    ]
+
+
+class MemoryServer(abc.ABC):
+    """A backend server in memory."""
+
+    def __init__(self, name, service, number):
+        self.id = name
+        self.service = service
+        self.address = addresses.Address(f"10.0.0.{number + 1}", 8_080)
+
+    @abc.abstractmethod
+    async def serve(self, reader, writer):
+        """Serves one connection."""
+
+    async def accept(self, reader, writer):
+        try:
+            await self.serve(reader, writer)
+        except (asyncio.IncompleteReadError, OSError):
+            return
+        finally:
+            writer.close()
+
+    async def read_request(self, reader):
+        """Reads one request; returns its method, target, headers and body."""
+        head = await reader.readuntil(b"\r\n\r\n")
+        line, *lines = head.decode("latin-1").split("\r\n")
+        fields = {
+            name.lower(): value.strip()
+            for name, _, value in (text.partition(":") for text in lines)
+            if name
+        }
+        body = await reader.readexactly(int(fields.get("content-length", 0)))
+        method, target, _ = line.split(" ")
+        return method, target, fields, body
+
+
+class MemoryConnector(connections.Connector):
+    """Connects to servers in memory."""
+
+    def __init__(self, servers):
+        self._servers = {server.address: server for server in servers}
+        self.tasks = set()
+
+    async def connect(self, address, timeout):
+        server = self._servers.get(address)
+        if server is None:
+            kind = errors.TransportErrorKind.CONNECT_FAILED
+            return result.Err(errors.TransportError(kind, False, str(address)))
+        near, far = _pipe()
+        task = asyncio.get_running_loop().create_task(server.accept(*far))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return result.Ok(client.ClientConnection(*near, address))
+
+
+class Caller(handlers.Responder):
+    """A caller in memory, which records what it gets and when."""
+
+    def __init__(self):
+        self.status = None
+        self.headers = {}
+        self.body = b""
+        self.complete = False
+        self.aborted = False
+        self.event_times = []
+        self._disconnected = asyncio.Event()
+        self._on_disconnect = None
+
+    @property
+    def started(self):
+        return self.status is not None
+
+    @property
+    def disconnected(self):
+        return self._disconnected
+
+    def on_disconnect(self, callback):
+        self._on_disconnect = callback
+
+    def leave(self):
+        """Closes the connection."""
+        self._disconnected.set()
+        if self._on_disconnect is not None:
+            self._on_disconnect()
+
+    async def respond(self, status, body, headers=()):
+        self.start(status, headers)
+        self.body = body
+        self.complete = True
+
+    def start(self, status, headers=()):
+        assert self.status is None, "a second response"
+        self.status = status
+        self.headers = dict(headers)
+
+    async def write(self, data):
+        assert not self.complete and not self.aborted
+        self.body += data
+        self.event_times.append(asyncio.get_running_loop().time())
+        return not self._disconnected.is_set()
+
+    async def finish(self):
+        self.complete = True
+
+    def abort(self):
+        self.aborted = True
+
+
+class VirtualDaemon:
+    """Components of one daemon, without its listeners."""
+
+    def __init__(self, servers, *routes, seed=1):
+        loop = asyncio.get_running_loop()
+        self.timers = event_loop_timers.EventLoopTimerService(loop)
+        self.log = log.MemoryEventLog()
+        self.connector = MemoryConnector(servers)
+        parts = factory.build(
+            settings.PlatformSettings(
+                ids.VmId("vm"),
+                ids.AvailabilityZoneId("a"),
+                *[_NOWHERE] * 3,
+                (),
+                _NOWHERE,
+                units.Seconds(8.0),
+                BUDGET,
+            ),
+            ids.Incarnation(1),
+            self.timers,
+            self.log,
+            random.Random(seed),
+            self.connector,
+        )
+        self.context = parts.components.context
+        self.gateway = parts.components.gateway
+        view = self.context.view
+        revision = store_revisions.of(1, 1)
+        view.on_configuration(
+            peer_state.StoredObject(
+                "main",
+                revision,
+                orjson.dumps(platform_case.configuration(1, *routes)),
+            )
+        )
+        view.on_server_listing(
+            tuple(
+                peer_state.StoredObject(
+                    server.id, revision, orjson.dumps(_entry(server))
+                )
+                for server in servers
+            ),
+            revision,
+            self.timers.now(),
+        )
+
+    def events(self, event):
+        return [f for recorded, f in self.log.records if recorded is event]
+
+    async def request(self, path, number, caller=None, **fields):
+        """Sends one request; returns the caller with its answer."""
+        caller = caller or Caller()
+        headers = {
+            "host": platform_case.HOST,
+            "x-api-key": platform_case.KEY,
+            "attempt-id": f"id-{number}",
+            **{name.replace("_", "-"): v for name, v in fields.items()},
+        }
+        await self.gateway.handle(
+            handlers.ServerRequest(
+                "POST",
+                path,
+                "",
+                tuple(headers.items()),
+                f"body {number}".encode(),
+                path,
+            ),
+            caller,
+        )
+        return caller
+
+
+def _entry(server):
+    return {
+        "service": server.service,
+        "address": str(server.address),
+        "zone": "a",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "born": 1,
+        "seq": 1,
+    }
