Bound the memory that all unfinished messages hold together

A server that sends bytes without end filled the memory of a daemon: each body had a limit of 8 MB, each event one of 1 MB, but nothing limited how many there were. A body that came byte by byte was kept as a list of single bytes. A caller could send without end while its request was handled; what it sent was kept. And a chunk of one byte costs 10 us in h11, so that one read of 64 KB could hold the loop for 110 ms, again and again.

A request without room gets 503, as not run; a response without room ends its attempt, without blame for the server. Bytes after a request are read on when its response is complete. At most 128 parts of a message are processed without a turn of the loop.

test_floods: ten parts of an answer without end at calls and at streams, orders, a call that may not be repeated, a peer between, 30 floods at once, a caller that does not read, that sends on, that sends single bytes, and bodies at once. Calls beside them are answered in time.

--- a/packages/forwarding/src/lavendershed/forwarding/context.py
+++ b/packages/forwarding/src/lavendershed/forwarding/context.py
@@ -35,6 +35,7 @@
 from lavendershed.telemetry import log
 from lavendershed.telemetry import request_instruments
 from lavendershed.telemetry import unexpected_errors
+from lavendershed.transport import buffer_budget
 from lavendershed.transport import handlers
 
 Failure = outcomes.RequestFailure
@@ -67,6 +68,8 @@
     log: log.EventLog
     instruments: request_instruments.RequestInstruments
     errors: unexpected_errors.ErrorRecorder
+    request_buffers: buffer_budget.BufferBudget
+    response_buffers: buffer_budget.BufferBudget
     zone: ids.AvailabilityZoneId
 
     @property
--- a/packages/forwarding/src/lavendershed/forwarding/daemon.py
+++ b/packages/forwarding/src/lavendershed/forwarding/daemon.py
@@ -62,11 +62,13 @@
             daemon_components.gateway,
             daemon_components.context.timers,
             server.ServerLimits(),
+            daemon_components.context.request_buffers,
         )
         self._relay_server = server.HttpServer(
             daemon_components.relay_handler,
             daemon_components.context.timers,
             server.ServerLimits(idle_timeout=relay.IDLE_TIMEOUT),
+            daemon_components.context.request_buffers,
         )
         self._health_server = server.HttpServer(
             health_endpoint.HealthEndpoint(
--- a/packages/forwarding/src/lavendershed/forwarding/event_splitter.py
+++ b/packages/forwarding/src/lavendershed/forwarding/event_splitter.py
@@ -53,6 +53,11 @@
         """Whether the buffer holds an incomplete event."""
         return bool(self._buffer)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Size of the incomplete event."""
+        return len(self._buffer)
+
     @property
     def is_oversized(self) -> bool:
         """Whether the incomplete event is larger than any event may be."""
--- a/packages/forwarding/src/lavendershed/forwarding/parallel_attempts.py
+++ b/packages/forwarding/src/lavendershed/forwarding/parallel_attempts.py
@@ -15,6 +15,7 @@
 from lavendershed.core import timers
 from lavendershed.core import units
 from lavendershed.forwarding import attempts
+from lavendershed.transport import buffer_budget
 
 
 class ProgressWatch:
@@ -100,8 +101,13 @@
 class Attempt(abc.ABC):
     """One attempt to get the answer to a request."""
 
-    def __init__(self, timer_service: timers.TimerService) -> None:
+    def __init__(
+        self,
+        timer_service: timers.TimerService,
+        buffers: buffer_budget.BufferBudget,
+    ) -> None:
         self._observer: AttemptObserver | None = None
+        self._buffer = buffers.share()
         self._progress = ProgressWatch(timer_service, self._on_overdue)
 
     @property
@@ -109,6 +115,10 @@
         """Whether the attempt has made no progress for too long."""
         return self._progress.is_overdue
 
+    def release_buffer(self) -> None:
+        """Gives the memory of the response back, once it was forwarded."""
+        self._buffer.release()
+
     def subscribe(self, observer: AttemptObserver) -> None:
         """Tells `observer` of progress from now on."""
         self._observer = observer
@@ -169,6 +179,8 @@
     def __init__(self, tracker: attempts.AttemptTracker) -> None:
         self._tracker = tracker
         self._tasks: dict[Attempt, asyncio.Task[attempts.AttemptResult]] = {}
+        # All attempts that were started, which may hold memory.
+        self._started: list[Attempt] = []
         self._changed = asyncio.Event()
 
     @property
@@ -191,6 +203,7 @@
         task = asyncio.get_running_loop().create_task(attempt.run())
         task.add_done_callback(lambda _: self._changed.set())
         self._tasks[attempt] = task
+        self._started.append(attempt)
 
     async def wait(
         self, timeout: units.Seconds | None
@@ -224,11 +237,17 @@
         """Closes all attempts."""
         self._close_all_but(None)
 
+    def release_buffers(self) -> None:
+        """Gives the memory of all responses back."""
+        for attempt in self._started:
+            attempt.release_buffer()
+
     def _close_all_but(self, kept: Attempt | None) -> None:
         for attempt, task in tuple(self._tasks.items()):
             if attempt is not kept:
                 del self._tasks[attempt]
                 task.cancel()
+                attempt.release_buffer()
                 if kept is not None:
                     attempt.record_close(self._tracker)
 
--- a/packages/forwarding/src/lavendershed/forwarding/relayed_attempt.py
+++ b/packages/forwarding/src/lavendershed/forwarding/relayed_attempt.py
@@ -51,7 +51,7 @@
         peer: addresses.Address,
         delivery: stream_delivery.StreamDelivery | None = None,
     ) -> None:
-        super().__init__(context.timers)
+        super().__init__(context.timers, context.response_buffers)
         self._context = context
         self._admitted_request = admitted_request
         self._attempts = attempt_tracker
@@ -169,7 +169,7 @@
                 f"{self._peer} did not name its result",
             )
         content = await connection.read_body(
-            self._time_left, _MAX_RESPONSE_BODY
+            self._time_left, _MAX_RESPONSE_BODY, self._buffer
         )
         if isinstance(content, result.Err):
             return self._on_transport_error(content.err_value)
@@ -207,6 +207,11 @@
                     forwarding_states.AttemptOutcome.COMPLETE
                 )
             relayed_events = splitter.feed(chunk.ok_value)
+            if not self._buffer.resize(splitter.buffered_bytes):
+                return _failed(
+                    forwarding_states.AttemptOutcome.INVALID_RESPONSE,
+                    "memory for events is used up",
+                )
             in_order = delivery.in_order_prefix(relayed_events)
             if in_order:
                 self._on_progress()
--- a/packages/forwarding/src/lavendershed/forwarding/request_execution.py
+++ b/packages/forwarding/src/lavendershed/forwarding/request_execution.py
@@ -57,6 +57,7 @@
                     return
         finally:
             self._running.close()
+            self._running.release_buffers()
 
     @abc.abstractmethod
     async def _select_attempt(
--- a/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
@@ -58,7 +58,7 @@
         target_inter_token_latency: units.Seconds,
         predict_restart: prefill_watch.RestartPrediction,
     ) -> None:
-        super().__init__(context.timers)
+        super().__init__(context.timers, context.response_buffers)
         self._context = context
         self._admitted_request = admitted_request
         self._delivery = delivery
@@ -276,7 +276,7 @@
                 response.reuse_period if complete else None,
             )
         body = await connection.read_body(
-            self._time_left, _MAX_FAILED_RESPONSE_BODY
+            self._time_left, _MAX_FAILED_RESPONSE_BODY, self._buffer
         )
         if isinstance(body, result.Err):
             return self._on_transport_error(engine, lease, body.err_value), None
@@ -338,6 +338,11 @@
                     forwarding_states.AttemptOutcome.INVALID_RESPONSE,
                     f"event exceeds {event_splitter.MAX_EVENT_BYTES} bytes",
                 )
+            if not self._buffer.resize(splitter.buffered_bytes):
+                return attempts.AttemptResult(
+                    forwarding_states.AttemptOutcome.INVALID_RESPONSE,
+                    "memory for events is used up",
+                )
             if all(event.is_comment for event in events):
                 # Kept until an event follows, because a head that has been
                 # sent can't be taken back if the engine fails.
@@ -446,6 +451,10 @@
             return attempts.AttemptResult(
                 forwarding_states.AttemptOutcome.NOT_SENT, error.detail
             )
+        if error.kind is errors.TransportErrorKind.NO_BUFFER:
+            return attempts.AttemptResult(
+                forwarding_states.AttemptOutcome.INVALID_RESPONSE, error.detail
+            )
         if error.kind is errors.TransportErrorKind.IDLE_TIMEOUT:
             self._record_loss(engine_losses.LossEvidence.NO_DATA)
             return attempts.AttemptResult(
--- a/packages/forwarding/src/lavendershed/forwarding/unary_attempt.py
+++ b/packages/forwarding/src/lavendershed/forwarding/unary_attempt.py
@@ -33,7 +33,7 @@
         attempt_tracker: attempts.AttemptTracker,
         server: server_directory.ServerEntry,
     ) -> None:
-        super().__init__(context.timers)
+        super().__init__(context.timers, context.response_buffers)
         self._context = context
         self._admitted_request = admitted_request
         self._attempts = attempt_tracker
@@ -155,7 +155,9 @@
             context.limit_observer.on_answer(
                 server, head.ok_value, self._sent_at
             )
-        body = await connection.read_body(self._time_left, _MAX_RESPONSE_BODY)
+        body = await connection.read_body(
+            self._time_left, _MAX_RESPONSE_BODY, self._buffer
+        )
         if isinstance(body, result.Err):
             return body
         return result.Ok(requests.BackendResponse(response_head, body.ok_value))
@@ -181,6 +183,11 @@
                 return _failed_attempt(
                     forwarding_states.AttemptOutcome.NOT_SENT, error.detail
                 )
+            if error.kind is errors.TransportErrorKind.NO_BUFFER:
+                return _failed_attempt(
+                    forwarding_states.AttemptOutcome.INVALID_RESPONSE,
+                    error.detail,
+                )
             if error.kind is errors.TransportErrorKind.IDLE_TIMEOUT:
                 self._record_loss(engine_losses.LossEvidence.NO_DATA)
                 return _failed_attempt(
--- a/packages/platform/src/lavendershed/platform/factory.py
+++ b/packages/platform/src/lavendershed/platform/factory.py
@@ -53,6 +53,7 @@
 from lavendershed.telemetry import log
 from lavendershed.telemetry import request_instruments
 from lavendershed.telemetry import unexpected_errors
+from lavendershed.transport import buffer_budget
 
 # Daemons of a new deployment read the store one after the other within this
 # time, and most of them take its contents from a peer. Callers come later.
@@ -200,6 +201,8 @@
         event_log,
         instruments,
         errors,
+        buffer_budget.BufferBudget(platform_settings.buffer_bytes),
+        buffer_budget.BufferBudget(platform_settings.buffer_bytes),
         platform_settings.zone,
     )
     availability = store_availability.StoreAvailability()
--- a/packages/platform/src/lavendershed/platform/settings.py
+++ b/packages/platform/src/lavendershed/platform/settings.py
@@ -14,6 +14,11 @@
 from lavendershed.platform import fields
 from lavendershed.reliability import fleet_retry_budget
 
+_BYTES_PER_MB = 1_000_000
+# Part of the memory for the bodies of requests, and as much for responses. The
+# process itself, answers of the store and socket buffers need the rest.
+_BUFFER_SHARE = 0.13
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlatformSettings:
@@ -31,6 +36,7 @@
         retry_budget: Limits on the retries of all daemons together.
         bandwidth_mbps: Bandwidth of the VM; 0 if it is not stated.
         first_start: Whether the whole deployment starts for the first time.
+        memory: Memory that the process may use.
     """
 
     vm: ids.VmId
@@ -44,6 +50,12 @@
     retry_budget: fleet_retry_budget.FleetBudgetLimits
     bandwidth_mbps: int = 0
     first_start: bool = False
+    memory: units.Bytes = units.Bytes(300 * _BYTES_PER_MB)
+
+    @property
+    def buffer_bytes(self) -> units.Bytes:
+        """Memory for request bodies; as much is used for responses."""
+        return units.Bytes(int(self.memory * _BUFFER_SHARE))
 
 
 def load(path: pathlib.Path) -> result.Result[PlatformSettings, str]:
@@ -84,6 +96,9 @@
         ),
         int(fields.number(vm_limits, "link_mbps", 0.0)),
         fields.boolean(body, "bootstrap"),
+        units.Bytes(
+            int(fields.number(vm_limits, "memory_mb", 300.0) * _BYTES_PER_MB)
+        ),
     )
 
 
--- a/packages/platform/src/lavendershed/platform/store.py
+++ b/packages/platform/src/lavendershed/platform/store.py
@@ -38,7 +38,7 @@
 _MAX_NAME = 512
 _UNREADABLE_SPEC = b""
 _OBJECT_KEY = b'"object"'
-_MAX_RESPONSE = units.Bytes(8_000_000)
+_MAX_RESPONSE = units.Bytes(4_000_000)
 _ERRORS = {
     errors.TransportErrorKind.IDLE_TIMEOUT: codecs.SourceError.TIMED_OUT,
     errors.TransportErrorKind.PROTOCOL: codecs.SourceError.MALFORMED,
--- a/packages/transport/src/lavendershed/transport/client.py
+++ b/packages/transport/src/lavendershed/transport/client.py
@@ -12,6 +12,7 @@
 
 from lavendershed.core import units
 from lavendershed.transport import address as address_module
+from lavendershed.transport import buffer_budget
 from lavendershed.transport import errors
 from lavendershed.transport import headers as header_fields
 from lavendershed.transport import streams
@@ -19,6 +20,9 @@
 _READ_SIZE_BYTES = 65_536
 # A server that sends more interim responses (1xx) never answers.
 _MAX_INTERIM_RESPONSES = 16
+# Parts of messages that are processed without a turn of the event loop. A peer
+# may send one byte in each of them.
+_MAX_EVENTS_PER_TURN = 128
 # Methods whose requests have no body unless they state its length.
 _METHODS_WITHOUT_BODY = frozenset({"GET", "HEAD", "DELETE"})
 
@@ -78,6 +82,7 @@
         self._request_sent = False
         # Whether h11 has processed all received bytes.
         self._needs_data = False
+        self._events_in_turn = 0
         self._read_timeout = streams.ReadTimeout(reader)
 
     @property
@@ -187,7 +192,10 @@
             return result.Ok(b"")
         chunks = [bytes(event.ok_value.data)]
         # Also returns chunks that are already buffered.
-        while self._protocol.their_state is h11.SEND_BODY:
+        while (
+            self._protocol.their_state is h11.SEND_BODY
+            and len(chunks) < _MAX_EVENTS_PER_TURN
+        ):
             try:
                 buffered = self._protocol.next_event()
             except h11.RemoteProtocolError as error:
@@ -198,33 +206,42 @@
                 self._needs_data = buffered is h11.NEED_DATA
                 break
             chunks.append(bytes(buffered.data))
+        self._events_in_turn += len(chunks)
         return result.Ok(b"".join(chunks))
 
     async def read_body(
-        self, timeout: units.Seconds, limit: units.Bytes
+        self,
+        timeout: units.Seconds,
+        limit: units.Bytes,
+        share: buffer_budget.BufferShare | None = None,
     ) -> result.Result[bytes, errors.TransportError]:
         """Reads the rest of the body, at most `limit` bytes.
 
         Args:
             timeout: Limit for the whole body, however it arrives.
             limit: Maximum size of the body.
+            share: Budget that the body is charged to, if any.
         """
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout
-        chunks: list[bytes] = []
-        size = 0
+        # Not a list of chunks, since each may hold a single byte.
+        body = bytearray()
         while self._protocol.their_state is h11.SEND_BODY:
             chunk = await self.read_chunk(units.Seconds(deadline - loop.time()))
             if isinstance(chunk, result.Err):
                 return chunk
-            size += len(chunk.ok_value)
-            if size > limit:
+            body += chunk.ok_value
+            if len(body) > limit:
                 return self._transport_error(
                     errors.TransportErrorKind.PROTOCOL,
                     f"response body exceeds {limit} bytes",
                 )
-            chunks.append(chunk.ok_value)
-        return result.Ok(b"".join(chunks))
+            if share is not None and not share.resize(len(body)):
+                return self._transport_error(
+                    errors.TransportErrorKind.NO_BUFFER,
+                    "memory for response bodies is used up",
+                )
+        return result.Ok(bytes(body))
 
     async def _next_event(
         self, timeout: units.Seconds
@@ -236,6 +253,10 @@
         """
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout
+        self._events_in_turn += 1
+        if self._events_in_turn >= _MAX_EVENTS_PER_TURN:
+            self._events_in_turn = 0
+            await asyncio.sleep(0)
         while True:
             if self._needs_data:
                 remaining = deadline - loop.time()
@@ -267,6 +288,9 @@
     async def _receive(
         self, timeout: units.Seconds
     ) -> result.Result[bytes, errors.TransportError]:
+        if self._reader.has_buffered_bytes:
+            # The read would not suspend, and a peer may send without end.
+            await asyncio.sleep(0)
         self._read_timeout.start(timeout)
         try:
             return result.Ok(await self._reader.read(_READ_SIZE_BYTES))
--- a/packages/transport/src/lavendershed/transport/errors.py
+++ b/packages/transport/src/lavendershed/transport/errors.py
@@ -14,6 +14,8 @@
     IDLE_TIMEOUT = "idle_timeout"
     PROTOCOL = "protocol"
     TOO_LATE = "too_late"
+    # The memory for messages is used up; the peer is not at fault.
+    NO_BUFFER = "no_buffer"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/transport/src/lavendershed/transport/server.py
+++ b/packages/transport/src/lavendershed/transport/server.py
@@ -14,10 +14,18 @@
 from lavendershed.core import timers
 from lavendershed.core import units
 from lavendershed.transport import address as address_module
+from lavendershed.transport import buffer_budget
 from lavendershed.transport import handlers
 from lavendershed.transport import headers as header_fields
 
 _BACKLOG = 1_024
+# Parts of a request that are processed without a turn of the event loop. A
+# caller may send one byte in each of them.
+_MAX_EVENTS_PER_TURN = 128
+# Bytes that a caller may send while its request is handled; more are not read
+# until the response is complete.
+_MAX_PIPELINED_BYTES = 65_536
+_DEFAULT_BUFFER_BYTES = units.Bytes(64_000_000)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,6 +60,9 @@
         self._idle_timer: timers.Timer | None = None
         self._disconnect_callback: Callable[[], object] | None = None
         self._started = False
+        self._share = server.buffers.share()
+        self._pipelined_bytes = 0
+        self._reading_paused = False
 
     @property
     def started(self) -> bool:
@@ -78,6 +89,8 @@
         self._cancel_request_timer()
         self._cancel_idle_timer()
         self._server.unregister(self)
+        if self._task is None:
+            self._share.release()
         if self._disconnect_callback is not None:
             self._disconnect_callback()
 
@@ -103,6 +116,10 @@
             return
         if self._task is None:
             self._process_events()
+            return
+        self._pipelined_bytes += len(data)
+        if self._pipelined_bytes > _MAX_PIPELINED_BYTES:
+            self._pause_reading()
 
     def eof_received(self) -> bool:
         return False
@@ -161,8 +178,24 @@
         if data:
             self._transport.write(data)
 
+    def _pause_reading(self) -> None:
+        if self._transport is not None and not self._reading_paused:
+            self._reading_paused = True
+            self._transport.pause_reading()
+
+    def _resume_reading(self) -> None:
+        self._pipelined_bytes = 0
+        if self._transport is not None and self._reading_paused:
+            self._reading_paused = False
+            self._transport.resume_reading()
+
+    def _continue_processing(self) -> None:
+        if not self._disconnected.is_set():
+            self._resume_reading()
+            self._process_events()
+
     def _process_events(self) -> None:
-        while True:
+        for _ in range(_MAX_EVENTS_PER_TURN):
             try:
                 event = self._protocol.next_event()
             except h11.RemoteProtocolError as error:
@@ -188,9 +221,14 @@
                         f"{self._server.limits.max_body} bytes",
                     )
                     return
+                if not self._share.resize(len(self._body)):
+                    self._reject(503, "memory for requests is used up")
+                    return
             elif isinstance(event, h11.EndOfMessage):
                 self._dispatch()
                 return
+        self._pause_reading()
+        asyncio.get_running_loop().call_soon(self._continue_processing)
 
     def _dispatch(self) -> None:
         assert self._request is not None
@@ -226,6 +264,9 @@
                 }
             )
             return
+        finally:
+            # The handler has kept the body until now.
+            self._share.release()
         self._task = None
         self._request = None
         self._started = False
@@ -239,6 +280,7 @@
             self._transport.close()
             return
         self._protocol.start_next_cycle()
+        self._resume_reading()
         self._process_events()
         if self.idle:
             self._start_idle_timer()
@@ -306,8 +348,20 @@
         handler: handlers.Handler,
         timer_service: timers.TimerService,
         limits: ServerLimits,
+        buffers: buffer_budget.BufferBudget | None = None,
     ) -> None:
+        """Creates a server.
+
+        Args:
+            handler: Handles the requests.
+            timer_service: Timer service for request and idle timeouts.
+            limits: Limits of each connection.
+            buffers: Memory for the request bodies of all connections.
+        """
         self._handler = handler
+        self._buffers = buffers or buffer_budget.BufferBudget(
+            _DEFAULT_BUFFER_BYTES
+        )
         self._timers = timer_service
         self._limits = limits
         self._server: asyncio.Server | None = None
@@ -319,6 +373,11 @@
         """The request handler."""
         return self._handler
 
+    @property
+    def buffers(self) -> buffer_budget.BufferBudget:
+        """Memory for the request bodies of all connections."""
+        return self._buffers
+
     @property
     def timers(self) -> timers.TimerService:
         """The timer service for request and idle timeouts."""
