Divide odd answers of the store in one pass, in steps

One pass now finds the containers of the first four levels, in steps of at most 5,000 tokens or 1 MB, between which other tasks run; what is nested deeper is passed over by brackets in a row. Containers with more than 20,000 parts can't be read, since their parts would take more memory than their bytes.

--- a/packages/platform/src/lavendershed/platform/store.py
+++ b/packages/platform/src/lavendershed/platform/store.py
@@ -19,7 +19,7 @@
 from lavendershed.peer import peer_state
 from lavendershed.platform import fields
 from lavendershed.platform import header_names
-from lavendershed.platform import json_slices
+from lavendershed.platform import json_outline
 from lavendershed.telemetry import events
 from lavendershed.telemetry import log
 from lavendershed.transport import client
@@ -38,7 +38,9 @@
 _MAX_NAME = 512
 _UNREADABLE_SPEC = b""
 _OBJECT_KEY = b'"object"'
-_MAX_RESPONSE = units.Bytes(4_000_000)
+_MAX_RESPONSE = units.Bytes(8_000_000)
+# Parsing more takes milliseconds.
+_LARGE_ELEMENT = units.Bytes(10_000)
 _ERRORS = {
     errors.TransportErrorKind.IDLE_TIMEOUT: codecs.SourceError.TIMED_OUT,
     errors.TransportErrorKind.PROTOCOL: codecs.SourceError.MALFORMED,
@@ -181,7 +183,7 @@
             return result.Err(codecs.SourceError.REFUSED)
         try:
             return result.Ok(
-                _Answer(_era(response.head), _parse(response.body))
+                _Answer(_era(response.head), await _parse(response.body))
             )
         except (fields.FieldError, orjson.JSONDecodeError, ValueError):
             return result.Err(codecs.SourceError.MALFORMED)
@@ -277,9 +279,11 @@
     return ids.StoreEra(decimals.parse(value) or 0)
 
 
-def _parse(body: bytes) -> dict[str, fields.JsonValue]:
+async def _parse(body: bytes) -> dict[str, fields.JsonValue]:
     """Returns the body of an answer; odd objects in it have no content.
 
+    Other tasks run while an odd body is divided into its parts.
+
     Raises:
         FieldError: The body is not an object.
         ValueError: It is no JSON, apart from the objects in it.
@@ -287,28 +291,52 @@
     try:
         return fields.as_table(orjson.loads(body), "body")
     except orjson.JSONDecodeError:
-        slices = json_slices.members(body)
+        outline = json_outline.Outline(body)
+    for _ in outline.steps():
+        await asyncio.sleep(0)
+    if outline.root.is_array or not outline.root.readable:
+        raise fields.FieldError("body", "is not a table that can be read")
     parsed: dict[str, fields.JsonValue] = {}
-    for key, value in slices.items():
-        parsed[orjson.loads(key)] = (
-            [_parse_part(part) for part in json_slices.elements(value)]
-            if value.startswith(b"[")
-            else orjson.loads(value)
-        )
+    for member in outline.root.parts:
+        key, value = outline.key(member)
+        if member.container is None or not member.container.is_array:
+            parsed[orjson.loads(key)] = orjson.loads(value)
+            continue
+        if not member.container.readable:
+            raise fields.FieldError("body", "has too many objects")
+        parsed[orjson.loads(key)] = elements = []
+        for element in member.container.parts:
+            elements.append(_parse_element(outline, element))
+            if element.end - element.start > _LARGE_ELEMENT:
+                await asyncio.sleep(0)
     return parsed
 
 
-def _parse_part(part: bytes) -> fields.JsonValue:
-    """Returns an object or an event, without what can't be parsed in it."""
+def _parse_element(
+    outline: json_outline.Outline, element: json_outline.Part
+) -> fields.JsonValue:
+    """Returns an object or an event, without what can't be parsed in it.
+
+    Raises:
+        ValueError: A member has no key.
+    """
     try:
-        return orjson.loads(part)
+        return orjson.loads(outline.text(element))
     except orjson.JSONDecodeError:
-        slices = json_slices.members(part)
+        container = element.container
+    if container is None or container.is_array or not container.readable:
+        return None
     parsed: dict[str, fields.JsonValue] = {}
-    for key, value in slices.items():
+    for member in container.parts:
+        key, value = outline.key(member)
         try:
             parsed[orjson.loads(key)] = orjson.loads(value)
         except orjson.JSONDecodeError:
             if key == _OBJECT_KEY:
-                parsed["object"] = _parse_part(value)
+                parsed["object"] = _parse_element(
+                    outline,
+                    json_outline.Part(
+                        member.end - len(value), member.end, member.container
+                    ),
+                )
     return parsed
