Allow a new process one repeat at once

Streams that were cut within the first second of a process were lost, since its share of the retry budget was below one repeat: test_a_third_engine_goes_on_after_the_error_of_the_second failed in eleven subtests, as its daemon is 0.3 s old. I had not run it with the change.

A new process has slack for one repeat at once. Daemons of platform_case count as processes that have run for long, as they did before; what they check is the same.

--- a/packages/platform/src/lavendershed/platform/factory.py
+++ b/packages/platform/src/lavendershed/platform/factory.py
@@ -88,6 +88,7 @@
     event_log: log.EventLog,
     generator: random.Random,
     connector: connections.Connector | None = None,
+    started_at: units.Instant | None = None,
 ) -> PlatformComponents:
     """Builds and connects all components.
 
@@ -98,6 +99,7 @@
         event_log: Log of events.
         generator: Source of random numbers.
         connector: Opens connections to backend servers; TCP by default.
+        started_at: When the process started; now by default.
     """
     health = server_health.ServerHealth()
     view = deployment_view.DeploymentView(
@@ -107,7 +109,8 @@
     slowdowns = engine_slowdown.EngineSlowdowns()
     attribution = crash_attribution.CrashAttribution()
     budget = fleet_retry_budget.FleetRetryBudget(
-        platform_settings.retry_budget, timer_service.now()
+        platform_settings.retry_budget,
+        timer_service.now() if started_at is None else started_at,
     )
     server_connections = connections.BackendConnectionPool(
         timer_service, connector or connections.TcpConnector()
--- a/packages/reliability/src/lavendershed/reliability/fleet_retry_budget.py
+++ b/packages/reliability/src/lavendershed/reliability/fleet_retry_budget.py
@@ -12,6 +12,8 @@
 # Fraction of the budget that is used; the rest is a margin for requests in
 # flight while the number of daemons changes.
 _SAFETY_FACTOR = 0.8
+# Slack of a new process, which allows one retry.
+_FIRST_SLACK = 1.0 / _SAFETY_FACTOR
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,7 +35,7 @@
     """Counts requests and retries per service in a sliding window.
 
     The process that ran on this VM before may have spent its share of the
-    slack, so that the share of a new process grows from zero over one window.
+    slack, so that the share of a new process grows over one window.
     """
 
     def __init__(
@@ -87,7 +89,8 @@
         retries = _discard_before(self._retries[service], window_start)
         slack = self._limits.slack / self._max_daemon_count
         if window_start < self._started_at:
-            slack *= (now - self._started_at) / self._limits.window
+            age_share = (now - self._started_at) / self._limits.window
+            slack = min(slack, max(_FIRST_SLACK, slack * age_share))
         allowed_retries = _SAFETY_FACTOR * (
             self._limits.ratio * len(requests) + slack
         )
--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import unittest
 
@@ -147,6 +148,17 @@
             },
         )
 
+    async def use_only(self, server):
+        """Registers a server for both services, and no other one."""
+        for engine in self.engines + self.plain_servers:
+            self.store.delete("servers", engine.id)
+        name = server.id
+        for number, service in enumerate((MODEL_SERVICE, PLAIN_SERVICE)):
+            server.id = f"{name}-{number}"
+            self.register_server(server, service)
+        directory = self.daemon.parts.components.context.view.directory
+        await self.wait_until(lambda: len(directory.entries) == 2)
+
     async def start_daemon(
         self, seeds=(), ready=True, grace_period=2.0, store=None
     ):
@@ -306,6 +318,8 @@
             self.log,
             random.Random(1),
             self.links,
+            # It has run for long, so that it has its whole retry budget.
+            units.Instant(-math.inf),
         )
         self.daemon = daemon.ForwardingDaemon(
             self.parts.components,
