--- a/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
@@ -10,6 +10,7 @@
 from lavendershed.forwarding import attempts
 from lavendershed.forwarding import connections
 from lavendershed.forwarding import context as context_module
+from lavendershed.forwarding import engine_tasks
 from lavendershed.forwarding import event_splitter
 from lavendershed.forwarding import parallel_attempts
 from lavendershed.forwarding import prefill_watch
@@ -19,7 +20,6 @@
 from lavendershed.membership import server_directory
 from lavendershed.reliability import engine_losses
 from lavendershed.routing import latency_model
-from lavendershed.routing import load_tracker
 from lavendershed.routing import placements
 from lavendershed.transport import client
 from lavendershed.transport import errors
@@ -37,8 +37,6 @@
 # this minimum: engines recompute the prefill of a request that they preempted.
 _STALL_FACTOR = 3.0
 _MIN_EVENT_TIMEOUT = units.Seconds(1.0)
-# Load reports identify a request by 31 bits of its fingerprint.
-_REQUEST_NUMBER_MASK = 0x7FFF_FFFF
 _MAX_FAILED_RESPONSE_BODY = units.Bytes(1_000_000)
 # Servers send a few bytes each second to keep a connection open.
 _MAX_COMMENT_BYTES = units.Bytes(65_536)
@@ -108,7 +106,13 @@
         placement = self._placement
         # Registered before the first await, so that no other request plans
         # with the same memory.
-        task_ids = self._register_tasks()
+        tasks = engine_tasks.EngineTasks(
+            self._context,
+            self._admitted_request,
+            placement,
+            self._size,
+            self._target_inter_token_latency,
+        )
         reservation: reservations.Reservation | None = None
         started = True
         try:
@@ -125,7 +129,7 @@
                     )
                 reservation = reserved.ok_value
             attempt_result = await self._connect_and_exchange(
-                reservation, task_ids
+                reservation, tasks
             )
             started = (
                 attempt_result.outcome not in attempts.OUTCOMES_NOT_STARTED
@@ -134,60 +138,12 @@
         finally:
             if reservation is not None:
                 reservation.release()
-            self._end_tasks(task_ids, started)
-
-    def _end_tasks(self, task_ids: list[int], started: bool) -> None:
-        tracker = self._context.load_tracker
-        now = self._context.timers.now()
-        for task_id in task_ids:
-            if started:
-                tracker.cancel(task_id, now)
-            else:
-                tracker.remove(task_id)
-
-    def _register_tasks(self) -> list[int]:
-        """Registers the tasks; the first id is that of the decode engine."""
-        placement = self._placement
-        reserved_tokens = {
-            share.holder.id: share.tokens for share in placement.shares
-        }
-        if not reserved_tokens:
-            reserved_tokens = {placement.decode_engine.id: self._size.kv_tokens}
-        now = self._context.timers.now()
-        chooser = self._context.choosers.chooser(self._admitted_request.service)
-        utility = chooser.utility(self._size) if chooser is not None else 0.0
-        due_at = units.after(
-            self._admitted_request.received_at,
-            self._admitted_request.route.target_latency,
-        )
-        ready_at = units.after(now, units.Seconds(placement.ttft_ms / 1_000))
-        ends_at = units.after(
-            ready_at, units.Seconds(placement.decode_ms / 1_000)
-        )
-        return [
-            self._context.load_tracker.add(
-                load_tracker.EngineTask(
-                    self._admitted_request.fingerprint & _REQUEST_NUMBER_MASK,
-                    engine.id,
-                    forwarding_states.InferencePhase.PREFILL,
-                    placement.shard_prefill_ms,
-                    ready_at,
-                    ends_at,
-                    reserved_tokens.get(engine.id, 0),
-                    reserved_tokens.get(engine.id, 0),
-                    self._target_inter_token_latency,
-                    due_at,
-                    utility,
-                    placement.urgent,
-                )
-            )
-            for engine in (placement.decode_engine, *placement.prefill_helpers)
-        ]
+            tasks.end(started=started)
 
     async def _connect_and_exchange(
         self,
         reservation: reservations.Reservation | None,
-        task_ids: list[int],
+        tasks: engine_tasks.EngineTasks,
     ) -> attempts.AttemptResult:
         context = self._context
         engine = self._placement.decode_engine
@@ -205,7 +161,7 @@
         returned_to_pool = False
         try:
             attempt_result, keep_alive_timeout = await self._exchange(
-                lease, reservation, task_ids
+                lease, reservation, tasks
             )
             if keep_alive_timeout is not None:
                 returned_to_pool = True
@@ -221,7 +177,7 @@
         self,
         lease: connections.ConnectionLease,
         reservation: reservations.Reservation | None,
-        task_ids: list[int],
+        tasks: engine_tasks.EngineTasks,
     ) -> tuple[attempts.AttemptResult, units.Seconds | None]:
         context = self._context
         engine = self._placement.decode_engine
@@ -264,7 +220,7 @@
             attempt_result = await self._relay(
                 lease,
                 response,
-                task_ids,
+                tasks,
                 delimited=head.ok_value.delimits_body,
             )
             complete = (
@@ -297,7 +253,7 @@
         self,
         lease: connections.ConnectionLease,
         response: requests.BackendResponseHead,
-        task_ids: list[int],
+        tasks: engine_tasks.EngineTasks,
         *,
         delimited: bool,
     ) -> attempts.AttemptResult:
@@ -362,7 +318,7 @@
             if in_order:
                 self._on_progress()
                 self._on_answer_begun()
-                self._context.load_tracker.on_first_token(task_ids)
+                tasks.on_first_token()
                 # A slow caller does not make an engine late.
                 self._progress.suspend()
                 await self._delivery.forward(engine, response, in_order)
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -66,15 +66,7 @@
         self.server = BreakingServer()
         await self.server.start()
         self.addCleanup(self.server.close)
-        for engine in self.engines + self.plain_servers:
-            self.store.delete("servers", engine.id)
-        directory = self.daemon.parts.components.context.view.directory
-        for number, service in enumerate(
-            (platform_case.MODEL_SERVICE, platform_case.PLAIN_SERVICE)
-        ):
-            self.server.id = f"breaking-{number}"
-            self.register_server(self.server, service)
-        await self.wait_until(lambda: len(directory.entries) == 2)
+        await self.use_only(self.server)
 
     async def send(self, path, address=None):
         size = {"token_count": "1000,100"} if path == "/stream/x" else {}
--- a/tests/test_unusual_bytes.py
+++ b/tests/test_unusual_bytes.py
@@ -51,15 +51,7 @@
         self.server = HeaderServer()
         await self.server.start()
         self.addCleanup(self.server.close)
-        for engine in self.engines + self.plain_servers:
-            self.store.delete("servers", engine.id)
-        directory = self.daemon.parts.components.context.view.directory
-        for number, service in enumerate(
-            (platform_case.MODEL_SERVICE, platform_case.PLAIN_SERVICE)
-        ):
-            self.server.id = f"unusual-{number}"
-            self.register_server(self.server, service)
-        await self.wait_until(lambda: len(directory.entries) == 2)
+        await self.use_only(self.server)
 
     async def send(self, path, address=None, **headers):
         if path == "/stream/x":
