--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -19,7 +19,7 @@
 INTERVAL_S = 0.06
 # A sound server may be silent for this long, and goes on between two silences.
 MAX_SILENCE_S = 1.5
-MIN_SPEECH_S = 0.3
+MIN_ACTIVE_S = 0.3
 TIMEOUT_MS = "9000"
 # Callers leave after such a gap.
 PATIENCE_S = 2.0
@@ -149,7 +149,7 @@
 silence_patterns = strategies.lists(
     strategies.lists(
         strategies.tuples(
-            strategies.floats(MIN_SPEECH_S, 2.0),
+            strategies.floats(MIN_ACTIVE_S, 2.0),
             strategies.floats(0.1, MAX_SILENCE_S),
         ),
         max_size=4,
@@ -174,8 +174,8 @@
             daemon, servers = new_world()
             for server, pattern in zip(servers, patterns, strict=True):
                 silences, now = [], 0.0
-                for speech, silence in pattern:
-                    now += speech
+                for active, silence in pattern:
+                    now += active
                     silences.append((now, now + silence))
                     now += silence
                 server.silences = tuple(silences)
