Handle no request that was rejected while it was parsed

Parsing stops once the connection closes. test_a_request_rejected_while_it_is_parsed_is_not_handled fails without the change.

--- a/packages/transport/src/lavendershed/transport/server.py
+++ b/packages/transport/src/lavendershed/transport/server.py
@@ -190,7 +190,8 @@
             self._transport.resume_reading()
 
     def _continue_processing(self) -> None:
-        if not self._disconnected.is_set():
+        # A request that was rejected in the meantime must not be handled.
+        if self._transport is not None and not self._transport.is_closing():
             self._resume_reading()
             self._process_events()
 
--- a/packages/transport/tests/test_server.py
+++ b/packages/transport/tests/test_server.py
@@ -90,6 +90,27 @@
         writer.close()
         self.assertIn(b"408", response.split(b"\r\n")[0])
 
+    async def test_a_request_rejected_while_it_is_parsed_is_not_handled(self):
+        """Guards against a 408 for a request that runs after it."""
+        _, writer = (
+            await streams.open_streams(self.server.address, TIMEOUT)
+        ).unwrap()
+        writer.write(b"POST / HTTP/1.1\r\nhost: x\r\n")
+        # The server has read the first part.
+        await asyncio.sleep(0.1)
+        (connection,) = self.server._connections
+        handled = self.handler.connections
+        connection.data_received(
+            b"transfer-encoding: chunked\r\n\r\n"
+            + b"1\r\nx\r\n" * 200
+            + b"0\r\n\r\n"
+        )
+        connection._on_request_timeout()
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.handler.connections, handled)
+        self.assertIsNone(connection._task)
+        writer.close()
+
     async def test_connection_is_reused_for_the_next_request(self):
         for body in (b"one", b"two"):
             response = await self.pool.exchange(
