Map the error for used up buffers in the own interface

The own interface passes no budget to its reads, so that the kind does not occur there yet.

It counts as a protocol error.

--- a/packages/backend/src/lavendershed/backend/transport_errors.py
+++ b/packages/backend/src/lavendershed/backend/transport_errors.py
@@ -18,6 +18,9 @@
     errors.TransportErrorKind.PROTOCOL: (
         backend_servers.BackendErrorKind.PROTOCOL
     ),
+    errors.TransportErrorKind.NO_BUFFER: (
+        backend_servers.BackendErrorKind.PROTOCOL
+    ),
     errors.TransportErrorKind.TOO_LATE: (
         backend_servers.BackendErrorKind.DEADLINE
     ),
