Log and count requests whose connection ends without a complete response

A connection that ended while its request was received wrote no log line and no metric, so that a caller's report of a request without an answer could not be traced: a time limit, a close of the daemon and a caller that left looked alike.

The HTTP server reports each such request to an observer with what ended it. No decision changes. test_each_request_without_a_response_is_reported passes; without the report in connection_lost it fails.

--- a/packages/forwarding/src/lavendershed/forwarding/daemon.py
+++ b/packages/forwarding/src/lavendershed/forwarding/daemon.py
@@ -13,6 +13,7 @@
 from lavendershed.forwarding import components
 from lavendershed.forwarding import health_endpoint
 from lavendershed.forwarding import relay
+from lavendershed.forwarding import unanswered_requests
 from lavendershed.telemetry import events
 from lavendershed.transport import server
 
@@ -63,12 +64,14 @@
             daemon_components.context.timers,
             server.ServerLimits(),
             daemon_components.context.request_buffers,
+            self._unanswered_recorder("callers"),
         )
         self._relay_server = server.HttpServer(
             daemon_components.relay_handler,
             daemon_components.context.timers,
             server.ServerLimits(idle_timeout=relay.IDLE_TIMEOUT),
             daemon_components.context.request_buffers,
+            self._unanswered_recorder("peers"),
         )
         self._health_server = server.HttpServer(
             health_endpoint.HealthEndpoint(
@@ -76,6 +79,7 @@
             ),
             daemon_components.context.timers,
             server.ServerLimits(),
+            observer=self._unanswered_recorder("health"),
         )
 
     @property
@@ -129,6 +133,14 @@
         self._close()
         return error
 
+    def _unanswered_recorder(
+        self, listener: str
+    ) -> unanswered_requests.UnansweredRequestRecorder:
+        context = self._components.context
+        return unanswered_requests.UnansweredRequestRecorder(
+            listener, context.log, context.instruments
+        )
+
     def _first_error(self, tasks: list[asyncio.Task[None]]) -> Exception | None:
         errors = (task.exception() for task in tasks if task.done())
         return next((e for e in errors if isinstance(e, Exception)), None)
--- a/packages/telemetry/src/lavendershed/telemetry/request_instruments.py
+++ b/packages/telemetry/src/lavendershed/telemetry/request_instruments.py
@@ -34,6 +34,9 @@
         meter = provider.get_meter("lavendershed")
         self._registry = registry
         self._refusals = meter.create_counter("lavendershed.refusals")
+        self._unanswered = meter.create_counter(
+            "lavendershed.unanswered_requests"
+        )
         self._attempts = meter.create_counter("lavendershed.attempts")
         self._exclusions = meter.create_counter("lavendershed.exclusions")
         self._engine_losses = meter.create_counter("lavendershed.engine_losses")
@@ -86,6 +89,10 @@
         """Counts a request that was not sent to any server, by reason."""
         self._refusals.add(1, {"reason": reason})
 
+    def count_unanswered_request(self, listener: str, end: str) -> None:
+        """Counts a request without a complete response, by its end."""
+        self._unanswered.add(1, {"listener": listener, "end": end})
+
     def count_failed_attempt(
         self, service: ids.ServiceId, server: ids.BackendServerId, end: str
     ) -> None:
--- a/packages/transport/src/lavendershed/transport/server.py
+++ b/packages/transport/src/lavendershed/transport/server.py
@@ -15,6 +15,7 @@
 from lavendershed.core import units
 from lavendershed.transport import address as address_module
 from lavendershed.transport import buffer_budget
+from lavendershed.transport import connection_ends
 from lavendershed.transport import handlers
 from lavendershed.transport import headers as header_fields
 
@@ -63,6 +64,11 @@
         self._share = server.buffers.share()
         self._pipelined_bytes = 0
         self._reading_paused = False
+        self._end: connection_ends.ConnectionEnd | None = None
+        self._status: int | None = None
+        # Of the request that is received or handled.
+        self._received_bytes = 0
+        self._received_since = units.Instant(0.0)
 
     @property
     def started(self) -> bool:
@@ -84,6 +90,7 @@
         self._start_request_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self._report_unanswered()
         self._disconnected.set()
         self._writable.set()
         self._cancel_request_timer()
@@ -107,6 +114,9 @@
 
     def data_received(self, data: bytes) -> None:
         self._cancel_idle_timer()
+        if not self._received_bytes:
+            self._received_since = self._server.timers.now()
+        self._received_bytes += len(data)
         if self._task is None and self._request_timer is None:
             self._start_request_timer()
         try:
@@ -135,6 +145,7 @@
 
     def start(self, status: int, headers: handlers.Headers = ()) -> None:
         self._started = True
+        self._status = status
         if self._server.stopping:
             headers += (("connection", "close"),)
         self._send(
@@ -158,6 +169,13 @@
             await self._writable.wait()
 
     def abort(self) -> None:
+        self._end = connection_ends.ConnectionEnd.RESPONSE_ABORTED
+        if self._transport is not None:
+            self._transport.abort()
+
+    def shut_down(self) -> None:
+        """Aborts the connection, because the server closes."""
+        self._end = self._end or connection_ends.ConnectionEnd.SHUTDOWN
         if self._transport is not None:
             self._transport.abort()
 
@@ -166,6 +184,36 @@
         if self.idle and self._transport is not None:
             self._transport.close()
 
+    def _report_unanswered(self) -> None:
+        """Reports a request that has been read in part, or not answered."""
+        if not self._received_bytes:
+            return
+        end = self._end
+        if end is None:
+            end = (
+                connection_ends.ConnectionEnd.CALLER_LEFT_SENDING
+                if self._task is None
+                else connection_ends.ConnectionEnd.CALLER_LEFT
+            )
+        transport = self._transport
+        peername = (
+            transport.get_extra_info("peername")
+            if transport is not None
+            else None
+        )
+        self._server.observer.on_unanswered(
+            connection_ends.UnansweredRequest(
+                end,
+                ":".join(map(str, peername[:2])) if peername else "",
+                self._request.target.decode("latin-1")
+                if self._request is not None
+                else None,
+                self._status,
+                units.Bytes(self._received_bytes),
+                units.elapsed(self._received_since, self._server.timers.now()),
+            )
+        )
+
     @property
     def _is_head_request(self) -> bool:
         """Whether the response must not have a body."""
@@ -205,7 +253,8 @@
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return
             if isinstance(event, h11.ConnectionClosed):
-                self.abort()
+                if self._transport is not None:
+                    self._transport.abort()
                 return
             if isinstance(event, h11.Request):
                 self._request = event
@@ -257,6 +306,7 @@
             # The caller gets an aborted connection and no wrong response; other
             # requests are not affected.
             self.abort()
+            self._end = connection_ends.ConnectionEnd.HANDLER_ERROR
             asyncio.get_running_loop().call_exception_handler(
                 {
                     "message": "request handler failed",
@@ -273,11 +323,16 @@
         self._started = False
         if self._disconnected.is_set() or self._transport is None:
             return
+        # What came with the request belongs to the next one.
+        self._received_bytes = len(self._protocol.trailing_data[0])
+        self._received_since = self._server.timers.now()
+        self._status = None
         reusable = (
             self._protocol.our_state is h11.DONE
             and self._protocol.their_state is h11.DONE
         )
         if not reusable or self._server.stopping:
+            self._end = connection_ends.ConnectionEnd.NOT_READ
             self._transport.close()
             return
         self._protocol.start_next_cycle()
@@ -286,9 +341,17 @@
         if self.idle:
             self._start_idle_timer()
 
-    def _reject(self, status: int, detail: str) -> None:
+    def _reject(
+        self,
+        status: int,
+        detail: str,
+        end: connection_ends.ConnectionEnd = (
+            connection_ends.ConnectionEnd.REJECTED
+        ),
+    ) -> None:
         if self._transport is None:
             return
+        self._end = end
         if self._task is None and self._protocol.our_state in (
             h11.IDLE,
             h11.SEND_RESPONSE,
@@ -300,6 +363,7 @@
                 ("content-length", str(len(body))),
                 ("connection", "close"),
             ]
+            self._status = status
             self._send(h11.Response(status_code=status, headers=headers))
             if not self._is_head_request:
                 self._send(h11.Data(data=body))
@@ -336,9 +400,14 @@
     def _on_request_timeout(self) -> None:
         self._request_timer = None
         if self._request is None:
+            self._end = connection_ends.ConnectionEnd.HEAD_TIMEOUT
             self.close_if_idle()
             return
-        self._reject(408, "request not received within the time limit")
+        self._reject(
+            408,
+            "request not received within the time limit",
+            connection_ends.ConnectionEnd.REQUEST_TIMEOUT,
+        )
 
 
 class HttpServer:
@@ -350,6 +419,7 @@
         timer_service: timers.TimerService,
         limits: ServerLimits,
         buffers: buffer_budget.BufferBudget | None = None,
+        observer: connection_ends.ConnectionObserver | None = None,
     ) -> None:
         """Creates a server.
 
@@ -358,8 +428,10 @@
             timer_service: Timer service for request and idle timeouts.
             limits: Limits of each connection.
             buffers: Memory for the request bodies of all connections.
+            observer: Is told about requests without a complete response.
         """
         self._handler = handler
+        self._observer = observer or connection_ends.IgnoringObserver()
         self._buffers = buffers or buffer_budget.BufferBudget(
             _DEFAULT_BUFFER_BYTES
         )
@@ -379,6 +451,11 @@
         """Memory for the request bodies of all connections."""
         return self._buffers
 
+    @property
+    def observer(self) -> connection_ends.ConnectionObserver:
+        """Is told about requests without a complete response."""
+        return self._observer
+
     @property
     def timers(self) -> timers.TimerService:
         """The timer service for request and idle timeouts."""
@@ -463,7 +540,7 @@
         if self._server is not None:
             self._server.close()
         for connection in tuple(self._connections):
-            connection.abort()
+            connection.shut_down()
 
     def register(self, connection: _ServerConnection) -> None:
         """Registers a new connection."""
--- a/packages/transport/tests/test_server.py
+++ b/packages/transport/tests/test_server.py
@@ -11,6 +11,7 @@
 from lavendershed.core import units
 from lavendershed.transport import address
 from lavendershed.transport import client
+from lavendershed.transport import connection_ends
 from lavendershed.transport import event_loop_timers
 from lavendershed.transport import handlers
 from lavendershed.transport import pool
@@ -55,6 +56,20 @@
         writer.transport.abort()
 
 
+class RecordingObserver(connection_ends.ConnectionObserver):
+    """Keeps the requests that ended without a complete response."""
+
+    def __init__(self):
+        self.requests = []
+
+    @property
+    def ends(self):
+        return [request.end for request in self.requests]
+
+    def on_unanswered(self, request):
+        self.requests.append(request)
+
+
 class ServerTest(unittest.IsolatedAsyncioTestCase):
     """Guards against invalid input that hangs or crashes the server."""
 
@@ -63,10 +78,12 @@
             asyncio.get_running_loop()
         )
         self.handler = EchoHandler()
+        self.observer = RecordingObserver()
         self.server = server.HttpServer(
             self.handler,
             self.timers,
             server.ServerLimits(MAX_BODY, units.Seconds(0.2)),
+            observer=self.observer,
         )
         await self.server.start(address.Address("127.0.0.1", 0))
         self.addCleanup(self.server.close)
@@ -90,6 +107,26 @@
         writer.close()
         self.assertIn(b"408", response.split(b"\r\n")[0])
 
+    async def test_each_request_without_a_response_is_reported(self):
+        """Guards against ends of requests that leave no trace."""
+        head = b"POST /x HTTP/1.1\r\nhost: x\r\n"
+        end = connection_ends.ConnectionEnd
+        for data, expected in (
+            (head + b"content-length: 5\r\n\r\nab", end.CALLER_LEFT_SENDING),
+            (head, end.CALLER_LEFT_SENDING),
+            (
+                head + b"content-length: 5000\r\n\r\n" + b"x" * 5_000,
+                end.REJECTED,
+            ),
+            (b"not http\r\n\r\n", end.REJECTED),
+            (b"POST /bug HTTP/1.1\r\nhost: x\r\n\r\n", end.HANDLER_ERROR),
+        ):
+            with self.subTest(data=data[-40:]):
+                self.observer.requests.clear()
+                await exchange_bytes(self.server.address, data)
+                await asyncio.sleep(0.05)
+                self.assertEqual(self.observer.ends, [expected])
+
     async def test_a_request_rejected_while_it_is_parsed_is_not_handled(self):
         """Guards against a 408 for a request that runs after it."""
         _, writer = (
