Give the head and the whole request of a caller limits of their own

What callers saw: a request that was being sent ended with a broken pipe or a closed connection, and neither an answer nor a refusal. A configuration that lowers the limit for idle connections makes it frequent, at every daemon at once.

Cause: the daemon took the idle limit of the configuration as the time for a whole request, and never used the limit for the head. A head that paused for longer than the idle limit had its connection closed without a byte, since only a parsed head counted as a request. One clock served three purposes.

A connection is in one of five phases now (ReceivePhase). Idle means that no byte of a request has come. The head has the header limit of the configuration, the whole request 30 s, so that a byte now and then does not keep it open. Both end with 408, which tells the caller that nothing has run. The connection has a module of its own.

Evidence: with the limits that the daemon set, all three cases of TimeLimitTest with a slow request fail on (reset, broken pipe, closed without a byte).

--- a/packages/forwarding/src/lavendershed/forwarding/daemon.py
+++ b/packages/forwarding/src/lavendershed/forwarding/daemon.py
@@ -159,17 +159,20 @@
                     version=context.view.version,
                     servers=len(context.view.directory.entries),
                 )
-            table = context.view.table
-            if table is None:
-                continue
-            limits = table.configuration.limits
-            self._caller_server.set_limits(
-                server.ServerLimits(
-                    max_body=limits.max_body,
-                    request_timeout=limits.idle_timeout,
-                    idle_timeout=limits.idle_timeout,
-                )
+            self._apply_limits()
+
+    def _apply_limits(self) -> None:
+        table = self._components.context.view.table
+        if table is None:
+            return
+        limits = table.configuration.limits
+        self._caller_server.set_limits(
+            server.ServerLimits(
+                max_body=limits.max_body,
+                idle_timeout=limits.idle_timeout,
+                header_timeout=limits.header_timeout,
             )
+        )
 
     def _update_metrics(self) -> None:
         context = self._components.context
--- /dev/null
+++ b/packages/transport/src/lavendershed/transport/server_connection.py
@@ -0,0 +1,417 @@
+"""Connections of callers to an HTTP server."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import typing
+import urllib.parse
+
+import h11
+
+from lavendershed.core import units
+from lavendershed.transport import connection_ends
+from lavendershed.transport import handlers
+from lavendershed.transport import headers as header_fields
+from lavendershed.transport import receive_deadline
+
+if typing.TYPE_CHECKING:
+    from lavendershed.transport import server as server_module
+
+# Parts of a request that are processed without a turn of the event loop. A
+# caller may send one byte in each of them.
+_MAX_EVENTS_PER_TURN = 128
+# Bytes that a caller may send while its request is handled; more are not read
+# until the response is complete.
+_MAX_PIPELINED_BYTES = 65_536
+
+_Phase = receive_deadline.ReceivePhase
+_End = connection_ends.ConnectionEnd
+
+
+class ServerConnection(asyncio.Protocol, handlers.Responder):
+    """Reads the requests of one connection and sends the responses."""
+
+    def __init__(self, server: server_module.HttpServer) -> None:
+        self._server = server
+        self._protocol = h11.Connection(h11.SERVER)
+        self._transport: asyncio.Transport | None = None
+        self._disconnected = asyncio.Event()
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._request: h11.Request | None = None
+        self._body = bytearray()
+        self._task: asyncio.Task[None] | None = None
+        self._deadline = receive_deadline.ReceiveDeadline(
+            server.timers, server.limits, self._on_deadline
+        )
+        self._disconnect_callback: Callable[[], object] | None = None
+        self._started = False
+        self._share = server.buffers.share()
+        self._pipelined_bytes = 0
+        self._reading_paused = False
+        self._end: connection_ends.ConnectionEnd | None = None
+        self._status: int | None = None
+        # Of the request that is received or handled.
+        self._received_bytes = 0
+
+    @property
+    def started(self) -> bool:
+        """Whether the status line has been sent."""
+        return self._started
+
+    @property
+    def disconnected(self) -> asyncio.Event:
+        """Set once the caller has closed the connection."""
+        return self._disconnected
+
+    @property
+    def idle(self) -> bool:
+        """Whether no request is being received or handled."""
+        return self._deadline.phase is _Phase.IDLE
+
+    @property
+    def active(self) -> bool:
+        """Whether closing now would cut off a request."""
+        return not self.idle
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begins to wait for a request."""
+        # The transports of uvloop do not derive from asyncio.Transport.
+        self._transport = typing.cast(asyncio.Transport, transport)
+        self._server.register(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Ends the request in progress."""
+        self._report_unanswered()
+        self._disconnected.set()
+        self._writable.set()
+        self._deadline.close()
+        self._server.unregister(self)
+        if self._task is None:
+            self._share.release()
+        if self._disconnect_callback is not None:
+            self._disconnect_callback()
+
+    def pause_writing(self) -> None:
+        """Delays further writes of the handler."""
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        """Allows writes again."""
+        self._writable.set()
+
+    def on_disconnect(self, callback: Callable[[], object] | None) -> None:
+        """Calls `callback` when the caller closes; None removes it."""
+        self._disconnect_callback = callback
+        if callback is not None and self._disconnected.is_set():
+            asyncio.get_running_loop().call_soon(callback)
+
+    def data_received(self, data: bytes) -> None:
+        """Processes bytes of the caller."""
+        self._received_bytes += len(data)
+        if self._deadline.phase is _Phase.CLOSING:
+            return
+        if self.idle:
+            self._deadline.enter(_Phase.HEAD)
+        self._protocol.receive_data(data)
+        if self._task is None:
+            self._process_events()
+            return
+        self._pipelined_bytes += len(data)
+        if self._pipelined_bytes > _MAX_PIPELINED_BYTES:
+            self._pause_reading()
+
+    def eof_received(self) -> bool:
+        """Closes the connection, as the caller has."""
+        return False
+
+    async def respond(
+        self, status: int, body: bytes, headers: handlers.Headers = ()
+    ) -> None:
+        """Sends a complete response."""
+        if body or not self._is_head_request:
+            headers += (("content-length", str(len(body))),)
+        self.start(status, headers)
+        await self.write(body)
+        await self.finish()
+
+    def start(self, status: int, headers: handlers.Headers = ()) -> None:
+        """Sends the status line and headers of a streamed response."""
+        self._started = True
+        self._status = status
+        self._send(
+            h11.Response(
+                status_code=status,
+                headers=header_fields.encode(
+                    headers + self._connection_headers()
+                ),
+            )
+        )
+
+    async def write(self, data: bytes) -> bool:
+        """Sends body bytes; returns False once the caller has disconnected."""
+        if self._disconnected.is_set():
+            return False
+        if data and not self._is_head_request:
+            self._send(h11.Data(data=data))
+        if not self._writable.is_set():
+            await self._writable.wait()
+        return not self._disconnected.is_set()
+
+    async def finish(self) -> None:
+        """Ends a streamed response."""
+        if not self._disconnected.is_set():
+            self._send(h11.EndOfMessage())
+            await self._writable.wait()
+
+    def abort(self) -> None:
+        """Aborts the connection without completing the response."""
+        self._abort(_End.RESPONSE_ABORTED)
+
+    def shut_down(self) -> None:
+        """Aborts the connection, because the server closes."""
+        self._abort(_End.SHUTDOWN)
+
+    def close_if_idle(self) -> None:
+        """Closes the connection if no request is in progress."""
+        if self.idle:
+            self._close_idle()
+
+    @property
+    def _is_head_request(self) -> bool:
+        """Whether the response must not have a body."""
+        return self._request is not None and self._request.method == b"HEAD"
+
+    @property
+    def _is_response_complete(self) -> bool:
+        """Whether the request that is handled has its whole response."""
+        return self._task is not None and self._protocol.our_state in (
+            h11.DONE,
+            h11.MUST_CLOSE,
+        )
+
+    def _connection_headers(self) -> handlers.Headers:
+        """Returns whether the connection closes after the response."""
+        if self._server.stopping:
+            return (("connection", "close"),)
+        return ()
+
+    def _report_unanswered(self) -> None:
+        """Reports a request that has been read in part, or not answered."""
+        if not self._received_bytes or self._is_response_complete:
+            return
+        end = self._end
+        if end is None:
+            end = (
+                _End.CALLER_LEFT_SENDING
+                if self._task is None
+                else _End.CALLER_LEFT
+            )
+        peername = (
+            self._transport.get_extra_info("peername")
+            if self._transport is not None
+            else None
+        )
+        self._server.observer.on_unanswered(
+            connection_ends.UnansweredRequest(
+                end,
+                ":".join(map(str, peername[:2])) if peername else "",
+                self._request.target.decode("latin-1")
+                if self._request is not None
+                else None,
+                self._status,
+                units.Bytes(self._received_bytes),
+                units.elapsed(
+                    self._deadline.request_since, self._server.timers.now()
+                ),
+            )
+        )
+
+    def _send(self, event: h11.Event) -> None:
+        if self._disconnected.is_set() or self._transport is None:
+            return
+        data = self._protocol.send(event)
+        if data:
+            self._transport.write(data)
+
+    def _pause_reading(self) -> None:
+        if self._transport is not None and not self._reading_paused:
+            self._reading_paused = True
+            self._transport.pause_reading()
+
+    def _resume_reading(self) -> None:
+        self._pipelined_bytes = 0
+        if self._transport is not None and self._reading_paused:
+            self._reading_paused = False
+            self._transport.resume_reading()
+
+    def _continue_processing(self) -> None:
+        # A request that was rejected in the meantime must not be handled.
+        if (
+            self._transport is not None
+            and not self._transport.is_closing()
+            and self._deadline.phase is not _Phase.CLOSING
+        ):
+            self._resume_reading()
+            self._process_events()
+
+    def _process_events(self) -> None:
+        for _ in range(_MAX_EVENTS_PER_TURN):
+            try:
+                event = self._protocol.next_event()
+            except h11.RemoteProtocolError as error:
+                self._reject(error.error_status_hint, str(error))
+                return
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            if isinstance(event, h11.ConnectionClosed):
+                self._abort(None)
+                return
+            if isinstance(event, h11.Request):
+                self._request = event
+                self._deadline.enter(_Phase.BODY)
+                if self._protocol.they_are_waiting_for_100_continue:
+                    self._send(
+                        h11.InformationalResponse(status_code=100, headers=[])
+                    )
+            elif isinstance(event, h11.Data):
+                self._body += event.data
+                if len(self._body) > self._server.limits.max_body:
+                    self._reject(
+                        413,
+                        "request body exceeds "
+                        f"{self._server.limits.max_body} bytes",
+                    )
+                    return
+                if not self._share.resize(len(self._body)):
+                    self._reject(503, "memory for requests is used up")
+                    return
+            elif isinstance(event, h11.EndOfMessage):
+                self._dispatch()
+                return
+        self._pause_reading()
+        asyncio.get_running_loop().call_soon(self._continue_processing)
+
+    def _dispatch(self) -> None:
+        assert self._request is not None
+        self._deadline.enter(_Phase.HANDLING)
+        target = self._request.target.decode("latin-1")
+        path, _, query = target.partition("?")
+        request = handlers.ServerRequest(
+            self._request.method.decode("latin-1"),
+            urllib.parse.unquote(path),
+            query,
+            header_fields.decode(self._request.headers),
+            bytes(self._body),
+            target,
+        )
+        self._body = bytearray()
+        self._task = asyncio.get_running_loop().create_task(
+            self._handle(request)
+        )
+
+    async def _handle(self, request: handlers.ServerRequest) -> None:
+        try:
+            await self._server.handler.handle(request, self)
+        except Exception as error:  # noqa: BLE001
+            # Handlers return failures as values, so that an exception is a bug.
+            # The caller gets an aborted connection and no wrong response; other
+            # requests are not affected.
+            self._on_handler_error(error)
+            return
+        finally:
+            # The handler has kept the body until now.
+            self._share.release()
+            self._task = None
+        self._begin_next_request()
+
+    def _on_handler_error(self, error: Exception) -> None:
+        asyncio.get_running_loop().call_exception_handler(
+            {
+                "message": "request handler failed",
+                "exception": error,
+                "place": "handler",
+            }
+        )
+        self._abort(_End.HANDLER_ERROR)
+
+    def _begin_next_request(self) -> None:
+        if self._disconnected.is_set() or self._transport is None:
+            return
+        self._request = None
+        self._started = False
+        self._status = None
+        # What came after the request belongs to the next one.
+        self._received_bytes = len(self._protocol.trailing_data[0])
+        if (
+            self._protocol.our_state is not h11.DONE
+            or self._protocol.their_state is not h11.DONE
+            or self._server.stopping
+        ):
+            self._close_after_response(_End.NOT_READ)
+            return
+        self._protocol.start_next_cycle()
+        self._deadline.enter(_Phase.IDLE)
+        if self._received_bytes:
+            self._deadline.enter(_Phase.HEAD)
+        self._resume_reading()
+        self._process_events()
+
+    def _reject(
+        self,
+        status: int,
+        detail: str,
+        end: connection_ends.ConnectionEnd = _End.REJECTED,
+    ) -> None:
+        """Refuses a request that is not handled, and closes."""
+        if self._protocol.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            handler = self._server.handler
+            body = handler.rejection_body(status, detail)
+            headers = [
+                ("content-type", handler.rejection_content_type),
+                ("content-length", str(len(body))),
+                ("connection", "close"),
+            ]
+            self._status = status
+            self._send(h11.Response(status_code=status, headers=headers))
+            if not self._is_head_request:
+                self._send(h11.Data(data=body))
+            self._send(h11.EndOfMessage())
+        self._close_after_response(end)
+
+    def _close_after_response(self, end: connection_ends.ConnectionEnd) -> None:
+        """Closes once the response is written."""
+        self._end = end
+        self._deadline.close()
+        self._body = bytearray()
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._transport.close()
+
+    def _abort(self, end: connection_ends.ConnectionEnd | None) -> None:
+        self._end = self._end or end
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _close_idle(self) -> None:
+        if self.idle and self._transport is not None:
+            self._transport.close()
+
+    def _on_deadline(self) -> None:
+        """Ends what has taken too long."""
+        phase = self._deadline.phase
+        if phase is _Phase.IDLE:
+            self._close_idle()
+        elif phase is _Phase.HEAD:
+            self._reject(
+                408,
+                "request head not received within the time limit",
+                _End.HEAD_TIMEOUT,
+            )
+        else:
+            self._reject(
+                408,
+                "request not received within the time limit",
+                _End.REQUEST_TIMEOUT,
+            )
--- /dev/null
+++ b/packages/transport/tests/test_receive_deadline.py
@@ -0,0 +1,73 @@
+"""Tests the time limits of connections on a virtual clock."""
+
+from __future__ import annotations
+
+import unittest
+
+from lavendershed.core import timers
+from lavendershed.core import units
+from lavendershed.transport import receive_deadline
+from lavendershed.transport import server
+
+Phase = receive_deadline.ReceivePhase
+
+
+def limits(idle, header=3.0, request=30.0):
+    """Returns limits of connections, in virtual seconds."""
+    return server.ServerLimits(
+        request_timeout=units.Seconds(request),
+        idle_timeout=units.Seconds(idle),
+        header_timeout=units.Seconds(header),
+    )
+
+
+class ReceiveDeadlineTest(unittest.TestCase):
+    """Fails if a phase is ended by the limit of another, or by an old one."""
+
+    def setUp(self):
+        self.timers = timers.VirtualTimerService()
+        self.expired = []
+        self.deadline = receive_deadline.ReceiveDeadline(
+            self.timers,
+            limits(idle=1.0),
+            lambda: self.expired.append(self.deadline.phase),
+        )
+
+    def advance(self, seconds):
+        self.timers.advance(units.Seconds(seconds))
+
+    def test_each_phase_has_a_limit_of_its_own(self):
+        for phase, seconds in (
+            (Phase.IDLE, 1.0),
+            (Phase.HEAD, 3.0),
+            (Phase.BODY, 30.0),
+            (Phase.HANDLING, None),
+        ):
+            with self.subTest(phase=phase):
+                self.expired.clear()
+                self.deadline.enter(Phase.IDLE)
+                self.deadline.enter(phase)
+                self.advance(100.0 if seconds is None else seconds - 0.1)
+                self.assertEqual(self.expired, [])
+                self.advance(0.2)
+                expected = [] if seconds is None else [phase]
+                self.assertEqual(self.expired, expected)
+
+    def test_head_and_body_share_the_time_of_the_request(self):
+        self.deadline.enter(Phase.HEAD)
+        self.advance(2.0)
+        self.deadline.enter(Phase.BODY)
+        self.advance(27.9)
+        self.assertEqual(self.expired, [])
+        self.advance(0.2)
+        self.assertEqual(self.expired, [Phase.BODY])
+
+    def test_a_closed_deadline_never_expires(self):
+        self.deadline.enter(Phase.HEAD)
+        self.deadline.close()
+        self.advance(100.0)
+        self.assertEqual(self.expired, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/transport/tests/test_server.py
+++ b/packages/transport/tests/test_server.py
@@ -142,7 +142,7 @@
             + b"1\r\nx\r\n" * 200
             + b"0\r\n\r\n"
         )
-        connection._on_request_timeout()
+        connection._reject(408, "request not received in time")
         await asyncio.sleep(0.1)
         self.assertEqual(self.handler.connections, handled)
         self.assertIsNone(connection._task)
--- /dev/null
+++ b/packages/transport/tests/test_server_connection.py
@@ -0,0 +1,168 @@
+"""Tests what ends the connections of callers, with virtual time limits."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import unittest
+
+from lavendershed.core import timers
+from lavendershed.core import units
+from lavendershed.transport import address
+from lavendershed.transport import connection_ends
+from lavendershed.transport import handlers
+from lavendershed.transport import server
+
+TIMEOUT_S = 5.0
+POLL_INTERVAL_S = 0.002
+HEAD = b"POST /x HTTP/1.1\r\nhost: x\r\ncontent-length: 6\r\n\r\n"
+BODY = b"abcdef"
+End = connection_ends.ConnectionEnd
+
+
+def limits(idle=1.0, header=3.0, request=30.0):
+    """Returns limits of connections, in virtual seconds."""
+    return server.ServerLimits(
+        max_body=units.Bytes(100_000),
+        request_timeout=units.Seconds(request),
+        idle_timeout=units.Seconds(idle),
+        header_timeout=units.Seconds(header),
+    )
+
+
+class GatedHandler(handlers.Handler):
+    """Begins its response at once and ends it when the gate is open."""
+
+    def __init__(self):
+        self.gate = asyncio.Event()
+        self.gate.set()
+        self.paths = []
+
+    async def handle(self, request, responder):
+        self.paths.append(request.path)
+        responder.start(200, (("transfer-encoding", "chunked"),))
+        await responder.write(b"begun ")
+        await self.gate.wait()
+        await responder.write(request.body or b"done")
+        await responder.finish()
+
+    def rejection_body(self, status, detail):
+        return detail.encode()
+
+
+class Observer(connection_ends.ConnectionObserver):
+    """Keeps what ended requests without a complete response."""
+
+    def __init__(self):
+        self.ends = []
+
+    def on_unanswered(self, request):
+        self.ends.append(request.end)
+
+
+class ConnectionCase(unittest.IsolatedAsyncioTestCase):
+    """Starts a server whose limits pass only when a test says so."""
+
+    async def asyncSetUp(self):
+        self.timers = timers.VirtualTimerService()
+        self.handler = GatedHandler()
+        self.observer = Observer()
+        self.server = server.HttpServer(
+            self.handler, self.timers, limits(), observer=self.observer
+        )
+        await self.server.start(address.Address("127.0.0.1", 0))
+        self.addCleanup(self.server.close)
+
+    async def connect(self):
+        """Returns a blocking socket, so that a test sends within a turn."""
+        target = self.server.address
+        before = self.server.connection_count
+        caller = socket.create_connection((target.host, target.port))
+        self.addCleanup(caller.close)
+        caller.setblocking(False)
+        await self.wait_until(lambda: self.server.connection_count > before)
+        return caller
+
+    async def wait_until(self, condition):
+        for _ in range(int(TIMEOUT_S / POLL_INTERVAL_S)):
+            if condition():
+                return
+            await asyncio.sleep(POLL_INTERVAL_S)
+        self.fail("the condition was not met in time")
+
+    def received(self):
+        (connection,) = self.server._connections
+        return connection._received_bytes
+
+    async def send(self, caller, data):
+        """Sends data and waits until the server has read it."""
+        before = self.received()
+        caller.send(data)
+        await self.wait_until(lambda: self.received() == before + len(data))
+
+    async def read_until(self, caller, end):
+        """Reads until `end`, or to the end of the connection."""
+        loop = asyncio.get_running_loop()
+        received = b""
+        async with asyncio.timeout(TIMEOUT_S):
+            while end not in received:
+                data = await loop.sock_recv(caller, 65_536)
+                if not data:
+                    break
+                received += data
+        return received
+
+    async def response(self, caller):
+        return await self.read_until(caller, b"0\r\n\r\n")
+
+    def advance(self, seconds):
+        self.timers.advance(units.Seconds(seconds))
+
+
+class TimeLimitTest(ConnectionCase):
+    """Fails if a request is cut by a limit that isn't its own."""
+
+    async def test_a_slow_body_is_not_cut_by_the_idle_limit(self):
+        caller = await self.connect()
+        await self.send(caller, HEAD)
+        for part in (b"ab", b"cd"):
+            self.advance(5.0)
+            await self.send(caller, part)
+        caller.send(b"ef")
+        self.assertIn(b"abcdef", await self.response(caller))
+
+    async def test_a_slow_head_is_not_cut_by_the_idle_limit(self):
+        caller = await self.connect()
+        await self.send(caller, HEAD[:20])
+        self.advance(2.5)
+        caller.send(HEAD[20:] + BODY)
+        self.assertIn(b"abcdef", await self.response(caller))
+
+    async def test_a_request_that_stays_incomplete_gets_408(self):
+        """Also if a byte comes now and then."""
+        for data, seconds, end in (
+            (HEAD[:20], 3.1, End.HEAD_TIMEOUT),
+            (HEAD + b"ab", 30.1, End.REQUEST_TIMEOUT),
+        ):
+            with self.subTest(data=data):
+                self.observer.ends.clear()
+                caller = await self.connect()
+                await self.send(caller, data)
+                self.advance(seconds / 2)
+                await self.send(caller, b"x")
+                self.advance(seconds / 2)
+                received = await self.read_until(caller, b"time limit")
+                self.assertTrue(received.startswith(b"HTTP/1.1 408"))
+                caller.close()
+                await self.wait_until(lambda: not self.server.connection_count)
+                self.assertEqual(self.observer.ends, [end])
+
+    async def test_a_connection_without_a_request_is_closed(self):
+        caller = await self.connect()
+        self.advance(1.1)
+        self.assertEqual(await self.response(caller), b"")
+        self.assertEqual(self.observer.ends, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_generated_messages.py
+++ b/tests/test_generated_messages.py
@@ -22,6 +22,7 @@
 from lavendershed.core import units
 from lavendershed.telemetry import events
 from lavendershed.transport import server as server_module
+from lavendershed.transport import server_connection
 
 BODY = b"answer"
 FRAMINGS = ("length", "chunks", "neither")
@@ -383,6 +384,15 @@
     def is_closing(self):
         return self.closed
 
+    def write_eof(self):
+        """Ends what is written; bytes of the caller still come."""
+
+    def get_write_buffer_size(self):
+        return 0
+
+    def get_extra_info(self, name):
+        return None
+
     def pause_reading(self):
         self.paused = True
 
@@ -416,7 +426,7 @@
                 ),
                 daemon.context.request_buffers,
             )
-            connection = server_module._ServerConnection(http_server)
+            connection = server_connection.ServerConnection(http_server)
             transport = _Transport()
             connection.connection_made(transport)
             step = max(piece, len(message) // 200)
