Apply changed limits to open connections, and announce them

What callers saw: a request on a kept connection met the close of the connection, after a configuration had raised the limit for idle connections, and got no answer.

Cause: timers that ran kept the previous limit, and a new one was taken over up to half a second late. No response named the limit, though callers respect a Keep-Alive header.

A raised limit holds at once for all connections, since callers may rely on it. A lowered one holds from the next response on a connection, since the previous one was announced to its caller. Responses name the limit in whole seconds. The daemon takes over the limits with the configuration that holds them.

--- a/packages/forwarding/src/lavendershed/forwarding/daemon.py
+++ b/packages/forwarding/src/lavendershed/forwarding/daemon.py
@@ -59,6 +59,7 @@
         self._caller_listener = caller_listener
         self._stopping = False
         self._ready_logged = False
+        daemon_components.context.view.subscribe(self._apply_limits)
         self._caller_server = server.HttpServer(
             daemon_components.gateway,
             daemon_components.context.timers,
@@ -159,7 +160,6 @@
                     version=context.view.version,
                     servers=len(context.view.directory.entries),
                 )
-            self._apply_limits()
 
     def _apply_limits(self) -> None:
         table = self._components.context.view.table
--- a/packages/transport/src/lavendershed/transport/receive_deadline.py
+++ b/packages/transport/src/lavendershed/transport/receive_deadline.py
@@ -29,6 +29,10 @@
 class ReceiveDeadline:
     """When the current phase of a connection has to be over.
 
+    The limits may change at any time. A limit that was raised holds at once,
+    since callers may rely on it. One that was lowered holds from the next
+    phase, since the previous limit has been announced to the caller.
+
     The timer stays armed across phases and is checked when it fires, because
     most phases end long before their limit.
     """
@@ -52,6 +56,7 @@
         self._phase = ReceivePhase.IDLE
         self._since = timer_service.now()
         self._request_since = self._since
+        self._initial_limit: units.Seconds | None = None
         self._served = False
         self._timer: timers.Timer | None = None
         self._timer_at = units.Instant(0.0)
@@ -73,6 +78,8 @@
         limit = self._current_limit()
         if limit is None:
             return None
+        if self._initial_limit is not None:
+            limit = max(limit, self._initial_limit)
         start = (
             self._since
             if self._phase is ReceivePhase.IDLE
@@ -86,14 +93,27 @@
         expires_at = self.expires_at
         return expires_at is not None and self._timers.now() >= expires_at
 
-    def enter(self, phase: ReceivePhase) -> None:
-        """Begins a phase."""
+    def enter(
+        self, phase: ReceivePhase, announced: units.Seconds | None = None
+    ) -> None:
+        """Begins a phase.
+
+        Args:
+            phase: The phase.
+            announced: The limit that the caller was told, if any.
+        """
         now = self._timers.now()
         if self._phase is ReceivePhase.IDLE and phase is not self._phase:
             self._request_since = now
         self._served = self._served or phase is ReceivePhase.HANDLING
         self._phase = phase
         self._since = now
+        self._initial_limit = announced or self._current_limit()
+        self._arm()
+
+    def set_limits(self, limits: server.ServerLimits) -> None:
+        """Replaces the limits."""
+        self._limits = limits
         self._arm()
 
     def close(self) -> None:
--- a/packages/transport/src/lavendershed/transport/server.py
+++ b/packages/transport/src/lavendershed/transport/server.py
@@ -95,8 +95,12 @@
         return self._limits
 
     def set_limits(self, limits: ServerLimits) -> None:
-        """Replaces the limits; timers that run keep the previous ones."""
+        """Replaces the limits of all connections, see `ReceiveDeadline`."""
+        if limits == self._limits:
+            return
         self._limits = limits
+        for connection in self._connections:
+            connection.set_limits(limits)
 
     @property
     def active_connections(self) -> int:
--- a/packages/transport/src/lavendershed/transport/server_connection.py
+++ b/packages/transport/src/lavendershed/transport/server_connection.py
@@ -45,6 +45,8 @@
         self._deadline = receive_deadline.ReceiveDeadline(
             server.timers, server.limits, self._on_deadline
         )
+        # How long the last response has said that the connection stays open.
+        self._announced_timeout: units.Seconds | None = None
         self._disconnect_callback: Callable[[], object] | None = None
         self._started = False
         self._share = server.buffers.share()
@@ -75,6 +77,10 @@
         """Whether closing now would cut off a request."""
         return not self.idle
 
+    def set_limits(self, limits: server_module.ServerLimits) -> None:
+        """Applies changed limits."""
+        self._deadline.set_limits(limits)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begins to wait for a request."""
         # The transports of uvloop do not derive from asyncio.Transport.
@@ -192,10 +198,19 @@
         )
 
     def _connection_headers(self) -> handlers.Headers:
-        """Returns whether the connection closes after the response."""
+        """Returns how long the connection stays open after the response."""
+        self._announced_timeout = None
         if self._server.stopping:
             return (("connection", "close"),)
-        return ()
+        timeout = self._server.limits.idle_timeout
+        if (
+            timeout is None
+            or timeout < 1
+            or self._protocol.their_state is not h11.DONE
+        ):
+            return ()
+        self._announced_timeout = timeout
+        return (("keep-alive", f"timeout={int(timeout)}"),)
 
     def _report_unanswered(self) -> None:
         """Reports a request that has been read in part, or not answered."""
@@ -352,7 +367,7 @@
             self._close_after_response(_End.NOT_READ)
             return
         self._protocol.start_next_cycle()
-        self._deadline.enter(_Phase.IDLE)
+        self._deadline.enter(_Phase.IDLE, self._announced_timeout)
         if self._received_bytes:
             self._deadline.enter(_Phase.HEAD)
         self._resume_reading()
--- a/packages/transport/tests/test_receive_deadline.py
+++ b/packages/transport/tests/test_receive_deadline.py
@@ -62,6 +62,32 @@
         self.advance(0.2)
         self.assertEqual(self.expired, [Phase.BODY])
 
+    def test_a_raised_limit_holds_at_once(self):
+        self.advance(0.5)
+        self.deadline.set_limits(limits(idle=5.0))
+        self.advance(4.4)
+        self.assertEqual(self.expired, [])
+        self.advance(0.2)
+        self.assertEqual(self.expired, [Phase.IDLE])
+
+    def test_a_lowered_limit_holds_from_the_next_phase(self):
+        self.deadline.set_limits(limits(idle=0.2))
+        self.advance(0.9)
+        self.assertEqual(self.expired, [])
+        self.deadline.enter(Phase.HANDLING)
+        self.deadline.enter(Phase.IDLE)
+        self.advance(0.3)
+        self.assertEqual(self.expired, [Phase.IDLE])
+
+    def test_a_limit_that_the_caller_was_told_is_kept(self):
+        self.deadline.enter(Phase.HANDLING)
+        self.deadline.set_limits(limits(idle=0.2))
+        self.deadline.enter(Phase.IDLE, units.Seconds(1.0))
+        self.advance(0.9)
+        self.assertEqual(self.expired, [])
+        self.advance(0.2)
+        self.assertEqual(self.expired, [Phase.IDLE])
+
     def test_a_closed_deadline_never_expires(self):
         self.deadline.enter(Phase.HEAD)
         self.deadline.close()
--- a/packages/transport/tests/test_server_connection.py
+++ b/packages/transport/tests/test_server_connection.py
@@ -164,5 +164,30 @@
         self.assertEqual(self.observer.ends, [])
 
 
+class ChangedLimitTest(ConnectionCase):
+    """Fails if a connection is closed earlier than its caller expects."""
+
+    async def test_a_raised_limit_holds_for_open_connections(self):
+        caller = await self.connect()
+        self.server.set_limits(limits(idle=10.0))
+        self.advance(9.0)
+        caller.send(HEAD + BODY)
+        self.assertIn(b"abcdef", await self.response(caller))
+
+    async def test_a_lowered_limit_closes_no_connection_early(self):
+        self.server.set_limits(limits(idle=10.0))
+        caller = await self.connect()
+        caller.send(HEAD + BODY)
+        response = await self.response(caller)
+        self.assertIn(b"keep-alive: timeout=10\r\n", response.lower())
+        self.server.set_limits(limits(idle=2.5))
+        self.advance(9.0)
+        caller.send(HEAD + BODY)
+        response = await self.response(caller)
+        self.assertIn(b"keep-alive: timeout=2\r\n", response.lower())
+        self.advance(2.6)
+        self.assertEqual(await self.response(caller), b"")
+
+
 if __name__ == "__main__":
     unittest.main()
