Read what lies in the socket before a connection closes

What callers saw: a request that was sent in time on a kept connection got no answer, after the daemon had been held up or frozen, and at the end of a stop.

Cause: timers run before reads. The wait for events of an interrupted process returns without any once its time has passed, and what arrives while other callbacks run is not polled before the timers either. A connection was closed, or its request rejected with 408, over bytes that lay in its socket. A stop closed idle connections the same way and ended the process in the same turn.

Before a limit is applied, the loop polls the socket; a request that is still coming is read for up to 64 turns. A stop closes idle connections one interval before it looks whether the process may end.

--- a/packages/forwarding/src/lavendershed/forwarding/daemon.py
+++ b/packages/forwarding/src/lavendershed/forwarding/daemon.py
@@ -208,15 +208,20 @@
         deregistered_at = units.after(started, _DEREGISTRATION_DELAY)
         self._components.gateway.set_stop_deadline(drain_deadline)
         answer_by = units.Instant(drain_deadline - _ANSWER_MARGIN)
+        idle_closed = False
         while (now := context.timers.now()) < drain_deadline:
             if now >= answer_by:
                 self._components.gateway.end_unanswered_requests()
             if now >= deregistered_at:
-                # A request that crosses the close is not read, hence not run.
+                if idle_closed and not any(
+                    s.active_connections for s in request_servers
+                ):
+                    break
+                # Requests that lie in the sockets are read first. One that
+                # crosses the close is not read, hence not run.
                 for request_server in request_servers:
                     request_server.close_idle_connections()
-                if not any(s.active_connections for s in request_servers):
-                    break
+                idle_closed = True
             await asyncio.sleep(_DRAIN_POLL_INTERVAL)
         context.log.emit(
             events.Event.DAEMON_STOPPED,
--- a/packages/transport/src/lavendershed/transport/receive_deadline.py
+++ b/packages/transport/src/lavendershed/transport/receive_deadline.py
@@ -116,6 +116,10 @@
         self._limits = limits
         self._arm()
 
+    def recheck(self) -> None:
+        """Waits for the deadline of the phase that has begun meanwhile."""
+        self._arm()
+
     def close(self) -> None:
         """Cancels the timer."""
         self._phase = ReceivePhase.CLOSING
--- a/packages/transport/src/lavendershed/transport/server_connection.py
+++ b/packages/transport/src/lavendershed/transport/server_connection.py
@@ -24,6 +24,10 @@
 # Bytes that a caller may send while its request is handled; more are not read
 # until the response is complete.
 _MAX_PIPELINED_BYTES = 65_536
+# A process that was held up finds both its timers and the bytes that came in
+# the meantime. A request that lies in the socket is read for at most this many
+# turns of the event loop before its time limit is applied.
+_MAX_TURNS_AFTER_DEADLINE = 64
 
 _Phase = receive_deadline.ReceivePhase
 _End = connection_ends.ConnectionEnd
@@ -180,9 +184,12 @@
         self._abort(_End.SHUTDOWN)
 
     def close_if_idle(self) -> None:
-        """Closes the connection if no request is in progress."""
+        """Closes the connection if no request is in progress.
+
+        A request that lies in the socket is read before.
+        """
         if self.idle:
-            self._close_idle()
+            self._after_reads(self._close_idle)
 
     @property
     def _is_head_request(self) -> bool:
@@ -409,15 +416,41 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _after_reads(self, callback: Callable[[], object]) -> None:
+        """Calls `callback` once the loop has polled the socket."""
+        loop = asyncio.get_running_loop()
+        # The read that the next turn finds comes after what that turn begins
+        # with, so that the callback waits for one more turn.
+        loop.call_soon(loop.call_soon, callback)
+
     def _close_idle(self) -> None:
         if self.idle and self._transport is not None:
             self._transport.close()
 
     def _on_deadline(self) -> None:
-        """Ends what has taken too long."""
+        self._apply_deadline_after_reads(
+            self._received_bytes, _MAX_TURNS_AFTER_DEADLINE
+        )
+
+    def _apply_deadline_after_reads(
+        self, received_bytes: int, turns: int
+    ) -> None:
+        self._after_reads(
+            lambda: self._apply_deadline(received_bytes, turns - 1)
+        )
+
+    def _apply_deadline(self, received_bytes: int, turns: int) -> None:
+        """Ends what has taken too long, unless the rest lies in the socket."""
         phase = self._deadline.phase
+        if not self._deadline.has_expired:
+            self._deadline.recheck()
+            return
         if phase is _Phase.IDLE:
             self._close_idle()
+        elif turns and (
+            self._received_bytes > received_bytes or self._reading_paused
+        ):
+            self._apply_deadline_after_reads(self._received_bytes, turns)
         elif phase is _Phase.HEAD:
             self._reject(
                 408,
--- a/packages/transport/tests/test_server_connection.py
+++ b/packages/transport/tests/test_server_connection.py
@@ -189,5 +189,38 @@
         self.assertEqual(await self.response(caller), b"")
 
 
+class UnreadRequestTest(ConnectionCase):
+    """Fails if a connection closes over a request that lies in its socket.
+
+    So it does after the process was held up: timers run before reads.
+    """
+
+    async def test_an_idle_connection_is_read_before_it_closes(self):
+        caller = await self.connect()
+        caller.send(HEAD + BODY)
+        self.advance(1.1)
+        self.assertIn(b"abcdef", await self.response(caller))
+
+    async def test_a_late_request_is_read_before_it_is_rejected(self):
+        for begun in (HEAD[:20], HEAD + b"ab"):
+            with self.subTest(begun=begun):
+                caller = await self.connect()
+                await self.send(caller, begun)
+                caller.send((HEAD + BODY)[len(begun) :])
+                self.advance(31.0)
+                self.assertIn(b"abcdef", await self.response(caller))
+                caller.close()
+                await self.wait_until(lambda: not self.server.connection_count)
+
+    async def test_a_stop_reads_before_it_closes(self):
+        caller = await self.connect()
+        self.advance(0.5)
+        caller.send(HEAD + BODY)
+        self.server.close_idle_connections()
+        response = await self.response(caller)
+        self.assertIn(b"connection: close", response.lower())
+        self.assertIn(b"abcdef", response)
+
+
 if __name__ == "__main__":
     unittest.main()
