Read on after the last response of a connection

What callers saw: a broken pipe or a reset in place of the 413, 408 or 503 that the daemon had written.

Cause: closing a socket with unread bytes resets the connection. A caller that still sends gets an error for its write and drops the response.

After its last response the daemon ends its side only, reads and drops what comes for up to two seconds or until the caller closes, and closes then. A response that is not written yet keeps a stopping process alive, within its grace period.

--- a/packages/transport/src/lavendershed/transport/server.py
+++ b/packages/transport/src/lavendershed/transport/server.py
@@ -104,7 +104,10 @@
 
     @property
     def active_connections(self) -> int:
-        """Number of connections with a request in progress."""
+        """Number of connections that have to be completed before a stop.
+
+        These have a request in progress, or a response that is not written yet.
+        """
         return sum(connection.active for connection in self._connections)
 
     @property
--- a/packages/transport/src/lavendershed/transport/server_connection.py
+++ b/packages/transport/src/lavendershed/transport/server_connection.py
@@ -9,6 +9,7 @@
 
 import h11
 
+from lavendershed.core import timers
 from lavendershed.core import units
 from lavendershed.transport import connection_ends
 from lavendershed.transport import handlers
@@ -28,6 +29,10 @@
 # the meantime. A request that lies in the socket is read for at most this many
 # turns of the event loop before its time limit is applied.
 _MAX_TURNS_AFTER_DEADLINE = 64
+# After the last response, bytes of the caller are read and dropped for this
+# time. A socket that is closed with unread bytes is reset, and the caller can
+# lose the response.
+_MAX_LINGER_TIME = units.Seconds(2.0)
 
 _Phase = receive_deadline.ReceivePhase
 _End = connection_ends.ConnectionEnd
@@ -51,6 +56,7 @@
         )
         # How long the last response has said that the connection stays open.
         self._announced_timeout: units.Seconds | None = None
+        self._linger_timer: timers.Timer | None = None
         self._disconnect_callback: Callable[[], object] | None = None
         self._started = False
         self._share = server.buffers.share()
@@ -78,7 +84,12 @@
 
     @property
     def active(self) -> bool:
-        """Whether closing now would cut off a request."""
+        """Whether closing now would cut off a request or a response."""
+        if self._deadline.phase is _Phase.CLOSING:
+            return (
+                self._transport is not None
+                and self._transport.get_write_buffer_size() > 0
+            )
         return not self.idle
 
     def set_limits(self, limits: server_module.ServerLimits) -> None:
@@ -97,6 +108,8 @@
         self._disconnected.set()
         self._writable.set()
         self._deadline.close()
+        if self._linger_timer is not None:
+            self._linger_timer.cancel()
         self._server.unregister(self)
         if self._task is None:
             self._share.release()
@@ -403,12 +416,30 @@
         self._close_after_response(end)
 
     def _close_after_response(self, end: connection_ends.ConnectionEnd) -> None:
-        """Closes once the response is written."""
+        """Closes once the response is written and the caller has closed."""
         self._end = end
         self._deadline.close()
         self._body = bytearray()
         if self._transport is None or self._transport.is_closing():
             return
+        self._transport.write_eof()
+        self._resume_reading()
+        self._start_linger_timer()
+
+    def _start_linger_timer(self) -> None:
+        timer_service = self._server.timers
+        self._linger_timer = timer_service.schedule_at(
+            units.after(timer_service.now(), _MAX_LINGER_TIME),
+            self._on_linger_timeout,
+        )
+
+    def _on_linger_timeout(self) -> None:
+        if self._transport is None:
+            return
+        if self._transport.get_write_buffer_size():
+            # The caller reads slowly.
+            self._start_linger_timer()
+            return
         self._transport.close()
 
     def _abort(self, end: connection_ends.ConnectionEnd | None) -> None:
--- a/packages/transport/tests/test_server_connection.py
+++ b/packages/transport/tests/test_server_connection.py
@@ -222,5 +222,26 @@
         self.assertIn(b"abcdef", response)
 
 
+class LostResponseTest(ConnectionCase):
+    """Fails if a response is lost because its caller still sends."""
+
+    async def test_the_rejection_of_a_large_body_reaches_its_caller(self):
+        caller = await self.connect()
+        loop = asyncio.get_running_loop()
+        head = HEAD.replace(b": 6", b": 8000000")
+        async with asyncio.timeout(TIMEOUT_S):
+            await loop.sock_sendall(caller, head + b"x" * 8_000_000)
+        response = await self.read_until(caller, b"bytes")
+        self.assertTrue(response.startswith(b"HTTP/1.1 413"))
+
+    async def test_a_caller_that_sends_on_does_not_hold_the_connection(self):
+        caller = await self.connect()
+        caller.send(HEAD.replace(b": 6", b": 8000000"))
+        caller.send(b"x" * 100_001)
+        await self.read_until(caller, b"bytes")
+        self.advance(2.1)
+        await self.wait_until(lambda: not self.server.connection_count)
+
+
 if __name__ == "__main__":
     unittest.main()
