Close at a stop only connections whose caller has been told

What callers saw: around a planned stop, a request that was sent while the last bytes of a response were on the way, or first on a new connection, was not answered.

Cause: a connection closed after its current response once a stop had begun, also if the head of that response had been sent before and did not say so. A connection that had just been accepted counted as idle and was closed before its first request could arrive.

A connection stays open unless its response said that it closes; the next response says so. A new connection has 0.25 s for its first request, and the process waits for it within its grace period.

--- a/packages/transport/src/lavendershed/transport/server.py
+++ b/packages/transport/src/lavendershed/transport/server.py
@@ -106,7 +106,8 @@
     def active_connections(self) -> int:
         """Number of connections that have to be completed before a stop.
 
-        These have a request in progress, or a response that is not written yet.
+        These have a request in progress, a response that is not written yet,
+        or have been opened just now, so that their request is on the way.
         """
         return sum(connection.active for connection in self._connections)
 
--- a/packages/transport/src/lavendershed/transport/server_connection.py
+++ b/packages/transport/src/lavendershed/transport/server_connection.py
@@ -33,6 +33,8 @@
 # time. A socket that is closed with unread bytes is reset, and the caller can
 # lose the response.
 _MAX_LINGER_TIME = units.Seconds(2.0)
+# The first request on a new connection is expected within this time.
+_FIRST_REQUEST_TIME = units.Seconds(0.25)
 
 _Phase = receive_deadline.ReceivePhase
 _End = connection_ends.ConnectionEnd
@@ -54,6 +56,9 @@
         self._deadline = receive_deadline.ReceiveDeadline(
             server.timers, server.limits, self._on_deadline
         )
+        self._opened_at = server.timers.now()
+        # Whether a byte has come since the connection was opened.
+        self._used = False
         # How long the last response has said that the connection stays open.
         self._announced_timeout: units.Seconds | None = None
         self._linger_timer: timers.Timer | None = None
@@ -90,7 +95,15 @@
                 self._transport is not None
                 and self._transport.get_write_buffer_size() > 0
             )
-        return not self.idle
+        return not self.idle or self._expects_first_request
+
+    @property
+    def _expects_first_request(self) -> bool:
+        return (
+            not self._used
+            and units.elapsed(self._opened_at, self._server.timers.now())
+            < _FIRST_REQUEST_TIME
+        )
 
     def set_limits(self, limits: server_module.ServerLimits) -> None:
         """Applies changed limits."""
@@ -132,6 +145,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Processes bytes of the caller."""
+        self._used = True
         self._received_bytes += len(data)
         if self._deadline.phase is _Phase.CLOSING:
             return
@@ -201,7 +215,7 @@
 
         A request that lies in the socket is read before.
         """
-        if self.idle:
+        if self.idle and not self._expects_first_request:
             self._after_reads(self._close_idle)
 
     @property
@@ -382,7 +396,6 @@
         if (
             self._protocol.our_state is not h11.DONE
             or self._protocol.their_state is not h11.DONE
-            or self._server.stopping
         ):
             self._close_after_response(_End.NOT_READ)
             return
--- a/packages/transport/tests/test_server_connection.py
+++ b/packages/transport/tests/test_server_connection.py
@@ -243,5 +243,49 @@
         await self.wait_until(lambda: not self.server.connection_count)
 
 
+class StopTest(ConnectionCase):
+    """Fails if a stop closes a connection that its caller may still use."""
+
+    async def test_a_connection_stays_open_unless_its_response_said_else(self):
+        self.handler.gate.clear()
+        caller = await self.connect()
+        caller.send(HEAD + BODY)
+        await self.read_until(caller, b"begun")
+        self.server.disable_keep_alive()
+        # The next request comes before the last bytes of the response.
+        await self.send(caller, HEAD.replace(b"/x", b"/next") + BODY)
+        self.handler.gate.set()
+        responses = await self.read_until(caller, b"nothing but the end")
+        self.assertEqual(responses.count(b"abcdef"), 2)
+        self.assertIn(b"connection: close", responses.lower())
+        self.assertEqual(self.handler.paths, ["/x", "/next"])
+
+    async def test_a_new_connection_has_time_for_its_request(self):
+        caller = await self.connect()
+        self.server.close_idle_connections()
+        await asyncio.sleep(0.02)
+        self.assertEqual(self.server.active_connections, 1)
+        caller.send(HEAD + BODY)
+        self.assertIn(b"abcdef", await self.response(caller))
+
+    async def test_a_new_connection_without_a_request_is_closed(self):
+        caller = await self.connect()
+        self.advance(0.3)
+        self.assertEqual(self.server.active_connections, 0)
+        self.server.close_idle_connections()
+        self.assertEqual(await self.response(caller), b"")
+
+    async def test_bytes_after_the_last_response_are_reported(self):
+        caller = await self.connect()
+        self.server.disable_keep_alive()
+        caller.send(HEAD + BODY)
+        await self.response(caller)
+        caller.send(HEAD + BODY)
+        await asyncio.sleep(0.02)
+        caller.close()
+        await self.wait_until(lambda: not self.server.connection_count)
+        self.assertEqual(self.observer.ends, [End.NOT_READ])
+
+
 if __name__ == "__main__":
     unittest.main()
