Answer a request whose handler fails before its response

What callers saw: a closed connection, from which they cannot tell a fault of this process from one of the network.

Cause: an exception of a handler aborted the connection, whether or not a response had begun.

If none has, the caller gets 500, which does not say whether the request ran. A response that has begun is aborted as before. The test of the exception asked for a failed exchange; it asks for the status now, and for the next request on the same server as before.

--- a/packages/transport/src/lavendershed/transport/server_connection.py
+++ b/packages/transport/src/lavendershed/transport/server_connection.py
@@ -35,6 +35,7 @@
 _MAX_LINGER_TIME = units.Seconds(2.0)
 # The first request on a new connection is expected within this time.
 _FIRST_REQUEST_TIME = units.Seconds(0.25)
+_INTERNAL_ERROR_STATUS = 500
 
 _Phase = receive_deadline.ReceivePhase
 _End = connection_ends.ConnectionEnd
@@ -365,8 +366,7 @@
             await self._server.handler.handle(request, self)
         except Exception as error:  # noqa: BLE001
             # Handlers return failures as values, so that an exception is a bug.
-            # The caller gets an aborted connection and no wrong response; other
-            # requests are not affected.
+            # It ends its own request only.
             self._on_handler_error(error)
             return
         finally:
@@ -383,7 +383,15 @@
                 "place": "handler",
             }
         )
-        self._abort(_End.HANDLER_ERROR)
+        if self._started:
+            # Without its end the caller detects the truncation.
+            self._abort(_End.HANDLER_ERROR)
+            return
+        self._reject(
+            _INTERNAL_ERROR_STATUS,
+            "unexpected error in this process",
+            _End.HANDLER_ERROR,
+        )
 
     def _begin_next_request(self) -> None:
         if self._disconnected.is_set() or self._transport is None:
--- a/packages/transport/tests/test_server.py
+++ b/packages/transport/tests/test_server.py
@@ -163,7 +163,7 @@
             lambda _, context: reported.append(context)
         )
         response = await self.pool.exchange(client.RequestHead("POST", "/bug"))
-        self.assertTrue(response.is_err())
+        self.assertEqual(response.unwrap().head.status, 500)
         (context,) = reported
         self.assertIsInstance(context["exception"], ValueError)
         self.assertEqual(context["place"], "handler")
