Give the memory of a rejected request back at once

The whole suite, run on, failed in one of 880 tests or so: test_requests_at_once_share_one_limit found 38.8 MB of the shared budget in use after all requests had ended. Since a rejected connection stays open until its caller closes, and kept the share of its body for as long, up to two seconds. Sound requests got 503 meanwhile.

The share is given back with the rejection; what comes afterwards is dropped. The test passes, and fails without the change.

--- a/packages/transport/src/lavendershed/transport/server_connection.py
+++ b/packages/transport/src/lavendershed/transport/server_connection.py
@@ -441,6 +441,7 @@
         self._end = end
         self._deadline.close()
         self._body = bytearray()
+        self._share.release()
         if self._transport is None or self._transport.is_closing():
             return
         self._transport.write_eof()
