Report responses that are aborted before their end

A stream that broke off, because no engine could go on with it, left no line 119 and no count: the handler had returned before the connection was lost, and the connection had begun to wait for the next request.

Evidence: test_a_response_that_breaks_off_names_its_cause failed before, "[] != [ConnectionEnd.RESPONSE_ABORTED]". An aborted connection now keeps its request until it is reported. The tests of transport pass.

--- a/packages/transport/src/lavendershed/transport/server_connection.py
+++ b/packages/transport/src/lavendershed/transport/server_connection.py
@@ -37,6 +37,9 @@
 _FIRST_REQUEST_TIME = units.Seconds(0.25)
 _INTERNAL_ERROR_STATUS = 500
 
+# States of our side of the connection once a response is complete.
+_COMPLETE_STATES = (h11.DONE, h11.MUST_CLOSE)
+
 _Phase = receive_deadline.ReceivePhase
 _End = connection_ends.ConnectionEnd
 
@@ -227,9 +230,9 @@
     @property
     def _is_response_complete(self) -> bool:
         """Whether the request that is handled has its whole response."""
-        return self._task is not None and self._protocol.our_state in (
-            h11.DONE,
-            h11.MUST_CLOSE,
+        return (
+            self._task is not None
+            and self._protocol.our_state in _COMPLETE_STATES
         )
 
     def _connection_headers(self) -> handlers.Headers:
@@ -396,6 +399,11 @@
     def _begin_next_request(self) -> None:
         if self._disconnected.is_set() or self._transport is None:
             return
+        if self._transport.is_closing():
+            if self._protocol.our_state in _COMPLETE_STATES:
+                self._received_bytes = 0
+            # Otherwise `connection_lost` reports the request.
+            return
         self._request = None
         self._started = False
         self._status = None
--- a/packages/transport/tests/test_server_connection.py
+++ b/packages/transport/tests/test_server_connection.py
@@ -119,6 +119,48 @@
         self.timers.advance(units.Seconds(seconds))
 
 
+class FaultyHandler(GatedHandler):
+    """Ends as the path of the request says, and not with a response."""
+
+    async def handle(self, request, responder):
+        match request.path:
+            case "/abort":
+                responder.start(200, (("transfer-encoding", "chunked"),))
+                await responder.write(b"begun ")
+                responder.abort()
+
+
+class FaultyHandlerTest(ConnectionCase):
+    """Fails if a handler leaves a caller without an answer or a trace."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.server._handler = FaultyHandler()
+        asyncio.get_running_loop().set_exception_handler(
+            lambda loop, context: None
+        )
+
+    async def end_of(self, path):
+        """Returns what the caller of `path` reads, and the reported ends."""
+        self.observer.ends.clear()
+        caller = await self.connect()
+        caller.send(HEAD.replace(b"/x", path) + BODY)
+        try:
+            received = await self.read_until(caller, b"this process")
+        except ConnectionError:
+            received = b""
+        caller.close()
+        await self.wait_until(lambda: not self.server.connection_count)
+        return received, self.observer.ends
+
+    async def test_a_response_that_breaks_off_names_its_cause(self):
+        for path, end in ((b"/abort", End.RESPONSE_ABORTED),):
+            with self.subTest(path=path):
+                received, ends = await self.end_of(path)
+                self.assertNotIn(b"0\r\n\r\n", received)
+                self.assertEqual(ends, [end])
+
+
 class TimeLimitTest(ConnectionCase):
     """Fails if a request is cut by a limit that isn't its own."""
 
