Answer a request whose handler returns without a response

The connection closed without a byte, and the cause that was reported was not_read with no bytes, which means nothing to report.

Evidence: test_a_handler_without_a_response_gets_500 failed before for /nothing, "False is not true : b''", and the cause of /half was missing, "[] != [ConnectionEnd.NO_RESPONSE]". The tests of transport pass.

--- a/packages/transport/src/lavendershed/transport/connection_ends.py
+++ b/packages/transport/src/lavendershed/transport/connection_ends.py
@@ -23,6 +23,8 @@
     REJECTED = "rejected"
     # The handler raised.
     HANDLER_ERROR = "handler_error"
+    # The handler returned before its response was complete.
+    NO_RESPONSE = "no_response"
     # The handler could not complete a response that had begun.
     RESPONSE_ABORTED = "response_aborted"
     # The response announced the end of the connection, and more was sent.
--- a/packages/transport/src/lavendershed/transport/server_connection.py
+++ b/packages/transport/src/lavendershed/transport/server_connection.py
@@ -386,14 +386,18 @@
                 "place": "handler",
             }
         )
+        self._end_incomplete_response(_End.HANDLER_ERROR)
+
+    def _end_incomplete_response(
+        self, end: connection_ends.ConnectionEnd = _End.NO_RESPONSE
+    ) -> None:
+        """Ends a request whose handler does not complete the response."""
         if self._started:
             # Without its end the caller detects the truncation.
-            self._abort(_End.HANDLER_ERROR)
+            self._abort(end)
             return
         self._reject(
-            _INTERNAL_ERROR_STATUS,
-            "unexpected error in this process",
-            _End.HANDLER_ERROR,
+            _INTERNAL_ERROR_STATUS, "unexpected error in this process", end
         )
 
     def _begin_next_request(self) -> None:
@@ -404,13 +408,16 @@
                 self._received_bytes = 0
             # Otherwise `connection_lost` reports the request.
             return
+        if self._protocol.our_state not in _COMPLETE_STATES:
+            self._end_incomplete_response()
+            return
         self._request = None
         self._started = False
         self._status = None
         # What came after the request belongs to the next one.
         self._received_bytes = len(self._protocol.trailing_data[0])
         if (
-            self._protocol.our_state is not h11.DONE
+            self._protocol.our_state is h11.MUST_CLOSE
             or self._protocol.their_state is not h11.DONE
         ):
             self._close_after_response(_End.NOT_READ)
--- a/packages/transport/tests/test_server_connection.py
+++ b/packages/transport/tests/test_server_connection.py
@@ -124,10 +124,17 @@
 
     async def handle(self, request, responder):
         match request.path:
+            case "/nothing":
+                return
+            case "/half":
+                responder.start(200, (("transfer-encoding", "chunked"),))
+                await responder.write(b"begun ")
             case "/abort":
                 responder.start(200, (("transfer-encoding", "chunked"),))
                 await responder.write(b"begun ")
                 responder.abort()
+            case "/raise":
+                raise ValueError
 
 
 class FaultyHandlerTest(ConnectionCase):
@@ -153,8 +160,21 @@
         await self.wait_until(lambda: not self.server.connection_count)
         return received, self.observer.ends
 
+    async def test_a_handler_without_a_response_gets_500(self):
+        for path, end in (
+            (b"/nothing", End.NO_RESPONSE),
+            (b"/raise", End.HANDLER_ERROR),
+        ):
+            with self.subTest(path=path):
+                received, ends = await self.end_of(path)
+                self.assertTrue(received.startswith(b"HTTP/1.1 500"), received)
+                self.assertEqual(ends, [end])
+
     async def test_a_response_that_breaks_off_names_its_cause(self):
-        for path, end in ((b"/abort", End.RESPONSE_ABORTED),):
+        for path, end in (
+            (b"/half", End.NO_RESPONSE),
+            (b"/abort", End.RESPONSE_ABORTED),
+        ):
             with self.subTest(path=path):
                 received, ends = await self.end_of(path)
                 self.assertNotIn(b"0\r\n\r\n", received)
