Answer with 500 if the head of a response can't be encoded

The connection was aborted without a byte, as if the response had begun.

Evidence: test_a_handler_without_a_response_gets_500 failed before for /header, "False is not true : b''". A response counts as begun once its head is built. The tests of transport pass.

--- a/packages/transport/src/lavendershed/transport/server_connection.py
+++ b/packages/transport/src/lavendershed/transport/server_connection.py
@@ -179,16 +179,14 @@
 
     def start(self, status: int, headers: handlers.Headers = ()) -> None:
         """Sends the status line and headers of a streamed response."""
+        # Raises before anything is sent if a header can't be encoded.
+        response = h11.Response(
+            status_code=status,
+            headers=header_fields.encode(headers + self._connection_headers()),
+        )
         self._started = True
         self._status = status
-        self._send(
-            h11.Response(
-                status_code=status,
-                headers=header_fields.encode(
-                    headers + self._connection_headers()
-                ),
-            )
-        )
+        self._send(response)
 
     async def write(self, data: bytes) -> bool:
         """Sends body bytes; returns False once the caller has disconnected."""
--- a/packages/transport/tests/test_server_connection.py
+++ b/packages/transport/tests/test_server_connection.py
@@ -135,6 +135,8 @@
                 responder.abort()
             case "/raise":
                 raise ValueError
+            case "/header":
+                await responder.respond(200, b"", (("x", "a\nb"),))
 
 
 class FaultyHandlerTest(ConnectionCase):
@@ -164,6 +166,7 @@
         for path, end in (
             (b"/nothing", End.NO_RESPONSE),
             (b"/raise", End.HANDLER_ERROR),
+            (b"/header", End.HANDLER_ERROR),
         ):
             with self.subTest(path=path):
                 received, ends = await self.end_of(path)
