Wait at a stop for responses that their callers are still reading

A complete response of which a slow caller had taken a part counted as no work when its connection was kept: the stop ended the process and cut the rest off.

Evidence: test_a_stop_waits_for_the_end_of_a_response failed before, "0 != 1" active connections. Bytes that the caller has not taken count in every phase. The tests of server connections pass.

--- a/packages/transport/src/lavendershed/transport/server_connection.py
+++ b/packages/transport/src/lavendershed/transport/server_connection.py
@@ -94,13 +94,19 @@
     @property
     def active(self) -> bool:
         """Whether closing now would cut off a request or a response."""
+        if self._unsent_bytes:
+            return True
         if self._deadline.phase is _Phase.CLOSING:
-            return (
-                self._transport is not None
-                and self._transport.get_write_buffer_size() > 0
-            )
+            return False
         return not self.idle or self._expects_first_request
 
+    @property
+    def _unsent_bytes(self) -> int:
+        """Bytes of responses that the caller has not taken yet."""
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
+
     @property
     def _expects_first_request(self) -> bool:
         return (
--- a/packages/transport/tests/test_server_connection.py
+++ b/packages/transport/tests/test_server_connection.py
@@ -15,6 +15,8 @@
 
 TIMEOUT_S = 5.0
 POLL_INTERVAL_S = 0.002
+# More than the sockets of both sides take.
+LARGE_BODY_BYTES = 20_000_000
 HEAD = b"POST /x HTTP/1.1\r\nhost: x\r\ncontent-length: 6\r\n\r\n"
 BODY = b"abcdef"
 End = connection_ends.ConnectionEnd
@@ -37,13 +39,14 @@
         self.gate = asyncio.Event()
         self.gate.set()
         self.paths = []
+        self.body = b""
 
     async def handle(self, request, responder):
         self.paths.append(request.path)
         responder.start(200, (("transfer-encoding", "chunked"),))
         await responder.write(b"begun ")
         await self.gate.wait()
-        await responder.write(request.body or b"done")
+        await responder.write(self.body or request.body or b"done")
         await responder.finish()
 
     def rejection_body(self, status, detail):
@@ -308,6 +311,46 @@
         await self.wait_until(lambda: not self.server.connection_count)
 
 
+class SlowCallerTest(ConnectionCase):
+    """Fails if a caller that reads nothing holds its connection for ever.
+
+    Also if one that reads slowly loses a part of its response.
+    """
+
+    async def connect_and_send(self, high_water=None):
+        """Sends a request whose response the socket can't take at once."""
+        self.handler.body = b"x" * LARGE_BODY_BYTES
+        caller = await self.connect()
+        if high_water is not None:
+            (connection,) = self.server._connections
+            connection._transport.set_write_buffer_limits(high_water)
+        caller.send(HEAD + BODY)
+        await self.wait_until(lambda: self.unsent() > 0)
+        return caller
+
+    def unsent(self):
+        return sum(
+            c._transport.get_write_buffer_size()
+            for c in self.server._connections
+        )
+
+    async def test_a_caller_that_reads_slowly_gets_its_response(self):
+        caller = await self.connect_and_send()
+        received = b""
+        while not received.endswith(b"0\r\n\r\n"):
+            self.advance(29.0)
+            received += await asyncio.get_running_loop().sock_recv(
+                caller, LARGE_BODY_BYTES
+            )
+        self.assertEqual(received.count(b"x" * 100), LARGE_BODY_BYTES // 100)
+        self.assertEqual(self.observer.ends, [])
+
+    async def test_a_stop_waits_for_the_end_of_a_response(self):
+        await self.connect_and_send(10 * LARGE_BODY_BYTES)
+        self.server.close_idle_connections()
+        self.assertEqual(self.server.active_connections, 1)
+
+
 class StopTest(ConnectionCase):
     """Fails if a stop closes a connection that its caller may still use."""
 
