Report responses that the end of the process cuts off

Evidence: test_a_response_that_the_end_of_the_process_cuts_is_reported failed before, "[] != [ConnectionEnd.SHUTDOWN]". The tests of server connections pass.

--- a/packages/transport/src/lavendershed/transport/server_connection.py
+++ b/packages/transport/src/lavendershed/transport/server_connection.py
@@ -66,6 +66,8 @@
         # How long the last response has said that the connection stays open.
         self._announced_timeout: units.Seconds | None = None
         self._linger_timer: timers.Timer | None = None
+        # Whether the connection was aborted with bytes of a response unsent.
+        self._truncated = False
         self._disconnect_callback: Callable[[], object] | None = None
         self._started = False
         self._share = server.buffers.share()
@@ -127,6 +129,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Ends the request in progress."""
+        if exc is not None and not self._writable.is_set():
+            self._truncated = True
         self._report_unanswered()
         self._disconnected.set()
         self._writable.set()
@@ -256,13 +260,15 @@
 
     def _report_unanswered(self) -> None:
         """Reports a request that has been read in part, or not answered."""
-        if not self._received_bytes or self._is_response_complete:
+        if not self._truncated and (
+            not self._received_bytes or self._is_response_complete
+        ):
             return
         end = self._end
         if end is None:
             end = (
                 _End.CALLER_LEFT_SENDING
-                if self._task is None
+                if self._task is None and not self._truncated
                 else _End.CALLER_LEFT
             )
         peername = (
@@ -486,6 +492,7 @@
     def _abort(self, end: connection_ends.ConnectionEnd | None) -> None:
         self._end = self._end or end
         if self._transport is not None:
+            self._truncated = self._truncated or self._unsent_bytes > 0
             self._transport.abort()
 
     def _after_reads(self, callback: Callable[[], object]) -> None:
--- a/packages/transport/tests/test_server_connection.py
+++ b/packages/transport/tests/test_server_connection.py
@@ -350,6 +350,14 @@
         self.server.close_idle_connections()
         self.assertEqual(self.server.active_connections, 1)
 
+    async def test_a_response_that_the_end_of_the_process_cuts_is_reported(
+        self,
+    ):
+        await self.connect_and_send(10 * LARGE_BODY_BYTES)
+        self.server.close()
+        await self.wait_until(lambda: not self.server.connection_count)
+        self.assertEqual(self.observer.ends, [End.SHUTDOWN])
+
 
 class StopTest(ConnectionCase):
     """Fails if a stop closes a connection that its caller may still use."""
