Disconnect callers that take no byte of their response for 30 s

A caller that kept its connection open and read nothing held the connection, the memory of the response and the server that the response came from without a limit, also beyond the deadline of the request.

Each byte that is taken starts the time anew, so that slow callers are kept, which another test shows.

--- a/packages/transport/src/lavendershed/transport/connection_ends.py
+++ b/packages/transport/src/lavendershed/transport/connection_ends.py
@@ -16,6 +16,8 @@
     CALLER_LEFT_SENDING = "caller_left_sending"
     # The caller closed the connection while its request was handled.
     CALLER_LEFT = "caller_left"
+    # The caller took no byte of its response for too long.
+    CALLER_STALLED = "caller_stalled"
     # The head or the whole request did not arrive in time.
     HEAD_TIMEOUT = "head_timeout"
     REQUEST_TIMEOUT = "request_timeout"
--- a/packages/transport/src/lavendershed/transport/server_connection.py
+++ b/packages/transport/src/lavendershed/transport/server_connection.py
@@ -33,6 +33,9 @@
 # time. A socket that is closed with unread bytes is reset, and the caller can
 # lose the response.
 _MAX_LINGER_TIME = units.Seconds(2.0)
+# A caller that takes no byte of its response for this time has stopped reading.
+# Its memory, and the server that the response comes from, are needed by others.
+_MAX_WRITE_STALL = units.Seconds(30.0)
 # The first request on a new connection is expected within this time.
 _FIRST_REQUEST_TIME = units.Seconds(0.25)
 _INTERNAL_ERROR_STATUS = 500
@@ -66,6 +69,11 @@
         # How long the last response has said that the connection stays open.
         self._announced_timeout: units.Seconds | None = None
         self._linger_timer: timers.Timer | None = None
+        self._stall_timer: timers.Timer | None = None
+        # Bytes of responses that were passed to the transport, and those of
+        # them that had left it when the timer was set.
+        self._written_bytes = 0
+        self._taken_bytes = 0
         # Whether the connection was aborted with bytes of a response unsent.
         self._truncated = False
         self._disconnect_callback: Callable[[], object] | None = None
@@ -135,8 +143,9 @@
         self._disconnected.set()
         self._writable.set()
         self._deadline.close()
-        if self._linger_timer is not None:
-            self._linger_timer.cancel()
+        for timer in (self._linger_timer, self._stall_timer):
+            if timer is not None:
+                timer.cancel()
         self._server.unregister(self)
         if self._task is None:
             self._share.release()
@@ -297,6 +306,27 @@
         data = self._protocol.send(event)
         if data:
             self._transport.write(data)
+            self._written_bytes += len(data)
+            self._watch_caller()
+
+    def _watch_caller(self) -> None:
+        """Checks later whether the caller has taken a part of the response."""
+        if self._stall_timer is not None or not self._unsent_bytes:
+            return
+        timer_service = self._server.timers
+        self._taken_bytes = self._written_bytes - self._unsent_bytes
+        self._stall_timer = timer_service.schedule_at(
+            units.after(timer_service.now(), _MAX_WRITE_STALL),
+            self._on_stall_timer,
+        )
+
+    def _on_stall_timer(self) -> None:
+        self._stall_timer = None
+        taken_bytes = self._written_bytes - self._unsent_bytes
+        if self._unsent_bytes and taken_bytes == self._taken_bytes:
+            self._abort(_End.CALLER_STALLED)
+            return
+        self._watch_caller()
 
     def _pause_reading(self) -> None:
         if self._transport is not None and not self._reading_paused:
@@ -483,16 +513,18 @@
     def _on_linger_timeout(self) -> None:
         if self._transport is None:
             return
-        if self._transport.get_write_buffer_size():
+        if self._unsent_bytes:
             # The caller reads slowly.
             self._start_linger_timer()
             return
         self._transport.close()
 
     def _abort(self, end: connection_ends.ConnectionEnd | None) -> None:
+        if self._unsent_bytes:
+            self._truncated = True
+            self._end = end
         self._end = self._end or end
         if self._transport is not None:
-            self._truncated = self._truncated or self._unsent_bytes > 0
             self._transport.abort()
 
     def _after_reads(self, callback: Callable[[], object]) -> None:
--- a/packages/transport/tests/test_server_connection.py
+++ b/packages/transport/tests/test_server_connection.py
@@ -334,14 +334,33 @@
             for c in self.server._connections
         )
 
+    async def test_a_caller_that_reads_nothing_is_disconnected(self):
+        for name, high_water, stopping in (
+            ("response under way", None, False),
+            ("connection kept", 10 * LARGE_BODY_BYTES, False),
+            ("connection closing", 10 * LARGE_BODY_BYTES, True),
+        ):
+            with self.subTest(name):
+                self.server._stopping = stopping
+                self.observer.ends.clear()
+                await self.connect_and_send(high_water)
+                for _ in range(20):
+                    self.advance(5.0)
+                    await asyncio.sleep(POLL_INTERVAL_S)
+                await self.wait_until(lambda: not self.server.connection_count)
+                self.assertEqual(self.observer.ends, [End.CALLER_STALLED])
+
     async def test_a_caller_that_reads_slowly_gets_its_response(self):
         caller = await self.connect_and_send()
-        received = b""
-        while not received.endswith(b"0\r\n\r\n"):
+        loop = asyncio.get_running_loop()
+        received = bytearray()
+        while self.unsent():
             self.advance(29.0)
-            received += await asyncio.get_running_loop().sock_recv(
-                caller, LARGE_BODY_BYTES
-            )
+            unsent = self.unsent()
+            while self.unsent() == unsent:
+                received += await loop.sock_recv(caller, LARGE_BODY_BYTES)
+                await asyncio.sleep(POLL_INTERVAL_S)
+        received += await self.response(caller)
         self.assertEqual(received.count(b"x" * 100), LARGE_BODY_BYTES // 100)
         self.assertEqual(self.observer.ends, [])
 
