Report requests without an answer on the router's own interface, too

A connection of the router's own interface that ended before the response to its request left no line and no count. Calls go on when their caller leaves, so that the router logs these callers itself.

Evidence: test_a_request_without_an_answer_is_logged_and_counted failed without the observer, "the condition was not met in time". The tests of daemon's router, httpd, platform, forwarding, telemetry and transport pass, mypy is clean.

--- a/packages/daemon/src/lavendershed/daemon/router.py
+++ b/packages/daemon/src/lavendershed/daemon/router.py
@@ -34,6 +34,7 @@
 from lavendershed.telemetry import events
 from lavendershed.telemetry import instruments as instruments_module
 from lavendershed.telemetry import log
+from lavendershed.telemetry import unanswered_requests
 from lavendershed.transport import event_loop_timers
 from lavendershed.transport import server
 
@@ -88,6 +89,13 @@
             front_end.FrontEnd(self, timer_service),
             timer_service,
             server.ServerLimits(),
+            observer=unanswered_requests.UnansweredRequestRecorder(
+                "callers",
+                event_log,
+                instruments.count_unanswered_request,
+                front_end.REQUEST_ID_HEADER,
+                logs_callers_that_left=True,
+            ),
         )
 
     @property
--- a/packages/forwarding/src/lavendershed/forwarding/codecs.py
+++ b/packages/forwarding/src/lavendershed/forwarding/codecs.py
@@ -22,6 +22,11 @@
 class CallerCodec(abc.ABC):
     """Decodes requests of callers and encodes failures for them."""
 
+    @property
+    @abc.abstractmethod
+    def id_header(self) -> str:
+        """Name of the header with the id of a request, in lower case."""
+
     @abc.abstractmethod
     def decode(
         self, request: handlers.ServerRequest
--- a/packages/forwarding/src/lavendershed/forwarding/daemon.py
+++ b/packages/forwarding/src/lavendershed/forwarding/daemon.py
@@ -13,8 +13,8 @@
 from lavendershed.forwarding import components
 from lavendershed.forwarding import health_endpoint
 from lavendershed.forwarding import relay
-from lavendershed.forwarding import unanswered_requests
 from lavendershed.telemetry import events
+from lavendershed.telemetry import unanswered_requests
 from lavendershed.transport import server
 
 # The platform stops sending new connections after two failed health checks,
@@ -139,7 +139,11 @@
     ) -> unanswered_requests.UnansweredRequestRecorder:
         context = self._components.context
         return unanswered_requests.UnansweredRequestRecorder(
-            listener, context.log, context.instruments
+            listener,
+            context.log,
+            context.instruments.count_unanswered_request,
+            context.caller_codec.id_header,
+            logs_callers_that_left=False,
         )
 
     def _first_error(self, tasks: list[asyncio.Task[None]]) -> Exception | None:
--- a/packages/httpd/src/lavendershed/httpd/front_end.py
+++ b/packages/httpd/src/lavendershed/httpd/front_end.py
@@ -20,6 +20,7 @@
 from lavendershed.httpd import request_decoder
 from lavendershed.transport import handlers
 
+REQUEST_ID_HEADER = "request-id"
 _GENERATE_PATH = re.compile(r"/v1/services/([^/]+)/generate")
 _CALL_PATH = re.compile(r"/v1/services/([^/]+)/call/(.+)")
 _REQUEST_ID = re.compile(r"[\x21-\x7e]{1,128}")
@@ -266,7 +267,7 @@
 
 
 def _request_id(request: handlers.ServerRequest) -> ids.RequestId:
-    header = request.header("request-id")
+    header = request.header(REQUEST_ID_HEADER)
     if header is not None and _REQUEST_ID.fullmatch(header):
         return ids.RequestId(header)
     return ids.RequestId(uuid.uuid4().hex)
--- a/packages/platform/src/lavendershed/platform/callers.py
+++ b/packages/platform/src/lavendershed/platform/callers.py
@@ -37,6 +37,11 @@
 class PlatformCallerCodec(codecs.CallerCodec):
     """Decodes requests of platform clients and encodes failures."""
 
+    @property
+    def id_header(self) -> str:
+        """Name of the header with the id of a request, in lower case."""
+        return header_names.REQUEST_ID
+
     def decode(
         self, request: handlers.ServerRequest
     ) -> result.Result[requests.CallerRequest, outcomes.RequestFailure]:
--- a/packages/telemetry/src/lavendershed/telemetry/instruments.py
+++ b/packages/telemetry/src/lavendershed/telemetry/instruments.py
@@ -47,6 +47,9 @@
         self._unexpected_errors = meter.create_counter(
             "lavendershed.unexpected_errors"
         )
+        self._unanswered = meter.create_counter(
+            "lavendershed.unanswered_requests"
+        )
         self._store_calls = meter.create_counter("lavendershed.store_calls")
 
     def exposition(self) -> bytes:
@@ -103,6 +106,10 @@
         """Counts an unexpected exception, by what it ended."""
         self._unexpected_errors.add(1, {"place": place})
 
+    def count_unanswered_request(self, listener: str, end: str) -> None:
+        """Counts a request without a complete response, by its end."""
+        self._unanswered.add(1, {"listener": listener, "end": end})
+
     def count_store_call(self, operation: str, outcome: str) -> None:
         """Counts a call to the object store by operation and outcome."""
         self._store_calls.add(1, {"operation": operation, "outcome": outcome})
--- a/packages/transport/src/lavendershed/transport/connection_ends.py
+++ b/packages/transport/src/lavendershed/transport/connection_ends.py
@@ -7,6 +7,7 @@
 import enum
 
 from lavendershed.core import units
+from lavendershed.transport import handlers
 
 
 class ConnectionEnd(enum.Enum):
@@ -43,6 +44,7 @@
         end: What ended the connection.
         peer: Address of the caller.
         target: Request target as sent; None if its head was not complete.
+        headers: Headers of the request; empty if its head was not complete.
         status: Status of the response that was sent; None without any.
         received_bytes: Bytes of the request that were read.
         seconds: Time since its first byte.
@@ -51,6 +53,7 @@
     end: ConnectionEnd
     peer: str
     target: str | None
+    headers: handlers.Headers
     status: int | None
     received_bytes: units.Bytes
     seconds: units.Seconds
--- a/packages/transport/src/lavendershed/transport/server_connection.py
+++ b/packages/transport/src/lavendershed/transport/server_connection.py
@@ -292,6 +292,9 @@
                 self._request.target.decode("latin-1")
                 if self._request is not None
                 else None,
+                header_fields.decode(self._request.headers)
+                if self._request is not None
+                else (),
                 self._status,
                 units.Bytes(self._received_bytes),
                 units.elapsed(
