Answer requests that wait for a configuration when the daemon stops

A daemon that had found no configuration yet kept requests waiting for it for up to 1.5 s, also beyond its end, and closed their connections without an answer.

Evidence: test_a_request_that_waits_for_a_configuration_is_answered failed before, "None != 503", for requests before and after the stop. A stop ends the wait, and the caller is told that its request has not run.

--- a/packages/forwarding/src/lavendershed/forwarding/gateway.py
+++ b/packages/forwarding/src/lavendershed/forwarding/gateway.py
@@ -55,12 +55,15 @@
         self._stop_deadline: units.Instant | None = None
         # Executions that have not begun their response.
         self._unanswered: dict[asyncio.Task[None], handlers.Responder] = {}
+        self._readiness_waits: set[asyncio.Task[bool]] = set()
         self._ended_by_stop: set[asyncio.Task[None]] = set()
 
     def set_stop_deadline(self, deadline: units.Instant) -> None:
         """Admits only requests that can complete before `deadline`."""
         self._stop_deadline = deadline
         self._context.waiting_room.stop()
+        for waiting in self._readiness_waits:
+            waiting.cancel()
 
     def end_unanswered_requests(self) -> None:
         """Ends the requests whose response has not begun, with a failure."""
@@ -112,7 +115,7 @@
     ) -> None:
         """Waits for the first configuration, as long as the caller does."""
         view = self._context.view
-        if view.complete:
+        if view.complete or self._stop_deadline is not None:
             return
         timeout = _MAX_READINESS_WAIT
         if caller_request.timeout is not None:
@@ -124,9 +127,11 @@
             view.wait_complete(timeout)
         )
         responder.on_disconnect(waiting.cancel)
+        self._readiness_waits.add(waiting)
         try:
             await asyncio.wait((waiting,))
         finally:
+            self._readiness_waits.discard(waiting)
             responder.on_disconnect(None)
             waiting.cancel()
 
--- /dev/null
+++ b/tests/test_request_ends.py
@@ -0,0 +1,90 @@
+"""Tests requests at the end of their daemon, their deadline or their caller.
+
+Section 7.4 of the design lists every way in which a request can end without a
+complete answer. These tests guard the rows that need a whole daemon.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import unittest
+
+import platform_case
+
+from lavendershed.standin import platform_engine
+from lavendershed.telemetry import events
+
+Event = events.Event
+Fault = platform_engine.EngineFault
+GRACE_S = 1.0
+REQUEST = (
+    b"POST %s HTTP/1.1\r\nhost: users.example\r\nx-api-key: "
+    + platform_case.KEY.encode()
+    + b"\r\nattempt-id: a1\r\ndeadline-ms: %d\r\ntoken-count: 1000,100\r\n"
+    b"model: m\r\ncontent-length: 0\r\n\r\n"
+)
+TIME_LIMIT_MS = 9_000
+
+
+class RequestEndCase(platform_case.PlatformCase):
+    """Sends requests without reading what comes back."""
+
+    def send(self, running_daemon, path=b"/stream/x", time_limit=TIME_LIMIT_MS):
+        """Sends a request on a new connection; returns the socket."""
+        target = running_daemon.caller_address
+        caller = socket.create_connection((target.host, target.port))
+        self.addCleanup(caller.close)
+        caller.setblocking(False)
+        caller.send(REQUEST % (path, time_limit))
+        return caller
+
+    async def read_status(self, caller):
+        """Returns the status that a caller gets; None without any."""
+        async with asyncio.timeout(platform_case.TIMEOUT):
+            data = await self.loop.sock_recv(caller, 65_536)
+        return int(data.split()[1]) if data else None
+
+    def failures(self, running_daemon):
+        """Returns the reasons of the failed requests with their ids."""
+        return [
+            (fields["request"], fields["reason"])
+            for fields in running_daemon.events(Event.REQUEST_FAILED)
+        ]
+
+
+class EndOfDaemonTest(RequestEndCase):
+    """Fails if the end of a daemon leaves a caller without a trace."""
+
+    async def test_a_call_that_hangs_is_answered(self):
+        self.set_fault(Fault.HANG)
+        stopping = await self.start_daemon(grace_period=GRACE_S + 1)
+        caller = self.send(stopping, b"/unsafe/x")
+        await asyncio.sleep(0.1)
+        stopping.stop.set()
+        self.assertEqual(await self.read_status(caller), 502)
+        self.assertEqual(self.failures(stopping), [("a1", "stopping")])
+
+    async def test_a_request_that_waits_for_a_configuration_is_answered(self):
+        store = self.store.address
+        self.store.close()
+        for stops_first in (False, True):
+            with self.subTest(stops_first=stops_first):
+                stopping = await self.start_daemon(
+                    ready=False, grace_period=GRACE_S, store=store
+                )
+                await self.wait_until(
+                    lambda daemon=stopping: daemon.events(Event.DAEMON_STARTED)
+                )
+                if stops_first:
+                    stopping.stop.set()
+                    await asyncio.sleep(0.05)
+                caller = self.send(stopping)
+                await asyncio.sleep(0.05)
+                stopping.stop.set()
+                self.assertEqual(await self.read_status(caller), 503)
+                await stopping.task
+
+
+if __name__ == "__main__":
+    unittest.main()
