Answer requests whose execution was cancelled while their caller waits

Each cancelled execution was taken for one whose caller had left: it was logged so, and its caller got no answer of the gateway.

Evidence: CancelledExecutionTest failed before, "500 != 502": the connection answered for the gateway, without a line with the request's id. No code is known to cancel an execution so; the request now ends like one whose execution raised.

--- a/packages/forwarding/src/lavendershed/forwarding/gateway.py
+++ b/packages/forwarding/src/lavendershed/forwarding/gateway.py
@@ -334,6 +334,13 @@
             context_module.log_failure(context, admitted_request, failure)
             await context_module.respond_failure(context, responder, failure)
             return
+        if task.cancelled() and not responder.disconnected.is_set():
+            await self._end_faulty_request(
+                RuntimeError("execution was cancelled"),
+                admitted_request,
+                responder,
+            )
+            return
         if task.cancelled():
             seconds = units.elapsed(
                 admitted_request.received_at, context.timers.now()
--- a/tests/test_request_ends.py
+++ b/tests/test_request_ends.py
@@ -9,9 +9,11 @@
 import asyncio
 import socket
 import unittest
+from unittest import mock
 
 import platform_case
 
+from lavendershed.forwarding import unary_execution
 from lavendershed.standin import platform_engine
 from lavendershed.telemetry import events
 
@@ -86,5 +88,20 @@
                 await stopping.task
 
 
+class CancelledExecutionTest(RequestEndCase):
+    """Fails if an execution that was cancelled leaves its caller waiting."""
+
+    async def test_its_caller_is_answered(self):
+        async def cancelled(execution):
+            raise asyncio.CancelledError
+
+        with mock.patch.object(
+            unary_execution.UnaryExecution, "run", cancelled
+        ):
+            caller = self.send(self.daemon, b"/safe/x")
+            self.assertEqual(await self.read_status(caller), 502)
+        self.assertEqual(self.failures(self.daemon), [("a1", "internal")])
+
+
 if __name__ == "__main__":
     unittest.main()
