Log the requests that the end of a daemon cuts, with their ids

A stream that was open at the end of the grace period was aborted with the connections, and the daemon ended before its execution could log it.

Evidence: test_a_stream_that_is_cut_is_logged_with_its_id failed before, "[] != [('a1', 'stopping')]". The stop now ends what is open through the executions, and leaves complete responses alone that are still being read. The tests of transport and of planned stops pass.

--- a/packages/forwarding/src/lavendershed/forwarding/daemon.py
+++ b/packages/forwarding/src/lavendershed/forwarding/daemon.py
@@ -227,10 +227,13 @@
                     request_server.close_idle_connections()
                 idle_closed = True
             await asyncio.sleep(_DRAIN_POLL_INTERVAL)
+        open_requests = self._caller_server.active_connections
+        relayed_requests = self._relay_server.active_connections
+        await self._components.gateway.end_all_requests()
         context.log.emit(
             events.Event.DAEMON_STOPPED,
-            open_requests=self._caller_server.active_connections,
-            relayed_requests=self._relay_server.active_connections,
+            open_requests=open_requests,
+            relayed_requests=relayed_requests,
             seconds=round(context.timers.now() - started, 3),
         )
 
--- a/packages/forwarding/src/lavendershed/forwarding/gateway.py
+++ b/packages/forwarding/src/lavendershed/forwarding/gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import random
 
 import result
@@ -39,9 +40,26 @@
 # platform no longer sends new connections.
 _STREAM_COMPLETION_TIME = units.Seconds(4.7)
 _CALL_COMPLETION_TIME = units.Seconds(1.0)
+# Time for the callers of requests that the stop has ended to be told.
+_END_TIME = units.Seconds(0.1)
 _INTERNAL_ERROR = "unexpected error in this daemon"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _OpenRequest:
+    """A request whose execution runs.
+
+    Attributes:
+        execution: Its execution.
+        responder: Sends its response.
+        handling: The task of its connection that waits for the execution.
+    """
+
+    execution: request_execution.RequestExecution
+    responder: handlers.Responder
+    handling: asyncio.Task[object] | None
+
+
 class Gateway(handlers.Handler):
     """Authenticates, admits and executes requests of callers."""
 
@@ -53,8 +71,7 @@
         self._context = context
         self._random = generator
         self._stop_deadline: units.Instant | None = None
-        # Executions that have not begun their response.
-        self._unanswered: dict[asyncio.Task[None], handlers.Responder] = {}
+        self._open_requests: dict[asyncio.Task[None], _OpenRequest] = {}
         self._readiness_waits: set[asyncio.Task[bool]] = set()
         self._ended_by_stop: set[asyncio.Task[None]] = set()
 
@@ -67,10 +84,29 @@
 
     def end_unanswered_requests(self) -> None:
         """Ends the requests whose response has not begun, with a failure."""
-        for task, responder in tuple(self._unanswered.items()):
-            if not responder.started:
-                self._ended_by_stop.add(task)
-                task.cancel()
+        for task, open_request in tuple(self._open_requests.items()):
+            if not open_request.responder.started:
+                self._end_by_stop(task)
+
+    async def end_all_requests(self) -> None:
+        """Ends all requests with a failure, and waits until they have ended.
+
+        Complete responses that their callers are still reading are left alone.
+        """
+        ended = {
+            task: open_request.handling
+            for task, open_request in self._open_requests.items()
+            if not open_request.execution.is_completing
+        }
+        for task in ended:
+            self._end_by_stop(task)
+        handling = [task for task in ended.values() if task is not None]
+        if handling:
+            await asyncio.wait(handling, timeout=_END_TIME)
+
+    def _end_by_stop(self, task: asyncio.Task[None]) -> None:
+        self._ended_by_stop.add(task)
+        task.cancel()
 
     async def handle(
         self, request: handlers.ServerRequest, responder: handlers.Responder
@@ -310,13 +346,15 @@
         # the work on the backend server immediately.
         task = asyncio.get_running_loop().create_task(execution.run())
         responder.on_disconnect(task.cancel)
-        self._unanswered[task] = responder
+        self._open_requests[task] = _OpenRequest(
+            execution, responder, asyncio.current_task()
+        )
         try:
             await asyncio.wait((task,))
         finally:
             responder.on_disconnect(None)
             task.cancel()
-            del self._unanswered[task]
+            del self._open_requests[task]
         ended_by_stop = task in self._ended_by_stop
         self._ended_by_stop.discard(task)
         if (
@@ -331,8 +369,7 @@
                 states.Execution.UNKNOWN,
                 "daemon shuts down before the answer is complete",
             )
-            context_module.log_failure(context, admitted_request, failure)
-            await context_module.respond_failure(context, responder, failure)
+            await self._end_with(failure, admitted_request, responder)
             return
         if task.cancelled() and not responder.disconnected.is_set():
             await self._end_faulty_request(
@@ -374,6 +411,16 @@
             states.Execution.UNKNOWN,
             _INTERNAL_ERROR,
         )
+        await self._end_with(failure, admitted_request, responder)
+
+    async def _end_with(
+        self,
+        failure: outcomes.RequestFailure,
+        admitted_request: context_module.AdmittedRequest,
+        responder: handlers.Responder,
+    ) -> None:
+        """Logs a failure and tells it to the caller, if that is possible."""
+        context = self._context
         context_module.log_failure(context, admitted_request, failure)
         if responder.started:
             # Without its end the caller detects the truncation.
--- a/packages/forwarding/src/lavendershed/forwarding/request_execution.py
+++ b/packages/forwarding/src/lavendershed/forwarding/request_execution.py
@@ -39,6 +39,12 @@
         self._running = parallel_attempts.ParallelAttempts(self._attempts)
         # An error response of a server, forwarded if no attempt succeeds.
         self._failed_response: requests.BackendResponse | None = None
+        self._is_completing = False
+
+    @property
+    def is_completing(self) -> bool:
+        """Whether the whole response, or a failure, is being handed over."""
+        return self._is_completing
 
     async def run(self) -> None:
         """Executes the request and sends the response."""
@@ -48,7 +54,7 @@
                 if self._running.needs_another:
                     failure = await self._start_attempt()
                     if failure is not None and self._running.is_empty:
-                        await self._finish_failed(failure)
+                        await self._end_failed(failure)
                         return
                 ended = await self._running.wait(
                     _RECHECK_INTERVAL if self._running.needs_another else None
@@ -134,6 +140,7 @@
         """Handles the end of an attempt; returns whether the request ends."""
         if attempt_result.outcome is _COMPLETE:
             self._running.close()
+            self._is_completing = True
             await self._complete(attempt, attempt_result)
             return True
         attempt.record_end(self._attempts, attempt_result)
@@ -143,7 +150,7 @@
         failure = await self._on_attempt_failed(attempt_result)
         if failure is None:
             return False
-        await self._finish_failed(failure)
+        await self._end_failed(failure)
         return True
 
     def _select_peer(self) -> addresses.Address | None:
@@ -164,6 +171,10 @@
             _CUT_OFF_RETRY_AFTER,
         )
 
+    async def _end_failed(self, failure: outcomes.RequestFailure) -> None:
+        self._is_completing = True
+        await self._finish_failed(failure)
+
     async def _fail(self, failure: context_module.Failure) -> None:
         context_module.log_failure(
             self._context, self._admitted_request, failure
--- a/packages/transport/src/lavendershed/transport/server_connection.py
+++ b/packages/transport/src/lavendershed/transport/server_connection.py
@@ -193,7 +193,9 @@
         if body or not self._is_head_request:
             headers += (("content-length", str(len(body))),)
         self.start(status, headers)
-        await self.write(body)
+        # Passed on as a whole, so that a cancellation can't cut it.
+        if body and not self._is_head_request:
+            self._send(h11.Data(data=body))
         await self.finish()
 
     def start(self, status: int, headers: handlers.Headers = ()) -> None:
--- a/tests/test_request_ends.py
+++ b/tests/test_request_ends.py
@@ -58,6 +58,15 @@
 class EndOfDaemonTest(RequestEndCase):
     """Fails if the end of a daemon leaves a caller without a trace."""
 
+    async def test_a_stream_that_is_cut_is_logged_with_its_id(self):
+        self.set_fault(Fault.HANG_IN_STREAM)
+        stopping = await self.start_daemon(grace_period=GRACE_S)
+        caller = self.send(stopping)
+        self.assertEqual(await self.read_status(caller), 200)
+        stopping.stop.set()
+        await stopping.task
+        self.assertEqual(self.failures(stopping), [("a1", "stopping")])
+
     async def test_a_call_that_hangs_is_answered(self):
         self.set_fault(Fault.HANG)
         stopping = await self.start_daemon(grace_period=GRACE_S + 1)
