End streams at their deadline whose callers don't read them

An attempt that waits for its caller looked at no deadline. The engine, its memory and the daemon's connection to it stayed held as long as the caller kept its connection open.

--- a/packages/forwarding/src/lavendershed/forwarding/gateway.py
+++ b/packages/forwarding/src/lavendershed/forwarding/gateway.py
@@ -40,6 +40,9 @@
 # platform no longer sends new connections.
 _STREAM_COMPLETION_TIME = units.Seconds(4.7)
 _CALL_COMPLETION_TIME = units.Seconds(1.0)
+# Executions end at the deadline by themselves, unless their caller does not
+# read the response, which would hold a server for as long.
+_OVERDUE_MARGIN = units.Seconds(0.5)
 # Time for the callers of requests that the stop has ended to be told.
 _END_TIME = units.Seconds(0.1)
 _INTERNAL_ERROR = "unexpected error in this daemon"
@@ -349,8 +352,11 @@
         self._open_requests[task] = _OpenRequest(
             execution, responder, asyncio.current_task()
         )
+        overdue = False
         try:
-            await asyncio.wait((task,))
+            overdue = await self._wait_until_ended(
+                task, execution, admitted_request.deadline
+            )
         finally:
             responder.on_disconnect(None)
             task.cancel()
@@ -371,6 +377,16 @@
             )
             await self._end_with(failure, admitted_request, responder)
             return
+        if overdue and task.cancelled() and not responder.disconnected.is_set():
+            failure = outcomes.RequestFailure(
+                states.FailureReason.DEADLINE_EXCEEDED,
+                states.Execution.UNKNOWN,
+                "response not read by its caller before the deadline"
+                if responder.started
+                else "execution did not end at the deadline",
+            )
+            await self._end_with(failure, admitted_request, responder)
+            return
         if task.cancelled() and not responder.disconnected.is_set():
             await self._end_faulty_request(
                 RuntimeError("execution was cancelled"),
@@ -397,6 +413,27 @@
         if error is not None:
             await self._end_faulty_request(error, admitted_request, responder)
 
+    async def _wait_until_ended(
+        self,
+        task: asyncio.Task[None],
+        execution: request_execution.RequestExecution,
+        deadline: units.Instant,
+    ) -> bool:
+        """Waits until an execution ends.
+
+        Returns:
+            Whether it was cancelled, because its deadline had passed.
+        """
+        time_left = units.elapsed(self._context.timers.now(), deadline)
+        await asyncio.wait(
+            (task,), timeout=max(0.0, time_left) + _OVERDUE_MARGIN
+        )
+        overdue = not task.done() and not execution.is_completing
+        if overdue:
+            task.cancel()
+        await asyncio.wait((task,))
+        return overdue
+
     async def _end_faulty_request(
         self,
         error: BaseException,
--- a/tests/test_request_ends.py
+++ b/tests/test_request_ends.py
@@ -7,11 +7,13 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import socket
 import unittest
 from unittest import mock
 
 import platform_case
+import raw_server
 
 from lavendershed.forwarding import unary_execution
 from lavendershed.standin import platform_engine
@@ -29,6 +31,29 @@
 TIME_LIMIT_MS = 9_000
 
 
+class FloodingEngine(raw_server.RawServer):
+    """Sends events in sequence as fast as they are read."""
+
+    def __init__(self, name):
+        super().__init__(name)
+        self.closed = asyncio.Event()
+
+    async def serve(self, reader, writer):
+        fields = await self.read_request(reader)
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nattempt-id: %s\r\nengine-seal: seal\r\n"
+            b"content-type: text/event-stream\r\n"
+            b"transfer-encoding: chunked\r\n\r\n" % fields[b"attempt-id"]
+        )
+        try:
+            for number in itertools.count(1):
+                event = b"id: %d\ndata: %s\n\n" % (number, b"x" * 50_000)
+                writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+                await writer.drain()
+        finally:
+            self.closed.set()
+
+
 class RequestEndCase(platform_case.PlatformCase):
     """Sends requests without reading what comes back."""
 
@@ -97,6 +122,23 @@
                 await stopping.task
 
 
+class DeadlineTest(RequestEndCase):
+    """Fails if a caller that reads nothing holds an engine beyond its time."""
+
+    async def test_a_stream_that_is_not_read_ends_at_its_deadline(self):
+        engine = FloodingEngine("flood")
+        await engine.start()
+        self.addCleanup(engine.close)
+        await self.use_only(engine)
+        self.send(self.daemon, time_limit=1_000)
+        async with asyncio.timeout(platform_case.TIMEOUT):
+            await engine.closed.wait()
+        await self.wait_until(lambda: self.failures(self.daemon))
+        self.assertEqual(
+            self.failures(self.daemon), [("a1", "deadline_exceeded")]
+        )
+
+
 class CancelledExecutionTest(RequestEndCase):
     """Fails if an execution that was cancelled leaves its caller waiting."""
 
