Close the listeners before the end of a process, after their backlog

Until its end a daemon accepted connections, and so did the kernel for it. A request that came after the last check of the stop, or that lay in a connection that was not accepted yet, met a reset: its caller could not know whether it had run.

--- a/packages/daemon/src/lavendershed/daemon/router.py
+++ b/packages/daemon/src/lavendershed/daemon/router.py
@@ -331,6 +331,8 @@
             self._log.emit(events.Event.STOP_STEP_TIMED_OUT, step=task.log_name)
 
     async def _flush_responses(self) -> None:
+        # Callers that connect from now on are refused, and not cut off.
+        await self._server.stop_accepting()
         # Each connection closes after its caller has read the response.
         flush_until = units.after(self._timers.now(), _FLUSH_TIMEOUT)
         while (
--- a/packages/daemon/tests/test_router.py
+++ b/packages/daemon/tests/test_router.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import unittest
+from unittest import mock
 
 from lavendershed.configuration import state
 from lavendershed.core import backend_servers
@@ -91,6 +93,28 @@
             self.router.metrics(),
         )
 
+    async def test_a_caller_is_refused_and_not_cut_off_at_the_end(self):
+        """Guards against requests accepted by a process that is ending."""
+        emit = self.log.emit
+        outcomes = []
+
+        def connect_at_the_end(event, **fields):
+            emit(event, **fields)
+            if event is events.Event.DAEMON_STOPPED:
+                with self.assertRaises(ConnectionRefusedError):
+                    socket.create_connection(
+                        (self.address.host, self.address.port)
+                    )
+                outcomes.append("refused")
+
+        with (
+            mock.patch.object(self.log, "emit", connect_at_the_end),
+            mock.patch.object(self.router._server, "close"),
+        ):
+            self.stop.set()
+            await self.task
+        self.assertEqual(outcomes, ["refused"])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/forwarding/src/lavendershed/forwarding/daemon.py
+++ b/packages/forwarding/src/lavendershed/forwarding/daemon.py
@@ -213,14 +213,23 @@
         self._components.gateway.set_stop_deadline(drain_deadline)
         answer_by = units.Instant(drain_deadline - _ANSWER_MARGIN)
         idle_closed = False
+        accepting = True
         while (now := context.timers.now()) < drain_deadline:
+            done = idle_closed and not any(
+                s.active_connections for s in request_servers
+            )
+            if accepting and (done or now >= answer_by):
+                # A caller that is refused asks another daemon. One whose
+                # connection was reset can't know whether its request ran.
+                accepting = False
+                for request_server in request_servers:
+                    await request_server.stop_accepting()
+                continue
+            if done:
+                break
             if now >= answer_by:
                 self._components.gateway.end_unanswered_requests()
             if now >= deregistered_at:
-                if idle_closed and not any(
-                    s.active_connections for s in request_servers
-                ):
-                    break
                 # Requests that lie in the sockets are read first. One that
                 # crosses the close is not read, hence not run.
                 for request_server in request_servers:
--- a/packages/transport/src/lavendershed/transport/server.py
+++ b/packages/transport/src/lavendershed/transport/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterator
 import dataclasses
 import socket
 
@@ -15,6 +16,7 @@
 from lavendershed.transport import server_connection
 
 _BACKLOG = 1_024
+_ACCEPT_TURNS = 3
 _DEFAULT_BUFFER_BYTES = units.Bytes(64_000_000)
 
 
@@ -38,6 +40,22 @@
     header_timeout: units.Seconds = units.Seconds(30.0)
 
 
+def _accept_all(listener: socket.socket) -> Iterator[socket.socket]:
+    """Yields the connections that the kernel has established."""
+    while True:
+        try:
+            connection, _ = listener.accept()
+        except BlockingIOError:
+            return
+        except ConnectionAbortedError:
+            continue
+        except OSError:
+            # No descriptor is left.
+            return
+        connection.setblocking(False)
+        yield connection
+
+
 class HttpServer:
     """HTTP server that passes complete requests to a handler."""
 
@@ -66,6 +84,8 @@
         self._timers = timer_service
         self._limits = limits
         self._server: asyncio.Server | None = None
+        self._listener: socket.socket | None = None
+        self._address: address_module.Address | None = None
         self._connections: set[server_connection.ServerConnection] = set()
         self._stopping = False
 
@@ -124,9 +144,8 @@
     @property
     def address(self) -> address_module.Address:
         """The bound address; valid after `start`."""
-        assert self._server is not None
-        host, port = self._server.sockets[0].getsockname()[:2]
-        return address_module.Address(host, port)
+        assert self._address is not None
+        return self._address
 
     async def start(
         self,
@@ -153,6 +172,8 @@
                 backlog=_BACKLOG,
             )
         listener.setblocking(False)
+        self._listener = listener
+        self._address = address_module.Address(*listener.getsockname()[:2])
         self._server = await loop.create_server(
             lambda: server_connection.ServerConnection(self),
             sock=listener,
@@ -173,6 +194,28 @@
         for connection in tuple(self._connections):
             connection.close_if_idle()
 
+    async def stop_accepting(self) -> None:
+        """Refuses new connections, after those that have been established.
+
+        The kernel establishes connections on its own, and resets them when
+        their listening socket closes, although requests may lie in them.
+        """
+        if self._server is None or self._listener is None:
+            return
+        listener, self._listener = self._listener, None
+        loop = asyncio.get_running_loop()
+        # The server of asyncio drops connections that it has just accepted
+        # when it closes; they are set up within two turns.
+        loop.remove_reader(listener.fileno())
+        for _ in range(_ACCEPT_TURNS):
+            await asyncio.sleep(0)
+        accepted = tuple(_accept_all(listener))
+        self._server.close()
+        for connection in accepted:
+            await loop.connect_accepted_socket(
+                lambda: server_connection.ServerConnection(self), connection
+            )
+
     def close(self) -> None:
         """Stops accepting connections and aborts the open ones."""
         if self._server is not None:
--- a/packages/transport/tests/test_server_connection.py
+++ b/packages/transport/tests/test_server_connection.py
@@ -378,6 +378,36 @@
         self.assertEqual(self.observer.ends, [End.SHUTDOWN])
 
 
+class BacklogTest(ConnectionCase):
+    """Fails if the end of a listener resets connections that it has taken."""
+
+    async def test_connections_in_the_backlog_are_accepted_first(self):
+        target = self.server.address
+        for number in range(3):
+            with self.subTest(turns=number):
+                callers = [
+                    socket.create_connection((target.host, target.port))
+                    for _ in range(50)
+                ]
+                for caller in callers:
+                    self.addCleanup(caller.close)
+                    caller.setblocking(False)
+                    caller.send(HEAD + BODY)
+                # Some are being accepted when the listener closes.
+                for _ in range(number):
+                    await asyncio.sleep(0)
+                await self.server.stop_accepting()
+                with self.assertRaises(ConnectionRefusedError):
+                    socket.create_connection((target.host, target.port))
+                for caller in callers:
+                    self.assertIn(b"abcdef", await self.response(caller))
+                await self.server.start(target)
+
+    async def test_an_end_without_a_start_has_no_effect(self):
+        await self.server.stop_accepting()
+        await self.server.stop_accepting()
+
+
 class StopTest(ConnectionCase):
     """Fails if a stop closes a connection that its caller may still use."""
 
--- a/tests/test_request_ends.py
+++ b/tests/test_request_ends.py
@@ -121,6 +121,26 @@
                 self.assertEqual(await self.read_status(caller), 503)
                 await stopping.task
 
+    async def test_a_request_after_the_last_check_is_refused_at_connect(self):
+        """Guards against a connection that is accepted and then reset."""
+        stopping = await self.start_daemon(grace_period=GRACE_S)
+        outcomes = []
+        emit = stopping.log.emit
+
+        def connect_at_the_end(event, **fields):
+            emit(event, **fields)
+            if event is Event.DAEMON_STOPPED:
+                try:
+                    self.send(stopping)
+                    outcomes.append("accepted")
+                except ConnectionRefusedError:
+                    outcomes.append("refused")
+
+        with mock.patch.object(stopping.log, "emit", connect_at_the_end):
+            stopping.stop.set()
+            await stopping.task
+        self.assertEqual(outcomes, ["refused"])
+
 
 class DeadlineTest(RequestEndCase):
     """Fails if a caller that reads nothing holds an engine beyond its time."""
