Log a start that fails because an address is taken

The daemon ended with a trace on standard error, and the buffered log lines of its start were lost. Callers whose connections waited at the listener that opens before the daemon is loaded were reset without a line that says why.

--- a/packages/platform/src/lavendershed/platform/main.py
+++ b/packages/platform/src/lavendershed/platform/main.py
@@ -25,8 +25,9 @@
 
 # The file is also read periodically, because it may change without a SIGHUP.
 _SETTINGS_INTERVAL = units.Seconds(2.0)
-# EX_CONFIG and EX_SOFTWARE of sysexits.h.
+# EX_CONFIG, EX_OSERR and EX_SOFTWARE of sysexits.h.
 _EX_CONFIG = 78
+_EX_OSERR = 71
 _EX_SOFTWARE = 70
 
 
@@ -82,10 +83,15 @@
         return _EX_CONFIG
     # Not uvloop: it reports a reset that arrives together with data as a clean
     # EOF, so that a truncated response without a length would look complete.
-    with asyncio.Runner() as runner:
-        invariant_error = runner.run(
-            _run(path, loaded.ok_value, event_log, caller_listener)
-        )
+    try:
+        with asyncio.Runner() as runner:
+            invariant_error = runner.run(
+                _run(path, loaded.ok_value, event_log, caller_listener)
+            )
+    except OSError as error:
+        event_log.emit(events.Event.DAEMON_START_FAILED, reason=str(error))
+        event_log.flush()
+        return _EX_OSERR
     if invariant_error is not None:
         event_log.emit(
             events.Event.INVARIANT_BROKEN, error=repr(invariant_error)
