Don't report a request as not run whose handler failed

On the router's own interface an exception after a booking had run was answered with status 500 and execution not_run, and the reason bad_request. Its caller may send the booking again.

Evidence: test_a_bug_after_a_call_is_not_reported_as_not_run failed before, "'not_run' != 'unknown'". The answer says internal and unknown now. The tests of httpd pass.

--- a/packages/httpd/src/lavendershed/httpd/front_end.py
+++ b/packages/httpd/src/lavendershed/httpd/front_end.py
@@ -26,6 +26,7 @@
 _REQUEST_ID = re.compile(r"[\x21-\x7e]{1,128}")
 _BEARER_PREFIX = "Bearer "
 _REASONS_BY_STATUS = {413: states.FailureReason.BODY_TOO_LARGE}
+_INTERNAL_ERROR_STATUS = 500
 _JSON_HEADERS = (("content-type", "application/json"),)
 # Time limit for writing an error event to a slow caller.
 _FAILURE_WRITE_TIMEOUT = units.Seconds(0.5)
@@ -131,6 +132,16 @@
 
     def rejection_body(self, status: int, detail: str) -> bytes:
         """Returns the response body for a request that is not handled."""
+        if status == _INTERNAL_ERROR_STATUS:
+            # The handler had the request, so that a server may have run it.
+            return problem.encode(
+                outcomes.RequestFailure(
+                    states.FailureReason.INTERNAL,
+                    states.Execution.UNKNOWN,
+                    detail,
+                ),
+                "",
+            )
         reason = _REASONS_BY_STATUS.get(
             status, states.FailureReason.BAD_REQUEST
         )
--- a/packages/httpd/tests/test_front_end.py
+++ b/packages/httpd/tests/test_front_end.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import unittest
+from unittest import mock
 
 import hypothesis
 from hypothesis import strategies
@@ -184,6 +185,23 @@
         self.assertEqual(response.head.header("request-id"), "order-7")
         self.assertEqual(self.app.requests[0].request_id, "order-7")
 
+    async def test_a_bug_after_a_call_is_not_reported_as_not_run(self):
+        """Guards against callers that repeat a booking that has run."""
+        asyncio.get_running_loop().set_exception_handler(
+            lambda loop, context: None
+        )
+
+        async def run_and_raise(request):
+            self.app.requests.append(request)
+            raise ValueError
+
+        with mock.patch.object(self.app, "call", run_and_raise):
+            response = await self.send(CALL, b"", AUTHORIZED)
+        problem = json.loads(response.body)
+        self.assertEqual(response.head.status, 500)
+        self.assertEqual(problem["execution"], "unknown")
+        self.assertEqual(problem["status"], 500)
+
 
 class RequestDecoderTest(unittest.TestCase):
     """Fails if any body raises or decodes to values out of range."""
