Test the ends of requests that a caller can cause

A caller that closes its writing side, a stream that breaks off, a request that is not whole, and an exception of the relay: each has its line 105 or 119 with the id of the request.

--- a/tests/test_request_ends.py
+++ b/tests/test_request_ends.py
@@ -15,6 +15,8 @@
 import platform_case
 import raw_server
 
+from lavendershed.forwarding import relay
+from lavendershed.forwarding import relayed_requests
 from lavendershed.forwarding import unary_execution
 from lavendershed.standin import platform_engine
 from lavendershed.telemetry import events
@@ -159,6 +161,77 @@
         )
 
 
+class CallerTest(RequestEndCase):
+    """Fails if a request that ends early can't be traced to its cause."""
+
+    async def read_to_end(self, caller):
+        """Reads until the connection ends, or is reset."""
+        async with asyncio.timeout(platform_case.TIMEOUT):
+            try:
+                while await self.loop.sock_recv(caller, 65_536):
+                    pass
+            except ConnectionResetError:
+                return
+
+    def unanswered(self):
+        """Returns the listeners, reasons and ids of lines 119."""
+        return [
+            tuple(fields[name] for name in ("listener", "reason", "request"))
+            for fields in self.daemon.events(Event.REQUEST_UNANSWERED)
+        ]
+
+    async def test_a_caller_that_closes_its_writing_side_has_left(self):
+        self.set_fault(Fault.HANG)
+        caller = self.send(self.daemon, b"/safe/x")
+        await self.wait_until(self.executed_requests)
+        caller.shutdown(socket.SHUT_WR)
+        await self.read_to_end(caller)
+        await self.wait_until(lambda: self.failures(self.daemon))
+        self.assertEqual(
+            self.failures(self.daemon), [("a1", "caller_disconnected")]
+        )
+        self.assertEqual(self.unanswered(), [])
+
+    async def test_a_stream_that_breaks_off_has_both_lines(self):
+        self.set_fault(Fault.RESET_IN_STREAM)
+        caller = self.send(self.daemon, time_limit=1_000)
+        await self.read_to_end(caller)
+        await self.wait_until(self.unanswered)
+        ((request, _),) = self.failures(self.daemon)
+        self.assertEqual(request, "a1")
+        self.assertEqual(
+            self.unanswered(), [("callers", "response_aborted", "a1")]
+        )
+
+    async def test_a_request_that_is_not_whole_has_a_line(self):
+        caller = self.send(self.daemon, b"/safe/x")
+        self.assertEqual(await self.read_status(caller), 200)
+        request = REQUEST % (b"/safe/x", TIME_LIMIT_MS)
+        caller.send(request.replace(b"length: 0", b"length: 9"))
+        await asyncio.sleep(0.05)
+        caller.close()
+        await self.wait_until(self.unanswered)
+        self.assertEqual(
+            self.unanswered(), [("callers", "caller_left_sending", "a1")]
+        )
+
+
+class RelayHandlerTest(RequestEndCase):
+    """Fails if an exception of the relay leaves a peer without an answer."""
+
+    async def test_a_peer_is_told_that_the_run_is_unknown(self):
+        with mock.patch.object(
+            relayed_requests, "decode", side_effect=KeyError
+        ):
+            response = await self.request(
+                "/relayed-requests",
+                address=relay.relay_address(self.daemon.peer_address),
+            )
+        self.assertEqual(response.head.status, 500)
+        # Without a result the sender does not take it for refused.
+        self.assertIsNone(response.head.header(relay.RESULT_HEADER))
+
+
 class CancelledExecutionTest(RequestEndCase):
     """Fails if an execution that was cancelled leaves its caller waiting."""
 
