--- a/packages/httpd/tests/test_front_end.py
+++ b/packages/httpd/tests/test_front_end.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import unittest
 from unittest import mock
@@ -22,11 +23,13 @@
 from lavendershed.httpd import request_decoder
 from lavendershed.transport import address
 from lavendershed.transport import client
+from lavendershed.transport import connection_ends
 from lavendershed.transport import event_loop_timers
 from lavendershed.transport import handlers
 from lavendershed.transport import pool
 from lavendershed.transport import server
 
+TIMEOUT = units.Seconds(2.0)
 AUTHORIZED = ("authorization", "Bearer right")
 GENERATE = "/v1/services/drafting/generate"
 CALL = "/v1/services/ledger/call/reserve"
@@ -91,8 +94,12 @@
             asyncio.get_running_loop()
         )
         self.app = FakeApplication()
+        self.observer = connection_ends.IgnoringObserver()
         listener = server.HttpServer(
-            front_end.FrontEnd(self.app, timers), timers, server.ServerLimits()
+            front_end.FrontEnd(self.app, timers),
+            timers,
+            server.ServerLimits(),
+            observer=self.observer,
         )
         await listener.start(address.Address("127.0.0.1", 0))
         self.addCleanup(listener.close)
@@ -202,6 +209,38 @@
         self.assertEqual(problem["execution"], "unknown")
         self.assertEqual(problem["status"], 500)
 
+    async def test_an_error_event_that_is_not_read_ends_its_connection(self):
+        """Guards against a caller that holds a request past its deadline."""
+
+        async def fill_and_fail(request, sink):
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(0.2):
+                    await sink.deliver((b"x" * 20_000_000,))
+            return result.Err(
+                outcomes.RequestFailure(
+                    states.FailureReason.DEADLINE_EXCEEDED,
+                    states.Execution.UNKNOWN,
+                    "late",
+                )
+            )
+
+        with (
+            mock.patch.object(self.app, "generate", fill_and_fail),
+            mock.patch.object(self.observer, "on_unanswered") as reported,
+        ):
+            connection = (await self.pool.acquire()).unwrap()
+            self.addCleanup(connection.close)
+            head = client.RequestHead("POST", GENERATE, (AUTHORIZED,))
+            (await connection.send(head, GOOD_BODY, TIMEOUT)).unwrap()
+            for _ in range(40):
+                if reported.called:
+                    break
+                await asyncio.sleep(0.05)
+        (request,) = reported.call_args.args
+        self.assertIs(
+            request.end, connection_ends.ConnectionEnd.RESPONSE_ABORTED
+        )
+
 
 class RequestDecoderTest(unittest.TestCase):
     """Fails if any body raises or decodes to values out of range."""
--- a/packages/transport/tests/test_server_connection.py
+++ b/packages/transport/tests/test_server_connection.py
@@ -440,6 +440,17 @@
         self.server.close_idle_connections()
         self.assertEqual(await self.response(caller), b"")
 
+    async def test_a_part_of_a_request_at_the_end_is_reported(self):
+        for data in (HEAD[:20], HEAD + b"ab"):
+            with self.subTest(data=data):
+                self.observer.ends.clear()
+                caller = await self.connect()
+                await self.send(caller, data)
+                (connection,) = self.server._connections
+                connection.shut_down()
+                await self.wait_until(lambda: not self.server.connection_count)
+                self.assertEqual(self.observer.ends, [End.SHUTDOWN])
+
     async def test_bytes_after_the_last_response_are_reported(self):
         caller = await self.connect()
         self.server.disable_keep_alive()
--- a/tests/test_request_ends.py
+++ b/tests/test_request_ends.py
@@ -24,6 +24,8 @@
 Event = events.Event
 Fault = platform_engine.EngineFault
 GRACE_S = 1.0
+# Time in which a daemon notices that its links are cut.
+NOTICE_S = 2.0
 REQUEST = (
     b"POST %s HTTP/1.1\r\nhost: users.example\r\nx-api-key: "
     + platform_case.KEY.encode()
@@ -232,6 +234,41 @@
         self.assertIsNone(response.head.header(relay.RESULT_HEADER))
 
 
+class RelayedRequestTest(RequestEndCase):
+    """Fails if the end of the daemon that runs a request leaves no trace."""
+
+    async def relay_and_stop_peer(self, path, fault):
+        """Returns the caller's socket, once the peer has ended."""
+        _, peer = await self.start_fleet(2)
+        self.daemon.links.refuse = True
+        for cut_path in ("/safe/x", "/stream/x"):
+            await self.request(cut_path, token_count="1000,100")
+        await asyncio.sleep(NOTICE_S)
+        self.set_fault(fault)
+        before = len(self.executed_requests())
+        caller = self.send(self.daemon, path)
+        await self.wait_until(lambda: len(self.executed_requests()) > before)
+        await asyncio.sleep(0.1)
+        peer.stop.set()
+        await peer.task
+        self.assertEqual(self.failures(peer), [("a1", "stopping")])
+        return caller
+
+    async def test_a_call_is_answered(self):
+        caller = await self.relay_and_stop_peer(b"/unsafe/x", Fault.HANG)
+        self.assertEqual(await self.read_status(caller), 502)
+        relayed = self.daemon.events(Event.REQUEST_RELAYED)
+        self.assertIn("a1", [fields["request"] for fields in relayed])
+
+    async def test_a_stream_that_has_begun_is_logged_at_both(self):
+        caller = await self.relay_and_stop_peer(
+            b"/stream/x", Fault.HANG_IN_STREAM
+        )
+        self.assertEqual(await self.read_status(caller), 200)
+        await self.wait_until(lambda: self.failures(self.daemon))
+        self.assertEqual(self.failures(self.daemon)[-1][0], "a1")
+
+
 class CancelledExecutionTest(RequestEndCase):
     """Fails if an execution that was cancelled leaves its caller waiting."""
 
