Time a read out only if nothing has come

What operators could see: calls to the store, orders to engines and streams of the own interface that failed with 'no complete message part within 2.000 s' at once, after the process had been held up.

Cause: timers run before reads, as on the side of the callers. The timer of a read expired over bytes that had come in time, and its exception stayed on the connection and ended the next read, too.

The loop polls the socket once more, and a read that has something to return does not time out.

--- a/packages/transport/src/lavendershed/transport/streams.py
+++ b/packages/transport/src/lavendershed/transport/streams.py
@@ -28,7 +28,7 @@
     connection can't be read any more.
     """
 
-    def __init__(self, reader: asyncio.StreamReader) -> None:
+    def __init__(self, reader: BufferedReader) -> None:
         self._reader = reader
         self._loop = asyncio.get_running_loop()
         self._deadline: float | None = None
@@ -60,7 +60,18 @@
         if self._loop.time() < self._deadline:
             self._timer = self._loop.call_at(self._deadline, self._on_timer)
             return
-        self._reader.set_exception(TimeoutError())
+        # A process that was held up finds its timers and the bytes that came in
+        # the meantime. The next turn polls the socket, the one after it knows.
+        self._loop.call_soon(self._loop.call_soon, self._expire, self._deadline)
+
+    def _expire(self, deadline: float) -> None:
+        """Ends the read of this deadline, unless it has something to return."""
+        if (
+            self._deadline == deadline
+            and not self._reader.has_buffered_bytes
+            and not self._reader.at_eof()
+        ):
+            self._reader.set_exception(TimeoutError())
 
 
 class BufferedReader(asyncio.StreamReader):
