Give a caller the time that a held up process could not read

What callers saw: 408 for a large request that they had sent in time, after the daemon had been paused.

Cause: after the pause the deadline had passed, and each poll of the socket had to bring bytes, although a sender that waits for room in the socket has to be scheduled first.

A timer that fires late shows how long the process was held up, and the phase is longer by as much. It replaces the count of polls. Evidence: HeldUpProcessTest fails without the extension.

--- a/packages/transport/src/lavendershed/transport/receive_deadline.py
+++ b/packages/transport/src/lavendershed/transport/receive_deadline.py
@@ -13,6 +13,10 @@
     from lavendershed.transport import server
 
 
+# Timers that fire later than this show that the process was held up.
+_MAX_TIMER_DELAY = units.Seconds(0.05)
+
+
 class ReceivePhase(enum.Enum):
     """What a connection receives."""
 
@@ -34,7 +38,8 @@
     phase, since the previous limit has been announced to the caller.
 
     The timer stays armed across phases and is checked when it fires, because
-    most phases end long before their limit.
+    most phases end long before their limit. If it fires late, the process was
+    held up and could not read, and the phase is longer by as much.
     """
 
     def __init__(
@@ -58,6 +63,7 @@
         self._request_since = self._since
         self._initial_limit: units.Seconds | None = None
         self._served = False
+        self._extension = units.Seconds(0.0)
         self._timer: timers.Timer | None = None
         self._timer_at = units.Instant(0.0)
         self.enter(ReceivePhase.IDLE)
@@ -85,7 +91,7 @@
             if self._phase is ReceivePhase.IDLE
             else self._request_since
         )
-        return units.after(start, limit)
+        return units.after(start, units.Seconds(limit + self._extension))
 
     @property
     def has_expired(self) -> bool:
@@ -108,6 +114,7 @@
         self._served = self._served or phase is ReceivePhase.HANDLING
         self._phase = phase
         self._since = now
+        self._extension = units.Seconds(0.0)
         self._initial_limit = announced or self._current_limit()
         self._arm()
 
@@ -155,6 +162,9 @@
 
     def _on_timer(self) -> None:
         self._timer = None
+        delay = units.elapsed(self._timer_at, self._timers.now())
+        if delay > _MAX_TIMER_DELAY:
+            self._extension = units.Seconds(self._extension + delay)
         if self.has_expired:
             self._on_expired()
         else:
--- a/packages/transport/src/lavendershed/transport/server_connection.py
+++ b/packages/transport/src/lavendershed/transport/server_connection.py
@@ -25,10 +25,6 @@
 # Bytes that a caller may send while its request is handled; more are not read
 # until the response is complete.
 _MAX_PIPELINED_BYTES = 65_536
-# A process that was held up finds both its timers and the bytes that came in
-# the meantime. A request that lies in the socket is read for at most this many
-# turns of the event loop before its time limit is applied.
-_MAX_TURNS_AFTER_DEADLINE = 64
 # After the last response, bytes of the caller are read and dropped for this
 # time. A socket that is closed with unread bytes is reset, and the caller can
 # lose the response.
@@ -544,29 +540,16 @@
             self._transport.close()
 
     def _on_deadline(self) -> None:
-        self._apply_deadline_after_reads(
-            self._received_bytes, _MAX_TURNS_AFTER_DEADLINE
-        )
-
-    def _apply_deadline_after_reads(
-        self, received_bytes: int, turns: int
-    ) -> None:
-        self._after_reads(
-            lambda: self._apply_deadline(received_bytes, turns - 1)
-        )
+        # The rest of the request may lie in the socket.
+        self._after_reads(self._apply_deadline)
 
-    def _apply_deadline(self, received_bytes: int, turns: int) -> None:
-        """Ends what has taken too long, unless the rest lies in the socket."""
+    def _apply_deadline(self) -> None:
+        """Ends what has taken too long."""
         phase = self._deadline.phase
         if not self._deadline.has_expired:
             self._deadline.recheck()
-            return
-        if phase is _Phase.IDLE:
+        elif phase is _Phase.IDLE:
             self._close_idle()
-        elif turns and (
-            self._received_bytes > received_bytes or self._reading_paused
-        ):
-            self._apply_deadline_after_reads(self._received_bytes, turns)
         elif phase is _Phase.HEAD:
             self._reject(
                 408,
--- a/packages/transport/tests/test_receive_deadline.py
+++ b/packages/transport/tests/test_receive_deadline.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import unittest
 
 from lavendershed.core import timers
@@ -21,6 +22,58 @@
     )
 
 
+class _ManualTimer(timers.Timer):
+    def __init__(self, when, callback):
+        self.when = when
+        self.callback = callback
+
+    def cancel(self):
+        self.when = math.inf
+
+
+class ManualTimers(timers.TimerService):
+    """Timers of a process that may be held up for longer than they last."""
+
+    def __init__(self):
+        self.time = units.Instant(0.0)
+        self.pending = []
+
+    def now(self):
+        return self.time
+
+    def schedule_at(self, when, callback):
+        self.pending.append(_ManualTimer(when, callback))
+        return self.pending[-1]
+
+    def hold_up_until(self, time):
+        """Fires what is due once the process goes on."""
+        self.time = units.Instant(time)
+        due = [timer for timer in self.pending if timer.when <= time]
+        for timer in due:
+            self.pending.remove(timer)
+            timer.callback()
+
+
+class HeldUpProcessTest(unittest.TestCase):
+    """Fails if a caller has less time because the process was held up."""
+
+    def test_a_late_timer_extends_the_phase_by_its_delay(self):
+        manual_timers = ManualTimers()
+        expired = []
+        deadline = receive_deadline.ReceiveDeadline(
+            manual_timers, limits(idle=1.0), lambda: expired.append(True)
+        )
+        deadline.enter(Phase.HEAD)
+        deadline.enter(Phase.BODY)
+        # The timer of the first phase fires after the limit of this one.
+        manual_timers.hold_up_until(41.0)
+        self.assertEqual(expired, [])
+        manual_timers.hold_up_until(69.9)
+        self.assertEqual(expired, [])
+        manual_timers.hold_up_until(70.0)
+        self.assertEqual(expired, [True])
+
+
 class ReceiveDeadlineTest(unittest.TestCase):
     """Fails if a phase is ended by the limit of another, or by an old one."""
 
