Close a connection whose caller has reset it before its end

Since a rejected connection ends its own side first. shutdown() raises ENOTCONN if the caller has reset the connection while it was not read: the exception ended the rejection halfway, and the connection stayed open without a timer.

The connection is aborted then. test_a_connection_that_was_reset_before_its_end_is_closed fails without the change.

--- a/packages/transport/src/lavendershed/transport/server_connection.py
+++ b/packages/transport/src/lavendershed/transport/server_connection.py
@@ -500,8 +500,13 @@
         self._share.release()
         if self._transport is None or self._transport.is_closing():
             return
-        self._transport.write_eof()
         self._resume_reading()
+        try:
+            self._transport.write_eof()
+        except OSError:
+            # The caller has reset the connection, which was not read since.
+            self._transport.abort()
+            return
         self._start_linger_timer()
 
     def _start_linger_timer(self) -> None:
--- a/packages/transport/tests/test_server_connection.py
+++ b/packages/transport/tests/test_server_connection.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 import unittest
+from unittest import mock
 
 from lavendershed.core import timers
 from lavendershed.core import units
@@ -302,6 +303,18 @@
         response = await self.read_until(caller, b"bytes")
         self.assertTrue(response.startswith(b"HTTP/1.1 413"))
 
+    async def test_a_connection_that_was_reset_before_its_end_is_closed(self):
+        caller = await self.connect()
+        (connection,) = self.server._connections
+        closing = HEAD.replace(b"\r\n\r\n", b"\r\nconnection: close\r\n\r\n")
+        with mock.patch.object(
+            connection._transport,
+            "write_eof",
+            side_effect=OSError(107, "reset"),
+        ):
+            caller.send(closing + BODY)
+            await self.wait_until(lambda: not self.server.connection_count)
+
     async def test_a_caller_that_sends_on_does_not_hold_the_connection(self):
         caller = await self.connect()
         caller.send(HEAD.replace(b": 6", b": 8000000"))
