Keep the limits that a caller may know, also if they change twice

What callers saw: 413 in the middle of a body that was allowed when it began, and the close of an idle connection after a limit had been raised and lowered again within its idle time, though other connections of the same caller had been told the raised one.

Cause: the size limit was read when bytes came, not with the head, and the raised idle limit was forgotten with the next change.

Evidence: test_a_body_that_is_being_sent_keeps_its_limit and test_a_limit_that_was_raised_and_lowered_again_is_kept fail without the change. Three tests of limits sent their request in the turn in which the limit passed, so that the poll before a close saved it; they wait for some turns now, and fail again with the head under the idle limit, a raised limit ignored and a lowered one at once.

--- a/packages/transport/src/lavendershed/transport/receive_deadline.py
+++ b/packages/transport/src/lavendershed/transport/receive_deadline.py
@@ -121,6 +121,10 @@
     def set_limits(self, limits: server.ServerLimits) -> None:
         """Replaces the limits."""
         self._limits = limits
+        limit = self._current_limit()
+        if limit is not None and self._initial_limit is not None:
+            # Callers may know the raised limit from other connections.
+            self._initial_limit = max(limit, self._initial_limit)
         self._arm()
 
     def recheck(self) -> None:
--- a/packages/transport/src/lavendershed/transport/server_connection.py
+++ b/packages/transport/src/lavendershed/transport/server_connection.py
@@ -55,6 +55,8 @@
         self._writable.set()
         self._request: h11.Request | None = None
         self._body = bytearray()
+        # Limit in force when the head of the request was complete.
+        self._max_body = server.limits.max_body
         self._task: asyncio.Task[None] | None = None
         self._deadline = receive_deadline.ReceiveDeadline(
             server.timers, server.limits, self._on_deadline
@@ -364,6 +366,7 @@
                 return
             if isinstance(event, h11.Request):
                 self._request = event
+                self._max_body = self._server.limits.max_body
                 self._deadline.enter(_Phase.BODY)
                 if self._protocol.they_are_waiting_for_100_continue:
                     self._send(
@@ -371,11 +374,9 @@
                     )
             elif isinstance(event, h11.Data):
                 self._body += event.data
-                if len(self._body) > self._server.limits.max_body:
+                if len(self._body) > self._max_body:
                     self._reject(
-                        413,
-                        "request body exceeds "
-                        f"{self._server.limits.max_body} bytes",
+                        413, f"request body exceeds {self._max_body} bytes"
                     )
                     return
                 if not self._share.resize(len(self._body)):
--- a/packages/transport/tests/test_receive_deadline.py
+++ b/packages/transport/tests/test_receive_deadline.py
@@ -132,6 +132,14 @@
         self.advance(0.3)
         self.assertEqual(self.expired, [Phase.IDLE])
 
+    def test_a_limit_that_was_raised_and_lowered_again_is_kept(self):
+        self.deadline.set_limits(limits(idle=5.0))
+        self.deadline.set_limits(limits(idle=1.0))
+        self.advance(4.9)
+        self.assertEqual(self.expired, [])
+        self.advance(0.2)
+        self.assertEqual(self.expired, [Phase.IDLE])
+
     def test_a_limit_that_the_caller_was_told_is_kept(self):
         self.deadline.enter(Phase.HANDLING)
         self.deadline.set_limits(limits(idle=0.2))
--- a/packages/transport/tests/test_server_connection.py
+++ b/packages/transport/tests/test_server_connection.py
@@ -16,6 +16,8 @@
 
 TIMEOUT_S = 5.0
 POLL_INTERVAL_S = 0.002
+# Several turns of the loop, in which a limit that has passed is applied.
+SETTLE_S = 0.02
 # More than the sockets of both sides take.
 LARGE_BODY_BYTES = 20_000_000
 HEAD = b"POST /x HTTP/1.1\r\nhost: x\r\ncontent-length: 6\r\n\r\n"
@@ -95,6 +97,7 @@
         self.fail("the condition was not met in time")
 
     def received(self):
+        self.assertEqual(self.server.connection_count, 1)
         (connection,) = self.server._connections
         return connection._received_bytes
 
@@ -204,6 +207,7 @@
         caller = await self.connect()
         await self.send(caller, HEAD[:20])
         self.advance(2.5)
+        await asyncio.sleep(SETTLE_S)
         caller.send(HEAD[20:] + BODY)
         self.assertIn(b"abcdef", await self.response(caller))
 
@@ -240,6 +244,7 @@
         caller = await self.connect()
         self.server.set_limits(limits(idle=10.0))
         self.advance(9.0)
+        await asyncio.sleep(SETTLE_S)
         caller.send(HEAD + BODY)
         self.assertIn(b"abcdef", await self.response(caller))
 
@@ -251,12 +256,36 @@
         self.assertIn(b"keep-alive: timeout=10\r\n", response.lower())
         self.server.set_limits(limits(idle=2.5))
         self.advance(9.0)
+        await asyncio.sleep(SETTLE_S)
         caller.send(HEAD + BODY)
         response = await self.response(caller)
         self.assertIn(b"keep-alive: timeout=2\r\n", response.lower())
         self.advance(2.6)
         self.assertEqual(await self.response(caller), b"")
 
+    async def test_a_body_that_is_being_sent_keeps_its_limit(self):
+        caller = await self.connect()
+        await self.send(caller, HEAD + BODY[:2])
+        self.server.set_limits(
+            server.ServerLimits(units.Bytes(3), units.Seconds(30.0))
+        )
+        caller.send(BODY[2:])
+        self.assertIn(BODY, await self.response(caller))
+
+    async def test_a_limit_that_is_lowered_during_a_response_is_kept(self):
+        self.handler.gate.clear()
+        caller = await self.connect()
+        caller.send(HEAD + BODY)
+        begun = await self.read_until(caller, b"begun")
+        self.assertIn(b"keep-alive: timeout=1\r\n", begun.lower())
+        self.server.set_limits(limits(idle=0.2))
+        self.handler.gate.set()
+        await self.response(caller)
+        self.advance(0.9)
+        await asyncio.sleep(SETTLE_S)
+        caller.send(HEAD + BODY)
+        self.assertIn(BODY, await self.response(caller))
+
 
 class UnreadRequestTest(ConnectionCase):
     """Fails if a connection closes over a request that lies in its socket.
