Refuse requests that are half received at the end of a stop

What callers saw: a closed connection without an answer, when the grace period ended while they were sending a request.

Cause: shortly before the end, only requests that are being handled were ended with a failure; one whose head or body was not complete was cut off.

They get 503, which says that the request has not run, and the connection closes after it.

--- a/packages/forwarding/src/lavendershed/forwarding/daemon.py
+++ b/packages/forwarding/src/lavendershed/forwarding/daemon.py
@@ -229,6 +229,8 @@
                 break
             if now >= answer_by:
                 self._components.gateway.end_unanswered_requests()
+                for request_server in request_servers:
+                    request_server.reject_incomplete_requests()
             if now >= deregistered_at:
                 # Requests that lie in the sockets are read first. One that
                 # crosses the close is not read, hence not run.
--- a/packages/transport/src/lavendershed/transport/server.py
+++ b/packages/transport/src/lavendershed/transport/server.py
@@ -188,6 +188,11 @@
         """
         self._stopping = True
 
+    def reject_incomplete_requests(self) -> None:
+        """Refuses the requests that are still being received."""
+        for connection in tuple(self._connections):
+            connection.reject_incomplete_request()
+
     def close_idle_connections(self) -> None:
         """Closes idle connections now and others after their request."""
         self._stopping = True
--- a/packages/transport/src/lavendershed/transport/server_connection.py
+++ b/packages/transport/src/lavendershed/transport/server_connection.py
@@ -231,6 +231,13 @@
         """Aborts the connection, because the server closes."""
         self._abort(_End.SHUTDOWN)
 
+    def reject_incomplete_request(self) -> None:
+        """Refuses a request that is still being received."""
+        if self._deadline.phase in (_Phase.HEAD, _Phase.BODY):
+            self._reject(
+                503, "server shuts down, the request has not run", _End.SHUTDOWN
+            )
+
     def close_if_idle(self) -> None:
         """Closes the connection if no request is in progress.
 
--- a/packages/transport/tests/test_server_connection.py
+++ b/packages/transport/tests/test_server_connection.py
@@ -467,6 +467,18 @@
         self.assertIn(b"connection: close", responses.lower())
         self.assertEqual(self.handler.paths, ["/x", "/next"])
 
+    async def test_a_request_that_is_half_received_at_the_end_is_refused(self):
+        for part in (HEAD[:20], HEAD + BODY[:2]):
+            with self.subTest(part=part):
+                caller = await self.connect()
+                await self.send(caller, part)
+                self.server.reject_incomplete_requests()
+                response = await self.read_until(caller, b"not run")
+                self.assertTrue(response.startswith(b"HTTP/1.1 503"))
+                caller.close()
+                await self.wait_until(lambda: not self.server.connection_count)
+                self.assertEqual(self.observer.ends.pop(), End.SHUTDOWN)
+
     async def test_a_new_connection_has_time_for_its_request(self):
         caller = await self.connect()
         self.server.close_idle_connections()
