Keep a connection open for longer than its caller was told

A connection closed exactly when the announced time had passed since the end of its response. Its caller counts from when it receives the response, so that a request in the last moments of that time crossed the close.

The connection stays open for half a second longer. test_a_connection_outlives_the_time_that_was_announced fails without the change.

--- a/packages/transport/src/lavendershed/transport/server_connection.py
+++ b/packages/transport/src/lavendershed/transport/server_connection.py
@@ -32,6 +32,8 @@
 # A caller that takes no byte of its response for this time has stopped reading.
 # Its memory, and the server that the response comes from, are needed by others.
 _MAX_WRITE_STALL = units.Seconds(30.0)
+# Callers count the announced time from when they receive a response.
+_KEEP_ALIVE_MARGIN = units.Seconds(0.5)
 # The first request on a new connection is expected within this time.
 _FIRST_REQUEST_TIME = units.Seconds(0.25)
 _INTERNAL_ERROR_STATUS = 500
@@ -271,8 +273,11 @@
             or self._protocol.their_state is not h11.DONE
         ):
             return ()
-        self._announced_timeout = timeout
-        return (("keep-alive", f"timeout={int(timeout)}"),)
+        announced = int(timeout)
+        self._announced_timeout = max(
+            timeout, units.Seconds(announced + _KEEP_ALIVE_MARGIN)
+        )
+        return (("keep-alive", f"timeout={announced}"),)
 
     def _report_unanswered(self) -> None:
         """Reports a request that has been read in part, or not answered."""
--- a/packages/transport/tests/test_server_connection.py
+++ b/packages/transport/tests/test_server_connection.py
@@ -286,6 +286,16 @@
         caller.send(HEAD + BODY)
         self.assertIn(BODY, await self.response(caller))
 
+    async def test_a_connection_outlives_the_time_that_was_announced(self):
+        caller = await self.connect()
+        caller.send(HEAD + BODY)
+        await self.response(caller)
+        # The caller counts from when it got the response.
+        self.advance(1.1)
+        await asyncio.sleep(SETTLE_S)
+        caller.send(HEAD + BODY)
+        self.assertIn(BODY, await self.response(caller))
+
 
 class UnreadRequestTest(ConnectionCase):
     """Fails if a connection closes over a request that lies in its socket.
