Let streams that have begun wait for engines until their deadline

What callers saw: a stream was cut in its middle while all engines were limited, full, leaving or not listed, although its caller would have waited.

Cause: a stream whose next attempt found no engine ended once the target latency since its admission had passed, which is nearly always the case after the first events; at once if no engine was listed; and when the waiting room was full. In the waiting room it ranked as a request that has missed its target, behind new ones.

Such a stream now waits until its deadline or until its caller leaves. In the waiting room, its next event is due one gap of the route after the last one, it keeps its value when that is late, and it rises by each gap. A full waiting room drops it no more: it then looks for engines at the recheck interval only. It still ends at once if its prompt needs more engines than it was placed among, or more time than is left. Requests whose response has not begun are handled as before.

--- a/packages/admission/src/lavendershed/admission/waiting_request.py
+++ b/packages/admission/src/lavendershed/admission/waiting_request.py
@@ -19,9 +19,12 @@
         engine_time: Time that one engine alone would need for the prompt.
         shortest_time: Time to first token on an idle fleet.
         received_at: When it was received.
-        due_at: When its first token is due.
+        due_at: When its first token is due, or the next one of a stream that
+            has begun.
         deadline: When its whole answer is due.
         size: Bytes that it occupies while it waits.
+        event_gap: Target time between two events of a stream that has begun;
+            None if the response has not begun.
     """
 
     id: ids.RequestId
@@ -33,6 +36,12 @@
     due_at: units.Instant
     deadline: units.Instant
     size: units.Bytes
+    event_gap: units.Seconds | None = None
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether its caller has a part of the response."""
+        return self.event_gap is not None
 
     def can_meet_target(self, now: units.Instant) -> bool:
         """Returns whether its first token can still be on time."""
--- a/packages/admission/tests/test_waiting_queue.py
+++ b/packages/admission/tests/test_waiting_queue.py
@@ -106,6 +106,19 @@
         )
         self.assertEqual(self.order(), ["on time", "late"])
 
+    def test_begun_streams_are_served_by_the_gaps_that_they_are_late(self):
+        """Guards against streams that yield to new requests until they end."""
+        self.add(
+            request("new"),
+            # Its next event was due at 1.0 s, long after its target latency.
+            request("slow", due_at=at(1.0), event_gap=units.Seconds(1.0)),
+            request("fast", due_at=at(1.1), event_gap=units.Seconds(0.1)),
+            request("long", engine_s=10.0, due_at=at(1.1), event_gap=0.1),
+        )
+        self.assertEqual(self.order(1.1), ["slow", "fast", "new", "long"])
+        self.assertEqual(self.order(2.0), ["fast", "slow", "new", "long"])
+        self.assertEqual(self.order(5.0), ["fast", "slow", "long", "new"])
+
     def test_huge_prompts_are_ordered_by_value_per_engine_time(self):
         """Guards against one prompt that makes several others late."""
         self.add(
--- a/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
@@ -61,6 +61,8 @@
             context, admitted_request, responder
         )
         self._predicted_ms = 0.0
+        # Most engines that an attempt was placed among.
+        self._most_candidates = 1
 
     async def _select_attempt(
         self,
@@ -121,6 +123,8 @@
         service = self._admitted_request.service
         chooser = context.choosers.chooser(service)
         candidates = self._candidates
+        if chooser is not None and self._responder.started:
+            return await self._wait_to_resume(chooser)
         if chooser is None or not candidates:
             return self._attempts.build_failure(
                 states.FailureReason.NO_BACKEND_SERVER,
@@ -148,7 +152,6 @@
         outcome = await context.waiting_room.wait(
             service.id,
             waiting,
-            committed=self._responder.started,
             recheck_after=permit_wait,
         )
         if outcome is waiting_room.WaitOutcome.STOPPING:
@@ -161,10 +164,53 @@
             return self._reject(chooser, candidates, "waits behind too many")
         return None
 
+    async def _wait_to_resume(
+        self, chooser: engine_choice.PredictedLossChooser
+    ) -> outcomes.RequestFailure | None:
+        """Waits until engines may have capacity for the rest of a stream.
+
+        Its caller has events and can't be told to return later, so that only
+        the deadline ends the wait. Engines that leave are replaced within
+        seconds, and limits end; what has to be known for certain is compared
+        with the engines that there were.
+        """
+        context = self._context
+        service = self._admitted_request.service
+        candidates = self._candidates
+        engine_count = max(len(candidates), self._most_candidates)
+        waiting = self._waiting_request(chooser, engine_count)
+        if not chooser.fits(self._size, engine_count):
+            return self._attempts.build_failure(
+                states.FailureReason.NO_BACKEND_SERVER,
+                f"prompt of {self._size.prompt_tokens} tokens is too large for "
+                "its engines",
+            )
+        if not waiting.can_meet_deadline(context.timers.now()):
+            return self._attempts.build_failure(
+                states.FailureReason.DEADLINE_EXCEEDED,
+                f"prompt of {self._size.prompt_tokens} tokens can't be read "
+                "again in time",
+            )
+        permit_wait = context.permits.wait_time(
+            candidates, self._attempts.failed_servers
+        )
+        await context.waiting_room.wait(
+            service.id,
+            waiting,
+            recheck_after=min(
+                permit_wait or self._attempts.time_left,
+                self._attempts.time_left,
+            ),
+        )
+        return None
+
     def _waiting_request(
         self, chooser: engine_choice.PredictedLossChooser, engine_count: int
     ) -> waiting_request.WaitingRequest:
         admitted_request = self._admitted_request
+        event_gap: units.Seconds | None = None
+        if self._responder.started:
+            event_gap = self._target_inter_token_latency
         return waiting_request.WaitingRequest(
             admitted_request.request.id,
             admitted_request.organisation,
@@ -172,12 +218,26 @@
             chooser.engine_time(self._size),
             chooser.shortest_time(self._size, engine_count),
             admitted_request.received_at,
-            units.after(
-                admitted_request.received_at,
-                admitted_request.route.target_latency,
-            ),
+            self._next_event_due_at,
             admitted_request.deadline,
             units.Bytes(len(admitted_request.request.body)),
+            event_gap,
+        )
+
+    @property
+    def _next_event_due_at(self) -> units.Instant:
+        """When the next event is due.
+
+        That of a resumed stream is due within the target inter-token latency,
+        like any other event.
+        """
+        if self._responder.started:
+            return units.after(
+                self._delivery.last_event_at, self._target_inter_token_latency
+            )
+        return units.after(
+            self._admitted_request.received_at,
+            self._admitted_request.route.target_latency,
         )
 
     def _reject(
@@ -254,6 +314,7 @@
     def _on_placed(self, placement: placements.Placement) -> None:
         context = self._context
         candidates = self._candidates
+        self._most_candidates = max(self._most_candidates, len(candidates))
         now = context.timers.now()
         context.waiting_room.on_placed(
             self._admitted_request.organisation,
@@ -332,18 +393,9 @@
         ):
             # Another crash harms no other request at an idle engine.
             avoided |= self._busy_engines(candidates)
-        target = self._admitted_request.route.target_latency
-        if self._responder.started:
-            # The next event of a resumed stream is due within the target
-            # inter-token latency, like any other event.
-            due_at = units.after(
-                self._delivery.last_event_at, self._target_inter_token_latency
-            )
-        else:
-            due_at = units.after(self._admitted_request.received_at, target)
         demand = placements.Demand(
             self._size,
-            due_at,
+            self._next_event_due_at,
             self._admitted_request.deadline,
             self._target_inter_token_latency,
             context.zone,
--- a/packages/forwarding/src/lavendershed/forwarding/waiting_room.py
+++ b/packages/forwarding/src/lavendershed/forwarding/waiting_room.py
@@ -51,10 +51,10 @@
         self._usage = organisation_usage.OrganisationUsage()
         self._queues: dict[ids.ServiceId, waiting_queue.WaitingQueue] = {}
         self._waiters: dict[ids.RequestId, asyncio.Future[WaitOutcome]] = {}
+        # Requests whose response has begun; no other daemon can end them.
+        self._begun: set[ids.RequestId] = set()
         self._wake_timer: timers.Timer | None = None
         self._stopping = False
-        # Requests whose response has begun; no other daemon can end them.
-        self._committed: set[ids.RequestId] = set()
         tracker.subscribe_capacity(self._on_capacity)
 
     def on_placed(
@@ -77,7 +77,7 @@
         """
         self._stopping = True
         for request in tuple(self._waiters):
-            if request not in self._committed:
+            if request not in self._begun:
                 self._finish(request, WaitOutcome.STOPPING)
 
     async def wait(
@@ -85,18 +85,20 @@
         service: ids.ServiceId,
         request: waiting_request.WaitingRequest,
         *,
-        committed: bool,
         recheck_after: units.Seconds | None = None,
     ) -> WaitOutcome:
         """Waits until capacity may have changed for this request.
 
+        A request whose response has begun is neither dropped nor ended by a
+        stop. If the queue has no room for it, it only looks for engines again
+        after the recheck interval.
+
         Args:
             service: The service that it is for.
             request: The request.
-            committed: Whether its response has begun.
             recheck_after: Time until a server is available again, if none is.
         """
-        if self._stopping and not committed:
+        if self._stopping and not request.has_begun:
             return WaitOutcome.STOPPING
         now = self._timers.now()
         queue = self._queues.setdefault(
@@ -105,10 +107,11 @@
         )
         waiter = asyncio.get_running_loop().create_future()
         self._waiters[request.id] = waiter
-        if committed:
-            self._committed.add(request.id)
+        if request.has_begun:
+            self._begun.add(request.id)
         for dropped in queue.add(request, now):
-            self._finish(dropped, WaitOutcome.DROPPED)
+            if dropped not in self._begun:
+                self._finish(dropped, WaitOutcome.DROPPED)
         self._instruments.set_waiting_requests(service, queue.length)
         self._log.emit(
             events.Event.REQUEST_QUEUED,
@@ -126,7 +129,7 @@
         finally:
             queue.remove(request.id)
             self._waiters.pop(request.id, None)
-            self._committed.discard(request.id)
+            self._begun.discard(request.id)
             self._instruments.set_waiting_requests(service, queue.length)
         return (
             waiter.result() if waiter.done() else WaitOutcome.CAPACITY_CHANGED
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -57,6 +57,7 @@
         self.dead_from = None
         self.arrivals = []
         self.open = 0
+        self.writers = set()
         self.started_at = asyncio.get_running_loop().time()
 
     async def pause(self):
@@ -69,7 +70,14 @@
                 await asyncio.sleep(end - now)
                 now = end
 
+    def cut(self):
+        """Resets all connections."""
+        for writer in self.writers:
+            writer.reset()
+        self.writers.clear()
+
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         while True:
             _, target, fields, _ = await self.read_request(reader)
             self.arrivals.append((target, fields.get("attempt-id", "")))
--- a/tests/virtual_case.py
+++ b/tests/virtual_case.py
@@ -288,18 +288,26 @@
         self.context = parts.components.context
         self.gateway = parts.components.gateway
         view = self.context.view
-        revision = store_revisions.of(1, 1)
         view.on_configuration(
             peer_state.StoredObject(
                 "main",
-                revision,
+                store_revisions.of(1, 1),
                 orjson.dumps(platform_case.configuration(1, *routes)),
             )
         )
+        self.list_servers(servers)
+
+    def list_servers(self, servers, state="ready"):
+        """Has the store list exactly these servers, all in one state."""
+        view = self.context.view
+        version = view.directory.revision.number + 1
+        revision = store_revisions.of(1, version)
         view.on_server_listing(
             tuple(
                 peer_state.StoredObject(
-                    server.id, revision, orjson.dumps(_entry(server))
+                    server.id,
+                    revision,
+                    orjson.dumps(_entry(server, state, version)),
                 )
                 for server in servers
             ),
@@ -333,14 +341,14 @@
         return caller
 
 
-def _entry(server):
+def _entry(server, state, version):
     return {
         "service": server.service,
         "address": str(server.address),
         "zone": "a",
         "version": "v1",
         "slots": 8,
-        "state": "ready",
+        "state": state,
         "born": 1,
-        "seq": 1,
+        "seq": version,
     }
