Let streams that have begun wait for the limits on retries

What callers saw: a stream was cut in its middle when four attempts had met engines that refuse connections, or when the daemons had used up their retries, although both pass within seconds.

Cause: the limit on the search for a server assumes that the caller is better off at another daemon, which the caller of a stream that has begun can't choose. The retry budget is a rate, but ended the request instead of delaying it.

AttemptTracker tells the limits that time lifts from the reasons that last. A stream that has begun waits 0.5 s for the former and looks for a server again; servers that have not received it are no longer avoided then. The budget of all daemons and the number of servers that the route allows hold as before: a stream that as many servers have received still ends at once, as a wait would change nothing.

Evidence: on the parent commit, 6 of the 8 new cases of the tests for the return of engines, the deadline, the caller and a stop fail, for engines that refuse connections ("attempt limit reached") and a budget that is used up ("retry budget exhausted"). With the change, all streams end whole or at their deadline of 9 s.

--- a/packages/forwarding/src/lavendershed/forwarding/attempts.py
+++ b/packages/forwarding/src/lavendershed/forwarding/attempts.py
@@ -110,6 +110,8 @@
         # a prefill helper.
         self._counted_attempts = 0
         self._helper_failures = 0
+        self._max_counted_attempts = _MAX_COUNTED_ATTEMPTS
+        self._max_helper_failures = _MAX_HELPER_FAILURES
         # Attempts that were sent, or are being sent, to a server or a peer. All
         # but the first are charged to the retry budget.
         self._sent_attempts = 0
@@ -306,9 +308,9 @@
         }
 
     def check_next_attempt(self) -> outcomes.RequestFailure | None:
-        """Returns why no further attempt is allowed, or None if one is.
+        """Returns why no further attempt can be allowed, or None if one can.
 
-        Charges an attempt beyond the first one to the retry budget.
+        The limits of `check_retry_limits` apply besides.
         """
         now = self._context.timers.now()
         remaining = self._context.crash_attribution.quarantine_remaining(
@@ -337,23 +339,56 @@
             return self._backend_server_failure(
                 f"not retried, the request may have run: {detail}"
             )
+        if self._remaining_new_servers <= 0 and not self.retryable_servers:
+            return self._backend_server_failure(
+                f"attempt limit reached: {detail}"
+            )
+        return None
+
+    def check_retry_limits(self) -> outcomes.RequestFailure | None:
+        """Returns which limit allows no attempt now, or None if one may start.
+
+        A request that can wait may be allowed another attempt later. Charges
+        an attempt beyond the first one to the retry budget.
+        """
         if (
-            (self._remaining_new_servers <= 0 and not self.retryable_servers)
-            or self._counted_attempts + len(self._open_servers)
-            >= _MAX_COUNTED_ATTEMPTS
-            or self._helper_failures >= _MAX_HELPER_FAILURES
+            self._counted_attempts + len(self._open_servers)
+            >= self._max_counted_attempts
+            or self._helper_failures >= self._max_helper_failures
         ):
+            detail = self._results[-1].detail if self._results else "silent"
             return self._backend_server_failure(
                 f"attempt limit reached: {detail}"
             )
         if self._charged_attempts < self._sent_attempts:
             if not self._context.retry_budget.try_spend(
-                self._admitted_request.service.id, now
+                self._admitted_request.service.id, self._context.timers.now()
             ):
                 return self._backend_server_failure("retry budget exhausted")
             self._charged_attempts += 1
         return None
 
+    def extend_search(self) -> None:
+        """Allows one attempt beyond the limits on the search for a server.
+
+        Servers and peers that have not received the request may have returned
+        since and are no longer avoided. Those that have received it stay
+        subject to the limit of the route.
+        """
+        self._max_counted_attempts = max(
+            self._max_counted_attempts,
+            self._counted_attempts + len(self._open_servers) + 1,
+        )
+        self._max_helper_failures = max(
+            self._max_helper_failures, self._helper_failures + 1
+        )
+        self._failed_servers &= self._delivered_to
+        self._failed_peers = {
+            peer
+            for peer in self._failed_peers
+            if _peer_key(peer) in self._delivered_to
+        }
+
     @property
     def may_try_another_engine(self) -> bool:
         """Whether the route allows another engine besides the current one."""
--- a/packages/forwarding/src/lavendershed/forwarding/request_execution.py
+++ b/packages/forwarding/src/lavendershed/forwarding/request_execution.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import abc
+import asyncio
 
 from lavendershed.core import addresses
 from lavendershed.core import forwarding_states
@@ -19,6 +20,9 @@
 _CUT_OFF_RETRY_AFTER = units.Seconds(1.0)
 # An overdue attempt is joined by another as soon as a server can take it.
 _RECHECK_INTERVAL = units.Seconds(0.1)
+# A request that waits for retries takes one attempt in this time at most, since
+# a server that refuses connections may do so until it is replaced.
+_RETRY_INTERVAL = units.Seconds(0.5)
 
 _COMPLETE = forwarding_states.AttemptOutcome.COMPLETE
 
@@ -98,6 +102,18 @@
     def _has_server_beside(self) -> bool:
         """Whether a server could take an attempt beside the overdue ones."""
 
+    @property
+    def _waits_for_retries(self) -> bool:
+        """Whether the request waits if it may not be retried now."""
+        return False
+
+    async def _wait_for_retry(self) -> None:
+        """Waits until the request may look for a server again."""
+        await asyncio.sleep(
+            max(0.0, min(_RETRY_INTERVAL, self._attempts.time_left))
+        )
+        self._attempts.extend_search()
+
     async def _on_attempt_failed(
         self, attempt_result: attempts.AttemptResult
     ) -> outcomes.RequestFailure | None:
@@ -117,6 +133,12 @@
             failure = self._attempts.check_next_attempt()
             if failure is not None:
                 return failure
+            failure = self._attempts.check_retry_limits()
+            if failure is not None:
+                if beside or not self._waits_for_retries:
+                    return failure
+                await self._wait_for_retry()
+                continue
             peer = self._select_peer()
             if peer is not None:
                 selected = self._new_relayed_attempt(peer)
--- a/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
@@ -108,6 +108,11 @@
             return None
         return await self._wait_for_capacity()
 
+    @property
+    def _waits_for_retries(self) -> bool:
+        # The caller can't send the rest of a stream to another daemon.
+        return self._responder.started
+
     @property
     def _has_server_beside(self) -> bool:
         return self._context.relay.is_cut_off or bool(self._candidates)
--- a/tests/test_streams_without_engines.py
+++ b/tests/test_streams_without_engines.py
@@ -101,6 +101,25 @@
         for task in tasks:
             tracker.remove(task)
 
+    @contextlib.asynccontextmanager
+    async def unreachable(self):
+        """The engines refuse connections."""
+        known = self.daemon.connector.servers
+        kept = dict(known)
+        known.clear()
+        yield
+        known.update(kept)
+
+    @contextlib.asynccontextmanager
+    async def no_retries(self):
+        """The daemons have used up their retries."""
+        budget = self.context.retry_budget
+        budget.set_limits(
+            dataclasses.replace(virtual_case.BUDGET, slack=0.0, ratio=0.0)
+        )
+        yield
+        budget.set_limits(virtual_case.BUDGET)
+
     async def begin(self, count=1):
         """Returns callers that have events, and their requests."""
         await asyncio.sleep(SETTLING_S)
@@ -133,7 +152,14 @@
         }
 
 
-OUTAGES = (World.leaving, World.replaced, World.limited, World.full)
+OUTAGES = (
+    World.leaving,
+    World.replaced,
+    World.limited,
+    World.full,
+    World.unreachable,
+    World.no_retries,
+)
 
 
 class StreamsWithoutEnginesTest(unittest.TestCase):
@@ -241,7 +267,8 @@
             caller = await test_silence.send(world.daemon, PATH, 11)
             self.assertTrue(test_silence.is_whole(PATH, caller))
 
-        self.for_each_outage(play)
+        # A first attempt needs no retry.
+        self.for_each_outage(play, OUTAGES[:-1])
 
     def test_a_full_waiting_room_keeps_begun_streams(self):
         """Requests that have not begun are turned away instead."""
--- a/tests/virtual_case.py
+++ b/tests/virtual_case.py
@@ -191,11 +191,11 @@
     """Connects to servers in memory."""
 
     def __init__(self, servers):
-        self._servers = {server.address: server for server in servers}
+        self.servers = {server.address: server for server in servers}
         self.tasks = set()
 
     async def connect(self, address, timeout):
-        server = self._servers.get(address)
+        server = self.servers.get(address)
         if server is None:
             kind = errors.TransportErrorKind.CONNECT_FAILED
             return result.Err(errors.TransportError(kind, False, str(address)))
