Ask for memory twice a second for streams that have begun

What engines would see: up to 50 orders a second for each stream that waits for memory on several engines. Such a stream asked again whenever a task of another request ended, which was bounded by its target latency before streams waited until their deadline.

A stream that has begun asks for memory at the interval of its retries.

All three end whole once the engines have memory again, and nothing of them is left.

--- a/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
@@ -106,6 +106,11 @@
             is not forwarding_states.AttemptOutcome.NO_MEMORY
         ):
             return None
+        if self._waits_for_retries:
+            # Each end of another task would have it ask the engines again, as
+            # long as its caller waits.
+            await self._wait_for_retry()
+            return None
         return await self._wait_for_capacity()
 
     @property
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -49,6 +49,7 @@
         dead_from: Time from which it sends nothing for ever.
         arrivals: Ids of the requests that it got.
         open: Requests in progress.
+        has_memory: Whether it grants reservations of memory.
     """
 
     def __init__(self, name, service, number):
@@ -57,6 +58,7 @@
         self.dead_from = None
         self.arrivals = []
         self.open = 0
+        self.has_memory = True
         self.writers = set()
         self.started_at = asyncio.get_running_loop().time()
 
@@ -104,6 +106,12 @@
             f"HTTP/1.1 200 OK\r\nattempt-id: {fields.get('attempt-id', '')}\r\n"
             f"engine-seal: {self.id}\r\nkeep-alive: timeout=5\r\n"
         )
+        if target not in PATHS:
+            status = "200 OK" if self.has_memory else "409 Conflict"
+            writer.write(
+                f"HTTP/1.1 {status}\r\ncontent-length: 0\r\n\r\n".encode()
+            )
+            return
         if target not in STREAMS:
             await asyncio.sleep(INTERVAL_S)
             await self.pause()
@@ -139,10 +147,10 @@
     return virtual_case.VirtualDaemon(servers, *routes), servers
 
 
-async def send(daemon, path, number, at=0.0, caller=None):
+async def send(daemon, path, number, at=0.0, caller=None, prompt=1_000):
     """Sends a request `at` seconds from now; returns the caller."""
     await asyncio.sleep(at)
-    fields = {"token_count": "1000,100"} if path in STREAMS else {}
+    fields = {"token_count": f"{prompt},100"} if path in STREAMS else {}
     return await daemon.request(
         path, number, caller, deadline_ms=TIMEOUT_MS, **fields
     )
--- a/tests/test_streams_without_engines.py
+++ b/tests/test_streams_without_engines.py
@@ -77,29 +77,29 @@
     @contextlib.asynccontextmanager
     async def full(self):
         """The engines have prompts that take longer than any deadline."""
-        tracker = self.context.load_tracker
-        end = units.Instant(self.loop.time() + 100.0)
-        tasks = [
-            tracker.add(
-                load_tracker.EngineTask(
-                    number,
-                    engine.id,
-                    forwarding_states.InferencePhase.PREFILL,
-                    100_000.0,
-                    end,
-                    end,
-                    1_000,
-                    1_000,
-                    units.Seconds(0.1),
-                    end,
-                    1.0,
-                )
-            )
-            for number, engine in enumerate(self.engines)
-        ]
+        tasks = [self.add_task(engine, 100.0) for engine in self.engines]
         yield
         for task in tasks:
-            tracker.remove(task)
+            self.context.load_tracker.remove(task)
+
+    def add_task(self, engine, seconds):
+        """Adds a prompt to the load of an engine; returns its id."""
+        end = units.Instant(self.loop.time() + seconds)
+        return self.context.load_tracker.add(
+            load_tracker.EngineTask(
+                1,
+                engine.id,
+                forwarding_states.InferencePhase.PREFILL,
+                1_000.0 * seconds,
+                end,
+                end,
+                1_000,
+                1_000,
+                units.Seconds(0.1),
+                end,
+                1.0,
+            )
+        )
 
     @contextlib.asynccontextmanager
     async def unreachable(self):
@@ -120,13 +120,15 @@
         yield
         budget.set_limits(virtual_case.BUDGET)
 
-    async def begin(self, count=1):
+    async def begin(self, count=1, prompt=1_000):
         """Returns callers that have events, and their requests."""
         await asyncio.sleep(SETTLING_S)
         callers = [virtual_case.Caller() for _ in range(count)]
         sending = [
             asyncio.create_task(
-                test_silence.send(self.daemon, PATH, number, caller=caller)
+                test_silence.send(
+                    self.daemon, PATH, number, caller=caller, prompt=prompt
+                )
             )
             for number, caller in enumerate(callers)
         ]
@@ -270,6 +272,31 @@
         # A first attempt needs no retry.
         self.for_each_outage(play, OUTAGES[:-1])
 
+    def test_engines_without_memory_are_asked_twice_a_second(self):
+        """Guards against an order for each request that ends meanwhile."""
+
+        async def play():
+            world = World()
+            callers, sending = await world.begin(3, prompt=330_000)
+            for engine in world.engines:
+                engine.has_memory = False
+            world.cut()
+            ends_at = world.loop.time() + OUTAGE_S
+            while world.loop.time() < ends_at:
+                task = world.add_task(world.engines[0], 0.1)
+                await asyncio.sleep(0.03)
+                world.context.load_tracker.remove(task)
+            asked = world.daemon.events(events.Event.RESERVATION_FAILED)
+            for engine in world.engines:
+                engine.has_memory = True
+            await asyncio.gather(*sending)
+            for caller in callers:
+                self.assertTrue(test_silence.is_whole(PATH, caller))
+            self.assertLess(len(asked), 2.5 * OUTAGE_S * len(callers))
+            await self.assert_nothing_left(world)
+
+        virtual_case.run(play())
+
     def test_a_full_waiting_room_keeps_begun_streams(self):
         """Requests that have not begun are turned away instead."""
         now = units.Instant(1_000.0)
