Let a peer wait for engines with a stream that has begun

What callers saw: a stream of a daemon that is cut off from the engines was cut in its middle when its peers had no engine for the rest.

Cause: a peer took the rest for a request that has not begun, and refused it once the target latency since the admission had passed. A refusal by a peer counts as a server that has received the request, so that the stream soon reached the limit of its route.

The message between daemons says whether the caller has a part of the response. The peer then waits as for its own streams. A peer that stops gives such a stream back at once, because another one can go on. A peer without this field refuses as before.

--- a/packages/admission/src/lavendershed/admission/waiting_queue.py
+++ b/packages/admission/src/lavendershed/admission/waiting_queue.py
@@ -49,7 +49,7 @@
 
     def add(
         self, request: waiting_request.WaitingRequest, now: units.Instant
-    ) -> tuple[ids.RequestId, ...]:
+    ) -> tuple[waiting_request.WaitingRequest, ...]:
         """Adds a request.
 
         Returns:
@@ -62,7 +62,7 @@
             if self._fits:
                 break
             del self._requests[candidate.id]
-            leaving.append(candidate.id)
+            leaving.append(candidate)
         return tuple(leaving)
 
     def remove(self, request: ids.RequestId) -> None:
--- a/packages/admission/tests/test_waiting_queue.py
+++ b/packages/admission/tests/test_waiting_queue.py
@@ -54,7 +54,7 @@
 
     def add(self, *requests, now=0.0):
         leaving = [self.queue.add(r, at(now)) for r in requests]
-        return [name for names in leaving for name in names]
+        return [r.id for requests in leaving for r in requests]
 
     def serve_all(self, arrivals, engines=1.0):
         """Serves `arrivals` one by one; returns the ids served on time.
--- a/packages/forwarding/src/lavendershed/forwarding/context.py
+++ b/packages/forwarding/src/lavendershed/forwarding/context.py
@@ -94,6 +94,8 @@
         received_at: When it was received.
         deadline: When its response has to be complete.
         relayed: Whether another daemon has passed it on.
+        begun: Whether the caller has a part of the response, which this other
+            daemon sent.
     """
 
     request: requests.CallerRequest
@@ -105,6 +107,7 @@
     received_at: units.Instant
     deadline: units.Instant
     relayed: bool = False
+    begun: bool = False
 
     @property
     def crash_suspects(self) -> engine_crashes.Suspects:
--- a/packages/forwarding/src/lavendershed/forwarding/relayed_attempt.py
+++ b/packages/forwarding/src/lavendershed/forwarding/relayed_attempt.py
@@ -138,6 +138,7 @@
             last_event_id,
             self._max_servers,
             self._context.timers.now(),
+            begun=self._delivery is not None and self._delivery.started,
         )
         if self._may_be_repeated:
             self._expect_within(self._head_timeout)
--- a/packages/forwarding/src/lavendershed/forwarding/relayed_requests.py
+++ b/packages/forwarding/src/lavendershed/forwarding/relayed_requests.py
@@ -19,6 +19,8 @@
     last_event_id: int | None,
     max_servers: int,
     now: units.Instant,
+    *,
+    begun: bool,
 ) -> bytes:
     """Returns the body of a call to a peer.
 
@@ -27,6 +29,7 @@
         last_event_id: Event id after which to resume a stream, if any.
         max_servers: Servers that may receive the request.
         now: Current time.
+        begun: Whether the caller has a part of the response.
     """
     request = admitted_request.request
     return relay_messages.encode(
@@ -49,6 +52,7 @@
             admitted_request.fingerprint,
             units.elapsed(admitted_request.received_at, now),
             units.elapsed(now, admitted_request.deadline),
+            begun,
         )
     )
 
@@ -88,5 +92,6 @@
             units.Instant(now - message.elapsed),
             units.after(now, message.left),
             relayed=True,
+            begun=message.begun,
         )
     )
--- a/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
@@ -61,6 +61,7 @@
             context, admitted_request, responder
         )
         self._predicted_ms = 0.0
+        self._created_at = context.timers.now()
         # Most engines that an attempt was placed among.
         self._most_candidates = 1
 
@@ -116,7 +117,12 @@
     @property
     def _waits_for_retries(self) -> bool:
         # The caller can't send the rest of a stream to another daemon.
-        return self._responder.started
+        return self._has_begun
+
+    @property
+    def _has_begun(self) -> bool:
+        """Whether the caller has a part of the response."""
+        return self._responder.started or self._admitted_request.begun
 
     @property
     def _has_server_beside(self) -> bool:
@@ -133,7 +139,7 @@
         service = self._admitted_request.service
         chooser = context.choosers.chooser(service)
         candidates = self._candidates
-        if chooser is not None and self._responder.started:
+        if chooser is not None and self._has_begun:
             return await self._wait_to_resume(chooser)
         if chooser is None or not candidates:
             return self._attempts.build_failure(
@@ -162,14 +168,11 @@
         outcome = await context.waiting_room.wait(
             service.id,
             waiting,
+            committed=False,
             recheck_after=permit_wait,
         )
         if outcome is waiting_room.WaitOutcome.STOPPING:
-            return self._attempts.build_failure(
-                states.FailureReason.STOPPING,
-                "daemon is shutting down; retry on another daemon",
-                waiting_room.STOPPING_RETRY_AFTER,
-            )
+            return self._stopping_failure()
         if outcome is waiting_room.WaitOutcome.DROPPED:
             return self._reject(chooser, candidates, "waits behind too many")
         return None
@@ -204,22 +207,32 @@
         permit_wait = context.permits.wait_time(
             candidates, self._attempts.failed_servers
         )
-        await context.waiting_room.wait(
+        outcome = await context.waiting_room.wait(
             service.id,
             waiting,
+            committed=self._responder.started,
             recheck_after=min(
                 permit_wait or self._attempts.time_left,
                 self._attempts.time_left,
             ),
         )
+        if outcome is waiting_room.WaitOutcome.STOPPING:
+            return self._stopping_failure()
         return None
 
+    def _stopping_failure(self) -> outcomes.RequestFailure:
+        return self._attempts.build_failure(
+            states.FailureReason.STOPPING,
+            "daemon is shutting down; retry on another daemon",
+            waiting_room.STOPPING_RETRY_AFTER,
+        )
+
     def _waiting_request(
         self, chooser: engine_choice.PredictedLossChooser, engine_count: int
     ) -> waiting_request.WaitingRequest:
         admitted_request = self._admitted_request
         event_gap: units.Seconds | None = None
-        if self._responder.started:
+        if self._has_begun:
             event_gap = self._target_inter_token_latency
         return waiting_request.WaitingRequest(
             admitted_request.request.id,
@@ -241,9 +254,10 @@
         That of a resumed stream is due within the target inter-token latency,
         like any other event.
         """
-        if self._responder.started:
+        if self._has_begun:
             return units.after(
-                self._delivery.last_event_at, self._target_inter_token_latency
+                max(self._delivery.last_event_at, self._created_at),
+                self._target_inter_token_latency,
             )
         return units.after(
             self._admitted_request.received_at,
--- a/packages/forwarding/src/lavendershed/forwarding/waiting_room.py
+++ b/packages/forwarding/src/lavendershed/forwarding/waiting_room.py
@@ -51,8 +51,9 @@
         self._usage = organisation_usage.OrganisationUsage()
         self._queues: dict[ids.ServiceId, waiting_queue.WaitingQueue] = {}
         self._waiters: dict[ids.RequestId, asyncio.Future[WaitOutcome]] = {}
-        # Requests whose response has begun; no other daemon can end them.
-        self._begun: set[ids.RequestId] = set()
+        # Requests whose response this daemon has begun; no other one can end
+        # them.
+        self._committed: set[ids.RequestId] = set()
         self._wake_timer: timers.Timer | None = None
         self._stopping = False
         tracker.subscribe_capacity(self._on_capacity)
@@ -77,7 +78,7 @@
         """
         self._stopping = True
         for request in tuple(self._waiters):
-            if request not in self._begun:
+            if request not in self._committed:
                 self._finish(request, WaitOutcome.STOPPING)
 
     async def wait(
@@ -85,20 +86,21 @@
         service: ids.ServiceId,
         request: waiting_request.WaitingRequest,
         *,
+        committed: bool,
         recheck_after: units.Seconds | None = None,
     ) -> WaitOutcome:
         """Waits until capacity may have changed for this request.
 
-        A request whose response has begun is neither dropped nor ended by a
-        stop. If the queue has no room for it, it only looks for engines again
-        after the recheck interval.
+        A stream that has begun is not dropped. If the queue has no room for
+        it, it only looks for engines again after the recheck interval.
 
         Args:
             service: The service that it is for.
             request: The request.
+            committed: Whether this daemon has begun its response.
             recheck_after: Time until a server is available again, if none is.
         """
-        if self._stopping and not request.has_begun:
+        if self._stopping and not committed:
             return WaitOutcome.STOPPING
         now = self._timers.now()
         queue = self._queues.setdefault(
@@ -107,11 +109,11 @@
         )
         waiter = asyncio.get_running_loop().create_future()
         self._waiters[request.id] = waiter
-        if request.has_begun:
-            self._begun.add(request.id)
+        if committed:
+            self._committed.add(request.id)
         for dropped in queue.add(request, now):
-            if dropped not in self._begun:
-                self._finish(dropped, WaitOutcome.DROPPED)
+            if not dropped.has_begun:
+                self._finish(dropped.id, WaitOutcome.DROPPED)
         self._instruments.set_waiting_requests(service, queue.length)
         self._log.emit(
             events.Event.REQUEST_QUEUED,
@@ -129,7 +131,7 @@
         finally:
             queue.remove(request.id)
             self._waiters.pop(request.id, None)
-            self._begun.discard(request.id)
+            self._committed.discard(request.id)
             self._instruments.set_waiting_requests(service, queue.length)
         return (
             waiter.result() if waiter.done() else WaitOutcome.CAPACITY_CHANGED
--- a/packages/peer/idl/messages.thrift
+++ b/packages/peer/idl/messages.thrift
@@ -188,6 +188,8 @@
   // Time since the request was received, and until its deadline.
   23: optional i32 elapsed_ms
   24: optional i32 left_ms
+  // Whether the caller has a part of the response.
+  25: optional bool begun
 }
 
 // Asks for a permit for one request to a limited server, or replies.
--- a/packages/peer/src/lavendershed/peer/gen/messages/ttypes.py
+++ b/packages/peer/src/lavendershed/peer/gen/messages/ttypes.py
@@ -1960,6 +1960,7 @@
      - fingerprint
      - elapsed_ms
      - left_ms
+     - begun
 
     """
 
@@ -1988,10 +1989,11 @@
         'fingerprint',
         'elapsed_ms',
         'left_ms',
+        'begun',
     )
 
 
-    def __init__(self, id=None, method=None, target=None, host=None, headers=None, body=None, prompt_tokens=None, max_output_tokens=None, expected_output_tokens=None, last_event_id=None, prompt_parts=None, route=None, kind=None, resumable=None, timeout_ms=None, target_latency_ms=None, target_inter_token_latency_ms=None, max_attempts=None, service_id=None, organisation=None, priority=None, fingerprint=None, elapsed_ms=None, left_ms=None,):
+    def __init__(self, id=None, method=None, target=None, host=None, headers=None, body=None, prompt_tokens=None, max_output_tokens=None, expected_output_tokens=None, last_event_id=None, prompt_parts=None, route=None, kind=None, resumable=None, timeout_ms=None, target_latency_ms=None, target_inter_token_latency_ms=None, max_attempts=None, service_id=None, organisation=None, priority=None, fingerprint=None, elapsed_ms=None, left_ms=None, begun=None,):
         self.id = id
         self.method = method
         self.target = target
@@ -2016,6 +2018,7 @@
         self.fingerprint = fingerprint
         self.elapsed_ms = elapsed_ms
         self.left_ms = left_ms
+        self.begun = begun
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2156,6 +2159,11 @@
                     self.left_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 25:
+                if ftype == TType.BOOL:
+                    self.begun = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2268,6 +2276,10 @@
             oprot.writeFieldBegin('left_ms', TType.I32, 24)
             oprot.writeI32(self.left_ms)
             oprot.writeFieldEnd()
+        if self.begun is not None:
+            oprot.writeFieldBegin('begun', TType.BOOL, 25)
+            oprot.writeBool(self.begun)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2982,6 +2994,7 @@
     (22, TType.I64, 'fingerprint', None, None, ),  # 22
     (23, TType.I32, 'elapsed_ms', None, None, ),  # 23
     (24, TType.I32, 'left_ms', None, None, ),  # 24
+    (25, TType.BOOL, 'begun', None, None, ),  # 25
 )
 all_structs.append(PermitMessage)
 PermitMessage.thrift_spec = (
--- a/packages/peer/src/lavendershed/peer/relay_messages.py
+++ b/packages/peer/src/lavendershed/peer/relay_messages.py
@@ -38,6 +38,7 @@
         fingerprint: Identifies the request across retries of the caller.
         elapsed: Time since it was received.
         left: Time until its deadline.
+        begun: Whether the caller has a part of the response.
     """
 
     id: ids.RequestId
@@ -56,6 +57,7 @@
     fingerprint: ids.Fingerprint
     elapsed: units.Seconds
     left: units.Seconds
+    begun: bool = False
 
 
 def encode(request: RelayedRequest) -> bytes:
@@ -99,6 +101,7 @@
             ),
             elapsed_ms=_to_ms(request.elapsed),
             left_ms=_to_ms(request.left),
+            begun=request.begun or None,
         )
     )
 
@@ -159,6 +162,7 @@
         ids.Fingerprint(message.fingerprint % _INT64_RANGE),
         _to_seconds(message.elapsed_ms),
         _to_seconds(message.left_ms),
+        bool(message.begun),
     )
 
 
--- a/packages/peer/tests/test_relay_messages.py
+++ b/packages/peer/tests/test_relay_messages.py
@@ -46,6 +46,7 @@
     ids.Fingerprint((1 << 64) - 3),
     units.Seconds(0.012),
     units.Seconds(9.5),
+    begun=True,
 )
 LEAST = dataclasses.replace(
     REQUEST,
@@ -62,6 +63,7 @@
     ),
     organisation=None,
     fingerprint=ids.Fingerprint(0),
+    begun=False,
 )
 
 
--- a/tests/test_streams_without_engines.py
+++ b/tests/test_streams_without_engines.py
@@ -18,10 +18,13 @@
 from lavendershed.core import forwarding_states
 from lavendershed.core import ids
 from lavendershed.core import units
+from lavendershed.forwarding import context
+from lavendershed.forwarding import relayed_requests
 from lavendershed.forwarding import waiting_room
 from lavendershed.routing import load_tracker
 from lavendershed.telemetry import events
 from lavendershed.transport import client
+from lavendershed.transport import handlers
 
 PATH = "/desk/x"
 DEADLINE_S = float(test_silence.TIMEOUT_MS) / 1_000
@@ -136,6 +139,42 @@
         assert all(caller.event_times for caller in callers)
         return callers, sending
 
+    def relay(self, last_event_id, caller):
+        """Runs the rest of a stream for another daemon, as a task."""
+        request = self.context.caller_codec.decode(
+            handlers.ServerRequest(
+                "POST",
+                PATH,
+                "",
+                (
+                    ("host", platform_case.HOST),
+                    ("attempt-id", "id-1"),
+                    ("token-count", "1000,100"),
+                ),
+                b"body",
+                PATH,
+            )
+        ).ok_value
+        now = self.loop.time()
+        routes = self.context.view.table
+        admitted = context.AdmittedRequest(
+            request,
+            routes.route(request.host, request.path),
+            routes.service(platform_case.MODEL_SERVICE),
+            None,
+            1,
+            ids.Fingerprint(1),
+            units.Instant(now - 2.0),
+            units.Instant(now + DEADLINE_S),
+        )
+        encoded = relayed_requests.encode(
+            admitted, last_event_id, 2, now, begun=True
+        )
+        decoded = relayed_requests.decode(encoded, routes, now)
+        return asyncio.create_task(
+            self.daemon.gateway.execute_relayed(decoded.ok_value, caller)
+        )
+
     def cut(self):
         """Resets the connections of all streams."""
         for engine in self.engines:
@@ -272,6 +311,43 @@
         # A first attempt needs no retry.
         self.for_each_outage(play, OUTAGES[:-1])
 
+    def test_the_rest_of_a_stream_waits_at_another_daemon(self):
+        """Its first daemon can't reach the engines, and has sent events."""
+
+        async def play(world, outage):
+            await asyncio.sleep(SETTLING_S)
+            caller = virtual_case.Caller()
+            async with outage(world):
+                waiting = world.relay(5, caller)
+                await asyncio.sleep(OUTAGE_S)
+                self.assertEqual((caller.status, caller.body), (None, b""))
+            await waiting
+            self.assertTrue(test_silence.WHOLE.endswith(caller.body))
+            self.assertTrue(caller.body.startswith(b"id: 6\n"))
+            self.assertTrue(caller.complete)
+            await self.assert_nothing_left(world)
+
+        # Engines that refuse connections make this daemon one that is cut off.
+        self.for_each_outage(play, OUTAGES[:4])
+
+    def test_a_stop_ends_the_wait_for_another_daemon(self):
+        """The first daemon can have a third one go on."""
+
+        async def play(world, outage):
+            await asyncio.sleep(SETTLING_S)
+            caller = virtual_case.Caller()
+            async with outage(world):
+                waiting = world.relay(5, caller)
+                await asyncio.sleep(1.0)
+                world.daemon.gateway.set_stop_deadline(
+                    units.Instant(world.loop.time() + 8.0)
+                )
+                await asyncio.wait_for(waiting, 0.1)
+            self.assertEqual(caller.status, 503)
+            await self.assert_nothing_left(world)
+
+        self.for_each_outage(play, OUTAGES[:4])
+
     def test_engines_without_memory_are_asked_twice_a_second(self):
         """Guards against an order for each request that ends meanwhile."""
 
@@ -320,7 +396,10 @@
             room = World().context.waiting_room
             service = ids.ServiceId(platform_case.MODEL_SERVICE)
             return await asyncio.gather(
-                *(room.wait(service, each) for each in (begun, new))
+                *(
+                    room.wait(service, each, committed=each.has_begun)
+                    for each in (begun, new)
+                )
             )
 
         self.assertEqual(
