Release the memory of a failed attempt at its end

What callers would see: while streams wait for engines, attempts of others fail with "memory for events is used up".

Cause: the part of an event that a broken attempt has received stayed charged to the shared budget for responses until its request ended. Streams that have begun now wait until their deadline, so that this may last for minutes.

An attempt that leaves no response to be forwarded gives its memory back when it fails. The response of a failed attempt is kept only if none has begun.

--- a/packages/forwarding/src/lavendershed/forwarding/request_execution.py
+++ b/packages/forwarding/src/lavendershed/forwarding/request_execution.py
@@ -166,7 +166,11 @@
             await self._complete(attempt, attempt_result)
             return True
         attempt.record_end(self._attempts, attempt_result)
-        self._failed_response = attempt_result.response or self._failed_response
+        # A response that has begun can't become that of a failed attempt.
+        response = None if self._responder.started else attempt_result.response
+        if response is None:
+            attempt.release_buffer()
+        self._failed_response = response or self._failed_response
         if not self._running.is_empty:
             return False
         failure = await self._on_attempt_failed(attempt_result)
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -50,6 +50,7 @@
         arrivals: Ids of the requests that it got.
         open: Requests in progress.
         has_memory: Whether it grants reservations of memory.
+        part: What it sends of the event after the first five.
     """
 
     def __init__(self, name, service, number):
@@ -59,6 +60,7 @@
         self.arrivals = []
         self.open = 0
         self.has_memory = True
+        self.part = b""
         self.writers = set()
         self.started_at = asyncio.get_running_loop().time()
 
@@ -128,6 +130,8 @@
             event = b"id: %d\ndata: piece %d\n\n" % (number, number)
             writer.write(data + b"%x\r\n%s\r\n" % (len(event), event))
             data = b""
+            if self.part and number == first + 4:
+                writer.write(b"%x\r\n%s\r\n" % (len(self.part), self.part))
             await writer.drain()
         writer.write(data + b"0\r\n\r\n")
 
--- a/tests/test_streams_without_engines.py
+++ b/tests/test_streams_without_engines.py
@@ -348,6 +348,24 @@
 
         self.for_each_outage(play, OUTAGES[:4])
 
+    def test_a_stream_that_waits_holds_no_part_of_an_event(self):
+        """Guards against memory of broken attempts, kept for other streams."""
+
+        async def play(world, outage):
+            for engine in world.engines:
+                engine.part = b"data: " + b"x" * 500_000
+            _, sending = await world.begin(3)
+            self.assertGreater(world.rest["buffers"], 1_000_000)
+            async with outage(world):
+                world.cut()
+                await asyncio.sleep(1.0)
+                self.assertEqual(world.rest["buffers"], 0)
+                self.assertFalse(any(task.done() for task in sending))
+            for task in sending:
+                task.cancel()
+
+        self.for_each_outage(play)
+
     def test_engines_without_memory_are_asked_twice_a_second(self):
         """Guards against an order for each request that ends meanwhile."""
 
