--- a/packages/forwarding/src/lavendershed/forwarding/gateway.py
+++ b/packages/forwarding/src/lavendershed/forwarding/gateway.py
@@ -431,7 +431,8 @@
         overdue = not task.done() and not execution.is_completing
         if overdue:
             task.cancel()
-        await asyncio.wait((task,))
+        if not task.done():
+            await asyncio.wait((task,))
         return overdue
 
     async def _end_faulty_request(
--- a/packages/transport/tests/test_server_connection.py
+++ b/packages/transport/tests/test_server_connection.py
@@ -354,6 +354,16 @@
             caller.send(closing + BODY)
             await self.wait_until(lambda: not self.server.connection_count)
 
+    async def test_a_rejected_body_gives_its_memory_back_at_once(self):
+        """Guards against requests refused for memory that is free."""
+        caller = await self.connect()
+        caller.send(HEAD.replace(b": 6", b": 8000000") + b"x" * 90_000)
+        await self.wait_until(lambda: self.server.buffers.used)
+        self.advance(31.0)
+        await self.read_until(caller, b"time limit")
+        self.assertEqual(self.server.connection_count, 1)
+        self.assertEqual(self.server.buffers.used, 0)
+
     async def test_a_caller_that_sends_on_does_not_hold_the_connection(self):
         caller = await self.connect()
         caller.send(HEAD.replace(b": 6", b": 8000000"))
