Test requests whose route, service, key or servers change under way

A request keeps the route, the service and the organisation of its admission until it ends; its later attempts choose among the newest servers of that service. Only admission reads the newest table, after the wait for the first configuration, too.

The tests change the configuration in eleven ways, single and in quick succession, while a request waits, is sent, waits for its first byte, receives its answer or is sent to a second server, whose connection then holds, breaks or falls silent. Each is played for a resumable stream, another stream, a safe and an unsafe call, with one daemon on a virtual clock.

--- a/tests/virtual_case.py
+++ b/tests/virtual_case.py
@@ -162,6 +162,7 @@
     def __init__(self, name, service, number):
         self.id = name
         self.service = service
+        self.incarnation = 1
         self.address = addresses.Address(f"10.0.0.{number + 1}", 8_080)
 
     @abc.abstractmethod
@@ -191,13 +192,28 @@
 
 
 class MemoryConnector(connections.Connector):
-    """Connects to servers in memory."""
+    """Connects to servers in memory.
+
+    Attributes:
+        delay_s: Time that it takes to connect.
+    """
 
     def __init__(self, servers):
         self.servers = {server.address: server for server in servers}
         self.tasks = set()
+        self.delay_s = 0.0
+
+    def add(self, server):
+        """Lets a server accept connections."""
+        self.servers[server.address] = server
+
+    def remove(self, server):
+        """Refuses connections to a server from now on."""
+        self.servers.pop(server.address, None)
 
     async def connect(self, address, timeout):
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
         server = self.servers.get(address)
         if server is None:
             kind = errors.TransportErrorKind.CONNECT_FAILED
@@ -265,7 +281,10 @@
 
 
 class VirtualDaemon:
-    """Components of one daemon, without its listeners."""
+    """Components of one daemon, without its listeners.
+
+    Without routes it has no configuration and knows no servers.
+    """
 
     def __init__(self, servers, *routes, seed=1):
         loop = asyncio.get_running_loop()
@@ -290,27 +309,28 @@
         )
         self.context = parts.components.context
         self.gateway = parts.components.gateway
-        view = self.context.view
-        view.on_configuration(
+        self._revision = 0
+        if routes:
+            self.configure(platform_case.configuration(1, *routes))
+            self.list_servers(servers)
+
+    def configure(self, configuration):
+        """Applies a configuration, as it comes from the store."""
+        self.context.view.on_configuration(
             peer_state.StoredObject(
-                "main",
-                store_revisions.of(1, 1),
-                orjson.dumps(platform_case.configuration(1, *routes)),
+                "main", self._next_revision(), orjson.dumps(configuration)
             )
         )
-        self.list_servers(servers)
 
     def list_servers(self, servers, state="ready"):
-        """Has the store list exactly these servers, all in one state."""
-        view = self.context.view
-        version = view.directory.revision.number + 1
-        revision = store_revisions.of(1, version)
-        view.on_server_listing(
+        """Applies a listing of all servers, as it comes from the store."""
+        revision = self._next_revision()
+        self.context.view.on_server_listing(
             tuple(
                 peer_state.StoredObject(
                     server.id,
                     revision,
-                    orjson.dumps(_entry(server, state, version)),
+                    orjson.dumps(_entry(server, state, revision.number)),
                 )
                 for server in servers
             ),
@@ -318,6 +338,10 @@
             self.timers.now(),
         )
 
+    def _next_revision(self):
+        self._revision += 1
+        return store_revisions.of(1, self._revision)
+
     def events(self, event):
         return [f for recorded, f in self.log.records if recorded is event]
 
@@ -352,6 +376,6 @@
         "version": "v1",
         "slots": 8,
         "state": state,
-        "born": 1,
+        "born": server.incarnation,
         "seq": version,
     }
