Don't pass on a peer's 503 if the request may run elsewhere

What callers saw: 503, which says that nothing has run and that they may send the request again, while a server was running it. It needs a daemon that is cut off from the servers, a first peer that is lost or silent or whose server is silent, and a second peer that has no server for the request, such as after its service has changed.

Cause: the answer of the second peer was passed on as the whole answer. Its status covers the attempts of that peer only.

A peer's 503 counts as a refusal if another attempt runs or may have run. The request then waits for that attempt, asks another peer, or ends with 502 or 504. If nothing else may have run, the answer goes to the caller as before, with its time of return. Nothing changes between daemons.

The cases change the configuration at the sender and its peers in either order, while the server or the peer holds, fails or freezes, on a virtual clock.

--- a/packages/forwarding/src/lavendershed/forwarding/attempts.py
+++ b/packages/forwarding/src/lavendershed/forwarding/attempts.py
@@ -199,6 +199,13 @@
             self._context.timers.now(), self._admitted_request.deadline
         )
 
+    def may_run_elsewhere(self, peer: addresses.Address) -> bool:
+        """Returns whether an attempt that is not at `peer` may have run."""
+        return (
+            bool(self._open_servers - {_peer_key(peer)})
+            or self.execution is not states.Execution.NOT_RUN
+        )
+
     def record_start(self, server: ids.BackendServerId) -> None:
         """Records that an attempt runs on a server."""
         self._open_servers.add(server)
--- a/packages/forwarding/src/lavendershed/forwarding/codecs.py
+++ b/packages/forwarding/src/lavendershed/forwarding/codecs.py
@@ -39,6 +39,10 @@
     ) -> tuple[int, requests.Headers, bytes]:
         """Returns status, headers and body for a failure."""
 
+    @abc.abstractmethod
+    def says_not_run(self, status: int) -> bool:
+        """Returns whether a status tells callers that nothing has run."""
+
 
 class BackendCodec(abc.ABC):
     """Encodes requests to backend servers and decodes responses."""
--- a/packages/forwarding/src/lavendershed/forwarding/relayed_attempt.py
+++ b/packages/forwarding/src/lavendershed/forwarding/relayed_attempt.py
@@ -180,6 +180,14 @@
                 forwarding_states.AttemptOutcome.REFUSED,
                 f"{self._peer} could not resume the stream",
             )
+        if self._context.caller_codec.says_not_run(
+            response.status
+        ) and self._attempts.may_run_elsewhere(self._peer):
+            # The peer speaks of its own attempts only.
+            return _failed(
+                forwarding_states.AttemptOutcome.REFUSED,
+                f"{self._peer} has not run the request",
+            )
         return attempts.AttemptResult(
             forwarding_states.AttemptOutcome.COMPLETE,
             response=requests.BackendResponse(response, content.ok_value),
--- a/packages/platform/src/lavendershed/platform/callers.py
+++ b/packages/platform/src/lavendershed/platform/callers.py
@@ -97,6 +97,10 @@
         body = f"{failure.reason.value}: {failure.detail}\n".encode()
         return status, headers, body
 
+    def says_not_run(self, status: int) -> bool:
+        """Returns whether a status tells callers that nothing has run."""
+        return status == _NOT_RUN_STATUS
+
 
 def _end_to_end_headers(headers: requests.Headers) -> requests.Headers:
     """Returns the end-to-end headers, which are forwarded unchanged."""
--- a/packages/platform/src/lavendershed/platform/factory.py
+++ b/packages/platform/src/lavendershed/platform/factory.py
@@ -89,6 +89,7 @@
     generator: random.Random,
     connector: connections.Connector | None = None,
     started_at: units.Instant | None = None,
+    peer_connector: connections.Connector | None = None,
 ) -> PlatformComponents:
     """Builds and connects all components.
 
@@ -100,6 +101,8 @@
         generator: Source of random numbers.
         connector: Opens connections to backend servers; TCP by default.
         started_at: When the process started; now by default.
+        peer_connector: Opens connections to other daemons for relayed requests;
+            TCP by default.
     """
     health = server_health.ServerHealth()
     view = deployment_view.DeploymentView(
@@ -159,7 +162,7 @@
         relay_peers.RelayPeers(platform_settings.zone, generator),
         tracker,
         connections.BackendConnectionPool(
-            timer_service, connections.TcpConnector()
+            timer_service, peer_connector or connections.TcpConnector()
         ),
         timer_service,
     )
--- a/tests/test_configuration_under_way.py
+++ b/tests/test_configuration_under_way.py
@@ -80,6 +80,7 @@
     SERVICE_PLAIN = "service without a profile of its engines"
     KEY_WITHDRAWN = "key withdrawn"
     SERVERS_GONE = "service removed, and its servers"
+    SERVERS_LEFT = "servers gone, of a service that stays"
     SERVERS_REPLACED = "servers replaced, and the route moved back and forth"
     STORM = "all of them in quick succession"
 
@@ -92,6 +93,7 @@
     Change.SERVICE_REMOVED_ALONE: 503,
     Change.KEY_WITHDRAWN: 401,
     Change.SERVERS_GONE: 404,
+    Change.SERVERS_LEFT: 503,
     Change.STORM: 401,
 }
 STORM_CHANGES = (
@@ -102,6 +104,8 @@
     Change.SERVICE_PLAIN,
     Change.SERVICE_REMOVED_ALONE,
 )
+WITHOUT_SERVERS = frozenset({Change.SERVERS_GONE, Change.SERVERS_LEFT})
+REFUSED_AT_ADMISSION = frozenset({401, 404})
 _CONNECTING = frozenset({Moment.CONNECTING, Moment.BETWEEN_ATTEMPTS})
 CONNECT_DELAY_S = 0.4
 CHANGE_AT_S = {
@@ -155,9 +159,16 @@
 
 
 class World:
-    """A daemon and its servers, whose configuration a test changes."""
+    """Daemons and their servers, whose configuration a test changes.
 
-    def __init__(self, *, configured=True):
+    Attributes:
+        daemon: The daemon that requests are sent to.
+        peers: Other daemons.
+        listeners: Their listeners for relayed requests.
+        changed: The daemons that a change is applied to.
+    """
+
+    def __init__(self, *, configured=True, peers=0):
         self.servers = [
             new_server(service, number)
             for number, service in enumerate(
@@ -168,11 +179,24 @@
                 )
             )
         ]
-        self.daemon = virtual_case.VirtualDaemon(self.servers)
+        self.daemon, *self.peers = (
+            virtual_case.VirtualDaemon(
+                self.servers,
+                seed=number,
+                address=addresses.Address(f"10.0.3.{number}", 9),
+            )
+            for number in range(1, peers + 2)
+        )
+        self.listeners = [
+            virtual_case.RelayListener(peer) for peer in self.peers
+        ]
+        for listener in self.listeners:
+            self.daemon.peer_connector.add(listener)
+        self.changed = (self.daemon, *self.peers)
         self.version = 0
         if configured:
             self.configure()
-            self.daemon.list_servers(self.servers)
+            self.list_servers(*self.servers)
 
     def configure(self, routes=ROUTES, services=(), removed=(), key=None):
         """Applies the next version.
@@ -200,7 +224,13 @@
             for service in known
             if service["name"] not in removed
         ]
-        self.daemon.configure(configuration)
+        for daemon in self.changed:
+            daemon.configure(configuration)
+
+    def list_servers(self, *servers):
+        """Applies a listing of all servers."""
+        for daemon in self.changed:
+            daemon.list_servers(servers)
 
     def apply(self, change, path):
         """Makes one change that concerns the route of a path."""
@@ -236,14 +266,18 @@
                 self.configure(key=NEW_KEY)
             case Change.SERVERS_GONE:
                 self.configure(others, removed=(service,))
-                self.daemon.list_servers(
-                    [s for s in self.servers if s.service != service]
-                )
+                self.remove_servers(service)
+            case Change.SERVERS_LEFT:
+                self.remove_servers(service)
             case Change.SERVERS_REPLACED:
                 self.configure((*others, moved))
                 self.replace_servers(service)
                 self.configure()
 
+    def remove_servers(self, service):
+        """Applies a listing without the servers of a service."""
+        self.list_servers(*(s for s in self.servers if s.service != service))
+
     def replace_servers(self, service):
         """Has new servers with the names of the old ones take over."""
         replaced = [
@@ -256,14 +290,15 @@
             server.address = dataclasses.replace(
                 server.address, host=f"10.0.1.{number + 1}"
             )
-            self.daemon.connector.add(server)
+            for daemon in (self.daemon, *self.peers):
+                daemon.connector.add(server)
         self.servers += replaced
-        self.daemon.list_servers(
-            [
+        self.list_servers(
+            *(
                 server
                 for server in self.servers
                 if server.service != service or server in replaced
-            ]
+            )
         )
 
     async def storm(self, path):
@@ -301,8 +336,12 @@
     @property
     def last_server(self):
         """Server of the last attempt."""
-        dispatched = self.daemon.events(events.Event.REQUEST_DISPATCHED)
-        return next(s for s in self.servers if s.id == dispatched[-1]["server"])
+        *_, dispatched = (
+            fields
+            for daemon in (self.daemon, *self.peers)
+            for fields in daemon.events(events.Event.REQUEST_DISPATCHED)
+        )
+        return next(s for s in self.servers if s.id == dispatched["server"])
 
     def arrivals(self, number):
         return [
@@ -313,11 +352,11 @@
         ]
 
 
-class ConfigurationUnderWayTest(unittest.TestCase):
-    """Fails if a change takes the answer of a request that is under way."""
+class UnderWayCase(unittest.TestCase):
+    """What holds for every request, whatever happens."""
 
     def assert_truthful(self, path, caller, seconds, arrivals):
-        """Checks what holds for every request, whatever happens."""
+        """Checks that a request ended in time, and as was said."""
         self.assertLessEqual(seconds, DEADLINE_S + 0.1)
         self.assertNotEqual(caller.complete, caller.aborted)
         if path not in REPEATABLE:
@@ -334,19 +373,18 @@
 
     async def assert_nothing_left(self, world):
         await asyncio.sleep(SETTLING_S)
-        context = world.daemon.context
-        context.load_tracker.expire(context.timers.now())
-        self.assertEqual(context.load_tracker.local_tasks, ())
-        self.assertEqual(context.response_buffers.used, 0)
-        self.assertEqual(context.request_buffers.used, 0)
-        self.assertEqual(world.daemon.gateway._unanswered, {})
-        self.assertEqual(
-            {name: server.open for name, server in enumerate(world.servers)},
-            dict.fromkeys(range(len(world.servers)), 0),
-        )
-        for service in (*OTHER_SERVICES, *OTHER_SERVICES.values()):
-            self.assertEqual(context.waiting_room.backlog(service), 0.0)
-        self.assertEqual(world.daemon.events(events.Event.UNEXPECTED_ERROR), [])
+        self.assertEqual({server.open for server in world.servers}, {0})
+        for daemon in (world.daemon, *world.peers):
+            context = daemon.context
+            context.load_tracker.expire(context.timers.now())
+            self.assertEqual(context.load_tracker.local_tasks, ())
+            self.assertEqual(context.response_buffers.used, 0)
+            self.assertEqual(context.request_buffers.used, 0)
+            self.assertEqual(daemon.gateway._unanswered, {})
+            self.assertEqual(daemon.relay_handler._open_requests, 0)
+            for service in (*OTHER_SERVICES, *OTHER_SERVICES.values()):
+                self.assertEqual(context.waiting_room.backlog(service), 0.0)
+            self.assertEqual(daemon.events(events.Event.UNEXPECTED_ERROR), [])
 
     async def assert_in_force(self, world, change, path):
         """Checks that a later request is handled by the newest version."""
@@ -370,6 +408,10 @@
         if change is Change.SERVERS_REPLACED:
             self.assertEqual({s.incarnation for s in arrivals}, {2})
 
+
+class ConfigurationUnderWayTest(UnderWayCase):
+    """Fails if a change takes the answer of a request that is under way."""
+
     def play(self, path, moment, change, failure):
         async def play():
             world = World()
@@ -438,10 +480,10 @@
 
     def must_be_whole(self, path, moment, change, failure):
         if moment is Moment.WAITING:
-            return change is not Change.SERVERS_GONE
+            return change not in WITHOUT_SERVERS
         if failure is Failure.NONE:
             return True
-        if change is Change.SERVERS_GONE:
+        if change in WITHOUT_SERVERS:
             return False
         not_sent = moment in _CONNECTING and failure is Failure.RESET
         return path in REPEATABLE or not_sent
@@ -472,7 +514,7 @@
                     sending = asyncio.create_task(world.send(path, 1))
                     await asyncio.sleep(0.05)
                     self.assertFalse(sending.done())
-                    world.daemon.list_servers(world.servers)
+                    world.list_servers(*world.servers)
                     world.configure()
                     if gap_s:
                         await asyncio.sleep(gap_s)
@@ -496,5 +538,124 @@
                 virtual_case.run(play())
 
 
+class Spread(enum.Enum):
+    """Which daemons apply a change before the request is sent, or after."""
+
+    PEERS_FIRST = "peers before the request, the sender after"
+    SENDER_FIRST = "sender before the request, the peers after"
+    PEERS_MEANWHILE = "peers in the meantime"
+    SENDER_MEANWHILE = "sender in the meantime"
+
+
+class PeerFailure(enum.Enum):
+    """What happens to the peer or the server under the request."""
+
+    NONE = "none"
+    SERVER_RESET = "server reset"
+    SERVER_SILENT = "server silent"
+    PEER_FROZEN = "peer frozen"
+    PEER_LOST = "peer lost"
+    ALL_FROZEN = "all peers frozen from before the request until after its end"
+
+
+class RelayedUnderWayTest(UnderWayCase):
+    """Fails if a change at one of two daemons takes an answer."""
+
+    async def start(self):
+        """Returns a world in which a daemon is cut off from the servers."""
+        world = World(peers=2)
+        asyncio.get_running_loop().create_task(self.report(world))
+        await asyncio.sleep(0.0)
+        for server in world.servers:
+            world.daemon.connector.remove(server)
+        for server in world.servers:
+            await world.daemon.context.connections.probe(server.address)
+        self.assertTrue(world.daemon.context.relay.is_cut_off)
+        return world
+
+    async def report(self, world):
+        while True:
+            for peer in world.peers:
+                world.daemon.hear_of(peer)
+            await asyncio.sleep(1.0)
+
+    def play(self, path, moment, spread, change, failure):
+        async def play():
+            world = await self.start()
+            peers, sender = tuple(world.peers), (world.daemon,)
+            first, then = {
+                Spread.PEERS_FIRST: (peers, sender),
+                Spread.SENDER_FIRST: (sender, peers),
+                Spread.PEERS_MEANWHILE: ((), peers),
+                Spread.SENDER_MEANWHILE: ((), sender),
+            }[spread]
+            if first:
+                world.changed = first
+                world.apply(change, path)
+            if failure is PeerFailure.ALL_FROZEN:
+                for listener in world.listeners:
+                    listener.running.clear()
+            sending = asyncio.create_task(world.send(path, 1))
+            await asyncio.sleep(CHANGE_AT_S[moment])
+            world.changed = then
+            world.version -= bool(first)
+            world.apply(change, path)
+            running = bool(world.arrivals(1))
+            if running:
+                self.fail_path(world, failure)
+            caller, seconds = await sending
+            whole = test_silence.is_whole(path, caller)
+            if failure is PeerFailure.NONE and running:
+                self.assertEqual(
+                    whole,
+                    (spread, change)
+                    != (Spread.SENDER_FIRST, Change.ROUTE_TIGHTENED),
+                    (caller.status, caller.body),
+                )
+            for listener in world.listeners:
+                listener.running.set()
+            for server in world.servers:
+                server.dead_from = None
+            await self.assert_nothing_left(world)
+            if caller.status in REFUSED_AT_ADMISSION:
+                self.assertIs(spread, Spread.SENDER_FIRST)
+                return
+            # Also what a peer does once it goes on.
+            arrivals = world.arrivals(1)
+            self.assert_truthful(path, caller, seconds, arrivals)
+
+        virtual_case.run(play())
+
+    def fail_path(self, world, failure):
+        """Has the peer of the request fail, or its server."""
+        (listener,) = [x for x in world.listeners if x.received]
+        match failure:
+            case PeerFailure.SERVER_RESET:
+                world.last_server.reset()
+            case PeerFailure.SERVER_SILENT:
+                world.last_server.dead_from = 0.0
+            case PeerFailure.PEER_FROZEN:
+                listener.running.clear()
+            case PeerFailure.PEER_LOST:
+                listener.reset()
+
+    def test_no_change_takes_an_answer_of_a_peer(self):
+        for path, moment, spread, change, failure in itertools.product(
+            PATHS,
+            (Moment.BEFORE_FIRST_BYTE, Moment.IN_ANSWER),
+            Spread,
+            [change for change in Change if change is not Change.STORM],
+            PeerFailure,
+        ):
+            with self.subTest(
+                path=path,
+                moment=moment.value,
+                spread=spread.value,
+                change=change.value,
+                failure=failure.value,
+            ):
+                self.play(path, moment, spread, change, failure)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/virtual_case.py
+++ b/tests/virtual_case.py
@@ -17,6 +17,7 @@
 from lavendershed.core import store_revisions
 from lavendershed.core import units
 from lavendershed.forwarding import connections
+from lavendershed.forwarding import relay
 from lavendershed.peer import peer_state
 from lavendershed.platform import factory
 from lavendershed.platform import settings
@@ -280,22 +281,110 @@
         self.aborted = True
 
 
+class _PeerResponder(Caller):
+    """Sends the answer to a relayed request to the other daemon."""
+
+    def __init__(self, writer, running):
+        super().__init__()
+        self._writer = writer
+        self._running = running
+
+    async def respond(self, status, body, headers=()):
+        await self._running.wait()
+        length = ("content-length", str(len(body)))
+        self._send_head(status, (*headers, length))
+        self._writer.write(body)
+        self.complete = True
+
+    def start(self, status, headers=()):
+        self._send_head(status, (*headers, ("transfer-encoding", "chunked")))
+
+    def _send_head(self, status, headers):
+        super().start(status, headers)
+        lines = [f"HTTP/1.1 {status} X", *(f"{n}: {v}" for n, v in headers)]
+        self._writer.write("\r\n".join([*lines, "", ""]).encode("latin-1"))
+
+    async def write(self, data):
+        await self._running.wait()
+        self._writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+        return await super().write(data)
+
+    async def finish(self):
+        await self._running.wait()
+        self._writer.write(b"0\r\n\r\n")
+        await super().finish()
+
+    def abort(self):
+        self._writer.reset()
+        super().abort()
+
+
+class RelayListener(MemoryServer):
+    """Listener of a daemon for requests that others pass on.
+
+    Attributes:
+        running: Cleared while the daemon is frozen.
+        received: Number of relayed requests that were read.
+    """
+
+    def __init__(self, daemon):
+        super().__init__(str(daemon.address), "", 0)
+        self.address = relay.relay_address(daemon.address)
+        self.running = asyncio.Event()
+        self.running.set()
+        self.received = 0
+        self._daemon = daemon
+        self._writers = set()
+
+    async def serve(self, reader, writer):
+        self._writers.add(writer)
+        while True:
+            method, target, fields, body = await self.read_request(reader)
+            self.received += 1
+            await self.running.wait()
+            responder = _PeerResponder(writer, self.running)
+            handling = asyncio.get_running_loop().create_task(
+                self._daemon.relay_handler.handle(
+                    handlers.ServerRequest(
+                        method, target, "", tuple(fields.items()), body, target
+                    ),
+                    responder,
+                )
+            )
+            leaving = asyncio.get_running_loop().create_task(reader.read(1))
+            leaving.add_done_callback(lambda _, r=responder: r.leave())
+            try:
+                await handling
+            finally:
+                leaving.cancel()
+            await asyncio.wait((leaving,))
+
+    def reset(self):
+        """Ends all connections at once."""
+        for writer in self._writers:
+            writer.reset()
+
+
 class VirtualDaemon:
     """Components of one daemon, without its listeners.
 
     Without routes it has no configuration and knows no servers.
     """
 
-    def __init__(self, servers, *routes, seed=1):
+    def __init__(self, servers, *routes, seed=1, address=_NOWHERE):
         loop = asyncio.get_running_loop()
         self.timers = event_loop_timers.EventLoopTimerService(loop)
         self.log = log.MemoryEventLog()
         self.connector = MemoryConnector(servers)
+        self.peer_connector = MemoryConnector(())
+        self.address = address
         parts = factory.build(
             settings.PlatformSettings(
                 ids.VmId("vm"),
                 ids.AvailabilityZoneId("a"),
-                *[_NOWHERE] * 3,
+                _NOWHERE,
+                _NOWHERE,
+                address,
                 (),
                 _NOWHERE,
                 units.Seconds(8.0),
@@ -306,9 +395,12 @@
             self.log,
             random.Random(seed),
             self.connector,
+            peer_connector=self.peer_connector,
         )
         self.context = parts.components.context
         self.gateway = parts.components.gateway
+        self.relay_handler = parts.components.relay_handler
+        self._peers = parts.peers
         self._revision = 0
         if routes:
             self.configure(platform_case.configuration(1, *routes))
@@ -338,6 +430,17 @@
             self.timers.now(),
         )
 
+    def hear_of(self, peer):
+        """Handles a load report of another daemon."""
+        self._peers.on_report(
+            peer.address,
+            ids.Incarnation(peer.address.port),
+            1,
+            (),
+            self.context.zone,
+            self.timers.now(),
+        )
+
     def _next_revision(self):
         self._revision += 1
         return store_revisions.of(1, self._revision)
