Ask a peer for other requests although it does not know one service

What callers saw: 503 for a second on all requests to a daemon that is cut off from the servers, after one request for a service that its peers did not know yet, or no more.

Cause: each refusal left the peer out for all requests for a second, also one that concerned a single request. A change of the configuration reaches daemons at different times, so that all peers of a zone refuse the same service and none is left.

A refusal names what it concerns in a header of its own. Only one of all requests leaves the peer out; a request that a peer can't read or whose service it does not know goes to the next one. Answers without the header, from earlier builds, are treated as before, and earlier builds ignore it.

Evidence: all 16 cases of test_an_unknown_service_takes_no_peer_from_other_requests fail without the change ("daemon is cut off from the servers, and no other one can help").

--- a/packages/forwarding/src/lavendershed/forwarding/relay.py
+++ b/packages/forwarding/src/lavendershed/forwarding/relay.py
@@ -20,6 +20,9 @@
 
 # Names what the peer did with a request, in the head of its response.
 RESULT_HEADER = "relay-result"
+# Names what a refusal concerns. Earlier builds don't send it and refuse all
+# requests.
+REFUSAL_HEADER = "relay-refusal"
 # Idle connections between daemons are closed by the server after this time.
 IDLE_TIMEOUT = units.Seconds(15.0)
 REUSE_PERIOD = units.Seconds(5.0)
@@ -40,6 +43,15 @@
     STREAM = "stream"
 
 
+class RefusalScope(enum.Enum):
+    """Which relayed requests a daemon refuses; the values are sent."""
+
+    ALL = "all"
+    # The peer can't run this one, such as one for a service that only the
+    # configuration of the sender has.
+    REQUEST = "request"
+
+
 def relay_address(peer: addresses.Address) -> addresses.Address:
     """Returns the address at which a daemon accepts relayed requests."""
     return addresses.Address(peer.host, peer.port + _PORT_OFFSET)
--- a/packages/forwarding/src/lavendershed/forwarding/relay_handler.py
+++ b/packages/forwarding/src/lavendershed/forwarding/relay_handler.py
@@ -41,14 +41,24 @@
             request.body, context.view.table, context.timers.now()
         )
         if isinstance(decoded, result.Err):
-            await self._refuse(ids.RequestId(""), decoded.err_value, responder)
+            await self._refuse(
+                ids.RequestId(""),
+                decoded.err_value,
+                relay.RefusalScope.REQUEST,
+                responder,
+            )
             return
         admitted_request = decoded.ok_value
         refusal = self._refusal() or self._gateway.check_relayed(
             admitted_request
         )
         if refusal is not None:
-            await self._refuse(admitted_request.request.id, refusal, responder)
+            await self._refuse(
+                admitted_request.request.id,
+                refusal,
+                relay.RefusalScope.ALL,
+                responder,
+            )
             return
         self._open_requests += 1
         try:
@@ -62,6 +72,7 @@
         self,
         request: ids.RequestId,
         reason: str,
+        scope: relay.RefusalScope,
         responder: handlers.Responder,
     ) -> None:
         self._context.log.emit(
@@ -70,7 +81,10 @@
         await responder.respond(
             _REFUSED_STATUS,
             reason.encode(),
-            ((relay.RESULT_HEADER, relay.RelayResult.REFUSED.value),),
+            (
+                (relay.RESULT_HEADER, relay.RelayResult.REFUSED.value),
+                (relay.REFUSAL_HEADER, scope.value),
+            ),
         )
 
     def _refusal(self) -> str | None:
--- a/packages/forwarding/src/lavendershed/forwarding/relayed_attempt.py
+++ b/packages/forwarding/src/lavendershed/forwarding/relayed_attempt.py
@@ -150,12 +150,7 @@
             return self._on_transport_error(head.err_value)
         relay_result = head.ok_value.header(relay.RESULT_HEADER)
         if relay_result == relay.RelayResult.REFUSED.value:
-            # Another peer is asked; this one runs no request of others.
-            self._context.relay.on_failure(self._peer)
-            return _failed(
-                forwarding_states.AttemptOutcome.NOT_SENT,
-                f"{self._peer} runs no requests of other daemons",
-            )
+            return self._on_refused(head.ok_value)
         response = _response_head(head.ok_value)
         if (
             relay_result == relay.RelayResult.STREAM.value
@@ -193,6 +188,20 @@
             response=requests.BackendResponse(response, content.ok_value),
         )
 
+    def _on_refused(self, head: client.ResponseHead) -> attempts.AttemptResult:
+        """Handles a refusal; another peer is asked."""
+        scope = head.header(relay.REFUSAL_HEADER)
+        if scope == relay.RefusalScope.REQUEST.value:
+            return _failed(
+                forwarding_states.AttemptOutcome.NOT_SENT,
+                f"{self._peer} can't run this request",
+            )
+        self._context.relay.on_failure(self._peer)
+        return _failed(
+            forwarding_states.AttemptOutcome.NOT_SENT,
+            f"{self._peer} runs no requests of other daemons",
+        )
+
     async def _forward_events(
         self,
         connection: client.ClientConnection,
--- a/tests/test_configuration_under_way.py
+++ b/tests/test_configuration_under_way.py
@@ -639,6 +639,38 @@
             case PeerFailure.PEER_LOST:
                 listener.reset()
 
+    def test_an_unknown_service_takes_no_peer_from_other_requests(self):
+        """A peer may learn of a service later, or of its end earlier."""
+        first = {
+            Spread.PEERS_FIRST: Change.SERVICE_REMOVED_ALONE,
+            Spread.SENDER_FIRST: Change.ROUTE_MOVED,
+        }
+        for path, other, spread in itertools.product(PATHS, PATHS, first):
+            if (path in STREAMS) == (other in STREAMS):
+                continue
+
+            async def play(path=path, other=other, spread=spread):
+                world = await self.start()
+                world.changed = world.peers
+                if spread is Spread.PEERS_FIRST:
+                    world.apply(first[spread], path)
+                else:
+                    world.configure(removed=OTHER_SERVICES.values())
+                    world.changed = (world.daemon,)
+                    world.apply(first[spread], path)
+                caller, _ = await world.send(path, 1)
+                self.assertEqual(caller.status, 503)
+                self.assertEqual(world.arrivals(1), [])
+                caller, _ = await world.send(other, 2)
+                self.assertTrue(
+                    test_silence.is_whole(other, caller),
+                    (caller.status, caller.body),
+                )
+                await self.assert_nothing_left(world)
+
+            with self.subTest(path=path, other=other, spread=spread.value):
+                virtual_case.run(play())
+
     def test_no_change_takes_an_answer_of_a_peer(self):
         for path, moment, spread, change, failure in itertools.product(
             PATHS,
