Test that relayed requests are repeated by the route of their admission

RelayedUnderWayTest asked for the whole answer only if nothing failed. A repeatable request that was running must be answered, too, if its server or its peer fails and the daemons still know its service.

--- a/tests/test_configuration_under_way.py
+++ b/tests/test_configuration_under_way.py
@@ -105,6 +105,16 @@
     Change.SERVICE_REMOVED_ALONE,
 )
 WITHOUT_SERVERS = frozenset({Change.SERVERS_GONE, Change.SERVERS_LEFT})
+SERVICE_KEPT = frozenset(
+    {
+        Change.ROUTE_REMOVED,
+        Change.ROUTE_MOVED,
+        Change.ROUTE_TIGHTENED,
+        Change.ROUTE_RESTRICTED,
+        Change.KEY_WITHDRAWN,
+        Change.SERVERS_REPLACED,
+    }
+)
 REFUSED_AT_ADMISSION = frozenset({401, 404})
 _CONNECTING = frozenset({Moment.CONNECTING, Moment.BETWEEN_ATTEMPTS})
 CONNECT_DELAY_S = 0.4
@@ -612,6 +622,8 @@
                     != (Spread.SENDER_FIRST, Change.ROUTE_TIGHTENED),
                     (caller.status, caller.body),
                 )
+            if running and self.is_repeated(path, spread, change, failure):
+                self.assertTrue(whole, (caller.status, caller.body))
             for listener in world.listeners:
                 listener.running.set()
             for server in world.servers:
@@ -626,6 +638,17 @@
 
         virtual_case.run(play())
 
+    def is_repeated(self, path, spread, change, failure):
+        """Returns whether a request that was running is sent once more."""
+        if path not in REPEATABLE or spread is Spread.SENDER_FIRST:
+            return False
+        if failure in {PeerFailure.SERVER_RESET, PeerFailure.SERVER_SILENT}:
+            return change not in WITHOUT_SERVERS
+        return (
+            failure in {PeerFailure.PEER_FROZEN, PeerFailure.PEER_LOST}
+            and change in SERVICE_KEPT
+        )
+
     def fail_path(self, world, failure):
         """Has the peer of the request fail, or its server."""
         (listener,) = [x for x in world.listeners if x.received]
