Let callers in memory keep the contract for connections that are closed

A callback that is set after the caller has left runs in the next iteration of the event loop, as in the daemon's listener. Without it, a test saw an execution go on for a caller that had left while its request waited for the first configuration; with it, the execution ends at once.

--- a/tests/virtual_case.py
+++ b/tests/virtual_case.py
@@ -249,6 +249,8 @@
 
     def on_disconnect(self, callback):
         self._on_disconnect = callback
+        if callback is not None and self._disconnected.is_set():
+            asyncio.get_running_loop().call_soon(callback)
 
     def leave(self):
         """Closes the connection."""
