--- a/tests/test_configuration_under_way.py
+++ b/tests/test_configuration_under_way.py
@@ -390,7 +390,7 @@
             self.assertEqual(context.load_tracker.local_tasks, ())
             self.assertEqual(context.response_buffers.used, 0)
             self.assertEqual(context.request_buffers.used, 0)
-            self.assertEqual(daemon.gateway._unanswered, {})
+            self.assertEqual(daemon.gateway._open_requests, {})
             self.assertEqual(daemon.relay_handler._open_requests, 0)
             for service in (*OTHER_SERVICES, *OTHER_SERVICES.values()):
                 self.assertEqual(context.waiting_room.backlog(service), 0.0)
