Account for each request on open connections in a soak

Callers saw whole requests without an answer or a refusal beside changes of the configuration. No test kept connections open and sent slowly while limits, routes, keys, settings, servers and daemons change at the same time.

`ConnectionSoak` does so with daemon processes, and gives each request one outcome from three records: what its caller saw, what the servers received and the lines 105 and 119 of the daemons. Callers respect the announced idle limit, the header limit and `connection: close`. Violations are whole requests that were read or passed on and not answered, requests that were cut within their limits, unseen rejections, incomplete or other requests' answers, and unsafe requests that ran twice or although they were refused. Requests that crossed a close are counted.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 export PYTHONPATH := $(subst $(space),:,$(abspath $(SOURCES)))
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: demo test lint bench binary format relay soak
+.PHONY: demo test lint bench binary format relay soak soak-connections
 
 SEEDS ?= 1-10
 SECONDS ?= 20
@@ -42,3 +42,6 @@
 
 soak: $(VENV)/installed
 	$(PYTHON) tools/soak.py $(SEEDS) $(SECONDS)
+
+soak-connections: $(VENV)/installed
+	$(PYTHON) tools/soak.py $(SEEDS) $(SECONDS) --connections
--- a/packages/standin/src/lavendershed/standin/soak_daemon.py
+++ b/packages/standin/src/lavendershed/standin/soak_daemon.py
@@ -21,13 +21,31 @@
     """A daemon process with its own loopback IP address."""
 
     def __init__(
-        self, number: int, first_port: int, directory: pathlib.Path
+        self,
+        number: int,
+        first_port: int,
+        directory: pathlib.Path,
+        checkout: pathlib.Path | None = None,
     ) -> None:
+        """Creates a process that is not started.
+
+        Args:
+            number: Number of the daemon, from 0.
+            first_port: First of its ports.
+            directory: Directory of its settings and log.
+            checkout: Root of the source tree to run; None for this one.
+        """
         self._host = loopback.own_network().host(number)
         self._first_port = first_port
         self._directory = directory
         self._process: asyncio.subprocess.Process | None = None
-        self._log = (directory / f"daemon-{number}.log").open("ab")
+        self._checkout = checkout
+        self._log_path = directory / f"daemon-{number}.log"
+        self._log = self._log_path.open("ab")
+        self._retry_budget_slack = 100
+        self._started_with: tuple[address_module.Address, list[str]] | None = (
+            None
+        )
         # Signals that were sent, with the event loop's time.
         self._sent_signals: list[tuple[float, signal.Signals]] = []
 
@@ -41,6 +59,11 @@
         """Address of the readiness endpoint."""
         return address_module.Address(self._host, self._first_port + 1)
 
+    @property
+    def log_path(self) -> pathlib.Path:
+        """The log of all processes of this daemon."""
+        return self._log_path
+
     @property
     def running(self) -> bool:
         """Whether the process was started and has not exited."""
@@ -50,17 +73,23 @@
         self, store: address_module.Address, seeds: list[str]
     ) -> None:
         """Starts the process with its own settings file."""
-        path = self._directory / f"{self._host}.toml"
-        path.write_text(self._settings_toml(store, seeds))
+        self._started_with = (store, seeds)
+        self._write_settings()
         self._process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
             "lavendershed.platform.entry",
-            env={**os.environ, "LAVENDERSHED_CONFIG": str(path)},
+            env=self._environment(),
             stdout=self._log,
             stderr=self._log,
         )
 
+    def change_settings(self, retry_budget_slack: int) -> None:
+        """Changes the settings file and tells the process to read it."""
+        self._retry_budget_slack = retry_budget_slack
+        self._write_settings()
+        self.send_signal(signal.SIGHUP)
+
     def send_signal(self, signal_number: signal.Signals) -> None:
         """Sends a signal to the process if it is running."""
         if self._process is not None and self.running:
@@ -86,6 +115,31 @@
         self.send_signal(signal.SIGKILL)
         self._log.close()
 
+    @property
+    def _settings_path(self) -> pathlib.Path:
+        return self._directory / f"{self._host}.toml"
+
+    def _environment(self) -> dict[str, str]:
+        environment = {
+            **os.environ,
+            "LAVENDERSHED_CONFIG": str(self._settings_path),
+        }
+        if self._checkout is not None:
+            environment["PYTHONPATH"] = os.pathsep.join(
+                str(path)
+                for path in sorted(self._checkout.glob("packages/*/src"))
+            )
+            # The other source tree is only read.
+            environment["PYTHONDONTWRITEBYTECODE"] = "1"
+        return environment
+
+    def _write_settings(self) -> None:
+        assert self._started_with is not None
+        # The process may read the file at any moment.
+        new_path = self._settings_path.with_suffix(".new")
+        new_path.write_text(self._settings_toml(*self._started_with))
+        new_path.replace(self._settings_path)
+
     def _settings_toml(
         self, store: address_module.Address, seeds: list[str]
     ) -> str:
@@ -103,7 +157,7 @@
 grace_s = {int(GRACE_PERIOD)}
 retry_budget_ratio = 0.2
 budget_window_s = 10
-budget_slack = 100
+budget_slack = {self._retry_budget_slack}
 [provider]
 address = "{store}"
 """
--- a/packages/standin/src/lavendershed/standin/soak_deployment.py
+++ b/packages/standin/src/lavendershed/standin/soak_deployment.py
@@ -8,6 +8,7 @@
 import pathlib
 import random
 import tempfile
+from typing import Any
 
 import result
 
@@ -21,8 +22,8 @@
 from lavendershed.transport import address as address_module
 from lavendershed.transport import client
 
-_MODEL_SERVICE = "model"
-_PLAIN_SERVICE = "ledger"
+MODEL_SERVICE = "model"
+PLAIN_SERVICE = "ledger"
 _PORTS_PER_DAEMON = 4
 # Number of daemons that the settings of all daemons list as seeds.
 _SEED_COUNT = 3
@@ -32,13 +33,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SoakOptions:
-    """Size, request rate and duration of a soak run."""
+    """Size, request rate and duration of a soak run.
+
+    Attributes:
+        checkout: Root of the source tree whose daemon is started; None for
+            the code that runs the soak.
+    """
 
     daemons: int = 3
     engines: int = 4
     plain_servers: int = 3
     requests_per_second: float = 25.0
     duration_s: float = 20.0
+    checkout: pathlib.Path | None = None
 
 
 class SoakDeployment:
@@ -103,7 +110,7 @@
         first_port = 20_000 + self._random.randrange(2_000) * _PORTS_PER_DAEMON
         for index in range(self._options.daemons):
             daemon = soak_daemon.DaemonProcess(
-                index, first_port, self._directory
+                index, first_port, self._directory, self._options.checkout
             )
             self._daemons.append(daemon)
             await self.start_daemon(daemon)
@@ -127,6 +134,10 @@
 
     def publish_configuration(self, api_key: str) -> None:
         """Writes the next configuration version, with one API key."""
+        self._store.put("config", "main", self.next_configuration(api_key))
+
+    def next_configuration(self, api_key: str) -> dict[str, Any]:
+        """Returns the next configuration version, with one API key."""
         common_fields = {
             "host": soak_callers.HOST,
             "timeout_ms": int(soak_callers.REQUEST_TIMEOUT * 1_000),
@@ -135,9 +146,9 @@
             "max_attempts": 2,
         }
         route_kinds = (
-            ("stream", "streaming", _MODEL_SERVICE),
-            ("safe", "safe", _PLAIN_SERVICE),
-            ("unsafe", "unsafe", _PLAIN_SERVICE),
+            ("stream", "streaming", MODEL_SERVICE),
+            ("safe", "safe", PLAIN_SERVICE),
+            ("unsafe", "unsafe", PLAIN_SERVICE),
         )
         routes = [
             {
@@ -159,12 +170,12 @@
             "read_per_s": 2_000_000.0,
             "chunk": 2_048,
         }
-        specification = {
+        return {
             "version": next(self._configuration_versions),
             "route_table": routes,
             "services": [
-                {"name": _MODEL_SERVICE, "engine": engine_profile},
-                {"name": _PLAIN_SERVICE},
+                {"name": MODEL_SERVICE, "engine": engine_profile},
+                {"name": PLAIN_SERVICE},
             ],
             "limits": {
                 "max_header_bytes": 16_384,
@@ -174,12 +185,23 @@
             },
             "tenants": [{"name": "o", "api_keys": [api_key]}],
         }
-        self._store.put("config", "main", specification)
 
     def publish_server(
-        self, index: int, state: str = "ready", *, bypass_proxy: bool = False
+        self,
+        index: int,
+        state: str = "ready",
+        *,
+        bypass_proxy: bool = False,
+        service: str | None = None,
     ) -> None:
-        """Writes a server's entry with the proxy's or its own address."""
+        """Writes a server's entry with the proxy's or its own address.
+
+        Args:
+            index: Position in `backend_servers`.
+            state: State of the server.
+            bypass_proxy: Whether the entry has the server's own address.
+            service: Its service, if it is not the usual one.
+        """
         is_model_engine = index < self._options.engines
         server = (
             self._backend_servers[index]
@@ -187,7 +209,8 @@
             else self._proxies[index]
         )
         entry = {
-            "service": _MODEL_SERVICE if is_model_engine else _PLAIN_SERVICE,
+            "service": service
+            or (MODEL_SERVICE if is_model_engine else PLAIN_SERVICE),
             "address": str(server.address),
             "zone": "a",
             "state": state,
