Refuse requests over the size limit that waited for the configuration

Callers of a daemon that had just started got 200 for a body over the limit instead of 413, and its request was executed.

The server of a new daemon has a limit of 16 MB until its first configuration comes. Requests that were received by then wait for it, and were admitted without another check.

The gateway now checks the size at admission, too, and the platform's codec encodes the reason as 413. `test_size_limit_holds_for_requests_that_waited` failed before (one executed request) and holds.

--- a/packages/forwarding/src/lavendershed/forwarding/gateway.py
+++ b/packages/forwarding/src/lavendershed/forwarding/gateway.py
@@ -196,6 +196,15 @@
                     _NOT_READY_RETRY_AFTER,
                 )
             )
+        # The body may have arrived before the first configuration.
+        max_body = route_table.configuration.limits.max_body
+        if len(caller_request.body) > max_body:
+            return result.Err(
+                outcomes.not_run(
+                    states.FailureReason.BODY_TOO_LARGE,
+                    f"request body exceeds {max_body} bytes",
+                )
+            )
         route = route_table.route(caller_request.host, caller_request.path)
         if route is None:
             return result.Err(
--- a/packages/platform/src/lavendershed/platform/callers.py
+++ b/packages/platform/src/lavendershed/platform/callers.py
@@ -23,6 +23,7 @@
 
 _STATUS_BY_REASON = {
     states.FailureReason.BAD_REQUEST: 400,
+    states.FailureReason.BODY_TOO_LARGE: 413,
     states.FailureReason.UNAUTHENTICATED: 401,
     states.FailureReason.UNKNOWN_SERVICE: 404,
 }
--- a/tests/test_platform_rules.py
+++ b/tests/test_platform_rules.py
@@ -655,6 +655,36 @@
         )
         self.assertEqual((await task).head.status, 200)
 
+    async def test_size_limit_holds_for_requests_that_waited(self):
+        """Guards against requests that ran although they exceed the limit.
+
+        Their bodies arrived before the first configuration, under the limit
+        that a daemon has without one.
+        """
+        self.store.fault = platform_store.StoreFault.SILENT
+        other = await self.start_daemon(ready=False)
+        await asyncio.sleep(0.1)
+        limits = platform_case.configuration(1)["limits"]
+        task = self.loop.create_task(
+            self.request(
+                "/unsafe/x",
+                bytes(limits["max_body_bytes"] + 1),
+                address=other.caller_address,
+                deadline_ms="5000",
+            )
+        )
+        await asyncio.sleep(0.3)
+        self.assertFalse(task.done())
+        other.parts.components.context.view.on_peer_state(
+            self.daemon.parts.components.context.view.state_since(
+                0, store_revisions.NONE, self.timers.now()
+            ),
+            self.timers.now(),
+        )
+        response = await task
+        self.assertEqual(len(self.executed_requests()), 0)
+        self.assertEqual(response.head.status, 413)
+
     async def test_a_new_daemon_is_ready_soon_without_the_store(self):
         """Guards against daemons that wait before they ask a peer."""
         self.store.fault = platform_store.StoreFault.SILENT
