Correct how the connection soak judges ends near a stop

The caller now looks once more before it begins.

Requests that end with the grace period are counted apart by whether they were whole.

--- a/packages/standin/src/lavendershed/standin/connection_callers.py
+++ b/packages/standin/src/lavendershed/standin/connection_callers.py
@@ -324,7 +324,7 @@
         loop = asyncio.get_running_loop()
         idle_s = 0.0
         for number in itertools.count():
-            if loop.time() >= end_time:
+            if connection.ended or loop.time() >= end_time:
                 return
             exchange = await self._exchange(
                 connection, daemon, reads_slowly, number > 0, idle_s
@@ -336,8 +336,7 @@
             # reads slowly has the response.
             idle_since = exchange.sent_at if reads_slowly else exchange.ended_at
             longest = limit * _USED_SHARE - (loop.time() - idle_since)
-            if await connection.wait_for_end(self._idle_time(longest)):
-                return
+            await connection.wait_for_end(self._idle_time(longest))
             idle_s = loop.time() - idle_since
             if idle_s > limit * _LATE_SHARE:
                 return
--- a/packages/standin/src/lavendershed/standin/connection_soak.py
+++ b/packages/standin/src/lavendershed/standin/connection_soak.py
@@ -43,7 +43,7 @@
 _GRACE_MARGIN = units.Seconds(0.6)
 _MAX_PAUSE = units.Seconds(2.0)
 # At the end of the grace period, the daemon refuses the requests that it has
-# read and not answered within this time.
+# read and not answered before.
 _LAST_ANSWERS_TIME = units.Seconds(0.3)
 # A connection that was closed before its request arrived is reset at once.
 _CROSSING_TIME = units.Seconds(0.2)
@@ -64,6 +64,7 @@
     CUT = "cut while it was sent"
     REJECTION_UNSEEN = "rejection not seen"
     GRACE_OVER = "ended with the grace period"
+    GRACE_OVER_UNSENT = "ended with the grace period while it was sent"
     HUNG = "neither answer nor end"
 
 
@@ -373,7 +374,11 @@
         if not exchange.connection_ended:
             return Outcome.HUNG
         if self._grace_was_over(exchange) and self._may_be_cut(exchange):
-            return Outcome.GRACE_OVER
+            return (
+                Outcome.GRACE_OVER_UNSENT
+                if exchange.sent_at is None
+                else Outcome.GRACE_OVER
+            )
         if exchange.status is not None:
             return Outcome.INCOMPLETE
         if passed_on:
@@ -386,7 +391,7 @@
             return Outcome.DROPPED if was_read else Outcome.CROSSED
         crossed = logged is None and (
             exchange.ended_at - exchange.began_at < _CROSSING_TIME
-            or self._daemon_was_paused(exchange, exchange.began_at - _MAX_PAUSE)
+            or self._daemon_was_paused(exchange)
         )
         return Outcome.CROSSED if crossed else Outcome.CUT
 
@@ -430,23 +435,16 @@
         )
 
     def _may_be_cut(self, exchange: connection_callers.Exchange) -> bool:
-        """Returns whether the end of the grace period explains the end.
-
-        The daemon answers the requests that it has read just before, unless it
-        is paused then.
-        """
+        """Returns whether the end of the grace period explains the end."""
         return (
             exchange.sent_at is None
             or exchange.style is connection_callers.SendingStyle.SLOW_READER
             or exchange.ended_at - exchange.sent_at < _LAST_ANSWERS_TIME
-            or self._daemon_was_paused(
-                exchange, exchange.ended_at - _LAST_ANSWERS_TIME
-            )
         )
 
-    def _daemon_was_paused(
-        self, exchange: connection_callers.Exchange, since: float
-    ) -> bool:
+    def _daemon_was_paused(self, exchange: connection_callers.Exchange) -> bool:
         return exchange.daemon.was_signalled(
-            (signal.SIGSTOP, signal.SIGCONT), since, exchange.ended_at
+            (signal.SIGSTOP, signal.SIGCONT),
+            exchange.began_at - _MAX_PAUSE,
+            exchange.ended_at,
         )
