Answer the last requests of a stop after a pause across its deadline

Callers of a stopping daemon that was paused near the end of its grace period saw their connections close: of a request that had been passed on to a server, and of whole requests that lay in the socket.

The daemon ends the requests without an answer in the last 0.2 s before its deadline. A pause across them skipped this, and what had come meanwhile was not read.

Now the daemon also reads once more and refuses what is incomplete, within the margin of 0.3 s that it had. A stop that ends before its deadline takes as long as before.

`test_a_request_that_lies_in_the_socket_is_refused` fails without the change, both cases of `PausedStopTest` on.

--- a/packages/forwarding/src/lavendershed/forwarding/daemon.py
+++ b/packages/forwarding/src/lavendershed/forwarding/daemon.py
@@ -25,6 +25,8 @@
 _ANSWER_MARGIN = units.Seconds(0.2)
 # Connections still open this long before the end are aborted.
 _SHUTDOWN_MARGIN = units.Seconds(0.3)
+# Part of the shutdown margin.
+_LAST_READ_TIME = units.Seconds(0.05)
 _MAINTENANCE_INTERVAL = units.Seconds(0.5)
 
 
@@ -238,6 +240,14 @@
                     request_server.close_idle_connections()
                 idle_closed = True
             await asyncio.sleep(_DRAIN_POLL_INTERVAL)
+        else:
+            # A process that was paused across the deadline has not read what
+            # came meanwhile.
+            for request_server in request_servers:
+                await request_server.stop_accepting()
+            await asyncio.sleep(_LAST_READ_TIME)
+            for request_server in request_servers:
+                request_server.reject_incomplete_requests()
         open_requests = self._caller_server.active_connections
         relayed_requests = self._relay_server.active_connections
         await self._components.gateway.end_all_requests()
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import time
 import unittest
 
 import platform_case
@@ -99,5 +101,55 @@
         self.assert_answered(outcomes)
 
 
+def hold_up_loop():
+    """Runs nothing for a while, as if the process was paused."""
+    time.sleep(0.5)
+
+
+class PausedStopTest(platform_case.PlatformCase):
+    """Fails if a pause across the end of a planned stop cuts requests.
+
+    The daemon refused what had not been answered only before the deadline.
+    """
+
+    # The daemon stops waiting 0.3 s before it.
+    GRACE_S = 1.0
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.stopping = await self.start_daemon(grace_period=self.GRACE_S)
+
+    async def pause_across_deadline(self):
+        self.stopping.stop.set()
+        await asyncio.sleep(0.3)
+        hold_up_loop()
+
+    async def test_a_request_that_was_passed_on_is_answered(self):
+        self.set_fault(Fault.HANG)
+        task = self.loop.create_task(
+            self.request("/unsafe/x", address=self.stopping.caller_address)
+        )
+        await self.wait_until(lambda: self.executed_requests())
+        await self.pause_across_deadline()
+        self.assertEqual((await task).head.status, 502)
+        await self.stopping.task
+
+    async def test_a_request_that_lies_in_the_socket_is_refused(self):
+        address = self.stopping.caller_address
+        self.stopping.stop.set()
+        await asyncio.sleep(0.3)
+        with socket.create_connection((address.host, address.port)) as caller:
+            caller.sendall(
+                b"POST /unsafe/x HTTP/1.1\r\nhost: users.example\r\n"
+                b"x-api-key: %b\r\ncontent-length: 0\r\n\r\n"
+                % platform_case.KEY.encode()
+            )
+            hold_up_loop()
+            await self.stopping.task
+            status_line = caller.recv(1_000).partition(b"\r\n")[0]
+        self.assertEqual(status_line, b"HTTP/1.1 503 ")
+        self.assertEqual(self.executed_requests(), [])
+
+
 if __name__ == "__main__":
     unittest.main()
