Rename fields of connections after what they hold

Found by the review: a newcomer could not tell the first limit of a phase from the one that was promised, or a poll of the socket from a read.

--- a/packages/transport/src/lavendershed/transport/receive_deadline.py
+++ b/packages/transport/src/lavendershed/transport/receive_deadline.py
@@ -59,9 +59,9 @@
         self._limits = limits
         self._on_expired = on_expired
         self._phase = ReceivePhase.IDLE
-        self._since = timer_service.now()
-        self._request_since = self._since
-        self._initial_limit: units.Seconds | None = None
+        self._phase_started_at = timer_service.now()
+        self._request_started_at = self._phase_started_at
+        self._promised_limit: units.Seconds | None = None
         self._served = False
         self._extension = units.Seconds(0.0)
         self._timer: timers.Timer | None = None
@@ -74,9 +74,9 @@
         return self._phase
 
     @property
-    def request_since(self) -> units.Instant:
+    def request_started_at(self) -> units.Instant:
         """When the first byte of the last request was received."""
-        return self._request_since
+        return self._request_started_at
 
     @property
     def expires_at(self) -> units.Instant | None:
@@ -84,12 +84,12 @@
         limit = self._current_limit()
         if limit is None:
             return None
-        if self._initial_limit is not None:
-            limit = max(limit, self._initial_limit)
+        if self._promised_limit is not None:
+            limit = max(limit, self._promised_limit)
         start = (
-            self._since
+            self._phase_started_at
             if self._phase is ReceivePhase.IDLE
-            else self._request_since
+            else self._request_started_at
         )
         return units.after(start, units.Seconds(limit + self._extension))
 
@@ -110,24 +110,24 @@
         """
         now = self._timers.now()
         if self._phase is ReceivePhase.IDLE and phase is not self._phase:
-            self._request_since = now
+            self._request_started_at = now
         self._served = self._served or phase is ReceivePhase.HANDLING
         self._phase = phase
-        self._since = now
+        self._phase_started_at = now
         self._extension = units.Seconds(0.0)
-        self._initial_limit = announced or self._current_limit()
+        self._promised_limit = announced or self._current_limit()
         self._arm()
 
     def set_limits(self, limits: server.ServerLimits) -> None:
         """Replaces the limits."""
         self._limits = limits
         limit = self._current_limit()
-        if limit is not None and self._initial_limit is not None:
+        if limit is not None and self._promised_limit is not None:
             # Callers may know the raised limit from other connections.
-            self._initial_limit = max(limit, self._initial_limit)
+            self._promised_limit = max(limit, self._promised_limit)
         self._arm()
 
-    def recheck(self) -> None:
+    def rearm(self) -> None:
         """Waits for the deadline of the phase that has begun meanwhile."""
         self._arm()
 
--- a/packages/transport/src/lavendershed/transport/server.py
+++ b/packages/transport/src/lavendershed/transport/server.py
@@ -133,7 +133,7 @@
 
     @property
     def stopping(self) -> bool:
-        """Whether connections close after their current request."""
+        """Whether each response says that its connection closes."""
         return self._stopping
 
     @property
@@ -194,7 +194,10 @@
             connection.reject_incomplete_request()
 
     def close_idle_connections(self) -> None:
-        """Closes idle connections now and others after their request."""
+        """Closes idle connections, once their sockets have been read.
+
+        Others close after the next response that says so.
+        """
         self._stopping = True
         for connection in tuple(self._connections):
             connection.close_if_idle()
--- a/packages/transport/src/lavendershed/transport/server_connection.py
+++ b/packages/transport/src/lavendershed/transport/server_connection.py
@@ -65,7 +65,7 @@
         )
         self._opened_at = server.timers.now()
         # Whether a byte has come since the connection was opened.
-        self._used = False
+        self._has_received = False
         # How long the last response has said that the connection stays open.
         self._announced_timeout: units.Seconds | None = None
         self._linger_timer: timers.Timer | None = None
@@ -81,7 +81,7 @@
         self._share = server.buffers.share()
         self._pipelined_bytes = 0
         self._reading_paused = False
-        self._end: connection_ends.ConnectionEnd | None = None
+        self._end_reason: connection_ends.ConnectionEnd | None = None
         self._status: int | None = None
         # Of the request that is received or handled.
         self._received_bytes = 0
@@ -120,7 +120,7 @@
     @property
     def _expects_first_request(self) -> bool:
         return (
-            not self._used
+            not self._has_received
             and units.elapsed(self._opened_at, self._server.timers.now())
             < _FIRST_REQUEST_TIME
         )
@@ -168,7 +168,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Processes bytes of the caller."""
-        self._used = True
+        self._has_received = True
         self._received_bytes += len(data)
         if self._deadline.phase is _Phase.CLOSING:
             return
@@ -246,7 +246,7 @@
         A request that lies in the socket is read before.
         """
         if self.idle and not self._expects_first_request:
-            self._after_reads(self._close_idle)
+            self._call_after_poll(self._close_idle)
 
     @property
     def _is_head_request(self) -> bool:
@@ -285,7 +285,7 @@
             not self._received_bytes or self._is_response_complete
         ):
             return
-        end = self._end
+        end = self._end_reason
         if end is None:
             end = (
                 _End.CALLER_LEFT_SENDING
@@ -310,7 +310,7 @@
                 self._status,
                 units.Bytes(self._received_bytes),
                 units.elapsed(
-                    self._deadline.request_since, self._server.timers.now()
+                    self._deadline.request_started_at, self._server.timers.now()
                 ),
             )
         )
@@ -506,8 +506,8 @@
         self._close_after_response(end)
 
     def _close_after_response(self, end: connection_ends.ConnectionEnd) -> None:
-        """Closes once the response is written and the caller has closed."""
-        self._end = end
+        """Ends the own side; closes with the caller, or after a time limit."""
+        self._end_reason = end
         self._deadline.close()
         self._body = bytearray()
         self._share.release()
@@ -541,12 +541,12 @@
     def _abort(self, end: connection_ends.ConnectionEnd | None) -> None:
         if self._unsent_bytes:
             self._truncated = True
-            self._end = end
-        self._end = self._end or end
+            self._end_reason = end
+        self._end_reason = self._end_reason or end
         if self._transport is not None:
             self._transport.abort()
 
-    def _after_reads(self, callback: Callable[[], object]) -> None:
+    def _call_after_poll(self, callback: Callable[[], object]) -> None:
         """Calls `callback` once the loop has polled the socket."""
         loop = asyncio.get_running_loop()
         # The read that the next turn finds comes after what that turn begins
@@ -559,13 +559,13 @@
 
     def _on_deadline(self) -> None:
         # The rest of the request may lie in the socket.
-        self._after_reads(self._apply_deadline)
+        self._call_after_poll(self._apply_deadline)
 
     def _apply_deadline(self) -> None:
         """Ends what has taken too long."""
         phase = self._deadline.phase
         if not self._deadline.has_expired:
-            self._deadline.recheck()
+            self._deadline.rearm()
         elif phase is _Phase.IDLE:
             self._close_idle()
         elif phase is _Phase.HEAD:
