--- a/packages/core/src/lavendershed/core/forwarding_states.py
+++ b/packages/core/src/lavendershed/core/forwarding_states.py
@@ -28,6 +28,8 @@
     WRONG_SERVER = "wrong_server"
     NOT_SENT = "not_sent"
     NO_MEMORY = "no_memory"
+    # It stopped accepting new work before the request was sent.
+    WITHDRAWN = "withdrawn"
     LOST = "lost"
     STALLED = "stalled"
     INVALID_RESPONSE = "invalid_answer"
--- a/packages/forwarding/src/lavendershed/forwarding/attempts.py
+++ b/packages/forwarding/src/lavendershed/forwarding/attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 import dataclasses
 import itertools
 
@@ -37,6 +38,7 @@
     forwarding_states.AttemptOutcome.REFUSED: states.Execution.NOT_RUN,
     forwarding_states.AttemptOutcome.WRONG_SERVER: states.Execution.NOT_RUN,
     forwarding_states.AttemptOutcome.NO_MEMORY: states.Execution.NOT_RUN,
+    forwarding_states.AttemptOutcome.WITHDRAWN: states.Execution.NOT_RUN,
     forwarding_states.AttemptOutcome.SERVER_FAILURE: (
         states.Execution.FAILED_AFTER_START
     ),
@@ -51,18 +53,22 @@
     for outcome, execution_state in _EXECUTION_BY_OUTCOME.items()
     if execution_state is states.Execution.NOT_RUN
 )
-_OUTCOMES_BEFORE_SEND = frozenset(
+# Outcomes that are no failure of the server, which may get the request again.
+_UNCOUNTED_OUTCOMES = frozenset(
     {
-        forwarding_states.AttemptOutcome.NOT_SENT,
         forwarding_states.AttemptOutcome.NO_MEMORY,
+        forwarding_states.AttemptOutcome.WITHDRAWN,
     }
 )
-# Outcomes after which the server has received the request.
-_OUTCOMES_AFTER_DELIVERY = frozenset(forwarding_states.AttemptOutcome) - {
-    forwarding_states.AttemptOutcome.NOT_SENT,
-    forwarding_states.AttemptOutcome.WRONG_SERVER,
-    forwarding_states.AttemptOutcome.NO_MEMORY,
+_OUTCOMES_BEFORE_SEND = _UNCOUNTED_OUTCOMES | {
+    forwarding_states.AttemptOutcome.NOT_SENT
 }
+# Outcomes after which the server has received the request.
+_OUTCOMES_AFTER_DELIVERY = (
+    frozenset(forwarding_states.AttemptOutcome)
+    - _OUTCOMES_BEFORE_SEND
+    - {forwarding_states.AttemptOutcome.WRONG_SERVER}
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -244,10 +250,7 @@
     ) -> None:
         """Records an attempt that returned no complete response."""
         self._record_result(server.id, attempt_result)
-        if (
-            attempt_result.outcome
-            is not forwarding_states.AttemptOutcome.NO_MEMORY
-        ):
+        if attempt_result.outcome not in _UNCOUNTED_OUTCOMES:
             if attempt_result.helper_failed:
                 self._helper_failures += 1
             else:
@@ -432,6 +435,24 @@
         )
 
 
+def withdrawal(
+    context: context_module.ForwardingContext,
+    servers: Iterable[server_directory.ServerEntry],
+) -> AttemptResult | None:
+    """Returns the end of an attempt if a server takes no new work any more.
+
+    Called immediately before a request is sent: its servers may have left, or
+    an operator may have evacuated their zone, since they were chosen.
+    """
+    withdrawn = [s.id for s in servers if not context.view.accepts_new_work(s)]
+    if not withdrawn:
+        return None
+    return AttemptResult(
+        forwarding_states.AttemptOutcome.WITHDRAWN,
+        f"no new work for {', '.join(withdrawn)}",
+    )
+
+
 def _peer_key(peer: addresses.Address) -> ids.BackendServerId:
     """Returns what stands for the servers of a peer."""
     return ids.BackendServerId(str(peer))
--- a/packages/forwarding/src/lavendershed/forwarding/codecs.py
+++ b/packages/forwarding/src/lavendershed/forwarding/codecs.py
@@ -107,6 +107,8 @@
 
     CONFIGURATION = "configuration"
     SERVERS = "servers"
+    # One object for each evacuated availability zone, which is its name.
+    EVACUATIONS = "evacuations"
 
 
 class ObjectDecoder(abc.ABC):
--- a/packages/forwarding/src/lavendershed/forwarding/context.py
+++ b/packages/forwarding/src/lavendershed/forwarding/context.py
@@ -264,7 +264,7 @@
         waited: Time without progress.
     """
     now = context.timers.now()
-    candidates = context.view.directory.servers_accepting_work(
+    candidates = context.view.servers_accepting_work(
         admitted_request.service.id
     )
     key = (server.id, server.incarnation)
--- a/packages/forwarding/src/lavendershed/forwarding/daemon.py
+++ b/packages/forwarding/src/lavendershed/forwarding/daemon.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from lavendershed.core import addresses
+from lavendershed.core import ids
 from lavendershed.core import units
 from lavendershed.forwarding import codecs
 from lavendershed.forwarding import components
@@ -187,6 +188,12 @@
         context.instruments.set_quarantines(
             context.crash_attribution.quarantine_count(now)
         )
+        evacuations = context.view.evacuations
+        if evacuations.expected:
+            zones = evacuations.evacuations.zones
+            context.instruments.set_evacuations(
+                len(zones), self._count_tasks_in(zones)
+            )
         for kind in codecs.ObjectKind:
             age = context.view.freshness_of(kind).age(now)
             if age is not None:
@@ -195,6 +202,18 @@
             if revision is not None:
                 context.instruments.set_store_revision(kind.value, revision)
 
+    def _count_tasks_in(self, zones: frozenset[ids.AvailabilityZoneId]) -> int:
+        """Returns the number of open tasks of this daemon in some zones."""
+        context = self._components.context
+        entries = (
+            context.view.directory.entry(task.server)
+            for task in (context.load_tracker.local_tasks if zones else ())
+        )
+        return sum(
+            entry is not None and entry.availability_zone in zones
+            for entry in entries
+        )
+
     async def _drain(self) -> None:
         """Completes open and new requests until the grace period ends."""
         context = self._components.context
--- a/packages/forwarding/src/lavendershed/forwarding/deployment_view.py
+++ b/packages/forwarding/src/lavendershed/forwarding/deployment_view.py
@@ -9,6 +9,7 @@
 from lavendershed.core import store_revisions
 from lavendershed.core import units
 from lavendershed.forwarding import codecs
+from lavendershed.forwarding import evacuation_view
 from lavendershed.forwarding import server_changes
 from lavendershed.membership import freshness
 from lavendershed.membership import server_directory
@@ -36,6 +37,8 @@
         decoder: codecs.ObjectDecoder,
         health: server_health.ServerHealth,
         event_log: log.EventLog,
+        *,
+        has_evacuations: bool = False,
     ) -> None:
         self._decoder = decoder
         self._health = health
@@ -43,6 +46,9 @@
         self._table: table.RouteTable | None = None
         self._stored_configuration: peer_state.StoredObject | None = None
         self._directory = server_directory.ServerDirectory()
+        self._evacuations = evacuation_view.EvacuationView(
+            event_log, expected=has_evacuations
+        )
         self._stored_servers: dict[str, peer_state.StoredObject] = {}
         self._server_ids_by_number: dict[int, ids.BackendServerId] = {}
         self._grace_ends_at = units.Instant(0.0)
@@ -59,7 +65,7 @@
         self._completion_waiters: set[asyncio.Future[None]] = set()
 
     def subscribe(self, listener: ChangeListener) -> None:
-        """Calls `listener` after each new configuration or server list."""
+        """Calls `listener` after each change of the deployment."""
         self._listeners.append(listener)
 
     def subscribe_to_checks(self, listener: ChangeListener) -> None:
@@ -81,16 +87,46 @@
         """Directory of the backend servers."""
         return self._directory
 
+    @property
+    def evacuations(self) -> evacuation_view.EvacuationView:
+        """The evacuated availability zones."""
+        return self._evacuations
+
+    def servers_accepting_work(
+        self, service: ids.ServiceId
+    ) -> tuple[server_directory.ServerEntry, ...]:
+        """Returns the servers of a service that new work may be sent to."""
+        return self._evacuations.remaining(
+            service, self._directory.servers_accepting_work(service)
+        )
+
+    def accepts_new_work(self, server: server_directory.ServerEntry) -> bool:
+        """Returns whether new work may still be sent to a server.
+
+        It may have been chosen before its entry or an evacuation changed.
+        """
+        current = self._directory.entry(server.id)
+        return (
+            current is not None
+            and current.incarnation == server.incarnation
+            and current.accepts_work
+            and not self._evacuations.is_evacuated(current)
+        )
+
     @property
     def complete(self) -> bool:
-        """Whether a configuration and a server list are known."""
+        """Whether all that requests need is known."""
+        return self._has_servers and self._evacuations.complete
+
+    @property
+    def _has_servers(self) -> bool:
         return self._table is not None and self._directory.is_initialised
 
     async def wait_complete(self, timeout: units.Seconds) -> bool:
-        """Waits until a configuration and a server list are known.
+        """Waits until all that requests need is known.
 
         Returns:
-            Whether they are known within `timeout` seconds.
+            Whether it is known within `timeout` seconds.
         """
         if self.complete:
             return True
@@ -115,10 +151,14 @@
         self, kind: codecs.ObjectKind
     ) -> store_revisions.StoreRevision:
         """Returns the store revision up to which the objects are known."""
-        if kind is codecs.ObjectKind.SERVERS:
-            return self._directory.revision
-        stored = self._stored_configuration
-        return stored.revision if stored else store_revisions.NONE
+        match kind:
+            case codecs.ObjectKind.SERVERS:
+                return self._directory.revision
+            case codecs.ObjectKind.EVACUATIONS:
+                return self._evacuations.evacuations.revision
+            case codecs.ObjectKind.CONFIGURATION:
+                stored = self._stored_configuration
+                return stored.revision if stored else store_revisions.NONE
 
     @property
     def servers_known(self) -> store_revisions.StoreRevision:
@@ -140,6 +180,8 @@
         """
         if kind is codecs.ObjectKind.SERVERS:
             self._servers_known = max(self._servers_known, revision)
+        elif kind is codecs.ObjectKind.EVACUATIONS:
+            self._evacuations.on_store_confirmed(revision)
         self._freshness[kind].confirm(at)
 
     def on_store_checked(
@@ -175,6 +217,13 @@
             self._freshness[codecs.ObjectKind.SERVERS].confirm(
                 units.Instant(now - report.servers_age)
             )
+        if (
+            report.evacuations_age is not None
+            and report.evacuations_known <= self._evacuations.known_revision
+        ):
+            self._freshness[codecs.ObjectKind.EVACUATIONS].confirm(
+                units.Instant(now - report.evacuations_age)
+            )
 
     def freshness_of(self, kind: codecs.ObjectKind) -> freshness.Freshness:
         """Returns when the objects were last known to be the newest."""
@@ -185,27 +234,27 @@
         age = self._freshness[kind].age(now)
         return None if age is None else round(age * 1_000)
 
+    @property
+    def known_state(self) -> peer_state.KnownState:
+        """What this daemon need not be sent by a peer."""
+        return peer_state.KnownState(
+            self.version,
+            self._directory.revision,
+            self._evacuations.known_revision,
+        )
+
     def state_since(
-        self,
-        version: ids.Epoch,
-        revision: store_revisions.StoreRevision,
-        now: units.Instant,
+        self, known: peer_state.KnownState, now: units.Instant
     ) -> peer_state.PeerState:
-        """Returns what a peer lacks that has this version and revision.
-
-        Args:
-            version: Version of its configuration; 0 if it has none.
-            revision: Revision of its server list; 0 if it has none.
-            now: Current time.
-        """
+        """Returns what a peer lacks that knows this state."""
         stored = self._stored_configuration
-        changes = self._changes.since(revision)
+        changes = self._changes.since(known.servers)
         names = self._stored_servers if changes is None else changes.changed
         # Only this daemon knows that the entry of the copy is out of date.
         outdated = self._directory.outdated_servers
         return peer_state.PeerState(
             stored.revision if stored else store_revisions.NONE,
-            (stored,) if stored and self.version > version else (),
+            (stored,) if stored and self.version > known.version else (),
             self._directory.revision,
             tuple(
                 self._stored_servers[name]
@@ -215,14 +264,14 @@
             partial=changes is not None,
             removed_servers=() if changes is None else changes.removed,
             grace=units.Seconds(max(0.0, self._grace_ends_at - now)),
+            evacuations=self._evacuations.state_since(known.evacuations),
         )
 
     def on_peer_state(
         self, state: peer_state.PeerState, now: units.Instant
     ) -> None:
         """Applies what a peer has sent; older state is ignored."""
-        for stored in state.configuration:
-            self.on_configuration(stored)
+        self.on_peer_settings(state, now)
         if state.grace:
             self._grace_ends_at = units.Instant(
                 max(self._grace_ends_at, now + state.grace)
@@ -237,6 +286,17 @@
                 now,
             )
 
+    def on_peer_settings(
+        self, state: peer_state.PeerState, now: units.Instant
+    ) -> None:
+        """Applies what operators have written, without the servers."""
+        for stored in state.configuration:
+            self.on_configuration(stored)
+        if state.evacuations.revision > store_revisions.NONE:
+            self.on_evacuation_listing(
+                state.evacuations.zones, state.evacuations.revision, now
+            )
+
     def server_by_number(self, number: int) -> ids.BackendServerId | None:
         """Returns the server that a number in a load report refers to."""
         return self._server_ids_by_number.get(number)
@@ -270,6 +330,52 @@
         )
         self._notify_listeners()
 
+    def on_evacuation_listing(
+        self,
+        stored: tuple[peer_state.StoredObject, ...],
+        revision: store_revisions.StoreRevision,
+        now: units.Instant,
+    ) -> None:
+        """Applies a full listing of the evacuated zones."""
+        if self._evacuations.on_listing(stored, revision, now):
+            self._notify_listeners()
+
+    def on_listing(
+        self,
+        kind: codecs.ObjectKind,
+        stored: tuple[peer_state.StoredObject, ...],
+        revision: store_revisions.StoreRevision,
+        now: units.Instant,
+    ) -> None:
+        """Applies a full listing of one kind of objects."""
+        match kind:
+            case codecs.ObjectKind.CONFIGURATION:
+                for item in stored:
+                    self.on_configuration(item)
+            case codecs.ObjectKind.SERVERS:
+                self.on_server_listing(stored, revision, now)
+            case codecs.ObjectKind.EVACUATIONS:
+                self.on_evacuation_listing(stored, revision, now)
+
+    def on_events(
+        self,
+        kind: codecs.ObjectKind,
+        changed: tuple[peer_state.StoredObject, ...],
+        removed: tuple[str, ...],
+        revision: store_revisions.StoreRevision,
+        now: units.Instant,
+    ) -> None:
+        """Applies changes of one kind of objects."""
+        match kind:
+            case codecs.ObjectKind.CONFIGURATION:
+                for item in changed:
+                    self.on_configuration(item)
+            case codecs.ObjectKind.SERVERS:
+                self.on_server_events(changed, removed, revision, now)
+            case codecs.ObjectKind.EVACUATIONS:
+                if self._evacuations.on_events(changed, removed, revision, now):
+                    self._notify_listeners()
+
     def on_store_recovered(self, now: units.Instant) -> None:
         """Starts the grace period for entries that expired in an outage."""
         self._grace_ends_at = units.after(
@@ -352,8 +458,11 @@
         self._notify_listeners()
 
     def expire(self, now: units.Instant) -> None:
-        """Removes servers whose entries were not renewed after an outage."""
+        """Ends what an outage or a restore of the store left for a time."""
         self._on_directory_change(self._directory.expire(now))
+        awaited = self._has_servers and not self._evacuations.complete
+        if self._evacuations.expire(now, awaited=awaited):
+            self._notify_listeners()
 
     def _notify_listeners(self) -> None:
         for listener in self._listeners:
--- a/packages/forwarding/src/lavendershed/forwarding/load_reporting.py
+++ b/packages/forwarding/src/lavendershed/forwarding/load_reporting.py
@@ -399,6 +399,7 @@
         state = (
             self._view.version,
             self._view.last_server_change,
+            self._view.evacuations.evacuations.last_change,
             self._store_role.is_watching_successfully,
             self._reach.is_lost,
             self._crash_attribution.report_state(now),
@@ -436,6 +437,9 @@
             self._crash_attribution.evidence(now),
             self._limits.local_news,
             self._reach.is_lost,
+            self._view.evacuations.evacuations.last_change,
+            self._view.evacuations.known_revision,
+            self._view.freshness_of(codecs.ObjectKind.EVACUATIONS).age(now),
         )
 
     def _send(
--- a/packages/forwarding/src/lavendershed/forwarding/peer_versions.py
+++ b/packages/forwarding/src/lavendershed/forwarding/peer_versions.py
@@ -17,6 +17,7 @@
     Attributes:
         configuration: Version of the configuration.
         servers: Revision of the server list.
+        evacuations: Revision of the last change of the evacuations.
     """
 
     configuration: tuple[ids.Epoch, addresses.Address | None] = (
@@ -27,6 +28,9 @@
         store_revisions.NONE,
         None,
     )
+    evacuations: tuple[
+        store_revisions.StoreRevision, addresses.Address | None
+    ] = (store_revisions.NONE, None)
 
 
 class PeerVersions:
@@ -68,6 +72,10 @@
         newest = dataclasses.replace(
             newest, servers=(report.server_revision, address)
         )
+    if report.evacuation_revision >= newest.evacuations[0]:
+        newest = dataclasses.replace(
+            newest, evacuations=(report.evacuation_revision, address)
+        )
     return newest
 
 
@@ -81,4 +89,6 @@
         )
     if newest.servers[1] == address:
         newest = dataclasses.replace(newest, servers=unknown.servers)
+    if newest.evacuations[1] == address:
+        newest = dataclasses.replace(newest, evacuations=unknown.evacuations)
     return newest
--- a/packages/forwarding/src/lavendershed/forwarding/prefill_watch.py
+++ b/packages/forwarding/src/lavendershed/forwarding/prefill_watch.py
@@ -81,8 +81,11 @@
 
     @property
     def _engines(self) -> tuple[server_directory.ServerEntry, ...]:
+        """Engines to inspect; none of an evacuated zone."""
         placement = self._placement
-        return (placement.decode_engine, *placement.prefill_helpers)
+        engines = (placement.decode_engine, *placement.prefill_helpers)
+        evacuations = self._context.view.evacuations
+        return tuple(e for e in engines if not evacuations.is_evacuated(e))
 
     @property
     def _overdue_time(self) -> units.Seconds:
--- a/packages/forwarding/src/lavendershed/forwarding/reach_monitor.py
+++ b/packages/forwarding/src/lavendershed/forwarding/reach_monitor.py
@@ -112,7 +112,7 @@
                     entry.address, entry.availability_zone, entry.service
                 )
                 for entry in self._view.directory.entries
-                if entry.accepts_work
+                if self._view.accepts_new_work(entry)
             ),
             self._timers.now(),
         )
--- a/packages/forwarding/src/lavendershed/forwarding/reservations.py
+++ b/packages/forwarding/src/lavendershed/forwarding/reservations.py
@@ -13,6 +13,7 @@
 from lavendershed.core import units
 from lavendershed.forwarding import codecs
 from lavendershed.forwarding import connections
+from lavendershed.forwarding import deployment_view
 from lavendershed.forwarding import limit_observer
 from lavendershed.forwarding import requests
 from lavendershed.membership import server_directory
@@ -84,12 +85,14 @@
 
     def __init__(
         self,
+        view: deployment_view.DeploymentView,
         server_connections: connections.BackendConnectionPool,
         codec: codecs.BackendCodec,
         observer: limit_observer.LimitObserver,
         timer_service: timers.TimerService,
         event_log: log.EventLog,
     ) -> None:
+        self._view = view
         self._connections = server_connections
         self._codec = codec
         self._limit_observer = observer
@@ -110,7 +113,10 @@
         granted = False
         try:
             statuses = await asyncio.gather(
-                *(self.reserve_share(share, reservation_id) for share in shares)
+                *(
+                    self.reserve_share(share, reservation_id, new=True)
+                    for share in shares
+                )
             )
             failed_holders = tuple(
                 share.holder
@@ -154,7 +160,11 @@
             task.add_done_callback(self._release_tasks.discard)
 
     async def reserve_share(
-        self, share: memory_shares.MemoryShare, reservation_id: str
+        self,
+        share: memory_shares.MemoryShare,
+        reservation_id: str,
+        *,
+        new: bool = False,
     ) -> requests.ReservationStatus:
         """Reserves one share or renews its lease."""
         return await self._call(
@@ -162,12 +172,15 @@
             self._codec.encode_reservation(
                 share.holder.id, reservation_id, share.tokens, _LEASE_DURATION
             ),
+            is_new_work=new,
         )
 
     async def _call(
         self,
         holder: server_directory.ServerEntry,
         call: requests.EncodedReservationCall,
+        *,
+        is_new_work: bool = False,
     ) -> requests.ReservationStatus:
         acquired = await self._connections.acquire(
             holder.address, new_connection=False
@@ -176,6 +189,8 @@
             return requests.ReservationStatus.UNKNOWN
         connection = acquired.ok_value.connection
         try:
+            if is_new_work and not self._view.accepts_new_work(holder):
+                return requests.ReservationStatus.UNKNOWN
             sent_at = self._timers.now()
             sent = await connection.send(call.head, call.body, _CALL_TIMEOUT)
             if isinstance(sent, result.Err):
--- a/packages/forwarding/src/lavendershed/forwarding/state_exchange.py
+++ b/packages/forwarding/src/lavendershed/forwarding/state_exchange.py
@@ -12,8 +12,6 @@
 import result
 
 from lavendershed.core import addresses
-from lavendershed.core import ids
-from lavendershed.core import store_revisions
 from lavendershed.core import timers
 from lavendershed.core import units
 from lavendershed.forwarding import deployment_view
@@ -83,7 +81,7 @@
                 request = await frames.read_frame(reader, frames.MAX_CALL_BYTES)
                 known = peer_state.decode_state_request(request or b"")
                 if known is not None:
-                    state = self._view.state_since(*known, self._timers.now())
+                    state = self._view.state_since(known, self._timers.now())
                     encoded = peer_state.encode_state(state)
                     writer.write(frames.encode_frame(encoded))
                     await writer.drain()
@@ -95,16 +93,13 @@
 
 
 async def fetch_state(
-    address: addresses.Address,
-    version: ids.Epoch,
-    revision: store_revisions.StoreRevision,
+    address: addresses.Address, known: peer_state.KnownState
 ) -> result.Result[peer_state.PeerState, str]:
     """Returns the newer store objects of the daemon at `address`.
 
     Args:
         address: Address of the daemon.
-        version: Version of the own configuration.
-        revision: Revision of the own server list.
+        known: What this daemon has.
     """
     opened = await streams.open_streams(address, _EXCHANGE_TIMEOUT)
     if isinstance(opened, result.Err):
@@ -112,7 +107,7 @@
     reader, writer = opened.ok_value
     try:
         async with asyncio.timeout(_EXCHANGE_TIMEOUT):
-            request = peer_state.encode_state_request(version, revision)
+            request = peer_state.encode_state_request(known)
             writer.write(frames.encode_frame(request))
             encoded_state = await frames.read_frame(reader, _MAX_STATE)
         if encoded_state is None:
@@ -195,6 +190,10 @@
         version, peer = newest.configuration
         if version > self._view.version:
             return peer
+        revision, peer = newest.evacuations
+        evacuations = self._view.evacuations
+        if evacuations.expected and revision > evacuations.known_revision:
+            return peer
         # Revisions also grow with changes of other objects, so that a higher
         # one matters only if this daemon doesn't see all changes itself.
         if not self._store_role.needs_peers:
@@ -204,9 +203,7 @@
 
     async def _fetch_from(self, address: addresses.Address) -> None:
         newest_known = self._versions.newest(in_zone=False).configuration[0]
-        fetched = await fetch_state(
-            address, self._view.version, self._view.directory.revision
-        )
+        fetched = await fetch_state(address, self._view.known_state)
         if isinstance(fetched, result.Err):
             self._versions.on_unreachable(address)
             self._log.emit(
@@ -218,29 +215,28 @@
             )
             return
         state = fetched.ok_value
-        previous = self._view.version
-        previous_revision = self._view.directory.revision
+        previous = self._view.known_state
         if (
             self._store_role.needs_peers
             or not self._view.directory.is_initialised
         ):
             self._view.on_peer_state(state, self._timers.now())
         else:
-            for stored in state.configuration:
-                self._view.on_configuration(stored)
-        if (self._view.version, self._view.directory.revision) > (
-            previous,
-            previous_revision,
-        ):
+            self._view.on_peer_settings(state, self._timers.now())
+        if self._view.known_state != previous:
             # A newer change that arrives meanwhile is no sign of an outage.
             self._stale_since = None
+        elif not state.configuration:
+            # It knows less than it has reported, for example after a restart.
+            self._versions.on_unreachable(address)
         self._log.emit(
             events.Event.PEER_STATE_TAKEN,
             peer=str(address),
             version=self._view.version,
-            previous=previous,
+            previous=previous.version,
             newest_known=newest_known,
             era=self._view.directory.revision.era,
             revision=self._view.directory.revision.number,
             servers=len(state.servers) + len(state.removed_servers),
+            evacuated=len(self._view.evacuations.evacuations.zones),
         )
--- a/packages/forwarding/src/lavendershed/forwarding/store_watcher.py
+++ b/packages/forwarding/src/lavendershed/forwarding/store_watcher.py
@@ -42,7 +42,12 @@
 # A watch without changes may have gone silent. If neither the store nor a peer
 # has confirmed for this long that there are none, the daemon asks the store on
 # a new connection, since changes have to take effect within two seconds.
-_MAX_UNCONFIRMED = units.Seconds(1.0)
+_MAX_UNCONFIRMED = {
+    codecs.ObjectKind.CONFIGURATION: units.Seconds(1.0),
+    codecs.ObjectKind.SERVERS: units.Seconds(1.0),
+    # Evacuations have more than twice the time of the other kinds.
+    codecs.ObjectKind.EVACUATIONS: units.Seconds(2.0),
+}
 # Daemons ask at different times; the report of the first spares the others the
 # call, so that the calls do not grow with the fleet.
 _CHECK_SPREAD = units.Seconds(0.3)
@@ -90,7 +95,8 @@
         knows no peers. It is left out if a peer has sent all objects before.
         """
         if await self._view.wait_complete(self._first_call_delay):
-            self._revision = self._view.revision(self._kind)
+            known = self._view.revision(self._kind)
+            self._revision = known if known > store_revisions.NONE else None
         while True:
             if self._revision is not None and not self._role.is_watching:
                 # The last error says nothing about the store any more.
@@ -134,11 +140,7 @@
         objects, revision = listed.ok_value
         self._on_success(revision)
         self._log_read(revision, None, len(objects))
-        if self._kind is codecs.ObjectKind.CONFIGURATION:
-            for stored in objects:
-                self._view.on_configuration(stored)
-        else:
-            self._view.on_server_listing(objects, revision, self._timers.now())
+        self._view.on_listing(self._kind, objects, revision, self._timers.now())
         self._revision = revision
         return None
 
@@ -164,12 +166,9 @@
         self._on_success(revision)
         if changed or removed:
             self._log_read(revision, asked_from, len(changed) + len(removed))
-        if self._kind is codecs.ObjectKind.CONFIGURATION:
-            for stored in changed:
-                self._view.on_configuration(stored)
-        elif changed or removed:
-            self._view.on_server_events(
-                changed, removed, revision, self._timers.now()
+        if changed or removed:
+            self._view.on_events(
+                self._kind, changed, removed, revision, self._timers.now()
             )
         self._revision = revision
         if changed or removed:
@@ -185,7 +184,8 @@
         started_at = self._timers.now()
         while True:
             max_age = units.Seconds(
-                _MAX_UNCONFIRMED + self._random.uniform(0.0, _CHECK_SPREAD)
+                _MAX_UNCONFIRMED[self._kind]
+                + self._random.uniform(0.0, _CHECK_SPREAD)
             )
             await asyncio.wait(
                 (watching,), timeout=self._time_until(max_age, started_at)
--- a/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
@@ -76,6 +76,16 @@
         """The engine that decodes the answer."""
         return self._placement.decode_engine
 
+    @property
+    def _engines(self) -> tuple[server_directory.ServerEntry, ...]:
+        """All engines that work on the request."""
+        placement = self._placement
+        return (
+            placement.decode_engine,
+            *placement.prefill_helpers,
+            *(share.holder for share in placement.shares),
+        )
+
     def record_start(self, tracker: attempts.AttemptTracker) -> None:
         """Records that this attempt runs."""
         tracker.record_start(self._placement.decode_engine.id)
@@ -122,6 +132,11 @@
                 )
                 if isinstance(reserved, result.Err):
                     started = False
+                    withdrawal = attempts.withdrawal(
+                        self._context, reserved.err_value
+                    )
+                    if withdrawal is not None:
+                        return withdrawal
                     return attempts.AttemptResult(
                         forwarding_states.AttemptOutcome.NO_MEMORY,
                         "engines could not reserve memory",
@@ -158,6 +173,10 @@
                 acquired.err_value.detail,
             )
         lease = acquired.ok_value
+        withdrawal = attempts.withdrawal(context, self._engines)
+        if withdrawal is not None:
+            lease.connection.close()
+            return withdrawal
         returned_to_pool = False
         try:
             attempt_result, keep_alive_timeout = await self._exchange(
--- a/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
@@ -382,7 +382,7 @@
     def _candidates(self) -> tuple[server_directory.ServerEntry, ...]:
         return context_module.servers_beside(
             self._context,
-            self._context.view.directory.servers_accepting_work(
+            self._context.view.servers_accepting_work(
                 self._admitted_request.service.id
             ),
             self._attempts.open_servers,
--- a/packages/forwarding/src/lavendershed/forwarding/unary_attempt.py
+++ b/packages/forwarding/src/lavendershed/forwarding/unary_attempt.py
@@ -96,6 +96,10 @@
                 acquired.err_value.detail,
             )
         lease = acquired.ok_value
+        withdrawal = attempts.withdrawal(context, (server,))
+        if withdrawal is not None:
+            lease.connection.close()
+            return withdrawal
         returned_to_pool = False
         try:
             response = await self._exchange(lease)
--- a/packages/forwarding/tests/test_deployment_view.py
+++ b/packages/forwarding/tests/test_deployment_view.py
@@ -69,16 +69,19 @@
     )
 
 
-def new_view():
+def new_view(*, has_evacuations=False):
     """Returns the view of a daemon that has just started."""
     return deployment_view.DeploymentView(
-        FakeDecoder(), server_health.ServerHealth(), log.MemoryEventLog()
+        FakeDecoder(),
+        server_health.ServerHealth(),
+        log.MemoryEventLog(),
+        has_evacuations=has_evacuations,
     )
 
 
-def listed(*names, revision=10):
+def listed(*names, revision=10, has_evacuations=False):
     """Returns a view after a listing."""
-    view = new_view()
+    view = new_view(has_evacuations=has_evacuations)
     view.on_server_listing(
         tuple(stored(name, revision) for name in names), at(revision), NOW
     )
@@ -92,7 +95,7 @@
 
 def take_state(target, source, now=NOW):
     """Sends what `target` lacks from `source`, encoded as between daemons."""
-    state = source.state_since(target.version, target.directory.revision, now)
+    state = source.state_since(target.known_state, now)
     decoded = peer_state.decode_state(peer_state.encode_state(state))
     target.on_peer_state(decoded, now)
     return decoded
@@ -215,8 +218,10 @@
             peer_state.decode_state(damaged)
 
 
-def confirmation(version=5, servers_known=10, age=0.5):
+def confirmation(version=5, servers_known=10, age=0.5, evacuations_known=None):
     """Returns the report of a peer that knew the newest objects."""
+    if evacuations_known is None:
+        evacuations_known = servers_known
     return load_reports.LoadReport(
         ids.Incarnation(1),
         None,
@@ -232,6 +237,8 @@
         configuration_age=age,
         servers_age=age,
         servers_known=at(servers_known),
+        evacuations_known=at(evacuations_known),
+        evacuations_age=age,
     )
 
 
@@ -290,8 +297,9 @@
     """Guards against daemons that confirm each other's outdated state."""
 
     def setUp(self):
-        self.view = listed(*NAMES, revision=10)
+        self.view = listed(*NAMES, revision=10, has_evacuations=True)
         self.view.on_configuration(peer_state.StoredObject("main", at(9), b"5"))
+        self.view.on_evacuation_listing((), at(10), NOW)
 
     def ages(self):
         return tuple(
@@ -303,11 +311,11 @@
             with self.subTest(version=version, known=known):
                 self.setUp()
                 self.view.on_peer_confirmed(confirmation(version, known), NOW)
-                self.assertEqual(self.ages(), (0.5, 0.5))
+                self.assertEqual(self.ages(), (0.5, 0.5, 0.5))
 
     def test_a_peer_with_newer_objects_confirms_nothing(self):
         self.view.on_peer_confirmed(confirmation(6, 11), NOW)
-        self.assertEqual(self.ages(), (None, None))
+        self.assertEqual(self.ages(), (None, None, None))
 
     def test_a_peer_that_has_listed_a_removal_confirms_nothing(self):
         """Its remaining objects are all known here, the removal is not."""
@@ -315,20 +323,118 @@
         peer.on_server_listing((stored("i-1", 10),), at(12), NOW)
         self.assertEqual(peer.last_server_change, at(10))
         self.view.on_peer_confirmed(
-            confirmation(5, peer.servers_known.number), NOW
+            confirmation(5, peer.servers_known.number, evacuations_known=10),
+            NOW,
         )
-        self.assertEqual(self.ages(), (0.5, None))
+        self.assertEqual(self.ages(), (0.5, None, 0.5))
 
     def test_a_check_extends_what_is_known(self):
         """Other objects of the store raise its revision, too."""
-        self.view.on_store_checked(codecs.ObjectKind.SERVERS, at(30), NOW)
+        for kind in (codecs.ObjectKind.SERVERS, codecs.ObjectKind.EVACUATIONS):
+            self.view.on_store_checked(kind, at(30), NOW)
         self.view.on_peer_confirmed(confirmation(5, 30, age=0.0), NOW)
-        self.assertEqual(self.ages(), (0.0, 0.0))
+        self.assertEqual(self.ages(), (0.0, 0.0, 0.0))
 
     def test_a_peer_that_knows_no_age_confirms_nothing(self):
         """Daemons of an older build do not send it."""
         self.view.on_peer_confirmed(confirmation(age=None), NOW)
-        self.assertEqual(self.ages(), (None, None))
+        self.assertEqual(self.ages(), (None, None, None))
+
+
+def zone_object(zone, revision, era=1):
+    """Returns the object of an evacuated zone."""
+    return peer_state.StoredObject(zone, at(revision, era), b"{}")
+
+
+class EvacuationTest(unittest.TestCase):
+    """Guards against new work for servers of an evacuated zone."""
+
+    def setUp(self):
+        self.view = listed("i-1", "i-2", revision=10, has_evacuations=True)
+        self.view.on_configuration(peer_state.StoredObject("main", at(9), b"5"))
+
+    def accepting(self, view=None):
+        return len((view or self.view).servers_accepting_work("s"))
+
+    def change(self, *zones, removed=(), revision):
+        self.view.on_events(
+            codecs.ObjectKind.EVACUATIONS,
+            tuple(zone_object(zone, revision) for zone in zones),
+            removed,
+            at(revision),
+            NOW,
+        )
+
+    def test_servers_of_an_evacuated_zone_get_no_new_work(self):
+        """Also those that were chosen before, and that register later."""
+        self.view.on_evacuation_listing((), at(11), NOW)
+        chosen = self.view.servers_accepting_work("s")[0]
+        self.change("unknown", revision=12)
+        self.assertTrue(self.view.accepts_new_work(chosen))
+        self.change("z", revision=13)
+        self.assertFalse(self.view.accepts_new_work(chosen))
+        self.view.on_server_events((stored("i-3", 14),), (), at(14), NOW)
+        self.assertEqual(self.accepting(), 0)
+        self.change(removed=("z",), revision=15)
+        self.assertTrue(self.view.accepts_new_work(chosen))
+        self.assertEqual(self.accepting(), 3)
+
+    def test_a_server_that_left_since_it_was_chosen_gets_no_new_work(self):
+        self.view.on_evacuation_listing((), at(11), NOW)
+        first, second = self.view.servers_accepting_work("s")
+        draining = stored("i-1", 12, forwarding_states.ServerState.DRAINING)
+        replaced = peer_state.StoredObject("i-2", at(12), b"ready:2")
+        self.view.on_server_events((draining, replaced), (), at(12), NOW)
+        self.assertFalse(self.view.accepts_new_work(first))
+        self.assertFalse(self.view.accepts_new_work(second))
+
+    def test_a_daemon_that_starts_waits_for_the_evacuations(self):
+        """Configuration and servers alone would let it use the zone."""
+        self.view.expire(NOW)
+        self.assertFalse(self.view.complete)
+        self.view.on_evacuation_listing((zone_object("z", 3),), at(11), NOW)
+        self.assertTrue(self.view.complete)
+        self.assertEqual(self.accepting(), 0)
+
+    def test_a_daemon_serves_if_nobody_knows_the_evacuations(self):
+        """The store is away, and the peers are of an older version."""
+        self.view.expire(NOW)
+        self.view.expire(units.Instant(NOW + 2.9))
+        self.assertFalse(self.view.complete)
+        self.view.expire(units.Instant(NOW + 3.0))
+        self.assertTrue(self.view.complete)
+        self.view.on_evacuation_listing((zone_object("z", 3),), at(11), NOW)
+        self.assertEqual(self.accepting(), 0)
+
+    def test_a_peer_brings_the_evacuations(self):
+        """The receiver is new, is behind, or has all but the last change."""
+        self.view.on_evacuation_listing((zone_object("z", 3),), at(11), NOW)
+        member = new_view(has_evacuations=True)
+        take_state(member, self.view)
+        self.assertTrue(member.complete)
+        self.assertEqual(self.accepting(member), 0)
+        self.change(removed=("z",), revision=12)
+        take_state(member, self.view)
+        self.assertEqual(self.accepting(member), 2)
+        take_state(self.view, listed(has_evacuations=True))
+        self.assertEqual(self.accepting(), 2)
+
+    def test_evacuations_are_ignored_where_the_deployment_has_none(self):
+        self.view.on_evacuation_listing((zone_object("z", 3),), at(11), NOW)
+        member = listed("i-1")
+        take_state(member, self.view)
+        self.assertEqual(self.accepting(member), 1)
+
+    def test_a_peer_of_an_older_version_knows_no_evacuations(self):
+        """Its answer has none of the new fields, its request neither."""
+        old = listed("i-1", "i-2", revision=20)
+        self.view.on_evacuation_listing((zone_object("z", 3),), at(11), NOW)
+        take_state(self.view, old)
+        self.assertEqual(self.accepting(), 0)
+        request = peer_state.encode_state_request(old.known_state)
+        known = peer_state.decode_state_request(request)
+        self.assertEqual(known, old.known_state)
+        self.assertEqual(known.evacuations, store_revisions.NONE)
 
 
 if __name__ == "__main__":
--- a/packages/forwarding/tests/test_load_reporting.py
+++ b/packages/forwarding/tests/test_load_reporting.py
@@ -14,6 +14,7 @@
 from lavendershed.core import timers
 from lavendershed.core import units
 from lavendershed.forwarding import bundle_distribution
+from lavendershed.forwarding import evacuation_view
 from lavendershed.forwarding import load_reporting
 from lavendershed.forwarding import peer_versions
 from lavendershed.forwarding import permits
@@ -133,6 +134,9 @@
             version=ids.Epoch(1),
             last_server_change=store_revisions.of(1, 1),
             directory=types.SimpleNamespace(entries=()),
+            evacuations=evacuation_view.EvacuationView(
+                log.MemoryEventLog(), expected=False
+            ),
             server_by_number=lambda number: ENGINE,
             subscribe=lambda listener: None,
             subscribe_to_checks=self.check_listeners.append,
--- a/packages/forwarding/tests/test_store_machine.py
+++ b/packages/forwarding/tests/test_store_machine.py
@@ -27,6 +27,7 @@
 DAEMONS = 3
 SERVERS = codecs.ObjectKind.SERVERS
 CONFIGURATION = codecs.ObjectKind.CONFIGURATION
+KINDS = (CONFIGURATION, SERVERS)
 READY = forwarding_states.ServerState.READY
 DRAINING = forwarding_states.ServerState.DRAINING
 # Calls of each daemon for one kind of objects after the last change: a watch
@@ -36,13 +37,13 @@
 
 
 class Store:
-    """Objects of two kinds with one revision counter and a history."""
+    """Objects of all kinds with one revision counter and a history."""
 
     def __init__(self):
         self.era = 1
         self.number = 1
         self.oldest = 1
-        self.objects = {SERVERS: {}, CONFIGURATION: {}}
+        self.objects = {kind: {} for kind in codecs.ObjectKind}
         self.changes = []
 
     @property
@@ -147,11 +148,13 @@
 class Daemon:
     """View of one daemon and its watchers."""
 
-    def __init__(self, store, clock):
-        self.view = examples.new_view()
+    def __init__(self, store, clock, kinds=KINDS):
+        self.view = examples.new_view(
+            has_evacuations=codecs.ObjectKind.EVACUATIONS in kinds
+        )
         # Incarnations of servers that were known to leave.
         self.leaving = set()
-        self.sources = {kind: Source(store, kind) for kind in codecs.ObjectKind}
+        self.sources = {kind: Source(store, kind) for kind in kinds}
         self.watchers = {
             kind: store_watcher.ObjectWatcher(
                 kind,
@@ -206,7 +209,7 @@
         for daemon in self.daemons:
             for source in daemon.sources.values():
                 source.cut, source.late, source.calls = False, None, 0
-            for kind in codecs.ObjectKind:
+            for kind in KINDS:
                 self.run_until_current(daemon, kind)
         self.clock.advance(units.Seconds(60.0))
         usable = {n for n, (state, _) in self.truth.items() if state is READY}
@@ -330,7 +333,7 @@
 
     @stateful.rule(
         number=strategies.integers(0, DAEMONS - 1),
-        kind=strategies.sampled_from(codecs.ObjectKind),
+        kind=strategies.sampled_from(KINDS),
     )
     def call_once(self, number, kind):
         self.call_store(number, kind)
@@ -346,7 +349,7 @@
     def follow_store(self):
         """All daemons see what the store has."""
         for number in range(DAEMONS):
-            for kind in (*codecs.ObjectKind, *codecs.ObjectKind):
+            for kind in (*KINDS, *KINDS):
                 self.call_store(number, kind)
 
     @stateful.rule(
--- a/packages/forwarding/tests/test_store_watcher.py
+++ b/packages/forwarding/tests/test_store_watcher.py
@@ -83,10 +83,10 @@
 
     on_store_checked = on_store_confirmed
 
-    def on_server_listing(self, objects, revision, now):
+    def on_listing(self, kind, objects, revision, now):
         self.listings += 1
 
-    def on_server_events(self, changed, removed, revision, now):
+    def on_events(self, kind, changed, removed, revision, now):
         self.removed += removed
 
 
--- a/packages/peer/idl/messages.thrift
+++ b/packages/peer/idl/messages.thrift
@@ -157,6 +157,14 @@
   // Whether the sender is cut off from all servers, so that it runs no requests
   // of others.
   27: optional bool cut_off
+  // Revision of the last change of the evacuated zones, the revision up to
+  // which the sender knows all of them, and the milliseconds since they were
+  // known to be the newest.
+  28: optional i64 evacuation_revision
+  29: optional i64 evacuation_era
+  30: optional i64 evacuations_known
+  31: optional i64 evacuations_known_era
+  32: optional i32 evacuations_age
 }
 
 // A request that passed admission at one daemon and runs at another one.
@@ -220,6 +228,9 @@
   1: optional i64 configuration_version
   2: optional i64 server_revision
   3: optional i64 server_era
+  // Revision up to which the sender knows the evacuated zones.
+  4: optional i64 evacuation_revision
+  5: optional i64 evacuation_era
 }
 
 struct StateReply {
@@ -236,4 +247,9 @@
   // Eras of the store that the revisions belong to.
   8: optional i64 configuration_era
   9: optional i64 server_era
+  // All evacuated zones, if the receiver lacks a change of them. Those of an
+  // older era are not in the store any more and lapse.
+  10: optional i64 evacuation_revision
+  11: optional i64 evacuation_era
+  12: optional list<StoredObject> evacuations
 }
--- a/packages/peer/src/lavendershed/peer/gen/messages/ttypes.py
+++ b/packages/peer/src/lavendershed/peer/gen/messages/ttypes.py
@@ -1506,6 +1506,11 @@
      - server_era
      - servers_known_era
      - cut_off
+     - evacuation_revision
+     - evacuation_era
+     - evacuations_known
+     - evacuations_known_era
+     - evacuations_age
 
     """
 
@@ -1536,10 +1541,15 @@
         'server_era',
         'servers_known_era',
         'cut_off',
+        'evacuation_revision',
+        'evacuation_era',
+        'evacuations_known',
+        'evacuations_known_era',
+        'evacuations_age',
     )
 
 
-    def __init__(self, incarnation=None, sequence=None, configuration_version=None, server_revision=None, works=None, suspects=None, peers=None, slow=None, unreachable=None, sender=None, zone=None, watching=None, bundled=None, members=None, alive=None, bandwidth=None, configuration_age=None, servers_age=None, servers_known=None, crashes=None, begun=None, quarantines=None, limits=None, server_era=None, servers_known_era=None, cut_off=None,):
+    def __init__(self, incarnation=None, sequence=None, configuration_version=None, server_revision=None, works=None, suspects=None, peers=None, slow=None, unreachable=None, sender=None, zone=None, watching=None, bundled=None, members=None, alive=None, bandwidth=None, configuration_age=None, servers_age=None, servers_known=None, crashes=None, begun=None, quarantines=None, limits=None, server_era=None, servers_known_era=None, cut_off=None, evacuation_revision=None, evacuation_era=None, evacuations_known=None, evacuations_known_era=None, evacuations_age=None,):
         self.incarnation = incarnation
         self.sequence = sequence
         self.configuration_version = configuration_version
@@ -1566,6 +1576,11 @@
         self.server_era = server_era
         self.servers_known_era = servers_known_era
         self.cut_off = cut_off
+        self.evacuation_revision = evacuation_revision
+        self.evacuation_era = evacuation_era
+        self.evacuations_known = evacuations_known
+        self.evacuations_known_era = evacuations_known_era
+        self.evacuations_age = evacuations_age
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1761,6 +1776,31 @@
                     self.cut_off = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 28:
+                if ftype == TType.I64:
+                    self.evacuation_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 29:
+                if ftype == TType.I64:
+                    self.evacuation_era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 30:
+                if ftype == TType.I64:
+                    self.evacuations_known = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 31:
+                if ftype == TType.I64:
+                    self.evacuations_known_era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 32:
+                if ftype == TType.I32:
+                    self.evacuations_age = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1908,6 +1948,26 @@
             oprot.writeFieldBegin('cut_off', TType.BOOL, 27)
             oprot.writeBool(self.cut_off)
             oprot.writeFieldEnd()
+        if self.evacuation_revision is not None:
+            oprot.writeFieldBegin('evacuation_revision', TType.I64, 28)
+            oprot.writeI64(self.evacuation_revision)
+            oprot.writeFieldEnd()
+        if self.evacuation_era is not None:
+            oprot.writeFieldBegin('evacuation_era', TType.I64, 29)
+            oprot.writeI64(self.evacuation_era)
+            oprot.writeFieldEnd()
+        if self.evacuations_known is not None:
+            oprot.writeFieldBegin('evacuations_known', TType.I64, 30)
+            oprot.writeI64(self.evacuations_known)
+            oprot.writeFieldEnd()
+        if self.evacuations_known_era is not None:
+            oprot.writeFieldBegin('evacuations_known_era', TType.I64, 31)
+            oprot.writeI64(self.evacuations_known_era)
+            oprot.writeFieldEnd()
+        if self.evacuations_age is not None:
+            oprot.writeFieldBegin('evacuations_age', TType.I32, 32)
+            oprot.writeI32(self.evacuations_age)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2555,6 +2615,8 @@
      - configuration_version
      - server_revision
      - server_era
+     - evacuation_revision
+     - evacuation_era
 
     """
 
@@ -2562,13 +2624,17 @@
         'configuration_version',
         'server_revision',
         'server_era',
+        'evacuation_revision',
+        'evacuation_era',
     )
 
 
-    def __init__(self, configuration_version=None, server_revision=None, server_era=None,):
+    def __init__(self, configuration_version=None, server_revision=None, server_era=None, evacuation_revision=None, evacuation_era=None,):
         self.configuration_version = configuration_version
         self.server_revision = server_revision
         self.server_era = server_era
+        self.evacuation_revision = evacuation_revision
+        self.evacuation_era = evacuation_era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2594,6 +2660,16 @@
                     self.server_era = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.evacuation_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.evacuation_era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2616,6 +2692,14 @@
             oprot.writeFieldBegin('server_era', TType.I64, 3)
             oprot.writeI64(self.server_era)
             oprot.writeFieldEnd()
+        if self.evacuation_revision is not None:
+            oprot.writeFieldBegin('evacuation_revision', TType.I64, 4)
+            oprot.writeI64(self.evacuation_revision)
+            oprot.writeFieldEnd()
+        if self.evacuation_era is not None:
+            oprot.writeFieldBegin('evacuation_era', TType.I64, 5)
+            oprot.writeI64(self.evacuation_era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2653,6 +2737,9 @@
      - grace_ms
      - configuration_era
      - server_era
+     - evacuation_revision
+     - evacuation_era
+     - evacuations
 
     """
 
@@ -2666,10 +2753,13 @@
         'grace_ms',
         'configuration_era',
         'server_era',
+        'evacuation_revision',
+        'evacuation_era',
+        'evacuations',
     )
 
 
-    def __init__(self, configuration_revision=None, configuration=None, server_revision=None, servers=None, partial=None, removed=None, grace_ms=None, configuration_era=None, server_era=None,):
+    def __init__(self, configuration_revision=None, configuration=None, server_revision=None, servers=None, partial=None, removed=None, grace_ms=None, configuration_era=None, server_era=None, evacuation_revision=None, evacuation_era=None, evacuations=None,):
         self.configuration_revision = configuration_revision
         self.configuration = configuration
         self.server_revision = server_revision
@@ -2679,6 +2769,9 @@
         self.grace_ms = grace_ms
         self.configuration_era = configuration_era
         self.server_era = server_era
+        self.evacuation_revision = evacuation_revision
+        self.evacuation_era = evacuation_era
+        self.evacuations = evacuations
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2751,6 +2844,27 @@
                     self.server_era = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.evacuation_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.evacuation_era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.LIST:
+                    self.evacuations = []
+                    (_etype900, _size901) = iprot.readListBegin()
+                    for _i902 in range(_size901):
+                        _elem903 = StoredObject()
+                        _elem903.read(iprot)
+                        self.evacuations.append(_elem903)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2806,6 +2920,21 @@
             oprot.writeFieldBegin('server_era', TType.I64, 9)
             oprot.writeI64(self.server_era)
             oprot.writeFieldEnd()
+        if self.evacuation_revision is not None:
+            oprot.writeFieldBegin('evacuation_revision', TType.I64, 10)
+            oprot.writeI64(self.evacuation_revision)
+            oprot.writeFieldEnd()
+        if self.evacuation_era is not None:
+            oprot.writeFieldBegin('evacuation_era', TType.I64, 11)
+            oprot.writeI64(self.evacuation_era)
+            oprot.writeFieldEnd()
+        if self.evacuations is not None:
+            oprot.writeFieldBegin('evacuations', TType.LIST, 12)
+            oprot.writeListBegin(TType.STRUCT, len(self.evacuations))
+            for iter904 in self.evacuations:
+                iter904.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2966,6 +3095,11 @@
     (25, TType.I64, 'server_era', None, None, ),  # 25
     (26, TType.I64, 'servers_known_era', None, None, ),  # 26
     (27, TType.BOOL, 'cut_off', None, None, ),  # 27
+    (28, TType.I64, 'evacuation_revision', None, None, ),  # 28
+    (29, TType.I64, 'evacuation_era', None, None, ),  # 29
+    (30, TType.I64, 'evacuations_known', None, None, ),  # 30
+    (31, TType.I64, 'evacuations_known_era', None, None, ),  # 31
+    (32, TType.I32, 'evacuations_age', None, None, ),  # 32
 )
 all_structs.append(RelayedRequest)
 RelayedRequest.thrift_spec = (
@@ -3021,6 +3155,8 @@
     (1, TType.I64, 'configuration_version', None, None, ),  # 1
     (2, TType.I64, 'server_revision', None, None, ),  # 2
     (3, TType.I64, 'server_era', None, None, ),  # 3
+    (4, TType.I64, 'evacuation_revision', None, None, ),  # 4
+    (5, TType.I64, 'evacuation_era', None, None, ),  # 5
 )
 all_structs.append(StateReply)
 StateReply.thrift_spec = (
@@ -3034,6 +3170,9 @@
     (7, TType.I32, 'grace_ms', None, None, ),  # 7
     (8, TType.I64, 'configuration_era', None, None, ),  # 8
     (9, TType.I64, 'server_era', None, None, ),  # 9
+    (10, TType.I64, 'evacuation_revision', None, None, ),  # 10
+    (11, TType.I64, 'evacuation_era', None, None, ),  # 11
+    (12, TType.LIST, 'evacuations', (TType.STRUCT, [StoredObject, None], False), None, ),  # 12
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/peer/src/lavendershed/peer/load_reports.py
+++ b/packages/peer/src/lavendershed/peer/load_reports.py
@@ -91,6 +91,12 @@
             engines.
         limits: What answers to the sender said about limits of servers.
         cut_off: Whether the sender is cut off from all servers.
+        evacuation_revision: Revision of the last change of the evacuations that
+            the sender knows; 0 if it knows none.
+        evacuations_known: Revision up to which the sender knows all
+            evacuations.
+        evacuations_age: Time since they were known to be the newest; None if
+            they never were.
     """
 
     incarnation: ids.Incarnation
@@ -111,6 +117,9 @@
     crash_evidence: engine_crashes.Evidence = engine_crashes.Evidence()
     limits: tuple[tuple[ids.ServerNumber, engine_limits.LimitNews], ...] = ()
     cut_off: bool = False
+    evacuation_revision: store_revisions.StoreRevision = store_revisions.NONE
+    evacuations_known: store_revisions.StoreRevision = store_revisions.NONE
+    evacuations_age: units.Seconds | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -197,6 +206,11 @@
             quarantines=evidence.quarantines or None,
             limits=list(limit_fields) or None,
             cut_off=report.cut_off or None,
+            evacuation_revision=report.evacuation_revision.number or None,
+            evacuation_era=report.evacuation_revision.era or None,
+            evacuations_known=report.evacuations_known.number or None,
+            evacuations_known_era=report.evacuations_known.era or None,
+            evacuations_age=_to_milliseconds(report.evacuations_age),
             sequence=report.sequence,
             configuration_version=report.configuration_epoch,
             server_revision=report.server_revision.number,
@@ -333,6 +347,11 @@
         ),
         tuple(_decode_limits(message.limits or [], now)),
         bool(message.cut_off),
+        store_revisions.of(message.evacuation_era, message.evacuation_revision),
+        store_revisions.of(
+            message.evacuations_known_era, message.evacuations_known
+        ),
+        _to_seconds(message.evacuations_age),
     )
 
 
--- a/packages/peer/src/lavendershed/peer/peer_state.py
+++ b/packages/peer/src/lavendershed/peer/peer_state.py
@@ -36,6 +36,20 @@
     spec: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EvacuationState:
+    """Evacuated zones as a daemon knows them.
+
+    Attributes:
+        revision: Store revision of their last change; 0 if the daemon knows
+            none, or none that the receiver lacks.
+        zones: All evacuations, named by their zones and without content.
+    """
+
+    revision: store_revisions.StoreRevision = store_revisions.NONE
+    zones: tuple[StoredObject, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerState:
     """Contents of the store as a daemon knows them.
@@ -49,6 +63,7 @@
         removed_servers: Names of the servers that a partial state removes.
         grace: Time for which missing servers may be an effect of an outage of
             the store.
+        evacuations: The evacuated zones, if the receiver lacks a change.
     """
 
     configuration_revision: store_revisions.StoreRevision
@@ -58,25 +73,40 @@
     partial: bool = False
     removed_servers: tuple[str, ...] = ()
     grace: units.Seconds = units.Seconds(0.0)
+    evacuations: EvacuationState = EvacuationState()
 
 
-def encode_state_request(
-    version: ids.Epoch, revision: store_revisions.StoreRevision
-) -> bytes:
+@dataclasses.dataclass(frozen=True, slots=True)
+class KnownState:
+    """What a daemon has that requests the state of another.
+
+    Attributes:
+        version: Version of its configuration; 0 if it has none.
+        servers: Revision of its server list; 0 if it has none.
+        evacuations: Revision up to which it knows the evacuations; 0 if it
+            knows none.
+    """
+
+    version: ids.Epoch = ids.Epoch(0)
+    servers: store_revisions.StoreRevision = store_revisions.NONE
+    evacuations: store_revisions.StoreRevision = store_revisions.NONE
+
+
+def encode_state_request(known: KnownState) -> bytes:
     """Returns a request for what is newer than the given state."""
     return _STATE_REQUEST_PREFIX + wire.encode(
         ttypes.StateRequest(
-            configuration_version=version,
-            server_revision=revision.number,
-            server_era=revision.era or None,
+            configuration_version=known.version,
+            server_revision=known.servers.number,
+            server_era=known.servers.era or None,
+            evacuation_revision=known.evacuations.number or None,
+            evacuation_era=known.evacuations.era or None,
         )
     )
 
 
-def decode_state_request(
-    request: bytes,
-) -> tuple[ids.Epoch, store_revisions.StoreRevision] | None:
-    """Returns the version and revision of a request; None if it is another.
+def decode_state_request(request: bytes) -> KnownState | None:
+    """Returns what the sender of a request has; None if it is another.
 
     Daemons of older versions send the prefix only and get the whole state.
 
@@ -87,11 +117,12 @@
         return None
     encoded = request[len(_STATE_REQUEST_PREFIX) :]
     if not encoded:
-        return ids.Epoch(0), store_revisions.NONE
+        return KnownState()
     message = wire.decode(ttypes.StateRequest, encoded)
-    return (
+    return KnownState(
         ids.Epoch(message.configuration_version or 0),
         store_revisions.of(message.server_era, message.server_revision),
+        store_revisions.of(message.evacuation_era, message.evacuation_revision),
     )
 
 
@@ -108,6 +139,9 @@
             partial=state.partial or None,
             removed=list(state.removed_servers) or None,
             grace_ms=round(state.grace * 1_000) or None,
+            evacuation_revision=state.evacuations.revision.number or None,
+            evacuation_era=state.evacuations.revision.era or None,
+            evacuations=_objects_to_thrift(state.evacuations.zones) or None,
         )
     )
 
@@ -129,6 +163,12 @@
         bool(message.partial),
         tuple(message.removed or ()),
         units.Seconds((message.grace_ms or 0) / 1_000),
+        EvacuationState(
+            store_revisions.of(
+                message.evacuation_era, message.evacuation_revision
+            ),
+            _objects_from_thrift(message.evacuations),
+        ),
     )
 
 
--- a/packages/platform/src/lavendershed/platform/factory.py
+++ b/packages/platform/src/lavendershed/platform/factory.py
@@ -64,6 +64,7 @@
 _PLATFORM_KINDS = {
     codecs.ObjectKind.CONFIGURATION: "config",
     codecs.ObjectKind.SERVERS: "servers",
+    codecs.ObjectKind.EVACUATIONS: "evacuations",
 }
 
 
@@ -105,8 +106,12 @@
             TCP by default.
     """
     health = server_health.ServerHealth()
+    has_evacuations = platform_settings.evacuation_bound is not None
     view = deployment_view.DeploymentView(
-        objects.PlatformObjectDecoder(), health, event_log
+        objects.PlatformObjectDecoder(),
+        health,
+        event_log,
+        has_evacuations=has_evacuations,
     )
     tracker = load_tracker.LoadTracker()
     slowdowns = engine_slowdown.EngineSlowdowns()
@@ -186,6 +191,7 @@
         silent_servers.SilentServers(),
         relay_client,
         reservations.ReservationClient(
+            view,
             server_connections,
             backend_codec,
             observer,
@@ -258,6 +264,7 @@
                 first_call_delay,
             )
             for kind, name in _PLATFORM_KINDS.items()
+            if kind is not codecs.ObjectKind.EVACUATIONS or has_evacuations
         ),
         availability,
         load_reporting.LoadReporter(
--- a/packages/platform/src/lavendershed/platform/settings.py
+++ b/packages/platform/src/lavendershed/platform/settings.py
@@ -37,6 +37,8 @@
         bandwidth_mbps: Bandwidth of the VM; 0 if it is not stated.
         first_start: Whether the whole deployment starts for the first time.
         memory: Memory that the process may use.
+        evacuation_bound: Time in which an evacuation of a zone has to take
+            effect; None on deployments without evacuations.
     """
 
     vm: ids.VmId
@@ -51,6 +53,7 @@
     bandwidth_mbps: int = 0
     first_start: bool = False
     memory: units.Bytes = units.Bytes(300 * _BYTES_PER_MB)
+    evacuation_bound: units.Seconds | None = None
 
     @property
     def buffer_bytes(self) -> units.Bytes:
@@ -99,6 +102,9 @@
         units.Bytes(
             int(fields.number(vm_limits, "memory_mb", 300.0) * _BYTES_PER_MB)
         ),
+        units.Seconds(fields.number(bounds, "evacuate_ms") / 1_000)
+        if "evacuate_ms" in bounds
+        else None,
     )
 
 
--- a/packages/telemetry/src/lavendershed/telemetry/request_instruments.py
+++ b/packages/telemetry/src/lavendershed/telemetry/request_instruments.py
@@ -77,6 +77,12 @@
         self._store_era = meter.create_gauge("lavendershed.store_era")
         self._store_revision = meter.create_gauge("lavendershed.store_revision")
         self._permits = meter.create_counter("lavendershed.permits")
+        self._evacuated_zones = meter.create_gauge(
+            "lavendershed.evacuated_zones"
+        )
+        self._tasks_in_evacuated_zones = meter.create_gauge(
+            "lavendershed.evacuated_zone_tasks"
+        )
         self._object_age = meter.create_gauge(
             "lavendershed.store_objects_age", unit="s"
         )
@@ -143,6 +149,11 @@
         """Sets the version of the active configuration."""
         self._configuration_version.set(version)
 
+    def set_evacuations(self, zones: int, tasks: int) -> None:
+        """Sets the numbers of evacuated zones and of open tasks in them."""
+        self._evacuated_zones.set(zones)
+        self._tasks_in_evacuated_zones.set(tasks)
+
     def set_object_age(self, kind: str, age: units.Seconds) -> None:
         """Sets the time since objects were confirmed to be the newest."""
         self._object_age.set(age, {"kind": kind})
--- a/tests/test_platform_rules.py
+++ b/tests/test_platform_rules.py
@@ -10,8 +10,8 @@
 
 import platform_case
 
-from lavendershed.core import store_revisions
 from lavendershed.core import units
+from lavendershed.peer import peer_state
 from lavendershed.standin import fault_proxy
 from lavendershed.standin import platform_engine
 from lavendershed.standin import platform_store
@@ -649,7 +649,7 @@
         self.assertFalse(task.done())
         other.parts.components.context.view.on_peer_state(
             self.daemon.parts.components.context.view.state_since(
-                0, store_revisions.NONE, self.timers.now()
+                peer_state.KnownState(), self.timers.now()
             ),
             self.timers.now(),
         )
@@ -677,7 +677,7 @@
         self.assertFalse(task.done())
         other.parts.components.context.view.on_peer_state(
             self.daemon.parts.components.context.view.state_since(
-                0, store_revisions.NONE, self.timers.now()
+                peer_state.KnownState(), self.timers.now()
             ),
             self.timers.now(),
         )
