Judge property tests by their outcome and not by the machine's speed

Cause: JsonOutlineTest.test_parts_are_those_of_the_document failed once with a health check of hypothesis (input generation too slow) while other suites and plays used the machine (load average 23); alone it passes. The time limits of hypothesis depend on what else runs, so that one run fails and the next holds. Change: the suite runs with a profile without deadlines and without that health check. What the tests assert and the number of their examples are the same.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -13,6 +13,8 @@
 import sys
 import unittest
 
+import hypothesis
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 MAX_PARALLEL_SUITES = 4
 KNOWN_FAILURE_PREFIX = "test: "
@@ -23,6 +25,13 @@
     directory, pattern = (
         (path, "test_*.py") if path.is_dir() else (path.parent, path.name)
     )
+    # The time that an example takes depends on what else the machine does.
+    hypothesis.settings.register_profile(
+        "suite",
+        deadline=None,
+        suppress_health_check=[hypothesis.HealthCheck.too_slow],
+    )
+    hypothesis.settings.load_profile("suite")
     loader = unittest.TestLoader()
     suite = loader.discover(
         str(directory), pattern, top_level_dir=str(directory)
