--- a/packages/admission/src/lavendershed/admission/engine_limits.py
+++ b/packages/admission/src/lavendershed/admission/engine_limits.py
@@ -4,7 +4,9 @@
 
 from collections.abc import Callable
 import dataclasses
+import math
 
+from lavendershed.admission import request_limits
 from lavendershed.core import ids
 from lavendershed.core import units
 
@@ -42,7 +44,7 @@
     return units.RequestsPerSecond(min(max(rate, MIN_RATE), MAX_RATE))
 
 
-class EngineLimits:
+class EngineLimits(request_limits.RequestLimits):
     """The newest known limit of each incarnation of a server.
 
     News of this daemon and of others are ordered by the time of the answer.
@@ -74,6 +76,15 @@
         news = self._news.get(server)
         return news if news is not None and news.rate is not None else None
 
+    def request_limit(
+        self, server: ids.ServerNumber, now: units.Instant
+    ) -> request_limits.RequestLimit | None:
+        """Returns the limit that a server has named; None without one."""
+        news = self.limit(server)
+        if news is None or news.rate is None:
+            return None
+        return request_limits.RequestLimit(news.rate, units.Instant(math.inf))
+
     @property
     def limited_count(self) -> int:
         """Number of servers with a limit."""
--- a/packages/admission/src/lavendershed/admission/permit_allocator.py
+++ b/packages/admission/src/lavendershed/admission/permit_allocator.py
@@ -47,6 +47,8 @@
     """Token buckets of the servers that this daemon issues permits for.
 
     A bucket starts empty: another daemon may have issued permits just before.
+    Only that of a limit that states a burst starts full, because the burst
+    allows for two issuers.
     """
 
     def __init__(self) -> None:
@@ -59,11 +61,12 @@
         now: units.Instant,
         *,
         as_standby: bool,
+        burst: float | None = None,
     ) -> units.Seconds:
         """Issues a permit for one request, or tells when to come back.
 
         In any period of T seconds at most `rate` times T permits are issued,
-        and two or a quarter of a second's worth more.
+        and `burst` more; without it two or a quarter of a second's worth.
 
         Args:
             server: The server.
@@ -71,6 +74,7 @@
             now: Current time.
             as_standby: Whether this daemon stands in for a silent issuer. The
                 permits of both roles are counted apart.
+            burst: Permits that may be issued at once, at least one.
 
         Returns:
             0 if the permit is issued, else the time to wait.
@@ -81,13 +85,13 @@
         bucket = self._buckets.get(key)
         if bucket is None:
             self._discard_idle(now)
-            bucket = _Bucket(0.0, now)
+            bucket = _Bucket(burst or 0.0, now)
             self._buckets[key] = bucket
         elapsed = units.elapsed(bucket.updated_at, now)
         bucket.updated_at = now
         bucket.tokens = min(
             bucket.tokens + elapsed * rate,
-            max(_MIN_BURST, rate * _BURST_PERIOD),
+            burst or max(_MIN_BURST, rate * _BURST_PERIOD),
         )
         bucket.applicants = max(
             0.0, bucket.applicants - elapsed * _FREE_RETURNS_PER_SECOND
