Predict cold engines as slower only until they are warm

Cause: a slowdown that was learned from a cold engine was used for three seconds more, also by the other daemons, and a cold engine without answers yet counted as fast.

Change: `EngineSlowdowns` is told until when an engine is cold. What was learned until then ends with the cold time.

--- a/packages/routing/src/lavendershed/routing/engine_slowdown.py
+++ b/packages/routing/src/lavendershed/routing/engine_slowdown.py
@@ -17,6 +17,10 @@
 # requests is tried again.
 _SAMPLE_LIFETIME = units.Seconds(3.0)
 
+# An engine that has just started is slower, by a factor that is not known
+# before its first latencies. A smaller one than this is no slowdown.
+_COLD_SLOWDOWN = _MIN_SLOWDOWN
+
 # An engine and the ratio of its observed to its predicted latency.
 Slowdown = tuple[ids.BackendServerId, float]
 
@@ -36,12 +40,23 @@
         self._stated: dict[
             ids.BackendServerId, tuple[float, units.Instant]
         ] = {}
+        # When engines that were cold become warm.
+        self._cold_until: dict[ids.BackendServerId, units.Instant] = {}
+
+    def set_cold(
+        self, server: ids.BackendServerId, until: units.Instant
+    ) -> None:
+        """Records that an engine is slower until it is warm.
+
+        What is observed of it until then says nothing about later.
+        """
+        self._cold_until[server] = until
 
     def on_stated_slowdown(
         self, server: ids.BackendServerId, factor: float, now: units.Instant
     ) -> None:
         """Records the slowdown factor that an engine states; 1 is none."""
-        self._stated[server] = (factor, units.after(now, _SAMPLE_LIFETIME))
+        self._stated[server] = (factor, self._expiry(server, now))
 
     def on_inter_token_latency(
         self,
@@ -53,7 +68,11 @@
         """Records the time between two events of a stream."""
         if predicted_ms <= 0:
             return
-        if now - self._last_sample_at.get(server, now) > _SAMPLE_LIFETIME:
+        last_sample_at = self._last_sample_at.get(server, now)
+        if (
+            now - last_sample_at > _SAMPLE_LIFETIME
+            or last_sample_at < self._cold_until.get(server, now) <= now
+        ):
             self._latency_ratios.pop(server, None)
         ratios = self._latency_ratios.setdefault(
             server, collections.deque(maxlen=_MIN_SAMPLES)
@@ -65,9 +84,8 @@
         self, slowdowns: Iterable[Slowdown], now: units.Instant
     ) -> None:
         """Records the slowdown factors that another daemon has observed."""
-        until = units.after(now, _SAMPLE_LIFETIME)
         for server, factor in slowdowns:
-            self._reported[server] = (factor, until)
+            self._reported[server] = (factor, self._expiry(server, now))
 
     def local_slowdowns(self, now: units.Instant) -> tuple[Slowdown, ...]:
         """Returns the slow engines observed by this daemon."""
@@ -80,9 +98,26 @@
     def factor(self, server: ids.BackendServerId, now: units.Instant) -> float:
         """Returns the slowdown factor of an engine; 1 if it is not slow."""
         reported, until = self._reported.get(server, (1.0, now))
-        return max(
+        learned = max(
             self._local_factor(server, now), reported if until > now else 1.0
         )
+        cold_until = self._cold_until.get(server)
+        if cold_until is None:
+            return learned
+        if cold_until > now:
+            return max(learned, _COLD_SLOWDOWN)
+        if now - cold_until > _SAMPLE_LIFETIME:
+            # All that was learned while it was cold has expired.
+            del self._cold_until[server]
+        return learned
+
+    def _expiry(
+        self, server: ids.BackendServerId, now: units.Instant
+    ) -> units.Instant:
+        """Returns until when a factor that is learned now is used."""
+        until = units.after(now, _SAMPLE_LIFETIME)
+        cold_until = self._cold_until.get(server, now)
+        return min(until, cold_until) if cold_until > now else until
 
     def _local_factor(
         self, server: ids.BackendServerId, now: units.Instant
@@ -105,6 +140,9 @@
         if (
             len(ratios) < _MIN_SAMPLES
             or now - self._last_sample_at[server] > _SAMPLE_LIFETIME
+            or self._last_sample_at[server]
+            < self._cold_until.get(server, now)
+            <= now
         ):
             return 1.0
         smallest = min(ratios)
--- a/packages/routing/tests/test_engine_slowdown.py
+++ b/packages/routing/tests/test_engine_slowdown.py
@@ -46,6 +46,24 @@
         self.observe(250.0, 250.0, 250.0, 250.0, 50.0)
         self.assertEqual(self.factor(), 1.0)
 
+    def test_a_cold_engine_is_predicted_as_slower_until_it_is_warm(self):
+        self.slowdowns.set_cold(ENGINE, at(2.0))
+        self.assertEqual(self.factor(now=1.9), 1.5)
+        self.observe(250.0, 250.0, 250.0, 250.0, now=1.9)
+        self.assertEqual(self.factor(now=1.9), 5.0)
+        self.assertEqual(self.factor(now=2.0), 1.0)
+
+    def test_latencies_of_a_cold_engine_say_nothing_about_a_warm_one(self):
+        """The engine would be avoided as slow for some seconds more."""
+        self.slowdowns.set_cold(ENGINE, at(2.0))
+        self.slowdowns.on_stated_slowdown(ENGINE, 4.0, at(1.9))
+        self.slowdowns.on_report([(ENGINE, 4.0)], at(1.9))
+        self.observe(250.0, 250.0, 250.0, now=1.9)
+        self.observe(250.0, now=2.1)
+        self.assertEqual(self.factor(now=2.1), 1.0)
+        self.observe(250.0, 250.0, 250.0, now=2.1)
+        self.assertEqual(self.factor(now=2.1), 5.0)
+
     def test_old_observations_expire(self):
         self.observe(250.0, 250.0, 250.0, 250.0)
         self.assertEqual(self.factor(now=4.0), 1.0)
