Issue permits for requests to cold engines

Cause: callers on a deployment whose engines come back cold could get more requests to one of them than it takes; it crashes and comes back cold again.

Change: entries and services carry the cold time and rate, settings the bounds. `PermitClient` needs a permit for the lower of both limits; a call tells the issuer of the cold state. For a cold engine a daemon issues by the role that it has in its own view, since callers that know other members may ask two daemons as issuers. While daemons know no others (2 s after their start) those that all know from their settings issue a quarter of the limit, so that a restart of all of them beside cold engines neither exceeds the bound nor refuses everything. Services without a cold rate are served as before.

--- a/packages/forwarding/src/lavendershed/forwarding/context.py
+++ b/packages/forwarding/src/lavendershed/forwarding/context.py
@@ -10,6 +10,7 @@
 from lavendershed.core import timers
 from lavendershed.core import units
 from lavendershed.forwarding import codecs
+from lavendershed.forwarding import cold_observer
 from lavendershed.forwarding import connections
 from lavendershed.forwarding import deployment_view
 from lavendershed.forwarding import engine_choosers
@@ -62,6 +63,7 @@
     reservations: reservations.ReservationClient
     inspector: engine_inspection.EngineInspector
     limit_observer: limit_observer.LimitObserver
+    cold_observer: cold_observer.ColdObserver
     permits: permits.PermitClient
     health: server_health.ServerHealth
     timers: timers.TimerService
@@ -171,6 +173,7 @@
         context.timers.now(),
         unreachable=unreachable,
     )
+    context.cold_observer.on_failure(server, duration)
     _log_exclusion(context, server, reason, request, duration)
 
 
--- a/packages/forwarding/src/lavendershed/forwarding/load_reporting.py
+++ b/packages/forwarding/src/lavendershed/forwarding/load_reporting.py
@@ -15,6 +15,7 @@
 from lavendershed.core import units
 from lavendershed.forwarding import bundle_distribution
 from lavendershed.forwarding import codecs
+from lavendershed.forwarding import cold_observer
 from lavendershed.forwarding import deployment_view
 from lavendershed.forwarding import peer_versions
 from lavendershed.forwarding import permits
@@ -81,6 +82,7 @@
         attribution: crash_attribution.CrashAttribution,
         slowdowns: engine_slowdown.EngineSlowdowns,
         limits: engine_limits.EngineLimits,
+        cold: cold_observer.ColdObserver,
         permit_client: permits.PermitClient,
         fleet: visible_fleet.VisibleFleet,
         health: server_health.ServerHealth,
@@ -103,6 +105,7 @@
         self._crash_attribution = attribution
         self._slowdowns = slowdowns
         self._limits = limits
+        self._cold = cold
         self._permits = permit_client
         self._fleet = fleet
         self._health = health
@@ -269,6 +272,7 @@
         self._slowdowns.on_report(report.slow_engines, now)
         for number, news in report.limits:
             self._limits.on_peer_news(number, news)
+        self._cold.on_peer_failures(report.unreachable_servers)
         for server, exclusion_time in self._health.on_peer_report(
             report.unreachable_servers, now
         ):
--- a/packages/forwarding/src/lavendershed/forwarding/permits.py
+++ b/packages/forwarding/src/lavendershed/forwarding/permits.py
@@ -4,11 +4,14 @@
 
 import asyncio
 from collections.abc import Iterable
+from collections.abc import Iterator
 import itertools
 import math
 
+from lavendershed.admission import cold_engines
 from lavendershed.admission import engine_limits
 from lavendershed.admission import permit_allocator
+from lavendershed.admission import request_limits
 from lavendershed.core import addresses
 from lavendershed.core import ids
 from lavendershed.core import timers
@@ -33,6 +36,11 @@
 # A daemon knows the others some report intervals after its start. Until then it
 # would take itself for the issuer of servers that others issue for.
 _MEMBERSHIP_SETTLING_TIME = units.Seconds(2.0)
+# Until then, a daemon that all others know from their settings issues this
+# share of the limit of a cold engine. There are three of these at most, and all
+# are asked in the same order.
+_SETTLING_SHARE = 0.25
+_SETTLING_BURST = 2.0
 
 
 class PermitClient:
@@ -45,6 +53,7 @@
         self,
         own_address: addresses.Address,
         limits: engine_limits.EngineLimits,
+        cold: cold_engines.ColdEngines,
         issuers: permit_issuers.PermitIssuers,
         fleet: visible_fleet.VisibleFleet,
         timer_service: timers.TimerService,
@@ -52,13 +61,16 @@
         instruments: request_instruments.RequestInstruments,
     ) -> None:
         self._own_address = own_address
-        self._limits = limits
+        self._named_limits = limits
+        self._cold = cold
+        self._limits = request_limits.LowestLimits((limits, cold))
         self._issuers = issuers
         self._fleet = fleet
         self._timers = timer_service
         self._log = event_log
         self._instruments = instruments
         self._allocator = permit_allocator.PermitAllocator()
+        self._unsettled_allocator = permit_allocator.PermitAllocator()
         self._issues_from = units.after(
             timer_service.now(), _MEMBERSHIP_SETTLING_TIME
         )
@@ -75,14 +87,18 @@
 
     def is_limited(self, server: server_directory.ServerEntry) -> bool:
         """Returns whether a request to a server needs a permit."""
-        return self._limits.limit(_number(server)) is not None
+        return self._limit(_number(server)) is not None
+
+    def is_cold(self, server: server_directory.ServerEntry) -> bool:
+        """Returns whether a server may be cold."""
+        return self._cold.is_cold(_number(server), self._timers.now())
 
     def available_at(
         self, server: server_directory.ServerEntry
     ) -> units.Instant:
         """Returns when a server may be chosen; a past time if it may now."""
         number = _number(server)
-        if self._limits.limit(number) is None:
+        if self._limit(number) is None:
             return units.Instant(-math.inf)
         return self._denied_until.get(number, units.Instant(-math.inf))
 
@@ -183,10 +199,13 @@
         now: units.Instant,
     ) -> None:
         # A report of the limit may have been lost.
-        observed_at = units.Instant(now - call.limit_age)
-        self._limits.on_peer_news(
-            call.server, engine_limits.LimitNews(call.rate, observed_at)
-        )
+        if call.rate is not None:
+            observed_at = units.Instant(now - call.limit_age)
+            self._named_limits.on_peer_news(
+                call.server, engine_limits.LimitNews(call.rate, observed_at)
+            )
+        if call.cold is not None:
+            self._cold.on_peer_news(call.server, call.cold, now)
         wait = self._issue(call.server, now, as_standby=call.as_standby)
         reply = permit_messages.PermitReply(call.call, wait)
         if self._send is not None:
@@ -200,13 +219,48 @@
         as_standby: bool,
     ) -> units.Seconds | None:
         """Returns the time to wait, 0 for a permit, None if it issues none."""
+        limit = self._limit(server)
         if now < self._issues_from:
-            return None
-        limit = self._limits.limit(server)
-        if limit is None or limit.rate is None:
+            if limit is None or limit.burst is None or not as_standby:
+                return None
+            return self._issue_unsettled(server, limit, now)
+        if limit is None:
             return units.Seconds(0.0)
+        if limit.burst is not None:
+            # Callers that know other members may ask two daemons as issuers. A
+            # cold engine bears two for less than a second.
+            issuer = self._issuers.issuers(server)[0]
+            as_standby = issuer != self._own_address
         rate = units.RequestsPerSecond(limit.rate * self._fleet.share)
-        return self._allocator.request(server, rate, now, as_standby=as_standby)
+        return self._allocator.request(
+            server, rate, now, as_standby=as_standby, burst=limit.burst
+        )
+
+    def _issue_unsettled(
+        self,
+        server: ids.ServerNumber,
+        limit: request_limits.RequestLimit,
+        now: units.Instant,
+    ) -> units.Seconds | None:
+        """Issues permits while this daemon may not know the others yet.
+
+        Otherwise cold engines would get nothing after a restart of all daemons,
+        and there may be no others.
+        """
+        if not self._issuers.is_fallback:
+            return None
+        return self._unsettled_allocator.request(
+            server,
+            units.RequestsPerSecond(limit.rate * _SETTLING_SHARE),
+            now,
+            as_standby=False,
+            burst=_SETTLING_BURST,
+        )
+
+    def _limit(
+        self, server: ids.ServerNumber
+    ) -> request_limits.RequestLimit | None:
+        return self._limits.request_limit(server, self._timers.now())
 
     async def _request_permit(
         self, server: server_directory.ServerEntry
@@ -214,8 +268,7 @@
         """Returns 0 for a permit, else the time to wait."""
         number = _number(server)
         wait: units.Seconds | None = None
-        issuers = self._issuers.issuers(number)
-        for issuer, as_standby in zip(issuers, (False, True), strict=False):
+        for issuer, as_standby in self._issuers_to_ask(number):
             wait = await self._ask(issuer, number, as_standby=as_standby)
             if wait is not None:
                 break
@@ -232,6 +285,17 @@
             self._denied_until[number] = units.after(now, wait)
         return wait
 
+    def _issuers_to_ask(
+        self, server: ids.ServerNumber
+    ) -> Iterator[tuple[addresses.Address, bool]]:
+        """Yields daemons and whether they are asked as standby."""
+        issuers = self._issuers.issuers(server)
+        yield from zip(issuers, (False, True), strict=False)
+        if self._cold.is_cold(server, self._timers.now()):
+            for fallback in self._issuers.fallback_issuers(server):
+                if fallback not in issuers[1:]:
+                    yield fallback, True
+
     async def _ask(
         self,
         issuer: addresses.Address,
@@ -241,19 +305,22 @@
     ) -> units.Seconds | None:
         """Returns the issuer's answer; None if it declines or is silent."""
         now = self._timers.now()
-        limit = self._limits.limit(server)
-        if limit is None or limit.rate is None:
+        if self._limit(server) is None:
             return units.Seconds(0.0)
         if issuer == self._own_address:
             return self._issue(server, now, as_standby=as_standby)
         if self._send is None or now < self._silent_until.get(issuer, now):
             return None
+        named = self._named_limits.limit(server)
         call = permit_messages.PermitCall(
             next(self._call_numbers),
             server,
-            limit.rate,
-            units.elapsed(limit.observed_at, now),
+            None if named is None else named.rate,
+            units.Seconds(0.0)
+            if named is None
+            else units.elapsed(named.observed_at, now),
             as_standby,
+            self._cold.news(server, now),
         )
         reply: asyncio.Future[units.Seconds | None] = (
             asyncio.get_running_loop().create_future()
--- a/packages/forwarding/tests/test_load_reporting.py
+++ b/packages/forwarding/tests/test_load_reporting.py
@@ -6,6 +6,7 @@
 import types
 import unittest
 
+from lavendershed.admission import cold_engines
 from lavendershed.admission import engine_limits
 from lavendershed.core import addresses
 from lavendershed.core import forwarding_states
@@ -121,9 +122,11 @@
             network.timers,
         )
         self.limits = engine_limits.EngineLimits()
+        self.cold = cold_engines.ColdEngines()
         self.permits = permits.PermitClient(
             self.address,
             self.limits,
+            self.cold,
             permit_issuers.PermitIssuers(self.address, self.peers),
             visible_fleet.VisibleFleet(),
             network.timers,
@@ -167,6 +170,7 @@
             self.attribution,
             engine_slowdown.EngineSlowdowns(),
             self.limits,
+            types.SimpleNamespace(on_peer_failures=lambda unreachable: None),
             self.permits,
             visible_fleet.VisibleFleet(),
             server_health.ServerHealth(),
--- a/packages/forwarding/tests/test_permits.py
+++ b/packages/forwarding/tests/test_permits.py
@@ -7,10 +7,12 @@
 import unittest
 from unittest import mock
 
+from lavendershed.admission import cold_engines
 from lavendershed.admission import engine_limits
 from lavendershed.core import addresses
 from lavendershed.core import forwarding_states
 from lavendershed.core import ids
+from lavendershed.core import store_revisions
 from lavendershed.core import timers
 from lavendershed.core import units
 from lavendershed.forwarding import permits
@@ -27,6 +29,12 @@
 # starts behind one partition and is cut off by another.
 SEEDS = (3, 7, 23, 37)
 RATE = units.RequestsPerSecond(4.0)
+COLD_BOUNDS = cold_engines.ColdBounds(1.5, 5.0)
+COLD_PROFILE = cold_engines.ColdProfile(
+    units.Seconds(3.0), units.RequestsPerSecond(17.0)
+)
+# Requests in one second that the operator allows to a cold engine.
+MAX_COLD = 17.0 * 1.5 + 5
 ENGINE = server_directory.ServerEntry(
     ids.BackendServerId("e-0"),
     ids.Incarnation(1),
@@ -45,10 +53,12 @@
         self.address = addresses.Address(f"10.0.0.{number}", 7_000)
         self.peers = peer_table.PeerTable(self.address)
         self.limits = engine_limits.EngineLimits()
+        self.cold = cold_engines.ColdEngines(COLD_BOUNDS)
         self.fleet = visible_fleet.VisibleFleet()
         self.client = permits.PermitClient(
             self.address,
             self.limits,
+            self.cold,
             permit_issuers.PermitIssuers(self.address, self.peers),
             self.fleet,
             case.timers,
@@ -66,6 +76,20 @@
                     other.address, ids.Incarnation(1), 1, (), ZONE, now
                 )
 
+    def learn_of_cold_engine(self, remaining, now):
+        """Applies the entry of the engine, which is cold."""
+        self.cold.on_entries(
+            [
+                cold_engines.EngineStatement(
+                    NUMBER,
+                    store_revisions.of(1, 1),
+                    units.Seconds(remaining),
+                    COLD_PROFILE,
+                )
+            ],
+            now,
+        )
+
 
 class PermitClientTest(unittest.IsolatedAsyncioTestCase):
     """Guards against daemons that exceed the limit of an engine together."""
@@ -180,6 +204,7 @@
     and learn of it late. All of them ask for permits all the time.
     """
 
+    SEEDS = SEEDS
     DAEMONS = 6
     SECONDS = 15.0
     STEP_S = 0.05
@@ -214,9 +239,12 @@
 
     def start(self, number):
         daemon = Daemon(number, self)
-        daemon.limits.on_named(NUMBER, RATE, self.timers.now())
+        self.limit(daemon)
         self.daemons[daemon.address] = daemon
 
+    def limit(self, daemon):
+        daemon.limits.on_named(NUMBER, RATE, self.timers.now())
+
     def inject_failure(self):
         match self.random.choice(("kill", "restart", "add", "cut", "heal")):
             case "kill":
@@ -264,7 +292,7 @@
 
     async def test_the_limit_holds_whatever_happens_to_daemons(self):
         with mock.patch.object(permits, "_REPLY_TIMEOUT", 0.003):
-            for seed in SEEDS:
+            for seed in self.SEEDS:
                 issued = await self.play(seed)
                 most = max(
                     sum(start <= at < start + self.WINDOW_S for at in issued)
@@ -274,5 +302,109 @@
                     self.assertLessEqual(most, self.MAX_IN_WINDOW)
 
 
+class ColdPermitFaultsTest(PermitFaultsTest):
+    """Guards against too many requests to a cold engine in any second.
+
+    Issuers and members change as above, and daemons learn of the engine from
+    entries of different age.
+    """
+
+    # Those with the most requests in one window out of 40.
+    SEEDS = (3, 7, 15, 23, 37)
+    WINDOW_S = 1.0
+    MAX_IN_WINDOW = MAX_COLD
+
+    def limit(self, daemon):
+        daemon.learn_of_cold_engine(
+            self.random.uniform(30.0, 60.0), self.timers.now()
+        )
+        daemon.peers.set_seeds(address(n) for n in range(1, 4))
+
+
+class ColdEngineFleetTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a fleet that is restarted beside cold engines."""
+
+    def setUp(self):
+        self.timers = timers.VirtualTimerService()
+        self.daemons = {}
+        self.silent = set()
+
+    def start(self, count, remaining=60.0):
+        fleet = [Daemon(number, self) for number in range(1, count + 1)]
+        for daemon in fleet:
+            daemon.learn_of_cold_engine(remaining, self.timers.now())
+            daemon.peers.set_seeds(address(n) for n in range(1, 4))
+        self.daemons = {daemon.address: daemon for daemon in fleet}
+        return fleet
+
+    def deliver(self, source, data, targets):
+        for target in targets:
+            if target in self.daemons and target not in self.silent:
+                asyncio.get_running_loop().call_soon(
+                    self.daemons[target].client.on_datagram,
+                    data,
+                    source,
+                    self.timers.now(),
+                )
+
+    async def permits_in(self, seconds):
+        """Returns the times of permits while each daemon asks all the time."""
+        issued = []
+        for _ in range(round(seconds / 0.05)):
+            denied = await asyncio.gather(
+                *(d.client.acquire((ENGINE,)) for d in self.daemons.values())
+            )
+            now = self.timers.now()
+            issued += [now for engines in denied if not engines]
+            self.timers.advance(units.Seconds(0.05))
+        return issued
+
+    def assert_within_bound(self, issued):
+        for start in issued:
+            in_window = sum(start <= at < start + 1.0 for at in issued)
+            self.assertLessEqual(in_window, MAX_COLD)
+
+    async def test_after_a_restart_of_all_daemons_some_requests_go_on(self):
+        """They don't know each other yet, and each may know only some."""
+        fleet = self.start(30)
+        for number, daemon in enumerate(fleet):
+            daemon.meet(fleet[number : number + 5], self.timers.now())
+        issued = await self.permits_in(1.9)
+        self.assertGreaterEqual(sum(at < 0.5 for at in issued), 3)
+        self.assertGreaterEqual(len(issued), 8)
+        self.assert_within_bound(issued)
+        for daemon in fleet:
+            daemon.meet(fleet, self.timers.now())
+        issued += await self.permits_in(3.0)
+        self.assert_within_bound(issued)
+        self.assertGreaterEqual(len(issued), 8 + 3 * 12)
+
+    async def test_all_daemons_keep_to_the_rate(self):
+        fleet = self.start(8)
+        for daemon in fleet:
+            daemon.meet(fleet, self.timers.now())
+        self.timers.advance(units.Seconds(3.0))
+        issued = await self.permits_in(4.0)
+        self.assert_within_bound(issued)
+        self.assertGreaterEqual(len(issued), 4 * 12)
+
+    async def test_a_daemon_that_knows_the_state_tells_the_issuer(self):
+        """The issuer may have an older list of servers."""
+        fleet = self.start(8)
+        for daemon in fleet:
+            daemon.meet(fleet, self.timers.now())
+        issuer = fleet[0].client._issuers.issuers(NUMBER)[0]
+        self.daemons[issuer].cold.on_entries([], self.timers.now())
+        self.timers.advance(units.Seconds(3.0))
+        others = [d for d in fleet if d.address != issuer]
+        self.daemons[issuer].client.acquire = others[0].client.acquire
+        self.assert_within_bound(await self.permits_in(2.0))
+
+
+def address(number):
+    """Returns the address of a daemon."""
+    return addresses.Address(f"10.0.0.{number}", 7_000)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/membership/src/lavendershed/membership/peer_table.py
+++ b/packages/membership/src/lavendershed/membership/peer_table.py
@@ -71,6 +71,7 @@
 
     def __init__(self, own_address: addresses.Address) -> None:
         self._own_address = own_address
+        self._configured_seeds: tuple[addresses.Address, ...] = ()
         self._seeds: tuple[addresses.Address, ...] = ()
         self._peers: dict[addresses.Address, _Peer] = {}
         # Live daemons of each zone in the order of their ranks.
@@ -88,6 +89,11 @@
         """Configured addresses except that of this daemon."""
         return self._seeds
 
+    @property
+    def configured_seeds(self) -> tuple[addresses.Address, ...]:
+        """Configured addresses, also that of this daemon."""
+        return self._configured_seeds
+
     @property
     def live_peers(self) -> tuple[addresses.Address, ...]:
         """Daemons that reported within `PEER_TIMEOUT`."""
@@ -114,7 +120,10 @@
 
     def set_seeds(self, seeds: Iterable[addresses.Address]) -> None:
         """Replaces the configured addresses."""
-        self._seeds = tuple(seed for seed in seeds if seed != self._own_address)
+        self._configured_seeds = tuple(seeds)
+        self._seeds = tuple(
+            seed for seed in self._configured_seeds if seed != self._own_address
+        )
 
     def zone_members(
         self, zone: ids.AvailabilityZoneId
--- a/packages/membership/src/lavendershed/membership/permit_issuers.py
+++ b/packages/membership/src/lavendershed/membership/permit_issuers.py
@@ -28,6 +28,24 @@
             ids.ServerNumber, tuple[addresses.Address, ...]
         ] = {}
 
+    @property
+    def is_fallback(self) -> bool:
+        """Whether this daemon is one of the configured addresses."""
+        return self._own_address in self._peers.configured_seeds
+
+    def fallback_issuers(
+        self, server: ids.ServerNumber
+    ) -> tuple[addresses.Address, ...]:
+        """Returns the daemons to ask if neither issuer nor standby issues.
+
+        All daemons have the same few seeds, also before they know each other.
+        """
+        by_name = {str(a): a for a in self._peers.configured_seeds}
+        return tuple(
+            by_name[name]
+            for name in rendezvous.ranked(by_name, str(server), len(by_name))
+        )
+
     def issuers(
         self, server: ids.ServerNumber
     ) -> tuple[addresses.Address, ...]:
--- a/packages/membership/src/lavendershed/membership/server_directory.py
+++ b/packages/membership/src/lavendershed/membership/server_directory.py
@@ -38,6 +38,8 @@
         availability_zone: Zone of its VM.
         state: Whether it accepts new requests.
         revision: Store revision of the registration.
+        cold_remaining: Time for which the server stayed cold when it wrote the
+            registration; 0 if it was warm.
     """
 
     id: ids.BackendServerId
@@ -47,6 +49,7 @@
     availability_zone: ids.AvailabilityZoneId
     state: forwarding_states.ServerState
     revision: store_revisions.StoreRevision = store_revisions.NONE
+    cold_remaining: units.Seconds = units.Seconds(0.0)
 
     @property
     def accepts_work(self) -> bool:
--- a/packages/peer/idl/messages.thrift
+++ b/packages/peer/idl/messages.thrift
@@ -212,6 +212,10 @@
   // Set in replies only: milliseconds to wait, 0 if the permit is issued. A
   // reply without it declines the call.
   6: optional i32 wait
+  // Set in calls for a cold engine only: the requests a second that it takes,
+  // encoded like the limit, and the milliseconds until it is warm.
+  7: optional i64 cold_rate
+  8: optional i32 cold_time
 }
 
 struct StoredObject {
--- a/packages/peer/src/lavendershed/peer/gen/messages/ttypes.py
+++ b/packages/peer/src/lavendershed/peer/gen/messages/ttypes.py
@@ -2374,6 +2374,8 @@
      - limit_age
      - standby
      - wait
+     - cold_rate
+     - cold_time
 
     """
 
@@ -2384,16 +2386,20 @@
         'limit_age',
         'standby',
         'wait',
+        'cold_rate',
+        'cold_time',
     )
 
 
-    def __init__(self, call=None, server=None, limit=None, limit_age=None, standby=None, wait=None,):
+    def __init__(self, call=None, server=None, limit=None, limit_age=None, standby=None, wait=None, cold_rate=None, cold_time=None,):
         self.call = call
         self.server = server
         self.limit = limit
         self.limit_age = limit_age
         self.standby = standby
         self.wait = wait
+        self.cold_rate = cold_rate
+        self.cold_time = cold_time
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2434,6 +2440,16 @@
                     self.wait = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.cold_rate = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.cold_time = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2468,6 +2484,14 @@
             oprot.writeFieldBegin('wait', TType.I32, 6)
             oprot.writeI32(self.wait)
             oprot.writeFieldEnd()
+        if self.cold_rate is not None:
+            oprot.writeFieldBegin('cold_rate', TType.I64, 7)
+            oprot.writeI64(self.cold_rate)
+            oprot.writeFieldEnd()
+        if self.cold_time is not None:
+            oprot.writeFieldBegin('cold_time', TType.I32, 8)
+            oprot.writeI32(self.cold_time)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3139,6 +3163,8 @@
     (4, TType.I64, 'limit_age', None, None, ),  # 4
     (5, TType.BOOL, 'standby', None, None, ),  # 5
     (6, TType.I32, 'wait', None, None, ),  # 6
+    (7, TType.I64, 'cold_rate', None, None, ),  # 7
+    (8, TType.I32, 'cold_time', None, None, ),  # 8
 )
 all_structs.append(StoredObject)
 StoredObject.thrift_spec = (
--- a/packages/peer/src/lavendershed/peer/permit_messages.py
+++ b/packages/peer/src/lavendershed/peer/permit_messages.py
@@ -5,6 +5,7 @@
 import dataclasses
 import math
 
+from lavendershed.admission import cold_engines
 from lavendershed.core import ids
 from lavendershed.core import units
 from lavendershed.peer import wire
@@ -24,16 +25,18 @@
     Attributes:
         call: Number of the call, which the reply repeats.
         server: The limited server.
-        rate: Its limit as the caller knows it.
+        rate: Its limit as the caller knows it; None if it has named none.
         limit_age: Time since the server named the limit.
         as_standby: Whether the issuer of the server does not reply.
+        cold: What the caller knows of its cold state; None if it is warm.
     """
 
     call: int
     server: ids.ServerNumber
-    rate: units.RequestsPerSecond
+    rate: units.RequestsPerSecond | None
     limit_age: units.Seconds
     as_standby: bool
+    cold: cold_engines.ColdNews | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,13 +55,16 @@
 
 def encode_call(call: PermitCall) -> bytes:
     """Returns a call as a datagram."""
+    cold = call.cold
     return _PREFIX + wire.encode(
         ttypes.PermitMessage(
             call=call.call,
             server=call.server,
-            limit=encode_rate(call.rate),
-            limit_age=encode_age(call.limit_age),
+            limit=None if call.rate is None else encode_rate(call.rate),
+            limit_age=None if call.rate is None else encode_age(call.limit_age),
             standby=call.as_standby or None,
+            cold_rate=None if cold is None else encode_rate(cold.rate),
+            cold_time=None if cold is None else encode_age(cold.remaining),
         )
     )
 
@@ -92,7 +98,8 @@
             None if wait_ms is None else units.Seconds(max(0, wait_ms) / 1_000),
         )
     rate = decode_rate(message.limit or 0)
-    if rate is None:
+    cold_rate = decode_rate(message.cold_rate or 0)
+    if rate is None and cold_rate is None:
         raise ValueError("call for a permit without a limit")
     return PermitCall(
         message.call or 0,
@@ -100,6 +107,11 @@
         rate,
         decode_age(message.limit_age or 0),
         bool(message.standby),
+        None
+        if cold_rate is None
+        else cold_engines.ColdNews(
+            cold_rate, decode_age(message.cold_time or 0)
+        ),
     )
 
 
--- a/packages/platform/src/lavendershed/platform/factory.py
+++ b/packages/platform/src/lavendershed/platform/factory.py
@@ -5,6 +5,7 @@
 import dataclasses
 import random
 
+from lavendershed.admission import cold_engines
 from lavendershed.admission import engine_limits
 from lavendershed.admission import return_schedule
 from lavendershed.core import ids
@@ -12,6 +13,7 @@
 from lavendershed.core import units
 from lavendershed.forwarding import bundle_distribution
 from lavendershed.forwarding import codecs
+from lavendershed.forwarding import cold_observer
 from lavendershed.forwarding import components
 from lavendershed.forwarding import connections
 from lavendershed.forwarding import context
@@ -75,11 +77,13 @@
     components: components.Components
     peers: peer_table.PeerTable
     budget: fleet_retry_budget.FleetRetryBudget
+    cold: cold_engines.ColdEngines
 
     def apply(self, changed: settings.PlatformSettings) -> None:
         """Applies changed seeds and limits; addresses require a restart."""
         self.peers.set_seeds(changed.seeds)
         self.budget.set_limits(changed.retry_budget)
+        self.cold.set_bounds(changed.cold_bounds)
 
 
 def build(
@@ -132,12 +136,17 @@
     observer = limit_observer.LimitObserver(
         limits, backend_codec, timer_service, event_log, instruments
     )
+    cold = cold_engines.ColdEngines(platform_settings.cold_bounds)
+    cold_engine_observer = cold_observer.ColdObserver(
+        view, cold, slowdowns, timer_service, event_log, instruments
+    )
     peers = peer_table.PeerTable(platform_settings.peer_address)
     peers.set_seeds(platform_settings.seeds)
     fleet = visible_fleet.VisibleFleet()
     permit_client = permits.PermitClient(
         platform_settings.peer_address,
         limits,
+        cold,
         permit_issuers.PermitIssuers(platform_settings.peer_address, peers),
         fleet,
         timer_service,
@@ -173,6 +182,7 @@
     )
     view.subscribe(lambda: losses.on_servers(view.directory.entries))
     view.subscribe(lambda: observer.on_servers(view.directory.entries))
+    view.subscribe(cold_engine_observer.on_view)
     forwarding_context = context.ForwardingContext(
         view,
         callers.PlatformCallerCodec(),
@@ -207,6 +217,7 @@
             event_log,
         ),
         observer,
+        cold_engine_observer,
         permit_client,
         health,
         timer_service,
@@ -282,6 +293,7 @@
             attribution,
             slowdowns,
             limits,
+            cold_engine_observer,
             permit_client,
             fleet,
             health,
@@ -295,4 +307,4 @@
             versions, view, store_role, timer_service, event_log, errors
         ),
     )
-    return PlatformComponents(daemon_components, peers, budget)
+    return PlatformComponents(daemon_components, peers, budget, cold)
--- a/packages/platform/src/lavendershed/platform/objects.py
+++ b/packages/platform/src/lavendershed/platform/objects.py
@@ -68,6 +68,9 @@
         ids.AvailabilityZoneId(fields.string(body, "zone")),
         state,
         stored.revision,
+        units.Seconds(
+            fields.number(body, "cold_remaining_ms", 0.0) / _MS_PER_SECOND
+        ),
     )
 
 
@@ -153,6 +156,8 @@
         None
         if engine is None
         else _decode_engine(fields.as_table(engine, "engine")),
+        units.Seconds(fields.number(body, "cold_start_s", 0.0)),
+        units.RequestsPerSecond(fields.number(body, "cold_per_s", 0.0)),
     )
 
 
--- a/packages/platform/src/lavendershed/platform/settings.py
+++ b/packages/platform/src/lavendershed/platform/settings.py
@@ -8,6 +8,7 @@
 
 import result
 
+from lavendershed.admission import cold_engines
 from lavendershed.core import addresses
 from lavendershed.core import ids
 from lavendershed.core import units
@@ -39,6 +40,7 @@
         memory: Memory that the process may use.
         evacuation_bound: Time in which an evacuation of a zone has to take
             effect; None on deployments without evacuations.
+        cold_bounds: How far requests may exceed the rate of cold engines.
     """
 
     vm: ids.VmId
@@ -54,6 +56,7 @@
     first_start: bool = False
     memory: units.Bytes = units.Bytes(300 * _BYTES_PER_MB)
     evacuation_bound: units.Seconds | None = None
+    cold_bounds: cold_engines.ColdBounds = cold_engines.ColdBounds()
 
     @property
     def buffer_bytes(self) -> units.Bytes:
@@ -105,6 +108,10 @@
         units.Seconds(fields.number(bounds, "evacuate_ms") / 1_000)
         if "evacuate_ms" in bounds
         else None,
+        cold_engines.ColdBounds(
+            fields.number(bounds, "cold_overrun", 1.0),
+            fields.number(bounds, "cold_slack", 0.0),
+        ),
     )
 
 
--- a/packages/platform/tests/test_objects.py
+++ b/packages/platform/tests/test_objects.py
@@ -97,6 +97,16 @@
         self.assertEqual(engine.mean_output_tokens, 1_622)
         self.assertEqual(decoded.organisations[0].keys, ("k",))
 
+    def test_cold_rates_are_optional(self):
+        self.body["services"].append(
+            {"name": "cold", "cold_start_s": 3.0, "cold_per_s": 17.0}
+        )
+        decoded = self.decoder.decode_configuration(stored(self.body)).unwrap()
+        self.assertEqual(
+            [(s.cold_start, s.cold_rate) for s in decoded.services],
+            [(0.0, 0.0), (3.0, 17.0)],
+        )
+
     def test_unknown_fields_are_ignored(self):
         self.body["new"] = self.body["route_table"][0]["new"] = 1
         self.assertTrue(
@@ -136,6 +146,14 @@
         self.assertEqual(entry.incarnation, 17)
         self.assertTrue(entry.accepts_work)
 
+    def test_the_cold_time_is_decoded(self):
+        body = {**ENTRY, "cold_remaining_ms": 2_900}
+        entry = self.decoder.decode_server(stored(body, "i-1")).unwrap()
+        self.assertEqual(entry.cold_remaining, 2.9)
+        odd = {**ENTRY, "cold_remaining_ms": "soon"}
+        decoded = self.decoder.decode_server(stored(odd, "i-1"))
+        self.assertIn("cold_remaining_ms", decoded.unwrap_err())
+
     def test_errors_name_missing_and_invalid_fields(self):
         for field in ("service", "address", "zone", "state"):
             for value in (None, 5, "", "odd:odd"):
--- a/packages/routes/src/lavendershed/routes/model.py
+++ b/packages/routes/src/lavendershed/routes/model.py
@@ -74,11 +74,16 @@
         id: Name of the service.
         max_connections: Connections that one server accepts in total.
         engine: Profile of its model engines; None for a plain service.
+        cold_start: Time for which a server is cold after its start.
+        cold_rate: Requests that a cold server takes from all daemons; 0 if
+            it takes as many as any other.
     """
 
     id: ids.ServiceId
     max_connections: int
     engine: engine_profile.EngineProfile | None
+    cold_start: units.Seconds = units.Seconds(0.0)
+    cold_rate: units.RequestsPerSecond = units.RequestsPerSecond(0.0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/telemetry/src/lavendershed/telemetry/request_instruments.py
+++ b/packages/telemetry/src/lavendershed/telemetry/request_instruments.py
@@ -74,6 +74,7 @@
         self._limited_servers = meter.create_gauge(
             "lavendershed.limited_servers"
         )
+        self._cold_engines = meter.create_gauge("lavendershed.cold_engines")
         self._store_era = meter.create_gauge("lavendershed.store_era")
         self._store_revision = meter.create_gauge("lavendershed.store_revision")
         self._permits = meter.create_counter("lavendershed.permits")
@@ -166,6 +167,10 @@
         """Sets the number of servers that name a request limit."""
         self._limited_servers.set(count)
 
+    def set_cold_engines(self, count: int) -> None:
+        """Sets the number of engines that are taken to be cold."""
+        self._cold_engines.set(count)
+
     def set_store_revision(
         self, kind: str, revision: store_revisions.StoreRevision
     ) -> None:
