--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -63,7 +63,7 @@
     }
 
 
-def configuration(version, *routes, api_keys=(KEY,)):
+def configuration(version, *routes, api_keys=(KEY,), **model_service):
     """Returns a configuration of the platform."""
     return {
         "version": version,
@@ -82,7 +82,12 @@
             *routes,
         ],
         "services": [
-            {"name": MODEL_SERVICE, "max_connections": 100, "engine": ENGINE},
+            {
+                "name": MODEL_SERVICE,
+                "max_connections": 100,
+                "engine": ENGINE,
+                **model_service,
+            },
             {"name": PLAIN_SERVICE, "max_connections": 100},
         ],
         "limits": {
--- a/tests/virtual_case.py
+++ b/tests/virtual_case.py
@@ -12,6 +12,7 @@
 import platform_case
 import result
 
+from lavendershed.admission import cold_engines
 from lavendershed.core import addresses
 from lavendershed.core import ids
 from lavendershed.core import store_revisions
@@ -164,6 +165,7 @@
         self.id = name
         self.service = service
         self.incarnation = 1
+        self.cold_remaining_ms = 0
         self.address = addresses.Address(f"10.0.0.{number + 1}", 8_080)
 
     @abc.abstractmethod
@@ -391,6 +393,7 @@
                 _NOWHERE,
                 units.Seconds(8.0),
                 BUDGET,
+                cold_bounds=cold_engines.ColdBounds(1.5, 5.0),
             ),
             ids.Incarnation(1),
             self.timers,
@@ -482,5 +485,6 @@
         "slots": 8,
         "state": state,
         "born": server.incarnation,
+        "cold_remaining_ms": server.cold_remaining_ms,
         "seq": version,
     }
