--- a/packages/admission/src/lavendershed/admission/return_schedule.py
+++ b/packages/admission/src/lavendershed/admission/return_schedule.py
@@ -22,11 +22,13 @@
         engines: Engines that accept requests.
         daemons: Daemons that issue times of return independently.
         backlog: Time until the engines have done what they have now.
+        opens_after: Time before which no engine takes requests.
     """
 
     engines: int
     daemons: int
     backlog: units.Seconds
+    opens_after: units.Seconds = units.Seconds(0.0)
 
 
 class ReturnSchedule:
@@ -61,8 +63,9 @@
         """
         if not capacity.engines:
             return None
-        earliest = units.after(now, capacity.backlog)
-        latest = units.after(now, _MAX_AHEAD)
+        opens_after = capacity.opens_after
+        earliest = units.after(now, max(capacity.backlog, opens_after))
+        latest = units.after(now, units.Seconds(opens_after + _MAX_AHEAD))
         return_at = units.Instant(
             min(latest, max(earliest, self._next_return_at))
         )
@@ -72,6 +75,9 @@
         shortest_time = engine_time / capacity.engines
         if retry_after + shortest_time >= time_left:
             return None
+        if opens_after:
+            # A caller that returns earlier would be refused again.
+            return units.Seconds(retry_after)
         return units.Seconds(
             min(retry_after, time_left * _MAX_SHARE_OF_TIME_LEFT)
         )
--- a/packages/admission/tests/test_return_schedule.py
+++ b/packages/admission/tests/test_return_schedule.py
@@ -10,9 +10,11 @@
 NOW = units.Instant(100.0)
 
 
-def capacity(engines=10, daemons=5, backlog=0.0):
+def capacity(engines=10, daemons=5, backlog=0.0, opens_after=0.0):
     """Returns the capacity of a small deployment."""
-    return return_schedule.Capacity(engines, daemons, units.Seconds(backlog))
+    return return_schedule.Capacity(
+        engines, daemons, units.Seconds(backlog), units.Seconds(opens_after)
+    )
 
 
 class ReturnScheduleTest(unittest.TestCase):
@@ -51,6 +53,16 @@
     def test_callers_wait_at_most_a_third_of_their_time(self):
         self.assertAlmostEqual(self.issue(backlog=4.0, time_left=9.0), 3.0)
 
+    def test_nobody_is_told_to_return_while_all_engines_pause(self):
+        """Guards against a time at which a return is refused again.
+
+        A pause is known, and may be longer than any backlog is estimated.
+        """
+        returns = [self.issue(opens_after=8.0) for _ in range(4)]
+        self.assertEqual(returns, sorted(set(returns)))
+        self.assertAlmostEqual(returns[0], 8.0)
+        self.assertIsNone(self.issue(opens_after=8.0, time_left=8.0))
+
     def test_without_engines_there_is_nothing_to_return_to(self):
         self.assertIsNone(self.issue(engines=0))
 
