Decode what answers say about leaving and pauses

Cause: Server-Leaving and Retry-After of engines were not read, and the former was passed on to callers.

Change: response heads carry typed notices; answers to calls have a decoder of their own. That a server is leaving holds for good and is believed of answers only that may be passed on. A pause ends by itself and is believed of any 503 that is not another request's. Nothing is believed of another request's answer or of a 421.

Seen to fail with these mutations: garbled or foreign answers believed; any value taken for 1; a pause read from any status; an answer with a request's id believed for a call.

--- a/packages/forwarding/src/lavendershed/forwarding/codecs.py
+++ b/packages/forwarding/src/lavendershed/forwarding/codecs.py
@@ -67,6 +67,12 @@
             The limit, None if the answer names none, or why it is invalid.
         """
 
+    @abc.abstractmethod
+    def decode_call_notices(
+        self, head: client.ResponseHead
+    ) -> requests.ServerNotices:
+        """Returns what the answer to a reservation or query says besides."""
+
     @abc.abstractmethod
     def encode_reservation(
         self,
--- a/packages/forwarding/src/lavendershed/forwarding/requests.py
+++ b/packages/forwarding/src/lavendershed/forwarding/requests.py
@@ -5,6 +5,8 @@
 import dataclasses
 import enum
 
+import result
+
 from lavendershed.core import addresses
 from lavendershed.core import ids
 from lavendershed.core import units
@@ -73,6 +75,23 @@
 )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerNotices:
+    """What an answer says about the server itself.
+
+    Attributes:
+        leaving: Whether the server is leaving.
+        pause: Seconds for which it asks this daemon to send nothing, None if it
+            does not ask, or why the time can't be read.
+    """
+
+    leaving: bool = False
+    pause: result.Result[float | None, str] = result.Ok(None)
+
+
+NO_NOTICES = ServerNotices()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class BackendResponseHead:
     """Status and headers of a backend server's response.
@@ -83,6 +102,7 @@
         headers: Headers to forward.
         keep_alive_timeout: Time until the server closes the idle connection.
         faulty_server: Failed server that the response reports, if any.
+        notices: What the response says about the server, if it is believed.
     """
 
     kind: ResponseKind
@@ -90,6 +110,7 @@
     headers: Headers
     keep_alive_timeout: units.Seconds | None = None
     faulty_server: addresses.Address | None = None
+    notices: ServerNotices = NO_NOTICES
 
     @property
     def is_from_server(self) -> bool:
--- a/packages/platform/src/lavendershed/platform/engines.py
+++ b/packages/platform/src/lavendershed/platform/engines.py
@@ -31,6 +31,14 @@
 # Servers announce their idle timeout in whole seconds; one that announces none
 # may close the connection in less than a second.
 _DEFAULT_IDLE_TIMEOUT = units.Seconds(0.5)
+_BUSY_STATUS = 503
+# The transport sets the length; that a server is leaving concerns no caller.
+_NOT_FORWARDED = frozenset({"content-length", header_names.LEAVING})
+# An answer to another request, or of another server at the address of one that
+# has left, says nothing about the server that the request was sent to.
+_FOREIGN_KINDS = frozenset(
+    {requests.ResponseKind.OTHER_REQUEST, requests.ResponseKind.WRONG_SERVER}
+)
 _MAX_LOGGED = 40
 # Load reports have no place for larger numbers.
 _MAX_SLOWDOWN = 1_000.0
@@ -87,17 +95,19 @@
             if faulty_server is not None
             else None
         )
+        kind = _response_kind(head, response_fields, caller_request)
         return requests.BackendResponseHead(
-            _response_kind(head, response_fields, caller_request),
+            kind,
             head.status,
             tuple(
                 (name, value)
                 for name, value in head.headers
                 if name not in header_names.HOP_BY_HOP
-                and name != "content-length"
+                and name not in _NOT_FORWARDED
             ),
             _idle_timeout(response_fields),
             parsed.ok() if parsed is not None else None,
+            _notices(head, kind),
         )
 
     def decode_request_limit(
@@ -111,6 +121,14 @@
             return result.Err(f"{value[:_MAX_LOGGED]!r} is not a number")
         return result.Ok(float(value))
 
+    def decode_call_notices(
+        self, head: client.ResponseHead
+    ) -> requests.ServerNotices:
+        """Returns what the answer to a call says about the server itself."""
+        if _answers_request(head) or head.status == _WRONG_SERVER_STATUS:
+            return requests.NO_NOTICES
+        return requests.ServerNotices(_says_leaving(head), _pause(head))
+
     def encode_reservation(
         self,
         server: ids.BackendServerId,
@@ -230,9 +248,42 @@
     return requests.ResponseKind.SUCCESS
 
 
+def _notices(
+    head: client.ResponseHead, kind: requests.ResponseKind
+) -> requests.ServerNotices:
+    """Returns what is believed of the notices in a response to a request.
+
+    A pause ends by itself, and is believed of any refusal. That a server is
+    leaving holds for good, and is not believed of a garbled response.
+    """
+    if kind in _FOREIGN_KINDS:
+        return requests.NO_NOTICES
+    return requests.ServerNotices(
+        kind is not requests.ResponseKind.INVALID and _says_leaving(head),
+        _pause(head),
+    )
+
+
+def _says_leaving(head: client.ResponseHead) -> bool:
+    value = head.header(header_names.LEAVING)
+    return value is not None and value.strip() == "1"
+
+
+def _pause(head: client.ResponseHead) -> result.Result[float | None, str]:
+    value = head.header(header_names.RETRY_AFTER)
+    if head.status != _BUSY_STATUS or value is None:
+        return result.Ok(None)
+    if _DECIMAL_NUMBER.fullmatch(value.strip()) is None:
+        return result.Err(f"{value[:_MAX_LOGGED]!r} is not a number")
+    return result.Ok(float(value))
+
+
 def _idle_timeout(response_fields: dict[str, str]) -> units.Seconds | None:
     if "close" in response_fields.get("connection", "").lower():
         return None
+    if header_names.LEAVING in response_fields:
+        # The next request goes elsewhere.
+        return None
     for part in response_fields.get("keep-alive", "").split(","):
         name, _, value = part.strip().partition("=")
         seconds = decimals.parse(value)
--- a/packages/platform/src/lavendershed/platform/header_names.py
+++ b/packages/platform/src/lavendershed/platform/header_names.py
@@ -29,6 +29,11 @@
 # Requests per second that an engine in need takes from all routers together, a
 # decimal number; absent if it has no limit.
 REQUEST_LIMIT = "server-limit"
+# "1" in all answers of an engine that is leaving.
+LEAVING = "server-leaving"
+# Seconds, a decimal number; from an engine that refuses a request, the time for
+# which it wants nothing from this router.
+RETRY_AFTER = "retry-after"
 # Addresses of the engines that prefill shards of the prompt, each followed by
 # the id of its memory reservation if it has one.
 HELPERS = "helpers"
--- a/packages/platform/tests/test_engines.py
+++ b/packages/platform/tests/test_engines.py
@@ -96,6 +96,77 @@
         head = client.ResponseHead(200, ())
         self.assertIsNone(codec.decode_request_limit(head).unwrap())
 
+    def test_only_its_own_answers_say_that_a_server_is_leaving(self):
+        """Guards against a server that is given up for another one's answer."""
+        not_run = {**OWN_ID, "not-executed": "1"}
+        for status, headers, value, leaving in (
+            (200, VALID_HEADERS, "1", True),
+            (200, VALID_HEADERS, " 1 ", True),
+            (500, VALID_HEADERS, "1", True),
+            (500, {}, "1", True),
+            (503, not_run, "1", True),
+            (200, VALID_HEADERS, "0", False),
+            (200, VALID_HEADERS, "", False),
+            (200, VALID_HEADERS, "11", False),
+            (200, OWN_ID, "1", False),
+            (200, {**VALID_HEADERS, "attempt-id": "r2"}, "1", False),
+            (503, {"not-executed": "1"}, "1", False),
+            (421, OWN_ID, "1", False),
+        ):
+            with self.subTest(status=status, headers=headers, value=value):
+                response = self.decode(
+                    status, {**headers, "server-leaving": value}
+                )
+                self.assertIs(response.notices.leaving, leaving)
+                self.assertNotIn("server-leaving", dict(response.headers))
+                self.assertIsNone(response.reuse_period)
+
+    def test_pauses(self):
+        """Guards against a pause that is missed, or kept for another server."""
+        not_run = {**OWN_ID, "not-executed": "1"}
+        for status, headers, value, pause in (
+            (503, not_run, "2", 2.0),
+            (503, not_run, " 0.25 ", 0.25),
+            # The answer is garbled, but the relief costs little.
+            (503, OWN_ID, "2", 2.0),
+            (503, {}, "2", 2.0),
+            (503, {**not_run, "attempt-id": "r2"}, "2", None),
+            (421, OWN_ID, "2", None),
+            (429, not_run, "2", None),
+            (200, VALID_HEADERS, "2", None),
+        ):
+            with self.subTest(status=status, headers=headers, value=value):
+                response = self.decode(
+                    status, {**headers, "retry-after": value}
+                )
+                self.assertEqual(response.notices.pause.unwrap(), pause)
+        for value in (
+            *("-1", "nan", "inf", "1e3", "", "soon", "1,5", "9" * 5000),
+            "Sun, 06 Dec 2026 21:00:00 GMT",
+        ):
+            with self.subTest(value=value):
+                response = self.decode(503, {**not_run, "retry-after": value})
+                self.assertTrue(response.notices.pause.is_err())
+
+    def test_notices_in_answers_to_calls(self):
+        """Guards against a late copy of another answer that is believed."""
+        codec = engines.PlatformBackendCodec()
+        notices = (("server-leaving", "1"), ("retry-after", "2"))
+        for status, extra, expected in (
+            (200, (), (True, None)),
+            (409, (), (True, None)),
+            (503, (), (True, 2.0)),
+            (421, (), (False, None)),
+            (503, tuple(OWN_ID.items()), (False, None)),
+        ):
+            with self.subTest(status=status, extra=extra):
+                decoded = codec.decode_call_notices(
+                    client.ResponseHead(status, (*notices, *extra))
+                )
+                self.assertEqual(
+                    (decoded.leaving, decoded.pause.unwrap()), expected
+                )
+
     def test_idle_timeouts(self):
         for headers, limit in (
             ({"keep-alive": "timeout=5, max=9"}, 5.0),
