Tell all daemons which servers are leaving

Cause: a daemon has to know of a leaving engine before it gets an answer of it.

Change: load reports have the optional field 40, hashes of the incarnations that said so to the sender, 40 at most. Older builds skip it; the generated code is extended by hand as before.

Seen to fail: no bound on the hashes, hashes not counted against the tasks, a negative number of tasks.

--- a/packages/peer/idl/messages.thrift
+++ b/packages/peer/idl/messages.thrift
@@ -165,6 +165,9 @@
   30: optional i64 evacuations_known
   31: optional i64 evacuations_known_era
   32: optional i32 evacuations_age
+  // Hashes of incarnations of servers whose answers to the sender say that they
+  // are leaving. 33 to 39 are left for other fields.
+  40: optional list<i64> leaving
 }
 
 // A request that passed admission at one daemon and runs at another one.
--- a/packages/peer/src/lavendershed/peer/gen/messages/ttypes.py
+++ b/packages/peer/src/lavendershed/peer/gen/messages/ttypes.py
@@ -1511,6 +1511,7 @@
      - evacuations_known
      - evacuations_known_era
      - evacuations_age
+     - leaving
 
     """
 
@@ -1546,10 +1547,11 @@
         'evacuations_known',
         'evacuations_known_era',
         'evacuations_age',
+        'leaving',
     )
 
 
-    def __init__(self, incarnation=None, sequence=None, configuration_version=None, server_revision=None, works=None, suspects=None, peers=None, slow=None, unreachable=None, sender=None, zone=None, watching=None, bundled=None, members=None, alive=None, bandwidth=None, configuration_age=None, servers_age=None, servers_known=None, crashes=None, begun=None, quarantines=None, limits=None, server_era=None, servers_known_era=None, cut_off=None, evacuation_revision=None, evacuation_era=None, evacuations_known=None, evacuations_known_era=None, evacuations_age=None,):
+    def __init__(self, incarnation=None, sequence=None, configuration_version=None, server_revision=None, works=None, suspects=None, peers=None, slow=None, unreachable=None, sender=None, zone=None, watching=None, bundled=None, members=None, alive=None, bandwidth=None, configuration_age=None, servers_age=None, servers_known=None, crashes=None, begun=None, quarantines=None, limits=None, server_era=None, servers_known_era=None, cut_off=None, evacuation_revision=None, evacuation_era=None, evacuations_known=None, evacuations_known_era=None, evacuations_age=None, leaving=None,):
         self.incarnation = incarnation
         self.sequence = sequence
         self.configuration_version = configuration_version
@@ -1581,6 +1583,7 @@
         self.evacuations_known = evacuations_known
         self.evacuations_known_era = evacuations_known_era
         self.evacuations_age = evacuations_age
+        self.leaving = leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1801,6 +1804,16 @@
                     self.evacuations_age = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 40:
+                if ftype == TType.LIST:
+                    self.leaving = []
+                    (_etype200, _size201) = iprot.readListBegin()
+                    for _i202 in range(_size201):
+                        _elem203 = iprot.readI64()
+                        self.leaving.append(_elem203)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1968,6 +1981,13 @@
             oprot.writeFieldBegin('evacuations_age', TType.I32, 32)
             oprot.writeI32(self.evacuations_age)
             oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.LIST, 40)
+            oprot.writeListBegin(TType.I64, len(self.leaving))
+            for iter204 in self.leaving:
+                oprot.writeI64(iter204)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3100,6 +3120,14 @@
     (30, TType.I64, 'evacuations_known', None, None, ),  # 30
     (31, TType.I64, 'evacuations_known_era', None, None, ),  # 31
     (32, TType.I32, 'evacuations_age', None, None, ),  # 32
+    None,  # 33
+    None,  # 34
+    None,  # 35
+    None,  # 36
+    None,  # 37
+    None,  # 38
+    None,  # 39
+    (40, TType.LIST, 'leaving', (TType.I64, None, False), None, ),  # 40
 )
 all_structs.append(RelayedRequest)
 RelayedRequest.thrift_spec = (
--- a/packages/peer/src/lavendershed/peer/load_reports.py
+++ b/packages/peer/src/lavendershed/peer/load_reports.py
@@ -57,6 +57,9 @@
 _MAX_LIMITS = 24
 _FIELDS_PER_LIMIT = 3
 _BYTES_PER_LIMIT = 13
+# Servers that are left out were in earlier reports.
+_MAX_LEAVING = 40
+_BYTES_PER_HASH = 5
 # Ages are encoded as 32-bit integers; an older copy confirms nothing anyway.
 _MAX_AGE_MS = 3_600_000
 
@@ -97,6 +100,7 @@
             evacuations.
         evacuations_age: Time since they were known to be the newest; None if
             they never were.
+        leaving: Servers whose answers to the sender say that they are leaving.
     """
 
     incarnation: ids.Incarnation
@@ -120,6 +124,7 @@
     evacuation_revision: store_revisions.StoreRevision = store_revisions.NONE
     evacuations_known: store_revisions.StoreRevision = store_revisions.NONE
     evacuations_age: units.Seconds | None = None
+    leaving: tuple[ids.ServerNumber, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -162,11 +167,14 @@
     """Returns a report as a datagram; times are encoded relative to `now`."""
     evidence = crash_evidence.encode(report.crash_evidence)
     limits = report.limits[:_MAX_LIMITS]
+    leaving = report.leaving[:_MAX_LEAVING]
     # These are rare, and more urgent than the last tasks of a full report.
-    max_tasks = _MAX_TASKS - math.ceil(
-        (crash_evidence.encoded_size(evidence) + len(limits) * _BYTES_PER_LIMIT)
-        / _BYTES_PER_TASK
+    size = (
+        crash_evidence.encoded_size(evidence)
+        + len(limits) * _BYTES_PER_LIMIT
+        + len(leaving) * _BYTES_PER_HASH
     )
+    max_tasks = max(0, _MAX_TASKS - math.ceil(size / _BYTES_PER_TASK))
     limit_fields = itertools.chain.from_iterable(
         (
             server,
@@ -211,6 +219,7 @@
             evacuations_known=report.evacuations_known.number or None,
             evacuations_known_era=report.evacuations_known.era or None,
             evacuations_age=_to_milliseconds(report.evacuations_age),
+            leaving=list(leaving) or None,
             sequence=report.sequence,
             configuration_version=report.configuration_epoch,
             server_revision=report.server_revision.number,
@@ -352,6 +361,7 @@
             message.evacuations_known_era, message.evacuations_known
         ),
         _to_seconds(message.evacuations_age),
+        tuple(map(ids.ServerNumber, message.leaving or ())),
     )
 
 
--- a/packages/peer/tests/test_load_reports.py
+++ b/packages/peer/tests/test_load_reports.py
@@ -9,6 +9,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from lavendershed.admission import engine_limits
 from lavendershed.core import addresses
 from lavendershed.core import forwarding_states
 from lavendershed.core import ids
@@ -109,6 +110,35 @@
         )
         self.assertEqual(self.encode_and_decode(sent), sent)
 
+    def test_leaving_servers_are_sent_as_far_as_they_fit(self):
+        """Guards against a report that is too large when many servers leave."""
+        leaving = tuple(range((1 << 32) - 1_000, 1 << 32))
+        limit = engine_limits.LimitNews(
+            engine_limits.MAX_RATE, units.Instant(NOW - 900.0)
+        )
+        sent = dataclasses.replace(
+            report(
+                [task() for _ in range(200)],
+                [addresses.Address("10.255.255.1", n) for n in range(900)],
+                evidence(9),
+            ),
+            limits=tuple((number, limit) for number in leaving),
+            leaving=leaving,
+        )
+        received = self.encode_and_decode(sent).leaving
+        self.assertGreaterEqual(len(received), 20)
+        self.assertEqual(received, leaving[: len(received)])
+        self.assertLessEqual(
+            len(load_reports.encode_report(sent, NOW)), MAX_DATAGRAM
+        )
+        for crashes in range(9):
+            fewer = dataclasses.replace(sent, crash_evidence=evidence(crashes))
+            self.assertLessEqual(
+                len(load_reports.encode_report(fewer, NOW)), MAX_DATAGRAM
+            )
+        few = dataclasses.replace(sent, leaving=leaving[:2])
+        self.assertEqual(self.encode_and_decode(few).leaving, leaving[:2])
+
     def test_the_newest_crashes_and_all_quarantines_are_sent(self):
         received = self.encode_and_decode(report(evidence=evidence(50)))
         crashes = received.crash_evidence.crashes
