Send nothing new to servers that leave or pause

Cause: an engine that says in its answers that it leaves got new work until its entry changed, which the store may not tell for long; one that refused with 503 and Retry-After was asked again.

Change: ServerNoticeObserver records the notices of all answers, to requests, memory orders and queries, and logs 246 to 248. DeploymentView.servers_accepting_work leaves out servers that are leaving, and accepts_new_work repeats the check, and that for a pause, immediately before a request, a new reservation or a probe is sent. A paused server is not available to PermitClient, so that requests wait for it or are refused like those for servers at their limits. If all servers of a service pause, failures name the end of the first pause, spread by ReturnSchedule. Idle connections to a leaving server are closed. Its end is no crash. Renewals go on; releases wait for the end of the pause, or are left to the lease.

Result: forwarding, peer and telemetry unit tests pass. Seen to fail: no filter, no recheck, recheck of another incarnation, a stale filter, the field left out of reports, of their state, or not applied.

--- a/packages/forwarding/src/lavendershed/forwarding/attempts.py
+++ b/packages/forwarding/src/lavendershed/forwarding/attempts.py
@@ -6,6 +6,7 @@
 import dataclasses
 import itertools
 
+from lavendershed.admission import return_schedule
 from lavendershed.core import addresses
 from lavendershed.core import forwarding_states
 from lavendershed.core import ids
@@ -22,6 +23,9 @@
 # Retry-After of a request that was not run: a backend server that was at
 # capacity is likely to accept requests again after this time.
 _RETRY_AFTER = units.Seconds(0.5)
+# Share of the target latency by which returns after a pause follow each other
+# at one server, which takes several requests at a time.
+_RETURN_SPACING = 0.1
 # An attempt with less time left than this can't succeed on any server.
 MIN_ATTEMPT_TIME = units.Seconds(0.03)
 
@@ -71,6 +75,15 @@
 )
 
 
+# Failures after which a return may be served, once servers take requests.
+_REASONS_OF_SERVERS = frozenset(
+    {
+        states.FailureReason.NO_BACKEND_SERVER,
+        states.FailureReason.BACKEND_SERVER_FAILED,
+    }
+)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptResult:
     """Outcome of one attempt and its cause.
@@ -414,6 +427,8 @@
         reason: states.FailureReason,
         detail: str,
         retry_after: units.Seconds | None = _RETRY_AFTER,
+        *,
+        is_scheduled: bool = False,
     ) -> outcomes.RequestFailure:
         """Returns a failure with the execution state of all attempts.
 
@@ -422,13 +437,46 @@
             detail: Cause, for the caller and for logs.
             retry_after: When the caller may return if the request has not run;
                 None if no return can be served.
+            is_scheduled: Whether this time considers pauses of the servers.
         """
         execution_state = self.execution
         not_run = execution_state is states.Execution.NOT_RUN
+        if (
+            not_run
+            and not is_scheduled
+            and retry_after is not None
+            and reason in _REASONS_OF_SERVERS
+        ):
+            retry_after = self._return_after_pauses(retry_after)
         return outcomes.RequestFailure(
             reason, execution_state, detail, retry_after if not_run else None
         )
 
+    def _return_after_pauses(
+        self, retry_after: units.Seconds
+    ) -> units.Seconds | None:
+        """Returns when to return; after the earliest pause if all pause."""
+        context = self._context
+        servers = context.view.servers_accepting_work(
+            self._admitted_request.service.id
+        )
+        pause = context.view.notices.pause_time(servers)
+        if not pause:
+            return retry_after
+        return context.return_schedule.issue(
+            units.Seconds(
+                self._admitted_request.route.target_latency * _RETURN_SPACING
+            ),
+            return_schedule.Capacity(
+                len(servers),
+                context.retry_budget.daemon_count,
+                retry_after,
+                pause,
+            ),
+            self.time_left,
+            context.timers.now(),
+        )
+
     def _backend_server_failure(self, detail: str) -> outcomes.RequestFailure:
         return self.build_failure(
             states.FailureReason.BACKEND_SERVER_FAILED, detail
--- a/packages/forwarding/src/lavendershed/forwarding/context.py
+++ b/packages/forwarding/src/lavendershed/forwarding/context.py
@@ -148,7 +148,8 @@
         evidence,
         leaving=current is None
         or current.incarnation != server.incarnation
-        or not current.accepts_work,
+        or not current.accepts_work
+        or context.view.notices.is_leaving(server),
     )
 
 
--- a/packages/forwarding/src/lavendershed/forwarding/daemon.py
+++ b/packages/forwarding/src/lavendershed/forwarding/daemon.py
@@ -185,6 +185,7 @@
         context = self._components.context
         now = context.timers.now()
         context.instruments.set_configuration_version(context.view.version)
+        context.view.notices.update_metrics()
         context.instruments.set_quarantines(
             context.crash_attribution.quarantine_count(now)
         )
--- a/packages/forwarding/src/lavendershed/forwarding/deployment_view.py
+++ b/packages/forwarding/src/lavendershed/forwarding/deployment_view.py
@@ -11,6 +11,7 @@
 from lavendershed.forwarding import codecs
 from lavendershed.forwarding import evacuation_view
 from lavendershed.forwarding import server_changes
+from lavendershed.forwarding import server_notices
 from lavendershed.membership import freshness
 from lavendershed.membership import server_directory
 from lavendershed.peer import load_reports
@@ -37,9 +38,11 @@
         decoder: codecs.ObjectDecoder,
         health: server_health.ServerHealth,
         event_log: log.EventLog,
+        notices: server_notices.ServerNoticeObserver,
         *,
         has_evacuations: bool = False,
     ) -> None:
+        self._notices = notices
         self._decoder = decoder
         self._health = health
         self._log = event_log
@@ -92,18 +95,25 @@
         """The evacuated availability zones."""
         return self._evacuations
 
+    @property
+    def notices(self) -> server_notices.ServerNoticeObserver:
+        """What answers of servers say about these themselves."""
+        return self._notices
+
     def servers_accepting_work(
         self, service: ids.ServiceId
     ) -> tuple[server_directory.ServerEntry, ...]:
         """Returns the servers of a service that new work may be sent to."""
-        return self._evacuations.remaining(
+        remaining = self._notices.without_leaving(
             service, self._directory.servers_accepting_work(service)
         )
+        return self._evacuations.remaining(service, remaining)
 
     def accepts_new_work(self, server: server_directory.ServerEntry) -> bool:
         """Returns whether new work may still be sent to a server.
 
-        It may have been chosen before its entry or an evacuation changed.
+        Its entry, an evacuation or what its answers say may have changed since
+        it was chosen.
         """
         current = self._directory.entry(server.id)
         return (
@@ -111,6 +121,7 @@
             and current.incarnation == server.incarnation
             and current.accepts_work
             and not self._evacuations.is_evacuated(current)
+            and self._notices.allows_new_work(current)
         )
 
     @property
--- a/packages/forwarding/src/lavendershed/forwarding/engine_inspection.py
+++ b/packages/forwarding/src/lavendershed/forwarding/engine_inspection.py
@@ -12,6 +12,7 @@
 from lavendershed.core import units
 from lavendershed.forwarding import codecs
 from lavendershed.forwarding import connections
+from lavendershed.forwarding import deployment_view
 from lavendershed.forwarding import limit_observer
 from lavendershed.forwarding import requests
 from lavendershed.membership import server_directory
@@ -35,6 +36,7 @@
 
     def __init__(
         self,
+        view: deployment_view.DeploymentView,
         server_connections: connections.BackendConnectionPool,
         codec: codecs.BackendCodec,
         slowdowns: engine_slowdown.EngineSlowdowns,
@@ -42,6 +44,7 @@
         timer_service: timers.TimerService,
         event_log: log.EventLog,
     ) -> None:
+        self._view = view
         self._connections = server_connections
         self._codec = codec
         self._slowdowns = slowdowns
@@ -67,7 +70,12 @@
             for server, at in self._queried_at.items()
             if now - at < _QUERY_INTERVAL
         }
-        due = [e for e in engines if e.id not in self._queried_at]
+        due = [
+            e
+            for e in engines
+            if e.id not in self._queried_at
+            and self._view.notices.allows_new_work(e)
+        ]
         self._queried_at.update((engine.id, now) for engine in due)
         statuses = await asyncio.gather(*(self._query(e) for e in due))
         slow = []
@@ -112,6 +120,9 @@
             body = await connection.read_body(_QUERY_TIMEOUT, _MAX_STATUS_BODY)
             if isinstance(body, result.Err):
                 return result.Err(body.err_value.detail)
+            self._view.notices.on_answer(
+                engine, self._codec.decode_call_notices(head.ok_value)
+            )
             status = self._codec.decode_status(head.ok_value, body.ok_value)
             if isinstance(status, result.Ok):
                 self._limit_observer.on_answer(
--- a/packages/forwarding/src/lavendershed/forwarding/load_reporting.py
+++ b/packages/forwarding/src/lavendershed/forwarding/load_reporting.py
@@ -269,6 +269,9 @@
         self._slowdowns.on_report(report.slow_engines, now)
         for number, news in report.limits:
             self._limits.on_peer_news(number, news)
+        self._view.notices.on_peer_news(
+            report.leaving, sender, self._view.directory.entries
+        )
         for server, exclusion_time in self._health.on_peer_report(
             report.unreachable_servers, now
         ):
@@ -318,6 +321,7 @@
         self._crash_attribution.subscribe(self._on_crash_news)
         self._reach.subscribe(lambda: self._on_change(urgent=True))
         self._limits.subscribe(lambda: self._on_change(urgent=True))
+        self._view.notices.subscribe(lambda: self._on_change(urgent=True))
         self._permits.start(self._send)
         self._bundles.start(self._send)
         self._send_report()
@@ -408,6 +412,7 @@
             frozenset(
                 (server, news.rate) for server, news in self._limits.local_news
             ),
+            self._view.notices.leaving_to_report,
         )
         has_changed = self._has_changed or state != self._reported_state
         self._has_changed = False
@@ -440,6 +445,7 @@
             self._view.evacuations.evacuations.last_change,
             self._view.evacuations.known_revision,
             self._view.freshness_of(codecs.ObjectKind.EVACUATIONS).age(now),
+            leaving=self._view.notices.leaving_to_report,
         )
 
     def _send(
--- a/packages/forwarding/src/lavendershed/forwarding/permits.py
+++ b/packages/forwarding/src/lavendershed/forwarding/permits.py
@@ -5,10 +5,10 @@
 import asyncio
 from collections.abc import Iterable
 import itertools
-import math
 
 from lavendershed.admission import engine_limits
 from lavendershed.admission import permit_allocator
+from lavendershed.admission import server_pauses
 from lavendershed.core import addresses
 from lavendershed.core import ids
 from lavendershed.core import timers
@@ -50,7 +50,9 @@
         timer_service: timers.TimerService,
         event_log: log.EventLog,
         instruments: request_instruments.RequestInstruments,
+        pauses: server_pauses.ServerPauses | None = None,
     ) -> None:
+        self._pauses = pauses or server_pauses.ServerPauses()
         self._own_address = own_address
         self._limits = limits
         self._issuers = issuers
@@ -82,9 +84,11 @@
     ) -> units.Instant:
         """Returns when a server may be chosen; a past time if it may now."""
         number = _number(server)
+        pause_ends_at = self._pauses.ends_at(number)
         if self._limits.limit(number) is None:
-            return units.Instant(-math.inf)
-        return self._denied_until.get(number, units.Instant(-math.inf))
+            return pause_ends_at
+        denied_until = self._denied_until.get(number, pause_ends_at)
+        return max(pause_ends_at, denied_until)
 
     def available_servers(
         self, servers: Iterable[server_directory.ServerEntry]
--- a/packages/forwarding/src/lavendershed/forwarding/reservations.py
+++ b/packages/forwarding/src/lavendershed/forwarding/reservations.py
@@ -150,15 +150,21 @@
         """Releases a reservation on its holders in the background."""
         loop = asyncio.get_running_loop()
         for holder in holders:
-            task = loop.create_task(
-                self._call(
-                    holder,
-                    self._codec.encode_release(holder.id, reservation_id),
-                )
-            )
+            task = loop.create_task(self._release(holder, reservation_id))
             self._release_tasks.add(task)
             task.add_done_callback(self._release_tasks.discard)
 
+    async def _release(
+        self, holder: server_directory.ServerEntry, reservation_id: str
+    ) -> None:
+        # A holder that wants nothing for longer than the lease ends it itself.
+        pause = self._view.notices.pause_time((holder,))
+        if pause < _LEASE_DURATION:
+            await asyncio.sleep(pause)
+            await self._call(
+                holder, self._codec.encode_release(holder.id, reservation_id)
+            )
+
     async def reserve_share(
         self,
         share: memory_shares.MemoryShare,
@@ -202,6 +208,9 @@
             if isinstance(body, result.Err):
                 return requests.ReservationStatus.UNKNOWN
             status = self._codec.decode_reservation_status(head.ok_value)
+            self._view.notices.on_answer(
+                holder, self._codec.decode_call_notices(head.ok_value)
+            )
             if status in _STATUSES_FROM_HOLDER:
                 self._limit_observer.on_answer(
                     holder, head.ok_value, sent_at, to_call=True
--- a/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
@@ -232,6 +232,7 @@
         response = context.backend_codec.decode(
             head.ok_value, self._admitted_request.request
         )
+        context.view.notices.on_answer(engine, response.notices)
         if response.is_from_server:
             context_module.record_answer(context, engine)
             context.limit_observer.on_answer(engine, head.ok_value, sent_at)
--- a/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
@@ -291,6 +291,7 @@
                             ),
                         )
                     ),
+                    context.view.notices.pause_time(candidates),
                 ),
                 self._attempts.time_left,
                 now,
@@ -301,6 +302,7 @@
             states.FailureReason.NO_BACKEND_SERVER,
             f"prompt of {self._size.prompt_tokens} tokens {cause}",
             retry_after,
+            is_scheduled=True,
         )
 
     async def _select_placement(self) -> placements.Placement | None:
--- a/packages/forwarding/src/lavendershed/forwarding/unary_attempt.py
+++ b/packages/forwarding/src/lavendershed/forwarding/unary_attempt.py
@@ -154,6 +154,7 @@
         response_head = context.backend_codec.decode(
             head.ok_value, self._admitted_request.request
         )
+        context.view.notices.on_answer(server, response_head.notices)
         if response_head.is_from_server:
             context_module.record_answer(context, server)
             context.limit_observer.on_answer(
--- a/packages/forwarding/tests/test_deployment_view.py
+++ b/packages/forwarding/tests/test_deployment_view.py
@@ -8,13 +8,17 @@
 from hypothesis import strategies
 import result
 
+from lavendershed.admission import server_pauses
 from lavendershed.core import addresses
 from lavendershed.core import forwarding_states
 from lavendershed.core import ids
 from lavendershed.core import store_revisions
+from lavendershed.core import timers
 from lavendershed.core import units
 from lavendershed.forwarding import codecs
 from lavendershed.forwarding import deployment_view
+from lavendershed.forwarding import requests
+from lavendershed.forwarding import server_notices
 from lavendershed.membership import server_directory
 from lavendershed.peer import load_reports
 from lavendershed.peer import peer_state
@@ -22,6 +26,7 @@
 from lavendershed.reliability import server_health
 from lavendershed.routes import model
 from lavendershed.telemetry import log
+from lavendershed.telemetry import request_instruments
 
 NOW = units.Instant(100.0)
 NAMES = ("i-1", "i-2", "i-3", "i-4")
@@ -75,6 +80,12 @@
         FakeDecoder(),
         server_health.ServerHealth(),
         log.MemoryEventLog(),
+        server_notices.ServerNoticeObserver(
+            server_pauses.ServerPauses(),
+            timers.VirtualTimerService(),
+            log.MemoryEventLog(),
+            request_instruments.RequestInstruments(ids.VmId("vm")),
+        ),
         has_evacuations=has_evacuations,
     )
 
@@ -437,5 +448,60 @@
         self.assertEqual(known.evacuations, store_revisions.NONE)
 
 
+class ServerNoticesTest(unittest.TestCase):
+    """Guards against new work for servers that have asked for none."""
+
+    def setUp(self):
+        self.view = listed("i-1", "i-2")
+        self.leaving = self.view.directory.entry("i-1")
+
+    def accepting(self):
+        return {entry.id for entry in self.view.servers_accepting_work("s")}
+
+    def test_nothing_older_brings_a_leaving_server_back(self):
+        """Its entry says ready, in the store and in the state of peers."""
+        self.assertEqual(self.accepting(), {"i-1", "i-2"})
+        self.view.notices.on_answer(
+            self.leaving, requests.ServerNotices(leaving=True)
+        )
+        self.assertEqual(self.accepting(), {"i-2"})
+        ready = (stored("i-1", 12), stored("i-2", 12))
+        self.view.on_server_listing((stored("i-2", 11),), at(11), NOW)
+        self.view.on_server_listing(ready, at(12), NOW)
+        self.view.on_server_events(ready[:1], (), at(13), NOW)
+        self.view.on_peer_state(
+            peer_state.PeerState(
+                store_revisions.NONE, (), at(14), ready, partial=False
+            ),
+            NOW,
+        )
+        copy = (stored("i-1", 5, era=2), stored("i-2", 5, era=2))
+        self.view.on_server_listing(copy, at(5, era=2), NOW)
+        self.assertEqual(self.accepting(), {"i-2"})
+        self.assertFalse(self.view.accepts_new_work(self.leaving))
+
+    def test_a_server_that_starts_again_is_used(self):
+        self.view.notices.on_answer(
+            self.leaving, requests.ServerNotices(leaving=True)
+        )
+        again = peer_state.StoredObject("i-1", at(12), b"ready:2")
+        self.view.on_server_events((again,), (), at(12), NOW)
+        self.assertEqual(self.accepting(), {"i-1", "i-2"})
+        self.assertTrue(
+            self.view.accepts_new_work(self.view.directory.entry("i-1"))
+        )
+        self.assertFalse(self.view.accepts_new_work(self.leaving))
+
+    def test_a_request_is_not_sent_to_a_server_that_pauses(self):
+        """It may have been chosen before another one was refused."""
+        self.view.notices.on_answer(
+            self.leaving, requests.ServerNotices(pause=result.Ok(2.0))
+        )
+        self.assertFalse(self.view.accepts_new_work(self.leaving))
+        self.assertTrue(
+            self.view.accepts_new_work(self.view.directory.entry("i-2"))
+        )
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/forwarding/tests/test_load_reporting.py
+++ b/packages/forwarding/tests/test_load_reporting.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 import types
 import unittest
 
 from lavendershed.admission import engine_limits
+from lavendershed.admission import server_pauses
 from lavendershed.core import addresses
 from lavendershed.core import forwarding_states
 from lavendershed.core import ids
@@ -18,12 +20,15 @@
 from lavendershed.forwarding import load_reporting
 from lavendershed.forwarding import peer_versions
 from lavendershed.forwarding import permits
+from lavendershed.forwarding import requests as server_requests
+from lavendershed.forwarding import server_notices
 from lavendershed.forwarding import store_availability
 from lavendershed.forwarding import store_watch_role
 from lavendershed.membership import freshness
 from lavendershed.membership import peer_table
 from lavendershed.membership import permit_issuers
 from lavendershed.membership import report_topology
+from lavendershed.membership import server_directory
 from lavendershed.membership import visible_fleet
 from lavendershed.peer import load_reports
 from lavendershed.reliability import crash_attribution
@@ -46,6 +51,16 @@
     return addresses.Address(f"10.0.{number // 200}.{number % 200 + 1}", 7_000)
 
 
+SERVER = server_directory.ServerEntry(
+    ENGINE,
+    ids.Incarnation(1),
+    ids.ServiceId("model"),
+    address(900),
+    ids.AvailabilityZoneId("z0"),
+    forwarding_states.ServerState.READY,
+)
+
+
 class Network:
     """Delivers datagrams between daemons with losses and failures."""
 
@@ -130,7 +145,14 @@
             log.MemoryEventLog(),
             request_instruments.RequestInstruments(ids.VmId("vm")),
         )
+        self.notices = server_notices.ServerNoticeObserver(
+            server_pauses.ServerPauses(),
+            network.timers,
+            log.MemoryEventLog(),
+            request_instruments.RequestInstruments(ids.VmId("vm")),
+        )
         self.view = types.SimpleNamespace(
+            notices=self.notices,
             version=ids.Epoch(1),
             last_server_change=store_revisions.of(1, 1),
             directory=types.SimpleNamespace(entries=()),
@@ -254,6 +276,46 @@
             network.advance(0.1)
             self.assert_all_know(network, set(range(sum(counts))))
 
+    def test_all_daemons_learn_that_a_server_is_leaving(self):
+        """Guards against work for a server that one daemon knows to leave.
+
+        Reports that are lost are repeated, also by an aggregator.
+        """
+        restarted = dataclasses.replace(SERVER, incarnation=ids.Incarnation(2))
+        for counts, loss, time in (
+            ((3, 3), 0.0, 0.1),
+            ((20, 20), 0.0, 0.1),
+            ((9, 3), 0.2, 5.0),
+        ):
+            with self.subTest(counts=counts, loss=loss):
+                network = self.fleet(counts)
+                network.loss = loss
+                for daemon in network.daemons.values():
+                    daemon.notices.on_servers((SERVER,))
+                    daemon.view.directory.entries = (SERVER,)
+                teller = next(iter(network.daemons.values()))
+                teller.notices.on_answer(
+                    SERVER, server_requests.ServerNotices(leaving=True)
+                )
+                network.advance(time)
+                for daemon in network.daemons.values():
+                    self.assertTrue(daemon.notices.is_leaving(SERVER))
+                    self.assertFalse(daemon.notices.is_leaving(restarted))
+                self.assertLessEqual(network.largest, MAX_DATAGRAM)
+
+    def test_a_leaving_server_whose_entry_comes_back_is_reported(self):
+        """Guards against news that are kept back until the entry is known."""
+        network = self.fleet((3,))
+        teller, other, _ = network.daemons.values()
+        teller.notices.on_answer(
+            SERVER, server_requests.ServerNotices(leaving=True)
+        )
+        network.advance(2.0)
+        for daemon in (teller, other):
+            daemon.notices.on_servers((SERVER,))
+        network.advance(2.0)
+        self.assertTrue(other.notices.is_leaving(SERVER))
+
     def test_datagrams_received_do_not_grow_with_the_fleet(self):
         """Guards against reports of all daemons to all daemons.
 
--- a/packages/platform/src/lavendershed/platform/factory.py
+++ b/packages/platform/src/lavendershed/platform/factory.py
@@ -7,6 +7,7 @@
 
 from lavendershed.admission import engine_limits
 from lavendershed.admission import return_schedule
+from lavendershed.admission import server_pauses
 from lavendershed.core import ids
 from lavendershed.core import timers
 from lavendershed.core import units
@@ -28,6 +29,7 @@
 from lavendershed.forwarding import relay
 from lavendershed.forwarding import relay_handler
 from lavendershed.forwarding import reservations
+from lavendershed.forwarding import server_notices
 from lavendershed.forwarding import state_exchange
 from lavendershed.forwarding import store_availability
 from lavendershed.forwarding import store_watch_role
@@ -106,11 +108,17 @@
             TCP by default.
     """
     health = server_health.ServerHealth()
+    instruments = request_instruments.RequestInstruments(platform_settings.vm)
+    pauses = server_pauses.ServerPauses()
+    notices = server_notices.ServerNoticeObserver(
+        pauses, timer_service, event_log, instruments
+    )
     has_evacuations = platform_settings.evacuation_bound is not None
     view = deployment_view.DeploymentView(
         objects.PlatformObjectDecoder(),
         health,
         event_log,
+        notices,
         has_evacuations=has_evacuations,
     )
     tracker = load_tracker.LoadTracker()
@@ -124,7 +132,6 @@
         timer_service, connector or connections.TcpConnector()
     )
     backend_codec = engines.PlatformBackendCodec()
-    instruments = request_instruments.RequestInstruments(platform_settings.vm)
     errors = unexpected_errors.ErrorRecorder(
         event_log, instruments.count_unexpected_error
     )
@@ -143,6 +150,7 @@
         timer_service,
         event_log,
         instruments,
+        pauses,
     )
     losses = loss_recording.LossRecorder(
         attribution,
@@ -173,6 +181,8 @@
     )
     view.subscribe(lambda: losses.on_servers(view.directory.entries))
     view.subscribe(lambda: observer.on_servers(view.directory.entries))
+    view.subscribe(lambda: notices.on_servers(view.directory.entries))
+    notices.subscribe_to_leaving(server_connections.discard)
     forwarding_context = context.ForwardingContext(
         view,
         callers.PlatformCallerCodec(),
@@ -199,6 +209,7 @@
             event_log,
         ),
         engine_inspection.EngineInspector(
+            view,
             server_connections,
             backend_codec,
             slowdowns,
--- a/packages/telemetry/src/lavendershed/telemetry/request_instruments.py
+++ b/packages/telemetry/src/lavendershed/telemetry/request_instruments.py
@@ -74,6 +74,11 @@
         self._limited_servers = meter.create_gauge(
             "lavendershed.limited_servers"
         )
+        self._leaving_servers = meter.create_gauge(
+            "lavendershed.leaving_servers"
+        )
+        self._paused_servers = meter.create_gauge("lavendershed.paused_servers")
+        self._pauses = meter.create_counter("lavendershed.server_pauses")
         self._store_era = meter.create_gauge("lavendershed.store_era")
         self._store_revision = meter.create_gauge("lavendershed.store_revision")
         self._permits = meter.create_counter("lavendershed.permits")
@@ -166,6 +171,18 @@
         """Sets the number of servers that name a request limit."""
         self._limited_servers.set(count)
 
+    def set_leaving_servers(self, source: str, count: int) -> None:
+        """Sets the number of listed servers known to leave, by source."""
+        self._leaving_servers.set(count, {"source": source})
+
+    def set_paused_servers(self, count: int) -> None:
+        """Sets the number of servers that want nothing from this daemon now."""
+        self._paused_servers.set(count)
+
+    def count_pause(self, server: ids.BackendServerId) -> None:
+        """Counts an answer that asks for a pause, by server."""
+        self._pauses.add(1, {"server": server})
+
     def set_store_revision(
         self, kind: str, revision: store_revisions.StoreRevision
     ) -> None:
