Hash the list of servers only if some are leaving

Cause: each change of the server list hashed all entries for leaving servers: 13.3 ms of processor time at 10,000 entries (20 calls, arm64, busy machine).

Change: the list is hashed once a server is known to leave, and after each change from then on. News of peers are looked up in the same list. A test shows that a daemon that starts later learns of leaving servers, in fleets of 6 and of 40.

--- a/packages/forwarding/src/lavendershed/forwarding/load_reporting.py
+++ b/packages/forwarding/src/lavendershed/forwarding/load_reporting.py
@@ -269,9 +269,7 @@
         self._slowdowns.on_report(report.slow_engines, now)
         for number, news in report.limits:
             self._limits.on_peer_news(number, news)
-        self._view.notices.on_peer_news(
-            report.leaving, sender, self._view.directory.entries
-        )
+        self._view.notices.on_peer_news(report.leaving, sender)
         for server, exclusion_time in self._health.on_peer_report(
             report.unreachable_servers, now
         ):
--- a/packages/forwarding/src/lavendershed/forwarding/server_notices.py
+++ b/packages/forwarding/src/lavendershed/forwarding/server_notices.py
@@ -38,6 +38,7 @@
         self._timers = timer_service
         self._log = event_log
         self._instruments = instruments
+        self._servers: _Servers = ()
         # Servers of each service, those that are left of them, and the number
         # of changes that this is based on.
         self._remaining: dict[
@@ -99,6 +100,7 @@
     ) -> None:
         """Records what an answer of a server says that has just arrived."""
         if notices.leaving and self._leaving.on_answer(_number(server)):
+            self._update_list()
             self._record_leaving(server, leaving_servers.NewsSource.ANSWER)
             for listener in self._listeners:
                 listener()
@@ -126,13 +128,13 @@
         self,
         leaving: Iterable[ids.ServerNumber],
         peer: addresses.Address,
-        servers: Iterable[server_directory.ServerEntry],
     ) -> None:
         """Records which servers have told another daemon that they leave."""
         news = frozenset(self._leaving.on_peer_news(leaving))
         if not news:
             return
-        for server in servers:
+        self._update_list()
+        for server in self._servers:
             if _number(server) in news:
                 self._record_leaving(
                     server, leaving_servers.NewsSource.PEER, peer
@@ -142,13 +144,10 @@
         self, servers: Iterable[server_directory.ServerEntry]
     ) -> None:
         """Takes over a new list of the servers."""
-        numbers = {_number(s): s.accepts_work for s in servers}
-        self._leaving.on_servers(
-            frozenset(numbers),
-            frozenset(n for n, accepts_work in numbers.items() if accepts_work),
-        )
+        self._servers = tuple(servers)
+        self._update_list()
         self._instruments.set_leaving_servers(
-            "store", sum(not accepts_work for accepts_work in numbers.values())
+            "store", sum(not s.accepts_work for s in self._servers)
         )
 
     def update_metrics(self) -> None:
@@ -161,6 +160,16 @@
             self._pauses.count(self._timers.now())
         )
 
+    def _update_list(self) -> None:
+        # Hashes of 10,000 servers take 13 ms of processor time.
+        if self._leaving.is_empty:
+            return
+        numbers = {_number(s): s.accepts_work for s in self._servers}
+        self._leaving.on_servers(
+            frozenset(numbers),
+            frozenset(n for n, accepts_work in numbers.items() if accepts_work),
+        )
+
     def _record_leaving(
         self,
         server: server_directory.ServerEntry,
--- a/packages/forwarding/tests/test_load_reporting.py
+++ b/packages/forwarding/tests/test_load_reporting.py
@@ -292,7 +292,6 @@
                 network.loss = loss
                 for daemon in network.daemons.values():
                     daemon.notices.on_servers((SERVER,))
-                    daemon.view.directory.entries = (SERVER,)
                 teller = next(iter(network.daemons.values()))
                 teller.notices.on_answer(
                     SERVER, server_requests.ServerNotices(leaving=True)
@@ -303,6 +302,22 @@
                     self.assertFalse(daemon.notices.is_leaving(restarted))
                 self.assertLessEqual(network.largest, MAX_DATAGRAM)
 
+    def test_a_daemon_that_starts_later_learns_of_leaving_servers(self):
+        """Guards against news that only those get who were there."""
+        for counts in ((3, 3), (20, 20)):
+            network = self.fleet(counts)
+            teller = next(iter(network.daemons.values()))
+            teller.notices.on_servers((SERVER,))
+            teller.notices.on_answer(
+                SERVER, server_requests.ServerNotices(leaving=True)
+            )
+            network.advance(10.0)
+            late = network.start(
+                sum(counts), f"z{len(counts) - 1}", [teller.address]
+            )
+            network.advance(4.0)
+            self.assertTrue(late.notices.is_leaving(SERVER))
+
     def test_a_leaving_server_whose_entry_comes_back_is_reported(self):
         """Guards against news that are kept back until the entry is known."""
         network = self.fleet((3,))
--- a/packages/reliability/src/lavendershed/reliability/leaving_servers.py
+++ b/packages/reliability/src/lavendershed/reliability/leaving_servers.py
@@ -40,6 +40,11 @@
         self._ready: frozenset[ids.ServerNumber] = frozenset()
         self._change_count = 0
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no server is known to leave."""
+        return not self._sources
+
     @property
     def change_count(self) -> int:
         """Number of changes so far."""
