--- a/packages/forwarding/src/lavendershed/forwarding/load_reporting.py
+++ b/packages/forwarding/src/lavendershed/forwarding/load_reporting.py
@@ -273,6 +273,7 @@
         for number, news in report.limits:
             self._limits.on_peer_news(number, news)
         self._cold.on_peer_failures(report.unreachable_servers)
+        self._view.notices.on_peer_news(report.leaving, sender)
         for server, exclusion_time in self._health.on_peer_report(
             report.unreachable_servers, now
         ):
@@ -322,6 +323,7 @@
         self._crash_attribution.subscribe(self._on_crash_news)
         self._reach.subscribe(lambda: self._on_change(urgent=True))
         self._limits.subscribe(lambda: self._on_change(urgent=True))
+        self._view.notices.subscribe(lambda: self._on_change(urgent=True))
         self._permits.start(self._send)
         self._bundles.start(self._send)
         self._send_report()
@@ -412,6 +414,7 @@
             frozenset(
                 (server, news.rate) for server, news in self._limits.local_news
             ),
+            self._view.notices.leaving_to_report,
         )
         has_changed = self._has_changed or state != self._reported_state
         self._has_changed = False
@@ -444,6 +447,7 @@
             self._view.evacuations.evacuations.last_change,
             self._view.evacuations.known_revision,
             self._view.freshness_of(codecs.ObjectKind.EVACUATIONS).age(now),
+            leaving=self._view.notices.leaving_to_report,
         )
 
     def _send(
--- a/packages/peer/tests/test_load_reports.py
+++ b/packages/peer/tests/test_load_reports.py
@@ -5,10 +5,12 @@
 import contextlib
 import dataclasses
 import unittest
+from unittest import mock
 
 import hypothesis
 from hypothesis import strategies
 
+from lavendershed.admission import engine_limits
 from lavendershed.core import addresses
 from lavendershed.core import forwarding_states
 from lavendershed.core import ids
@@ -17,6 +19,7 @@
 from lavendershed.peer import load_reports
 from lavendershed.peer import peer_state
 from lavendershed.peer import wire
+from lavendershed.peer.gen.messages import ttypes
 from lavendershed.reliability import engine_crashes
 from lavendershed.routing import load_tracker
 
@@ -109,6 +112,51 @@
         )
         self.assertEqual(self.encode_and_decode(sent), sent)
 
+    def test_leaving_servers_are_sent_as_far_as_they_fit(self):
+        """Guards against a report that is too large when many servers leave."""
+        leaving = tuple(range((1 << 32) - 1_000, 1 << 32))
+        limit = engine_limits.LimitNews(
+            engine_limits.MAX_RATE, units.Instant(NOW - 900.0)
+        )
+        sent = dataclasses.replace(
+            report(
+                [task() for _ in range(200)],
+                [addresses.Address("10.255.255.1", n) for n in range(900)],
+                evidence(9),
+            ),
+            limits=tuple((number, limit) for number in leaving),
+            leaving=leaving,
+        )
+        received = self.encode_and_decode(sent).leaving
+        self.assertGreaterEqual(len(received), 20)
+        self.assertEqual(received, leaving[: len(received)])
+        self.assertLessEqual(
+            len(load_reports.encode_report(sent, NOW)), MAX_DATAGRAM
+        )
+        for crashes in range(9):
+            fewer = dataclasses.replace(sent, crash_evidence=evidence(crashes))
+            self.assertLessEqual(
+                len(load_reports.encode_report(fewer, NOW)), MAX_DATAGRAM
+            )
+        few = dataclasses.replace(sent, leaving=leaving[:2])
+        self.assertEqual(self.encode_and_decode(few).leaving, leaving[:2])
+
+    def test_an_older_build_skips_the_leaving_servers(self):
+        """Guards against a daemon that rejects the reports of newer ones."""
+        sent = dataclasses.replace(report([task()]), leaving=(7, (1 << 32) - 1))
+        datagram = load_reports.encode_report(sent, NOW)
+        spec = ttypes.LoadReport.thrift_spec
+        known_fields = spec[
+            : next(
+                n
+                for n, f in enumerate(spec)
+                if f is not None and f[2] == "leaving"
+            )
+        ]
+        with mock.patch.object(ttypes.LoadReport, "thrift_spec", known_fields):
+            received = load_reports.decode_report(datagram, lookup, NOW)
+        self.assertEqual(received, dataclasses.replace(sent, leaving=()))
+
     def test_the_newest_crashes_and_all_quarantines_are_sent(self):
         received = self.encode_and_decode(report(evidence=evidence(50)))
         crashes = received.crash_evidence.crashes
