Avoid plain servers that fail calls, and hold back calls they refuse

A server that answers a part of its calls with 500 was chosen like the others, as such answers reached no health check and one daemon of many makes too few calls to see it. The daemons now add up decaying counts of answers and failures in their load reports (optional field 31); the share counts in the choice.

A server that refuses calls gets fewer of this daemon (additive increase, multiplicative decrease) after a pause. Calls that can be on time wait in the order of their priority, others are refused at once with a time of return.

--- a/packages/forwarding/src/lavendershed/forwarding/context.py
+++ b/packages/forwarding/src/lavendershed/forwarding/context.py
@@ -17,6 +17,7 @@
 from lavendershed.forwarding import limit_observer
 from lavendershed.forwarding import loss_recording
 from lavendershed.forwarding import permits
+from lavendershed.forwarding import plain_services
 from lavendershed.forwarding import relay
 from lavendershed.forwarding import requests
 from lavendershed.forwarding import reservations
@@ -30,7 +31,6 @@
 from lavendershed.reliability import silent_servers
 from lavendershed.routes import model
 from lavendershed.routing import load_tracker
-from lavendershed.routing import server_choice
 from lavendershed.telemetry import events
 from lavendershed.telemetry import log
 from lavendershed.telemetry import request_instruments
@@ -50,7 +50,7 @@
     backend_codec: codecs.BackendCodec
     connections: connections.BackendConnectionPool
     choosers: engine_choosers.EngineChoosers
-    plain_service_balancer: server_choice.LeastOutstanding
+    plain_services: plain_services.PlainServices
     load_tracker: load_tracker.LoadTracker
     waiting_room: waiting_room.WaitingRoom
     return_schedule: return_schedule.ReturnSchedule
--- a/packages/forwarding/src/lavendershed/forwarding/load_reporting.py
+++ b/packages/forwarding/src/lavendershed/forwarding/load_reporting.py
@@ -27,6 +27,7 @@
 from lavendershed.peer import permit_messages
 from lavendershed.peer import wire
 from lavendershed.reliability import crash_attribution
+from lavendershed.reliability import failure_shares
 from lavendershed.reliability import fleet_retry_budget
 from lavendershed.reliability import server_health
 from lavendershed.routing import engine_slowdown
@@ -81,6 +82,7 @@
         attribution: crash_attribution.CrashAttribution,
         slowdowns: engine_slowdown.EngineSlowdowns,
         limits: engine_limits.EngineLimits,
+        shares: failure_shares.FailureShares,
         permit_client: permits.PermitClient,
         fleet: visible_fleet.VisibleFleet,
         health: server_health.ServerHealth,
@@ -103,6 +105,7 @@
         self._crash_attribution = attribution
         self._slowdowns = slowdowns
         self._limits = limits
+        self._failure_shares = shares
         self._permits = permit_client
         self._fleet = fleet
         self._health = health
@@ -269,6 +272,9 @@
         self._slowdowns.on_report(report.slow_engines, now)
         for number, news in report.limits:
             self._limits.on_peer_news(number, news)
+        self._failure_shares.on_report(
+            report.incarnation, report.call_counts, now
+        )
         for server, exclusion_time in self._health.on_peer_report(
             report.unreachable_servers, now
         ):
@@ -318,6 +324,7 @@
         self._crash_attribution.subscribe(self._on_crash_news)
         self._reach.subscribe(lambda: self._on_change(urgent=True))
         self._limits.subscribe(lambda: self._on_change(urgent=True))
+        self._failure_shares.subscribe(self._on_change)
         self._permits.start(self._send)
         self._bundles.start(self._send)
         self._send_report()
@@ -373,6 +380,7 @@
         self._load_tracker.expire(now)
         self._load_tracker.set_report_delay(self._topology.report_delay)
         self._limits.expire(now)
+        self._failure_shares.expire(now)
         targets = self._topology.report_targets(now)
         alive_since = units.Instant(now - _MAX_SILENCE)
         self._fleet.observe(1 + self._peers.alive_count(alive_since), now)
@@ -436,6 +444,7 @@
             self._crash_attribution.evidence(now),
             self._limits.local_news,
             self._reach.is_lost,
+            self._failure_shares.local_counts(now),
         )
 
     def _send(
--- a/packages/forwarding/src/lavendershed/forwarding/parallel_attempts.py
+++ b/packages/forwarding/src/lavendershed/forwarding/parallel_attempts.py
@@ -119,6 +119,9 @@
         """Gives the memory of the response back, once it was forwarded."""
         self._buffer.release()
 
+    def on_ended(self) -> None:
+        """Is called once the attempt is over, however it ended."""
+
     def subscribe(self, observer: AttemptObserver) -> None:
         """Tells `observer` of progress from now on."""
         self._observer = observer
@@ -201,6 +204,9 @@
         attempt.subscribe(self)
         attempt.record_start(self._tracker)
         task = asyncio.get_running_loop().create_task(attempt.run())
+        # Not at the end of `run`, which a task that is cancelled before its
+        # first step never enters.
+        task.add_done_callback(lambda _: attempt.on_ended())
         task.add_done_callback(lambda _: self._changed.set())
         self._tasks[attempt] = task
         self._started.append(attempt)
--- a/packages/forwarding/src/lavendershed/forwarding/unary_attempt.py
+++ b/packages/forwarding/src/lavendershed/forwarding/unary_attempt.py
@@ -21,6 +21,15 @@
 # A response is overdue after this multiple of the target latency, by which most
 # responses have arrived.
 _OVERDUE_FACTOR = 1.0
+# Outcomes that count as failures of the server.
+_SERVER_FAULTS = frozenset(
+    {
+        forwarding_states.AttemptOutcome.SERVER_FAILURE,
+        forwarding_states.AttemptOutcome.LOST,
+        forwarding_states.AttemptOutcome.INVALID_RESPONSE,
+    }
+)
+_FIRST_SERVER_ERROR = 500
 
 
 class UnaryAttempt(parallel_attempts.Attempt):
@@ -44,6 +53,12 @@
     def record_start(self, tracker: attempts.AttemptTracker) -> None:
         """Records that this attempt runs."""
         tracker.record_start(self._server.id)
+        # At once, so that the next call sees it.
+        self._context.plain_services.on_sent(self._server)
+
+    def on_ended(self) -> None:
+        """Records that the server has one call less."""
+        self._context.plain_services.on_ended(self._server)
 
     def record_end(
         self,
@@ -67,12 +82,21 @@
         )
 
     async def _run(self) -> attempts.AttemptResult:
-        balancer = self._context.plain_service_balancer
-        balancer.started(self._server.id)
-        try:
-            return await self._connect_and_exchange()
-        finally:
-            balancer.ended(self._server.id)
+        attempt_result = await self._connect_and_exchange()
+        self._record_outcome(attempt_result)
+        return attempt_result
+
+    def _record_outcome(self, attempt_result: attempts.AttemptResult) -> None:
+        """Records what the attempt says about the server."""
+        services = self._context.plain_services
+        match attempt_result.outcome:
+            case forwarding_states.AttemptOutcome.COMPLETE:
+                services.on_answered(self._server, self._sent_at)
+            case forwarding_states.AttemptOutcome.REFUSED:
+                services.on_refused(self._server, self._sent_at)
+            case outcome if outcome in _SERVER_FAULTS:
+                if not _is_caller_fault(attempt_result):
+                    services.on_failed(self._server)
 
     async def _connect_and_exchange(self) -> attempts.AttemptResult:
         context = self._context
@@ -257,6 +281,12 @@
         )
 
 
+def _is_caller_fault(attempt_result: attempts.AttemptResult) -> bool:
+    """Returns whether a server has rejected the request as a faulty one."""
+    response = attempt_result.response
+    return response is not None and response.head.status < _FIRST_SERVER_ERROR
+
+
 def _failed_attempt(
     outcome: forwarding_states.AttemptOutcome, detail: str = ""
 ) -> attempts.AttemptResult:
--- a/packages/forwarding/src/lavendershed/forwarding/unary_execution.py
+++ b/packages/forwarding/src/lavendershed/forwarding/unary_execution.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from lavendershed.admission import waiting_request
 from lavendershed.core import addresses
 from lavendershed.core import outcomes
 from lavendershed.core import states
@@ -73,6 +74,14 @@
         wait = self._context.permits.wait_time(
             self._candidates, self._attempts.failed_servers
         )
+        if not wait and self._candidates and self._running.is_empty:
+            return self._attempts.build_failure(
+                states.FailureReason.NO_BACKEND_SERVER,
+                f"all servers of service {service} refuse calls",
+                self._context.plain_services.return_time(
+                    service, self._candidates, self._attempts.time_left
+                ),
+            )
         if not wait:
             return self._attempts.build_failure(
                 states.FailureReason.NO_BACKEND_SERVER,
@@ -90,34 +99,62 @@
         Waits for a limited server as long as the request is not late for it.
         """
         permits = self._context.permits
-        due_at = units.after(
-            self._admitted_request.received_at,
-            self._admitted_request.route.target_latency,
-        )
+        services = self._context.plain_services
+        service = self._admitted_request.service.id
+        call = self._waiting_call
         while True:
-            server = self._choose_server()
+            candidates = permits.candidates(
+                self._candidates, self._attempts.failed_servers
+            )
+            server = self._choose_server(candidates, call)
             if server is not None and not await permits.acquire((server,)):
                 return server
             if not self._running.is_empty:
                 return None
+            if server is None and candidates:
+                if not services.is_worth_waiting(service, call, candidates):
+                    return None
+                if not await services.wait(service, call, candidates):
+                    return None
+                continue
             wait = permits.wait_time(
                 self._candidates, self._attempts.failed_servers
             )
             if server is None and not wait:
                 return None
-            if units.after(self._context.timers.now(), wait) >= due_at:
+            if units.after(self._context.timers.now(), wait) >= call.due_at:
                 return None
             await asyncio.sleep(wait)
 
-    def _choose_server(self) -> server_directory.ServerEntry | None:
+    def _choose_server(
+        self,
+        candidates: tuple[server_directory.ServerEntry, ...],
+        call: waiting_request.WaitingRequest,
+    ) -> server_directory.ServerEntry | None:
         context = self._context
-        candidates = context.permits.candidates(
-            self._candidates, self._attempts.failed_servers
-        )
+        services = context.plain_services
+        if not services.is_first(self._admitted_request.service.id, call):
+            return None
         avoided = context_module.avoided_servers(
             context, candidates, self._attempts.failed_servers
         )
-        return context.plain_service_balancer.choose(candidates, avoided)
+        return services.choose(candidates, avoided)
+
+    @property
+    def _waiting_call(self) -> waiting_request.WaitingRequest:
+        admitted = self._admitted_request
+        call_time = self._context.plain_services.call_time(admitted.service.id)
+        return waiting_request.WaitingRequest(
+            admitted.request.id,
+            admitted.organisation,
+            1.0 / (1.0 + max(0, admitted.priority)),
+            call_time,
+            call_time,
+            admitted.received_at,
+            units.after(admitted.received_at, admitted.route.target_latency),
+            admitted.deadline,
+            units.Bytes(len(admitted.request.body)),
+        )
 
     def _log_dispatch(self, server: server_directory.ServerEntry) -> None:
         context = self._context
@@ -139,6 +176,7 @@
             servers=context.view.directory.revision.number,
             **context.limit_observer.log_fields(server),
             **context.permits.log_fields(server),
+            **context.plain_services.log_fields(server),
         )
 
     async def _respond(self, response: requests.BackendResponse) -> None:
--- a/packages/forwarding/tests/test_load_reporting.py
+++ b/packages/forwarding/tests/test_load_reporting.py
@@ -26,6 +26,7 @@
 from lavendershed.membership import visible_fleet
 from lavendershed.peer import load_reports
 from lavendershed.reliability import crash_attribution
+from lavendershed.reliability import failure_shares
 from lavendershed.reliability import fleet_retry_budget
 from lavendershed.reliability import server_health
 from lavendershed.routing import engine_slowdown
@@ -120,6 +121,7 @@
             network.timers,
         )
         self.limits = engine_limits.EngineLimits()
+        self.shares = failure_shares.FailureShares()
         self.permits = permits.PermitClient(
             self.address,
             self.limits,
@@ -163,6 +165,7 @@
             self.attribution,
             engine_slowdown.EngineSlowdowns(),
             self.limits,
+            self.shares,
             self.permits,
             visible_fleet.VisibleFleet(),
             server_health.ServerHealth(),
@@ -250,6 +253,27 @@
             network.advance(0.1)
             self.assert_all_know(network, set(range(sum(counts))))
 
+    def test_all_daemons_learn_of_a_server_that_fails_calls(self):
+        """Guards against daemons that each have to see failures themselves.
+
+        A daemon of a large fleet makes too few calls for that.
+        """
+        number = ids.ServerNumber(7)
+        for counts in ((3, 3, 2), (20, 20, 20)):
+            network = self.fleet(counts)
+            daemons = list(network.daemons.values())
+            for daemon in daemons[:4]:
+                now = network.timers.now()
+                daemon.shares.record(number, now, failed=True)
+            network.advance(0.1)
+            now = network.timers.now()
+            for daemon in daemons:
+                self.assertGreaterEqual(daemon.shares.share(number, now), 0.5)
+            network.advance(15.0)
+            now = network.timers.now()
+            for daemon in daemons:
+                self.assertEqual(daemon.shares.share(number, now), 0.0)
+
     def test_datagrams_received_do_not_grow_with_the_fleet(self):
         """Guards against reports of all daemons to all daemons.
 
--- a/packages/peer/idl/messages.thrift
+++ b/packages/peer/idl/messages.thrift
@@ -157,6 +157,10 @@
   // Whether the sender is cut off from all servers, so that it runs no requests
   // of others.
   27: optional bool cut_off
+  // Recent calls of the sender at servers of plain services: groups of a hash
+  // of the server's incarnation, ten times the calls that it answered, and ten
+  // times those that it failed. 28 to 30 are left for other fields.
+  31: optional list<i64> call_counts
 }
 
 // A request that passed admission at one daemon and runs at another one.
--- a/packages/peer/src/lavendershed/peer/gen/messages/ttypes.py
+++ b/packages/peer/src/lavendershed/peer/gen/messages/ttypes.py
@@ -1506,6 +1506,7 @@
      - server_era
      - servers_known_era
      - cut_off
+     - call_counts
 
     """
 
@@ -1536,10 +1537,11 @@
         'server_era',
         'servers_known_era',
         'cut_off',
+        'call_counts',
     )
 
 
-    def __init__(self, incarnation=None, sequence=None, configuration_version=None, server_revision=None, works=None, suspects=None, peers=None, slow=None, unreachable=None, sender=None, zone=None, watching=None, bundled=None, members=None, alive=None, bandwidth=None, configuration_age=None, servers_age=None, servers_known=None, crashes=None, begun=None, quarantines=None, limits=None, server_era=None, servers_known_era=None, cut_off=None,):
+    def __init__(self, incarnation=None, sequence=None, configuration_version=None, server_revision=None, works=None, suspects=None, peers=None, slow=None, unreachable=None, sender=None, zone=None, watching=None, bundled=None, members=None, alive=None, bandwidth=None, configuration_age=None, servers_age=None, servers_known=None, crashes=None, begun=None, quarantines=None, limits=None, server_era=None, servers_known_era=None, cut_off=None, call_counts=None,):
         self.incarnation = incarnation
         self.sequence = sequence
         self.configuration_version = configuration_version
@@ -1566,6 +1568,7 @@
         self.server_era = server_era
         self.servers_known_era = servers_known_era
         self.cut_off = cut_off
+        self.call_counts = call_counts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1761,6 +1764,16 @@
                     self.cut_off = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 31:
+                if ftype == TType.LIST:
+                    self.call_counts = []
+                    (_etype108, _size109) = iprot.readListBegin()
+                    for _i110 in range(_size109):
+                        _elem111 = iprot.readI64()
+                        self.call_counts.append(_elem111)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1908,6 +1921,13 @@
             oprot.writeFieldBegin('cut_off', TType.BOOL, 27)
             oprot.writeBool(self.cut_off)
             oprot.writeFieldEnd()
+        if self.call_counts is not None:
+            oprot.writeFieldBegin('call_counts', TType.LIST, 31)
+            oprot.writeListBegin(TType.I64, len(self.call_counts))
+            for iter112 in self.call_counts:
+                oprot.writeI64(iter112)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2966,6 +2986,10 @@
     (25, TType.I64, 'server_era', None, None, ),  # 25
     (26, TType.I64, 'servers_known_era', None, None, ),  # 26
     (27, TType.BOOL, 'cut_off', None, None, ),  # 27
+    None,  # 28
+    None,  # 29
+    None,  # 30
+    (31, TType.LIST, 'call_counts', (TType.I64, None, False), None, ),  # 31
 )
 all_structs.append(RelayedRequest)
 RelayedRequest.thrift_spec = (
--- a/packages/peer/src/lavendershed/peer/load_reports.py
+++ b/packages/peer/src/lavendershed/peer/load_reports.py
@@ -24,6 +24,7 @@
 from lavendershed.peer import wire
 from lavendershed.peer.gen.messages import ttypes
 from lavendershed.reliability import engine_crashes
+from lavendershed.reliability import failure_shares
 from lavendershed.reliability import server_health
 from lavendershed.routing import engine_slowdown
 from lavendershed.routing import load_tracker
@@ -57,6 +58,12 @@
 _MAX_LIMITS = 24
 _FIELDS_PER_LIMIT = 3
 _BYTES_PER_LIMIT = 13
+_FIELDS_PER_CALL_COUNT = 3
+_BYTES_PER_CALL_COUNT = 11
+_CALL_COUNT_SCALE = 10
+_MAX_CALL_COUNTS = 8
+# No daemon makes more calls to one server in the time that they are counted.
+_MAX_CALL_COUNT = 1_000_000
 # Ages are encoded as 32-bit integers; an older copy confirms nothing anyway.
 _MAX_AGE_MS = 3_600_000
 
@@ -91,6 +98,7 @@
             engines.
         limits: What answers to the sender said about limits of servers.
         cut_off: Whether the sender is cut off from all servers.
+        call_counts: Recent calls of the sender at servers of plain services.
     """
 
     incarnation: ids.Incarnation
@@ -111,6 +119,7 @@
     crash_evidence: engine_crashes.Evidence = engine_crashes.Evidence()
     limits: tuple[tuple[ids.ServerNumber, engine_limits.LimitNews], ...] = ()
     cut_off: bool = False
+    call_counts: tuple[failure_shares.ReportedCounts, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -155,9 +164,21 @@
     limits = report.limits[:_MAX_LIMITS]
     # These are rare, and more urgent than the last tasks of a full report.
     max_tasks = _MAX_TASKS - math.ceil(
-        (crash_evidence.encoded_size(evidence) + len(limits) * _BYTES_PER_LIMIT)
+        (
+            crash_evidence.encoded_size(evidence)
+            + len(limits) * _BYTES_PER_LIMIT
+            + len(report.call_counts) * _BYTES_PER_CALL_COUNT
+        )
         / _BYTES_PER_TASK
     )
+    call_counts = itertools.chain.from_iterable(
+        (
+            server,
+            round(counts.answered * _CALL_COUNT_SCALE),
+            round(counts.failed * _CALL_COUNT_SCALE),
+        )
+        for server, counts in report.call_counts
+    )
     limit_fields = itertools.chain.from_iterable(
         (
             server,
@@ -197,6 +218,7 @@
             quarantines=evidence.quarantines or None,
             limits=list(limit_fields) or None,
             cut_off=report.cut_off or None,
+            call_counts=list(call_counts) or None,
             sequence=report.sequence,
             configuration_version=report.configuration_epoch,
             server_revision=report.server_revision.number,
@@ -333,9 +355,34 @@
         ),
         tuple(_decode_limits(message.limits or [], now)),
         bool(message.cut_off),
+        tuple(_decode_call_counts(message.call_counts or [])),
     )
 
 
+def _decode_call_counts(
+    numbers: list[int],
+) -> Iterator[failure_shares.ReportedCounts]:
+    groups = (
+        numbers[start : start + _FIELDS_PER_CALL_COUNT]
+        for start in range(
+            0,
+            len(numbers) - _FIELDS_PER_CALL_COUNT + 1,
+            _FIELDS_PER_CALL_COUNT,
+        )
+    )
+    for server, answered, failed in itertools.islice(groups, _MAX_CALL_COUNTS):
+        yield (
+            ids.ServerNumber(server),
+            failure_shares.CallCounts(
+                _decode_call_count(answered), _decode_call_count(failed)
+            ),
+        )
+
+
+def _decode_call_count(number: int) -> float:
+    return min(max(0, number), _MAX_CALL_COUNT) / _CALL_COUNT_SCALE
+
+
 def _decode_limits(
     numbers: list[int], now: units.Instant
 ) -> Iterator[tuple[ids.ServerNumber, engine_limits.LimitNews]]:
--- a/packages/peer/tests/test_load_reports.py
+++ b/packages/peer/tests/test_load_reports.py
@@ -18,6 +18,7 @@
 from lavendershed.peer import peer_state
 from lavendershed.peer import wire
 from lavendershed.reliability import engine_crashes
+from lavendershed.reliability import failure_shares
 from lavendershed.routing import load_tracker
 
 NOW = units.Instant(1_000.0)
@@ -65,7 +66,7 @@
 NO_EVIDENCE = engine_crashes.Evidence()
 
 
-def report(tasks=(), peers=(), evidence=NO_EVIDENCE):
+def report(tasks=(), peers=(), evidence=NO_EVIDENCE, call_counts=()):
     """Returns a report."""
     return load_reports.LoadReport(
         ids.Incarnation(1 << 61),
@@ -83,6 +84,18 @@
         servers_age=units.Seconds(1.5),
         servers_known=store_revisions.of(1, 123_456_789),
         crash_evidence=evidence,
+        call_counts=call_counts,
+    )
+
+
+def call_counts(servers):
+    """Returns the largest counts of calls at `servers` servers."""
+    return tuple(
+        (
+            ids.ServerNumber((1 << 32) - 1 - number),
+            failure_shares.CallCounts(80_000.5, 20_000.5),
+        )
+        for number in range(servers)
     )
 
 
@@ -106,6 +119,7 @@
             [task(), task(phase=forwarding_states.InferencePhase.DECODE)],
             [addresses.Address("10.1.2.3", 7_340)],
             evidence(1),
+            call_counts(2),
         )
         self.assertEqual(self.encode_and_decode(sent), sent)
 
@@ -135,7 +149,9 @@
         for crashes in (0, 1, 4, 50):
             with self.subTest(crashes=crashes):
                 full = dataclasses.replace(
-                    sent, crash_evidence=evidence(crashes)
+                    sent,
+                    crash_evidence=evidence(crashes),
+                    call_counts=call_counts(8),
                 )
                 datagram = load_reports.encode_report(full, NOW)
                 self.assertLessEqual(len(datagram), MAX_DATAGRAM)
--- a/packages/platform/src/lavendershed/platform/factory.py
+++ b/packages/platform/src/lavendershed/platform/factory.py
@@ -5,6 +5,7 @@
 import dataclasses
 import random
 
+from lavendershed.admission import call_limits
 from lavendershed.admission import engine_limits
 from lavendershed.admission import return_schedule
 from lavendershed.core import ids
@@ -24,6 +25,7 @@
 from lavendershed.forwarding import loss_recording
 from lavendershed.forwarding import peer_versions
 from lavendershed.forwarding import permits
+from lavendershed.forwarding import plain_services
 from lavendershed.forwarding import reach_monitor
 from lavendershed.forwarding import relay
 from lavendershed.forwarding import relay_handler
@@ -44,6 +46,7 @@
 from lavendershed.platform import settings
 from lavendershed.platform import store
 from lavendershed.reliability import crash_attribution
+from lavendershed.reliability import failure_shares
 from lavendershed.reliability import fleet_retry_budget
 from lavendershed.reliability import server_health
 from lavendershed.reliability import silent_servers
@@ -124,6 +127,7 @@
         event_log, instruments.count_unexpected_error
     )
     limits = engine_limits.EngineLimits()
+    shares = failure_shares.FailureShares()
     observer = limit_observer.LimitObserver(
         limits, backend_codec, timer_service, event_log, instruments
     )
@@ -174,7 +178,14 @@
         backend_codec,
         server_connections,
         engine_choosers.EngineChoosers(tracker, slowdowns, generator),
-        server_choice.LeastOutstanding(platform_settings.zone, generator),
+        plain_services.PlainServices(
+            server_choice.LeastOutstanding(platform_settings.zone, generator),
+            call_limits.CallLimits(generator),
+            shares,
+            timer_service,
+            event_log,
+            instruments,
+        ),
         tracker,
         waiting_room.WaitingRoom(
             tracker, timer_service, event_log, instruments
@@ -275,6 +286,7 @@
             attribution,
             slowdowns,
             limits,
+            shares,
             permit_client,
             fleet,
             health,
--- a/packages/routing/src/lavendershed/routing/server_choice.py
+++ b/packages/routing/src/lavendershed/routing/server_choice.py
@@ -2,17 +2,22 @@
 
 from __future__ import annotations
 
-import collections
+from collections.abc import Mapping
 from collections.abc import Sequence
 import random
 
 from lavendershed.core import ids
 from lavendershed.membership import server_directory
 
+# A server that fails all its calls counts as one with this many outstanding
+# requests more. So it gets calls only if the sound ones are that busy.
+_FAILURE_WEIGHT = 6.0
+
 
 class LeastOutstanding:
     """Selects the server with the fewest outstanding requests of this daemon.
 
+    The share of its calls that a server fails counts as outstanding requests.
     Servers of the daemon's availability zone win ties, because traffic between
     zones costs more than traffic within a zone.
     """
@@ -22,20 +27,21 @@
     ) -> None:
         self._zone = zone
         self._random = generator
-        self._outstanding: collections.Counter[ids.BackendServerId] = (
-            collections.Counter()
-        )
 
     def choose(
         self,
         candidates: Sequence[server_directory.ServerEntry],
         avoided: frozenset[ids.BackendServerId],
+        outstanding: Mapping[ids.BackendServerId, int],
+        failure_shares: Mapping[ids.BackendServerId, float],
     ) -> server_directory.ServerEntry | None:
         """Returns a server, or None if there is no candidate.
 
         Args:
             candidates: Servers that accept new requests.
             avoided: Servers to use only if there are no others.
+            outstanding: Requests of this daemon in progress by server.
+            failure_shares: Share of its requests that each server fails.
         """
         usable = [c for c in candidates if c.id not in avoided] or candidates
         if not usable:
@@ -43,18 +49,9 @@
         return min(
             usable,
             key=lambda c: (
-                self._outstanding[c.id],
+                outstanding.get(c.id, 0)
+                + _FAILURE_WEIGHT * failure_shares.get(c.id, 0.0),
                 c.availability_zone != self._zone,
                 self._random.random(),
             ),
         )
-
-    def started(self, server: ids.BackendServerId) -> None:
-        """Counts a request that is sent to a server."""
-        self._outstanding[server] += 1
-
-    def ended(self, server: ids.BackendServerId) -> None:
-        """Counts the end of a request."""
-        self._outstanding[server] -= 1
-        if not self._outstanding[server]:
-            del self._outstanding[server]
--- a/packages/routing/tests/test_server_choice.py
+++ b/packages/routing/tests/test_server_choice.py
@@ -23,24 +23,39 @@
             engine_fixture.engine("far", ids.AvailabilityZoneId("b")),
         ]
 
+    def choose(self, avoided=(), outstanding=None, shares=None):
+        return self.choice.choose(
+            self.servers, frozenset(avoided), outstanding or {}, shares or {}
+        )
+
     def test_the_local_zone_wins_a_tie(self):
-        chosen = self.choice.choose(self.servers, frozenset())
-        self.assertEqual(chosen.id, "near")
+        self.assertEqual(self.choose().id, "near")
 
     def test_the_server_with_fewer_requests_wins(self):
-        self.choice.started("near")
-        chosen = self.choice.choose(self.servers, frozenset())
-        self.assertEqual(chosen.id, "far")
-        self.choice.ended("near")
-        chosen = self.choice.choose(self.servers, frozenset())
-        self.assertEqual(chosen.id, "near")
+        self.assertEqual(self.choose(outstanding={"near": 1}).id, "far")
+        self.assertEqual(
+            self.choose(outstanding={"near": 1, "far": 1}).id, "near"
+        )
 
     def test_avoided_servers_are_used_only_without_others(self):
-        chosen = self.choice.choose(self.servers, frozenset({"near"}))
-        self.assertEqual(chosen.id, "far")
-        everyone = frozenset({"near", "far"})
-        self.assertIsNotNone(self.choice.choose(self.servers, everyone))
-        self.assertIsNone(self.choice.choose([], frozenset()))
+        self.assertEqual(self.choose({"near"}).id, "far")
+        self.assertIsNotNone(self.choose({"near", "far"}))
+        self.assertIsNone(self.choice.choose([], frozenset(), {}, {}))
+
+    def test_the_server_that_fails_fewer_requests_wins(self):
+        self.assertEqual(self.choose(shares={"near": 0.3}).id, "far")
+        self.assertEqual(
+            self.choose(shares={"near": 0.6, "far": 0.3}).id, "far"
+        )
+
+    def test_a_busy_sound_server_leaves_requests_to_a_failing_one(self):
+        busy = {"far": 2}
+        self.assertEqual(
+            self.choose(shares={"near": 0.3}, outstanding=busy).id, "near"
+        )
+        self.assertEqual(
+            self.choose(shares={"near": 1.0}, outstanding=busy).id, "far"
+        )
 
 
 if __name__ == "__main__":
