Count overdue calls as failures of a server, and write up plain services

Daemons of the virtual test case get an incarnation of their own, else they drop each other's reports.

--- a/packages/forwarding/src/lavendershed/forwarding/plain_services.py
+++ b/packages/forwarding/src/lavendershed/forwarding/plain_services.py
@@ -229,11 +229,23 @@
         self._limits.on_answered(server.id)
         self._shares.record(_number(server), now, failed=False)
 
-    def on_failed(self, server: server_directory.ServerEntry) -> None:
-        """Records a call that a server took and failed."""
-        self._limits.on_answered(server.id)
+    def on_overdue(self, server: server_directory.ServerEntry) -> None:
+        """Records a call without an answer in the time that calls take."""
         self._shares.record(_number(server), self._timers.now(), failed=True)
 
+    def on_failed(
+        self, server: server_directory.ServerEntry, *, counted: bool
+    ) -> None:
+        """Records a call that a server took and failed.
+
+        Args:
+            server: The server.
+            counted: Whether the call was overdue before.
+        """
+        self._limits.on_answered(server.id)
+        if not counted:
+            self.on_overdue(server)
+
     def on_refused(
         self, server: server_directory.ServerEntry, sent_at: units.Instant
     ) -> None:
--- a/packages/forwarding/src/lavendershed/forwarding/unary_attempt.py
+++ b/packages/forwarding/src/lavendershed/forwarding/unary_attempt.py
@@ -74,6 +74,9 @@
 
     def _record_silence(self) -> None:
         self._record_loss(engine_losses.LossEvidence.NO_DATA)
+        # One daemon of many makes too few calls to notice a server that hangs
+        # before it loses several.
+        self._context.plain_services.on_overdue(self._server)
         context_module.record_silence(
             self._context,
             self._admitted_request,
@@ -96,7 +99,9 @@
                 services.on_refused(self._server, self._sent_at)
             case outcome if outcome in _SERVER_FAULTS:
                 if not _is_caller_fault(attempt_result):
-                    services.on_failed(self._server)
+                    services.on_failed(
+                        self._server, counted=self._silence_recorded
+                    )
 
     async def _connect_and_exchange(self) -> attempts.AttemptResult:
         context = self._context
--- a/tests/test_plain_services.py
+++ b/tests/test_plain_services.py
@@ -9,6 +9,7 @@
 import platform_case
 import virtual_case
 
+from lavendershed.core import addresses
 from lavendershed.telemetry import events
 
 SERVERS = 3
@@ -170,6 +171,18 @@
         self.assertEqual({a.status for a in answers}, {500})
         self.assertTrue(all("engine-seal" in a.headers for a in answers))
 
+    def test_a_server_that_hangs_loses_few_calls(self):
+        """Its health check is good, and it answers no call for 8 s."""
+
+        def change(servers):
+            servers[0].call_s = 8.0
+
+        answers, servers, _ = play(
+            [(0.05 * n, "/order/x") for n in range(160)], change
+        )
+        self.assertLess(len(servers[0].arrivals), 8)
+        self.assertGreater(sum(a.on_time for a in answers), 150)
+
     def test_a_slow_server_gets_few_calls(self):
         def change(servers):
             servers[0].call_s = 0.8
@@ -181,6 +194,93 @@
         self.assertGreater(sum(a.on_time for a in answers), 360)
 
 
+class _Network:
+    """Delivers the load reports of daemons, as their UDP sockets would."""
+
+    def __init__(self):
+        self.daemons = {}
+
+    def add(self, daemon):
+        self.daemons[daemon.address] = daemon
+        daemon.load_reporter.connection_made(_Socket(self, daemon.address))
+
+    def start(self):
+        for daemon in self.daemons.values():
+            for other in self.daemons.values():
+                if other is not daemon:
+                    daemon.hear_of(other)
+            daemon.load_reporter.start_reports()
+
+    def deliver(self, source, datagram, target):
+        daemon = self.daemons.get(addresses.Address(*target))
+        if daemon is not None:
+            asyncio.get_running_loop().call_later(
+                0.001,
+                daemon.load_reporter.datagram_received,
+                datagram,
+                (source.host, source.port),
+            )
+
+
+class _Socket:
+    def __init__(self, network, address):
+        self._network = network
+        self._address = address
+
+    def sendto(self, datagram, target):
+        self._network.deliver(self._address, datagram, target)
+
+    def close(self):
+        """Does nothing."""
+
+
+class FleetTest(unittest.TestCase):
+    """Guards against servers that each daemon has to find out by itself.
+
+    Each of many daemons makes a call in some seconds only.
+    """
+
+    DAEMONS = 30
+    CALLS = 160
+
+    def lost_calls(self, change):
+        async def main():
+            servers = [CallServer(number) for number in range(SERVERS)]
+            change(servers[0])
+            network = _Network()
+            for number in range(self.DAEMONS):
+                address = addresses.Address("10.9.0.1", 7_000 + number)
+                network.add(
+                    virtual_case.VirtualDaemon(
+                        servers, ORDER, seed=number, address=address
+                    )
+                )
+            network.start()
+            await asyncio.sleep(2.0)
+            daemons = list(network.daemons.values())
+            generator = random.Random(4)
+
+            async def send(number):
+                await asyncio.sleep(0.05 * number)
+                daemon = generator.choice(daemons)
+                return await daemon.request(
+                    "/order/x", number, deadline_ms=str(DEADLINE_MS)
+                )
+
+            callers = await asyncio.gather(*map(send, range(self.CALLS)))
+            return sum(caller.status != 200 for caller in callers)
+
+        return virtual_case.run(main())
+
+    def test_all_daemons_avoid_a_server_that_fails_some_calls(self):
+        lost = self.lost_calls(lambda s: setattr(s, "failed_share", 0.45))
+        self.assertLess(lost, 6)
+
+    def test_all_daemons_avoid_a_server_that_hangs(self):
+        lost = self.lost_calls(lambda s: setattr(s, "call_s", 60.0))
+        self.assertLess(lost, 6)
+
+
 class BurstTest(unittest.TestCase):
     """Guards against a burst that servers refuse and callers repeat."""
 
--- a/tests/virtual_case.py
+++ b/tests/virtual_case.py
@@ -392,7 +392,8 @@
                 units.Seconds(8.0),
                 BUDGET,
             ),
-            ids.Incarnation(1),
+            # The one that `hear_of` takes the daemon to have.
+            ids.Incarnation(address.port),
             self.timers,
             self.log,
             random.Random(seed),
@@ -402,6 +403,7 @@
         self.context = parts.components.context
         self.gateway = parts.components.gateway
         self.relay_handler = parts.components.relay_handler
+        self.load_reporter = parts.components.load_reporter
         self._peers = parts.peers
         self._revision = 0
         if routes:
