Take no part of an answer for the whole one, and no odd status for a status

A server that answered a long upload early with a 200 without a length and closed its end in order, while most of the upload was still with the client, got the part of the answer through as a complete one: for an answer without a length the end of the connection counts as its end. A process that crashes with an empty receive buffer ends its connection in the same way. The client now takes such an end for a loss as long as a part of the request has not reached the host of the server (buffer, socket error, unacknowledged bytes).

Statuses 600 to 999 and versions such as HTTP/0.9 and 2.0 were passed on as they stand. Only 200 to 599 of HTTP/1.0 and 1.1 are final responses now.

Resets were errors before as well.

--- a/packages/transport/src/lavendershed/transport/client.py
+++ b/packages/transport/src/lavendershed/transport/client.py
@@ -5,7 +5,11 @@
 import asyncio
 from collections.abc import Awaitable
 import dataclasses
+import fcntl
 import select
+import socket
+import struct
+import termios
 from typing import TypeVar
 
 import h11
@@ -26,6 +30,11 @@
 _MAX_EVENTS_PER_TURN = 128
 # Methods whose requests have no body unless they state its length.
 _METHODS_WITHOUT_BODY = frozenset({"GET", "HEAD", "DELETE"})
+# Other numbers are no statuses of final responses (RFC 9110, section 15), and
+# messages of other versions may have another syntax.
+_FINAL_STATUSES = range(200, 600)
+_HTTP_VERSIONS = frozenset({b"1.0", b"1.1"})
+_INT = struct.Struct("i")
 
 T = TypeVar("T")
 
@@ -116,6 +125,33 @@
         poll.register(own_socket.fileno(), select.POLLIN)
         return bool(poll.poll(0))
 
+    @property
+    def _has_undelivered_request(self) -> bool:
+        """Whether a part of the request has not reached the server's host.
+
+        If the server closes its end nevertheless, it has answered without the
+        request, or has crashed; both look the same. The kernel acknowledges
+        what it has received together with the end of the connection, and
+        resets the connection if it then receives more.
+        """
+        if self._reader.exception() is not None:
+            return True
+        if self._writer.transport.get_write_buffer_size():
+            return True
+        own_socket = self._writer.get_extra_info("socket")
+        if own_socket is None:
+            return False
+        if own_socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            return True
+        try:
+            unacknowledged = fcntl.ioctl(
+                own_socket.fileno(), termios.TIOCOUTQ, _INT.pack(0)
+            )
+        except OSError:
+            # Not every network stack counts them.
+            return False
+        return _INT.unpack(unacknowledged)[0] > 0
+
     def start_next_exchange(self) -> None:
         """Prepares a reusable connection for the next request."""
         self._protocol.start_next_cycle()
@@ -177,6 +213,15 @@
                 return event
             if isinstance(event.ok_value, h11.Response):
                 response = event.ok_value
+                if (
+                    response.status_code not in _FINAL_STATUSES
+                    or response.http_version not in _HTTP_VERSIONS
+                ):
+                    return self._transport_error(
+                        errors.TransportErrorKind.PROTOCOL,
+                        f"status {response.status_code:03} of HTTP version "
+                        f"{response.http_version.decode()} is none",
+                    )
                 return result.Ok(
                     ResponseHead(
                         response.status_code,
@@ -268,6 +313,7 @@
         """
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout
+        ended = False
         self._events_in_turn += 1
         if self._events_in_turn >= _MAX_EVENTS_PER_TURN:
             self._events_in_turn = 0
@@ -281,6 +327,7 @@
                 received = await self._receive(units.Seconds(remaining))
                 if isinstance(received, result.Err):
                     return received
+                ended = not received.ok_value
                 self._protocol.receive_data(received.ok_value)
             try:
                 event = self._protocol.next_event()
@@ -296,6 +343,16 @@
                     errors.TransportErrorKind.PROTOCOL,
                     "unexpected data after the response",
                 )
+            if (
+                ended
+                and isinstance(event, h11.EndOfMessage)
+                and self._has_undelivered_request
+            ):
+                return self._transport_error(
+                    errors.TransportErrorKind.CONNECTION_LOST,
+                    "response without a length ended before the server had "
+                    "received the whole request",
+                )
             if event is not h11.NEED_DATA:
                 return result.Ok(event)
             self._needs_data = True
--- a/tests/virtual_case.py
+++ b/tests/virtual_case.py
@@ -93,6 +93,10 @@
     def is_closing(self):
         return self.closed
 
+    def get_write_buffer_size(self):
+        """Returns 0, as the other end has all bytes at once."""
+        return 0
+
     def abort(self):
         if not self.closed:
             self.closed = True
