--- a/packages/forwarding/src/lavendershed/forwarding/load_reporting.py
+++ b/packages/forwarding/src/lavendershed/forwarding/load_reporting.py
@@ -28,6 +28,7 @@
 from lavendershed.peer import permit_messages
 from lavendershed.peer import wire
 from lavendershed.reliability import crash_attribution
+from lavendershed.reliability import failure_shares
 from lavendershed.reliability import fleet_retry_budget
 from lavendershed.reliability import server_health
 from lavendershed.routing import engine_slowdown
@@ -83,6 +84,7 @@
         slowdowns: engine_slowdown.EngineSlowdowns,
         limits: engine_limits.EngineLimits,
         cold: cold_observer.ColdObserver,
+        shares: failure_shares.FailureShares,
         permit_client: permits.PermitClient,
         fleet: visible_fleet.VisibleFleet,
         health: server_health.ServerHealth,
@@ -106,6 +108,7 @@
         self._slowdowns = slowdowns
         self._limits = limits
         self._cold = cold
+        self._failure_shares = shares
         self._permits = permit_client
         self._fleet = fleet
         self._health = health
@@ -274,6 +277,9 @@
             self._limits.on_peer_news(number, news)
         self._cold.on_peer_failures(report.unreachable_servers)
         self._view.notices.on_peer_news(report.leaving, sender)
+        self._failure_shares.on_report(
+            report.incarnation, report.call_counts, now
+        )
         for server, exclusion_time in self._health.on_peer_report(
             report.unreachable_servers, now
         ):
@@ -324,6 +330,7 @@
         self._reach.subscribe(lambda: self._on_change(urgent=True))
         self._limits.subscribe(lambda: self._on_change(urgent=True))
         self._view.notices.subscribe(lambda: self._on_change(urgent=True))
+        self._failure_shares.subscribe(self._on_change)
         self._permits.start(self._send)
         self._bundles.start(self._send)
         self._send_report()
@@ -379,6 +386,7 @@
         self._load_tracker.expire(now)
         self._load_tracker.set_report_delay(self._topology.report_delay)
         self._limits.expire(now)
+        self._failure_shares.expire(now)
         targets = self._topology.report_targets(now)
         alive_since = units.Instant(now - _MAX_SILENCE)
         self._fleet.observe(1 + self._peers.alive_count(alive_since), now)
@@ -447,7 +455,8 @@
             self._view.evacuations.evacuations.last_change,
             self._view.evacuations.known_revision,
             self._view.freshness_of(codecs.ObjectKind.EVACUATIONS).age(now),
-            leaving=self._view.notices.leaving_to_report,
+            self._view.notices.leaving_to_report,
+            self._failure_shares.local_counts(now),
         )
 
     def _send(
--- a/packages/forwarding/tests/test_load_reporting.py
+++ b/packages/forwarding/tests/test_load_reporting.py
@@ -33,6 +33,7 @@
 from lavendershed.membership import visible_fleet
 from lavendershed.peer import load_reports
 from lavendershed.reliability import crash_attribution
+from lavendershed.reliability import failure_shares
 from lavendershed.reliability import fleet_retry_budget
 from lavendershed.reliability import server_health
 from lavendershed.routing import engine_slowdown
@@ -138,6 +139,7 @@
         )
         self.limits = engine_limits.EngineLimits()
         self.cold = cold_engines.ColdEngines()
+        self.shares = failure_shares.FailureShares()
         self.permits = permits.PermitClient(
             self.address,
             self.limits,
@@ -193,6 +195,7 @@
             engine_slowdown.EngineSlowdowns(),
             self.limits,
             types.SimpleNamespace(on_peer_failures=lambda unreachable: None),
+            self.shares,
             self.permits,
             visible_fleet.VisibleFleet(),
             server_health.ServerHealth(),
@@ -335,6 +338,27 @@
         network.advance(2.0)
         self.assertTrue(other.notices.is_leaving(SERVER))
 
+    def test_all_daemons_learn_of_a_server_that_fails_calls(self):
+        """Guards against daemons that each have to see failures themselves.
+
+        A daemon of a large fleet makes too few calls for that.
+        """
+        number = ids.ServerNumber(7)
+        for counts in ((3, 3, 2), (20, 20, 20)):
+            network = self.fleet(counts)
+            daemons = list(network.daemons.values())
+            for daemon in daemons[:4]:
+                now = network.timers.now()
+                daemon.shares.record(number, now, failed=True)
+            network.advance(0.1)
+            now = network.timers.now()
+            for daemon in daemons:
+                self.assertGreaterEqual(daemon.shares.share(number, now), 0.5)
+            network.advance(15.0)
+            now = network.timers.now()
+            for daemon in daemons:
+                self.assertEqual(daemon.shares.share(number, now), 0.0)
+
     def test_datagrams_received_do_not_grow_with_the_fleet(self):
         """Guards against reports of all daemons to all daemons.
 
--- a/packages/peer/idl/messages.thrift
+++ b/packages/peer/idl/messages.thrift
@@ -168,6 +168,10 @@
   // Hashes of incarnations of servers whose answers to the sender say that they
   // are leaving. 33 to 39 are left for other fields.
   40: optional list<i64> leaving
+  // Recent calls of the sender at servers of plain services: groups of a hash
+  // of the server's incarnation, ten times the calls that it answered, and ten
+  // times those that it failed.
+  41: optional list<i64> call_counts
 }
 
 // A request that passed admission at one daemon and runs at another one.
--- a/packages/peer/src/lavendershed/peer/gen/messages/ttypes.py
+++ b/packages/peer/src/lavendershed/peer/gen/messages/ttypes.py
@@ -1512,6 +1512,7 @@
      - evacuations_known_era
      - evacuations_age
      - leaving
+     - call_counts
 
     """
 
@@ -1548,10 +1549,11 @@
         'evacuations_known_era',
         'evacuations_age',
         'leaving',
+        'call_counts',
     )
 
 
-    def __init__(self, incarnation=None, sequence=None, configuration_version=None, server_revision=None, works=None, suspects=None, peers=None, slow=None, unreachable=None, sender=None, zone=None, watching=None, bundled=None, members=None, alive=None, bandwidth=None, configuration_age=None, servers_age=None, servers_known=None, crashes=None, begun=None, quarantines=None, limits=None, server_era=None, servers_known_era=None, cut_off=None, evacuation_revision=None, evacuation_era=None, evacuations_known=None, evacuations_known_era=None, evacuations_age=None, leaving=None,):
+    def __init__(self, incarnation=None, sequence=None, configuration_version=None, server_revision=None, works=None, suspects=None, peers=None, slow=None, unreachable=None, sender=None, zone=None, watching=None, bundled=None, members=None, alive=None, bandwidth=None, configuration_age=None, servers_age=None, servers_known=None, crashes=None, begun=None, quarantines=None, limits=None, server_era=None, servers_known_era=None, cut_off=None, evacuation_revision=None, evacuation_era=None, evacuations_known=None, evacuations_known_era=None, evacuations_age=None, leaving=None, call_counts=None,):
         self.incarnation = incarnation
         self.sequence = sequence
         self.configuration_version = configuration_version
@@ -1584,6 +1586,7 @@
         self.evacuations_known_era = evacuations_known_era
         self.evacuations_age = evacuations_age
         self.leaving = leaving
+        self.call_counts = call_counts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1814,6 +1817,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 41:
+                if ftype == TType.LIST:
+                    self.call_counts = []
+                    (_etype108, _size109) = iprot.readListBegin()
+                    for _i110 in range(_size109):
+                        _elem111 = iprot.readI64()
+                        self.call_counts.append(_elem111)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1988,6 +2001,13 @@
                 oprot.writeI64(iter204)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.call_counts is not None:
+            oprot.writeFieldBegin('call_counts', TType.LIST, 41)
+            oprot.writeListBegin(TType.I64, len(self.call_counts))
+            for iter112 in self.call_counts:
+                oprot.writeI64(iter112)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3152,6 +3172,7 @@
     None,  # 38
     None,  # 39
     (40, TType.LIST, 'leaving', (TType.I64, None, False), None, ),  # 40
+    (41, TType.LIST, 'call_counts', (TType.I64, None, False), None, ),  # 41
 )
 all_structs.append(RelayedRequest)
 RelayedRequest.thrift_spec = (
--- a/packages/peer/src/lavendershed/peer/load_reports.py
+++ b/packages/peer/src/lavendershed/peer/load_reports.py
@@ -24,6 +24,7 @@
 from lavendershed.peer import wire
 from lavendershed.peer.gen.messages import ttypes
 from lavendershed.reliability import engine_crashes
+from lavendershed.reliability import failure_shares
 from lavendershed.reliability import server_health
 from lavendershed.routing import engine_slowdown
 from lavendershed.routing import load_tracker
@@ -60,6 +61,12 @@
 # Servers that are left out were in earlier reports.
 _MAX_LEAVING = 40
 _BYTES_PER_HASH = 5
+_FIELDS_PER_CALL_COUNT = 3
+_BYTES_PER_CALL_COUNT = 11
+_CALL_COUNT_SCALE = 10
+_MAX_CALL_COUNTS = 8
+# No daemon makes more calls to one server in the time that they are counted.
+_MAX_CALL_COUNT = 1_000_000
 # Ages are encoded as 32-bit integers; an older copy confirms nothing anyway.
 _MAX_AGE_MS = 3_600_000
 
@@ -101,6 +108,7 @@
         evacuations_age: Time since they were known to be the newest; None if
             they never were.
         leaving: Servers whose answers to the sender say that they are leaving.
+        call_counts: Recent calls of the sender at servers of plain services.
     """
 
     incarnation: ids.Incarnation
@@ -125,6 +133,7 @@
     evacuations_known: store_revisions.StoreRevision = store_revisions.NONE
     evacuations_age: units.Seconds | None = None
     leaving: tuple[ids.ServerNumber, ...] = ()
+    call_counts: tuple[failure_shares.ReportedCounts, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -173,8 +182,17 @@
         crash_evidence.encoded_size(evidence)
         + len(limits) * _BYTES_PER_LIMIT
         + len(leaving) * _BYTES_PER_HASH
+        + len(report.call_counts) * _BYTES_PER_CALL_COUNT
     )
     max_tasks = max(0, _MAX_TASKS - math.ceil(size / _BYTES_PER_TASK))
+    call_counts = itertools.chain.from_iterable(
+        (
+            server,
+            round(counts.answered * _CALL_COUNT_SCALE),
+            round(counts.failed * _CALL_COUNT_SCALE),
+        )
+        for server, counts in report.call_counts
+    )
     limit_fields = itertools.chain.from_iterable(
         (
             server,
@@ -220,6 +238,7 @@
             evacuations_known_era=report.evacuations_known.era or None,
             evacuations_age=_to_milliseconds(report.evacuations_age),
             leaving=list(leaving) or None,
+            call_counts=list(call_counts) or None,
             sequence=report.sequence,
             configuration_version=report.configuration_epoch,
             server_revision=report.server_revision.number,
@@ -362,9 +381,34 @@
         ),
         _to_seconds(message.evacuations_age),
         tuple(map(ids.ServerNumber, message.leaving or ())),
+        tuple(_decode_call_counts(message.call_counts or [])),
     )
 
 
+def _decode_call_counts(
+    numbers: list[int],
+) -> Iterator[failure_shares.ReportedCounts]:
+    groups = (
+        numbers[start : start + _FIELDS_PER_CALL_COUNT]
+        for start in range(
+            0,
+            len(numbers) - _FIELDS_PER_CALL_COUNT + 1,
+            _FIELDS_PER_CALL_COUNT,
+        )
+    )
+    for server, answered, failed in itertools.islice(groups, _MAX_CALL_COUNTS):
+        yield (
+            ids.ServerNumber(server),
+            failure_shares.CallCounts(
+                _decode_call_count(answered), _decode_call_count(failed)
+            ),
+        )
+
+
+def _decode_call_count(number: int) -> float:
+    return min(max(0, number), _MAX_CALL_COUNT) / _CALL_COUNT_SCALE
+
+
 def _decode_limits(
     numbers: list[int], now: units.Instant
 ) -> Iterator[tuple[ids.ServerNumber, engine_limits.LimitNews]]:
--- a/tests/virtual_case.py
+++ b/tests/virtual_case.py
@@ -94,6 +94,10 @@
     def is_closing(self):
         return self.closed
 
+    def get_write_buffer_size(self):
+        """Returns 0, as the other end has all bytes at once."""
+        return 0
+
     def abort(self):
         if not self.closed:
             self.closed = True
@@ -395,7 +399,8 @@
                 BUDGET,
                 cold_bounds=cold_engines.ColdBounds(1.5, 5.0),
             ),
-            ids.Incarnation(1),
+            # The one that `hear_of` takes the daemon to have.
+            ids.Incarnation(address.port),
             self.timers,
             self.log,
             random.Random(seed),
@@ -405,6 +410,7 @@
         self.context = parts.components.context
         self.gateway = parts.components.gateway
         self.relay_handler = parts.components.relay_handler
+        self.load_reporter = parts.components.load_reporter
         self._peers = parts.peers
         self._revision = 0
         if routes:
