Test engines that leave or pause by their answers

Cause: the stand-in engines knew neither manner, and no test played them.

The generated messages get both headers.

--- a/packages/standin/src/lavendershed/standin/platform_engine.py
+++ b/packages/standin/src/lavendershed/standin/platform_engine.py
@@ -104,6 +104,10 @@
         self.status_queries = 0
         # Value of the limit that all answers to requests name, if any.
         self.request_limit: str | None = None
+        # Whether all answers say that the engine is leaving.
+        self.leaving = False
+        # Value of the pause that refusals with 503 ask for, if any.
+        self.retry_after: str | None = None
         self.memory_tokens = 315_000
         # Parts of prompts on which no answer can begin: the engine crashes and
         # is back after some time.
@@ -154,10 +158,23 @@
         }
 
     @property
-    def _limit_headers(self) -> tuple[tuple[str, str], ...]:
-        if self.request_limit is None:
-            return ()
-        return (("server-limit", self.request_limit),)
+    def _notice_headers(self) -> tuple[tuple[str, str], ...]:
+        """Headers of all answers to requests."""
+        headers = self._leaving_headers
+        if self.request_limit is not None:
+            headers += (("server-limit", self.request_limit),)
+        return headers
+
+    @property
+    def _leaving_headers(self) -> tuple[tuple[str, str], ...]:
+        return (("server-leaving", "1"),) if self.leaving else ()
+
+    @property
+    def _refusal_headers(self) -> tuple[tuple[str, str], ...]:
+        headers = (("not-executed", "1"), *self._notice_headers)
+        if self.retry_after is not None:
+            headers += (("retry-after", self.retry_after),)
+        return headers
 
     async def start(self) -> None:
         """Starts listening on a free loopback port."""
@@ -204,7 +221,11 @@
             return
         if request.path == "/report":
             self.status_queries += 1
-            await responder.respond(200, orjson.dumps({"pace": self.slowdown}))
+            await responder.respond(
+                200,
+                orjson.dumps({"pace": self.slowdown}),
+                self._leaving_headers,
+            )
             return
         fault = self.fault
         expected = headers.get("expect-instance")
@@ -238,13 +259,11 @@
         if helper_unreachable is not None:
             at_server_header = ("at-server", str(helper_unreachable))
             await responder.respond(
-                503, b"", (own_id, ("not-executed", "1"), at_server_header)
+                503, b"", (own_id, *self._refusal_headers, at_server_header)
             )
             return
         if fault is EngineFault.SHED:
-            await responder.respond(
-                503, b"", (own_id, ("not-executed", "1"), *self._limit_headers)
-            )
+            await responder.respond(503, b"", (own_id, *self._refusal_headers))
             return
         self._open += 1
         task = asyncio.get_running_loop().create_task(
@@ -330,7 +349,7 @@
             response_headers.append(
                 ("engine-seal", f"seal-{self._id}-{request_id}")
             )
-        response_headers += self._limit_headers
+        response_headers += self._notice_headers
         if fault is EngineFault.CONTENT_ENCODING:
             response_headers.append(("content-encoding", "gzip"))
         return tuple(response_headers)
@@ -420,7 +439,7 @@
         self.orders.append(order)
         if order["op"] == "release":
             self._leases.pop(order["id"], None)
-            await responder.respond(200, b"{}")
+            await responder.respond(200, b"{}", self._leaving_headers)
             return
         other_tokens = sum(
             tokens
@@ -428,8 +447,8 @@
             if ticket != order["id"]
         )
         if other_tokens + order["tokens"] > self.memory_tokens:
-            await responder.respond(409, b"{}")
+            await responder.respond(409, b"{}", self._leaving_headers)
             return
         expires_at = self._timers.now() + order["hold_ms"] / 1_000
         self._leases[order["id"]] = (order["tokens"], expires_at)
-        await responder.respond(200, b'{"free":0}')
+        await responder.respond(200, b'{"free":0}', self._leaving_headers)
--- a/tests/test_generated_messages.py
+++ b/tests/test_generated_messages.py
@@ -66,6 +66,8 @@
     b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nx",
     b"\r\nkeep-alive: timeout=\xb2",
     b"\r\nserver-limit: " + b"9" * 400,
+    b"\r\nretry-after: " + b"9" * 400,
+    b"\r\nserver-leaving: 1",
     b"\r\nat-server: x:" + b"1" * 6_000,
     b"\r\nconnection: \xff",
     b"\r\ntransfer-encoding: chunked",
@@ -104,6 +106,8 @@
         (421, b"instance-id: i"),
         (500, b"engine-seal: s"),
         (503, b"not-executed: 1\r\nat-server: 10.0.0.1:8080"),
+        (503, b"not-executed: 1\r\nretry-after: 1.5"),
+        (500, b"engine-seal: s\r\nserver-leaving: 1"),
         (204, b"engine-seal: s"),
         (304, b"engine-seal: s"),
     ):
