Take engines of a zone that is taken back for cold

Cause: at the end of an evacuation the engines of its zone may just have become cold. Their entries say so up to an interval of their writes later, while all daemons use the zone at once.

Change: `ColdObserver` compares the evacuated zones; the engines of one that is taken back are cold for the configured time, unless an entry that arrives at least 2 s later says less.

Result: two new tests. Seen to fail: without the call in the observer.

--- a/packages/admission/src/lavendershed/admission/cold_engines.py
+++ b/packages/admission/src/lavendershed/admission/cold_engines.py
@@ -29,7 +29,7 @@
 # An entry that states a longer time is odd; the next one may be sound.
 _MAX_REMAINING = units.Seconds(600.0)
 # An entry that arrives within this time may have been written before the
-# failure: engines write at intervals of 1.2 s, and news are under way.
+# suspicion: engines write at intervals of 1.2 s, and news are under way.
 _ENTRY_DELAY = units.Seconds(2.0)
 
 
@@ -99,14 +99,15 @@
         duration: Time for which it is cold after a start; 0 if only another
             daemon knows the engine.
         revision: Revision of its entry.
-        failed_at: When it last broke off or could not be reached.
+        suspected_at: When it last may have become cold without an entry that
+            says so.
     """
 
     rate: units.RequestsPerSecond
     until: units.Instant
     duration: units.Seconds = units.Seconds(0.0)
     revision: store_revisions.StoreRevision = store_revisions.NONE
-    failed_at: units.Instant = units.Instant(-math.inf)
+    suspected_at: units.Instant = units.Instant(-math.inf)
 
 
 class ColdEngines(request_limits.RequestLimits):
@@ -168,10 +169,17 @@
             exclusion: Time for which it gets no new requests.
             now: Current time.
         """
-        engine = self._engines.get(server)
-        if engine is not None and engine.duration:
-            engine.failed_at = now
-            self._extend(engine, engine.duration + exclusion, now)
+        self._suspect(server, exclusion, now)
+
+    def on_taken_back(
+        self, server: ids.ServerNumber, now: units.Instant
+    ) -> None:
+        """Records that a server may be used again after an evacuation.
+
+        It may have become cold shortly before, which its entry does not say
+        yet.
+        """
+        self._suspect(server, units.Seconds(0.0), now)
 
     def on_peer_news(
         self, server: ids.ServerNumber, news: ColdNews, now: units.Instant
@@ -238,9 +246,9 @@
             profile.duration,
             statement.revision,
         )
-        if engine is not None and now - engine.failed_at < _ENTRY_DELAY:
+        if engine is not None and now - engine.suspected_at < _ENTRY_DELAY:
             updated.until = engine.until
-            updated.failed_at = engine.failed_at
+            updated.suspected_at = engine.suspected_at
         remaining = statement.remaining
         if self._has_listing and (engine is None or not engine.duration):
             remaining = max(remaining, profile.duration)
@@ -248,6 +256,17 @@
             self._extend(updated, remaining, now)
         return updated
 
+    def _suspect(
+        self,
+        server: ids.ServerNumber,
+        unused: units.Seconds,
+        now: units.Instant,
+    ) -> None:
+        engine = self._engines.get(server)
+        if engine is not None and engine.duration:
+            engine.suspected_at = now
+            self._extend(engine, engine.duration + unused, now)
+
     def _extend(
         self, engine: _Engine, remaining: float, now: units.Instant
     ) -> None:
--- a/packages/admission/tests/test_cold_engines.py
+++ b/packages/admission/tests/test_cold_engines.py
@@ -71,6 +71,13 @@
         self.cold.on_entries([statement(3, 0.0)], units.Instant(3.5))
         self.assertFalse(self.is_cold(3.5))
 
+    def test_an_engine_of_a_zone_that_is_taken_back_may_be_cold(self):
+        """Its entry may say so up to an interval of its writes later."""
+        self.cold.on_entries([statement(1, 0.0)], units.Instant(0.0))
+        self.cold.on_taken_back(SERVER, units.Instant(5.0))
+        self.assertTrue(self.is_cold(7.9))
+        self.assertFalse(self.is_cold(8.5))
+
     def test_another_daemon_may_know_an_engine_first(self):
         news = cold_engines.ColdNews(PROFILE.rate, units.Seconds(2.0))
         self.cold.on_entries([], units.Instant(0.0))
--- a/packages/forwarding/src/lavendershed/forwarding/cold_observer.py
+++ b/packages/forwarding/src/lavendershed/forwarding/cold_observer.py
@@ -42,11 +42,12 @@
         self._instruments = instruments
         # Entries of the services with a cold rate.
         self._entries: dict[ids.ServerNumber, server_directory.ServerEntry] = {}
+        self._evacuated: frozenset[ids.AvailabilityZoneId] = frozenset()
         self._logged: dict[ids.ServerNumber, server_directory.ServerEntry] = {}
         self._next_end: timers.Timer | None = None
 
     def on_view(self) -> None:
-        """Records a new list of servers or a new configuration."""
+        """Records new servers, a new configuration or new evacuations."""
         if not self._view.directory.is_initialised:
             return
         profiles = self._profiles()
@@ -70,6 +71,12 @@
             ),
             now,
         )
+        evacuated = self._view.evacuations.evacuations.zones
+        taken_back = self._evacuated - evacuated
+        self._evacuated = evacuated
+        for number, entry in self._entries.items():
+            if entry.availability_zone in taken_back:
+                self._cold.on_taken_back(number, now)
         self._update(now)
 
     def on_failure(
--- a/packages/forwarding/tests/test_cold_observer.py
+++ b/packages/forwarding/tests/test_cold_observer.py
@@ -34,6 +34,9 @@
             directory=types.SimpleNamespace(
                 is_initialised=True, entries=(), entry=self.entry
             ),
+            evacuations=types.SimpleNamespace(
+                evacuations=types.SimpleNamespace(zones=frozenset())
+            ),
             table=types.SimpleNamespace(
                 configuration=types.SimpleNamespace(services=())
             ),
@@ -99,6 +102,16 @@
         self.observer.on_peer_failures([(entry.id, units.Seconds(0.5))])
         self.assertTrue(self.is_cold(entry))
 
+    def test_a_zone_that_is_taken_back_may_be_cold(self):
+        entry = self.list_engine(1, 0.0)
+        evacuations = self.view.evacuations.evacuations
+        evacuations.zones = frozenset({entry.availability_zone})
+        self.observer.on_view()
+        self.assertFalse(self.is_cold(entry))
+        evacuations.zones = frozenset()
+        self.observer.on_view()
+        self.assertTrue(self.is_cold(entry))
+
     def test_a_service_without_a_cold_rate_is_left_alone(self):
         self.configure(units.RequestsPerSecond(0.0))
         entry = self.list_engine(1, 2.0)
