Pass on only changed entries to the limits of cold engines

Cause: each change of the server list went through all entries, 44 ms of a core with 10,000 engines; a zone that comes back cold changes its entries each 1.2 s.

Change: unchanged entries are the same objects in the directory, so that the observer compares them and hands over those that changed and those that are gone. `ColdEngines` keeps the engines that may be cold.

The tests of ColdEngines and of the permits hand over the entries that are gone; no check was changed.

--- a/packages/admission/src/lavendershed/admission/cold_engines.py
+++ b/packages/admission/src/lavendershed/admission/cold_engines.py
@@ -116,6 +116,8 @@
     def __init__(self, bounds: ColdBounds = ColdBounds()) -> None:  # noqa: B008
         self._bounds = bounds
         self._engines: dict[ids.ServerNumber, _Engine] = {}
+        # Engines whose cold state has not been seen to end.
+        self._maybe_cold: set[ids.ServerNumber] = set()
         self._has_listing = False
 
     def set_bounds(self, bounds: ColdBounds) -> None:
@@ -123,34 +125,29 @@
         self._bounds = bounds
 
     def on_entries(
-        self, statements: Iterable[EngineStatement], now: units.Instant
+        self,
+        statements: Iterable[EngineStatement],
+        gone: Iterable[ids.ServerNumber],
+        now: units.Instant,
     ) -> None:
-        """Records the entries of all engines that may be cold.
+        """Records the entries that have changed.
 
         An engine that appears later than the first listing has started, or has
         been out of reach of the store and may have started again. The one that
         it says to be warm may be so only by its next entry.
 
         Args:
-            statements: What their current entries say.
+            statements: What the changed entries say; all of them at first.
+            gone: Incarnations that have no entry any more.
             now: Current time.
         """
-        known = self._engines
-        current = {
-            statement.server: self._updated(
-                known.get(statement.server), statement, now
+        for server in gone:
+            self._engines.pop(server, None)
+        for statement in statements:
+            self._engines[statement.server] = self._updated(
+                self._engines.get(statement.server), statement, now
             )
-            for statement in statements
-        }
-        # Another daemon may know an incarnation earlier.
-        current.update(
-            (server, engine)
-            for server, engine in known.items()
-            if server not in current
-            and not engine.duration
-            and engine.until > now
-        )
-        self._engines = current
+            self._maybe_cold.add(statement.server)
         self._has_listing = True
 
     def on_failure(
@@ -191,6 +188,7 @@
             self._engines[server] = engine
         engine.until = max(engine.until, units.after(now, news.remaining))
         engine.rate = min(engine.rate, news.rate)
+        self._maybe_cold.add(server)
 
     def news(
         self, server: ids.ServerNumber, now: units.Instant
@@ -206,6 +204,16 @@
         engine = self._engines.get(server)
         return units.Instant(-math.inf) if engine is None else engine.until
 
+    def cold_servers(self, now: units.Instant) -> frozenset[ids.ServerNumber]:
+        """Returns the engines that may be cold, and forgets unlisted others."""
+        warm = {s for s in self._maybe_cold if not self.is_cold(s, now)}
+        self._maybe_cold -= warm
+        for server in warm:
+            engine = self._engines.get(server)
+            if engine is not None and not engine.duration:
+                del self._engines[server]
+        return frozenset(self._maybe_cold)
+
     def is_cold(self, server: ids.ServerNumber, now: units.Instant) -> bool:
         """Returns whether an engine may be cold."""
         return self.cold_until(server) > now
@@ -266,6 +274,7 @@
         if engine is not None and engine.duration:
             engine.suspected_at = now
             self._extend(engine, engine.duration + unused, now)
+            self._maybe_cold.add(server)
 
     def _extend(
         self, engine: _Engine, remaining: float, now: units.Instant
--- a/packages/admission/tests/test_cold_engines.py
+++ b/packages/admission/tests/test_cold_engines.py
@@ -41,53 +41,53 @@
         return self.cold.is_cold(SERVER, units.Instant(at))
 
     def test_an_entry_of_the_first_listing_is_believed(self):
-        self.cold.on_entries([statement(1, 0.0)], units.Instant(0.0))
+        self.cold.on_entries([statement(1, 0.0)], [], units.Instant(0.0))
         self.assertFalse(self.is_cold(0.0))
 
     def test_an_engine_that_appears_later_has_started(self):
         """Also one whose entry had lapsed, or that has a new incarnation."""
-        self.cold.on_entries([statement(1, 0.0)], units.Instant(0.0))
-        self.cold.on_entries([], units.Instant(1.0))
-        self.cold.on_entries([statement(2, 0.0)], units.Instant(2.0))
+        self.cold.on_entries([statement(1, 0.0)], [], units.Instant(0.0))
+        self.cold.on_entries([], [SERVER], units.Instant(1.0))
+        self.cold.on_entries([statement(2, 0.0)], [], units.Instant(2.0))
         self.assertTrue(self.is_cold(4.9))
-        self.cold.on_entries([statement(3, 0.0)], units.Instant(3.0))
+        self.cold.on_entries([statement(3, 0.0)], [], units.Instant(3.0))
         self.assertFalse(self.is_cold(3.0))
 
     def test_the_same_entry_is_no_later_statement(self):
         """A new configuration or another server's entry lists it again."""
-        self.cold.on_entries([statement(1, 2.0)], units.Instant(0.0))
-        self.cold.on_entries([statement(1, 2.0)], units.Instant(1.9))
+        self.cold.on_entries([statement(1, 2.0)], [], units.Instant(0.0))
+        self.cold.on_entries([statement(1, 2.0)], [], units.Instant(1.9))
         self.assertTrue(self.is_cold(1.9))
         self.assertFalse(self.is_cold(2.5))
 
     def test_a_failure_may_be_a_crash_until_the_next_entry(self):
-        self.cold.on_entries([statement(1, 0.0)], units.Instant(0.0))
+        self.cold.on_entries([statement(1, 0.0)], [], units.Instant(0.0))
         self.cold.on_failure(SERVER, units.Seconds(1.0), units.Instant(1.0))
         self.assertTrue(self.is_cold(4.9))
         self.assertFalse(self.is_cold(6.0))
         # Written before the failure, it may be of the time before a crash.
-        self.cold.on_entries([statement(2, 0.0)], units.Instant(1.1))
+        self.cold.on_entries([statement(2, 0.0)], [], units.Instant(1.1))
         self.assertTrue(self.is_cold(4.9))
-        self.cold.on_entries([statement(3, 0.0)], units.Instant(3.5))
+        self.cold.on_entries([statement(3, 0.0)], [], units.Instant(3.5))
         self.assertFalse(self.is_cold(3.5))
 
     def test_an_engine_of_a_zone_that_is_taken_back_may_be_cold(self):
         """Its entry may say so up to an interval of its writes later."""
-        self.cold.on_entries([statement(1, 0.0)], units.Instant(0.0))
+        self.cold.on_entries([statement(1, 0.0)], [], units.Instant(0.0))
         self.cold.on_taken_back(SERVER, units.Instant(5.0))
         self.assertTrue(self.is_cold(7.9))
         self.assertFalse(self.is_cold(8.5))
 
     def test_another_daemon_may_know_an_engine_first(self):
         news = cold_engines.ColdNews(PROFILE.rate, units.Seconds(2.0))
-        self.cold.on_entries([], units.Instant(0.0))
+        self.cold.on_entries([], [], units.Instant(0.0))
         self.cold.on_peer_news(SERVER, news, units.Instant(0.0))
-        self.cold.on_entries([], units.Instant(0.5))
+        self.cold.on_entries([], [], units.Instant(0.5))
         self.assertTrue(self.is_cold(1.9))
         self.assertFalse(self.is_cold(2.0))
 
     def test_two_issuers_together_keep_the_bound(self):
-        self.cold.on_entries([statement(1, 2.0)], units.Instant(0.0))
+        self.cold.on_entries([statement(1, 2.0)], [], units.Instant(0.0))
         limit = self.cold.request_limit(SERVER, units.Instant(1.0))
         self.assertLessEqual(2 * (limit.rate + limit.burst), 17.0 * 1.5 + 5)
         self.assertGreater(2 * limit.rate, 17.0)
@@ -97,7 +97,7 @@
         limits = request_limits.LowestLimits((named, self.cold))
         now = units.Instant(1.0)
         self.assertIsNone(limits.request_limit(SERVER, now))
-        self.cold.on_entries([statement(1, 2.0)], now)
+        self.cold.on_entries([statement(1, 2.0)], [], now)
         self.assertEqual(limits.request_limit(SERVER, now).rate, 12.75)
         named.on_named(SERVER, units.RequestsPerSecond(4.0), now)
         self.assertEqual(limits.request_limit(SERVER, now).rate, 4.0)
@@ -125,7 +125,7 @@
         self.cold = cold_engines.ColdEngines(BOUNDS)
         for revision, (at, warm_at, remaining) in enumerate(arrivals, 1):
             self.cold.on_entries(
-                [statement(revision, remaining)], units.Instant(at)
+                [statement(revision, remaining)], [], units.Instant(at)
             )
             if warm_at > at:
                 self.assertTrue(self.is_cold(at + (warm_at - at) * share))
--- a/packages/forwarding/src/lavendershed/forwarding/cold_observer.py
+++ b/packages/forwarding/src/lavendershed/forwarding/cold_observer.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from collections.abc import Iterator
 
 from lavendershed.admission import cold_engines
 from lavendershed.core import ids
@@ -40,7 +39,9 @@
         self._timers = timer_service
         self._log = event_log
         self._instruments = instruments
-        # Entries of the services with a cold rate.
+        # Services with a cold rate, and the entries of their engines.
+        self._profiles: dict[ids.ServiceId, cold_engines.ColdProfile] = {}
+        self._seen: dict[ids.BackendServerId, server_directory.ServerEntry] = {}
         self._entries: dict[ids.ServerNumber, server_directory.ServerEntry] = {}
         self._evacuated: frozenset[ids.AvailabilityZoneId] = frozenset()
         self._logged: dict[ids.ServerNumber, server_directory.ServerEntry] = {}
@@ -50,33 +51,51 @@
         """Records new servers, a new configuration or new evacuations."""
         if not self._view.directory.is_initialised:
             return
-        profiles = self._profiles()
+        profiles = self._find_profiles()
         if not profiles and not self._entries:
             return
         now = self._timers.now()
-        self._entries = {
-            _number(entry): entry
+        current = {
+            entry.id: entry
             for entry in self._view.directory.entries
             if entry.service in profiles
         }
-        self._cold.on_entries(
-            (
-                cold_engines.EngineStatement(
-                    number,
-                    entry.revision,
-                    entry.cold_remaining,
-                    profiles[entry.service],
-                )
-                for number, entry in self._entries.items()
-            ),
-            now,
-        )
+        have_profiles_changed = profiles != self._profiles
+        # Unchanged entries are the same objects as before.
+        changed = [
+            entry
+            for server, entry in current.items()
+            if have_profiles_changed or self._seen.get(server) is not entry
+        ]
+        gone = [
+            _number(entry)
+            for server, entry in self._seen.items()
+            if server not in current
+            or current[server].incarnation != entry.incarnation
+        ]
+        self._seen = current
+        self._profiles = profiles
+        for number in gone:
+            self._entries.pop(number, None)
+        statements = [
+            cold_engines.EngineStatement(
+                _number(entry),
+                entry.revision,
+                entry.cold_remaining,
+                profiles[entry.service],
+            )
+            for entry in changed
+        ]
+        for statement, entry in zip(statements, changed, strict=True):
+            self._entries[statement.server] = entry
+        self._cold.on_entries(statements, gone, now)
         evacuated = self._view.evacuations.evacuations.zones
         taken_back = self._evacuated - evacuated
         self._evacuated = evacuated
-        for number, entry in self._entries.items():
-            if entry.availability_zone in taken_back:
-                self._cold.on_taken_back(number, now)
+        if taken_back:
+            for number, entry in self._entries.items():
+                if entry.availability_zone in taken_back:
+                    self._cold.on_taken_back(number, now)
         self._update(now)
 
     def on_failure(
@@ -99,7 +118,7 @@
             if entry is not None:
                 self.on_failure(entry, exclusion)
 
-    def _profiles(
+    def _find_profiles(
         self,
     ) -> dict[ids.ServiceId, cold_engines.ColdProfile]:
         table = self._view.table
@@ -114,7 +133,11 @@
         }
 
     def _update(self, now: units.Instant) -> None:
-        cold = dict(self._cold_entries(now))
+        cold = {
+            number: self._entries[number]
+            for number in self._cold.cold_servers(now)
+            if number in self._entries
+        }
         for number, entry in cold.items():
             until = self._cold.cold_until(number)
             self._slowdowns.set_cold(entry.id, until)
@@ -136,15 +159,6 @@
         self._logged = cold
         self._schedule_next_end()
 
-    def _cold_entries(
-        self, now: units.Instant
-    ) -> Iterator[tuple[ids.ServerNumber, server_directory.ServerEntry]]:
-        return (
-            (number, entry)
-            for number, entry in self._entries.items()
-            if self._cold.is_cold(number, now)
-        )
-
     def _schedule_next_end(self) -> None:
         if self._next_end is not None:
             self._next_end.cancel()
--- a/packages/forwarding/tests/test_permits.py
+++ b/packages/forwarding/tests/test_permits.py
@@ -87,6 +87,7 @@
                     COLD_PROFILE,
                 )
             ],
+            (),
             now,
         )
 
@@ -394,7 +395,7 @@
         for daemon in fleet:
             daemon.meet(fleet, self.timers.now())
         issuer = fleet[0].client._issuers.issuers(NUMBER)[0]
-        self.daemons[issuer].cold.on_entries([], self.timers.now())
+        self.daemons[issuer].cold.on_entries([], [NUMBER], self.timers.now())
         self.timers.advance(units.Seconds(3.0))
         others = [d for d in fleet if d.address != issuer]
         self.daemons[issuer].client.acquire = others[0].client.acquire
