Choose between cold and warm engines by predicted loss alone

Cause: streams went to cold engines only if no warm one was on time for the first token.

Change: the preference is removed. A cold engine is predicted as slower, and decides by that.

--- a/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
@@ -309,12 +309,6 @@
             placement = None
             if denials >= _MAX_DENIALS_BEFORE_UNLIMITED:
                 placement = self._choose_placement(unlimited_only=True)
-            elif any(map(self._context.permits.is_cold, self._candidates)):
-                # A cold engine costs a message and is slow; it is used if the
-                # others have no room.
-                placement = self._choose_placement(unlimited_only=True)
-                if placement is not None and not placement.urgent:
-                    placement = None
             placement = placement or self._choose_placement()
             if placement is None:
                 return None
