Test that a new rate of cold engines holds at once

Only changed entries are handed over, so that a new configuration without new entries could be missed. Seen to fail: without the comparison of the profiles.

--- a/packages/forwarding/tests/test_cold_observer.py
+++ b/packages/forwarding/tests/test_cold_observer.py
@@ -122,6 +122,15 @@
         )
         self.assertFalse(self.logged(events.Event.ENGINE_COLD))
 
+    def test_a_new_rate_holds_at_once(self):
+        entry = self.list_engine(1, 2.0)
+        self.configure(units.RequestsPerSecond(4.0))
+        self.observer.on_view()
+        number = load_reports.hash_incarnation(entry.id, entry.incarnation)
+        news = self.cold.news(number, self.timers.now())
+        self.assertEqual(news.rate, 4.0)
+        self.assertGreater(news.remaining, 2.0)
+
     def test_the_end_of_the_configured_rate_ends_the_limit(self):
         entry = self.list_engine(1, 2.0)
         self.configure(units.RequestsPerSecond(0.0))
