--- a/packages/admission/src/lavendershed/admission/cold_engines.py
+++ b/packages/admission/src/lavendershed/admission/cold_engines.py
@@ -29,7 +29,7 @@
 # An entry that states a longer time is odd; the next one may be sound.
 _MAX_REMAINING = units.Seconds(600.0)
 # An entry that arrives within this time may have been written before the
-# failure: engines write at intervals of 1.2 s, and news are under way.
+# suspicion: engines write at intervals of 1.2 s, and news are under way.
 _ENTRY_DELAY = units.Seconds(2.0)
 
 
@@ -99,14 +99,15 @@
         duration: Time for which it is cold after a start; 0 if only another
             daemon knows the engine.
         revision: Revision of its entry.
-        failed_at: When it last broke off or could not be reached.
+        suspected_at: When it last may have become cold without an entry that
+            says so.
     """
 
     rate: units.RequestsPerSecond
     until: units.Instant
     duration: units.Seconds = units.Seconds(0.0)
     revision: store_revisions.StoreRevision = store_revisions.NONE
-    failed_at: units.Instant = units.Instant(-math.inf)
+    suspected_at: units.Instant = units.Instant(-math.inf)
 
 
 class ColdEngines(request_limits.RequestLimits):
@@ -115,6 +116,8 @@
     def __init__(self, bounds: ColdBounds = ColdBounds()) -> None:  # noqa: B008
         self._bounds = bounds
         self._engines: dict[ids.ServerNumber, _Engine] = {}
+        # Engines whose cold state has not been seen to end.
+        self._maybe_cold: set[ids.ServerNumber] = set()
         self._has_listing = False
 
     def set_bounds(self, bounds: ColdBounds) -> None:
@@ -122,34 +125,29 @@
         self._bounds = bounds
 
     def on_entries(
-        self, statements: Iterable[EngineStatement], now: units.Instant
+        self,
+        statements: Iterable[EngineStatement],
+        gone: Iterable[ids.ServerNumber],
+        now: units.Instant,
     ) -> None:
-        """Records the entries of all engines that may be cold.
+        """Records the entries that have changed.
 
         An engine that appears later than the first listing has started, or has
         been out of reach of the store and may have started again. The one that
         it says to be warm may be so only by its next entry.
 
         Args:
-            statements: What their current entries say.
+            statements: What the changed entries say; all of them at first.
+            gone: Incarnations that have no entry any more.
             now: Current time.
         """
-        known = self._engines
-        current = {
-            statement.server: self._updated(
-                known.get(statement.server), statement, now
+        for server in gone:
+            self._engines.pop(server, None)
+        for statement in statements:
+            self._engines[statement.server] = self._updated(
+                self._engines.get(statement.server), statement, now
             )
-            for statement in statements
-        }
-        # Another daemon may know an incarnation earlier.
-        current.update(
-            (server, engine)
-            for server, engine in known.items()
-            if server not in current
-            and not engine.duration
-            and engine.until > now
-        )
-        self._engines = current
+            self._maybe_cold.add(statement.server)
         self._has_listing = True
 
     def on_failure(
@@ -168,10 +166,17 @@
             exclusion: Time for which it gets no new requests.
             now: Current time.
         """
-        engine = self._engines.get(server)
-        if engine is not None and engine.duration:
-            engine.failed_at = now
-            self._extend(engine, engine.duration + exclusion, now)
+        self._suspect(server, exclusion, now)
+
+    def on_taken_back(
+        self, server: ids.ServerNumber, now: units.Instant
+    ) -> None:
+        """Records that a server may be used again after an evacuation.
+
+        It may have become cold shortly before, which its entry does not say
+        yet.
+        """
+        self._suspect(server, units.Seconds(0.0), now)
 
     def on_peer_news(
         self, server: ids.ServerNumber, news: ColdNews, now: units.Instant
@@ -183,6 +188,7 @@
             self._engines[server] = engine
         engine.until = max(engine.until, units.after(now, news.remaining))
         engine.rate = min(engine.rate, news.rate)
+        self._maybe_cold.add(server)
 
     def news(
         self, server: ids.ServerNumber, now: units.Instant
@@ -198,6 +204,16 @@
         engine = self._engines.get(server)
         return units.Instant(-math.inf) if engine is None else engine.until
 
+    def cold_servers(self, now: units.Instant) -> frozenset[ids.ServerNumber]:
+        """Returns the engines that may be cold, and forgets unlisted others."""
+        warm = {s for s in self._maybe_cold if not self.is_cold(s, now)}
+        self._maybe_cold -= warm
+        for server in warm:
+            engine = self._engines.get(server)
+            if engine is not None and not engine.duration:
+                del self._engines[server]
+        return frozenset(self._maybe_cold)
+
     def is_cold(self, server: ids.ServerNumber, now: units.Instant) -> bool:
         """Returns whether an engine may be cold."""
         return self.cold_until(server) > now
@@ -238,9 +254,9 @@
             profile.duration,
             statement.revision,
         )
-        if engine is not None and now - engine.failed_at < _ENTRY_DELAY:
+        if engine is not None and now - engine.suspected_at < _ENTRY_DELAY:
             updated.until = engine.until
-            updated.failed_at = engine.failed_at
+            updated.suspected_at = engine.suspected_at
         remaining = statement.remaining
         if self._has_listing and (engine is None or not engine.duration):
             remaining = max(remaining, profile.duration)
@@ -248,6 +264,18 @@
             self._extend(updated, remaining, now)
         return updated
 
+    def _suspect(
+        self,
+        server: ids.ServerNumber,
+        unused: units.Seconds,
+        now: units.Instant,
+    ) -> None:
+        engine = self._engines.get(server)
+        if engine is not None and engine.duration:
+            engine.suspected_at = now
+            self._extend(engine, engine.duration + unused, now)
+            self._maybe_cold.add(server)
+
     def _extend(
         self, engine: _Engine, remaining: float, now: units.Instant
     ) -> None:
