Discount what engines hold by the chance of its eviction

The index of cached prefixes believed a dispatched prompt to be held until an event said otherwise, whatever the engine had taken in since.

BelievedPrompts replaces the index. A part counts with exp(-n / m) after n newer tokens with room for m; n is the larger one of the tokens that this daemon sent and of the growth of the memory in use. Cache events end the doubt about what came before them. An engine attracts prompts only up to 1.25 times the mean load (bounded loads). An attempt that excludes engines is attracted by none.

--- a/packages/daemon/src/lavendershed/daemon/queued_dispatcher.py
+++ b/packages/daemon/src/lavendershed/daemon/queued_dispatcher.py
@@ -28,7 +28,7 @@
 from lavendershed.routing import engine_fleet
 from lavendershed.routing import limits
 from lavendershed.routing import oversized
-from lavendershed.routing import prefix_index
+from lavendershed.routing import prompt_blocks
 from lavendershed.routing import prompt_classes
 from lavendershed.routing import scheduler as scheduler_module
 from lavendershed.telemetry import events
@@ -208,7 +208,7 @@
         for scheduler in self._schedulers.values():
             view = scheduler.fleet.view(engine)
             if view is not None:
-                return view.prefixes.sequence
+                return view.held.sequence
         return 0
 
     def on_configuration(
@@ -277,7 +277,7 @@
             request.prompt_tokens,
             request.max_tokens,
             request.deadline,
-            prefix_index.block_hashes(request.prompt, request.adapter or ""),
+            prompt_blocks.block_hashes(request.prompt, request.adapter or ""),
             constraints.excluded,
             constraints.exclusive,
             bool(constraints.excluded),
--- a/packages/routing/src/lavendershed/routing/attempts.py
+++ b/packages/routing/src/lavendershed/routing/attempts.py
@@ -9,6 +9,7 @@
 from lavendershed.core import ids
 from lavendershed.core import states
 from lavendershed.core import units
+from lavendershed.routing import held_prompts
 
 # Identifies an attempt within a scheduler. Request ids don't, because a caller
 # may send two concurrent requests with the same id.
@@ -42,3 +43,8 @@
     def total_tokens(self) -> int:
         """Prompt and answer tokens: the cost in limits and fair queueing."""
         return self.prompt_tokens + self.max_tokens
+
+    @property
+    def prompt_prefix(self) -> held_prompts.PromptPrefix:
+        """Leading blocks of the prompt."""
+        return held_prompts.from_blocks(self.block_hashes)
--- a/packages/routing/src/lavendershed/routing/chooser.py
+++ b/packages/routing/src/lavendershed/routing/chooser.py
@@ -15,6 +15,7 @@
 from lavendershed.routing import attempts
 from lavendershed.routing import engine_fleet
 from lavendershed.routing import engine_view
+from lavendershed.routing import held_prompts
 from lavendershed.routing import prompt_classes
 
 
@@ -226,14 +227,29 @@
             return self._no_candidate(attempt, fleet)
         best: tuple[engine_view.EngineView, Cost] | None = None
         full = 0
-        for view in candidates:
-            estimate = view.estimate(now)
+        estimates = [view.estimate(now) for view in candidates]
+        streams = sum(estimate.streams for estimate in estimates)
+        # The prompts of a request that may have crashed an engine attract
+        # nothing.
+        prefix = (
+            held_prompts.NO_PREFIX
+            if attempt.excluded
+            else attempt.prompt_prefix
+        )
+        for view, estimate in zip(candidates, estimates, strict=True):
             if estimate.free_tokens < attempt.total_tokens and not long:
                 full += 1
                 continue
             if self._is_backlogged(attempt, estimate):
                 continue
-            cost = self._cost(attempt, view, estimate, preset)
+            cached = (
+                view.held.expected_tokens(prefix)
+                if held_prompts.within_load_bound(
+                    estimate.streams, streams, len(candidates)
+                )
+                else 0
+            )
+            cost = self._cost(attempt, view, estimate, cached, preset)
             if best is None or cost.total < best[1].total:
                 best = (view, cost)
         if best is None:
@@ -308,9 +324,9 @@
         attempt: attempts.Attempt,
         view: engine_view.EngineView,
         estimate: engine_view.EngineEstimate,
+        cached: int,
         preset: model.Preset,
     ) -> Cost:
-        cached = view.prefixes.cached_tokens(attempt.block_hashes)
         uncached = max(1, attempt.prompt_tokens - cached)
         tokens_ahead = self._tokens_ahead(attempt, estimate)
         missing_tokens = attempt.total_tokens - estimate.free_tokens
--- a/packages/routing/src/lavendershed/routing/engine_view.py
+++ b/packages/routing/src/lavendershed/routing/engine_view.py
@@ -1,4 +1,4 @@
-"""Load estimate and prefix index of one engine in one daemon."""
+"""Load estimate and held prompts of one engine in one daemon."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 from lavendershed.core import states
 from lavendershed.core import units
 from lavendershed.routing import attempts
-from lavendershed.routing import prefix_index
+from lavendershed.routing import held_prompts
 
 # Requests sent this long before a report was taken may be missing from it: the
 # clock offset is known only to about the engine's report interval.
@@ -92,7 +92,9 @@
         self.rank = 0.0
         self._memory_tokens = memory_tokens
         self._prefill_tokens_per_second = prefill_tokens_per_second
-        self._prefixes = prefix_index.PrefixIndex(max_blocks)
+        self._held: held_prompts.HeldPrompts = held_prompts.BelievedPrompts(
+            memory_tokens, max_blocks
+        )
         self._report: backend_servers.LoadReport | None = None
         self._report_taken_at = units.Instant(0.0)
         self._clock_offset = math.inf
@@ -102,9 +104,9 @@
         self._peer_dispatches: list[_PeerDispatch] = []
 
     @property
-    def prefixes(self) -> prefix_index.PrefixIndex:
-        """Index of the engine's prefix cache."""
-        return self._prefixes
+    def held(self) -> held_prompts.HeldPrompts:
+        """Beginnings of prompts in the engine's prefix cache."""
+        return self._held
 
     @property
     def outstanding(self) -> int:
@@ -173,11 +175,12 @@
         """Handles a load report that arrived at `now`."""
         old = self._report
         if old is not None and report.incarnation != old.incarnation:
-            self._prefixes.reset()
+            self._held.forget()
             self._clock_offset = math.inf
         elif old is not None and report.timestamp <= old.timestamp:
             return
         self._report = report
+        self._held.on_memory_in_use(self._reported_kv_tokens(report))
         # The engine has its own clock, and a report may be delayed. The report
         # with the smallest delay gives the best estimate of the clock offset.
         self._clock_offset = min(self._clock_offset, now - report.timestamp)
@@ -218,14 +221,15 @@
         self, attempt: attempts.Attempt, now: units.Instant
     ) -> None:
         """Records that an attempt is sent to this engine."""
-        cached = self._prefixes.cached_tokens(attempt.block_hashes)
+        prefix = attempt.prompt_prefix
+        cached = self._held.expected_tokens(prefix)
         uncached = max(1, attempt.prompt_tokens - cached)
         dispatch = _Dispatch(
             attempt.prompt_class, uncached, attempt.total_tokens, now
         )
         self._in_flight[attempt.ticket] = dispatch
         self._prefilling[attempt.ticket] = dispatch
-        self._prefixes.on_dispatch(attempt.block_hashes)
+        self._held.on_prompt(prefix)
 
     def on_first_token(self, ticket: attempts.Ticket) -> None:
         """Records the end of an attempt's prefill."""
@@ -267,11 +271,15 @@
             self._report_taken_at, now
         )
         tokens = max(0.0, report.prefill_tokens_queued - min_prefilled_tokens)
-        # Reports are in bytes; the used share of the KV cache does not depend
-        # on the bytes per token.
-        share = report.kv_bytes_used / max(1, report.kv_bytes_total)
         return (
             tokens,
             report.running + report.waiting,
-            share * self._memory_tokens,
+            self._reported_kv_tokens(report),
         )
+
+    def _reported_kv_tokens(self, report: backend_servers.LoadReport) -> float:
+        """Returns the KV cache that requests on the engine use."""
+        # Reports are in bytes; the used share of the KV cache does not depend
+        # on the bytes per token.
+        share = report.kv_bytes_used / max(1, report.kv_bytes_total)
+        return share * self._memory_tokens
--- a/packages/routing/src/lavendershed/routing/scheduler.py
+++ b/packages/routing/src/lavendershed/routing/scheduler.py
@@ -177,7 +177,7 @@
         """Updates the prefix index with an engine's cache events."""
         view = self._fleet.view(engine)
         if view is not None:
-            view.prefixes.on_events(events)
+            view.held.on_events(events)
 
     def on_peer_loads(
         self,
@@ -243,7 +243,7 @@
     def _uncached_tokens(self, attempt: attempts.Attempt) -> int:
         cached = max(
             (
-                view.prefixes.cached_tokens(attempt.block_hashes)
+                view.held.expected_tokens(attempt.prompt_prefix)
                 for view in self._fleet.views
             ),
             default=0,
--- a/packages/routing/tests/test_engine_view.py
+++ b/packages/routing/tests/test_engine_view.py
@@ -10,7 +10,6 @@
 from lavendershed.core import states
 from lavendershed.core import units
 from lavendershed.routing import engine_view
-from lavendershed.routing import prefix_index
 
 ENGINE = ids.BackendServerId("engine-1")
 PEER = ids.VmId("vm-2")
@@ -67,32 +66,5 @@
         self.assertLess(self.tokens(2_002.0), 15_000)
 
 
-class PrefixIndexTest(unittest.TestCase):
-    """Fails if an index keeps full confidence after a gap, or is unbounded."""
-
-    def event(self, sequence, stored=(), evicted=()):
-        return backend_servers.CacheEvent(sequence, stored, evicted)
-
-    def test_gap_in_sequence_numbers_halves_the_confidence(self):
-        index = prefix_index.PrefixIndex(100)
-        index.on_events((self.event(1, (1, 2, 3, 4)),))
-        whole = index.cached_tokens((1, 2, 3, 4))
-        index.on_events((self.event(3),))
-        self.assertEqual(index.cached_tokens((1, 2, 3, 4)), whole // 2)
-
-    def test_size_is_bounded_and_starts_of_chains_stay(self):
-        index = prefix_index.PrefixIndex(10)
-        index.on_dispatch(tuple(range(8)))
-        index.on_dispatch(tuple(range(100, 106)))
-        self.assertEqual(index.size, 10)
-        self.assertGreater(index.cached_tokens(tuple(range(8))), 0)
-
-    def test_hash_of_a_block_covers_the_blocks_before_it(self):
-        first = prefix_index.block_hashes("a" * 4_096)
-        second = prefix_index.block_hashes("b" + "a" * 4_095)
-        self.assertEqual(len(first), 2)
-        self.assertNotEqual(first[1], second[1])
-
-
 if __name__ == "__main__":
     unittest.main()
--- a/packages/routing/tests/test_scheduler.py
+++ b/packages/routing/tests/test_scheduler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import random
 import unittest
 
@@ -136,6 +137,46 @@
         self.assertEqual(second.engine, first.engine)
         self.assertIn("cached 51200", second.reason)
 
+    def test_prompt_that_may_have_crashed_an_engine_is_not_attracted(self):
+        blocks = tuple(range(100))
+        service_scheduler = build_scheduler(engines=4)
+        service_scheduler.on_arrival(
+            attempt(1, 51_200, block_hashes=blocks), START
+        )
+        service_scheduler.on_release(attempts.Ticket(1), START)
+        (second,) = service_scheduler.on_arrival(
+            attempt(
+                2,
+                51_200,
+                block_hashes=blocks,
+                excluded=frozenset({ids.BackendServerId("other")}),
+            ),
+            START,
+        )
+        self.assertIn("cached 0 tokens", second.reason)
+
+    def test_document_of_all_prompts_does_not_draw_them_to_one_engine(self):
+        def streams(tokens, shared_blocks):
+            service_scheduler = build_scheduler(engines=4)
+            engines: collections.Counter[str] = collections.Counter()
+            for ticket in range(40):
+                first = 0 if shared_blocks else 100 * (ticket + 1)
+                blocks = tuple(range(first, first + tokens // 512))
+                (command,) = service_scheduler.on_arrival(
+                    attempt(ticket, tokens, block_hashes=blocks), START
+                )
+                service_scheduler.on_first_token(attempts.Ticket(ticket), START)
+                engines[command.engine] += 1
+            return max(engines.values())
+
+        # 40 streams on 4 engines: the bound is 1.25 times the mean of 10.
+        self.assertLessEqual(streams(20_000, shared_blocks=True), 13)
+        # The daemon's own order of engines gathers short prompts anyway.
+        self.assertLessEqual(
+            streams(5_130, shared_blocks=True),
+            streams(5_130, shared_blocks=False),
+        )
+
     def test_long_prompts_beyond_their_share_are_queued(self):
         service_scheduler = build_scheduler(engines=4)
         for ticket in (1, 2):
--- a/packages/standin/src/lavendershed/standin/bench/simulation.py
+++ b/packages/standin/src/lavendershed/standin/bench/simulation.py
@@ -261,7 +261,7 @@
         view = self.scheduler.fleet.view(name)
         assert view is not None
         visible_until = self._timers.now() - _CACHE_EVENT_DELAY
-        last_sequence = view.prefixes.sequence
+        last_sequence = view.held.sequence
         events = []
         for recorded_at, event in reversed(engine.cache_events):
             if event.sequence <= last_sequence:
--- a/packages/standin/src/lavendershed/standin/bench/workload.py
+++ b/packages/standin/src/lavendershed/standin/bench/workload.py
@@ -11,7 +11,7 @@
 from lavendershed.core import ids
 from lavendershed.core import states
 from lavendershed.core import units
-from lavendershed.routing import prefix_index
+from lavendershed.routing import prompt_blocks
 from lavendershed.standin import engine_timing_model
 
 ENGINE = engine_timing_model.EngineSettings()
@@ -187,7 +187,7 @@
                 )
             )
         )
-        block_count = prompt_tokens // prefix_index.BLOCK_TOKENS
+        block_count = prompt_tokens // prompt_blocks.BLOCK_TOKENS
         block_hashes: list[int] = []
         if generator.random() < distribution.document_share:
             document_number = generator.randrange(
