Name invalid fields of a configuration by their JSON path

The reason in configuration_rejected (302) named the field only, such as "kind: has an unknown value", so that an operator with 200 routes had to look for it. The decoder now adds the place: "route_table[3].kind: has an unknown value".

--- a/packages/platform/src/lavendershed/platform/fields.py
+++ b/packages/platform/src/lavendershed/platform/fields.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
+from typing import TypeVar
 
 # A decoded value of any JSON type.
 JsonValue = Any
+_DecodedT = TypeVar("_DecodedT")
 # Integers are sent to peers as signed ones of 64 bits.
 _MAX_INTEGER = 2**63 - 1
 
@@ -15,6 +18,13 @@
 
     def __init__(self, field: str, problem: str) -> None:
         super().__init__(f"{field}: {problem}")
+        self._field = field
+        self._problem = problem
+
+    def within(self, place: str) -> FieldError:
+        """Returns the error of a field in a table at `place`."""
+        path = f"{place}.{self._field}" if self._field else place
+        return FieldError(path, self._problem)
 
 
 def as_table(body: JsonValue, name: str) -> dict[str, JsonValue]:
@@ -96,3 +106,38 @@
     if not isinstance(value, list):
         raise FieldError(name, "is not an array")
     return value
+
+
+def decoded_table(
+    body: dict[str, JsonValue],
+    name: str,
+    decode: Callable[[dict[str, JsonValue]], _DecodedT],
+) -> _DecodedT:
+    """Returns a decoded table field; errors state the path to the field.
+
+    Raises:
+        FieldError: It is missing, of another type or can't be decoded.
+    """
+    try:
+        return decode(as_table(body.get(name), ""))
+    except FieldError as error:
+        raise error.within(name) from error
+
+
+def decoded_array(
+    body: dict[str, JsonValue],
+    name: str,
+    decode: Callable[[dict[str, JsonValue]], _DecodedT],
+) -> tuple[_DecodedT, ...]:
+    """Returns an array of decoded tables; errors state the path to the field.
+
+    Raises:
+        FieldError: It is missing, of another type or can't be decoded.
+    """
+    decoded = []
+    for index, item in enumerate(array(body, name)):
+        try:
+            decoded.append(decode(as_table(item, "")))
+        except FieldError as error:
+            raise error.within(f"{name}[{index}]") from error
+    return tuple(decoded)
--- a/packages/platform/src/lavendershed/platform/objects.py
+++ b/packages/platform/src/lavendershed/platform/objects.py
@@ -18,7 +18,7 @@
 
 _MS_PER_SECOND = 1_000.0
 # Operators may store others of the same kind, such as drafts.
-_ACTIVE_CONFIGURATION = "main"
+ACTIVE_CONFIGURATION = "main"
 
 
 class PlatformObjectDecoder(codecs.ObjectDecoder):
@@ -28,7 +28,7 @@
         self, stored: peer_state.StoredObject
     ) -> result.Result[model.RoutingConfiguration, str]:
         """Returns a configuration, or an error that names the invalid field."""
-        if stored.name != _ACTIVE_CONFIGURATION:
+        if stored.name != ACTIVE_CONFIGURATION:
             return result.Err(f"{stored.name}: is not the active one")
         try:
             body = fields.as_table(orjson.loads(stored.spec), "configuration")
@@ -77,30 +77,23 @@
 def _decode_configuration(
     body: dict[str, fields.JsonValue],
 ) -> model.RoutingConfiguration:
-    limits = fields.as_table(body.get("limits"), "limits")
-    organisations = body.get("tenants")
     return model.RoutingConfiguration(
         ids.Epoch(fields.integer(body, "version")),
-        tuple(
-            _decode_route(fields.as_table(route, "route_table"))
-            for route in fields.array(body, "route_table")
-        ),
-        tuple(
-            _decode_service(fields.as_table(service, "services"))
-            for service in fields.array(body, "services")
-        ),
+        fields.decoded_array(body, "route_table", _decode_route),
+        fields.decoded_array(body, "services", _decode_service),
         None
-        if organisations is None
-        else tuple(
-            _decode_organisation(fields.as_table(organisation, "tenants"))
-            for organisation in fields.array(body, "tenants")
-        ),
-        model.CallerLimits(
-            units.Bytes(fields.integer(limits, "max_header_bytes")),
-            units.Bytes(fields.integer(limits, "max_body_bytes")),
-            _seconds_from_ms(limits, "header_timeout_ms"),
-            _seconds_from_ms(limits, "idle_timeout_ms"),
-        ),
+        if body.get("tenants") is None
+        else fields.decoded_array(body, "tenants", _decode_organisation),
+        fields.decoded_table(body, "limits", _decode_limits),
+    )
+
+
+def _decode_limits(body: dict[str, fields.JsonValue]) -> model.CallerLimits:
+    return model.CallerLimits(
+        units.Bytes(fields.integer(body, "max_header_bytes")),
+        units.Bytes(fields.integer(body, "max_body_bytes")),
+        _seconds_from_ms(body, "header_timeout_ms"),
+        _seconds_from_ms(body, "idle_timeout_ms"),
     )
 
 
@@ -113,9 +106,8 @@
             ),
         )
     else:
-        services = tuple(
-            _decode_weighted_service(fields.as_table(item, "weighted_services"))
-            for item in fields.array(body, "weighted_services")
+        services = fields.decoded_array(
+            body, "weighted_services", _decode_weighted_service
         )
     try:
         kind = model.RequestKind(fields.string(body, "kind"))
@@ -149,13 +141,12 @@
 
 
 def _decode_service(body: dict[str, fields.JsonValue]) -> model.Service:
-    engine = body.get("engine")
     return model.Service(
         ids.ServiceId(fields.string(body, "name")),
         fields.integer(body, "max_connections", 0),
         None
-        if engine is None
-        else _decode_engine(fields.as_table(engine, "engine")),
+        if body.get("engine") is None
+        else fields.decoded_table(body, "engine", _decode_engine),
         units.Seconds(fields.number(body, "cold_start_s", 0.0)),
         units.RequestsPerSecond(fields.number(body, "cold_per_s", 0.0)),
     )
@@ -164,7 +155,6 @@
 def _decode_engine(
     body: dict[str, fields.JsonValue],
 ) -> engine_profile.EngineProfile:
-    usual = fields.as_table(body.get("usual", {}), "usual")
     return engine_profile.EngineProfile(
         slots=fields.integer(body, "slots"),
         kv_capacity=units.Tokens(fields.integer(body, "kv_capacity")),
@@ -176,13 +166,19 @@
         / _MS_PER_SECOND,
         attention_ms_per_1m_pairs=fields.number(body, "pairs_per_m", 0.0),
         prefill_chunk_tokens=fields.integer(body, "chunk", 1),
-        mean_output_tokens=units.Tokens(
-            int(fields.number(usual, "answer", 0.0))
+        mean_output_tokens=fields.decoded_table(
+            {"usual": {}, **body}, "usual", _decode_mean_output_tokens
         ),
         parallel_step_overhead_ms=fields.number(body, "hop_ms", 0.0),
     )
 
 
+def _decode_mean_output_tokens(
+    body: dict[str, fields.JsonValue],
+) -> units.Tokens:
+    return units.Tokens(int(fields.number(body, "answer", 0.0)))
+
+
 def _decode_organisation(
     body: dict[str, fields.JsonValue],
 ) -> model.Organisation:
