Weigh what engines of the platform hold of a prompt

The choice by predicted loss took the whole prefill time on every engine. RetainedPrompts believes, per engine and incarnation, which beginnings this daemon has seen answered, and reduces the prefill time of an unsharded placement by what is expected to be held still. Queues, iterations and the losses of others are weighed as before, so that an engine with a longer queue than the saving isn't chosen. Prompts that began no answer aren't recorded, and those with a part that was in a crash since its last answer attract nothing.

It is off unless the engine's profile says `retains_prompts`, which is decoded only if present: engines of today's platform keep no prompt.

--- a/packages/forwarding/src/lavendershed/forwarding/requests.py
+++ b/packages/forwarding/src/lavendershed/forwarding/requests.py
@@ -10,6 +10,7 @@
 from lavendershed.core import addresses
 from lavendershed.core import ids
 from lavendershed.core import units
+from lavendershed.routing import held_prompts
 from lavendershed.routing import latency_model
 from lavendershed.transport import client
 
@@ -36,6 +37,8 @@
         request_size: Prompt and output tokens, if stated.
         last_event_id: Event id after which to resume a stream, if any.
         prompt_parts: Parts of the prompt that other prompts may share.
+        prompt_prefix: All parts of the prompt in order; empty if a peer sent
+            the request.
     """
 
     id: ids.RequestId
@@ -50,6 +53,7 @@
     request_size: latency_model.RequestSize | None
     last_event_id: int | None
     prompt_parts: frozenset[ids.PromptPartId] = frozenset()
+    prompt_prefix: held_prompts.PromptPrefix = held_prompts.NO_PREFIX
 
 
 class ResponseKind(enum.Enum):
--- a/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
@@ -360,11 +360,21 @@
         if self._answer_begun:
             return
         self._answer_begun = True
+        self._record_prefilled()
         self._context.crash_attribution.on_answer_begun(
             self._admitted_request.request.prompt_parts,
             self._context.timers.now(),
         )
 
+    def _record_prefilled(self) -> None:
+        """Records what the engine may hold from now on."""
+        chooser = self._context.choosers.chooser(self._admitted_request.service)
+        # With helpers, each engine holds a part that no other prompt asks for.
+        if chooser is not None and not self._placement.prefill_helpers:
+            chooser.retained_prompts.on_prefilled(
+                self.engine, self._admitted_request.request.prompt_prefix
+            )
+
     @property
     def _time_left(self) -> units.Seconds:
         """Time until the deadline of the request."""
--- a/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
@@ -22,6 +22,7 @@
 from lavendershed.forwarding import waiting_room
 from lavendershed.membership import server_directory
 from lavendershed.routing import engine_choice
+from lavendershed.routing import held_prompts
 from lavendershed.routing import latency_model
 from lavendershed.routing import placements
 from lavendershed.telemetry import events
@@ -436,6 +437,7 @@
             if self._attempts.new_servers_exhausted
             else frozenset(),
             limited,
+            self._attractive_prefix(),
         )
         now = context.timers.now()
         placement = chooser.choose(
@@ -449,6 +451,13 @@
             )
         return placement
 
+    def _attractive_prefix(self) -> held_prompts.PromptPrefix:
+        """Returns the beginning of the prompt, if no crash is laid to it."""
+        suspects = self._admitted_request.crash_suspects
+        if self._context.crash_attribution.was_in_crash(suspects):
+            return held_prompts.NO_PREFIX
+        return self._admitted_request.request.prompt_prefix
+
     def _busy_engines(
         self, candidates: tuple[server_directory.ServerEntry, ...]
     ) -> frozenset[ids.BackendServerId]:
--- a/packages/platform/src/lavendershed/platform/callers.py
+++ b/packages/platform/src/lavendershed/platform/callers.py
@@ -15,6 +15,7 @@
 from lavendershed.forwarding import codecs
 from lavendershed.forwarding import requests
 from lavendershed.platform import header_names
+from lavendershed.routing import held_prompts
 from lavendershed.routing import latency_model
 from lavendershed.transport import handlers
 
@@ -33,6 +34,8 @@
 _FAILURE_STATUS = 502
 # Parts that are not the last are few and come again and again.
 _PART_CACHE_SIZE = 4_096
+# Bounds the time to decode a request; later parts belong to few prompts.
+_MAX_PREFIX_PARTS = 16
 
 
 class PlatformCallerCodec(codecs.CallerCodec):
@@ -77,6 +80,7 @@
                 size.ok_value,
                 last_event_id.ok_value,
                 _parse_shared_parts(fields.get(header_names.PROMPT_PARTS, "")),
+                _parse_prefix(fields.get(header_names.PROMPT_PARTS, "")),
             )
         )
 
@@ -159,6 +163,24 @@
     )
 
 
+def _parse_prefix(text: str) -> held_prompts.PromptPrefix:
+    """Returns the parts of a prompt up to the first that is not valid."""
+    chain = 0
+    end = 0
+    hashes: list[int] = []
+    ends: list[int] = []
+    for part in text.split(",", _MAX_PREFIX_PARTS)[:_MAX_PREFIX_PARTS]:
+        name, _, count = part.partition(":")
+        tokens = decimals.parse(count.strip())
+        if tokens is None:
+            break
+        chain = xxhash.xxh3_64_intdigest(name.strip().encode(), seed=chain)
+        end += tokens
+        hashes.append(chain)
+        ends.append(end)
+    return held_prompts.PromptPrefix(tuple(hashes), tuple(ends))
+
+
 @functools.lru_cache(_PART_CACHE_SIZE)
 def _hash_part(part: str) -> ids.PromptPartId:
     digest = xxhash.xxh3_64_intdigest(part.encode())
--- a/packages/platform/src/lavendershed/platform/objects.py
+++ b/packages/platform/src/lavendershed/platform/objects.py
@@ -170,6 +170,7 @@
             {"usual": {}, **body}, "usual", _decode_mean_output_tokens
         ),
         parallel_step_overhead_ms=fields.number(body, "hop_ms", 0.0),
+        retains_prompts=fields.boolean(body, "retains_prompts"),
     )
 
 
--- a/packages/platform/tests/test_callers.py
+++ b/packages/platform/tests/test_callers.py
@@ -36,5 +36,31 @@
             self.assertEqual(self.parts(text), frozenset())
 
 
+class PromptPrefixTest(unittest.TestCase):
+    """Guards against prompts that only seem to begin like another."""
+
+    def prefix(self, text):
+        request = handlers.ServerRequest(
+            "POST", "/a", "", (("prefix-hash", text),), b"", target="/a"
+        )
+        decoded = callers.PlatformCallerCodec().decode(request).unwrap()
+        return decoded.prompt_prefix
+
+    def test_parts_are_chained_in_their_order(self):
+        first = self.prefix("aa:40,bb:95,cc:560")
+        self.assertEqual(first.ends, (40, 135, 695))
+        self.assertEqual(
+            first.hashes[:2], self.prefix("aa:40,bb:95,dd:1").hashes[:2]
+        )
+        self.assertNotIn(
+            first.hashes[1], self.prefix("bb:95,aa:40,cc:560").hashes
+        )
+
+    def test_list_ends_before_the_first_odd_part_and_is_bounded(self):
+        self.assertEqual(self.prefix("aa:40,bb:x,cc:1").ends, (40,))
+        self.assertEqual(self.prefix("no list").ends, ())
+        self.assertEqual(len(self.prefix("aa:1," * 40).ends), 16)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/platform/tests/test_objects.py
+++ b/packages/platform/tests/test_objects.py
@@ -113,6 +113,13 @@
             self.decoder.decode_configuration(stored(self.body)).is_ok()
         )
 
+    def test_engines_retain_prompts_only_if_it_is_stated(self):
+        for stated, expected in ({}, False), ({"retains_prompts": True}, True):
+            self.body["services"][0]["engine"].update(stated)
+            decoded = self.decoder.decode_configuration(stored(self.body))
+            engine = decoded.unwrap().services[0].engine
+            self.assertIs(engine.retains_prompts, expected)
+
     def test_missing_organisations_disable_api_keys(self):
         del self.body["tenants"]
         decoded = self.decoder.decode_configuration(stored(self.body)).unwrap()
@@ -124,14 +131,18 @@
             (self.body["route_table"][0], "kind", "odd"),
             (self.body["route_table"][0], "timeout_ms", None),
             (self.body["services"][0]["engine"], "slots", True),
+            (self.body["services"][0]["engine"], "retains_prompts", 1),
             (self.body["limits"], "max_body_bytes", -1),
             (self.body["tenants"][0], "api_keys", [1]),
         ):
             with self.subTest(field=field):
-                original = table[field]
+                original = table.get(field)
                 table[field] = value
                 self.assertIn(field, self.decode_error())
-                table[field] = original
+                if original is None:
+                    del table[field]
+                else:
+                    table[field] = original
 
 
 class ServerEntryTest(unittest.TestCase):
--- a/packages/reliability/src/lavendershed/reliability/crash_attribution.py
+++ b/packages/reliability/src/lavendershed/reliability/crash_attribution.py
@@ -129,6 +129,10 @@
             for suspect in suspects
         )
 
+    def was_in_crash(self, suspects: engine_crashes.Suspects) -> bool:
+        """Returns whether any of them was in a crash since its last answer."""
+        return any(map(self._is_suspected, suspects))
+
     def quarantine_count(self, now: units.Instant) -> int:
         """Returns the number of sets of parts in quarantine."""
         return sum(q.expires_at > now for q in self._quarantines.values())
--- a/packages/routes/src/lavendershed/routes/engine_profile.py
+++ b/packages/routes/src/lavendershed/routes/engine_profile.py
@@ -31,6 +31,8 @@
         mean_output_tokens: Mean length of an answer.
         parallel_step_overhead_ms: Milliseconds that a request which several
             engines serve together adds to a step.
+        retains_prompts: Whether engines keep prompts after their requests, in
+            memory that other requests don't need.
     """
 
     slots: int
@@ -44,3 +46,4 @@
     prefill_chunk_tokens: int
     mean_output_tokens: units.Tokens
     parallel_step_overhead_ms: float
+    retains_prompts: bool = False
--- a/packages/routing/src/lavendershed/routing/engine_choice.py
+++ b/packages/routing/src/lavendershed/routing/engine_choice.py
@@ -20,6 +20,7 @@
 from lavendershed.routing import memory_shares
 from lavendershed.routing import placements
 from lavendershed.routing import predicted_loss
+from lavendershed.routing import retained_prompts
 
 # One engine in this many prefills no shard of a parallel prefill, so that
 # requests that arrive meanwhile find an engine that is not blocked.
@@ -111,6 +112,12 @@
         self._random = generator
         self._weights = weights
         self._losses = predicted_loss.PredictedLoss(model, weights)
+        self._retained_prompts = retained_prompts.RetainedPrompts(model)
+
+    @property
+    def retained_prompts(self) -> retained_prompts.RetainedPrompts:
+        """What the engines still hold of earlier prompts."""
+        return self._retained_prompts
 
     def utility(self, size: latency_model.RequestSize) -> float:
         """Returns the utility of a request that meets its latency targets."""
@@ -166,6 +173,8 @@
         if not usable:
             return None
         engines = [self._candidate(entry, demand, now) for entry in usable]
+        # What an engine holds saves nothing if others prefill shards for it.
+        holders = self._retained_prompts.apply(demand, engines)
         prefill_ms = self._latency_model.prefill_ms(demand.size.prompt_tokens)
         max_shards = min(
             len(engines) - len(engines) // _ENGINES_PER_UNUSED_ENGINE,
@@ -182,7 +191,11 @@
         ]
         plans = [
             self._plan(
-                demand, engines, prefill_ms / shard_count, shard_count, now
+                demand,
+                holders if shard_count == 1 else engines,
+                prefill_ms / shard_count,
+                shard_count,
+                now,
             )
             for shard_count in shard_counts
         ]
@@ -263,9 +276,10 @@
             (
                 _PrefillEngine(
                     engine,
-                    engine.prefill_backlog_ms + shard_ms * engine.slowdown,
+                    engine.prefill_backlog_ms
+                    + shard_ms * engine.prefill_factor,
                     self._losses.interference_losses(
-                        engine, shard_ms * engine.slowdown, parallel, now
+                        engine, shard_ms * engine.prefill_factor, parallel, now
                     ),
                 )
                 for engine in engines
@@ -310,7 +324,7 @@
         decode_engine = best.engine
         last_shard_done_ms = max(
             prefill.engine.prefill_backlog_ms
-            + shard_ms * prefill.engine.slowdown
+            + shard_ms * prefill.engine.prefill_factor
             for prefill in prefill_engines
         )
         shares: tuple[memory_shares.MemoryShare, ...] = ()
@@ -351,7 +365,7 @@
                 for prefill in prefill_engines
                 if prefill.engine is not decode_engine
             ),
-            shard_ms,
+            shard_ms * decode_engine.prefill_share,
             ttft_ms,
             decode_engine.iteration_ms,
             self._latency_model.decode_ms(
@@ -407,7 +421,7 @@
         return (
             max(
                 shard_done_ms + iteration_wait_ms,
-                engine.slot_wait_ms + shard_ms * engine.slowdown,
+                engine.slot_wait_ms + shard_ms * engine.prefill_factor,
             )
             + engine.iteration_ms
         )
--- a/packages/routing/src/lavendershed/routing/placements.py
+++ b/packages/routing/src/lavendershed/routing/placements.py
@@ -9,6 +9,7 @@
 from lavendershed.core import ids
 from lavendershed.core import units
 from lavendershed.membership import server_directory
+from lavendershed.routing import held_prompts
 from lavendershed.routing import latency_model
 from lavendershed.routing import memory_shares
 
@@ -26,6 +27,7 @@
         body_size: Bytes to send to the engine.
         allowed_engines: Engines that may decode the request; any if empty.
         excluded_helpers: Engines that may not prefill for another one.
+        prompt_prefix: Beginning of the prompt that engines may still hold.
     """
 
     size: latency_model.RequestSize
@@ -36,6 +38,7 @@
     body_size: units.Bytes
     allowed_engines: frozenset[ids.BackendServerId] = frozenset()
     excluded_helpers: frozenset[ids.BackendServerId] = frozenset()
+    prompt_prefix: held_prompts.PromptPrefix = held_prompts.NO_PREFIX
 
     def allows_engine(self, server: ids.BackendServerId) -> bool:
         """Returns whether an engine may decode the request."""
--- a/packages/routing/src/lavendershed/routing/predicted_loss.py
+++ b/packages/routing/src/lavendershed/routing/predicted_loss.py
@@ -36,6 +36,7 @@
         prefill_backlog_ms: Prefill time of the prompts queued there.
         slot_wait_ms: Time until a batch slot is free.
         contention_loss: Loss if one more request exceeds the soft slot limit.
+        prefill_share: Share of the prompt's prefill time that is left there.
     """
 
     entry: server_directory.ServerEntry
@@ -45,6 +46,12 @@
     prefill_backlog_ms: float
     slot_wait_ms: float
     contention_loss: float
+    prefill_share: float = 1.0
+
+    @property
+    def prefill_factor(self) -> float:
+        """Ratio of the prompt's prefill time there to the predicted one."""
+        return self.slowdown * self.prefill_share
 
 
 def soft_slot_limit(profile: engine_profile.EngineProfile) -> float:
