Check a configuration before it is sent

Operators learned of an invalid configuration from the daemons' logs, and of a route that can't match from callers. The parser's limit of a head, until now the default of h11, is stated as MAX_HEAD with the same value.

--- a/packages/cli/src/lavendershed/cli/main.py
+++ b/packages/cli/src/lavendershed/cli/main.py
@@ -6,6 +6,7 @@
 
 from lavendershed import cli
 from lavendershed.cli.commands import apply
+from lavendershed.cli.commands import check
 from lavendershed.cli.commands import diff
 from lavendershed.cli.commands import explain
 from lavendershed.cli.commands import export
@@ -25,6 +26,7 @@
 
 for command in (
     apply.apply,
+    check.check,
     diff.diff,
     explain.explain,
     export.export,
--- a/packages/platform/src/lavendershed/platform/factory.py
+++ b/packages/platform/src/lavendershed/platform/factory.py
@@ -68,11 +68,6 @@
 # Otherwise a daemon reads the store if no peer sends its state in this time, as
 # peers may know more than a store that has come back from an older copy.
 _PEER_STATE_WAIT = units.Seconds(0.3)
-_PLATFORM_KINDS = {
-    codecs.ObjectKind.CONFIGURATION: "config",
-    codecs.ObjectKind.SERVERS: "servers",
-    codecs.ObjectKind.EVACUATIONS: "evacuations",
-}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -296,7 +291,7 @@
                 generator,
                 first_call_delay,
             )
-            for kind, name in _PLATFORM_KINDS.items()
+            for kind, name in store.KIND_NAMES.items()
             if kind is not codecs.ObjectKind.EVACUATIONS or has_evacuations
         ),
         availability,
--- a/packages/platform/src/lavendershed/platform/store.py
+++ b/packages/platform/src/lavendershed/platform/store.py
@@ -33,6 +33,11 @@
 _CHECK_TIMEOUT = units.Seconds(0.6)
 _CHECK_WAIT_MS = 1
 _GONE_STATUS = 410
+KIND_NAMES = {
+    codecs.ObjectKind.CONFIGURATION: "config",
+    codecs.ObjectKind.SERVERS: "servers",
+    codecs.ObjectKind.EVACUATIONS: "evacuations",
+}
 _REFUSED_STATUSES = frozenset({429, 503})
 # Objects of other writers may have any name.
 _MAX_NAME = 512
--- a/packages/transport/src/lavendershed/transport/server_connection.py
+++ b/packages/transport/src/lavendershed/transport/server_connection.py
@@ -22,6 +22,8 @@
 # Parts of a request that are processed without a turn of the event loop. A
 # caller may send one byte in each of them.
 _MAX_EVENTS_PER_TURN = 128
+# Maximum size of a request line with its headers.
+MAX_HEAD = units.Bytes(16_384)
 # Bytes that a caller may send while its request is handled; more are not read
 # until the response is complete.
 _MAX_PIPELINED_BYTES = 65_536
@@ -50,7 +52,9 @@
 
     def __init__(self, server: server_module.HttpServer) -> None:
         self._server = server
-        self._protocol = h11.Connection(h11.SERVER)
+        self._protocol = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=MAX_HEAD
+        )
         self._transport: asyncio.Transport | None = None
         self._disconnected = asyncio.Event()
         self._writable = asyncio.Event()
