--- a/packages/cli/tests/test_check.py
+++ b/packages/cli/tests/test_check.py
@@ -171,11 +171,13 @@
         self.assertEqual(self.run_check(b'{"version": 7').exit_code, 2)
 
     def test_keys_are_not_shown_whole(self):
-        self.body["tenants"][1]["api_keys"] = [KEY, "short"]
+        for organisation in self.body["tenants"]:
+            organisation["api_keys"] = [KEY, "short"]
         outcome = self.run_check(self.body)
         self.assertEqual(outcome.exit_code, 1)
         self.assertIn("n2ct…", outcome.output)
-        self.assertNotIn("short", outcome.output)
+        self.assertIn("key … of organisation radio", outcome.output)
+        self.assertNotIn("shor", outcome.output)
 
     def test_warnings_name_the_place(self):
         odd_route = ROUTE | {"name": "odd", "host": "users.example:80"}
