Forget what engines held when they get cold again

An engine may become cold without a restart, and has then lost its memory. Its entry in the store gets a new revision with the remaining time, which now ends the belief about it. This replaces RetainedPrompts.forget, which nobody called; its test is replaced by one that gives the entry and also sees that the belief starts anew under the same entry.

--- a/packages/routing/src/lavendershed/routing/retained_prompts.py
+++ b/packages/routing/src/lavendershed/routing/retained_prompts.py
@@ -19,14 +19,14 @@
 
 
 class RetainedPrompts:
-    """What each engine of a service holds, until its next incarnation."""
+    """What each engine of a service holds, until it restarts or gets cold."""
 
     def __init__(self, model: latency_model.LatencyModel) -> None:
         self._latency_model = model
-        # The engines that were used last are last.
+        # Each with its entry at the last use; the engines used last are last.
         self._engines: collections.OrderedDict[
             ids.BackendServerId,
-            tuple[ids.Incarnation, held_prompts.HeldPrompts],
+            tuple[server_directory.ServerEntry, held_prompts.HeldPrompts],
         ] = collections.OrderedDict()
 
     @property
@@ -68,20 +68,16 @@
                 self._latency_model.profile.kv_capacity, _MAX_PARTS_PER_ENGINE
             )
         held.on_prompt(prefix)
-        self._engines[engine.id] = (engine.incarnation, held)
+        self._engines[engine.id] = (engine, held)
         self._engines.move_to_end(engine.id)
         while len(self._engines) > _MAX_ENGINES:
             self._engines.popitem(last=False)
 
-    def forget(self, engine: ids.BackendServerId) -> None:
-        """Drops what an engine held that has lost its cache."""
-        self._engines.pop(engine, None)
-
     def _held(
         self, engine: server_directory.ServerEntry
     ) -> held_prompts.HeldPrompts:
         known = self._engines.get(engine.id)
-        if known is None or known[0] != engine.incarnation:
+        if known is None or _may_have_lost_memory(known[0], engine):
             return _NOTHING_HELD
         return known[1]
 
@@ -100,3 +96,12 @@
         if held_tokens <= 0 or whole_ms <= 0:
             return 1.0
         return 1.0 - self._latency_model.prefill_ms(held_tokens) / whole_ms
+
+
+def _may_have_lost_memory(
+    before: server_directory.ServerEntry, now: server_directory.ServerEntry
+) -> bool:
+    """Returns whether an engine has restarted or got cold since `before`."""
+    return before.incarnation != now.incarnation or (
+        now.cold_remaining > 0 and now.revision != before.revision
+    )
--- a/packages/routing/tests/test_retained_prompts.py
+++ b/packages/routing/tests/test_retained_prompts.py
@@ -10,6 +10,7 @@
 import engine_fixture
 
 from lavendershed.core import ids
+from lavendershed.core import store_revisions
 from lavendershed.core import units
 from lavendershed.routing import engine_choice
 from lavendershed.routing import engine_slowdown
@@ -93,10 +94,17 @@
         )
         self.assertGreater(len(self.engines_of()), 1)
 
-    def test_engine_that_lost_its_cache_holds_nothing(self):
+    def test_engine_that_gets_cold_again_holds_nothing_of_before(self):
         self.prefilled(5)
-        self.chooser.retained_prompts.forget(ids.BackendServerId("e5"))
+        self.engines[5] = dataclasses.replace(
+            self.engines[5],
+            cold_remaining=units.Seconds(3.0),
+            revision=store_revisions.of(1, 9),
+        )
         self.assertGreater(len(self.engines_of()), 1)
+        # The entry keeps the time at which it was written.
+        self.prefilled(5)
+        self.assertEqual(self.engines_of(), {"e5"})
 
     def test_part_of_all_prompts_does_not_draw_them_to_one_engine(self):
         counts: collections.Counter[str] = collections.Counter()
