--- a/packages/routing/tests/test_held_prompts.py
+++ b/packages/routing/tests/test_held_prompts.py
@@ -4,6 +4,9 @@
 
 import unittest
 
+import hypothesis
+from hypothesis import strategies
+
 from lavendershed.core import backend_servers
 from lavendershed.core import units
 from lavendershed.routing import held_prompts
@@ -110,6 +113,53 @@
         self.assertLess(expected, 10_240)
 
 
+class RandomHistoryTest(unittest.TestCase):
+    """Fails if an order of news that nobody thought of breaks a belief."""
+
+    @hypothesis.settings(max_examples=200, deadline=None)
+    @hypothesis.given(
+        strategies.lists(
+            strategies.one_of(
+                strategies.tuples(
+                    strategies.just("prompt"),
+                    strategies.integers(0, 3),
+                    strategies.integers(1, 12),
+                ),
+                strategies.tuples(
+                    strategies.just("memory"), strategies.integers(0, 110_000)
+                ),
+                strategies.tuples(
+                    strategies.just("events"),
+                    strategies.integers(1, 30),
+                    strategies.lists(strategies.integers(0, 45), max_size=6),
+                    strategies.lists(strategies.integers(0, 45), max_size=6),
+                ),
+                strategies.tuples(strategies.just("restart")),
+            ),
+            max_size=40,
+        )
+    )
+    def test_expected_tokens_stay_within_the_prompt(self, history):
+        held = held_prompts.BelievedPrompts(CAPACITY, 20)
+        for kind, *values in history:
+            match kind:
+                case "prompt":
+                    held.on_prompt(blocks(12 * values[0], values[1]))
+                case "memory":
+                    held.on_memory_in_use(values[0])
+                case "events":
+                    sequence, stored, evicted = values
+                    held.on_events((event(sequence, stored, evicted),))
+                case "restart":
+                    held.forget()
+            self.assertLessEqual(held.size, 20)
+            for document in range(4):
+                prefix = blocks(12 * document, 12)
+                expected = held.expected_tokens(prefix)
+                self.assertGreaterEqual(expected, 0)
+                self.assertLessEqual(expected, prefix.tokens)
+
+
 class NothingHeldTest(unittest.TestCase):
     """Fails if engines that retain nothing attract prompts."""
 
