--- a/packages/standin/src/lavendershed/standin/soak_daemon.py
+++ b/packages/standin/src/lavendershed/standin/soak_daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Mapping
 import os
 import pathlib
 import signal
@@ -26,6 +27,7 @@
         first_port: int,
         directory: pathlib.Path,
         checkout: pathlib.Path | None = None,
+        limits: Mapping[str, int] | None = None,
     ) -> None:
         """Creates a process that is not started.
 
@@ -34,7 +36,9 @@
             first_port: First of its ports.
             directory: Directory of its settings and log.
             checkout: Root of the source tree to run; None for this one.
+            limits: Limits of the machine as the settings file names them.
         """
+        self._limits = dict(limits or {})
         self._host = loopback.own_network().host(number)
         self._first_port = first_port
         self._directory = directory
@@ -64,6 +68,12 @@
         """The log of all processes of this daemon."""
         return self._log_path
 
+    @property
+    def process_id(self) -> int:
+        """Id of the process; valid after `start`."""
+        assert self._process is not None
+        return self._process.pid
+
     @property
     def running(self) -> bool:
         """Whether the process was started and has not exited."""
@@ -144,6 +154,7 @@
         self, store: address_module.Address, seeds: list[str]
     ) -> str:
         seed_addresses = ", ".join(f'"{seed}:1"' for seed in seeds)
+        limits = "\n".join(f"{n} = {v}" for n, v in self._limits.items())
         return f"""
 node_name = "{self._host}"
 ip = "{self._host}"
@@ -160,4 +171,6 @@
 budget_slack = {self._retry_budget_slack}
 [provider]
 address = "{store}"
+[limits]
+{limits}
 """
