Bound what callers that nobody controls can make a daemon hold

Crowds of callers, each inside the limits of one connection, filled the memory of a process: the first 64 KB of each message were free of any budget, connections were not limited, reads of 256 KB, input ahead, unsent responses and what was read of servers for callers that read nothing were counted nowhere, and each response began the next request at once.

ClientMemory now counts connections, heads, bodies, handled requests and unsent output of callers and peers; the readiness address has a share of its own. Limits come from memory_mb and max_fds. Near them connections without progress are given up, the rest is refused with 503 before it has run, and accepts pause. Reads go through shared buffers.

test_settings has two tests more; no test was changed otherwise.

--- a/packages/forwarding/src/lavendershed/forwarding/context.py
+++ b/packages/forwarding/src/lavendershed/forwarding/context.py
@@ -37,6 +37,7 @@
 from lavendershed.telemetry import request_instruments
 from lavendershed.telemetry import unexpected_errors
 from lavendershed.transport import buffer_budget
+from lavendershed.transport import client_memory
 from lavendershed.transport import handlers
 
 Failure = outcomes.RequestFailure
@@ -72,6 +73,8 @@
     errors: unexpected_errors.ErrorRecorder
     request_buffers: buffer_budget.BufferBudget
     response_buffers: buffer_budget.BufferBudget
+    caller_memory: client_memory.ClientMemory
+    readiness_memory: client_memory.ClientMemory
     zone: ids.AvailabilityZoneId
 
     @property
--- a/packages/forwarding/src/lavendershed/forwarding/daemon.py
+++ b/packages/forwarding/src/lavendershed/forwarding/daemon.py
@@ -14,6 +14,7 @@
 from lavendershed.forwarding import components
 from lavendershed.forwarding import health_endpoint
 from lavendershed.forwarding import relay
+from lavendershed.telemetry import client_crowds
 from lavendershed.telemetry import events
 from lavendershed.telemetry import unanswered_requests
 from lavendershed.transport import server
@@ -69,6 +70,7 @@
             server.ServerLimits(),
             daemon_components.context.request_buffers,
             self._unanswered_recorder("callers"),
+            daemon_components.context.caller_memory,
         )
         self._relay_server = server.HttpServer(
             daemon_components.relay_handler,
@@ -76,6 +78,7 @@
             server.ServerLimits(idle_timeout=relay.IDLE_TIMEOUT),
             daemon_components.context.request_buffers,
             self._unanswered_recorder("peers"),
+            daemon_components.context.caller_memory,
         )
         self._health_server = server.HttpServer(
             health_endpoint.HealthEndpoint(
@@ -84,6 +87,20 @@
             daemon_components.context.timers,
             server.ServerLimits(),
             observer=self._unanswered_recorder("health"),
+            memory=daemon_components.context.readiness_memory,
+        )
+        # Callers and peers have one memory.
+        self._crowd_recorders = tuple(
+            client_crowds.ClientCrowdRecorder(
+                listener,
+                http_server,
+                daemon_components.context.log,
+                daemon_components.context.instruments,
+            )
+            for listener, http_server in (
+                ("callers", self._caller_server),
+                ("health", self._health_server),
+            )
         )
 
     @property
@@ -160,6 +177,8 @@
             context.connections.expire()
             context.relay.expire()
             self._update_metrics()
+            for recorder in self._crowd_recorders:
+                recorder.report()
             if self.ready and not self._ready_logged:
                 self._ready_logged = True
                 context.log.emit(
--- a/packages/platform/src/lavendershed/platform/factory.py
+++ b/packages/platform/src/lavendershed/platform/factory.py
@@ -61,6 +61,7 @@
 from lavendershed.telemetry import request_instruments
 from lavendershed.telemetry import unexpected_errors
 from lavendershed.transport import buffer_budget
+from lavendershed.transport import client_memory
 
 # Daemons of a new deployment read the store one after the other within this
 # time, and most of them take its contents from a peer. Callers come later.
@@ -243,6 +244,8 @@
         errors,
         buffer_budget.BufferBudget(platform_settings.buffer_bytes),
         buffer_budget.BufferBudget(platform_settings.buffer_bytes),
+        client_memory.ClientMemory(platform_settings.client_limits),
+        client_memory.ClientMemory(platform_settings.readiness_limits),
         platform_settings.zone,
     )
     availability = store_availability.StoreAvailability()
--- a/packages/platform/src/lavendershed/platform/settings.py
+++ b/packages/platform/src/lavendershed/platform/settings.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import pathlib
+import resource
 import tomllib
 
 import result
@@ -14,11 +15,26 @@
 from lavendershed.core import units
 from lavendershed.platform import fields
 from lavendershed.reliability import fleet_retry_budget
+from lavendershed.transport import client_memory
 
 _BYTES_PER_MB = 1_000_000
 # Part of the memory for the bodies of requests, and as much for responses. The
 # process itself, answers of the store and socket buffers need the rest.
 _BUFFER_SHARE = 0.13
+# Part of the memory for everything that callers make the process hold: their
+# connections, requests and unsent responses.
+_CLIENT_SHARE = 0.3
+# Questions for readiness and metrics are small, but come beside any crowd.
+_READINESS_SHARE = 0.03
+# Descriptors of the machine that sockets can't use.
+_RESERVED_FOR_FILES = 200
+# Parts of the others. The rest is for connections to engines, other daemons
+# and the store; a request that is handled needs one of them.
+_CLIENT_DESCRIPTOR_SHARE = 0.6
+_READINESS_DESCRIPTOR_SHARE = 0.02
+_MIN_READINESS_CONNECTIONS = 64
+# Where neither the settings nor the operating system state a limit.
+_DEFAULT_DESCRIPTORS = 65_536
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,6 +57,7 @@
         evacuation_bound: Time in which an evacuation of a zone has to take
             effect; None on deployments without evacuations.
         cold_bounds: How far requests may exceed the rate of cold engines.
+        descriptors: Descriptors that the process may open.
     """
 
     vm: ids.VmId
@@ -57,12 +74,40 @@
     memory: units.Bytes = units.Bytes(300 * _BYTES_PER_MB)
     evacuation_bound: units.Seconds | None = None
     cold_bounds: cold_engines.ColdBounds = cold_engines.ColdBounds()
+    descriptors: int = 4_100
 
     @property
     def buffer_bytes(self) -> units.Bytes:
-        """Memory for request bodies; as much is used for responses."""
+        """Memory for large request bodies; as much is used for responses."""
         return units.Bytes(int(self.memory * _BUFFER_SHARE))
 
+    @property
+    def client_limits(self) -> client_memory.ClientLimits:
+        """What callers and peers may make the process hold."""
+        return client_memory.ClientLimits(
+            units.Bytes(int(self.memory * _CLIENT_SHARE)),
+            max(1, int(self._sockets * _CLIENT_DESCRIPTOR_SHARE)),
+        )
+
+    @property
+    def readiness_limits(self) -> client_memory.ClientLimits:
+        """What the callers of the readiness address may make it hold.
+
+        The latest question is always taken.
+        """
+        return client_memory.ClientLimits(
+            units.Bytes(int(self.memory * _READINESS_SHARE)),
+            max(
+                _MIN_READINESS_CONNECTIONS,
+                int(self._sockets * _READINESS_DESCRIPTOR_SHARE),
+            ),
+            client_memory.NO_PATIENCE,
+        )
+
+    @property
+    def _sockets(self) -> int:
+        return max(0, self.descriptors - _RESERVED_FOR_FILES)
+
 
 def load(path: pathlib.Path) -> result.Result[PlatformSettings, str]:
     """Returns the settings, or an error that names the invalid field."""
@@ -112,9 +157,18 @@
             fields.number(bounds, "cold_overrun", 1.0),
             fields.number(bounds, "cold_slack", 0.0),
         ),
+        _descriptors(int(fields.number(vm_limits, "max_fds", 0.0))),
     )
 
 
+def _descriptors(stated: int) -> int:
+    """Returns the lower of the stated limit and that of the process."""
+    soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft_limit == resource.RLIM_INFINITY:
+        return stated or _DEFAULT_DESCRIPTORS
+    return min(stated, soft_limit) if stated else soft_limit
+
+
 def _decode_address(
     body: dict[str, fields.JsonValue], name: str
 ) -> addresses.Address:
--- a/packages/platform/tests/test_settings.py
+++ b/packages/platform/tests/test_settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pathlib
+import resource
 import tempfile
 import unittest
 
@@ -50,6 +51,37 @@
         self.assertEqual(loaded.grace_period, 8.0)
         self.assertEqual(loaded.retry_budget.slack, 106)
 
+    def test_limits_of_callers_follow_those_of_the_machine(self):
+        """Fails if a large machine refuses, or a small one is outgrown."""
+        for memory_mb, descriptors in ((160, 4_100), (552, 8_192)):
+            with self.subTest(memory_mb=memory_mb):
+                loaded = self.load(
+                    f"{FILE}[limits]\nmemory_mb = {memory_mb}\n"
+                    f"max_fds = {descriptors}\n"
+                ).unwrap()
+                memory = memory_mb * 1_000_000
+                callers, readiness = (
+                    loaded.client_limits,
+                    loaded.readiness_limits,
+                )
+                self.assertEqual(callers.memory, int(memory * 0.3))
+                # Room for the process, responses and what the store sends.
+                held = callers.memory + readiness.memory + loaded.buffer_bytes
+                self.assertLess(held, memory / 2)
+                # Each of the largest bodies is held twice while it is handled.
+                self.assertGreater(callers.memory, 4 * 2 * 4_194_304)
+                sockets = descriptors - 200
+                self.assertEqual(callers.connections, int(sockets * 0.6))
+                self.assertLess(
+                    callers.connections + readiness.connections, sockets * 0.65
+                )
+
+    def test_descriptors_without_a_statement_are_those_of_the_process(self):
+        soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        self.assertEqual(self.load(FILE).unwrap().descriptors, soft_limit)
+        stated = self.load(f"{FILE}[limits]\nmax_fds = {10 * soft_limit}\n")
+        self.assertEqual(stated.unwrap().descriptors, soft_limit)
+
     def test_optional_fields_have_defaults(self):
         loaded = self.load(FILE).unwrap()
         self.assertEqual(loaded.bandwidth_mbps, 0)
--- a/packages/telemetry/src/lavendershed/telemetry/request_instruments.py
+++ b/packages/telemetry/src/lavendershed/telemetry/request_instruments.py
@@ -37,6 +37,19 @@
         self._unanswered = meter.create_counter(
             "lavendershed.unanswered_requests"
         )
+        self._client_memory = meter.create_gauge(
+            "lavendershed.client_memory", unit="By"
+        )
+        self._client_connections = meter.create_gauge(
+            "lavendershed.client_connections"
+        )
+        self._given_up = meter.create_counter(
+            "lavendershed.connections_given_up"
+        )
+        self._without_memory = meter.create_counter(
+            "lavendershed.requests_without_memory"
+        )
+        self._accept_pauses = meter.create_counter("lavendershed.accept_pauses")
         self._attempts = meter.create_counter("lavendershed.attempts")
         self._exclusions = meter.create_counter("lavendershed.exclusions")
         self._engine_losses = meter.create_counter("lavendershed.engine_losses")
@@ -105,6 +118,25 @@
         """Counts a request without a complete response, by its end."""
         self._unanswered.add(1, {"listener": listener, "end": end})
 
+    def set_client_memory(
+        self, listener: str, held: units.Bytes, connections: int
+    ) -> None:
+        """Sets what the callers of a listener hold."""
+        self._client_memory.set(held, {"listener": listener})
+        self._client_connections.set(connections, {"listener": listener})
+
+    def count_given_up(self, listener: str, standing: str, count: int) -> None:
+        """Counts connections that were closed to make room for others."""
+        self._given_up.add(count, {"listener": listener, "standing": standing})
+
+    def count_without_memory(self, listener: str, count: int) -> None:
+        """Counts requests and responses for which there was no room."""
+        self._without_memory.add(count, {"listener": listener})
+
+    def count_accept_pauses(self, listener: str, count: int) -> None:
+        """Counts the times that no connection was accepted for lack of room."""
+        self._accept_pauses.add(count, {"listener": listener})
+
     def count_failed_attempt(
         self, service: ids.ServiceId, server: ids.BackendServerId, end: str
     ) -> None:
--- a/packages/transport/src/lavendershed/transport/client.py
+++ b/packages/transport/src/lavendershed/transport/client.py
@@ -22,7 +22,6 @@
 from lavendershed.transport import headers as header_fields
 from lavendershed.transport import streams
 
-_READ_SIZE_BYTES = 65_536
 # A server that sends more interim responses (1xx) never answers.
 _MAX_INTERIM_RESPONSES = 16
 # Parts of messages that are processed without a turn of the event loop. A peer
@@ -365,7 +364,7 @@
             await asyncio.sleep(0)
         self._read_timeout.start(timeout)
         try:
-            return result.Ok(await self._reader.read(_READ_SIZE_BYTES))
+            return result.Ok(await self._reader.read(streams.READ_BYTES))
         except TimeoutError:
             return self._idle_timeout_error(timeout)
         except OSError as error:
--- a/packages/transport/src/lavendershed/transport/connection_ends.py
+++ b/packages/transport/src/lavendershed/transport/connection_ends.py
@@ -24,6 +24,10 @@
     REQUEST_TIMEOUT = "request_timeout"
     # The request is malformed or exceeds a limit; its caller is told.
     REJECTED = "rejected"
+    # There was no memory for the request; its caller is told.
+    NO_MEMORY = "no_memory"
+    # Closed without progress, to make room for other callers.
+    GIVEN_UP = "given_up"
     # The handler raised.
     HANDLER_ERROR = "handler_error"
     # The handler returned before its response was complete.
--- a/packages/transport/src/lavendershed/transport/server.py
+++ b/packages/transport/src/lavendershed/transport/server.py
@@ -2,22 +2,30 @@
 
 from __future__ import annotations
 
-import asyncio
-from collections.abc import Iterator
 import dataclasses
 import socket
 
 from lavendershed.core import timers
 from lavendershed.core import units
+from lavendershed.transport import acceptor
 from lavendershed.transport import address as address_module
 from lavendershed.transport import buffer_budget
+from lavendershed.transport import client_memory
 from lavendershed.transport import connection_ends
 from lavendershed.transport import handlers
+from lavendershed.transport import request_turns
 from lavendershed.transport import server_connection
 
 _BACKLOG = 1_024
-_ACCEPT_TURNS = 3
+_MAX_ACCEPTS_PER_TURN = 64
+# Part of the allowed connections that is accepted in a turn at most, so that a
+# new one is read before a crowd behind it has taken its place.
+_ACCEPT_SHARE = 1 / 16
+_READ_BYTES = 65_536
 _DEFAULT_BUFFER_BYTES = units.Bytes(64_000_000)
+_DEFAULT_CLIENT_LIMITS = client_memory.ClientLimits(
+    units.Bytes(512_000_000), 65_536
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,23 +48,7 @@
     header_timeout: units.Seconds = units.Seconds(30.0)
 
 
-def _accept_all(listener: socket.socket) -> Iterator[socket.socket]:
-    """Yields the connections that the kernel has established."""
-    while True:
-        try:
-            connection, _ = listener.accept()
-        except BlockingIOError:
-            return
-        except ConnectionAbortedError:
-            continue
-        except OSError:
-            # No descriptor is left.
-            return
-        connection.setblocking(False)
-        yield connection
-
-
-class HttpServer:
+class HttpServer(acceptor.ConnectionFactory):
     """HTTP server that passes complete requests to a handler."""
 
     def __init__(
@@ -66,6 +58,7 @@
         limits: ServerLimits,
         buffers: buffer_budget.BufferBudget | None = None,
         observer: connection_ends.ConnectionObserver | None = None,
+        memory: client_memory.ClientMemory | None = None,
     ) -> None:
         """Creates a server.
 
@@ -73,18 +66,26 @@
             handler: Handles the requests.
             timer_service: Timer service for request and idle timeouts.
             limits: Limits of each connection.
-            buffers: Memory for the request bodies of all connections.
+            buffers: Memory for large request bodies of all connections.
             observer: Is told about requests without a complete response.
+            memory: Memory and connections of all callers; large limits of its
+                own by default.
         """
         self._handler = handler
         self._observer = observer or connection_ends.IgnoringObserver()
         self._buffers = buffers or buffer_budget.BufferBudget(
             _DEFAULT_BUFFER_BYTES
         )
+        self._memory = memory or client_memory.ClientMemory(
+            _DEFAULT_CLIENT_LIMITS
+        )
+        self._turns = request_turns.RequestTurns()
+        # All reads of callers go through one buffer, which is empty between
+        # two callbacks of the loop.
+        self._read_buffer = memoryview(bytearray(_READ_BYTES))
         self._timers = timer_service
         self._limits = limits
-        self._server: asyncio.Server | None = None
-        self._listener: socket.socket | None = None
+        self._acceptor: acceptor.Acceptor | None = None
         self._address: address_module.Address | None = None
         self._connections: set[server_connection.ServerConnection] = set()
         self._stopping = False
@@ -96,9 +97,43 @@
 
     @property
     def buffers(self) -> buffer_budget.BufferBudget:
-        """Memory for the request bodies of all connections."""
+        """Memory for large request bodies of all connections."""
         return self._buffers
 
+    @property
+    def memory(self) -> client_memory.ClientMemory:
+        """Memory and connections of all callers."""
+        return self._memory
+
+    @property
+    def turns(self) -> request_turns.RequestTurns:
+        """Turns of requests that were sent ahead."""
+        return self._turns
+
+    @property
+    def read_buffer(self) -> memoryview:
+        """Where bytes of callers are read to."""
+        return self._read_buffer
+
+    @property
+    def accepting(self) -> bool:
+        """Whether there was room for the last connection."""
+        return self._acceptor is None or not self._acceptor.paused
+
+    @property
+    def accept_pauses(self) -> int:
+        """How often there was no room for another connection."""
+        return 0 if self._acceptor is None else self._acceptor.pauses
+
+    @property
+    def has_room(self) -> bool:
+        """Whether another connection may be accepted now."""
+        return self._memory.has_connection(self._timers.now())
+
+    def new_connection(self, host: str) -> server_connection.ServerConnection:
+        """Returns the protocol of a connection that was accepted."""
+        return server_connection.ServerConnection(self, host)
+
     @property
     def observer(self) -> connection_ends.ConnectionObserver:
         """Is told about requests without a complete response."""
@@ -161,7 +196,6 @@
         Raises:
             OSError: The address can't be bound.
         """
-        loop = asyncio.get_running_loop()
         if listener is None:
             # If given a host, uvloop starts resolver threads even for a numeric
             # address.
@@ -172,13 +206,17 @@
                 backlog=_BACKLOG,
             )
         listener.setblocking(False)
-        self._listener = listener
         self._address = address_module.Address(*listener.getsockname()[:2])
-        self._server = await loop.create_server(
-            lambda: server_connection.ServerConnection(self),
-            sock=listener,
-            backlog=_BACKLOG,
+        connections = self._memory.limits.connections
+        self._acceptor = acceptor.Acceptor(
+            listener,
+            self,
+            self._timers,
+            max(
+                1, min(_MAX_ACCEPTS_PER_TURN, int(connections * _ACCEPT_SHARE))
+            ),
         )
+        self._acceptor.start()
 
     def disable_keep_alive(self) -> None:
         """Adds `connection: close` to each response.
@@ -203,31 +241,14 @@
             connection.close_if_idle()
 
     async def stop_accepting(self) -> None:
-        """Refuses new connections, after those that have been established.
-
-        The kernel establishes connections on its own, and resets them when
-        their listening socket closes, although requests may lie in them.
-        """
-        if self._server is None or self._listener is None:
-            return
-        listener, self._listener = self._listener, None
-        loop = asyncio.get_running_loop()
-        # The server of asyncio drops connections that it has just accepted
-        # when it closes; they are set up within two turns.
-        loop.remove_reader(listener.fileno())
-        for _ in range(_ACCEPT_TURNS):
-            await asyncio.sleep(0)
-        accepted = tuple(_accept_all(listener))
-        self._server.close()
-        for connection in accepted:
-            await loop.connect_accepted_socket(
-                lambda: server_connection.ServerConnection(self), connection
-            )
+        """Refuses new connections, after those that have been established."""
+        if self._acceptor is not None:
+            await self._acceptor.drain()
 
     def close(self) -> None:
         """Stops accepting connections and aborts the open ones."""
-        if self._server is not None:
-            self._server.close()
+        if self._acceptor is not None:
+            self._acceptor.close()
         for connection in tuple(self._connections):
             connection.shut_down()
 
--- a/packages/transport/src/lavendershed/transport/server_connection.py
+++ b/packages/transport/src/lavendershed/transport/server_connection.py
@@ -11,10 +11,12 @@
 
 from lavendershed.core import timers
 from lavendershed.core import units
+from lavendershed.transport import client_memory
 from lavendershed.transport import connection_ends
 from lavendershed.transport import handlers
 from lavendershed.transport import headers as header_fields
 from lavendershed.transport import receive_deadline
+from lavendershed.transport import streams
 
 if typing.TYPE_CHECKING:
     from lavendershed.transport import server as server_module
@@ -25,8 +27,27 @@
 # Maximum size of a request line with its headers.
 MAX_HEAD = units.Bytes(16_384)
 # Bytes that a caller may send while its request is handled; more are not read
-# until the response is complete.
-_MAX_PIPELINED_BYTES = 65_536
+# until the response is complete. They are a part of what a request that is
+# handled is charged.
+_MAX_PIPELINED_BYTES = 8_192
+# Read at once where a body is not awaited: the largest head, and what may come
+# beside a request that is handled.
+_HEAD_READ_BYTES = 16_384
+_PIPELINED_READ_BYTES = 8_192
+# The head of a request that is not larger is not measured by itself.
+_SMALL_REQUEST_BYTES = 4_096
+# Objects of one decoded header.
+_HEADER_BYTES = 400
+# The interpreter may reserve an eighth more for a body than has come.
+_BODY_RESERVE = 8
+# A body that is handled is also held by the connection to its server.
+_HANDLED_BODY_COPIES = 2
+# Bytes of a response that are a part of what a handled request is charged.
+_FREE_UNSENT_BYTES = 16_384
+# What a handler that waits for its caller has read from its server and not
+# passed on, beside its own charge: the last read in three forms, and a part of
+# an event.
+_SOURCE_BYTES = 3 * streams.READ_BYTES + 65_536
 # After the last response, bytes of the caller are read and dropped for this
 # time. A socket that is closed with unread bytes is reset, and the caller can
 # lose the response.
@@ -45,12 +66,48 @@
 
 _Phase = receive_deadline.ReceivePhase
 _End = connection_ends.ConnectionEnd
+_Standing = client_memory.Standing
+_NO_MEMORY = "memory for requests is used up, the request has not run"
 
 
-class ServerConnection(asyncio.Protocol, handlers.Responder):
+def _head_bytes(request: h11.Request, received_bytes: int) -> int:
+    """Returns what a decoded head holds.
+
+    Args:
+        request: The head.
+        received_bytes: Bytes of the request so far, its body included.
+    """
+    size = (
+        received_bytes
+        if received_bytes <= _SMALL_REQUEST_BYTES
+        else len(request.target)
+        + sum(len(name) + len(value) for name, value in request.headers)
+    )
+    return size + _HEADER_BYTES * len(request.headers)
+
+
+class ServerConnection(
+    asyncio.BufferedProtocol, handlers.Responder, client_memory.Holder
+):
     """Reads the requests of one connection and sends the responses."""
 
-    def __init__(self, server: server_module.HttpServer) -> None:
+    def __init__(
+        self, server: server_module.HttpServer, host: str = ""
+    ) -> None:
+        """Creates a connection that is not established yet.
+
+        Args:
+            server: The server, whose memory has room for a connection.
+            host: Host of the caller.
+
+        Raises:
+            RuntimeError: There is no room for another connection.
+        """
+        now = server.timers.now()
+        account = server.memory.open(self, host, now)
+        if account is None:
+            raise RuntimeError("a connection was accepted without room for it")
+        self._account = account
         self._server = server
         self._protocol = h11.Connection(
             h11.SERVER, max_incomplete_event_size=MAX_HEAD
@@ -67,7 +124,7 @@
         self._deadline = receive_deadline.ReceiveDeadline(
             server.timers, server.limits, self._on_deadline
         )
-        self._opened_at = server.timers.now()
+        self._opened_at = now
         # Whether a byte has come since the connection was opened.
         self._has_received = False
         # How long the last response has said that the connection stays open.
@@ -78,12 +135,18 @@
         # them that had left it when the timer was set.
         self._written_bytes = 0
         self._taken_bytes = 0
+        # Bytes that had left it when the memory was last told.
+        self._reported_bytes = 0
         # Whether the connection was aborted with bytes of a response unsent.
         self._truncated = False
         self._disconnect_callback: Callable[[], object] | None = None
         self._started = False
         self._share = server.buffers.share()
+        # Charged for the request that is received or handled.
+        self._message_bytes = 0
         self._pipelined_bytes = 0
+        # Whether the next request has come with the previous one.
+        self._awaits_turn = False
         self._reading_paused = False
         self._end_reason: connection_ends.ConnectionEnd | None = None
         self._status: int | None = None
@@ -151,6 +214,7 @@
             if timer is not None:
                 timer.cancel()
         self._server.unregister(self)
+        self._account.close()
         if self._task is None:
             self._share.release()
         if self._disconnect_callback is not None:
@@ -163,6 +227,31 @@
     def resume_writing(self) -> None:
         """Allows writes again."""
         self._writable.set()
+        self.refresh()
+
+    def refresh(self) -> None:
+        """Reports what the caller has taken of its response meanwhile."""
+        if self._account.standing is not _Standing.UNREAD:
+            return
+        taken_bytes = self._written_bytes - self._unsent_bytes
+        if taken_bytes != self._reported_bytes:
+            self._reported_bytes = taken_bytes
+            self._account.progress(self._server.timers.now())
+        standing, size = self._response_charge()
+        self._account.reduce(standing, size)
+
+    def give_up(self, standing: client_memory.Standing) -> None:
+        """Closes the connection; a request in part is refused before."""
+        if self._transport is None:
+            return
+        if standing is _Standing.RECEIVING:
+            self._reject(503, _NO_MEMORY, _End.GIVEN_UP)
+        if standing in (_Standing.CLOSING, _Standing.UNREAD) or (
+            self._unsent_bytes
+        ):
+            self._abort(_End.GIVEN_UP)
+            return
+        self._transport.close()
 
     def on_disconnect(self, callback: Callable[[], object] | None) -> None:
         """Calls `callback` when the caller closes; None removes it."""
@@ -170,20 +259,34 @@
         if callback is not None and self._disconnected.is_set():
             asyncio.get_running_loop().call_soon(callback)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns where the next bytes of the caller are read to."""
+        phase = self._deadline.phase
+        if phase in (_Phase.BODY, _Phase.CLOSING):
+            return self._server.read_buffer
+        if phase is _Phase.HANDLING or self._awaits_turn:
+            return self._server.read_buffer[:_PIPELINED_READ_BYTES]
+        return self._server.read_buffer[:_HEAD_READ_BYTES]
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Processes bytes of the caller."""
+        self.data_received(self._server.read_buffer[:nbytes])
+
+    def data_received(self, data: bytes | memoryview) -> None:
+        """Processes bytes of the caller; does not keep `data`."""
         self._has_received = True
         self._received_bytes += len(data)
         if self._deadline.phase is _Phase.CLOSING:
             return
+        self._account.progress(self._server.timers.now())
         if self.idle:
             self._deadline.enter(_Phase.HEAD)
         self._protocol.receive_data(data)
-        if self._task is None:
+        if self._task is None and not self._awaits_turn:
             self._process_events()
             return
         self._pipelined_bytes += len(data)
-        if self._pipelined_bytes > _MAX_PIPELINED_BYTES:
+        if self._pipelined_bytes >= _MAX_PIPELINED_BYTES:
             self._pause_reading()
 
     def eof_received(self) -> bool:
@@ -327,6 +430,10 @@
             self._transport.write(data)
             self._written_bytes += len(data)
             self._watch_caller()
+            if self._unsent_bytes and not self._charge_response():
+                # All others are being served, and this caller takes its
+                # response more slowly than it is made.
+                self._abort(_End.NO_MEMORY)
 
     def _watch_caller(self) -> None:
         """Checks later whether the caller has taken a part of the response."""
@@ -375,7 +482,10 @@
             except h11.RemoteProtocolError as error:
                 self._reject(error.error_status_hint, str(error))
                 return
-            if event is h11.NEED_DATA or event is h11.PAUSED:
+            if event is h11.NEED_DATA:
+                self._charge_received()
+                return
+            if event is h11.PAUSED:
                 return
             if isinstance(event, h11.ConnectionClosed):
                 self._abort(None)
@@ -383,6 +493,7 @@
             if isinstance(event, h11.Request):
                 self._request = event
                 self._max_body = self._server.limits.max_body
+                self._message_bytes = _head_bytes(event, self._received_bytes)
                 self._deadline.enter(_Phase.BODY)
                 if self._protocol.they_are_waiting_for_100_continue:
                     self._send(
@@ -396,16 +507,77 @@
                     )
                     return
                 if not self._share.resize(len(self._body)):
-                    self._reject(503, "memory for requests is used up")
+                    self._reject(503, _NO_MEMORY, _End.NO_MEMORY)
                     return
             elif isinstance(event, h11.EndOfMessage):
                 self._dispatch()
                 return
+        if not self._charge_received():
+            return
         self._pause_reading()
         asyncio.get_running_loop().call_soon(self._continue_processing)
 
+    def _charge_received(self) -> bool:
+        """Charges a request in part; refuses it if there is no room."""
+        size = (
+            self._received_bytes
+            if self._request is None
+            else self._message_bytes
+            + len(self._body)
+            + len(self._body) // _BODY_RESERVE
+        )
+        if self._account.update(
+            _Standing.RECEIVING, size, self._server.timers.now()
+        ):
+            return True
+        self._reject(503, _NO_MEMORY, _End.NO_MEMORY)
+        return False
+
+    def _charge_response(self) -> bool:
+        """Charges a request that is handled, and its unsent response."""
+        now = self._server.timers.now()
+        standing, size = self._response_charge()
+        if (
+            standing is _Standing.UNREAD
+            and self._account.standing is not standing
+        ):
+            # So far the caller has taken everything.
+            self._account.progress(now)
+            self._reported_bytes = self._written_bytes - self._unsent_bytes
+        return self._account.update(standing, size, now)
+
+    def _response_charge(self) -> tuple[client_memory.Standing, int]:
+        """Returns what the connection does and holds after its request."""
+        unsent_bytes = self._unsent_bytes
+        standing = _Standing.SERVED
+        if unsent_bytes:
+            standing = _Standing.UNREAD
+        elif self._deadline.phase is _Phase.CLOSING:
+            standing = _Standing.CLOSING
+        size = max(0, unsent_bytes - _FREE_UNSENT_BYTES)
+        if self._is_response_complete:
+            size += (
+                self._message_bytes + _HEAD_READ_BYTES + _PIPELINED_READ_BYTES
+            )
+        elif self._task is not None:
+            size += self._message_bytes + client_memory.SERVED_BYTES
+            if not self._writable.is_set():
+                size += _SOURCE_BYTES
+        return standing, size
+
     def _dispatch(self) -> None:
         assert self._request is not None
+        self._message_bytes += _HANDLED_BODY_COPIES * len(self._body)
+        if not self._account.update(
+            _Standing.SERVED,
+            self._message_bytes + client_memory.SERVED_BYTES,
+            self._server.timers.now(),
+        ):
+            self._reject(503, _NO_MEMORY, _End.NO_MEMORY)
+            return
+        self._pipelined_bytes = len(self._protocol.trailing_data[0])
+        if self._pipelined_bytes >= _MAX_PIPELINED_BYTES:
+            self._pause_reading()
         self._deadline.enter(_Phase.HANDLING)
         target = self._request.target.decode("latin-1")
         path, _, query = target.partition("?")
@@ -425,17 +597,41 @@
     async def _handle(self, request: handlers.ServerRequest) -> None:
         try:
             await self._server.handler.handle(request, self)
+            # The body is not needed while the response is being taken.
+            del request
+            await self._wait_until_taken()
         except Exception as error:  # noqa: BLE001
             # Handlers return failures as values, so that an exception is a bug.
             # It ends its own request only.
             self._on_handler_error(error)
             return
         finally:
-            # The handler has kept the body until now.
+            # A handler that failed has kept the body until now.
             self._share.release()
             self._task = None
         self._begin_next_request()
 
+    async def _wait_until_taken(self) -> None:
+        """Waits until a complete response has left for its caller.
+
+        Otherwise a caller that sends on and reads nothing would have the
+        responses to all of its requests made and kept.
+        """
+        self._share.release()
+        self._message_bytes = 0
+        if (
+            not self._unsent_bytes
+            or self._transport is None
+            or self._transport.is_closing()
+            or self._protocol.our_state is not h11.DONE
+        ):
+            return
+        self._charge_response()
+        # Writing is paused until nothing is left.
+        self._transport.set_write_buffer_limits(0)
+        await self._writable.wait()
+        self._transport.set_write_buffer_limits()
+
     def _on_handler_error(self, error: Exception) -> None:
         asyncio.get_running_loop().call_exception_handler(
             {
@@ -482,10 +678,22 @@
             return
         self._protocol.start_next_cycle()
         self._deadline.enter(_Phase.IDLE, self._announced_timeout)
-        if self._received_bytes:
-            self._deadline.enter(_Phase.HEAD)
-        self._resume_reading()
-        self._process_events()
+        now = self._server.timers.now()
+        # The caller was not waited for meanwhile.
+        self._account.progress(now)
+        if not self._received_bytes:
+            self._account.update(_Standing.KEPT, 0, now)
+            self._resume_reading()
+            return
+        self._deadline.enter(_Phase.HEAD)
+        # Less than was charged while the request was handled.
+        self._account.update(_Standing.RECEIVING, self._received_bytes, now)
+        self._awaits_turn = True
+        self._server.turns.enqueue(self._take_turn)
+
+    def _take_turn(self) -> None:
+        self._awaits_turn = False
+        self._continue_processing()
 
     def _reject(
         self,
@@ -517,6 +725,12 @@
         self._share.release()
         if self._transport is None or self._transport.is_closing():
             return
+        if self._received_bytes:
+            # What has come is not read, and would be held until the close.
+            self._protocol = h11.Connection(h11.SERVER)
+        if self._task is None:
+            self._message_bytes = 0
+            self._charge_response()
         self._resume_reading()
         try:
             self._transport.write_eof()
--- a/packages/transport/src/lavendershed/transport/streams.py
+++ b/packages/transport/src/lavendershed/transport/streams.py
@@ -17,6 +17,10 @@
 _KEEP_ALIVE_INTERVAL_S = 1
 _KEEP_ALIVE_PROBES = 2
 _TCP_USER_TIMEOUT_MS = 2_000
+# Read at once. A server whose bytes are not read on, because the caller does
+# not take them, makes a process hold this and twice the limit of the reader.
+READ_BYTES = 16_384
+_READER_LIMIT_BYTES = 4_096
 
 
 class ReadTimeout:
@@ -84,6 +88,31 @@
         return bool(self._buffer)  # type: ignore[attr-defined]
 
 
+# All reads go through one buffer, which is empty between two callbacks of the
+# loop. The usual protocol allocates 256 KB for each read.
+_read_buffer = memoryview(bytearray(READ_BYTES))
+
+
+class _BufferedReaderProtocol(
+    asyncio.StreamReaderProtocol, asyncio.BufferedProtocol
+):
+    """Feeds a reader from the shared buffer."""
+
+    def __init__(
+        self, reader: BufferedReader, loop: asyncio.AbstractEventLoop
+    ) -> None:
+        super().__init__(reader, loop=loop)
+        self._fed_reader = reader
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns where the next bytes are read to."""
+        return _read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Passes the bytes on to the reader, which copies them."""
+        self._fed_reader.feed_data(_read_buffer[:nbytes])
+
+
 async def _connect_socket(
     address: address_module.Address, timeout: units.Seconds
 ) -> socket.socket:
@@ -149,8 +178,8 @@
     loop = asyncio.get_running_loop()
     try:
         sock = await _connect_socket(address, timeout)
-        reader = BufferedReader(loop=loop)
-        protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+        reader = BufferedReader(_READER_LIMIT_BYTES, loop)
+        protocol = _BufferedReaderProtocol(reader, loop)
         transport, _ = await loop.create_connection(lambda: protocol, sock=sock)
         return result.Ok(
             (reader, asyncio.StreamWriter(transport, protocol, reader, loop))
