--- a/packages/transport/src/lavendershed/transport/client.py
+++ b/packages/transport/src/lavendershed/transport/client.py
@@ -22,7 +22,6 @@
 from lavendershed.transport import headers as header_fields
 from lavendershed.transport import streams
 
-_READ_SIZE_BYTES = 65_536
 # A server that sends more interim responses (1xx) never answers.
 _MAX_INTERIM_RESPONSES = 16
 # Parts of messages that are processed without a turn of the event loop. A peer
@@ -155,6 +154,7 @@
     def start_next_exchange(self) -> None:
         """Prepares a reusable connection for the next request."""
         self._protocol.start_next_cycle()
+        self._reader.read_size = streams.READ_BYTES
         self._request_sent = False
 
     def close(self) -> None:
@@ -286,6 +286,7 @@
         deadline = loop.time() + timeout
         # Not a list of chunks, since each may hold a single byte.
         body = bytearray()
+        self._reader.read_size = streams.BODY_READ_BYTES
         while self._protocol.their_state is h11.SEND_BODY:
             chunk = await self.read_chunk(units.Seconds(deadline - loop.time()))
             if isinstance(chunk, result.Err):
@@ -365,7 +366,7 @@
             await asyncio.sleep(0)
         self._read_timeout.start(timeout)
         try:
-            return result.Ok(await self._reader.read(_READ_SIZE_BYTES))
+            return result.Ok(await self._reader.read(self._reader.read_size))
         except TimeoutError:
             return self._idle_timeout_error(timeout)
         except OSError as error:
