Test two issuers of a cold engine with generated bounds

For any rate, overrun factor and slack of the operator two daemons that both take themselves for the issuer keep the bound in each second.

--- a/packages/admission/tests/test_cold_engines.py
+++ b/packages/admission/tests/test_cold_engines.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import unittest
 
 import hypothesis
@@ -9,6 +10,7 @@
 
 from lavendershed.admission import cold_engines
 from lavendershed.admission import engine_limits
+from lavendershed.admission import permit_allocator
 from lavendershed.admission import request_limits
 from lavendershed.core import ids
 from lavendershed.core import store_revisions
@@ -18,6 +20,8 @@
 PROFILE = cold_engines.ColdProfile(
     units.Seconds(3.0), units.RequestsPerSecond(17.0)
 )
+# Calls for permits, 200 a second.
+_CALLS = 500
 BOUNDS = cold_engines.ColdBounds(1.5, 5.0)
 
 
@@ -130,6 +134,44 @@
             if warm_at > at:
                 self.assertTrue(self.is_cold(at + (warm_at - at) * share))
 
+    @hypothesis.given(
+        strategies.integers(0, 1_000),
+        strategies.floats(1.0, 40.0),
+        strategies.floats(1.0, 3.0),
+        strategies.floats(3.0, 20.0),
+    )
+    @hypothesis.settings(derandomize=True, max_examples=100, deadline=None)
+    def test_no_second_has_more_than_the_bound(
+        self, seed, rate, overrun, slack
+    ):
+        """Callers with other members ask one of two issuers at any time."""
+        self.cold = cold_engines.ColdEngines(
+            cold_engines.ColdBounds(overrun, slack)
+        )
+        news = cold_engines.ColdNews(
+            units.RequestsPerSecond(rate), units.Seconds(60.0)
+        )
+        self.cold.on_peer_news(SERVER, news, units.Instant(0.0))
+        allocators = [permit_allocator.PermitAllocator() for _ in range(2)]
+        generator = random.Random(seed)
+        now = 0.0
+        issued = []
+        for _ in range(_CALLS):
+            now += generator.uniform(0.0, 0.01)
+            second = generator.random() < 0.5
+            limit = self.cold.request_limit(SERVER, units.Instant(now))
+            wait = allocators[second].request(
+                SERVER,
+                limit.rate,
+                units.Instant(now),
+                as_standby=False,
+                burst=limit.burst,
+            )
+            issued += [] if wait else [now]
+        for start in issued:
+            count = sum(start <= at < start + 1.0 for at in issued)
+            self.assertLessEqual(count, rate * overrun + slack + 1e-6)
+
 
 if __name__ == "__main__":
     unittest.main()
