--- a/packages/transport/src/lavendershed/transport/client.py
+++ b/packages/transport/src/lavendershed/transport/client.py
@@ -149,7 +149,8 @@
         except OSError:
             # Not every network stack counts them.
             return False
-        return bool(_INT.unpack(unacknowledged)[0])
+        count: int = _INT.unpack(unacknowledged)[0]
+        return count > 0
 
     def start_next_exchange(self) -> None:
         """Prepares a reusable connection for the next request."""
