--- a/tests/virtual_case.py
+++ b/tests/virtual_case.py
@@ -171,6 +171,7 @@
         self.incarnation = 1
         self.cold_remaining_ms = 0
         self.address = addresses.Address(f"10.0.0.{number + 1}", 8_080)
+        self.zone = "a"
 
     @abc.abstractmethod
     async def serve(self, reader, writer):
@@ -379,7 +380,14 @@
     Without routes it has no configuration and knows no servers.
     """
 
-    def __init__(self, servers, *routes, seed=1, address=_NOWHERE):
+    def __init__(
+        self,
+        servers,
+        *routes,
+        seed=1,
+        address=_NOWHERE,
+        evacuation_bound=None,
+    ):
         loop = asyncio.get_running_loop()
         self.timers = event_loop_timers.EventLoopTimerService(loop)
         self.log = log.MemoryEventLog()
@@ -398,6 +406,7 @@
                 units.Seconds(8.0),
                 BUDGET,
                 cold_bounds=cold_engines.ColdBounds(1.5, 5.0),
+                evacuation_bound=evacuation_bound,
             ),
             # The one that `hear_of` takes the daemon to have.
             ids.Incarnation(address.port),
@@ -416,6 +425,18 @@
         if routes:
             self.configure(platform_case.configuration(1, *routes))
             self.list_servers(servers)
+            self.evacuate()
+
+    def evacuate(self, *zones):
+        """Applies a listing of evacuated zones, as it comes from the store."""
+        revision = self._next_revision()
+        self.context.view.on_evacuation_listing(
+            tuple(
+                peer_state.StoredObject(zone, revision, b"{}") for zone in zones
+            ),
+            revision,
+            self.timers.now(),
+        )
 
     def configure(self, configuration):
         """Applies a configuration, as it comes from the store."""
@@ -486,7 +507,7 @@
     return {
         "service": server.service,
         "address": str(server.address),
-        "zone": "a",
+        "zone": server.zone,
         "version": "v1",
         "slots": 8,
         "state": state,
