--- a/packages/peer/tests/test_load_reports.py
+++ b/packages/peer/tests/test_load_reports.py
@@ -87,6 +87,9 @@
         servers_age=units.Seconds(1.5),
         servers_known=store_revisions.of(1, 123_456_789),
         crash_evidence=evidence,
+        evacuation_revision=store_revisions.of(1, 123_456_780),
+        evacuations_known=store_revisions.of(1, 123_456_789),
+        evacuations_age=units.Seconds(2.0),
         call_counts=call_counts,
     )
 
@@ -217,8 +220,15 @@
         stored = peer_state.StoredObject(
             "main", store_revisions.of(1, 5), b'{"version":1}'
         )
+        zone = peer_state.StoredObject("a", store_revisions.of(1, 4), b"")
         state = peer_state.PeerState(
-            store_revisions.of(1, 5), (stored,), store_revisions.of(1, 6), ()
+            store_revisions.of(1, 5),
+            (stored,),
+            store_revisions.of(1, 6),
+            (),
+            evacuations=peer_state.EvacuationState(
+                store_revisions.of(1, 7), (zone,)
+            ),
         )
         encoded = peer_state.encode_state(state)
         self.assertEqual(peer_state.decode_state(encoded), state)
--- a/packages/platform/tests/test_settings.py
+++ b/packages/platform/tests/test_settings.py
@@ -59,6 +59,14 @@
         self.assertEqual(loaded.bandwidth_mbps, 20)
         self.assertTrue(loaded.first_start)
 
+    def test_evacuations_are_off_unless_a_bound_is_set(self):
+        """Guards against further calls to the store on other deployments."""
+        self.assertIsNone(self.load(FILE).unwrap().evacuation_bound)
+        bounds = FILE.replace("[bounds]", "[bounds]\nevacuate_ms = 5000")
+        self.assertEqual(self.load(bounds).unwrap().evacuation_bound, 5.0)
+        problem = self.load(bounds.replace("5000", "'5 s'")).unwrap_err()
+        self.assertIn("evacuate_ms", problem)
+
     def test_errors_name_the_field(self):
         for field, line in (
             ("frontend", 'frontend = "edge:8227"'),
