Remember each incarnation of a server that was replaced

Cause: the directory remembered the last entry of a removed server by its id only, and none of an incarnation that another one with its id replaced. When the store came back from a copy with the earlier incarnation, a server that had left was used again until its entry lapsed. Change: removed and replaced entries are kept by id and incarnation. The new test fails without the change (2 of 2 cases). Membership and forwarding tests pass.

--- a/packages/membership/src/lavendershed/membership/server_directory.py
+++ b/packages/membership/src/lavendershed/membership/server_directory.py
@@ -78,8 +78,11 @@
         self._revision = store_revisions.NONE
         self._by_service: dict[ids.ServiceId, tuple[ServerEntry, ...]] = {}
         self._retained_until: dict[ids.BackendServerId, units.Instant] = {}
-        # Last entries of servers that were removed, the oldest first.
-        self._removed: dict[ids.BackendServerId, ServerEntry] = {}
+        # Last entries of incarnations that were removed or replaced, the oldest
+        # first.
+        self._removed: dict[
+            tuple[ids.BackendServerId, ids.Incarnation], ServerEntry
+        ] = {}
         # Entries of a copy that were removed since: as listed, and when they
         # are used after all. Never, if their servers were leaving.
         self._outdated: dict[
@@ -211,7 +214,7 @@
         """
         known = self._entries.get(entry.id)
         if known is None or known.incarnation != entry.incarnation:
-            known = self._removed.get(entry.id)
+            known = self._removed.get((entry.id, entry.incarnation))
             usable_at = lapse_at
         elif known.accepts_work:
             return
@@ -252,13 +255,15 @@
             if new_entries[server] is not old_entries.get(server):
                 del self._retained_until[server]
         for server, entry in old_entries.items():
-            if server not in new_entries:
-                self._removed.pop(server, None)
-                self._removed[server] = entry
-        for server in itertools.islice(
+            current = new_entries.get(server)
+            if current is None or current.incarnation != entry.incarnation:
+                key = server, entry.incarnation
+                self._removed.pop(key, None)
+                self._removed[key] = entry
+        for key in itertools.islice(
             tuple(self._removed), max(0, len(self._removed) - _MAX_REMOVED)
         ):
-            del self._removed[server]
+            del self._removed[key]
         self._entries = new_entries
         self._revision = revision
         services: dict[ids.ServiceId, list[ServerEntry]] = {}
--- a/packages/membership/tests/test_server_directory.py
+++ b/packages/membership/tests/test_server_directory.py
@@ -150,6 +150,16 @@
         self.directory.expire(units.Instant(60.0))
         self.assertEqual(self.usable(), ["b"])
 
+    def test_a_replaced_incarnation_is_not_used_again(self):
+        """A later one with its id was ready, or leaving, before the restore."""
+        for state in (READY, DRAINING):
+            with self.subTest(state=state):
+                self.setUp()
+                self.directory.on_events([entry("a", state, 2, 11)], [], at(11))
+                self.restore(*self.copies())
+                self.assertEqual(self.usable(), ["b"])
+                self.assertEqual(self.directory.outdated_servers, {"a"})
+
     def test_another_listing_of_the_era_does_not_bring_it_back(self):
         self.directory.on_events([], ["a"], at(11))
         self.restore(*self.copies())
