Log the gap after the longest pause of a stream

Cause: on the grown site with 82 daemons a tenth of the short prompts is late in calm seconds, and the log did not show whether their pauses came from prefills on the engine or from the way to the daemon.

Change: event 104 also has the gap that follows the longest pause, and whether the engine is in the daemon's zone. Events that a lost packet held up come together; an engine that prefilled goes on at its pace.

--- a/packages/forwarding/src/lavendershed/forwarding/stream_delivery.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_delivery.py
@@ -29,6 +29,7 @@
         self._first_event_at: units.Instant | None = None
         self._last_event_at = admitted_request.received_at
         self._longest_event_gap = units.Seconds(0.0)
+        self._gap_after_longest: units.Seconds | None = None
 
     @property
     def last_event_id(self) -> int | None:
@@ -50,6 +51,16 @@
         """Longest time between two forwarded events."""
         return self._longest_event_gap
 
+    @property
+    def gap_after_longest(self) -> units.Seconds | None:
+        """Time from the event that ended the longest gap to the next one.
+
+        Events that a lost packet has held up come together; an engine that
+        prefills a prompt between two events goes on at its usual pace. None if
+        the stream ended with the longest gap.
+        """
+        return self._gap_after_longest
+
     @property
     def started(self) -> bool:
         """Whether the head of the response has been sent."""
@@ -114,7 +125,11 @@
             )
         else:
             gap = units.elapsed(self._last_event_at, now)
-            self._longest_event_gap = max(self._longest_event_gap, gap)
+            if gap > self._longest_event_gap:
+                self._longest_event_gap = gap
+                self._gap_after_longest = None
+            elif self._gap_after_longest is None:
+                self._gap_after_longest = gap
             if engine is not None:
                 self._record_inter_token_latency(engine, gap, now)
         self._last_event_at = now
--- a/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
@@ -503,6 +503,10 @@
             else None,
             predicted_ms=round(self._predicted_ms),
             pause_ms=round(self._delivery.longest_event_gap * 1_000),
+            after_pause_ms=None
+            if (gap := self._delivery.gap_after_longest) is None
+            else round(gap * 1_000),
+            local=engine.availability_zone == context.zone,
             seconds=round(seconds, 3),
         )
 
