--- a/packages/routing/src/lavendershed/routing/engine_choice.py
+++ b/packages/routing/src/lavendershed/routing/engine_choice.py
@@ -172,7 +172,12 @@
         usable = [c for c in candidates if c.id not in avoided] or candidates
         if not usable:
             return None
-        engines = [self._candidate(entry, demand, now) for entry in usable]
+        # Daemons that place long prompts before they know of each other's would
+        # use the same helpers, if equally good engines were in a common order.
+        engines = [
+            self._candidate(entry, demand, now)
+            for entry in self._random.sample(usable, len(usable))
+        ]
         # What an engine holds saves nothing if others prefill shards for it.
         holders = self._retained_prompts.apply(demand, engines)
         prefill_ms = self._latency_model.prefill_ms(demand.size.prompt_tokens)
--- a/packages/routing/tests/test_engine_choice.py
+++ b/packages/routing/tests/test_engine_choice.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import itertools
 import random
 import unittest
 
@@ -108,6 +109,41 @@
         """Guards against engines that decode for few requests each."""
         self.assertEqual(self.place_with_old_load(11, 0.0), 11)
 
+    def test_simultaneous_long_prompts_meet_at_few_helpers(self):
+        """Guards against shards that are queued behind each other.
+
+        Two daemons placed long prompts 5 ms apart, before either knew of the
+        other's, on 11 common engines of 69, because both took equally good
+        engines in the order of their ids.
+        """
+        engines = [engine_fixture.engine(f"e{n:02}") for n in range(69)]
+        long_prompt = engine_fixture.demand(
+            120_000,
+            first_token_after=3.0,
+            time_limit=15.0,
+            inter_token_latency=1.0,
+        )
+        placed = []
+        for seed in range(40):
+            chooser = engine_choice.PredictedLossChooser(
+                latency_model.LatencyModel(engine_fixture.PROFILE),
+                load_tracker.LoadTracker(),
+                engine_slowdown.EngineSlowdowns(),
+                random.Random(seed),
+            )
+            placement = chooser.choose(long_prompt, engines, NO_ENGINES, NOW)
+            placed.append(
+                {placement.decode_engine.id}
+                | {helper.id for helper in placement.prefill_helpers}
+            )
+        common = [len(a & b) for a, b in itertools.combinations(placed, 2)]
+        independent = [
+            len(a) * len(b) / len(engines)
+            for a, b in itertools.combinations(placed, 2)
+        ]
+        self.assertGreater(min(map(len, placed)), 3)
+        self.assertLess(sum(common), 1.2 * sum(independent))
+
     def test_a_short_prompt_avoids_an_engine_that_prefills_a_long_one(self):
         self.add_decoding("e3", 2)
         self.add_prefill("e3", 900.0)
