Order waiting requests by the priority of their kind first

Cause: the waiting queue ranked requests by value per engine time only, so that a less urgent kind was served, and kept its place in a full queue, while a more urgent kind of the same service was refused.

Change: the priority of the request (its organisation's, else its route's) is compared first; value per engine time orders the requests within a kind.

The test fails without the comparison of priorities.

--- a/packages/admission/src/lavendershed/admission/waiting_queue.py
+++ b/packages/admission/src/lavendershed/admission/waiting_queue.py
@@ -72,11 +72,16 @@
     def in_order(
         self, now: units.Instant
     ) -> tuple[waiting_request.WaitingRequest, ...]:
-        """Returns the requests, the first to be served first."""
+        """Returns the requests, the first to be served first.
+
+        Priorities are compared first, so that no request is served, or keeps
+        its place in a full queue, before a more urgent one of the same service.
+        """
         return tuple(
             sorted(
                 self._requests.values(),
                 key=lambda request: (
+                    request.priority,
                     -self._order.rank(request, now),
                     request.received_at,
                 ),
--- a/packages/admission/src/lavendershed/admission/waiting_request.py
+++ b/packages/admission/src/lavendershed/admission/waiting_request.py
@@ -23,6 +23,7 @@
             has begun.
         deadline: When its whole answer is due.
         size: Bytes that it occupies while it waits.
+        priority: Scheduling priority; 0 is the most urgent.
         event_gap: Target time between two events of a stream that has begun;
             None if the response has not begun.
     """
@@ -36,6 +37,7 @@
     due_at: units.Instant
     deadline: units.Instant
     size: units.Bytes
+    priority: int = 0
     event_gap: units.Seconds | None = None
 
     @property
--- a/packages/admission/tests/test_waiting_queue.py
+++ b/packages/admission/tests/test_waiting_queue.py
@@ -99,6 +99,17 @@
         # The engine is never idle, so that 10 to 14 can be on time.
         self.assertGreaterEqual(len(on_time), 12)
 
+    def test_a_less_urgent_kind_yields_to_a_more_urgent_one(self):
+        """Guards against kinds that pass a more urgent one of their service.
+
+        The less urgent requests are worth ten times as much per engine time.
+        """
+        urgent = [request(f"u{n}", priority=1) for n in range(2)]
+        others = [request(f"o{n}", utility=100.0, priority=2) for n in range(3)]
+        dropped = self.add(*others, *urgent)
+        self.assertEqual(self.order()[:2], ["u0", "u1"])
+        self.assertEqual(dropped, ["o2"])
+
     def test_requests_that_can_be_on_time_go_first(self):
         self.add(
             request("late", received=-10.0, deadline=at(60.0)),
--- a/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_execution.py
@@ -245,6 +245,7 @@
             self._next_event_due_at,
             admitted_request.deadline,
             units.Bytes(len(admitted_request.request.body)),
+            admitted_request.priority,
             event_gap,
         )
 
