Exclude engines that accept no connection for a reservation

A prompt of 208,000 tokens asked it for memory 15 times in the next second, always with the result "unknown", and no other daemon learned of it: only a failed connection for a request excluded an engine.

Change: such a failure is a status of its own, and the engine is excluded and reported as unreachable.

The test fails on the code before (no event 215 for the engine).

--- a/packages/forwarding/src/lavendershed/forwarding/requests.py
+++ b/packages/forwarding/src/lavendershed/forwarding/requests.py
@@ -170,6 +170,7 @@
     GRANTED = "granted"
     NO_ROOM = "no_room"
     WRONG_SERVER = "wrong_server"
+    UNREACHABLE = "unreachable"
     UNKNOWN = "unknown"
 
 
--- a/packages/forwarding/src/lavendershed/forwarding/reservations.py
+++ b/packages/forwarding/src/lavendershed/forwarding/reservations.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Iterable
+import dataclasses
 import itertools
 import secrets
 
@@ -34,6 +35,19 @@
 )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReservationFailure:
+    """Why no memory is reserved.
+
+    Attributes:
+        holders: Engines that did not grant their share.
+        unreachable: Those of them that accepted no connection.
+    """
+
+    holders: tuple[server_directory.ServerEntry, ...]
+    unreachable: tuple[server_directory.ServerEntry, ...]
+
+
 class Reservation:
     """Memory shares of one request, held until `release`."""
 
@@ -106,7 +120,7 @@
 
     async def reserve(
         self, shares: tuple[memory_shares.MemoryShare, ...]
-    ) -> result.Result[Reservation, tuple[server_directory.ServerEntry, ...]]:
+    ) -> result.Result[Reservation, ReservationFailure]:
         """Returns a reservation, or the engines that did not grant a share."""
         reservation_id = f"{self._id_prefix}-{next(self._sequence)}"
         reservation = Reservation(self, shares, reservation_id)
@@ -138,7 +152,12 @@
             answers=[status.value for status in statuses],
         )
         if not granted:
-            return result.Err(failed_holders)
+            unreachable = tuple(
+                share.holder
+                for share, status in zip(shares, statuses, strict=True)
+                if status is requests.ReservationStatus.UNREACHABLE
+            )
+            return result.Err(ReservationFailure(failed_holders, unreachable))
         reservation.start_renewal()
         return result.Ok(reservation)
 
@@ -192,7 +211,7 @@
             holder.address, new_connection=False
         )
         if isinstance(acquired, result.Err):
-            return requests.ReservationStatus.UNKNOWN
+            return requests.ReservationStatus.UNREACHABLE
         connection = acquired.ok_value.connection
         try:
             if is_new_work and not self._view.accepts_new_work(holder):
--- a/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
+++ b/packages/forwarding/src/lavendershed/forwarding/stream_attempt.py
@@ -132,15 +132,22 @@
                 )
                 if isinstance(reserved, result.Err):
                     started = False
+                    # Otherwise the next choice takes them again.
+                    for holder in reserved.err_value.unreachable:
+                        self._exclude_server(
+                            holder, "connect_failed", unreachable=True
+                        )
                     withdrawal = attempts.withdrawal(
-                        self._context, reserved.err_value
+                        self._context, reserved.err_value.holders
                     )
                     if withdrawal is not None:
                         return withdrawal
                     return attempts.AttemptResult(
                         forwarding_states.AttemptOutcome.NO_MEMORY,
                         "engines could not reserve memory",
-                        tuple(engine.id for engine in reserved.err_value),
+                        tuple(
+                            engine.id for engine in reserved.err_value.holders
+                        ),
                     )
                 reservation = reserved.ok_value
             attempt_result = await self._connect_and_exchange(
--- a/tests/test_platform_rules.py
+++ b/tests/test_platform_rules.py
@@ -771,6 +771,28 @@
             lambda: not any(e.reservations for e in self.engines)
         )
 
+    async def test_engines_that_accept_no_reservation_are_excluded(self):
+        """Guards against reservations that are tried at a lost engine again.
+
+        A prompt asked an engine that refused connections for memory 15 times
+        within a second, until its target latency had passed, and no other
+        daemon learned of the loss.
+        """
+        self.engines[1].close()
+        response = await self.stream(
+            token_count="400000,100", deadline_ms="2000"
+        )
+        self.assertEqual(response.head.status, 503)
+        self.assertIn(
+            ("connect_failed", self.engines[1].id),
+            [
+                (fields["reason"], fields["server"])
+                for fields in self.daemon.events(
+                    events.Event.BACKEND_SERVER_EXCLUDED
+                )
+            ],
+        )
+
     async def test_memory_released_before_the_deadline_is_used(self):
         self.engines[1].memory_tokens = 1_000
         task = self.loop.create_task(
