Restart a prefill at once when one of its engines is lost

Cause: if an engine that prefills a shard crashes, the others hold the prompt for 1.5 s and refuse it then.

Change: a daemon that learns of an unreachable engine asks it for its state if it takes part in a prefill. If it refuses two connections, another attempt starts beside the first one, within the route's limit and the retry budget. The inspection of an overdue prefill does the same.

--- a/packages/forwarding/src/lavendershed/forwarding/prefill_watch.py
+++ b/packages/forwarding/src/lavendershed/forwarding/prefill_watch.py
@@ -1,4 +1,4 @@
-"""Detection of slow engines while they prefill a long prompt."""
+"""Detection of slow and lost engines while they prefill a long prompt."""
 
 from __future__ import annotations
 
@@ -54,7 +54,9 @@
         """Awaits the response head.
 
         If the first token of a long prompt is overdue, its engines are asked
-        whether they are slow.
+        whether they are slow. One that is found unreachable meanwhile, by
+        this daemon or another, is asked at once: the others wait for its part
+        until they give the prompt up.
 
         Args:
             reading: Reads the response head.
@@ -64,21 +66,60 @@
         if self._placement.prefill_ms < _MIN_INSPECTED_PREFILL_MS:
             return await reading
         sent_at = self._context.timers.now()
-        task = asyncio.get_running_loop().create_task(reading)
+        loop = asyncio.get_running_loop()
+        task = loop.create_task(reading)
+        suspected: asyncio.Future[server_directory.ServerEntry] = (
+            loop.create_future()
+        )
+        engines = {engine.id: engine for engine in self._engines}
+
+        def on_unreachable(server: ids.BackendServerId) -> None:
+            if server in engines and not suspected.done():
+                suspected.set_result(engines[server])
+
+        self._context.health.subscribe(on_unreachable)
         try:
-            await asyncio.wait((task,), timeout=self._overdue_time)
+            await asyncio.wait(
+                (task, suspected),
+                timeout=self._overdue_time,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if suspected.done() and await self._has_lost((suspected.result(),)):
+                if not task.done():
+                    on_slow()
+                return await task
+            time_left = self._overdue_time - units.elapsed(
+                sent_at, self._context.timers.now()
+            )
+            await asyncio.wait((task,), timeout=max(0.0, time_left))
             if not task.done():
-                await self._context.inspector.inspect(
-                    self._engines, self._request
-                )
+                lost = await self._has_lost(self._engines)
                 now = self._context.timers.now()
                 elapsed = units.elapsed(sent_at, now)
-                if not task.done() and self._is_worth_restarting(elapsed, now):
+                if not task.done() and (
+                    lost or self._is_worth_restarting(elapsed, now)
+                ):
                     on_slow()
             return await task
         finally:
+            self._context.health.unsubscribe(on_unreachable)
             task.cancel()
 
+    async def _has_lost(
+        self, engines: tuple[server_directory.ServerEntry, ...]
+    ) -> bool:
+        """Returns whether engines accept no connection, and excludes them."""
+        lost = await self._context.inspector.inspect(engines, self._request)
+        for engine in lost:
+            context_module.exclude_failed_server(
+                self._context,
+                engine,
+                "connect_failed",
+                self._request,
+                unreachable=True,
+            )
+        return bool(lost)
+
     @property
     def _engines(self) -> tuple[server_directory.ServerEntry, ...]:
         """Engines to inspect; none of an evacuated zone."""
--- a/packages/reliability/src/lavendershed/reliability/server_health.py
+++ b/packages/reliability/src/lavendershed/reliability/server_health.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
 
@@ -63,6 +64,19 @@
             tuple[ids.BackendServerId, ids.Incarnation], _FailureRecord
         ] = {}
         self._reported_until: dict[ids.BackendServerId, units.Instant] = {}
+        self._listeners: list[Callable[[ids.BackendServerId], object]] = []
+
+    def subscribe(
+        self, listener: Callable[[ids.BackendServerId], object]
+    ) -> None:
+        """Calls `listener` with each server that is found unreachable."""
+        self._listeners.append(listener)
+
+    def unsubscribe(
+        self, listener: Callable[[ids.BackendServerId], object]
+    ) -> None:
+        """Ends the calls of `listener`."""
+        self._listeners.remove(listener)
 
     def is_excluded(
         self,
@@ -113,6 +127,8 @@
             self._reported_until[server] = max(
                 known_until, units.after(now, exclusion)
             )
+        for server, _ in newly_excluded:
+            self._notify_listeners(server)
         return tuple(newly_excluded)
 
     def on_success(
@@ -161,9 +177,14 @@
         record.unreachable = unreachable or (
             record.unreachable and record.excluded_until > now
         )
-        if record.excluded_until > now:
-            return units.elapsed(now, record.excluded_until)
-        return self._exclude(record, now)
+        exclusion = (
+            units.elapsed(now, record.excluded_until)
+            if record.excluded_until > now
+            else self._exclude(record, now)
+        )
+        if unreachable:
+            self._notify_listeners(server)
+        return exclusion
 
     def remove(
         self, server: ids.BackendServerId, incarnation: ids.Incarnation
@@ -172,6 +193,10 @@
         self._records.pop((server, incarnation), None)
         self._reported_until.pop(server, None)
 
+    def _notify_listeners(self, server: ids.BackendServerId) -> None:
+        for listener in tuple(self._listeners):
+            listener(server)
+
     def _exclude(
         self, record: _FailureRecord, now: units.Instant
     ) -> units.Seconds:
--- a/packages/reliability/tests/test_server_health.py
+++ b/packages/reliability/tests/test_server_health.py
@@ -63,6 +63,20 @@
         )
         self.assertTrue(self.excluded(0))
 
+    def test_listeners_learn_of_unreachable_servers_only(self):
+        """Guards against prefills that go on with a lost engine."""
+        found = []
+        self.health.subscribe(found.append)
+        self.health.on_connection_failure(SERVER, INCARNATION, at(0))
+        self.assertEqual(found, [])
+        self.health.on_connection_failure(
+            SERVER, INCARNATION, at(0), unreachable=True
+        )
+        self.assertEqual(found, [SERVER])
+        self.health.on_peer_report(((SERVER, units.Seconds(1.0)),), at(0))
+        self.assertEqual(found, [SERVER, SERVER])
+        self.health.unsubscribe(found.append)
+
     def test_server_that_a_peer_reports_as_unreachable_is_excluded(self):
         """Guards against one failed request per daemon before the exclusion."""
         self.health.on_connection_failure(
--- a/tests/test_platform_rules.py
+++ b/tests/test_platform_rules.py
@@ -12,6 +12,7 @@
 
 from lavendershed.core import units
 from lavendershed.peer import peer_state
+from lavendershed.standin import engine_samples
 from lavendershed.standin import fault_proxy
 from lavendershed.standin import platform_engine
 from lavendershed.standin import platform_store
@@ -708,6 +709,11 @@
                 == len(self.engines) + len(self.plain_servers)
             )
         )
+        # A prompt is divided among six of the engines; these two yield to the
+        # idle ones, so that all others take part.
+        tracker = self.daemon.parts.components.context.load_tracker
+        for number, engine in enumerate(self.engines[6:]):
+            tracker.add(engine_samples.decoding_task(engine.id, number))
 
     async def prefill(self):
         started = self.loop.time()
@@ -732,6 +738,36 @@
         # The next prompt avoids it from the start.
         self.assertLess(await self.prefill(), 0.5)
 
+    async def test_a_prefill_restarts_without_a_lost_helper(self):
+        """Guards against prompts that wait for the part of a lost engine.
+
+        Three engines crashed while prompts of 300,000 tokens were prefilled on
+        them. The other engines held these prompts for 1.5 s more and refused
+        them then, although daemons knew of the loss at once.
+        """
+        for engine in self.engines:
+            engine.prefill_seconds = {e.address: 6.0 for e in self.engines}
+        task = self.loop.create_task(self.prefill())
+        await self.wait_until(
+            lambda: any(e.received_requests for e in self.engines)
+        )
+        receiver = next(e for e in self.engines if e.received_requests)
+        helpers = receiver.received_requests[0].headers["helpers"].split(",")
+        lost = next(
+            e
+            for e in self.engines
+            if e is not receiver and str(e.address) in helpers
+        )
+        # Later prefills are not delayed.
+        for engine in self.engines:
+            engine.prefill_seconds = {}
+        lost.close()
+        self.daemon.parts.components.context.health.on_peer_report(
+            ((lost.id, units.Seconds(1.0)),), self.timers.now()
+        )
+        self.assertLess(await task, 0.5)
+        self.assertEqual(len(self.executed_requests()), 2)
+
     async def test_a_prefill_of_sound_engines_is_not_restarted(self):
         """Guards against prompts that are prefilled twice for nothing."""
         for engine in self.engines:
