Keep streams that have begun ahead of the priority order

Cause: since requests wait in the order of their priority, a stream that had begun and looked for another engine waited behind every more urgent request, though its caller has a part of the answer and can't return. Change: such a stream counts as most urgent; value per engine time orders the requests of one urgency as before. Result: the new test fails on the revision before and passes now.

--- a/packages/admission/src/lavendershed/admission/waiting_queue.py
+++ b/packages/admission/src/lavendershed/admission/waiting_queue.py
@@ -9,6 +9,8 @@
 from lavendershed.core import ids
 from lavendershed.core import units
 
+_MOST_URGENT = 0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class QueueLimits:
@@ -76,12 +78,13 @@
 
         Priorities are compared first, so that no request is served, or keeps
         its place in a full queue, before a more urgent one of the same service.
+        A stream that has begun is as urgent as any: its caller can't return.
         """
         return tuple(
             sorted(
                 self._requests.values(),
                 key=lambda request: (
-                    request.priority,
+                    _MOST_URGENT if request.has_begun else request.priority,
                     -self._order.rank(request, now),
                     request.received_at,
                 ),
--- a/packages/admission/tests/test_waiting_queue.py
+++ b/packages/admission/tests/test_waiting_queue.py
@@ -110,6 +110,14 @@
         self.assertEqual(self.order()[:2], ["u0", "u1"])
         self.assertEqual(dropped, ["o2"])
 
+    def test_begun_streams_do_not_yield_to_urgent_requests(self):
+        """Guards against streams that stall because of their priority."""
+        self.add(
+            request("new", priority=1),
+            request("begun", priority=5, event_gap=units.Seconds(1.0)),
+        )
+        self.assertEqual(self.order(), ["begun", "new"])
+
     def test_requests_that_can_be_on_time_go_first(self):
         self.add(
             request("late", received=-10.0, deadline=at(60.0)),
