--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -105,6 +105,9 @@
 class PlatformCase(unittest.IsolatedAsyncioTestCase):
     """Starts a store, two engines of each service and one daemon."""
 
+    # Daemons watch evacuations of zones if it is set.
+    evacuation_bound = None
+
     async def asyncSetUp(self):
         self.loop = asyncio.get_running_loop()
         self.timers = boot_timers.BootTimerService(self.loop)
@@ -315,6 +318,7 @@
             fleet_retry_budget.FleetBudgetLimits(
                 0.2, 100.0, units.Seconds(10.0)
             ),
+            evacuation_bound=case.evacuation_bound,
         )
         self.parts = factory.build(
             self.settings,
