Evacuate a zone in the fault soak

Cause: no run with real processes had evacuations beside other faults. Change: half of the servers are in a second zone, which is evacuated and taken back during the faults from a generator of its own, so that the faults of a seed stay as they were; after them the soak checks that the zone gets no request, and that it gets work again.

--- a/packages/standin/src/lavendershed/standin/platform_soak.py
+++ b/packages/standin/src/lavendershed/standin/platform_soak.py
@@ -35,6 +35,8 @@
 _UNAUTHENTICATED_STATUS = 401
 # Requests sent to each daemon in one probe.
 _PROBES_PER_DAEMON = 3
+# Zone that is evacuated; daemons are in the other one.
+_EVACUATED_ZONE = "b"
 _STOP_POLL_INTERVAL = units.Seconds(0.05)
 # SIGTERM kills a daemon that is not yet listening and has no open requests.
 _EXPECTED_EXIT_STATUSES = (0, -signal.SIGKILL, -signal.SIGTERM)
@@ -69,6 +71,7 @@
         # Separate generator, so that its draws leave the fault sequence of a
         # seed unchanged.
         self._detail_random = random.Random(f"details of {seed}")
+        self._evacuation_random = random.Random(f"evacuations of {seed}")
         self._api_key = API_KEY
         self._violations: list[str] = []
 
@@ -93,6 +96,7 @@
                 group.create_task(self._send_requests(group, end_time))
                 for _ in range(2):
                     group.create_task(self._inject_faults(end_time))
+                group.create_task(self._evacuate_zone(end_time))
             await self._clear_all_faults()
             await self._check_recovery()
             await self._check_planned_changes()
@@ -227,6 +231,15 @@
         self._deployment.publish_server(index, bypass_proxy=True)
         self._deployment.publish_server(index)
 
+    async def _evacuate_zone(self, end_time: float) -> None:
+        """Evacuates a zone and takes it back, again and again."""
+        while self._timers.now() < end_time:
+            for evacuated in (True, False):
+                self._deployment.set_evacuated(
+                    _EVACUATED_ZONE, evacuated=evacuated
+                )
+                await asyncio.sleep(self._evacuation_random.uniform(0.5, 3.0))
+
     async def _clear_all_faults(self) -> None:
         """Clears all faults and restarts the daemons that have exited."""
         self._deployment.store.fault = platform_store.StoreFault.NONE
@@ -265,10 +278,31 @@
 
     async def _check_planned_changes(self) -> None:
         """Checks drain, key removal and stop after all faults are cleared."""
+        await self._check_evacuated_zone()
         await self._check_leaving_engine()
         await self._check_revoked_key()
         await self._check_stops()
 
+    async def _check_evacuated_zone(self) -> None:
+        """Checks that no work reaches a zone, and that it gets work again."""
+        servers = [
+            server
+            for index, server in enumerate(self._deployment.backend_servers)
+            if soak_deployment.server_zone(index) == _EVACUATED_ZONE
+        ]
+        for evacuated in (True, False):
+            self._deployment.set_evacuated(_EVACUATED_ZONE, evacuated=evacuated)
+            await asyncio.sleep(_APPLY_WAIT)
+            before = sum(len(server.received_requests) for server in servers)
+            for kind in ("stream", "safe", "unsafe"):
+                await self._probe(kind)
+            after = sum(len(server.received_requests) for server in servers)
+            if evacuated == (after > before):
+                self._violations.append(
+                    f"a zone got {after - before} requests, "
+                    f"evacuated: {evacuated}"
+                )
+
     async def _check_leaving_engine(self) -> None:
         leaving_index = self._detail_random.randrange(self._options.engines)
         engine = self._deployment.backend_servers[leaving_index]
--- a/packages/standin/src/lavendershed/standin/soak_daemon.py
+++ b/packages/standin/src/lavendershed/standin/soak_daemon.py
@@ -169,6 +169,7 @@
 retry_budget_ratio = 0.2
 budget_window_s = 10
 budget_slack = {self._retry_budget_slack}
+evacuate_ms = 5000
 [provider]
 address = "{store}"
 [limits]
--- a/packages/standin/src/lavendershed/standin/soak_deployment.py
+++ b/packages/standin/src/lavendershed/standin/soak_deployment.py
@@ -48,6 +48,11 @@
     checkout: pathlib.Path | None = None
 
 
+def server_zone(index: int) -> str:
+    """Returns the availability zone of a server; half of them are in each."""
+    return "ab"[index % 2]
+
+
 class SoakDeployment:
     """Store and backend servers, each behind a fault proxy, and daemons."""
 
@@ -212,13 +217,20 @@
             "service": service
             or (MODEL_SERVICE if is_model_engine else PLAIN_SERVICE),
             "address": str(server.address),
-            "zone": "a",
+            "zone": server_zone(index),
             "state": state,
             "born": 1,
             "seq": 1,
         }
         self._store.put("servers", f"i-{index}", entry)
 
+    def set_evacuated(self, zone: str, *, evacuated: bool) -> None:
+        """Writes or removes the entry that asks to send no work to a zone."""
+        if evacuated:
+            self._store.put("evacuations", zone, {})
+        else:
+            self._store.delete("evacuations", zone)
+
     async def wait_until_ready(self, daemon: soak_daemon.DaemonProcess) -> None:
         """Waits until the readiness endpoint of a daemon returns 200."""
         while True:
