Count the shards of late prompts as a backlog

Cause: engines prefill shards before other prompts, whatever their priority, but the tasks of a prompt that is expected to miss its target counted for no prefill time.

The priority that engines are told stays the lowest.

--- a/packages/forwarding/src/lavendershed/forwarding/engine_tasks.py
+++ b/packages/forwarding/src/lavendershed/forwarding/engine_tasks.py
@@ -42,6 +42,8 @@
         ends_at = units.after(
             ready_at, units.Seconds(placement.decode_ms / 1_000)
         )
+        # Engines prefill shards before other prompts, whatever their priority.
+        runs_before_others = placement.urgent or bool(placement.prefill_helpers)
         # The first one is that of the decode engine.
         self._ids = [
             self._tracker.add(
@@ -57,7 +59,7 @@
                     target_inter_token_latency,
                     due_at,
                     utility,
-                    placement.urgent,
+                    runs_before_others,
                 )
             )
             for engine in (placement.decode_engine, *placement.prefill_helpers)
--- a/packages/routing/src/lavendershed/routing/load_tracker.py
+++ b/packages/routing/src/lavendershed/routing/load_tracker.py
@@ -36,7 +36,7 @@
         first_token_due_at: Time by which the first token is due.
         utility: Value of the request if it meets its latency targets.
         urgent: Whether engines run it before requests that are expected to
-            miss their target anyway.
+            miss their target anyway. Shards always run first.
     """
 
     request: int
