Send requests under way to leaving servers, and read whole bodies ahead

The check before each send also refused requests whose server had left by its entry, so that callers got 503 where no other server was left. The readers of connections stopped after 4 KB, so that bodies that are kept as a whole, states of peers and the fault proxy went on in steps of one read. A test of leaving engines began before the new incarnation was known. Change: the check before a send asks for evacuations, leaving answers and pauses only; readers of whole bodies read 64 KB ahead; the test waits for the entry.

--- a/packages/forwarding/src/lavendershed/forwarding/attempts.py
+++ b/packages/forwarding/src/lavendershed/forwarding/attempts.py
@@ -487,12 +487,14 @@
     context: context_module.ForwardingContext,
     servers: Iterable[server_directory.ServerEntry],
 ) -> AttemptResult | None:
-    """Returns the end of an attempt if a server takes no new work any more.
+    """Returns the end of an attempt if a server may get no new work any more.
 
-    Called immediately before a request is sent: its servers may have left, or
-    an operator may have evacuated their zone, since they were chosen.
+    Called immediately before a request is sent: a server may have said that it
+    leaves or pauses, or an operator may have evacuated its zone, since it was
+    chosen. One that has left by its entry serves what is under way for some
+    time, and there may be no other.
     """
-    withdrawn = [s.id for s in servers if not context.view.accepts_new_work(s)]
+    withdrawn = [s.id for s in servers if context.view.forbids_sending(s)]
     if not withdrawn:
         return None
     return AttemptResult(
--- a/packages/forwarding/src/lavendershed/forwarding/deployment_view.py
+++ b/packages/forwarding/src/lavendershed/forwarding/deployment_view.py
@@ -124,6 +124,16 @@
             and self._notices.allows_new_work(current)
         )
 
+    def forbids_sending(self, server: server_directory.ServerEntry) -> bool:
+        """Returns whether a request that was chosen for a server may not go.
+
+        An evacuation or an answer of the server may have come since. A server
+        whose entry says that it leaves still serves what was under way.
+        """
+        return self._evacuations.is_evacuated(
+            server
+        ) or not self._notices.allows_new_work(server)
+
     @property
     def complete(self) -> bool:
         """Whether all that requests need is known."""
--- a/packages/forwarding/src/lavendershed/forwarding/state_exchange.py
+++ b/packages/forwarding/src/lavendershed/forwarding/state_exchange.py
@@ -105,6 +105,7 @@
     if isinstance(opened, result.Err):
         return result.Err(opened.err_value.detail)
     reader, writer = opened.ok_value
+    reader.expect_body()
     try:
         async with asyncio.timeout(_EXCHANGE_TIMEOUT):
             request = peer_state.encode_state_request(known)
--- a/packages/standin/src/lavendershed/standin/fault_proxy.py
+++ b/packages/standin/src/lavendershed/standin/fault_proxy.py
@@ -137,6 +137,7 @@
             writer.transport.abort()
             return
         upstream_reader, upstream_writer = upstream_streams.ok_value
+        upstream_reader.expect_body()
         relay = _Relay(
             self._new_connection_behaviour, (writer, upstream_writer)
         )
--- a/packages/transport/src/lavendershed/transport/client.py
+++ b/packages/transport/src/lavendershed/transport/client.py
@@ -155,7 +155,7 @@
     def start_next_exchange(self) -> None:
         """Prepares a reusable connection for the next request."""
         self._protocol.start_next_cycle()
-        self._reader.read_size = streams.READ_BYTES
+        self._reader.expect_stream()
         self._request_sent = False
 
     def close(self) -> None:
@@ -287,7 +287,7 @@
         deadline = loop.time() + timeout
         # Not a list of chunks, since each may hold a single byte.
         body = bytearray()
-        self._reader.read_size = streams.BODY_READ_BYTES
+        self._reader.expect_body()
         while self._protocol.their_state is h11.SEND_BODY:
             chunk = await self.read_chunk(units.Seconds(deadline - loop.time()))
             if isinstance(chunk, result.Err):
--- a/packages/transport/src/lavendershed/transport/streams.py
+++ b/packages/transport/src/lavendershed/transport/streams.py
@@ -21,9 +21,11 @@
 # caller does not take them, makes a process hold this and twice the limit of
 # the reader.
 READ_BYTES = 16_384
-# Read at once of a body that is kept as a whole, where fewer reads matter more.
-BODY_READ_BYTES = 262_144
 _READER_LIMIT_BYTES = 4_096
+# Read at once of a body that is kept as a whole, where fewer reads matter more.
+# With a low limit, each read would wait until the previous one is consumed.
+_BODY_READ_BYTES = 262_144
+_BODY_READER_LIMIT_BYTES = 65_536
 
 
 class ReadTimeout:
@@ -82,15 +84,26 @@
 
 
 class BufferedReader(asyncio.StreamReader):
-    """Stream reader that exposes whether bytes are buffered.
-
-    Attributes:
-        read_size: Bytes that are read at once.
-    """
+    """Stream reader that exposes whether bytes are buffered."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop | None = None) -> None:
         super().__init__(_READER_LIMIT_BYTES, loop)
-        self.read_size = READ_BYTES
+        self._read_size = READ_BYTES
+
+    @property
+    def read_size(self) -> int:
+        """Bytes that are read at once."""
+        return self._read_size
+
+    def expect_stream(self) -> None:
+        """Reads little ahead from now on."""
+        self._read_size = READ_BYTES
+        self._limit = _READER_LIMIT_BYTES
+
+    def expect_body(self) -> None:
+        """Reads the rest of a body that is kept as a whole."""
+        self._read_size = _BODY_READ_BYTES
+        self._limit = _BODY_READER_LIMIT_BYTES
 
     @property
     def has_buffered_bytes(self) -> bool:
@@ -101,7 +114,7 @@
 
 # All reads go through one buffer, which is empty between two callbacks of the
 # loop. The usual protocol allocates 256 KB for each read.
-_read_buffer = memoryview(bytearray(BODY_READ_BYTES))
+_read_buffer = memoryview(bytearray(_BODY_READ_BYTES))
 
 
 class _BufferedReaderProtocol(
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -182,8 +182,11 @@
         for fault in (Fault.SHED, Fault.RESET_IN_STREAM):
             with self.subTest(fault=fault):
                 engine.fault = fault
-                self.register_server(engine, born=10 + len(fault.value))
-                await self.wait_until(lambda: not self.knows_leaving(engine))
+                born = 10 + len(fault.value)
+                self.register_server(engine, born=born)
+                await self.wait_until(
+                    lambda born=born: self.entry(engine).incarnation == born
+                )
                 received = len(engine.received_requests)
                 while not self.knows_leaving(engine):
                     response = await self.stream()
--- a/tests/virtual_case.py
+++ b/tests/virtual_case.py
@@ -144,6 +144,8 @@
 def _pipe():
     """Returns two connected pairs of a reader and a writer."""
     readers = [streams.BufferedReader() for _ in range(2)]
+    # Servers of tests read whole heads and bodies.
+    readers[1].expect_body()
     flows = [_Flow(), _Flow()]
     for reader, flow in zip(readers, flows, strict=True):
         reader.set_transport(flow)
