Ask for the zone of a server's present entry before a request is sent

Cause: since the check before a send used the entry that was chosen, so that an engine whose entry had moved to an evacuated zone still got the request. EvacuatedZoneTest.test_a_helper_is_checked_like_the_engine_that_answers failed. Change: the present entry counts, if there is one.

--- a/packages/forwarding/src/lavendershed/forwarding/deployment_view.py
+++ b/packages/forwarding/src/lavendershed/forwarding/deployment_view.py
@@ -130,8 +130,9 @@
         An evacuation or an answer of the server may have come since. A server
         whose entry says that it leaves still serves what was under way.
         """
+        current = self._directory.entry(server.id) or server
         return self._evacuations.is_evacuated(
-            server
+            current
         ) or not self._notices.allows_new_work(server)
 
     @property
