Keep failed searches for memory apart by what asked for room

Cause: ClientMemory kept one failed search for 0.1 s. A part of a body for which there was no room, or a connection above the limit of connections, then refused complete requests without a search, though these may take the place of others. Change: a failed search stands for later ones of its kind only (connection, part of a request, complete request), and the limit of connections has its own.

--- a/packages/transport/src/lavendershed/transport/client_memory.py
+++ b/packages/transport/src/lavendershed/transport/client_memory.py
@@ -65,6 +65,14 @@
 _RANKS = {standing: rank for rank, standing in enumerate(Standing)}
 
 
+class _Search(enum.Enum):
+    """What room is looked for; each may give up others than the next."""
+
+    CONNECTION = "connection"
+    PART_OF_REQUEST = "part_of_request"
+    COMPLETE_REQUEST = "complete_request"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClientLimits:
     """What the callers of a process may hold together.
@@ -210,8 +218,8 @@
         # In the order of their opening.
         self._accounts: dict[Account, None] = {}
         # Until when a search for at least so many bytes would find too little.
-        self._searched_until = units.Instant(0.0)
-        self._searched_size = 0
+        self._failed_searches: dict[_Search, tuple[units.Instant, int]] = {}
+        self._connections_searched_until = units.Instant(0.0)
         self._given_up: collections.Counter[Standing] = collections.Counter()
         self._refused = 0
 
@@ -274,31 +282,35 @@
             growth: Additional bytes.
             now: The time.
         """
-        if self._used + growth <= self._limits.memory:
+        if self._has_memory(growth):
             return True
         size = growth if asking is None else asking.size + growth
-        if now < self._searched_until and size >= self._searched_size:
+        search = _Search.CONNECTION
+        if asking is not None:
+            search = (
+                _Search.COMPLETE_REQUEST
+                if asking.standing is Standing.SERVED
+                else _Search.PART_OF_REQUEST
+            )
+        if self._has_failed(search, size, now):
             self._refused += 1
             return False
-        for account in tuple(self._accounts):
-            account.holder.refresh()
+        self._refresh()
         spare = int(self._limits.memory * _FREED_SHARE)
         for account in self._without_progress(asking, now):
-            if self._used + growth + spare <= self._limits.memory:
+            if self._has_memory(growth + spare):
+                break
+            self._end(account)
+        for account in self._displaced(search, asking, size):
+            if self._has_memory(growth):
                 break
             self._end(account)
-        if size <= _SMALL_BYTES:
-            complete = asking is not None and asking.standing is Standing.SERVED
-            for account in self._unfinished_requests(
-                asking, min(size, _SMALLEST_VICTIM_BYTES) if complete else size
-            ):
-                if self._used + growth <= self._limits.memory:
-                    break
-                self._end(account)
-        if self._used + growth <= self._limits.memory:
+        if self._has_memory(growth):
             return True
-        self._searched_until = units.after(now, _SEARCH_INTERVAL)
-        self._searched_size = size
+        self._failed_searches[search] = (
+            units.after(now, _SEARCH_INTERVAL),
+            size,
+        )
         self._refused += 1
         return False
 
@@ -311,19 +323,48 @@
         del self._accounts[account]
         self._used -= account.size
 
-    def _give_up_connections(self, now: units.Instant) -> None:
-        if now < self._searched_until and not self._searched_size:
-            return
+    def _has_memory(self, growth: int) -> bool:
+        return self._used + growth <= self._limits.memory
+
+    def _has_failed(
+        self, search: _Search, size: int, now: units.Instant
+    ) -> bool:
+        """Returns whether a like search has just found too little."""
+        until, failed_size = self._failed_searches.get(
+            search, (units.Instant(0.0), 0)
+        )
+        return now < until and size >= failed_size
+
+    def _refresh(self) -> None:
         for account in tuple(self._accounts):
             account.holder.refresh()
+
+    def _give_up_connections(self, now: units.Instant) -> None:
+        if now < self._connections_searched_until:
+            return
+        self._refresh()
         free = max(1, int(self._limits.connections * _FREED_SHARE))
         for account in self._without_progress(None, now):
             if len(self._accounts) + free <= self._limits.connections:
                 return
             self._end(account)
         if len(self._accounts) >= self._limits.connections:
-            self._searched_until = units.after(now, _SEARCH_INTERVAL)
-            self._searched_size = 0
+            self._connections_searched_until = units.after(
+                now, _SEARCH_INTERVAL
+            )
+
+    def _displaced(
+        self,
+        search: _Search,
+        asking: Account | None,
+        size: int,
+    ) -> Iterator[Account]:
+        """Yields who gives way to `asking` in spite of progress."""
+        if size > _SMALL_BYTES:
+            return
+        if search is _Search.COMPLETE_REQUEST:
+            size = min(size, _SMALLEST_VICTIM_BYTES)
+        yield from self._unfinished_requests(asking, size)
 
     def _end(self, account: Account) -> None:
         standing = account.standing
@@ -343,15 +384,12 @@
         held: collections.Counter[str] = collections.Counter()
         for account in self._accounts:
             held[account.address] += account.size
-        patience = self._limits.patience
         return sorted(
             (
                 account
                 for account in self._accounts
                 if account is not asking
-                and account.standing in patience
-                and units.elapsed(account.progressed_at, now)
-                >= patience[account.standing]
+                and self._has_exceeded(account, account.progressed_at, now)
             ),
             key=lambda account: (
                 _RANKS[account.standing],
@@ -360,6 +398,13 @@
             ),
         )
 
+    def _has_exceeded(
+        self, account: Account, since: units.Instant, now: units.Instant
+    ) -> bool:
+        """Returns whether the patience with what it does has ended."""
+        patience = self._limits.patience.get(account.standing)
+        return patience is not None and units.elapsed(since, now) >= patience
+
     def _unfinished_requests(
         self, asking: Account | None, size: int
     ) -> Iterator[Account]:
--- a/packages/transport/tests/test_client_memory.py
+++ b/packages/transport/tests/test_client_memory.py
@@ -106,6 +106,21 @@
         self.assert_given_up(*(a for a in crowd if a.closed))
         self.assertLessEqual(sum(a.closed for a in crowd), 2)
 
+    def test_a_refused_part_does_not_refuse_a_complete_request(self):
+        """Guards against a failed search that stands for other searches."""
+        crowd = [self.hold(Standing.RECEIVING, 40_000) for _ in range(20)]
+        # None of the crowd is larger.
+        self.assertFalse(self.grow(self.open(), 40_000))
+        self.assertTrue(self.grow(self.open(), 70_000, Standing.SERVED))
+        self.assert_given_up(*(a for a in crowd if a.closed))
+
+    def test_a_refused_connection_does_not_refuse_a_complete_request(self):
+        complete = self.open()
+        crowd = [self.hold(Standing.RECEIVING, 11_000) for _ in range(49)]
+        self.assertIsNone(self.open())
+        self.assertTrue(self.grow(complete, 70_000, Standing.SERVED))
+        self.assert_given_up(*(a for a in crowd if a.closed))
+
     def test_requests_that_are_handled_are_never_given_up(self):
         served = self.hold(Standing.SERVED, 900_000)
         self.now += 1_000.0
