Give up the slowest exchanges when connections run out

What callers saw: beside 900 clients that send a byte of a body or of a head every 0.2 s, no new connection was accepted, and an ordinary request got no answer. Cause: near a limit only connections without progress for a second were given up, and any byte was progress. Such clients keep a place until the time limit of their request, and come again. Change: an account counts the bytes that its caller sends or takes. If nobody without progress is left, requests in part and responses that are not taken, both for longer than the patience with them, are given up, the slowest first: for new connections and for small complete requests. Nothing changes in calm.

--- a/packages/transport/src/lavendershed/transport/client_memory.py
+++ b/packages/transport/src/lavendershed/transport/client_memory.py
@@ -14,6 +14,7 @@
 from collections.abc import Mapping
 import dataclasses
 import enum
+import itertools
 
 from lavendershed.core import units
 
@@ -63,6 +64,8 @@
     PATIENCE, units.Seconds(0.0)
 )
 _RANKS = {standing: rank for rank, standing in enumerate(Standing)}
+# What takes as long as its caller wants.
+_EXCHANGES = (Standing.UNREAD, Standing.RECEIVING)
 
 
 class _Search(enum.Enum):
@@ -111,9 +114,11 @@
 
     __slots__ = (
         "_address",
+        "_began_at",
         "_closed",
         "_holder",
         "_memory",
+        "_moved_bytes",
         "_progressed_at",
         "_size",
         "_standing",
@@ -132,6 +137,9 @@
         self._standing = Standing.UNUSED
         self._size = int(CONNECTION_BYTES)
         self._progressed_at = now
+        # Since the connection does what it does now.
+        self._began_at = now
+        self._moved_bytes = 0
         self._closed = False
 
     @property
@@ -164,9 +172,20 @@
         """Whether everything was given back."""
         return self._closed
 
-    def progress(self, now: units.Instant) -> None:
-        """Records that the caller has sent or taken a byte."""
+    @property
+    def began_at(self) -> units.Instant:
+        """Since when the connection does what it does."""
+        return self._began_at
+
+    def progress(self, now: units.Instant, moved_bytes: int = 0) -> None:
+        """Records that the caller has sent or taken bytes."""
         self._progressed_at = now
+        self._moved_bytes += moved_bytes
+
+    def rate(self, now: units.Instant) -> float:
+        """Returns the bytes per second that the caller has sent or taken."""
+        duration = units.elapsed(self._began_at, now)
+        return self._moved_bytes / duration if duration > 0 else 0.0
 
     def update(
         self, standing: Standing, message_bytes: int, now: units.Instant
@@ -179,6 +198,9 @@
         """
         if self._closed:
             return False
+        if standing is not self._standing:
+            self._began_at = now
+            self._moved_bytes = 0
         self._standing = standing
         size = CONNECTION_BYTES + message_bytes
         if size > self._size and not self._memory.make_room(
@@ -301,7 +323,7 @@
             if self._has_memory(growth + spare):
                 break
             self._end(account)
-        for account in self._displaced(search, asking, size):
+        for account in self._displaced(search, asking, size, now):
             if self._has_memory(growth):
                 break
             self._end(account)
@@ -344,7 +366,9 @@
             return
         self._refresh()
         free = max(1, int(self._limits.connections * _FREED_SHARE))
-        for account in self._without_progress(None, now):
+        for account in itertools.chain(
+            self._without_progress(None, now), self._slow_exchanges(None, now)
+        ):
             if len(self._accounts) + free <= self._limits.connections:
                 return
             self._end(account)
@@ -358,6 +382,7 @@
         search: _Search,
         asking: Account | None,
         size: int,
+        now: units.Instant,
     ) -> Iterator[Account]:
         """Yields who gives way to `asking` in spite of progress."""
         if size > _SMALL_BYTES:
@@ -365,6 +390,8 @@
         if search is _Search.COMPLETE_REQUEST:
             size = min(size, _SMALLEST_VICTIM_BYTES)
         yield from self._unfinished_requests(asking, size)
+        if search is not _Search.PART_OF_REQUEST:
+            yield from self._slow_exchanges(asking, now)
 
     def _end(self, account: Account) -> None:
         standing = account.standing
@@ -398,6 +425,25 @@
             ),
         )
 
+    def _slow_exchanges(
+        self, asking: Account | None, now: units.Instant
+    ) -> Iterator[Account]:
+        """Yields who sends or takes slowly, the slowest first.
+
+        A byte now and then is progress, and would keep a place for as long as
+        the time limits of requests allow.
+        """
+        yield from sorted(
+            (
+                account
+                for account in self._accounts
+                if account is not asking
+                and account.standing in _EXCHANGES
+                and self._has_exceeded(account, account.began_at, now)
+            ),
+            key=lambda account: account.rate(now),
+        )
+
     def _has_exceeded(
         self, account: Account, since: units.Instant, now: units.Instant
     ) -> bool:
--- a/packages/transport/src/lavendershed/transport/server_connection.py
+++ b/packages/transport/src/lavendershed/transport/server_connection.py
@@ -235,8 +235,10 @@
             return
         taken_bytes = self._written_bytes - self._unsent_bytes
         if taken_bytes != self._reported_bytes:
+            self._account.progress(
+                self._server.timers.now(), taken_bytes - self._reported_bytes
+            )
             self._reported_bytes = taken_bytes
-            self._account.progress(self._server.timers.now())
         standing, size = self._response_charge()
         self._account.reduce(standing, size)
 
@@ -278,7 +280,7 @@
         self._received_bytes += len(data)
         if self._deadline.phase is _Phase.CLOSING:
             return
-        self._account.progress(self._server.timers.now())
+        self._account.progress(self._server.timers.now(), len(data))
         if self.idle:
             self._deadline.enter(_Phase.HEAD)
         self._protocol.receive_data(data)
--- a/packages/transport/tests/test_client_memory.py
+++ b/packages/transport/tests/test_client_memory.py
@@ -121,6 +121,35 @@
         self.assertTrue(self.grow(complete, 70_000, Standing.SERVED))
         self.assert_given_up(*(a for a in crowd if a.closed))
 
+    def test_a_byte_now_and_then_does_not_keep_a_connection(self):
+        """Guards against crowds that send too little to be without progress."""
+        slow = [self.open() for _ in range(45)]
+        fast = [self.open() for _ in range(5)]
+        for _ in range(10):
+            self.assertIsNone(self.open())
+            self.now += 0.2
+            for account, moved in [
+                *((account, 1) for account in slow),
+                *((account, 10_000) for account in fast),
+            ]:
+                account.progress(self.now, moved)
+                account.update(Standing.RECEIVING, 100, self.now)
+            if self.now - 100.0 > PATIENCE[Standing.RECEIVING] + 0.2:
+                break
+        self.assertIsNotNone(self.open())
+        self.assert_given_up(*(a for a in slow if a.closed))
+
+    def test_small_slow_requests_give_way_to_a_complete_one(self):
+        self.memory = client_memory.ClientMemory(
+            client_memory.ClientLimits(units.Bytes(660_000), 50)
+        )
+        slow = [self.hold(Standing.RECEIVING, 5_000) for _ in range(49)]
+        self.now += PATIENCE[Standing.RECEIVING]
+        for account in slow:
+            account.progress(self.now, 1)
+        self.assertTrue(self.grow(self.open(), 70_000, Standing.SERVED))
+        self.assert_given_up(*(a for a in slow if a.closed))
+
     def test_requests_that_are_handled_are_never_given_up(self):
         served = self.hold(Standing.SERVED, 900_000)
         self.now += 1_000.0
