Drop the head of a refused request at once

What callers saw: 300 clients with heads of 3,900 lines, sent ahead, made a daemon on a machine of 80 MB hold 101 to 134 MB. Cause: a refused connection stays open for up to 2 s, so that its caller can read the refusal. It kept the decoded head meanwhile, for the report of the unanswered request at its end: 1.6 MB for 3,900 lines, while the account had given them back. Change: the report is made when the request is refused, and the head is dropped.

--- a/packages/transport/src/lavendershed/transport/server_connection.py
+++ b/packages/transport/src/lavendershed/transport/server_connection.py
@@ -137,6 +137,8 @@
         self._taken_bytes = 0
         # Bytes that had left it when the memory was last told.
         self._reported_bytes = 0
+        # Whether a request that ends without a complete response was reported.
+        self._reported = False
         # Whether the connection was aborted with bytes of a response unsent.
         self._truncated = False
         self._disconnect_callback: Callable[[], object] | None = None
@@ -390,10 +392,12 @@
 
     def _report_unanswered(self) -> None:
         """Reports a request that has been read in part, or not answered."""
-        if not self._truncated and (
-            not self._received_bytes or self._is_response_complete
+        if self._reported or (
+            not self._truncated
+            and (not self._received_bytes or self._is_response_complete)
         ):
             return
+        self._reported = True
         end = self._end_reason
         if end is None:
             end = (
@@ -731,6 +735,9 @@
             # What has come is not read, and would be held until the close.
             self._protocol = h11.Connection(h11.SERVER)
         if self._task is None:
+            # The head may hold far more than its bytes until the close.
+            self._report_unanswered()
+            self._request = None
             self._message_bytes = 0
             self._charge_response()
         self._resume_reading()
--- a/packages/transport/tests/test_crowded_connections.py
+++ b/packages/transport/tests/test_crowded_connections.py
@@ -177,6 +177,19 @@
         self.assertEqual(self.memory.used, client_memory.CONNECTION_BYTES)
         self.assertEqual(connection._protocol.trailing_data[0], b"")
 
+    async def test_the_head_of_a_refused_body_is_dropped_at_once(self):
+        """Guards against fields that are held, uncharged, until the close."""
+        await self.connect(HEAD % 9 + b"x")
+        await self.wait_until(lambda: self.server.connection_count)
+        (connection,) = self.server._connections
+        await self.wait_until(lambda: connection._request is not None)
+        connection.reject_incomplete_request()
+        self.assertIsNone(connection._request)
+        self.assertEqual(self.observer.ends, [End.SHUTDOWN])
+        self.callers[0].close()
+        await self.wait_until(lambda: not self.server.connection_count)
+        self.assertEqual(self.observer.ends, [End.SHUTDOWN])
+
 
 class BackPressureTest(CrowdedCase):
     """Guards against responses that are made faster than they are read."""
--- a/tests/test_client_processing.py
+++ b/tests/test_client_processing.py
@@ -18,9 +18,19 @@
 
 # With its other lines a head stays under its limit of 16,384 bytes.
 SLASHES = 16_000
+HEADER_LINES = 3_900
 TRICKLE_INTERVAL_S = 0.2
 
 
+class RequestsAheadTest(crowds.CrowdCase):
+    """Guards against requests sent ahead whose responses are not read."""
+
+    async def test_heads_of_many_lines(self):
+        lines = b"a:\r\n" * HEADER_LINES
+        request = b"GET /no-such-route HTTP/1.1\r\nhost: x\r\n%s\r\n" % lines
+        await self.assert_withstands(self.crowd().join(300, [request * 40]))
+
+
 class LongPathTest(crowds.CrowdCase):
     """Guards against lookups whose time grows with the square of a path."""
 
