Charge input that has come and is not processed

What callers saw: 600 clients with bodies in chunks of 16 bytes, or 1,200 with chunks of one byte, made a daemon on a machine of 80 MB hold 97 and 134 MB. Cause: a connection processes 128 parts of its input in a turn of the event loop. Of what waits after that, up to 64 KB, only the bytes of the body that had been decoded were charged. Change: a request in part is charged for its unprocessed bytes, too.

--- a/packages/transport/src/lavendershed/transport/server_connection.py
+++ b/packages/transport/src/lavendershed/transport/server_connection.py
@@ -531,6 +531,7 @@
             else self._message_bytes
             + len(self._body)
             + len(self._body) // _BODY_RESERVE
+            + len(self._protocol.trailing_data[0])
         )
         if self._account.update(
             _Standing.RECEIVING, size, self._server.timers.now()
--- a/packages/transport/tests/test_crowded_connections.py
+++ b/packages/transport/tests/test_crowded_connections.py
@@ -129,6 +129,26 @@
         await self.connect(HEAD % (LONG_BODY + 1) + b"x" * LONG_BODY)
         await self.wait_until(lambda: self.memory.used > LONG_BODY)
 
+    async def test_input_that_is_not_processed_is_charged(self):
+        """Guards against small chunks, which wait for their processing."""
+        most = []
+        exchange = self.memory.exchange
+
+        def record(previous, size):
+            exchange(previous, size)
+            most.append(self.memory.used)
+
+        self.memory.exchange = record
+        await self.connect(
+            b"POST /x HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n"
+            + b"1\r\nx\r\n" * 2_000
+            + b"0\r\n\r\n"
+        )
+        await self.wait_until(lambda: self.handler.handled)
+        self.assertGreater(
+            max(most[:2]), client_memory.CONNECTION_BYTES + 9_000
+        )
+
     async def test_a_head_in_part_is_charged(self):
         await self.connect(b"GET /x HTTP/1.1\r\nx: " + b"x" * 10_000)
         await self.wait_until(lambda: self.memory.used > 10_000)
--- a/tests/test_client_processing.py
+++ b/tests/test_client_processing.py
@@ -1,10 +1,11 @@
 """Tests crowds of clients that take the processor time of a daemon.
 
 Each connection stays inside its own limits, and what it sends costs far more
-time than memory. Each test starts one daemon with lowered limits of its
-machine, keeps a crowd of connections open and checks that the daemon lives,
-stays inside these limits and answers an ordinary request. Nothing here depends
-on the speed of the machine.
+time than memory: bodies in small chunks, paths of many slashes, heads of many
+lines, requests sent ahead without end. Each test starts one daemon with lowered
+limits of its machine, keeps a crowd of connections open and checks that the
+daemon lives, stays inside these limits and answers an ordinary request. Nothing
+here depends on the speed of the machine.
 """
 
 from __future__ import annotations
@@ -14,17 +15,88 @@
 import itertools
 import unittest
 
+import platform_case
 import test_client_crowds as crowds
 
+LARGE_CHUNK = 65_536
+MEDIUM_CHUNK = 16_384
+SMALL_CHUNK = 16
+# What the bodies in small chunks hold.
+SMALL_CHUNKS_BODY = 60_000
+SINGLE_BYTES_BODY = 12_000
 # With its other lines a head stays under its limit of 16,384 bytes.
 SLASHES = 16_000
 HEADER_LINES = 3_900
+# Requests that are sent ahead on each of a few connections.
+FEW_CONNECTIONS = 8
+REQUESTS_AHEAD = 40_000
 TRICKLE_INTERVAL_S = 0.2
 
 
+def chunked_request(length, chunk):
+    """Returns the parts of a chunked request that stops short of its end."""
+    head = (
+        f"POST /unsafe/x HTTP/1.1\r\nhost: {platform_case.HOST}\r\n"
+        f"x-api-key: {platform_case.KEY}\r\nattempt-id: a\r\n"
+        f"deadline-ms: 30000\r\ntransfer-encoding: chunked\r\n\r\n"
+    ).encode()
+    whole, rest = divmod(length - crowds.SHORT_BY, chunk)
+    body = b"%x\r\n%s\r\n" % (chunk, b"x" * chunk) * whole
+    if rest:
+        body += b"%x\r\n%s\r\n" % (rest, b"x" * rest)
+    return [
+        head,
+        *(
+            body[start : start + crowds.CHUNK]
+            for start in range(0, len(body), crowds.CHUNK)
+        ),
+    ]
+
+
+class ChunkedBodyTest(crowds.CrowdCase):
+    """Guards against bodies whose chunks cost more time than their bytes."""
+
+    async def test_large_chunks(self):
+        await self.assert_withstands(
+            self.crowd().join(
+                40, chunked_request(crowds.LARGEST_BODY, LARGE_CHUNK)
+            ),
+            self.crowd().join(
+                800, chunked_request(crowds.MEDIUM_BODY, LARGE_CHUNK)
+            ),
+        )
+
+    async def test_medium_chunks(self):
+        parts = chunked_request(crowds.LARGEST_BODY, MEDIUM_CHUNK)
+        await self.assert_withstands(self.crowd().join(400, parts))
+
+    async def test_small_chunks(self):
+        parts = chunked_request(SMALL_CHUNKS_BODY, SMALL_CHUNK)
+        await self.assert_withstands(self.crowd().join(600, parts))
+
+    async def test_chunks_of_one_byte(self):
+        parts = chunked_request(SINGLE_BYTES_BODY, 1)
+        await self.assert_withstands(self.crowd().join(1_200, parts))
+
+
 class RequestsAheadTest(crowds.CrowdCase):
     """Guards against requests sent ahead whose responses are not read."""
 
+    async def test_no_route_on_few_connections(self):
+        parts = [crowds.PIPELINED_NO_ROUTE * REQUESTS_AHEAD]
+        await self.assert_withstands(self.crowd().join(FEW_CONNECTIONS, parts))
+
+    async def test_readiness_path_on_few_connections(self):
+        parts = [crowds.PIPELINED_READINESS * REQUESTS_AHEAD]
+        crowd = self.crowd(self.daemon.readiness_address)
+        await self.assert_withstands(crowd.join(FEW_CONNECTIONS, parts))
+
+    async def test_served_requests_on_few_connections(self):
+        request = crowds.request_head("/safe/x", 4) + b"body"
+        await self.assert_withstands(
+            self.crowd().join(FEW_CONNECTIONS, [request * 4_000])
+        )
+
     async def test_heads_of_many_lines(self):
         lines = b"a:\r\n" * HEADER_LINES
         request = b"GET /no-such-route HTTP/1.1\r\nhost: x\r\n%s\r\n" % lines
