Share the processor time of each turn among connections

Cause: a connection processed 128 parts of its input in a turn of the event loop, about 1.3 ms, and nothing limited how many connections did so. With hundreds of them a turn took most of a second, and a request needs about a dozen turns. Change: ProcessingTurns bounds the processing of input in a turn to 4 ms for all listeners together, measured by the clock. What arrives beyond that waits, and its connection is not read meanwhile. ProcessingOrder decides who is next, without input or output: start-time fair queueing over the listeners and over the connections of each, with the bytes that wait as the estimated cost, so that a short request passes a crowd of long ones; each eighth time the connection that has waited longest is served.

--- a/packages/forwarding/src/lavendershed/forwarding/daemon.py
+++ b/packages/forwarding/src/lavendershed/forwarding/daemon.py
@@ -17,6 +17,7 @@
 from lavendershed.telemetry import client_crowds
 from lavendershed.telemetry import events
 from lavendershed.telemetry import unanswered_requests
+from lavendershed.transport import processing_turns
 from lavendershed.transport import server
 
 # The platform stops sending new connections after two failed health checks,
@@ -64,6 +65,10 @@
         self._stopping = False
         self._ready_logged = False
         daemon_components.context.view.subscribe(self._apply_limits)
+        # One processor serves all listeners.
+        turns = processing_turns.ProcessingTurns(
+            daemon_components.context.timers
+        )
         self._caller_server = server.HttpServer(
             daemon_components.gateway,
             daemon_components.context.timers,
@@ -71,6 +76,7 @@
             daemon_components.context.request_buffers,
             self._unanswered_recorder("callers"),
             daemon_components.context.caller_memory,
+            turns,
         )
         self._relay_server = server.HttpServer(
             daemon_components.relay_handler,
@@ -79,6 +85,7 @@
             daemon_components.context.request_buffers,
             self._unanswered_recorder("peers"),
             daemon_components.context.caller_memory,
+            turns,
         )
         self._health_server = server.HttpServer(
             health_endpoint.HealthEndpoint(
@@ -88,6 +95,7 @@
             server.ServerLimits(),
             observer=self._unanswered_recorder("health"),
             memory=daemon_components.context.readiness_memory,
+            turns=turns,
         )
         # Callers and peers have one memory.
         self._crowd_recorders = tuple(
--- a/packages/transport/src/lavendershed/transport/server.py
+++ b/packages/transport/src/lavendershed/transport/server.py
@@ -13,7 +13,8 @@
 from lavendershed.transport import client_memory
 from lavendershed.transport import connection_ends
 from lavendershed.transport import handlers
-from lavendershed.transport import request_turns
+from lavendershed.transport import processing_order
+from lavendershed.transport import processing_turns
 from lavendershed.transport import server_connection
 
 _BACKLOG = 1_024
@@ -59,6 +60,7 @@
         buffers: buffer_budget.BufferBudget | None = None,
         observer: connection_ends.ConnectionObserver | None = None,
         memory: client_memory.ClientMemory | None = None,
+        turns: processing_turns.ProcessingTurns | None = None,
     ) -> None:
         """Creates a server.
 
@@ -70,6 +72,8 @@
             observer: Is told about requests without a complete response.
             memory: Memory and connections of all callers; large limits of its
                 own by default.
+            turns: Processing time of the input of all listeners; its own by
+                default.
         """
         self._handler = handler
         self._observer = observer or connection_ends.IgnoringObserver()
@@ -79,7 +83,8 @@
         self._memory = memory or client_memory.ClientMemory(
             _DEFAULT_CLIENT_LIMITS
         )
-        self._turns = request_turns.RequestTurns()
+        self._turns = turns or processing_turns.ProcessingTurns(timer_service)
+        self._flow_group = self._turns.create_group()
         # All reads of callers go through one buffer, which is empty between
         # two callbacks of the loop.
         self._read_buffer = memoryview(bytearray(_READ_BYTES))
@@ -106,10 +111,15 @@
         return self._memory
 
     @property
-    def turns(self) -> request_turns.RequestTurns:
-        """Turns of requests that were sent ahead."""
+    def turns(self) -> processing_turns.ProcessingTurns:
+        """Processing time of the input of all listeners."""
         return self._turns
 
+    @property
+    def flow_group(self) -> processing_order.FlowGroup:
+        """The connections of this listener in the order of processing."""
+        return self._flow_group
+
     @property
     def read_buffer(self) -> memoryview:
         """Where bytes of callers are read to."""
--- a/packages/transport/src/lavendershed/transport/server_connection.py
+++ b/packages/transport/src/lavendershed/transport/server_connection.py
@@ -15,14 +15,16 @@
 from lavendershed.transport import connection_ends
 from lavendershed.transport import handlers
 from lavendershed.transport import headers as header_fields
+from lavendershed.transport import processing_order
+from lavendershed.transport import processing_turns
 from lavendershed.transport import receive_deadline
 from lavendershed.transport import streams
 
 if typing.TYPE_CHECKING:
     from lavendershed.transport import server as server_module
 
-# Parts of a request that are processed without a turn of the event loop. A
-# caller may send one byte in each of them.
+# Parts of a request that are processed in a turn of the event loop at most, as
+# the clock may stand still. A caller may send one byte in each of them.
 _MAX_EVENTS_PER_TURN = 128
 # Maximum size of a request line with its headers.
 MAX_HEAD = units.Bytes(16_384)
@@ -87,7 +89,10 @@
 
 
 class ServerConnection(
-    asyncio.BufferedProtocol, handlers.Responder, client_memory.Holder
+    asyncio.BufferedProtocol,
+    handlers.Responder,
+    client_memory.Holder,
+    processing_order.Processor,
 ):
     """Reads the requests of one connection and sends the responses."""
 
@@ -147,8 +152,7 @@
         # Charged for the request that is received or handled.
         self._message_bytes = 0
         self._pipelined_bytes = 0
-        # Whether the next request has come with the previous one.
-        self._awaits_turn = False
+        self._flow = processing_order.Flow(server.flow_group, self)
         self._reading_paused = False
         self._end_reason: connection_ends.ConnectionEnd | None = None
         self._status: int | None = None
@@ -216,6 +220,7 @@
             if timer is not None:
                 timer.cancel()
         self._server.unregister(self)
+        self._server.turns.withdraw(self._flow)
         self._account.close()
         if self._task is None:
             self._share.release()
@@ -268,7 +273,7 @@
         phase = self._deadline.phase
         if phase in (_Phase.BODY, _Phase.CLOSING):
             return self._server.read_buffer
-        if phase is _Phase.HANDLING or self._awaits_turn:
+        if phase is _Phase.HANDLING or self._flow.waiting:
             return self._server.read_buffer[:_PIPELINED_READ_BYTES]
         return self._server.read_buffer[:_HEAD_READ_BYTES]
 
@@ -286,8 +291,8 @@
         if self.idle:
             self._deadline.enter(_Phase.HEAD)
         self._protocol.receive_data(data)
-        if self._task is None and not self._awaits_turn:
-            self._process_events()
+        if self._task is None and not self._flow.waiting:
+            self._server.turns.process(self._flow)
             return
         self._pipelined_bytes += len(data)
         if self._pipelined_bytes >= _MAX_PIPELINED_BYTES:
@@ -471,17 +476,33 @@
             self._reading_paused = False
             self._transport.resume_reading()
 
-    def _continue_processing(self) -> None:
+    @property
+    def backlog(self) -> units.Bytes:
+        """Bytes that have come and are not processed."""
+        return units.Bytes(len(self._protocol.trailing_data[0]))
+
+    def process_turn(self) -> bool:
+        """Processes input; returns whether a request has begun."""
         # A request that was rejected in the meantime must not be handled.
         if (
-            self._transport is not None
-            and not self._transport.is_closing()
-            and self._deadline.phase is not _Phase.CLOSING
+            self._transport is None
+            or self._transport.is_closing()
+            or self._deadline.phase is _Phase.CLOSING
         ):
-            self._resume_reading()
-            self._process_events()
+            return False
+        self._resume_reading()
+        self._process_events()
+        return self._deadline.phase is _Phase.HANDLING
+
+    def wait_for_turn(self) -> None:
+        """Keeps what has come until there is time to process it."""
+        if self._charge_received():
+            self._pause_reading()
+            self._server.turns.enqueue(self._flow)
 
     def _process_events(self) -> None:
+        now = self._server.timers.now
+        slice_end = units.after(now(), processing_turns.SLICE_TIME)
         for _ in range(_MAX_EVENTS_PER_TURN):
             try:
                 event = self._protocol.next_event()
@@ -497,31 +518,35 @@
                 self._abort(None)
                 return
             if isinstance(event, h11.Request):
-                self._request = event
-                self._max_body = self._server.limits.max_body
-                self._message_bytes = _head_bytes(event, self._received_bytes)
-                self._deadline.enter(_Phase.BODY)
-                if self._protocol.they_are_waiting_for_100_continue:
-                    self._send(
-                        h11.InformationalResponse(status_code=100, headers=[])
-                    )
+                self._begin_body(event)
             elif isinstance(event, h11.Data):
-                self._body += event.data
-                if len(self._body) > self._max_body:
-                    self._reject(
-                        413, f"request body exceeds {self._max_body} bytes"
-                    )
-                    return
-                if not self._share.resize(len(self._body)):
-                    self._reject(503, _NO_MEMORY, _End.NO_MEMORY)
+                if not self._receive_body(event.data):
                     return
             elif isinstance(event, h11.EndOfMessage):
                 self._dispatch()
                 return
-        if not self._charge_received():
-            return
-        self._pause_reading()
-        asyncio.get_running_loop().call_soon(self._continue_processing)
+            if now() >= slice_end:
+                break
+        self.wait_for_turn()
+
+    def _begin_body(self, request: h11.Request) -> None:
+        self._request = request
+        self._max_body = self._server.limits.max_body
+        self._message_bytes = _head_bytes(request, self._received_bytes)
+        self._deadline.enter(_Phase.BODY)
+        if self._protocol.they_are_waiting_for_100_continue:
+            self._send(h11.InformationalResponse(status_code=100, headers=[]))
+
+    def _receive_body(self, data: bytes) -> bool:
+        """Keeps a part of the body; refuses the request if it is too large."""
+        self._body += data
+        if len(self._body) > self._max_body:
+            self._reject(413, f"request body exceeds {self._max_body} bytes")
+            return False
+        if not self._share.resize(len(self._body)):
+            self._reject(503, _NO_MEMORY, _End.NO_MEMORY)
+            return False
+        return True
 
     def _charge_received(self) -> bool:
         """Charges a request in part; refuses it if there is no room."""
@@ -531,7 +556,7 @@
             else self._message_bytes
             + len(self._body)
             + len(self._body) // _BODY_RESERVE
-            + len(self._protocol.trailing_data[0])
+            + self.backlog
         )
         if self._account.update(
             _Standing.RECEIVING, size, self._server.timers.now()
@@ -695,12 +720,7 @@
         self._deadline.enter(_Phase.HEAD)
         # Less than was charged while the request was handled.
         self._account.update(_Standing.RECEIVING, self._received_bytes, now)
-        self._awaits_turn = True
-        self._server.turns.enqueue(self._take_turn)
-
-    def _take_turn(self) -> None:
-        self._awaits_turn = False
-        self._continue_processing()
+        self._server.turns.enqueue(self._flow)
 
     def _reject(
         self,
@@ -728,6 +748,7 @@
         """Ends the own side; closes with the caller, or after a time limit."""
         self._end_reason = end
         self._deadline.close()
+        self._server.turns.withdraw(self._flow)
         self._body = bytearray()
         self._share.release()
         if self._transport is None or self._transport.is_closing():
--- a/packages/transport/tests/test_crowded_connections.py
+++ b/packages/transport/tests/test_crowded_connections.py
@@ -12,7 +12,6 @@
 from lavendershed.transport import client_memory
 from lavendershed.transport import connection_ends
 from lavendershed.transport import handlers
-from lavendershed.transport import request_turns
 from lavendershed.transport import server
 
 TIMEOUT_S = 5.0
@@ -306,22 +305,6 @@
         self.assertEqual(received.count(b"HTTP/1.1 200"), 100)
 
 
-class RequestTurnsTest(unittest.IsolatedAsyncioTestCase):
-    """Guards against crowds that take all time between two steps of others."""
-
-    async def test_a_turn_of_the_loop_begins_few_requests(self):
-        turns = request_turns.RequestTurns()
-        begun = []
-        for number in range(100):
-            turns.enqueue(lambda number=number: begun.append(number))
-        before = 0
-        while len(begun) < 100:
-            await asyncio.sleep(0)
-            self.assertLessEqual(len(begun) - before, 4)
-            before = len(begun)
-        self.assertEqual(begun, list(range(100)))
-
-
 class AcceptorTest(CrowdedCase):
     """Guards against connections that take all descriptors."""
 
--- a/tests/test_client_processing.py
+++ b/tests/test_client_processing.py
@@ -79,6 +79,19 @@
         await self.assert_withstands(self.crowd().join(1_200, parts))
 
 
+class SmallChunkTest(crowds.CrowdCase):
+    """Guards against chunks that take the time of all others.
+
+    The machine has memory for the whole crowd.
+    """
+
+    LIMITS = {"memory_mb": 300, "max_fds": crowds.MAX_FDS}
+
+    async def test_chunks_of_one_byte(self):
+        parts = chunked_request(SINGLE_BYTES_BODY, 1)
+        await self.assert_withstands(self.crowd().join(1_200, parts))
+
+
 class RequestsAheadTest(crowds.CrowdCase):
     """Guards against requests sent ahead whose responses are not read."""
 
