Merge small chunks of a body before they are parsed

Cause: the parser takes about 10 us for each chunk, whatever its size, so that such a body costs 42 s of processor time, and its request may take 30 s. Change: ChunkMerger rewrites whole, plain chunks of a read as one before the parser sees them, about 0.9 us for each. Chunks that don't come at once, long sizes, extensions and errors are left to the parser as they are. Chunked bodies are read 16 KB at a time, so that a merge takes about 2 ms at most, and it is part of the time that is shared among connections.

--- a/packages/transport/src/lavendershed/transport/server_connection.py
+++ b/packages/transport/src/lavendershed/transport/server_connection.py
@@ -11,6 +11,7 @@
 
 from lavendershed.core import timers
 from lavendershed.core import units
+from lavendershed.transport import chunk_merging
 from lavendershed.transport import client_memory
 from lavendershed.transport import connection_ends
 from lavendershed.transport import handlers
@@ -36,6 +37,8 @@
 # beside a request that is handled.
 _HEAD_READ_BYTES = 16_384
 _PIPELINED_READ_BYTES = 8_192
+# Small chunks in a read of this size are merged in about 2 ms.
+_CHUNKED_READ_BYTES = 16_384
 # The head of a request that is not larger is not measured by itself.
 _SMALL_REQUEST_BYTES = 4_096
 # Objects of one decoded header.
@@ -123,6 +126,9 @@
         self._writable.set()
         self._request: h11.Request | None = None
         self._body = bytearray()
+        # Of a chunked body, and what has come of it and was not merged.
+        self._chunk_merger: chunk_merging.ChunkMerger | None = None
+        self._unmerged = b""
         # Limit in force when the head of the request was complete.
         self._max_body = server.limits.max_body
         self._task: asyncio.Task[None] | None = None
@@ -271,6 +277,8 @@
     def get_buffer(self, sizehint: int) -> memoryview:
         """Returns where the next bytes of the caller are read to."""
         phase = self._deadline.phase
+        if phase is _Phase.BODY and self._chunk_merger is not None:
+            return self._server.read_buffer[:_CHUNKED_READ_BYTES]
         if phase in (_Phase.BODY, _Phase.CLOSING):
             return self._server.read_buffer
         if phase is _Phase.HANDLING or self._flow.waiting:
@@ -290,7 +298,10 @@
         self._account.progress(self._server.timers.now(), len(data))
         if self.idle:
             self._deadline.enter(_Phase.HEAD)
-        self._protocol.receive_data(data)
+        if self._chunk_merger is None:
+            self._protocol.receive_data(data)
+        else:
+            self._unmerged += data
         if self._task is None and not self._flow.waiting:
             self._server.turns.process(self._flow)
             return
@@ -479,7 +490,8 @@
     @property
     def backlog(self) -> units.Bytes:
         """Bytes that have come and are not processed."""
-        return units.Bytes(len(self._protocol.trailing_data[0]))
+        unparsed, _ = self._protocol.trailing_data
+        return units.Bytes(len(self._unmerged) + len(unparsed))
 
     def process_turn(self) -> bool:
         """Processes input; returns whether a request has begun."""
@@ -501,6 +513,10 @@
             self._server.turns.enqueue(self._flow)
 
     def _process_events(self) -> None:
+        if self._chunk_merger is not None and self._unmerged:
+            merged = self._chunk_merger.merge(self._unmerged)
+            self._unmerged = b""
+            self._protocol.receive_data(merged)
         now = self._server.timers.now
         slice_end = units.after(now(), processing_turns.SLICE_TIME)
         for _ in range(_MAX_EVENTS_PER_TURN):
@@ -534,6 +550,10 @@
         self._max_body = self._server.limits.max_body
         self._message_bytes = _head_bytes(request, self._received_bytes)
         self._deadline.enter(_Phase.BODY)
+        if any(name == b"transfer-encoding" for name, _ in request.headers):
+            self._chunk_merger = chunk_merging.ChunkMerger()
+            # The parser has this part already.
+            self._chunk_merger.merge(self._protocol.trailing_data[0])
         if self._protocol.they_are_waiting_for_100_continue:
             self._send(h11.InformationalResponse(status_code=100, headers=[]))
 
@@ -599,6 +619,7 @@
 
     def _dispatch(self) -> None:
         assert self._request is not None
+        self._chunk_merger = None
         self._message_bytes += _HANDLED_BODY_COPIES * len(self._body)
         if not self._account.update(
             _Standing.SERVED,
@@ -750,6 +771,7 @@
         self._deadline.close()
         self._server.turns.withdraw(self._flow)
         self._body = bytearray()
+        self._unmerged = b""
         self._share.release()
         if self._transport is None or self._transport.is_closing():
             return
--- a/tests/test_client_processing.py
+++ b/tests/test_client_processing.py
@@ -92,6 +92,25 @@
         await self.assert_withstands(self.crowd().join(1_200, parts))
 
 
+class CalmTest(crowds.CrowdCase):
+    """Fails if a request inside the limits is refused for its chunks."""
+
+    LIMITS = {"memory_mb": 160, "max_fds": crowds.MAX_FDS}
+
+    async def test_the_largest_body_in_chunks_of_one_byte_is_served(self):
+        head, *parts = chunked_request(crowds.LARGEST_BODY + crowds.SHORT_BY, 1)
+        address = self.daemon.frontend_address
+        reader, writer = await asyncio.open_connection(
+            address.host, address.port
+        )
+        self.addCleanup(writer.close)
+        for part in (head, *parts, b"0\r\n\r\n"):
+            writer.write(part)
+            await writer.drain()
+        status_line = await reader.readline()
+        self.assertIn(b" 200 ", status_line)
+
+
 class RequestsAheadTest(crowds.CrowdCase):
     """Guards against requests sent ahead whose responses are not read."""
 
