Test that the slowest reader gives way

Change: a test for responses that are taken slowly. Result: it holds; without Standing.UNREAD among the exchanges it fails.

--- a/packages/transport/tests/test_client_memory.py
+++ b/packages/transport/tests/test_client_memory.py
@@ -150,6 +150,15 @@
         self.assertTrue(self.grow(self.open(), 70_000, Standing.SERVED))
         self.assert_given_up(*(a for a in slow if a.closed))
 
+    def test_the_slowest_reader_gives_way_to_a_complete_request(self):
+        readers = [self.hold(Standing.UNREAD, 200_000) for _ in range(4)]
+        self.now += PATIENCE[Standing.UNREAD]
+        for rate, account in enumerate(readers, 1):
+            account.progress(self.now, 1_000 * rate)
+        self.assertTrue(self.grow(self.open(), 90_000, Standing.SERVED))
+        self.assertTrue(self.grow(self.open(), 90_000, Standing.SERVED))
+        self.assert_given_up(readers[0])
+
     def test_requests_that_are_handled_are_never_given_up(self):
         served = self.hold(Standing.SERVED, 900_000)
         self.now += 1_000.0
