Tell operators when input waits for processor time

Cause: nothing showed that a crowd takes the time of the others. Change: event 151 and the metric delayed_inputs count, for each listener, how often input had to wait when it came; the event is logged while more of it waits. Result: test_delayed_input_is_logged_while_more_of_it_waits.

--- a/packages/telemetry/src/lavendershed/telemetry/client_crowds.py
+++ b/packages/telemetry/src/lavendershed/telemetry/client_crowds.py
@@ -40,6 +40,7 @@
         self._refused = 0
         self._pauses = 0
         self._paused = False
+        self._delayed_inputs = 0
 
     def report(self) -> None:
         """Logs and counts what has happened since the last report."""
@@ -50,6 +51,7 @@
         self._report_given_up()
         self._report_refused()
         self._report_pauses()
+        self._report_delays()
 
     def _report_given_up(self) -> None:
         memory = self._server.memory
@@ -110,3 +112,20 @@
                 pauses=pauses,
             )
         self._pauses = pauses
+
+    def _report_delays(self) -> None:
+        recent = self._server.delayed_inputs - self._delayed_inputs
+        if not recent:
+            return
+        self._delayed_inputs = self._server.delayed_inputs
+        self._instruments.count_delayed_inputs(self._listener, recent)
+        waiting = self._server.waiting_inputs
+        # A short burst is over by now.
+        if waiting:
+            self._log.emit(
+                events.Event.INPUT_DELAYED,
+                listener=self._listener,
+                count=recent,
+                waiting=waiting,
+                connections=self._server.memory.connections,
+            )
--- a/packages/telemetry/src/lavendershed/telemetry/request_instruments.py
+++ b/packages/telemetry/src/lavendershed/telemetry/request_instruments.py
@@ -50,6 +50,9 @@
             "lavendershed.requests_without_memory"
         )
         self._accept_pauses = meter.create_counter("lavendershed.accept_pauses")
+        self._delayed_inputs = meter.create_counter(
+            "lavendershed.delayed_inputs"
+        )
         self._attempts = meter.create_counter("lavendershed.attempts")
         self._exclusions = meter.create_counter("lavendershed.exclusions")
         self._engine_losses = meter.create_counter("lavendershed.engine_losses")
@@ -137,6 +140,10 @@
         """Counts the times that no connection was accepted for lack of room."""
         self._accept_pauses.add(count, {"listener": listener})
 
+    def count_delayed_inputs(self, listener: str, count: int) -> None:
+        """Counts input that had to wait for processor time when it came."""
+        self._delayed_inputs.add(count, {"listener": listener})
+
     def count_failed_attempt(
         self, service: ids.ServiceId, server: ids.BackendServerId, end: str
     ) -> None:
--- a/packages/telemetry/tests/test_client_crowds.py
+++ b/packages/telemetry/tests/test_client_crowds.py
@@ -36,6 +36,8 @@
         )
         self.accept_pauses = 0
         self.accepting = True
+        self.delayed_inputs = 0
+        self.waiting_inputs = 0
 
 
 class ClientCrowdRecorderTest(unittest.TestCase):
@@ -88,6 +90,16 @@
         self.assertRegex(metrics, r"requests_without_memory_total{[^}]*} 3\.0")
         self.assertEqual(self.report()[0], [])
 
+    def test_delayed_input_is_logged_while_more_of_it_waits(self):
+        self.server.delayed_inputs = 5
+        self.assertEqual(self.report()[0], [])
+        self.server.delayed_inputs, self.server.waiting_inputs = 12, 3
+        ((event, fields),), metrics = self.report()
+        self.assertIs(event, EVENT.INPUT_DELAYED)
+        self.assertEqual((fields["count"], fields["waiting"]), (7, 3))
+        self.assertRegex(metrics, r"delayed_inputs_total{[^}]*} 12\.0")
+        self.assertEqual(self.report()[0], [])
+
     def test_pauses_of_accepting_begin_and_end_with_one_line(self):
         self.server.accepting = False
         seen = []
--- a/packages/transport/src/lavendershed/transport/processing_order.py
+++ b/packages/transport/src/lavendershed/transport/processing_order.py
@@ -65,6 +65,7 @@
         finish: Virtual time at which what it was served ends.
         virtual_time: Virtual time of its flows, at which new ones start.
         served: How often one of its flows was served after it had waited.
+        delayed: How often input had to wait when it came.
         waiting: Flows that wait, by their tickets in the order of arrival.
         keys: Keys and tickets of the same as a heap, and of others that have
             left since.
@@ -74,6 +75,7 @@
     finish: float = 0.0
     virtual_time: float = 0.0
     served: int = 0
+    delayed: int = 0
     waiting: collections.OrderedDict[int, Flow] = dataclasses.field(
         default_factory=collections.OrderedDict
     )
--- a/packages/transport/src/lavendershed/transport/processing_turns.py
+++ b/packages/transport/src/lavendershed/transport/processing_turns.py
@@ -39,11 +39,6 @@
         self._served: processing_order.Flow | None = None
         self._waits_again = False
 
-    @property
-    def waiting(self) -> int:
-        """Connections whose input waits to be processed."""
-        return len(self._order)
-
     def create_group(self) -> processing_order.FlowGroup:
         """Returns the group of a listener."""
         return self._order.create_group()
@@ -54,6 +49,7 @@
             self._order.begin(flow)
             self._serve(flow)
         else:
+            flow.group.delayed += 1
             flow.processor.wait_for_turn()
 
     def enqueue(self, flow: processing_order.Flow) -> None:
--- a/packages/transport/src/lavendershed/transport/server.py
+++ b/packages/transport/src/lavendershed/transport/server.py
@@ -135,6 +135,16 @@
         """How often there was no room for another connection."""
         return 0 if self._acceptor is None else self._acceptor.pauses
 
+    @property
+    def delayed_inputs(self) -> int:
+        """How often input of callers had to wait for its processing."""
+        return self._flow_group.delayed
+
+    @property
+    def waiting_inputs(self) -> int:
+        """Connections whose input waits for its processing now."""
+        return len(self._flow_group.waiting)
+
     @property
     def has_room(self) -> bool:
         """Whether another connection may be accepted now."""
