Keep the body of a request in a class of its own

Cause: ServerConnection held the content, the limit, the budget and the chunks of a body in six attributes beside its other work. Change: RequestBody keeps them; behaviour is the same.

--- a/packages/transport/src/lavendershed/transport/server_connection.py
+++ b/packages/transport/src/lavendershed/transport/server_connection.py
@@ -11,7 +11,6 @@
 
 from lavendershed.core import timers
 from lavendershed.core import units
-from lavendershed.transport import chunk_merging
 from lavendershed.transport import client_memory
 from lavendershed.transport import connection_ends
 from lavendershed.transport import handlers
@@ -19,6 +18,7 @@
 from lavendershed.transport import processing_order
 from lavendershed.transport import processing_turns
 from lavendershed.transport import receive_deadline
+from lavendershed.transport import request_body
 from lavendershed.transport import streams
 
 if typing.TYPE_CHECKING:
@@ -43,8 +43,6 @@
 _SMALL_REQUEST_BYTES = 4_096
 # Objects of one decoded header.
 _HEADER_BYTES = 400
-# The interpreter may reserve an eighth more for a body than has come.
-_BODY_RESERVE = 8
 # A body that is handled is also held by the connection to its server.
 _HANDLED_BODY_COPIES = 2
 # Bytes of a response that are a part of what a handled request is charged.
@@ -125,12 +123,7 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._request: h11.Request | None = None
-        self._body = bytearray()
-        # Of a chunked body, and what has come of it and was not merged.
-        self._chunk_merger: chunk_merging.ChunkMerger | None = None
-        self._unmerged = b""
-        # Limit in force when the head of the request was complete.
-        self._max_body = server.limits.max_body
+        self._body = request_body.RequestBody(server.buffers)
         self._task: asyncio.Task[None] | None = None
         self._deadline = receive_deadline.ReceiveDeadline(
             server.timers, server.limits, self._on_deadline
@@ -154,7 +147,6 @@
         self._truncated = False
         self._disconnect_callback: Callable[[], object] | None = None
         self._started = False
-        self._share = server.buffers.share()
         # Charged for the request that is received or handled.
         self._message_bytes = 0
         self._pipelined_bytes = 0
@@ -229,7 +221,7 @@
         self._server.turns.withdraw(self._flow)
         self._account.close()
         if self._task is None:
-            self._share.release()
+            self._body.release()
         if self._disconnect_callback is not None:
             self._disconnect_callback()
 
@@ -277,7 +269,7 @@
     def get_buffer(self, sizehint: int) -> memoryview:
         """Returns where the next bytes of the caller are read to."""
         phase = self._deadline.phase
-        if phase is _Phase.BODY and self._chunk_merger is not None:
+        if phase is _Phase.BODY and self._body.is_chunked:
             return self._server.read_buffer[:_CHUNKED_READ_BYTES]
         if phase in (_Phase.BODY, _Phase.CLOSING):
             return self._server.read_buffer
@@ -298,10 +290,10 @@
         self._account.progress(self._server.timers.now(), len(data))
         if self.idle:
             self._deadline.enter(_Phase.HEAD)
-        if self._chunk_merger is None:
-            self._protocol.receive_data(data)
+        if self._body.is_chunked:
+            self._body.receive_chunks(data)
         else:
-            self._unmerged += data
+            self._protocol.receive_data(data)
         if self._task is None and not self._flow.waiting:
             self._server.turns.process(self._flow)
             return
@@ -491,7 +483,7 @@
     def backlog(self) -> units.Bytes:
         """Bytes that have come and are not processed."""
         unparsed, _ = self._protocol.trailing_data
-        return units.Bytes(len(self._unmerged) + len(unparsed))
+        return units.Bytes(self._body.unmerged_bytes + len(unparsed))
 
     def process_turn(self) -> bool:
         """Processes input; returns whether a request has begun."""
@@ -513,10 +505,8 @@
             self._server.turns.enqueue(self._flow)
 
     def _process_events(self) -> None:
-        if self._chunk_merger is not None and self._unmerged:
-            merged = self._chunk_merger.merge(self._unmerged)
-            self._unmerged = b""
-            self._protocol.receive_data(merged)
+        if chunks := self._body.take_chunks():
+            self._protocol.receive_data(chunks)
         now = self._server.timers.now
         slice_end = units.after(now(), processing_turns.SLICE_TIME)
         for _ in range(_MAX_EVENTS_PER_TURN):
@@ -536,7 +526,9 @@
             if isinstance(event, h11.Request):
                 self._begin_body(event)
             elif isinstance(event, h11.Data):
-                if not self._receive_body(event.data):
+                fault = self._body.append(event.data)
+                if fault is not None:
+                    self._reject_body(fault)
                     return
             elif isinstance(event, h11.EndOfMessage):
                 self._dispatch()
@@ -547,36 +539,28 @@
 
     def _begin_body(self, request: h11.Request) -> None:
         self._request = request
-        self._max_body = self._server.limits.max_body
         self._message_bytes = _head_bytes(request, self._received_bytes)
         self._deadline.enter(_Phase.BODY)
-        if any(name == b"transfer-encoding" for name, _ in request.headers):
-            self._chunk_merger = chunk_merging.ChunkMerger()
-            # The parser has this part already.
-            self._chunk_merger.merge(self._protocol.trailing_data[0])
+        self._body.begin(
+            request,
+            self._server.limits.max_body,
+            self._protocol.trailing_data[0],
+        )
         if self._protocol.they_are_waiting_for_100_continue:
             self._send(h11.InformationalResponse(status_code=100, headers=[]))
 
-    def _receive_body(self, data: bytes) -> bool:
-        """Keeps a part of the body; refuses the request if it is too large."""
-        self._body += data
-        if len(self._body) > self._max_body:
-            self._reject(413, f"request body exceeds {self._max_body} bytes")
-            return False
-        if not self._share.resize(len(self._body)):
+    def _reject_body(self, fault: request_body.BodyFault) -> None:
+        if fault is request_body.BodyFault.TOO_LARGE:
+            self._reject(413, f"request body exceeds {self._body.limit} bytes")
+        else:
             self._reject(503, _NO_MEMORY, _End.NO_MEMORY)
-            return False
-        return True
 
     def _charge_received(self) -> bool:
         """Charges a request in part; refuses it if there is no room."""
         size = (
             self._received_bytes
             if self._request is None
-            else self._message_bytes
-            + len(self._body)
-            + len(self._body) // _BODY_RESERVE
-            + self.backlog
+            else self._message_bytes + self._body.held_bytes + self.backlog
         )
         if self._account.update(
             _Standing.RECEIVING, size, self._server.timers.now()
@@ -619,7 +603,6 @@
 
     def _dispatch(self) -> None:
         assert self._request is not None
-        self._chunk_merger = None
         self._message_bytes += _HANDLED_BODY_COPIES * len(self._body)
         if not self._account.update(
             _Standing.SERVED,
@@ -639,10 +622,9 @@
             urllib.parse.unquote(path),
             query,
             header_fields.decode(self._request.headers),
-            bytes(self._body),
+            self._body.complete(),
             target,
         )
-        self._body = bytearray()
         self._task = asyncio.get_running_loop().create_task(
             self._handle(request)
         )
@@ -660,7 +642,7 @@
             return
         finally:
             # A handler that failed has kept the body until now.
-            self._share.release()
+            self._body.release()
             self._task = None
         self._begin_next_request()
 
@@ -670,7 +652,7 @@
         Otherwise a caller that sends on and reads nothing would have the
         responses to all of its requests made and kept.
         """
-        self._share.release()
+        self._body.release()
         self._message_bytes = 0
         if (
             not self._unsent_bytes
@@ -770,9 +752,7 @@
         self._end_reason = end
         self._deadline.close()
         self._server.turns.withdraw(self._flow)
-        self._body = bytearray()
-        self._unmerged = b""
-        self._share.release()
+        self._body.drop()
         if self._transport is None or self._transport.is_closing():
             return
         if self._received_bytes:
--- a/tools/measure_crowds.py
+++ b/tools/measure_crowds.py
@@ -16,6 +16,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).parent.parent / "tests"))
 
 import test_client_crowds as crowds  # noqa: E402 - the crowds of the tests
+import test_client_processing as processing  # noqa: E402
 
 _PIECE = 4_096
 
@@ -24,6 +25,8 @@
     return [data[at : at + _PIECE] for at in range(0, len(data), _PIECE)]
 
 
+_SLASHES = b"/" * processing.SLASHES
+_LINES = b"a:\r\n" * processing.HEADER_LINES
 _MEDIUM = crowds.unfinished_request(crowds.MEDIUM_BODY)
 # Number of connections, what each of them sends, and whether it asks for
 # readiness.
@@ -46,6 +49,35 @@
         [crowds.PIPELINED_READINESS * crowds.REQUESTS_AHEAD],
         True,
     ),
+    "400 bodies of 4 MB, chunks of 16 kB": (
+        400,
+        processing.chunked_request(
+            crowds.LARGEST_BODY, processing.MEDIUM_CHUNK
+        ),
+        False,
+    ),
+    "600 bodies of 60 kB, chunks of 16 B": (
+        600,
+        processing.chunked_request(
+            processing.SMALL_CHUNKS_BODY, processing.SMALL_CHUNK
+        ),
+        False,
+    ),
+    "300 bodies of 60 kB, chunks of 1 B": (
+        300,
+        processing.chunked_request(processing.SMALL_CHUNKS_BODY, 1),
+        False,
+    ),
+    "500 with paths of 16,000 slashes": (
+        500,
+        [b"GET %s HTTP/1.1\r\nhost: x\r\n\r\n" % _SLASHES * 40],
+        False,
+    ),
+    "500 with heads of 3,900 lines": (
+        500,
+        [b"GET /x HTTP/1.1\r\nhost: x\r\n%s\r\n" % _LINES * 40],
+        False,
+    ),
     "500 at a path without a route": (
         500,
         [crowds.PIPELINED_NO_ROUTE * crowds.REQUESTS_AHEAD],
