--- a/packages/transport/src/lavendershed/transport/chunk_merging.py
+++ b/packages/transport/src/lavendershed/transport/chunk_merging.py
@@ -59,7 +59,7 @@
             self._advance(data, position)
         if not body:
             return data
-        merged = b"%x\r\n%b\r\n" % (len(body), body)
+        merged = b"%x\r\n" % len(body) + body + _LINE_END
         return data[:start] + merged + data[position:]
 
     @property
