Merge small chunks in steps of 8 KB, and test the steps

Cause: test_a_body_of_single_bytes_does_not_hold_the_loop counted turns of the loop, at least one for 128 chunks, which bounded a step to 1.3 ms at 10 us a chunk. Change: a read of a chunked body is 8 KB, which takes 1.2 ms to merge. The test bounds what one turn merges, to 8 KB after the read of the head, and what is left for the parser, to 128 parts as before. Body and answer are checked as before.

--- a/packages/transport/src/lavendershed/transport/server_connection.py
+++ b/packages/transport/src/lavendershed/transport/server_connection.py
@@ -37,8 +37,8 @@
 # beside a request that is handled.
 _HEAD_READ_BYTES = 16_384
 _PIPELINED_READ_BYTES = 8_192
-# Small chunks in a read of this size are merged in about 2 ms.
-_CHUNKED_READ_BYTES = 16_384
+# Small chunks in a read of this size take about a millisecond to merge.
+_CHUNKED_READ_BYTES = 8_192
 # The head of a request that is not larger is not measured by itself.
 _SMALL_REQUEST_BYTES = 4_096
 # Objects of one decoded header.
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import itertools
 import unittest
+import unittest.mock
 
 import platform_case
 import raw_server
@@ -12,6 +14,7 @@
 
 from lavendershed.core import units
 from lavendershed.standin import platform_engine
+from lavendershed.transport import chunk_merging
 from lavendershed.transport import client
 
 CHUNK = 65_536
@@ -405,7 +408,20 @@
         self.assertEqual(response.head.status, 200)
 
     async def test_a_body_of_single_bytes_does_not_hold_the_loop(self):
-        """Each chunk costs a step, so that other callers get turns."""
+        """Small chunks are merged in small steps, between turns of others."""
+        merge = chunk_merging.ChunkMerger.merge
+        steps = collections.defaultdict(list)
+
+        def record(merger, data):
+            merged = merge(merger, data)
+            steps[turns].append((len(data), merged.count(b"\r\n")))
+            return merged
+
+        patch = unittest.mock.patch.object(
+            chunk_merging.ChunkMerger, "merge", record
+        )
+        patch.start()
+        self.addCleanup(patch.stop)
         chunks = b"1\r\nx\r\n" * 50_000
         reader, writer = await asyncio.open_connection(
             self.daemon_address.host, self.daemon_address.port
@@ -423,7 +439,14 @@
             turns += 1
             await asyncio.sleep(0)
         self.assertIn(b" 200 ", reading.result())
-        self.assertGreater(turns, 50_000 // 128)
+        first, *later = steps.values()
+        # What came with the head; the parser takes it in parts of 128.
+        self.assertLessEqual(sum(size for size, _ in first), 16_384)
+        for step in later:
+            self.assertLessEqual(sum(size for size, _ in step), 8_192)
+            # Each chunk that is left costs the parser a part.
+            self.assertLessEqual(sum(ends for _, ends in step), 2 * 128)
+        self.assertGreater(len(steps), len(chunks) // 8_192 - 2)
         writer.transport.abort()
 
 
