--- a/packages/transport/src/lavendershed/transport/processing_order.py
+++ b/packages/transport/src/lavendershed/transport/processing_order.py
@@ -111,7 +111,9 @@
 class ProcessingOrder:
     """Decides whose input is processed next.
 
-    Virtual times are seconds of processing.
+    A flow starts when it begins to wait, or where its last turn has ended if
+    that is later, and finishes after what its turn costs. Both are virtual
+    times in seconds of processing, which stand still while a group is idle.
     """
 
     def __init__(self) -> None:
@@ -130,7 +132,7 @@
         return group
 
     def is_first(self, flow: Flow) -> bool:
-        """Returns whether a flow would be served before all that wait."""
+        """Returns whether a flow that has come now goes before all others."""
         group = flow.group
         group_start = self._group_start(group)
         if any(
@@ -183,7 +185,7 @@
         return flow
 
     def begin(self, flow: Flow) -> None:
-        """Records that a flow is served now without having waited."""
+        """Sets where a flow starts that waits, or is served at once."""
         flow.start = max(flow.finish, flow.group.virtual_time)
 
     def charge(self, flow: Flow, duration: units.Seconds) -> None:
--- a/packages/transport/src/lavendershed/transport/server_connection.py
+++ b/packages/transport/src/lavendershed/transport/server_connection.py
@@ -181,6 +181,12 @@
             return False
         return not self.idle or self._expects_first_request
 
+    @property
+    def backlog(self) -> units.Bytes:
+        """Bytes that have come and are not processed."""
+        unparsed, _ = self._protocol.trailing_data
+        return units.Bytes(self._body.unmerged_bytes + len(unparsed))
+
     @property
     def _unsent_bytes(self) -> int:
         """Bytes of responses that the caller has not taken yet."""
@@ -260,6 +266,25 @@
             return
         self._transport.close()
 
+    def process_turn(self) -> bool:
+        """Processes input; returns whether a request has begun."""
+        # A request that was rejected in the meantime must not be handled.
+        if (
+            self._transport is None
+            or self._transport.is_closing()
+            or self._deadline.phase is _Phase.CLOSING
+        ):
+            return False
+        self._resume_reading()
+        self._process_events()
+        return self._deadline.phase is _Phase.HANDLING
+
+    def wait_for_turn(self) -> None:
+        """Keeps what has come until there is time to process it."""
+        if self._charge_received():
+            self._pause_reading()
+            self._server.turns.enqueue(self._flow)
+
     def on_disconnect(self, callback: Callable[[], object] | None) -> None:
         """Calls `callback` when the caller closes; None removes it."""
         self._disconnect_callback = callback
@@ -479,31 +504,6 @@
             self._reading_paused = False
             self._transport.resume_reading()
 
-    @property
-    def backlog(self) -> units.Bytes:
-        """Bytes that have come and are not processed."""
-        unparsed, _ = self._protocol.trailing_data
-        return units.Bytes(self._body.unmerged_bytes + len(unparsed))
-
-    def process_turn(self) -> bool:
-        """Processes input; returns whether a request has begun."""
-        # A request that was rejected in the meantime must not be handled.
-        if (
-            self._transport is None
-            or self._transport.is_closing()
-            or self._deadline.phase is _Phase.CLOSING
-        ):
-            return False
-        self._resume_reading()
-        self._process_events()
-        return self._deadline.phase is _Phase.HANDLING
-
-    def wait_for_turn(self) -> None:
-        """Keeps what has come until there is time to process it."""
-        if self._charge_received():
-            self._pause_reading()
-            self._server.turns.enqueue(self._flow)
-
     def _process_events(self) -> None:
         if chunks := self._body.take_chunks():
             self._protocol.receive_data(chunks)
