Process what has come before a request is refused as late

The deadline of a request was applied after one more read of its socket, but while the rest of the request waited. Change: if the deadline passes while input waits, the request is refused only once that input has been processed and did not complete it.

--- a/packages/transport/src/lavendershed/transport/server_connection.py
+++ b/packages/transport/src/lavendershed/transport/server_connection.py
@@ -151,6 +151,8 @@
         self._message_bytes = 0
         self._pipelined_bytes = 0
         self._flow = processing_order.Flow(server.flow_group, self)
+        # Whether the deadline has passed while input waited for its turn.
+        self._is_overdue = False
         self._reading_paused = False
         self._end_reason: connection_ends.ConnectionEnd | None = None
         self._status: int | None = None
@@ -277,6 +279,13 @@
             return False
         self._resume_reading()
         self._process_events()
+        if (
+            self._is_overdue
+            and not self._reading_paused
+            and self._deadline.phase in (_Phase.HEAD, _Phase.BODY)
+        ):
+            # All that waited was processed, and it was not enough.
+            self._on_deadline()
         return self._deadline.phase is _Phase.HANDLING
 
     def wait_for_turn(self) -> None:
@@ -615,6 +624,7 @@
         if self._pipelined_bytes >= _MAX_PIPELINED_BYTES:
             self._pause_reading()
         self._deadline.enter(_Phase.HANDLING)
+        self._is_overdue = False
         target = self._request.target.decode("latin-1")
         path, _, query = target.partition("?")
         request = handlers.ServerRequest(
@@ -816,7 +826,14 @@
         """Ends what has taken too long."""
         phase = self._deadline.phase
         if not self._deadline.has_expired:
+            self._is_overdue = False
             self._deadline.rearm()
+        elif self._flow.waiting and (
+            phase is _Phase.HEAD or not self._is_overdue
+        ):
+            # What has come may complete the request. A head is bounded by its
+            # size; a body that still comes is not waited for twice.
+            self._is_overdue = True
         elif phase is _Phase.IDLE:
             self._close_idle()
         elif phase is _Phase.HEAD:
--- a/packages/transport/tests/test_crowded_connections.py
+++ b/packages/transport/tests/test_crowded_connections.py
@@ -305,6 +305,45 @@
         self.assertEqual(received.count(b"HTTP/1.1 200"), 100)
 
 
+class DelayedInputTest(CrowdedCase):
+    """Guards requests that wait for processor time from their deadlines."""
+
+    async def send_late(self, first, rest):
+        """Sends a request whose end waits past its deadline."""
+        caller = await self.connect(first)
+        await self.wait_until(
+            lambda: any(not c.idle for c in self.server._connections)
+        )
+        (connection,) = self.server._connections
+        # No turn comes, as if others took all the time.
+        self.server.turns._spent = 1.0
+        self.server.turns._scheduled = True
+        await asyncio.get_running_loop().sock_sendall(caller, rest)
+        await self.wait_until(lambda: connection._flow.waiting)
+        self.advance(31.0)
+        for _ in range(20):
+            await asyncio.sleep(POLL_S)
+        self.server.turns._scheduled = False
+        self.server.turns._schedule()
+        return await self.read_until(caller, b"\r\n\r\n")
+
+    async def test_a_whole_head_that_waits_is_served(self):
+        response = await self.send_late(QUESTION[:-9], QUESTION[-9:])
+        self.assertIn(b" 200 ", response)
+
+    async def test_a_whole_body_that_waits_is_served(self):
+        response = await self.send_late(HEAD % 2 + b"a", b"b")
+        self.assertIn(b" 200 ", response)
+
+    async def test_a_head_in_part_that_waited_is_refused(self):
+        response = await self.send_late(QUESTION[:-9], QUESTION[-9:-4])
+        self.assertIn(b" 408 ", response)
+
+    async def test_a_body_in_part_that_waited_is_refused(self):
+        response = await self.send_late(HEAD % 9 + b"a", b"b")
+        self.assertIn(b" 408 ", response)
+
+
 class AcceptorTest(CrowdedCase):
     """Guards against connections that take all descriptors."""
 
